--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := packages/wagtailkeel-state packages/wagtailkeel-protocol \
+	packages/wagtailkeel-coordination packages/wagtailkeel-transport packages/wagtailkeel bench
+SOURCES := $(addsuffix /src,$(PACKAGES)) tests
+SEED ?= 1
+SCENARIO ?= steady-marshals
+
+.PHONY: run test lint bench format
+
+$(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt setuptools
+	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
+		$(foreach package,$(PACKAGES),--editable $(package)) black hypothesis mypy ruff
+	touch $@
+
+run: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench run
+
+test: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench test
+
+bench: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench scenario $(SCENARIO) --seed $(SEED)
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/black --check --quiet $(SOURCES)
+	$(VENV)/bin/ruff check --quiet $(SOURCES)
+	$(VENV)/bin/mypy $(SOURCES)
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff check --quiet --fix $(SOURCES)
+	$(VENV)/bin/black --quiet $(SOURCES)
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/demonstration.py
@@ -0,0 +1,75 @@
+"""The small site of ``make run``."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from wagtailkeel_bench.deployment import SMALL
+from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.site import Site
+from wagtailkeel_bench.site import make_folder
+
+FEEDS = 60
+REQUESTS_PER_S = 60.0
+SEED = 1
+
+
+def run_demonstration(seconds: float) -> int:
+    """Run it; return the exit status."""
+    try:
+        return asyncio.run(_demonstrate(seconds))
+    except KeyboardInterrupt:
+        print("stopped")
+        return 0
+
+
+async def _demonstrate(seconds: float) -> int:
+    folder = make_folder()
+    site = Site(Deployment(SMALL, folder, SEED, is_stateless=False))
+    print("starting: 1 control, 2 balancers, 3 agents, and stand-ins for")
+    print("network, callers and 3 backend servers, each a process of its own")
+    try:
+        await site.start()
+        print("ready: service marshal-desk has an address, two classes and three servers")
+        await _send_traffic(site, seconds)
+        return await _report(site)
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            await site.stop()
+        print(f"all processes stopped; settings and logs are in {folder}")
+
+
+async def _send_traffic(site: Site, seconds: float) -> None:
+    feed = site.endpoints_by_class["marshal-desk/feed"]
+    checkpoint = site.endpoints_by_class["marshal-desk/checkpoint"]
+    print(f"sending {FEEDS} feeds and {REQUESTS_PER_S:g} checkpoint reports a second")
+    await site.callers.command(
+        "start_feeds", endpoint=feed, count=FEEDS, interval_s=0.5, over_s=seconds / 4
+    )
+    await site.callers.command(
+        "start_requests",
+        endpoint=checkpoint,
+        rate=REQUESTS_PER_S,
+        work_ms=10.0,
+        parts=1,
+        is_idempotent=False,
+    )
+    await asyncio.sleep(seconds)
+    await site.callers.command("stop_requests")
+    await asyncio.sleep(1.0)
+
+
+async def _report(site: Site) -> int:
+    callers = await site.callers.command("report", lost_servers=[], silenced=[], max_idle_s=3.0)
+    servers = await site.servers.command("report")
+    is_open = callers["outcomes"].get("open", 0)
+    answered = callers.get("requests_answered", 0)
+    print(f"feeds: {is_open} of {callers['feeds']} open, by server {callers['feeds_by_server']}")
+    print(f"reports: {answered} of {callers['requests_sent']} answered")
+    print(f"response times in ms: {callers['response_ms']}")
+    print(f"packets at a wrong service: {servers['misrouted_packets']}")
+    print(f"reports that ran twice: {servers['double_runs']}")
+    is_whole = is_open == FEEDS and answered == callers["requests_sent"]
+    is_clean = not servers["misrouted_packets"] and not servers["double_runs"]
+    return 0 if is_whole and is_clean else 1
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/measurements/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of the bench."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/scenario/__init__.py
@@ -0,0 +1,3 @@
+"""Scenario of the bench."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -0,0 +1,209 @@
+"""A running site: all processes of a deployment, and what can be done to them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from wagtailkeel.console.control_client import ControlClient
+from wagtailkeel_bench.child_process import BenchError
+from wagtailkeel_bench.child_process import ChildProcess
+from wagtailkeel_bench.child_process import StandIn
+from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.deployment import Instance
+from wagtailkeel_protocol.flow_key import endpoint_key
+from wagtailkeel_state.commands import AnyCommand
+from wagtailkeel_state.commands import CommandAnswer
+from wagtailkeel_state.commands import CreateClass
+from wagtailkeel_state.commands import CreateService
+from wagtailkeel_state.enums import FlowProtocol
+from wagtailkeel_state.target import Target
+
+READY_LIMIT_S = 40.0
+POLL_INTERVAL_S = 0.05
+FABRIC_NOTICE_S = 0.3
+DEADLINE_S = 20.0
+
+
+class Site:
+    """Starts and stops the processes; operators' commands go the way of the command line."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.network = StandIn("network", deployment.network_plan(), deployment.folder)
+        self.servers = StandIn("servers", deployment.servers_plan(), deployment.folder)
+        self.callers = StandIn("callers", deployment.callers_plan(), deployment.folder)
+        self.processes_by_name: dict[str, ChildProcess] = {}
+        self.endpoints_by_class: dict[str, str] = {}
+        addresses = [
+            (found.proxy_host, found.ports["rpc_port"]) for found in deployment.of_role("control")
+        ]
+        self.client = ControlClient(addresses, DEADLINE_S)
+
+    async def start(self, *, has_traffic: bool = True) -> None:
+        """Start all processes, create services and classes, wait until all is in force."""
+        for stand_in in (self.network, self.servers, self.callers):
+            await stand_in.start()
+        for instance in self.deployment.instances_by_name.values():
+            await self.start_instance(instance)
+        await self._create_services()
+        await self.wait_ready()
+        if has_traffic:
+            await self._publish_endpoints()
+
+    async def start_instance(self, instance: Instance) -> None:
+        """Start one process of the system; a balancer joins the fabric."""
+        path = self.deployment.write_settings(instance)
+        process = ChildProcess(
+            instance.name,
+            ["-m", "wagtailkeel.console.daemon", "run", str(path)],
+            self.deployment.folder / f"{instance.name}.log",
+        )
+        self.processes_by_name[instance.name] = process
+        await process.start()
+        if instance.role == "balancer":
+            await self.network.command(
+                "set_balancer",
+                name=instance.name,
+                host=instance.bind_host,
+                port=instance.ports["fabric_port"],
+            )
+
+    async def _create_services(self) -> None:
+        for service in self.deployment.shape.services:
+            await self.operate(CreateService(name=service.name))
+        for found in self.deployment.shape.classes:
+            command = CreateClass(
+                service=found.service,
+                name=found.name,
+                protocol=FlowProtocol(found.protocol),
+                target=Target.parse(found.target),
+                is_idempotent=found.is_idempotent,
+                idle_limit_s=found.idle_limit_s,
+            )
+            await self.operate(command)
+
+    async def operate(self, command: AnyCommand, **options: Any) -> CommandAnswer:
+        """Send an operator's command; raise BenchError unless it is accepted."""
+        answer = await self.client.send(command, author="bench", **options)
+        if not answer.is_accepted:
+            raise BenchError(f"{command} was {answer.status.value}: {answer.reason}")
+        return answer
+
+    async def wait_ready(self) -> None:
+        """Wait until all nodes have the newest version and every bucket has an authority."""
+        deadline = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline:
+            if await self._is_ready():
+                return
+            await asyncio.sleep(POLL_INTERVAL_S * 4)
+        raise BenchError("the site did not become ready: " + json.dumps(await self.dumps())[:4_000])
+
+    async def _is_ready(self) -> bool:
+        status = await self.client.status()
+        nodes = [f for f in self.deployment.instances_by_name.values() if f.role != "control"]
+        if len(status.nodes) < len(nodes) or not status.is_leader:
+            return False
+        if any(node.version < status.version for node in status.nodes):
+            return False
+        if self.deployment._is_stateless:
+            return True
+        dumps = await self.dumps("agent")
+        for service in status.configuration.services_by_name.values():
+            held = sum(
+                dump["buckets_held"] for dump in dumps.values() if dump["service"] == service.name
+            )
+            if held != service.bucket_count:
+                return False
+        return True
+
+    async def _publish_endpoints(self) -> None:
+        config = (await self.client.status()).configuration
+        services_by_endpoint: dict[str, str] = {}
+        for service in config.services_by_name.values():
+            for found in service.classes_by_name.values():
+                key = endpoint_key(service.address, found.port, found.protocol.number).hex()
+                services_by_endpoint[key] = service.name
+                self.endpoints_by_class[f"{service.name}/{found.name}"] = key
+        for stand_in in (self.servers, self.callers):
+            await stand_in.command("set_endpoints", services_by_endpoint=services_by_endpoint)
+
+    async def dump(self, name: str) -> dict[str, Any]:
+        """Return the state of one instance."""
+        instance = self.deployment.instances_by_name[name]
+        body = await self.client.dump((instance.bind_host, instance.ports["rpc_port"]))
+        found: dict[str, Any] = json.loads(body)
+        return found
+
+    async def dumps(self, role: str = "") -> dict[str, dict[str, Any]]:
+        """Return the states of all running instances of a role."""
+        names = [
+            found.name
+            for found in self.deployment.instances_by_name.values()
+            if (not role or found.role == role) and self.processes_by_name[found.name].is_running
+        ]
+        found = await asyncio.gather(*(self.dump(name) for name in names), return_exceptions=True)
+        return {
+            name: dump
+            for name, dump in zip(names, found, strict=True)
+            if not isinstance(dump, BaseException)
+        }
+
+    # Faults
+
+    async def kill_instance(self, name: str) -> None:
+        """End a process at once; the fabric notices a lost balancer a little later."""
+        await self.processes_by_name[name].kill()
+        if self.deployment.instances_by_name[name].role == "balancer":
+            await asyncio.sleep(FABRIC_NOTICE_S)
+            await self.network.command("remove_balancer", name=name)
+
+    async def restart_instance(self, name: str, *, is_planned: bool) -> None:
+        """Stop a process, gracefully or not, and start it again."""
+        instance = self.deployment.instances_by_name[name]
+        if is_planned:
+            if instance.role == "balancer":
+                await self.network.command("remove_balancer", name=name)
+            await self.processes_by_name[name].stop()
+        else:
+            await self.kill_instance(name)
+        await self.start_instance(instance)
+
+    async def kill_server(self, name: str) -> None:
+        """End a backend server together with its agent."""
+        await self.servers.command("set_down", server_id=name, is_down=True)
+        await self.kill_instance(name)
+
+    def pause_instance(self, name: str, is_paused: bool) -> None:
+        """Freeze a process, or let it go on."""
+        number = signal.SIGSTOP if is_paused else signal.SIGCONT
+        self.processes_by_name[name].signal(number)
+
+    async def stop(self) -> dict[str, int]:
+        """Stop all processes; return the exit statuses of those of the system."""
+        statuses: dict[str, int] = {}
+        for role in ("balancer", "agent", "control"):
+            names = [f.name for f in self.deployment.of_role(role)]
+            running = [
+                self.processes_by_name[name]
+                for name in names
+                if name in self.processes_by_name and self.processes_by_name[name].is_running
+            ]
+            results = await asyncio.gather(*(process.stop() for process in running))
+            statuses.update({p.name: s for p, s in zip(running, results, strict=True)})
+        for stand_in in (self.callers, self.servers, self.network):
+            if stand_in.is_running:
+                await stand_in.kill()
+        self.client.close()
+        return statuses
+
+
+def make_folder(root: Path | None = None) -> Path:
+    """Return a new folder for settings, logs and data of a run."""
+    import tempfile
+
+    return Path(tempfile.mkdtemp(prefix="wagtailkeel-", dir=root))
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/stand_ins/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of the bench."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -0,0 +1,231 @@
+"""The process that holds all callers."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import struct
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from wagtailkeel_bench.stand_ins.command_loop import serve_commands
+from wagtailkeel_bench.stand_ins.feed import Feed
+from wagtailkeel_bench.stand_ins.feed import FeedState
+from wagtailkeel_bench.stand_ins.payload import AnswerPayload
+from wagtailkeel_bench.stand_ins.request import Request
+from wagtailkeel_bench.stand_ins.request import RequestOutcome
+from wagtailkeel_bench.stand_ins.udp_port import Address
+from wagtailkeel_bench.stand_ins.udp_port import UdpPort
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.flow_key import endpoint_of
+from wagtailkeel_protocol.malformed import Malformed
+
+FIRST_CALLER = int(ipaddress.ip_address("10.200.0.1"))
+FIRST_PORT = 2_000
+PORTS_PER_CALLER = 50_000
+PORT_FORGET_S = 5.0
+
+PacketHandler = Callable[[bytes], None]
+
+
+class CallersPlan(msgspec.Struct):
+    """Where callers listen and where the fabric takes their packets."""
+
+    seed: int
+    address: Address
+    fabric: Address
+
+
+class Callers:
+    """All flows of all callers."""
+
+    def __init__(self, plan: CallersPlan) -> None:
+        self.counters: Counter[str] = Counter()
+        self._plan = plan
+        self._random = Random(plan.seed)
+        self._port = UdpPort(plan.address, self._on_packet)
+        self._handlers_by_key: dict[bytes, PacketHandler] = {}
+        self._service_by_endpoint: dict[str, str] = {}
+        self._flow_number = 0
+        self._request_number = 0
+        self._feeds: list[Feed] = []
+        self._refused_ids: list[int] = []
+        self._responses = HdrHistogram(1, 60_000_000, 3)
+        self._worst_response_s = 0.0
+        self._generators: list[asyncio.Task[None]] = []
+
+    # Used by the flows
+
+    def new_key(self, endpoint: str, handler: PacketHandler) -> bytes:
+        """Return the key of a new flow to an endpoint (hex text of address, port, protocol)."""
+        self._flow_number += 1
+        caller, port = divmod(self._flow_number, PORTS_PER_CALLER)
+        target = bytes.fromhex(endpoint)
+        source = struct.pack("!I", FIRST_CALLER + caller)
+        key = source + target[:4] + struct.pack("!H", FIRST_PORT + port) + target[4:]
+        self._handlers_by_key[key] = handler
+        return key
+
+    def forget_key(self, key: bytes) -> None:
+        """Stop to handle packets of a flow, after its late answers."""
+        asyncio.get_running_loop().call_later(PORT_FORGET_S, self._handlers_by_key.pop, key, None)
+
+    def new_request_id(self) -> int:
+        """Return a number that no other request has."""
+        self._request_number += 1
+        return self._request_number
+
+    def send(self, packet: bytes) -> None:
+        """Hand a packet to the fabric."""
+        self._port.send(packet, self._plan.fabric)
+
+    def check_service(self, key: bytes, answer: AnswerPayload) -> None:
+        """Count an answer of another service."""
+        if self._service_by_endpoint.get(endpoint_of(key).hex()) != answer.service:
+            self.counters["wrong_answers"] += 1
+
+    def on_request_end(self, request: Request, key: bytes) -> None:
+        """Account for a request."""
+        self.forget_key(key)
+        self.counters[f"requests_{request.outcome.value}"] += 1
+        if request.outcome is RequestOutcome.REFUSED:
+            self._refused_ids.append(request.request_id)
+        if request.outcome is RequestOutcome.ANSWERED:
+            self._responses.record_value(max(1, int(request.response_s * 1e6)))
+            self._worst_response_s = max(self._worst_response_s, request.response_s)
+
+    def _on_packet(self, packet: bytes, sender: Address) -> None:
+        if packet[9] == ip.ICMP:
+            quoted = packet[28:]
+            handler = self._handlers_by_key.get(quoted[12:24] + quoted[9:10])
+        else:
+            key = ip.parse_flow_key(packet)
+            if isinstance(key, Malformed):
+                self.counters["malformed"] += 1
+                return
+            handler = self._handlers_by_key.get(ip.reverse_key(key))
+        if handler is not None:
+            handler(packet)
+
+    # Commands
+
+    def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
+        """Learn which endpoint belongs to which service."""
+        self._service_by_endpoint = services_by_endpoint
+        return True
+
+    def start_feeds(self, endpoint: str, count: int, interval_s: float, over_s: float) -> bool:
+        """Open feeds, spread over a time."""
+        loop = asyncio.get_running_loop()
+        for number in range(count):
+            phase_s = self._random.uniform(0, interval_s)
+            loop.call_later(over_s * number / count, self._open_feed, endpoint, interval_s, phase_s)
+        return True
+
+    def _open_feed(self, endpoint: str, interval_s: float, phase_s: float) -> None:
+        feed = Feed(self, endpoint, interval_s, phase_s)
+        self._feeds.append(feed)
+        feed.open()
+
+    def start_requests(
+        self, endpoint: str, rate: float, work_ms: float, parts: int, is_idempotent: bool
+    ) -> bool:
+        """Send requests at a mean rate until told to stop."""
+
+        async def generate() -> None:
+            loop = asyncio.get_running_loop()
+            due = loop.time()
+            while True:
+                due += self._random.expovariate(rate)
+                delay_s = due - loop.time()
+                if delay_s > 0:
+                    await asyncio.sleep(delay_s)
+                self.counters["requests_sent"] += 1
+                Request(self, endpoint, work_ms, parts, is_idempotent).start()
+
+        self._generators.append(asyncio.create_task(generate()))
+        return True
+
+    def send_raw(self, packets: list[str]) -> bool:
+        """Send packets given as hex text, for tests of bad input."""
+        for packet in packets:
+            self.send(bytes.fromhex(packet))
+        return True
+
+    def stop_requests(self) -> bool:
+        """Stop sending new requests."""
+        for task in self._generators:
+            task.cancel()
+        self._generators.clear()
+        return True
+
+    def reset_gaps(self) -> bool:
+        """Start to measure the worst gap anew."""
+        self._worst_response_s = 0.0
+        for feed in self._feeds:
+            feed.worst_gap_s = 0.0
+        return True
+
+    def count_open(self) -> int:
+        """Return the number of open feeds."""
+        return sum(feed.state is FeedState.OPEN for feed in self._feeds)
+
+    def report(
+        self, lost_servers: list[str], silenced: list[str], max_idle_s: float
+    ) -> dict[str, Any]:
+        """Return all that was seen; flows of lost servers and silenced flows are set apart."""
+        now = asyncio.get_running_loop().time()
+        silent_keys = {bytes.fromhex(key) for key in silenced}
+        outcomes: Counter[str] = Counter()
+        feeds_by_server: Counter[str] = Counter()
+        worst_gap_s = self._worst_response_s
+        silent_told: list[float] = []
+        for feed in self._feeds:
+            if feed.key in silent_keys:
+                outcomes["silenced"] += 1
+                outcomes["silenced_told"] += feed.state is FeedState.RESET
+                silent_told.append(feed.broken_at - feed.last_answer_at)
+            elif feed.server_id in lost_servers:
+                outcomes["given_up"] += 1
+            elif feed.state is FeedState.OPEN and now - feed.last_answer_at > max_idle_s:
+                outcomes["stale"] += 1
+            else:
+                outcomes[feed.state.value] += 1
+                feeds_by_server[feed.server_id] += feed.state is FeedState.OPEN
+                worst_gap_s = max(worst_gap_s, feed.worst_gap_s)
+        return {
+            "feeds": len(self._feeds),
+            "feed_refusals": sum(feed.refusals for feed in self._feeds),
+            "outcomes": dict(outcomes),
+            "feeds_by_server": dict(feeds_by_server),
+            "worst_gap_ms": worst_gap_s * 1_000,
+            "silence_told_s": max(silent_told, default=0.0),
+            "refused_ids": self._refused_ids,
+            "response_ms": {
+                name: self._responses.get_value_at_percentile(percentile) / 1_000
+                for name, percentile in (("p50", 50.0), ("p99", 99.0), ("p999", 99.9))
+            },
+            **self.counters,
+        }
+
+
+async def run_callers(plan: CallersPlan) -> None:
+    """Serve until told to stop."""
+    callers = Callers(plan)
+    handlers: dict[str, Callable[..., object]] = {
+        "ping": lambda: True,
+        "set_endpoints": callers.set_endpoints,
+        "start_feeds": callers.start_feeds,
+        "start_requests": callers.start_requests,
+        "stop_requests": callers.stop_requests,
+        "send_raw": callers.send_raw,
+        "reset_gaps": callers.reset_gaps,
+        "count_open": callers.count_open,
+        "report": callers.report,
+    }
+    await serve_commands(handlers)
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/stand_ins/feed.py
@@ -0,0 +1,139 @@
+"""A long flow as its caller sees it: opened once, kept alive, never reopened when it breaks."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from wagtailkeel_bench.stand_ins.payload import AnswerPayload
+from wagtailkeel_bench.stand_ins.payload import RequestPayload
+from wagtailkeel_bench.stand_ins.payload import decode_payload
+from wagtailkeel_bench.stand_ins.payload import encode_payload
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.packet_builder import build_tcp
+
+if TYPE_CHECKING:
+    from wagtailkeel_bench.stand_ins.callers import Callers
+
+RESEND_INTERVAL_S = 0.25
+OPEN_LIMIT_S = 15.0
+ANSWER_LIMIT_S = 10.0
+REOPEN_DELAY_S = 0.3
+
+
+class FeedState(Enum):
+    """State of a feed."""
+
+    OPENING = "opening"
+    OPEN = "open"
+    RESET = "reset"
+    TIMED_OUT = "timed_out"
+    NEVER_OPENED = "never_opened"
+
+
+class Feed:
+    """One TCP-like flow with a keep-alive request at an interval."""
+
+    def __init__(self, callers: Callers, endpoint: str, interval_s: float, phase_s: float) -> None:
+        self.state = FeedState.OPENING
+        self.server_id = ""
+        self.worst_gap_s = 0.0
+        self.broken_at = 0.0
+        self.refusals = 0
+        self.last_answer_at = 0.0
+        self._callers = callers
+        self._endpoint = endpoint
+        self._interval_s = interval_s
+        self._phase_s = phase_s
+        self._key = callers.new_key(endpoint, self.on_packet)
+        self._request_id = 0
+        self._asked_at = 0.0
+        self._opened_at = self._now
+
+    @property
+    def key(self) -> bytes:
+        """The flow's key."""
+        return self._key
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def open(self) -> None:
+        """Send a SYN until it is answered."""
+        if self.state is not FeedState.OPENING:
+            return
+        if self._now - self._opened_at > OPEN_LIMIT_S:
+            self._end(FeedState.NEVER_OPENED)
+            return
+        self._send(ip.SYN)
+        asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self.open)
+
+    def on_packet(self, packet: bytes) -> None:
+        """Handle a packet of the server."""
+        flags = ip.tcp_flags(packet)
+        if flags & ip.RST:
+            self._on_reset()
+        elif flags & ip.SYN and self.state is FeedState.OPENING:
+            self.state = FeedState.OPEN
+            self._send(ip.ACK)
+            asyncio.get_running_loop().call_later(self._phase_s, self._ask)
+        else:
+            self._on_body(ip.payload_of(packet))
+
+    def _on_reset(self) -> None:
+        if self.state is FeedState.OPENING:
+            self.refusals += 1
+            self._callers.forget_key(self._key)
+            self._key = self._callers.new_key(self._endpoint, self.on_packet)
+        elif self.state is FeedState.OPEN:
+            self._end(FeedState.RESET)
+
+    def _ask(self) -> None:
+        if self.state is not FeedState.OPEN:
+            return
+        self._request_id = self._callers.new_request_id()
+        self._asked_at = self._now
+        self._resend(self._request_id)
+        asyncio.get_running_loop().call_later(self._interval_s, self._ask_next)
+
+    def _ask_next(self) -> None:
+        if self._asked_at:
+            # The last one is still unanswered; its own resends go on.
+            asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._ask_next)
+            return
+        self._ask()
+
+    def _resend(self, request_id: int) -> None:
+        if self.state is not FeedState.OPEN or not self._asked_at:
+            return
+        if request_id != self._request_id:
+            return
+        if self._now - self._asked_at > ANSWER_LIMIT_S:
+            self._end(FeedState.TIMED_OUT)
+            return
+        body = encode_payload(RequestPayload(request_id, 0.0, 1, True))
+        self._send(ip.PSH | ip.ACK, body)
+        asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._resend, request_id)
+
+    def _on_body(self, body: bytes) -> None:
+        answer = decode_payload(body) if body else None
+        if not isinstance(answer, AnswerPayload) or answer.request_id != self._request_id:
+            return
+        if self.server_id and answer.server_id != self.server_id:
+            self._callers.counters["wrong_answers"] += 1
+        self.server_id = answer.server_id
+        self._callers.check_service(self._key, answer)
+        if self._asked_at:
+            self.worst_gap_s = max(self.worst_gap_s, self._now - self._asked_at)
+            self._asked_at = 0.0
+            self.last_answer_at = self._now
+
+    def _end(self, state: FeedState) -> None:
+        self.state = state
+        self.broken_at = self._now
+        self._callers.forget_key(self._key)
+
+    def _send(self, flags: int, body: bytes = b"") -> None:
+        self._callers.send(build_tcp(self._key, 1, 1, flags, body))
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/stand_ins/run_ledger.py
@@ -0,0 +1,66 @@
+"""What all backend servers together have seen: runs, misrouted packets, late packets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from wagtailkeel_protocol.flow_key import endpoint_of
+
+if TYPE_CHECKING:
+    from wagtailkeel_bench.stand_ins.backend_server import ServerPlan
+    from wagtailkeel_bench.stand_ins.payload import RequestPayload
+
+
+class RunLedger:
+    """Shared by the servers of one bench, so that a second run anywhere is seen."""
+
+    def __init__(self) -> None:
+        self.misrouted_packets = 0
+        self.late_packets = 0
+        self.double_runs = 0
+        self.multi_server_flows = 0
+        self._servers_by_request_id: dict[int, str] = {}
+        self._service_by_endpoint: dict[bytes, str] = {}
+        self._server_by_flow: dict[bytes, str] = {}
+        self._closed_from_by_data_centre: dict[str, float] = {}
+        self._closed_from_by_server: dict[str, float] = {}
+
+    def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
+        """Learn which endpoint (hex text) belongs to which service."""
+        self._service_by_endpoint = {
+            bytes.fromhex(key): service for key, service in services_by_endpoint.items()
+        }
+        return True
+
+    def close_data_centre(self, name: str, grace_s: float) -> bool:
+        """Count packets into a data centre as late from now on plus a grace."""
+        self._closed_from_by_data_centre[name] = asyncio.get_running_loop().time() + grace_s
+        return True
+
+    def open_data_centre(self, name: str) -> bool:
+        """Stop counting."""
+        self._closed_from_by_data_centre.pop(name, None)
+        return True
+
+    def check_arrival(self, plan: ServerPlan, key: bytes) -> None:
+        """Count a packet that should not be here."""
+        if self._service_by_endpoint.get(endpoint_of(key)) != plan.service:
+            self.misrouted_packets += 1
+        closed_from = self._closed_from_by_data_centre.get(plan.data_centre)
+        if closed_from is not None and asyncio.get_running_loop().time() > closed_from:
+            self.late_packets += 1
+        first = self._server_by_flow.setdefault(key, plan.server_id)
+        if first != plan.server_id:
+            self.multi_server_flows += 1
+            self._server_by_flow[key] = plan.server_id
+
+    def record_run(self, request: RequestPayload, server_id: str) -> None:
+        """Record that a request starts to run."""
+        if request.request_id in self._servers_by_request_id and not request.is_idempotent:
+            self.double_runs += 1
+        self._servers_by_request_id[request.request_id] = server_id
+
+    def count_runs(self, request_ids: list[int]) -> int:
+        """Return how many of the requests have run."""
+        return sum(request_id in self._servers_by_request_id for request_id in request_ids)
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -0,0 +1,94 @@
+"""The process that holds all backend server stand-ins."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+
+from wagtailkeel_bench.stand_ins.backend_server import BackendServer
+from wagtailkeel_bench.stand_ins.backend_server import ServerPlan
+from wagtailkeel_bench.stand_ins.command_loop import serve_commands
+from wagtailkeel_bench.stand_ins.run_ledger import RunLedger
+
+
+class ServersPlan(msgspec.Struct):
+    """All servers of a bench."""
+
+    seed: int
+    servers: list[ServerPlan]
+
+
+class Servers:
+    """Commands on the servers."""
+
+    def __init__(self, plan: ServersPlan) -> None:
+        self.ledger = RunLedger()
+        random = Random(plan.seed)
+        self._servers_by_id = {
+            found.server_id: BackendServer(found, self.ledger, Random(random.random()))
+            for found in plan.servers
+        }
+
+    def turn_cold(self, server_id: str) -> bool:
+        """Make a server cold without a sign."""
+        self._servers_by_id[server_id].turn_cold()
+        return True
+
+    def set_down(self, server_id: str, is_down: bool) -> bool:
+        """Stop or start a server."""
+        self._servers_by_id[server_id].set_down(is_down)
+        return True
+
+    def silence(self, server_id: str, count: int) -> list[str]:
+        """Make connections silent."""
+        return self._servers_by_id[server_id].silence(count)
+
+    def reset_load(self) -> bool:
+        """Start to measure load anew."""
+        for server in self._servers_by_id.values():
+            server.busy_s = 0.0
+            server.counters["served"] = 0
+        return True
+
+    def report(self) -> dict[str, Any]:
+        """Return all that was seen."""
+        return {
+            "misrouted_packets": self.ledger.misrouted_packets,
+            "late_packets": self.ledger.late_packets,
+            "double_runs": self.ledger.double_runs,
+            "multi_server_flows": self.ledger.multi_server_flows,
+            "servers": {
+                server_id: {
+                    "service": server.plan.service,
+                    "data_centre": server.plan.data_centre,
+                    "slots": server.plan.slots,
+                    "speed": server.plan.speed,
+                    "busy_s": server.busy_s,
+                    "connections": server.connection_count,
+                    "max_load_over_bearable": server.max_load_over_bearable,
+                    **server.counters,
+                }
+                for server_id, server in self._servers_by_id.items()
+            },
+        }
+
+
+async def run_servers(plan: ServersPlan) -> None:
+    """Serve until told to stop."""
+    servers = Servers(plan)
+    handlers: dict[str, Callable[..., object]] = {
+        "ping": lambda: True,
+        "set_endpoints": servers.ledger.set_endpoints,
+        "close_data_centre": servers.ledger.close_data_centre,
+        "open_data_centre": servers.ledger.open_data_centre,
+        "count_runs": servers.ledger.count_runs,
+        "turn_cold": servers.turn_cold,
+        "set_down": servers.set_down,
+        "silence": servers.silence,
+        "reset_load": servers.reset_load,
+        "report": servers.report,
+    }
+    await serve_commands(handlers)
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/test_runner.py
@@ -0,0 +1,40 @@
+"""Runs the tests; entries of KNOWN-RED.txt may fail, and are printed."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from pathlib import Path
+
+KNOWN_RED_FILE = "KNOWN-RED.txt"
+TEST_PREFIX = "test:"
+
+
+def run_tests(root: Path, pattern: str) -> int:
+    """Run all tests below ``tests``; return the exit status."""
+    sys.path.insert(0, str(root))
+    suite = unittest.defaultTestLoader.discover(
+        str(root / "tests"), pattern=pattern, top_level_dir=str(root)
+    )
+    result = unittest.TextTestRunner(verbosity=1, stream=sys.stdout).run(suite)
+    known = load_known_red(root / KNOWN_RED_FILE)
+    failed = {case.id().split(" ")[0] for case, _ in [*result.failures, *result.errors]}
+    for test_id in sorted(failed & known):
+        print(f"known red: {test_id}")
+    for test_id in sorted(known - failed):
+        print(f"known red, but passed or not run: {test_id}")
+    fresh = failed - known
+    skipped = len(result.skipped)
+    passed = result.testsRun - len(failed) - skipped
+    print(f"{passed} passed, {len(fresh)} failed, {skipped} skipped")
+    return 1 if fresh or not result.testsRun else 0
+
+
+def load_known_red(path: Path) -> set[str]:
+    """Return the ids of tests that fail for a recorded fault."""
+    if not path.exists():
+        return set()
+    lines = path.read_text().splitlines()
+    return {
+        line.removeprefix(TEST_PREFIX).strip() for line in lines if line.startswith(TEST_PREFIX)
+    }
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_identity.py
@@ -0,0 +1,15 @@
+"""Who an agent is."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class AgentIdentity(msgspec.Struct, frozen=True):
+    """One incarnation of the agent beside one backend server."""
+
+    server_id: str
+    service: str
+    data_centre: str
+    slots: int
+    boot_id: int
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -0,0 +1,422 @@
+"""Which buckets this agent is the authority of, and how tokens move.
+
+A token is created by a takeover or passed on by a grant. At most one agent that may place flows
+of classes that are not idempotent holds a bucket's token, because
+
+* an answer "no" to a claim at epoch e is a promise to refuse all grants of generations below
+  (e, 0), as in the prepare phase of Paxos (Lamport, 1998);
+* a takeover waits, beside all answers, until every lease older than the last removal of a member
+  has run out;
+* a new incarnation of an agent starts without tokens.
+
+Entries are copied before the token moves, as memory pages are in pre-copy migration (Clark et al.,
+2005): the holder stays the authority until the successor has all but the last few entries.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.bucket_claim import BucketClaim
+from wagtailkeel_coordination.claim_answers import pack_answers
+from wagtailkeel_coordination.claim_answers import split_answer
+from wagtailkeel_coordination.lease import LEASE_MARGIN_S
+from wagtailkeel_coordination.lease import LEASE_S
+from wagtailkeel_coordination.outgoing_grant import RECORDS_PER_DATAGRAM
+from wagtailkeel_coordination.outgoing_grant import OutgoingGrant
+from wagtailkeel_protocol.messages import BucketReceipt
+from wagtailkeel_protocol.messages import Claim
+from wagtailkeel_protocol.messages import ClaimAnswer
+from wagtailkeel_protocol.messages import FlowTransfer
+from wagtailkeel_protocol.messages import FlowTransferAck
+from wagtailkeel_protocol.messages import Grant
+from wagtailkeel_protocol.messages import GrantAck
+from wagtailkeel_state.generation import Generation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.outbox import DatagramOutbox
+    from wagtailkeel_protocol.gue import DataFrame
+    from wagtailkeel_protocol.messages import BucketAnswer
+    from wagtailkeel_protocol.messages import BucketGrant
+    from wagtailkeel_state.flow_directory import FlowDirectory
+    from wagtailkeel_state.flow_record import FlowRecord
+    from wagtailkeel_state.owner_table import OwnerTable
+
+CLAIM_DELAY_S = 0.3
+CLAIM_RETRY_S = 0.3
+GRANT_RETRY_S = 0.2
+RETRY_HORIZON_S = 10.0
+BUCKETS_PER_CLAIM = 256
+GRANTS_PER_DATAGRAM = 60
+DATAGRAMS_PER_TICK = 16
+
+
+class BucketAuthority:
+    """Tokens, claims, grants and promises of one agent for one service."""
+
+    def __init__(
+        self,
+        own_id: str,
+        boot_id: int,
+        directory: FlowDirectory,
+        outbox: DatagramOutbox,
+        counters: Counters,
+        on_token: Callable[[list[DataFrame]], None],
+    ) -> None:
+        self.tokens_by_bucket: dict[int, Generation] = {}
+        self.claims_by_bucket: dict[int, BucketClaim] = {}
+        self.outgoing_by_bucket: dict[int, OutgoingGrant] = {}
+        self.successors_by_bucket: dict[int, str] = {}
+        self.uncertain_until_by_bucket: dict[int, float] = {}
+        self.forgetful_since_by_id: dict[str, float] = {}
+        self.has_lost_memory = False
+        self.table: OwnerTable | None = None
+        self._own_id = own_id
+        self._boot_id = boot_id
+        self._directory = directory
+        self._outbox = outbox
+        self._counters = counters
+        self._on_token = on_token
+        self._boot_ids_by_member: dict[str, int] = {}
+        self._received_epochs_by_bucket: dict[int, int] = {}
+        self._floors_by_bucket: dict[int, Generation] = {}
+        self._promised_epochs_by_bucket: dict[int, int] = {}
+        self._takeover_not_before = float("-inf")
+        self._uncertain_until = float("-inf")
+        self._asked_at = float("-inf")
+
+    @property
+    def can_pass_on(self) -> bool:
+        """Tell whether there are tokens left that another server may take."""
+        has_successors = self.table is not None and bool(self.table.owners_by_bucket)
+        return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
+
+    def is_authority(self, bucket: int) -> bool:
+        """Tell whether this agent holds the bucket's token."""
+        return bucket in self.tokens_by_bucket
+
+    def is_uncertain(self, bucket: int, now: float) -> bool:
+        """Tell whether an unknown flow may have reached a server whose agent is gone or forgot.
+
+        True within the retry horizon after a takeover that followed the loss of a member, and
+        while a member other than this one has lost its memory.
+        """
+        if any(now - since < RETRY_HORIZON_S for since in self.forgetful_since_by_id.values()):
+            return True
+        return now < self.uncertain_until_by_bucket.get(bucket, now)
+
+    def apply_table(
+        self, table: OwnerTable, boot_ids_by_member: dict[str, int], has_removal: bool, now: float
+    ) -> None:
+        """Adopt a newer table; ``has_removal`` tells that an incarnation left the member list."""
+        previous = self.table
+        self.table = table
+        changed = {
+            member
+            for member, boot_id in self._boot_ids_by_member.items()
+            if boot_ids_by_member.get(member) != boot_id
+        }
+        self._boot_ids_by_member = dict(boot_ids_by_member)
+        if self._boot_ids_by_member.get(self._own_id) != self._boot_id:
+            self._forget_tokens()
+        if has_removal:
+            lease_end = now + LEASE_S + LEASE_MARGIN_S
+            self._takeover_not_before = max(self._takeover_not_before, lease_end)
+            self._uncertain_until = now + RETRY_HORIZON_S
+        self._forget_members(changed)
+        self._restart_claims(table, previous, changed, now)
+        self._grant_lost_buckets(table)
+
+    def _forget_members(self, changed: set[str]) -> None:
+        for member in changed:
+            self.forgetful_since_by_id.pop(member, None)
+        for bucket, outgoing in list(self.outgoing_by_bucket.items()):
+            if outgoing.successor_id in changed:
+                del self.outgoing_by_bucket[bucket]
+        for bucket, successor in list(self.successors_by_bucket.items()):
+            if successor in changed:
+                del self.successors_by_bucket[bucket]
+
+    def _restart_claims(
+        self, table: OwnerTable, previous: OwnerTable | None, changed: set[str], now: float
+    ) -> None:
+        earlier_claims = self.claims_by_bucket
+        self.claims_by_bucket = {}
+        if self._boot_ids_by_member.get(self._own_id) != self._boot_id:
+            return
+        for bucket in table.buckets_of(self._own_id):
+            if bucket in self.tokens_by_bucket:
+                continue
+            earlier = earlier_claims.get(bucket)
+            holder = previous.owner_of(bucket) if previous else None
+            if earlier is not None:
+                holder = earlier.holder_id
+            is_reachable = bool(holder) and holder != self._own_id and holder not in changed
+            claim = BucketClaim(
+                bucket,
+                table.epoch,
+                now + CLAIM_DELAY_S if is_reachable else now,
+                self._other_members(),
+                holder_id=holder if holder and is_reachable else "",
+                queue=earlier.queue if earlier else [],
+            )
+            self.claims_by_bucket[bucket] = claim
+
+    def _other_members(self) -> set[str]:
+        return {member for member in self._boot_ids_by_member if member != self._own_id}
+
+    def _grant_lost_buckets(self, table: OwnerTable) -> None:
+        for bucket in list(self.tokens_by_bucket):
+            owner = table.owner_of(bucket)
+            if owner is None:
+                continue
+            outgoing = self.outgoing_by_bucket.get(bucket)
+            if owner == self._own_id:
+                if outgoing is not None:
+                    del self.outgoing_by_bucket[bucket]
+                continue
+            if table.epoch >= self._received_epochs_by_bucket.get(bucket, 0):
+                self._start_grant(bucket, owner, table.epoch)
+
+    def start_incarnation(self, boot_id: int) -> None:
+        """Drop all tokens, when control no longer counts the incarnation before as a member."""
+        self._boot_id = boot_id
+        self._forget_tokens()
+
+    def _forget_tokens(self) -> None:
+        self.tokens_by_bucket.clear()
+        self.claims_by_bucket.clear()
+        self.outgoing_by_bucket.clear()
+        self.successors_by_bucket.clear()
+
+    def tick(self, now: float) -> None:
+        """Send what is due again and take over what all others have denied holding."""
+        self._send_claims(now)
+        self._take_over(now)
+        self._send_grants(now)
+
+    # Claims
+
+    def _send_claims(self, now: float) -> None:
+        if not self.claims_by_bucket or now - self._asked_at < CLAIM_RETRY_S:
+            return
+        due_by_member: dict[str, list[int]] = {}
+        for claim in self.claims_by_bucket.values():
+            if now < claim.asks_from:
+                continue
+            for member in claim.pending_ids:
+                due_by_member.setdefault(member, []).append(claim.bucket)
+        if not due_by_member:
+            return
+        self._asked_at = now
+        for member, buckets in due_by_member.items():
+            for start in range(0, len(buckets), BUCKETS_PER_CLAIM):
+                self._send_claim(member, buckets[start : start + BUCKETS_PER_CLAIM])
+
+    def _send_claim(self, member: str, buckets: list[int]) -> None:
+        assert self.table is not None, "claims exist only under a table"
+        self._counters["claims_sent"] += 1
+        self._outbox.send(member, Claim(self._own_id, self._boot_id, self.table.epoch, buckets))
+
+    def _take_over(self, now: float) -> None:
+        if now < self._takeover_not_before:
+            return
+        ready = [claim for claim in self.claims_by_bucket.values() if not claim.pending_ids]
+        for claim in ready:
+            generation = Generation(claim.epoch, 0)
+            self._counters["takeovers"] += 1
+            if now < self._uncertain_until:
+                self.uncertain_until_by_bucket[claim.bucket] = self._uncertain_until
+            self._hold(claim.bucket, generation, claim.epoch, now)
+
+    def on_claim(self, message: Claim, now: float) -> None:
+        """Answer a claim: grant what is held, promise to refuse older grants of the rest."""
+        if self._boot_ids_by_member.get(message.sender, message.boot_id) != message.boot_id:
+            self._counters["messages_of_old_incarnation"] += 1
+            return
+        answers: list[BucketAnswer] = []
+        for bucket in message.buckets:
+            answers.extend(self._answer_claim(message, bucket))
+        for batch in pack_answers(answers):
+            self._outbox.send(
+                message.sender,
+                ClaimAnswer(
+                    self._own_id, self._boot_id, message.epoch, batch, self.has_lost_memory
+                ),
+            )
+        self._send_grants(now)
+
+    def _answer_claim(self, message: Claim, bucket: int) -> list[BucketAnswer]:
+        token = self.tokens_by_bucket.get(bucket)
+        if token is not None:
+            if self._is_entitled(message, bucket):
+                self._start_grant(bucket, message.sender, message.epoch)
+            return split_answer(bucket, True, [])
+        self._raise_floor(bucket, Generation(message.epoch, 0))
+        promised = self._promised_epochs_by_bucket.get(bucket, 0)
+        self._promised_epochs_by_bucket[bucket] = max(promised, message.epoch)
+        flows = self._directory.local_records([bucket], self._own_id)
+        return split_answer(bucket, False, flows)
+
+    def _is_entitled(self, message: Claim, bucket: int) -> bool:
+        """A claim under a newer table proves ownership; one under an older table does not."""
+        if self.table is None or message.epoch > self.table.epoch:
+            return True
+        return message.epoch == self.table.epoch and message.sender == self.table.owner_of(bucket)
+
+    def on_claim_answer(self, message: ClaimAnswer, now: float) -> None:
+        """Count the answers; flows on the member's server become pointers at once."""
+        if self._boot_ids_by_member.get(message.sender) != message.boot_id:
+            self._counters["messages_of_old_incarnation"] += 1
+            return
+        if message.has_lost_memory:
+            self.forgetful_since_by_id.setdefault(message.sender, now)
+        for answer in message.answers:
+            claim = self.claims_by_bucket.get(answer.bucket)
+            if claim is None or claim.epoch != message.epoch:
+                continue
+            if answer.is_holder:
+                claim.holder_id = message.sender
+                continue
+            if claim.holder_id == message.sender:
+                claim.holder_id = ""
+            self._directory.install(answer.bucket, answer.flows, now)
+            claim.record_denial(message.sender, answer)
+
+    # Tokens
+
+    def is_stale(self, bucket: int, generation: Generation) -> bool:
+        """Tell whether a generation is older than what was seen or promised for the bucket."""
+        floor = self._floors_by_bucket.get(bucket)
+        return floor is not None and generation < floor
+
+    def is_placement_stale(self, bucket: int, generation: Generation) -> bool:
+        """Tell whether a placement was made under a token older than a promise given here."""
+        promised = self._promised_epochs_by_bucket.get(bucket, 0)
+        return generation < Generation(promised, 0)
+
+    def _raise_floor(self, bucket: int, floor: Generation) -> None:
+        self._floors_by_bucket[bucket] = max(self._floors_by_bucket.get(bucket, floor), floor)
+
+    def _hold(self, bucket: int, generation: Generation, epoch: int, now: float) -> None:
+        self.tokens_by_bucket[bucket] = generation
+        self._received_epochs_by_bucket[bucket] = epoch
+        self.outgoing_by_bucket.pop(bucket, None)
+        self.successors_by_bucket.pop(bucket, None)
+        self._raise_floor(bucket, generation.successor)
+        claim = self.claims_by_bucket.pop(bucket, None)
+        if claim is not None and claim.queue:
+            self._on_token(claim.take_queue(now))
+        if self.table is None or self.table.epoch < epoch:
+            # The sender knew a newer table; passing on by the older one would send it back.
+            return
+        owner = self.table.owner_of(bucket)
+        if owner is not None and owner != self._own_id:
+            self._start_grant(bucket, owner, self.table.epoch)
+
+    # Grants
+
+    def _start_grant(self, bucket: int, successor: str, epoch: int) -> None:
+        outgoing = self.outgoing_by_bucket.get(bucket)
+        if outgoing is not None and outgoing.successor_id == successor and outgoing.epoch >= epoch:
+            return
+        token = self.tokens_by_bucket[bucket]
+        # Members that promised at the epoch of the grant must accept what it leads to.
+        generation = Generation(max(token.epoch, epoch), token.counter + 1)
+        self.outgoing_by_bucket[bucket] = OutgoingGrant(bucket, successor, generation, epoch)
+
+    def _send_grants(self, now: float) -> None:
+        budget = DATAGRAMS_PER_TICK
+        batches: dict[str, list[BucketGrant]] = {}
+        for outgoing in list(self.outgoing_by_bucket.values()):
+            if budget <= 0:
+                break
+            if now - outgoing.last_sent_at < GRANT_RETRY_S:
+                continue
+            if not outgoing.is_released:
+                records = self._directory.records_of(outgoing.bucket, self._own_id)
+                rest = outgoing.add_parts(records)
+                if outgoing.parts_by_number:
+                    budget -= self._send_parts(outgoing)
+                    outgoing.last_sent_at = now
+                    continue
+                self._release(outgoing, rest)
+            outgoing.last_sent_at = now
+            batch = batches.setdefault(outgoing.successor_id, [])
+            if self._is_full(batch, outgoing):
+                self._send_batch(outgoing.successor_id, batch)
+                budget -= 1
+                batch = batches[outgoing.successor_id] = []
+            batch.append(outgoing.message)
+        for successor, batch in batches.items():
+            self._send_batch(successor, batch)
+
+    def _is_full(self, batch: list[BucketGrant], outgoing: OutgoingGrant) -> bool:
+        records = sum(len(grant.flows) for grant in batch) + len(outgoing.final_records)
+        return bool(batch) and (records > RECORDS_PER_DATAGRAM or len(batch) >= GRANTS_PER_DATAGRAM)
+
+    def _send_batch(self, successor: str, batch: list[BucketGrant]) -> None:
+        self._outbox.send(successor, Grant(self._own_id, self._boot_id, batch))
+
+    def _send_parts(self, outgoing: OutgoingGrant) -> int:
+        for part, flows in outgoing.parts_by_number.items():
+            self._outbox.send(
+                outgoing.successor_id,
+                FlowTransfer(self._own_id, outgoing.bucket, outgoing.generation, part, flows),
+            )
+        return len(outgoing.parts_by_number)
+
+    def _release(self, outgoing: OutgoingGrant, records: list[FlowRecord]) -> None:
+        """From here on the token is on its way: this agent no longer is the authority."""
+        outgoing.final_records = records
+        outgoing.is_released = True
+        del self.tokens_by_bucket[outgoing.bucket]
+        self.successors_by_bucket[outgoing.bucket] = outgoing.successor_id
+        self._directory.drop_remotes(outgoing.bucket)
+        self._counters["grants_released"] += 1
+
+    def on_grant(self, message: Grant, now: float) -> None:
+        """Take the tokens that are newer than any seen, refuse the others, acknowledge all."""
+        receipts = []
+        for grant in message.grants:
+            receipts.append(BucketReceipt(grant.bucket, grant.generation))
+            if self.is_stale(grant.bucket, grant.generation):
+                self._counters["grants_refused"] += 1
+                continue
+            self._counters["grants_taken"] += 1
+            self._directory.install(grant.bucket, grant.flows, now)
+            self._hold(grant.bucket, grant.generation, grant.epoch, now)
+        self._outbox.send(message.sender, GrantAck(self._own_id, receipts))
+
+    def on_grant_ack(self, message: GrantAck) -> None:
+        """Stop sending what has arrived."""
+        for receipt in message.receipts:
+            outgoing = self.outgoing_by_bucket.get(receipt.bucket)
+            if outgoing is None or outgoing.successor_id != message.sender:
+                continue
+            if outgoing.is_released and outgoing.generation == receipt.generation:
+                del self.outgoing_by_bucket[receipt.bucket]
+
+    def on_flow_transfer(self, message: FlowTransfer, now: float) -> None:
+        """Store entries that are sent ahead of a grant."""
+        if not self.is_stale(message.bucket, message.generation):
+            self._directory.install(message.bucket, message.flows, now)
+        self._outbox.send(
+            message.sender,
+            FlowTransferAck(self._own_id, message.bucket, message.generation, message.part),
+        )
+
+    def on_flow_transfer_ack(self, message: FlowTransferAck, now: float) -> None:
+        """Send the token once all parts have arrived."""
+        outgoing = self.outgoing_by_bucket.get(message.bucket)
+        if outgoing is None or outgoing.generation != message.generation:
+            return
+        if outgoing.successor_id != message.sender:
+            return
+        outgoing.parts_by_number.pop(message.part, None)
+        if not outgoing.parts_by_number and not outgoing.is_released:
+            outgoing.last_sent_at = float("-inf")
+            self._send_grants(now)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -0,0 +1,204 @@
+"""The flows on the own server: what enters, what leaves, what is owed and what is over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.packet_builder import build_probe
+from wagtailkeel_protocol.packet_builder import build_reset
+from wagtailkeel_state.enums import FlowProtocol
+from wagtailkeel_state.local_flow import LocalFlow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.outbox import PacketOutbox
+    from wagtailkeel_state.flow_directory import FlowDirectory
+    from wagtailkeel_state.traffic_class import TrafficClass
+
+ANSWER_LIMIT_S = 10.0
+SILENCE_LIMIT_S = 3.0
+SILENCE_PACKETS = 2
+PROBE_INTERVAL_S = 1.0
+PROBE_LIMIT = 3
+SERVER_ALIVE_S = 2.0
+CLOSED_LINGER_S = 5.0
+SWEEP_INTERVAL_S = 5.0
+SWEEP_FLOWS_PER_TICK = 2_000
+
+
+class LocalFlows:
+    """Accounts for every packet of the flows on the own server."""
+
+    def __init__(
+        self,
+        directory: FlowDirectory,
+        limiter: ConcurrencyLimiter,
+        slots: int,
+        outbox: PacketOutbox,
+        counters: Counters,
+        record_response: Callable[[float], None],
+    ) -> None:
+        self.held_count = 0
+        self._directory = directory
+        self._limiter = limiter
+        self._slots = slots
+        self._outbox = outbox
+        self._counters = counters
+        self._record_response = record_response
+        self._awaiting_by_key: dict[bytes, LocalFlow] = {}
+        self._probes_by_key: dict[bytes, int] = {}
+        self._last_answer_at = float("-inf")
+        self._sweep_keys: list[bytes] = []
+        self._swept_at = float("-inf")
+
+    @property
+    def awaiting_count(self) -> int:
+        """The number of flows that the server owes an answer."""
+        return len(self._awaiting_by_key)
+
+    def open(self, key: bytes, bucket: int, traffic_class: TrafficClass, now: float) -> LocalFlow:
+        """Start to account for a flow."""
+        flow = LocalFlow(key, bucket, traffic_class, now, now)
+        self._directory.add_local(flow)
+        self.held_count += traffic_class.is_held
+        self._counters["flows_opened"] += 1
+        return flow
+
+    def close(self, flow: LocalFlow) -> None:
+        """Forget a flow."""
+        self._settle(flow)
+        self._directory.remove_local(flow)
+        self.held_count -= flow.traffic_class.is_held
+        self._counters["flows_closed"] += 1
+
+    def on_inbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
+        """Account for a packet and deliver it."""
+        flow.last_inbound_at = now
+        if flow.traffic_class.protocol is FlowProtocol.UDP:
+            self._expect_answer(flow, packet, now)
+            self._outbox.deliver(packet)
+            return
+        offset = ip.transport_offset(packet)
+        flags = packet[offset + 13]
+        self._outbox.deliver(packet)
+        if flags & ip.RST:
+            self.close(flow)
+            return
+        if flags & ip.FIN:
+            flow.has_inbound_fin = True
+        if flags & ip.SYN:
+            flow.has_inbound_fin = flow.has_outbound_fin = False
+        has_payload = len(packet) > offset + (packet[offset + 12] >> 4) * 4
+        if has_payload or flags & ip.SYN:
+            self._expect_answer(flow, packet, now)
+
+    def _expect_answer(self, flow: LocalFlow, packet: bytes, now: float) -> None:
+        flow.unanswered_packets += 1
+        flow.last_packet = packet
+        if flow.awaiting_since > 0.0:
+            return
+        flow.awaiting_since = now
+        flow.is_queued_start = self._limiter.in_flight >= self._slots
+        self._limiter.on_start()
+        self._awaiting_by_key[flow.key] = flow
+
+    def on_outbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
+        """Account for a packet of the server; the caller of this method sends it on."""
+        flow.last_outbound_at = now
+        self._last_answer_at = now
+        if flow.traffic_class.protocol is FlowProtocol.UDP:
+            if flow.awaiting_since > 0.0:
+                self._learn_answer(flow, now)
+            return
+        offset = ip.transport_offset(packet)
+        flags = packet[offset + 13]
+        if flags & ip.RST:
+            self.close(flow)
+            return
+        if flags & ip.FIN:
+            flow.has_outbound_fin = True
+        if flow.awaiting_since > 0.0:
+            has_payload = len(packet) > offset + (packet[offset + 12] >> 4) * 4
+            if has_payload or flags & ip.SYN:
+                self._learn_answer(flow, now)
+
+    def _learn_answer(self, flow: LocalFlow, now: float) -> None:
+        response_s = now - flow.awaiting_since
+        traffic_class = flow.traffic_class
+        self._forget_debt(flow)
+        self._limiter.on_answer(
+            traffic_class.name, response_s, traffic_class.target, flow.is_queued_start, now
+        )
+        self._record_response(response_s)
+
+    def _settle(self, flow: LocalFlow) -> None:
+        if not flow.is_awaiting:
+            return
+        self._forget_debt(flow)
+        self._limiter.on_abandon()
+
+    def _forget_debt(self, flow: LocalFlow) -> None:
+        flow.awaiting_since = 0.0
+        flow.unanswered_packets = 0
+        flow.last_packet = b""
+        self._awaiting_by_key.pop(flow.key, None)
+        self._probes_by_key.pop(flow.key, None)
+
+    def tick(self, now: float) -> None:
+        """Probe silent flows, give up overdue answers, forget what is over."""
+        for flow in list(self._awaiting_by_key.values()):
+            self._check_silence(flow, now)
+        self._sweep(now)
+
+    def _check_silence(self, flow: LocalFlow, now: float) -> None:
+        waited_s = now - flow.awaiting_since
+        if waited_s < SILENCE_LIMIT_S:
+            return
+        is_server_alive = now - self._last_answer_at < SERVER_ALIVE_S
+        is_flow_silent = flow.last_outbound_at < flow.awaiting_since
+        if not is_server_alive and is_flow_silent:
+            self._limiter.on_silence()
+        is_tcp = flow.traffic_class.protocol is FlowProtocol.TCP
+        is_repeated = flow.unanswered_packets >= SILENCE_PACKETS
+        if is_tcp and is_flow_silent and is_server_alive and is_repeated:
+            self._probe(flow, now)
+            return
+        if waited_s > ANSWER_LIMIT_S:
+            self._counters["answers_overdue"] += 1
+            self._settle(flow)
+
+    def _probe(self, flow: LocalFlow, now: float) -> None:
+        if now - flow.probed_at < PROBE_INTERVAL_S:
+            return
+        probes = self._probes_by_key.get(flow.key, 0)
+        if probes >= PROBE_LIMIT:
+            self._counters["silent_flows_reset"] += 1
+            self._outbox.reply(build_reset(flow.last_packet))
+            self.close(flow)
+            return
+        flow.probed_at = now
+        self._probes_by_key[flow.key] = probes + 1
+        self._counters["silence_probes"] += 1
+        self._outbox.deliver(build_probe(flow.last_packet))
+
+    def _sweep(self, now: float) -> None:
+        if not self._sweep_keys:
+            if now - self._swept_at < SWEEP_INTERVAL_S:
+                return
+            self._swept_at = now
+            self._sweep_keys = list(self._directory.local_flows_by_key)
+        keys = self._sweep_keys
+        for _ in range(min(SWEEP_FLOWS_PER_TICK, len(keys))):
+            flow = self._directory.local_flows_by_key.get(keys.pop())
+            if flow is not None and self._is_over(flow, now):
+                self.close(flow)
+
+    def _is_over(self, flow: LocalFlow, now: float) -> bool:
+        idle_s = now - max(flow.last_inbound_at, flow.last_outbound_at)
+        if flow.is_closed:
+            return idle_s > CLOSED_LINGER_S
+        return idle_s > flow.traffic_class.idle_limit_s
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -0,0 +1,106 @@
+"""The leader's view of which nodes are alive: leases granted, removals due.
+
+Control removes a silent agent only after every lease it may hold has run out. A pause of the
+leader itself, or silence of most nodes at once, says more about the leader than about the nodes,
+and removes none of them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_coordination.lease import LEASE_S
+from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
+from wagtailkeel_protocol.messages import Heartbeat
+from wagtailkeel_state.commands import RemoveBalancer
+from wagtailkeel_state.commands import RemoveServer
+
+if TYPE_CHECKING:
+    from wagtailkeel_state.configuration import Configuration
+
+PAUSE_LIMIT_S = 1.0
+MAX_SILENT_FRACTION = 0.5
+AGENT_STOP_LIMIT_S = 30.0
+
+
+class NodeReport(msgspec.Struct):
+    """The last heartbeat of a node and when it arrived."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+class Membership:
+    """Heartbeats by node id; starts empty with each term of a leader."""
+
+    def __init__(self, now: float) -> None:
+        self.reports_by_id: dict[str, NodeReport] = {}
+        self.mass_silence_events = 0
+        self._first_seen_by_id: dict[str, float] = {}
+        self._ticked_at = now
+        self._grace_from = now
+
+    def on_heartbeat(self, message: Heartbeat, config: Configuration, now: float) -> float:
+        """Record a heartbeat; return the lease to grant in seconds, 0 for none."""
+        earlier = self.reports_by_id.get(message.sender)
+        if earlier is not None and earlier.heartbeat.boot_id == message.boot_id:
+            if message.sent_at < earlier.heartbeat.sent_at:
+                return 0.0
+        if not is_current(message, config):
+            return 0.0
+        self.reports_by_id[message.sender] = NodeReport(message, now)
+        return LEASE_S if _has_current_table(message, config) else 0.0
+
+    def find_removals(
+        self, config: Configuration, now: float
+    ) -> list[RemoveServer | RemoveBalancer]:
+        """Return the commands that remove nodes silent for too long."""
+        if now - self._ticked_at > PAUSE_LIMIT_S:
+            self._grace_from = now
+        self._ticked_at = now
+        boot_ids = _boot_ids(config)
+        silent = [key for key, boot_id in boot_ids.items() if self._is_silent(key, boot_id, now)]
+        if len(silent) > 1 and len(silent) > MAX_SILENT_FRACTION * len(boot_ids):
+            self.mass_silence_events += 1
+            return []
+        return [_removal(key, boot_ids[key], config) for key in silent]
+
+    def _is_silent(self, node_id: str, boot_id: int, now: float) -> bool:
+        report = self.reports_by_id.get(node_id)
+        heard_at = self._grace_from
+        if report is not None and report.heartbeat.boot_id == boot_id:
+            heard_at = max(heard_at, report.heard_at)
+        else:
+            first_seen = self._first_seen_by_id.setdefault(f"{node_id}/{boot_id}", now)
+            heard_at = max(heard_at, first_seen)
+        limit_s = REMOVAL_SILENCE_S
+        if report is not None and report.heartbeat.is_stopping:
+            limit_s = AGENT_STOP_LIMIT_S
+        return now - heard_at > limit_s
+
+
+def is_current(message: Heartbeat, config: Configuration) -> bool:
+    """Tell whether the sender's incarnation is a member."""
+    return _boot_ids(config).get(message.sender) == message.boot_id
+
+
+def _has_current_table(message: Heartbeat, config: Configuration) -> bool:
+    member = config.servers_by_id.get(message.sender)
+    if member is None:
+        return True
+    service = config.services_by_name.get(member.service)
+    return service is None or message.version >= service.table_epoch
+
+
+def _boot_ids(config: Configuration) -> dict[str, int]:
+    boot_ids = {key: member.boot_id for key, member in config.servers_by_id.items()}
+    boot_ids.update({key: member.boot_id for key, member in config.balancers_by_id.items()})
+    return boot_ids
+
+
+def _removal(node_id: str, boot_id: int, config: Configuration) -> RemoveServer | RemoveBalancer:
+    if node_id in config.servers_by_id:
+        return RemoveServer(server_id=node_id, boot_id=boot_id)
+    return RemoveBalancer(instance_id=node_id, boot_id=boot_id)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -0,0 +1,41 @@
+"""A grant in progress: entries flow first, the token goes with the last of them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_protocol.messages import BucketGrant
+from wagtailkeel_state.flow_record import FlowRecord
+from wagtailkeel_state.generation import Generation
+
+RECORDS_PER_DATAGRAM = 30
+
+
+class OutgoingGrant(msgspec.Struct):
+    """Until ``is_released`` the sender stays the authority of the bucket."""
+
+    bucket: int
+    successor_id: str
+    generation: Generation
+    epoch: int
+    parts_by_number: dict[int, list[FlowRecord]] = {}
+    sent_keys: set[bytes] = set()
+    next_part: int = 0
+    final_records: list[FlowRecord] = []
+    is_released: bool = False
+    last_sent_at: float = float("-inf")
+
+    @property
+    def message(self) -> BucketGrant:
+        """The token as it is sent."""
+        return BucketGrant(self.bucket, self.generation, self.epoch, self.final_records)
+
+    def add_parts(self, records: list[FlowRecord]) -> list[FlowRecord]:
+        """Split what was not sent yet into parts; return the rest that fits beside the token."""
+        fresh = [record for record in records if record.key not in self.sent_keys]
+        while len(fresh) > RECORDS_PER_DATAGRAM:
+            part, fresh = fresh[:RECORDS_PER_DATAGRAM], fresh[RECORDS_PER_DATAGRAM:]
+            self.parts_by_number[self.next_part] = part
+            self.next_part += 1
+            self.sent_keys.update(record.key for record in part)
+        return fresh
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -0,0 +1,110 @@
+"""What an agent knows of its peers' load, from gossip."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_protocol.messages import Load
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from random import Random
+
+PEER_SILENCE_LIMIT_S = 3.0
+
+
+class PeerLoad(msgspec.Struct):
+    """A peer's last report; ``placed_since`` counts placements made there since then."""
+
+    load: Load
+    heard_at: float
+    placed_since: int = 0
+
+    @property
+    def headroom(self) -> int:
+        """Estimated room for new flows."""
+        return self.load.limit - self.load.in_flight - self.placed_since
+
+    @property
+    def held_ratio(self) -> float:
+        """Held flows per unit of capacity."""
+        return (self.load.held_flows + self.placed_since) / max(self.load.capacity, 1)
+
+
+class PeerView:
+    """Loads by server id, and the choice among peers."""
+
+    def __init__(self, random: Random, is_placeable: Callable[[str], bool]) -> None:
+        self._random = random
+        self._is_placeable = is_placeable
+        self._loads_by_id: dict[str, PeerLoad] = {}
+
+    @property
+    def loads_by_id(self) -> dict[str, PeerLoad]:
+        """Last reports by server id, for dumps."""
+        return self._loads_by_id
+
+    def update(self, server_id: str, load: Load, now: float) -> None:
+        """Record a report."""
+        self._loads_by_id[server_id] = PeerLoad(load, now)
+
+    def retain(self, server_ids: Collection[str]) -> None:
+        """Forget peers that are no members."""
+        for gone in set(self._loads_by_id) - set(server_ids):
+            del self._loads_by_id[gone]
+
+    def find(self, server_id: str) -> PeerLoad | None:
+        """Return a peer's last report."""
+        return self._loads_by_id.get(server_id)
+
+    def choose_for_request(self, excluded: Collection[str], now: float) -> str | None:
+        """Return the one of two random peers with more headroom.
+
+        Source: the power of two choices (Mitzenmacher, 2001).
+        """
+        candidates = [
+            (key, peer) for key, peer in self._candidates(excluded, now) if peer.headroom > 0
+        ]
+        return self._pick(candidates, lambda peer: -peer.headroom)
+
+    def choose_for_held_flow(self, excluded: Collection[str], now: float) -> str | None:
+        """Return the one of two random peers with fewer held flows per unit of capacity."""
+        candidates = [
+            (key, peer) for key, peer in self._candidates(excluded, now) if peer.headroom > 0
+        ]
+        return self._pick(candidates, lambda peer: peer.held_ratio)
+
+    def is_least_held(self, own: Load, now: float) -> bool:
+        """Tell whether the own server holds no more per unit of capacity than its peers' mean."""
+        peers = [peer for _, peer in self._candidates((), now) if peer.headroom > 0]
+        capacity = sum(max(peer.load.capacity, 1) for peer in peers)
+        if not capacity:
+            return True
+        held = sum(peer.load.held_flows + peer.placed_since for peer in peers)
+        return own.held_flows * capacity <= held * max(own.capacity, 1)
+
+    def count_placement(self, server_id: str) -> None:
+        """Remember a placement until the peer's next report."""
+        peer = self._loads_by_id.get(server_id)
+        if peer is not None:
+            peer.placed_since += 1
+
+    def _candidates(self, excluded: Collection[str], now: float) -> list[tuple[str, PeerLoad]]:
+        return [
+            (key, peer)
+            for key, peer in self._loads_by_id.items()
+            if key not in excluded
+            and now - peer.heard_at <= PEER_SILENCE_LIMIT_S
+            and self._is_placeable(key)
+        ]
+
+    def _pick(
+        self, candidates: list[tuple[str, PeerLoad]], cost: Callable[[PeerLoad], float]
+    ) -> str | None:
+        if not candidates:
+            return None
+        drawn = self._random.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=lambda pair: cost(pair[1]))[0]
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -0,0 +1,64 @@
+"""The log in memory: a snapshot's position and the entries after it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wagtailkeel_state.commands import LogEntry
+
+
+class RaftLog:
+    """Entries by index; ``base_index`` is the last index that is only in the snapshot."""
+
+    def __init__(self, base_index: int, base_term: int, entries: list[LogEntry]) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where it is not in the log."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def entry_at(self, index: int) -> LogEntry:
+        """Return the entry at an index within the log."""
+        return self._entries[index - self.base_index - 1]
+
+    def entries_after(self, index: int, limit: int) -> list[LogEntry]:
+        """Return up to ``limit`` entries after ``index``, which is not before the base."""
+        start = index - self.base_index
+        return self._entries[start : start + limit]
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Add entries at the end."""
+        self._entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at ``index`` and all after it."""
+        del self._entries[index - self.base_index - 1 :]
+
+    def compact(self, index: int) -> None:
+        """Move the base forward to ``index``, within the log."""
+        term = self.term_at(index)
+        assert term is not None, "compaction stays within the log"
+        del self._entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
+
+    def reset(self, index: int, term: int) -> None:
+        """Start again after a snapshot from elsewhere."""
+        self._entries.clear()
+        self.base_index, self.base_term = index, term
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -0,0 +1,548 @@
+"""Consensus among control instances.
+
+Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote and check-quorum (Ongaro's thesis,
+sections 9.6 and 6.2), leader leases for reads (section 6.4.1) and membership changes of one
+voter at a time (section 4.1). A voter is an instance id together with the identity of its data
+folder: an instance that lost its folder has another identity and is no voter until the log says
+so.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_coordination.raft.progress import PeerProgress
+from wagtailkeel_coordination.raft.storage import StorageFaultError
+from wagtailkeel_protocol.raft_messages import AppendReply
+from wagtailkeel_protocol.raft_messages import AppendRequest
+from wagtailkeel_protocol.raft_messages import SnapshotRequest
+from wagtailkeel_protocol.raft_messages import VoteReply
+from wagtailkeel_protocol.raft_messages import VoteRequest
+from wagtailkeel_state.commands import LogEntry
+from wagtailkeel_state.commands import Noop
+from wagtailkeel_state.commands import SetControlMembers
+from wagtailkeel_state.configuration import Configuration
+from wagtailkeel_state.durable import Snapshot
+from wagtailkeel_state.durable import Vote
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from wagtailkeel_coordination.raft.raft_log import RaftLog
+    from wagtailkeel_coordination.raft.storage import RaftStorage
+    from wagtailkeel_protocol.raft_messages import RaftMessage
+    from wagtailkeel_state.commands import AnyCommand
+    from wagtailkeel_state.commands import CommandAnswer
+
+HEARTBEAT_INTERVAL_S = 0.15
+ELECTION_TIMEOUT_MIN_S = 0.8
+ELECTION_TIMEOUT_MAX_S = 1.6
+LEASE_DRIFT_MARGIN_S = 0.1
+REPLY_TIMEOUT_S = 1.0
+ENTRIES_PER_APPEND = 200
+SNAPSHOT_INTERVAL_ENTRIES = 1_000
+RETAINED_ENTRIES = 500
+
+
+class RaftRole(str, Enum):
+    """Role of an instance in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class RaftNode:
+    """One instance; calls of ``send`` are requests whose replies come back by ``on_reply``."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        identity: str,
+        vote: Vote,
+        log: RaftLog,
+        configuration: Configuration,
+        storage: RaftStorage,
+        send: Callable[[str, RaftMessage], None],
+        apply: Callable[[LogEntry], CommandAnswer],
+        replace: Callable[[Configuration], None],
+        random: Random,
+        now: float,
+    ) -> None:
+        self.role = RaftRole.FOLLOWER
+        self.leader_id = ""
+        self.term = vote.term
+        self.log = log
+        self.commit_index = configuration.index
+        self.configuration = configuration
+        self.has_failed = False
+        self.progress_by_id: dict[str, PeerProgress] = {}
+        self.learner_identities_by_id: dict[str, str] = {}
+        self._instance_id = instance_id
+        self._identity = identity
+        self._voted_for = vote.voted_for
+        self._storage = storage
+        self._send = send
+        self._apply = apply
+        self._replace = replace
+        self._random = random
+        self._votes: set[str] = set()
+        self._is_pre_vote = False
+        self._heard_leader_at = float("-inf")
+        self._election_at = now + self._draw_timeout()
+        self._voters_by_id = self._find_voters()
+
+    # Reading
+
+    @property
+    def voters_by_id(self) -> dict[str, str]:
+        """Identities of the voters by instance id, as of the newest entry in the log."""
+        return self._voters_by_id
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this data folder may vote."""
+        return self._voters_by_id.get(self._instance_id) == self._identity
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this instance leads its term."""
+        return self.role is RaftRole.LEADER
+
+    def has_read_lease(self, now: float) -> bool:
+        """Tell whether no other leader can have been elected yet, so that reads are current."""
+        if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
+            return False
+        lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
+        return now < self._quorum_sent_at(now) + lease_s
+
+    def _quorum_sent_at(self, now: float) -> float:
+        times = [
+            now if voter == self._instance_id else self._progress_of(voter).acknowledged_sent_at
+            for voter in self._voters_by_id
+        ]
+        return sorted(times, reverse=True)[self._quorum - 1]
+
+    @property
+    def _quorum(self) -> int:
+        return len(self._voters_by_id) // 2 + 1
+
+    def _progress_of(self, peer: str) -> PeerProgress:
+        if peer not in self.progress_by_id:
+            self.progress_by_id[peer] = PeerProgress(self.log.last_index + 1)
+        return self.progress_by_id[peer]
+
+    # Bootstrap and proposals
+
+    def form(self, identities_by_id: dict[str, str]) -> None:
+        """Write the first entry of a new cluster; the same on every initial voter."""
+        command = SetControlMembers(identities_by_id=identities_by_id)
+        self._append([LogEntry(1, 0, command)])
+
+    def propose(
+        self,
+        command: AnyCommand,
+        command_id: str = "",
+        author: str = "",
+        expected_version: int | None = None,
+    ) -> int | None:
+        """Append a command as leader; return its index, or None when not the leader."""
+        if not self.is_leader or self.has_failed:
+            return None
+        index = self.log.last_index + 1
+        entry = LogEntry(index, self.term, command, command_id, author, expected_version)
+        self._append([entry])
+        self._advance_commit()
+        return None if self.has_failed else index
+
+    def _append(self, entries: list[LogEntry]) -> bool:
+        try:
+            self._storage.append(entries)
+        except StorageFaultError:
+            self._fail()
+            return False
+        self.log.append(entries)
+        self._voters_by_id = self._find_voters()
+        return True
+
+    def _fail(self) -> None:
+        """A disk that does not sync makes the instance useless as a voter; it steps down."""
+        self.has_failed = True
+        self.role = RaftRole.FOLLOWER
+        self.leader_id = ""
+
+    def _find_voters(self) -> dict[str, str]:
+        for index in range(self.log.last_index, self.configuration.index, -1):
+            command = self.log.entry_at(index).command
+            if isinstance(command, SetControlMembers):
+                return dict(command.identities_by_id)
+        return dict(self.configuration.control_identities_by_id)
+
+    @property
+    def is_member_change_pending(self) -> bool:
+        """Tell whether a change of voters is in the log but not committed."""
+        return any(
+            isinstance(self.log.entry_at(index).command, SetControlMembers)
+            for index in range(self.commit_index + 1, self.log.last_index + 1)
+        )
+
+    # Timers
+
+    def tick(self, now: float) -> None:
+        """Start elections, send heartbeats, and step down without a quorum."""
+        if self.has_failed:
+            return
+        if self.is_leader:
+            self._lead(now)
+        elif self.is_voter and now >= self._election_at:
+            self._start_election(now, is_pre_vote=True)
+
+    def _lead(self, now: float) -> None:
+        if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
+            self._step_down(self.term, now)
+            return
+        for peer in self._replication_targets():
+            self._replicate(peer, now)
+
+    def _replication_targets(self) -> list[str]:
+        targets = set(self._voters_by_id) | set(self.learner_identities_by_id)
+        return sorted(targets - {self._instance_id})
+
+    def flush(self, now: float) -> None:
+        """Send new entries at once instead of at the next heartbeat."""
+        if not self.is_leader:
+            return
+        for peer in self._replication_targets():
+            if self._progress_of(peer).next_index <= self.log.last_index:
+                self._replicate(peer, now)
+
+    def _draw_timeout(self) -> float:
+        return self._random.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
+
+    # Elections
+
+    def _start_election(self, now: float, *, is_pre_vote: bool) -> None:
+        self._election_at = now + self._draw_timeout()
+        self._is_pre_vote = is_pre_vote
+        self.leader_id = ""
+        self.role = RaftRole.CANDIDATE
+        if not is_pre_vote:
+            if not self._save_vote(self.term + 1, self._instance_id):
+                return
+        self._votes = {self._instance_id}
+        term = self.term + 1 if is_pre_vote else self.term
+        request = VoteRequest(
+            term,
+            self._instance_id,
+            self.log.last_index,
+            self.log.last_term,
+            is_pre_vote,
+            self._identity,
+        )
+        for voter in self._voters_by_id:
+            if voter != self._instance_id:
+                self._send(voter, request)
+        self._count_votes(now)
+
+    def _save_vote(self, term: int, voted_for: str) -> bool:
+        try:
+            self._storage.save_vote(Vote(term, voted_for))
+        except StorageFaultError:
+            self._fail()
+            return False
+        self.term, self._voted_for = term, voted_for
+        return True
+
+    def _count_votes(self, now: float) -> None:
+        if len(self._votes) < self._quorum:
+            return
+        if self._is_pre_vote:
+            self._start_election(now, is_pre_vote=False)
+            return
+        self.role = RaftRole.LEADER
+        self.leader_id = self._instance_id
+        self.progress_by_id = {}
+        for peer in self._replication_targets():
+            # The quorum that voted counts as heard, so that check-quorum gives it time to answer.
+            self._progress_of(peer).acknowledged_sent_at = now
+        self.propose(Noop())
+        self.flush(now)
+
+    def _step_down(self, term: int, now: float) -> None:
+        if term > self.term and not self._save_vote(term, ""):
+            return
+        self.role = RaftRole.FOLLOWER
+        self.leader_id = ""
+        self._election_at = now + self._draw_timeout()
+
+    @singledispatchmethod
+    def on_request(self, request: object, now: float) -> VoteReply | AppendReply:
+        """Answer a request of a peer."""
+        raise TypeError(f"no rule for {type(request).__name__}")
+
+    @on_request.register
+    def _(self, request: VoteRequest, now: float) -> VoteReply:
+        is_granted = not self.has_failed and self._grants(request, now)
+        if is_granted and not request.is_pre_vote:
+            if request.term > self.term:
+                self._step_down(request.term, now)
+            is_granted = not self.has_failed and self._save_vote(request.term, request.candidate_id)
+            self._election_at = now + self._draw_timeout()
+        return VoteReply(
+            self.term, self._instance_id, is_granted, request.is_pre_vote, self._identity
+        )
+
+    def _grants(self, request: VoteRequest, now: float) -> bool:
+        if not self.is_voter:
+            return False
+        if self._voters_by_id.get(request.candidate_id) != request.candidate_identity:
+            return False
+        has_leader = self.is_leader or now - self._heard_leader_at < ELECTION_TIMEOUT_MIN_S
+        if has_leader or request.term < self.term:
+            return False
+        if request.is_pre_vote and request.term == self.term:
+            return False
+        if request.term == self.term and self._voted_for not in ("", request.candidate_id):
+            return False
+        own = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    # Replication
+
+    def _replicate(self, peer: str, now: float) -> None:
+        progress = self._progress_of(peer)
+        if progress.is_busy and now - progress.sent_at < REPLY_TIMEOUT_S:
+            return
+        has_news = progress.next_index <= self.log.last_index
+        if not has_news and now - progress.sent_at < HEARTBEAT_INTERVAL_S:
+            return
+        progress.is_busy = True
+        progress.sent_at = now
+        progress.round += 1
+        previous_index = progress.next_index - 1
+        previous_term = self.log.term_at(previous_index)
+        if previous_term is None:
+            self._send(peer, self._snapshot_request(progress))
+            return
+        self._send(
+            peer,
+            AppendRequest(
+                self.term,
+                self._instance_id,
+                previous_index,
+                previous_term,
+                self.log.entries_after(previous_index, ENTRIES_PER_APPEND),
+                self.commit_index,
+                progress.round,
+            ),
+        )
+
+    def _snapshot_request(self, progress: PeerProgress) -> SnapshotRequest:
+        config = self.configuration
+        body = msgspec.msgpack.encode(config)
+        return SnapshotRequest(
+            self.term, self._instance_id, body, config.index, config.term, progress.round
+        )
+
+    @on_request.register
+    def _(self, request: AppendRequest, now: float) -> AppendReply:
+        if self.has_failed or request.term < self.term:
+            return self._append_reply(False, self.log.last_index, request.round)
+        if not self._follow(request.leader_id, request.term, now):
+            return self._append_reply(False, self.log.last_index, request.round)
+        if self.log.term_at(request.previous_index) != request.previous_term:
+            hint = min(self.log.last_index, max(request.previous_index - 1, self.commit_index))
+            return self._append_reply(False, hint, request.round)
+        if not self._store(request):
+            return self._append_reply(False, self.commit_index, request.round)
+        match_index = request.previous_index + len(request.entries)
+        self._commit_to(min(request.commit_index, match_index))
+        return self._append_reply(True, match_index, request.round)
+
+    def _follow(self, leader_id: str, term: int, now: float) -> bool:
+        if term > self.term or self.role is not RaftRole.FOLLOWER:
+            self._step_down(term, now)
+            if self.has_failed:
+                return False
+        self.leader_id = leader_id
+        self._heard_leader_at = now
+        self._election_at = now + self._draw_timeout()
+        return True
+
+    def _append_reply(self, is_matched: bool, match_index: int, round_: int) -> AppendReply:
+        return AppendReply(
+            self.term, self._instance_id, is_matched, match_index, round_, self._identity
+        )
+
+    def _store(self, request: AppendRequest) -> bool:
+        fresh: list[LogEntry] = []
+        for position, entry in enumerate(request.entries):
+            known = self.log.term_at(entry.index)
+            if known == entry.term or entry.index <= self.log.base_index:
+                continue
+            if known is not None and not self._truncate(entry.index):
+                return False
+            fresh = request.entries[position:]
+            break
+        return not fresh or self._append(fresh)
+
+    def _truncate(self, index: int) -> bool:
+        if index <= self.commit_index:
+            raise AssertionError(f"entry {index} is committed and can't be removed")
+        try:
+            self._storage.truncate_from(index)
+        except StorageFaultError:
+            self._fail()
+            return False
+        self.log.truncate_from(index)
+        self._voters_by_id = self._find_voters()
+        return True
+
+    @on_request.register
+    def _(self, request: SnapshotRequest, now: float) -> AppendReply:
+        if self.has_failed or request.term < self.term:
+            return self._append_reply(False, self.log.last_index, request.round)
+        if not self._follow(request.leader_id, request.term, now):
+            return self._append_reply(False, self.log.last_index, request.round)
+        if request.last_index > self.commit_index:
+            configuration = msgspec.msgpack.decode(request.snapshot, type=Configuration)
+            if not self._install(configuration):
+                return self._append_reply(False, self.commit_index, request.round)
+        return self._append_reply(True, request.last_index, request.round)
+
+    def _install(self, configuration: Configuration) -> bool:
+        try:
+            # In this order: entries that were acknowledged stay durable until the snapshot is.
+            self._storage.save_snapshot(Snapshot(configuration))
+            self._storage.truncate_from(self.log.base_index + 1)
+        except StorageFaultError:
+            self._fail()
+            return False
+        self.log.reset(configuration.index, configuration.term)
+        self.commit_index = configuration.index
+        self.configuration = configuration
+        self._voters_by_id = self._find_voters()
+        self._replace(configuration)
+        return True
+
+    # Replies
+
+    @singledispatchmethod
+    def on_reply(self, reply: object, now: float) -> None:
+        """Handle the reply to an earlier request."""
+        raise TypeError(f"no rule for {type(reply).__name__}")
+
+    @on_reply.register
+    def _(self, reply: VoteReply, now: float) -> None:
+        if reply.term > self.term:
+            self._step_down(reply.term, now)
+            return
+        if self.role is not RaftRole.CANDIDATE or reply.is_pre_vote != self._is_pre_vote:
+            return
+        if not reply.is_pre_vote and reply.term != self.term:
+            return
+        is_voter = self._voters_by_id.get(reply.voter_id) == reply.voter_identity
+        if reply.is_granted and is_voter:
+            self._votes.add(reply.voter_id)
+            self._count_votes(now)
+
+    @on_reply.register
+    def _(self, reply: AppendReply, now: float) -> None:
+        if reply.term > self.term:
+            self._step_down(reply.term, now)
+            return
+        if not self.is_leader or reply.term != self.term:
+            return
+        progress = self._progress_of(reply.follower_id)
+        if reply.round != progress.round:
+            return
+        progress.is_busy = False
+        voter_identity = self._voters_by_id.get(reply.follower_id)
+        if voter_identity is not None and voter_identity != reply.follower_identity:
+            self._on_foreign_identity(reply, progress, now)
+            return
+        progress.acknowledged_sent_at = progress.sent_at
+        self._learn_match(reply, progress)
+        self._advance_commit()
+        if progress.next_index <= self.log.last_index:
+            self._replicate(reply.follower_id, now)
+
+    def _learn_match(self, reply: AppendReply, progress: PeerProgress) -> None:
+        if reply.is_matched:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = progress.match_index + 1
+            return
+        progress.next_index = max(1, min(reply.match_index, progress.next_index - 1) + 1)
+        if progress.next_index <= self.log.base_index:
+            progress.next_index = self.log.base_index
+
+    def _on_foreign_identity(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
+        """An instance with another data folder than its voter's: replicate, but don't count."""
+        self.learner_identities_by_id[reply.follower_id] = reply.follower_identity
+        if reply.is_matched:
+            progress.next_index = reply.match_index + 1
+        else:
+            self._learn_match(reply, progress)
+        progress.match_index = 0
+        is_caught_up = reply.is_matched and reply.match_index >= self.commit_index
+        if is_caught_up and not self.is_member_change_pending:
+            voters = dict(self._voters_by_id)
+            del voters[reply.follower_id]
+            self.propose(SetControlMembers(identities_by_id=voters))
+            self.flush(now)
+
+    def admit_learners(self, now: float) -> None:
+        """Make a caught-up learner a voter, one at a time."""
+        if not self.is_leader or self.is_member_change_pending:
+            return
+        for learner, identity in list(self.learner_identities_by_id.items()):
+            if self._voters_by_id.get(learner) == identity:
+                del self.learner_identities_by_id[learner]
+                continue
+            if learner in self._voters_by_id:
+                continue
+            if self._progress_of(learner).match_index >= self.commit_index:
+                voters = {**self._voters_by_id, learner: identity}
+                self.propose(SetControlMembers(identities_by_id=voters))
+                self.flush(now)
+                return
+
+    # Commit
+
+    def _advance_commit(self) -> None:
+        if not self.is_leader:
+            return
+        matches = [
+            (
+                self.log.last_index
+                if voter == self._instance_id
+                else self._progress_of(voter).match_index
+            )
+            for voter in self._voters_by_id
+        ]
+        if not matches:
+            return
+        index = sorted(matches, reverse=True)[self._quorum - 1]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit_to(index)
+
+    def _commit_to(self, index: int) -> None:
+        while self.commit_index < index:
+            self.commit_index += 1
+            self._apply(self.log.entry_at(self.commit_index))
+        self._compact()
+
+    def _compact(self) -> None:
+        if self.commit_index - self.log.base_index < SNAPSHOT_INTERVAL_ENTRIES + RETAINED_ENTRIES:
+            return
+        try:
+            self._storage.save_snapshot(Snapshot(self.configuration))
+        except StorageFaultError:
+            self._fail()
+            return
+        self.log.compact(self.commit_index - RETAINED_ENTRIES)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
@@ -0,0 +1,48 @@
+"""Expiry of the pointers that an authority keeps for flows on other servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_protocol.flow_key import endpoint_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wagtailkeel_coordination.service_view import ServiceClass
+    from wagtailkeel_state.flow_directory import FlowDirectory
+    from wagtailkeel_state.remote_flow import RemoteFlow
+
+REFUSAL_MEMORY_S = 15.0
+CLOSING_LINGER_S = 30.0
+SWEEP_INTERVAL_S = 5.0
+DEFAULT_IDLE_LIMIT_S = 30.0
+
+
+class RemoteFlowSweeper:
+    """Forgets pointers whose flows have ended or been idle beyond their class's limit."""
+
+    def __init__(self, directory: FlowDirectory) -> None:
+        self._directory = directory
+        self._swept_at = float("-inf")
+
+    def tick(self, classes_by_endpoint: Mapping[bytes, ServiceClass], now: float) -> None:
+        """Sweep when due."""
+        if now - self._swept_at < SWEEP_INTERVAL_S:
+            return
+        self._swept_at = now
+        for bucket, flows in list(self._directory.remote_flows_by_bucket.items()):
+            for key, flow in list(flows.items()):
+                if now - flow.last_seen_at > _limit_s(key, flow, classes_by_endpoint):
+                    self._directory.remove_remote(bucket, key)
+
+
+def _limit_s(
+    key: bytes, flow: RemoteFlow, classes_by_endpoint: Mapping[bytes, ServiceClass]
+) -> float:
+    if flow.is_refused:
+        return REFUSAL_MEMORY_S
+    if flow.is_closing:
+        return CLOSING_LINGER_S
+    found = classes_by_endpoint.get(endpoint_of(key))
+    return found.traffic_class.idle_limit_s if found else DEFAULT_IDLE_LIMIT_S
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -0,0 +1,59 @@
+"""Shares of buckets from measured capacity."""
+
+from __future__ import annotations
+
+from statistics import median
+from typing import TYPE_CHECKING
+
+from wagtailkeel_state.commands import SetShares
+from wagtailkeel_state.configuration import DEFAULT_SHARE
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from wagtailkeel_state.configuration import Configuration
+    from wagtailkeel_state.server_member import ServerMember
+
+SHARE_INTERVAL_S = 5.0
+HYSTERESIS = 0.04
+MAX_MOVED_FRACTION = 0.25
+
+
+def plan_shares(
+    config: Configuration, service: str, capacities_by_id: Mapping[str, int]
+) -> SetShares | None:
+    """Return the shares to log, or None while they are near enough to those in force.
+
+    A server without a measurement counts as the median of the measured ones per slot. Hysteresis
+    keeps small changes of a measurement from moving buckets; the fraction of the buckets that one
+    step moves is bounded.
+    """
+    members = config.members_of(service)
+    measured = {
+        m.server_id: capacities_by_id[m.server_id]
+        for m in members
+        if capacities_by_id.get(m.server_id, 0) > 0
+    }
+    if not measured:
+        return None
+    target = _normalised(members, measured)
+    current = {m.server_id: float(config.share_of(m.server_id)) for m in members}
+    target_total, current_total = sum(target.values()), sum(current.values())
+    wanted = {key: target[key] / target_total for key in target}
+    present = {key: current[key] / current_total for key in current}
+    if all(abs(wanted[key] - present[key]) <= HYSTERESIS * present[key] for key in wanted):
+        return None
+    moved = sum(abs(wanted[key] - present[key]) for key in wanted) / 2
+    step = min(1.0, MAX_MOVED_FRACTION / moved)
+    unit = DEFAULT_SHARE * sum(m.slots for m in members)
+    shares = {
+        key: max(1, round(unit * (present[key] + step * (wanted[key] - present[key]))))
+        for key in wanted
+    }
+    return SetShares(service=service, shares_by_server_id=shares)
+
+
+def _normalised(members: list[ServerMember], measured: Mapping[str, int]) -> dict[str, float]:
+    slots_by_id = {m.server_id: m.slots for m in members}
+    per_slot = median(measured[key] / slots_by_id[key] for key in measured)
+    return {m.server_id: float(measured.get(m.server_id, per_slot * m.slots)) for m in members}
--- /dev/null
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/codec.py
@@ -0,0 +1,28 @@
+"""MessagePack encoding of datagrams."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import AnyDatagram
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyDatagram)
+
+
+def encode_datagram(message: AnyDatagram) -> bytes:
+    """Return a control datagram with its GUE prefix."""
+    return gue.CONTROL_PREFIX + _encoder.encode(message)
+
+
+def decode_datagram(datagram: bytes) -> AnyDatagram | Malformed:
+    """Read a control datagram."""
+    if datagram[:4] != gue.CONTROL_PREFIX:
+        return Malformed.WRONG_VERSION
+    try:
+        message: AnyDatagram = _decoder.decode(datagram[4:])
+    except msgspec.MsgspecError:
+        return Malformed.UNDECODABLE
+    return message
--- /dev/null
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/flow_key.py
@@ -0,0 +1,43 @@
+"""Flow keys: the addresses, ports and protocol of a flow, caller first, as bytes.
+
+An IPv4 key has 13 bytes, an IPv6 key 37: source address, destination address, source port,
+destination port, protocol number.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+import xxhash
+
+FlowKey = bytes
+"""Alias for annotations."""
+
+IPV4_KEY_BYTES = 13
+
+
+def hash_flow(key: FlowKey) -> int:
+    """Return the 64-bit XXH3 of a key; it selects the bucket."""
+    return xxhash.xxh3_64_intdigest(key)
+
+
+def endpoint_key(address: str, port: int, protocol: int) -> bytes:
+    """Return the part of a key that names a class: destination address, port and protocol."""
+    return ipaddress.ip_address(address).packed + struct.pack("!HB", port, protocol)
+
+
+def endpoint_of(key: FlowKey) -> bytes:
+    """Return the class's part of a key."""
+    if len(key) == IPV4_KEY_BYTES:
+        return key[4:8] + key[10:]
+    return key[16:32] + key[34:]
+
+
+def describe_flow(key: FlowKey) -> str:
+    """Return a key as text, for dumps and logs."""
+    size = 4 if len(key) == IPV4_KEY_BYTES else 16
+    source = ipaddress.ip_address(key[:size])
+    destination = ipaddress.ip_address(key[size : 2 * size])
+    source_port, destination_port, protocol = struct.unpack("!HHB", key[2 * size :])
+    return f"{source}:{source_port}>{destination}:{destination_port}/{protocol}"
--- /dev/null
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -0,0 +1,74 @@
+"""Generic UDP Encapsulation (draft-ietf-intarea-gue), variants 0 and 1.
+
+Variant 1 carries an IP packet with no header of its own. Variant 0 is used between our own
+processes: 4 bytes of header, then 16 bytes of private data, then the IP packet; with the control
+bit set, a MessagePack datagram follows the 4 bytes instead.
+
+Private data: marks (1 byte), hops (1), bucket (2), generation counter (4), epoch (8).
+"""
+
+from __future__ import annotations
+
+import struct
+
+import msgspec
+
+from wagtailkeel_protocol.malformed import Malformed
+
+CONTROL_PREFIX = b"\x20\x00\x00\x00"
+HEADER_BYTES = 20
+MARK_DELIVER = 0x01
+MARK_NEW = 0x02
+MARK_REJECTED = 0x04
+MARK_GRANTED = 0x08
+MAX_HOPS = 4
+
+_PRIVATE_WORDS = 4
+_HEADER = struct.Struct("!BBHBBHIQ")
+_PROTOCOL_IPV4 = 4
+_PROTOCOL_IPV6 = 41
+
+
+class DataFrame(msgspec.Struct):
+    """An encapsulated packet and its private data."""
+
+    packet: bytes
+    bucket: int
+    epoch: int
+    marks: int = 0
+    hops: int = 0
+    counter: int = 0
+
+
+def encode_header(
+    bucket: int, epoch: int, marks: int = 0, hops: int = 0, counter: int = 0, version: int = 4
+) -> bytes:
+    """Return the 20 bytes that go before an IP packet."""
+    protocol = _PROTOCOL_IPV4 if version == 4 else _PROTOCOL_IPV6
+    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, marks, hops, bucket, counter, epoch)
+
+
+def encode_frame(frame: DataFrame) -> bytes:
+    """Return a whole datagram."""
+    version = frame.packet[0] >> 4
+    header = encode_header(
+        frame.bucket, frame.epoch, frame.marks, frame.hops, frame.counter, version
+    )
+    return header + frame.packet
+
+
+def decode_frame(datagram: bytes) -> DataFrame | Malformed:
+    """Read a variant 0 data datagram."""
+    if len(datagram) < HEADER_BYTES + 28:
+        return Malformed.TRUNCATED
+    first, protocol, _, marks, hops, bucket, counter, epoch = _HEADER.unpack_from(datagram)
+    if first != _PRIVATE_WORDS:
+        return Malformed.WRONG_VERSION
+    if protocol not in (_PROTOCOL_IPV4, _PROTOCOL_IPV6):
+        return Malformed.FOREIGN
+    return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, marks, hops, counter)
+
+
+def is_control(datagram: bytes) -> bool:
+    """Tell whether a datagram carries a control message."""
+    return datagram[:1] == b"\x20"
--- /dev/null
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -0,0 +1,108 @@
+"""Reading IPv4 and IPv6 packets that carry TCP or UDP.
+
+Sources: RFC 791, RFC 8200, RFC 9293, RFC 768.
+"""
+
+from __future__ import annotations
+
+from wagtailkeel_protocol.malformed import Malformed
+
+TCP = 6
+UDP = 17
+ICMP = 1
+ICMPV6 = 58
+FIN = 0x01
+SYN = 0x02
+RST = 0x04
+PSH = 0x08
+ACK = 0x10
+MAX_PACKET_BYTES = 9_000
+
+_IPV4_HEADER_BYTES = 20
+_IPV6_HEADER_BYTES = 40
+_TCP_HEADER_BYTES = 20
+_UDP_HEADER_BYTES = 8
+_FRAGMENT_MASK = 0x3FFF
+
+
+def parse_flow_key(packet: bytes) -> bytes | Malformed:
+    """Return the key of a packet that travels from caller to server, or why there is none."""
+    if len(packet) < 28:
+        return Malformed.TRUNCATED
+    if packet[0] == 0x45:
+        protocol = packet[9]
+        if (packet[6] << 8 | packet[7]) & _FRAGMENT_MASK:
+            return Malformed.FRAGMENTED
+        if (packet[2] << 8 | packet[3]) != len(packet):
+            return _length_fault(packet[2] << 8 | packet[3], len(packet))
+        if protocol == UDP or (protocol == TCP and len(packet) >= 40):
+            return packet[12:24] + packet[9:10]
+        return Malformed.TRUNCATED if protocol == TCP else Malformed.FOREIGN
+    return _parse_uncommon(packet)
+
+
+def _parse_uncommon(packet: bytes) -> bytes | Malformed:
+    version = packet[0] >> 4
+    if version == 6:
+        return _parse_ipv6(packet)
+    if version != 4:
+        return Malformed.WRONG_VERSION
+    # Header options are legal but rare; a key is read behind them.
+    header = (packet[0] & 0x0F) * 4
+    if header < _IPV4_HEADER_BYTES or len(packet) < header + _UDP_HEADER_BYTES:
+        return Malformed.TRUNCATED
+    if (packet[6] << 8 | packet[7]) & _FRAGMENT_MASK:
+        return Malformed.FRAGMENTED
+    total = packet[2] << 8 | packet[3]
+    if total != len(packet):
+        return _length_fault(total, len(packet))
+    if packet[9] not in (TCP, UDP):
+        return Malformed.FOREIGN
+    if packet[9] == TCP and len(packet) < header + _TCP_HEADER_BYTES:
+        return Malformed.TRUNCATED
+    return packet[12:20] + packet[header : header + 4] + packet[9:10]
+
+
+def _parse_ipv6(packet: bytes) -> bytes | Malformed:
+    if len(packet) < _IPV6_HEADER_BYTES + _UDP_HEADER_BYTES:
+        return Malformed.TRUNCATED
+    total = _IPV6_HEADER_BYTES + (packet[4] << 8 | packet[5])
+    if total != len(packet):
+        return _length_fault(total, len(packet))
+    if packet[6] == 44:
+        return Malformed.FRAGMENTED
+    if packet[6] not in (TCP, UDP):
+        return Malformed.FOREIGN
+    if packet[6] == TCP and len(packet) < _IPV6_HEADER_BYTES + _TCP_HEADER_BYTES:
+        return Malformed.TRUNCATED
+    return packet[8:44] + packet[6:7]
+
+
+def _length_fault(announced: int, found: int) -> Malformed:
+    return Malformed.TRUNCATED if announced > found else Malformed.OVERSIZED
+
+
+def reverse_key(key: bytes) -> bytes:
+    """Swap the two ends of a key: a reply's key becomes its flow's key."""
+    if len(key) == 13:
+        return key[4:8] + key[:4] + key[10:12] + key[8:10] + key[12:]
+    return key[16:32] + key[:16] + key[34:36] + key[32:34] + key[36:]
+
+
+def transport_offset(packet: bytes) -> int:
+    """Return where the TCP or UDP header starts; the packet has been parsed before."""
+    return (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else _IPV6_HEADER_BYTES
+
+
+def tcp_flags(packet: bytes) -> int:
+    """Return the flag bits of a TCP packet that has been parsed before."""
+    return packet[transport_offset(packet) + 13]
+
+
+def payload_of(packet: bytes) -> bytes:
+    """Return what follows the TCP or UDP header."""
+    offset = transport_offset(packet)
+    protocol = packet[9] if packet[0] >> 4 == 4 else packet[6]
+    if protocol == UDP:
+        return packet[offset + _UDP_HEADER_BYTES :]
+    return packet[offset + (packet[offset + 12] >> 4) * 4 :]
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -0,0 +1,86 @@
+"""The replicated configuration: what every node knows, at one log index."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_state.balancer_member import BalancerMember
+from wagtailkeel_state.booking import Booking
+from wagtailkeel_state.commands import CommandAnswer
+from wagtailkeel_state.data_centre import DataCentre
+from wagtailkeel_state.enums import DataCentreState
+from wagtailkeel_state.enums import ServerState
+from wagtailkeel_state.server_member import FormerMember
+from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_state.service import Service
+
+DEFAULT_SHARE = 1_000
+
+
+class Configuration(msgspec.Struct):
+    """All replicated state; only :func:`apply_entry` changes it."""
+
+    index: int = 0
+    term: int = 0
+    operator_version: int = 0
+    last_author: str = ""
+    services_by_name: dict[str, Service] = {}
+    servers_by_id: dict[str, ServerMember] = {}
+    former_members_by_id: dict[str, FormerMember] = {}
+    balancers_by_id: dict[str, BalancerMember] = {}
+    data_centres_by_name: dict[str, DataCentre] = {}
+    bookings_by_id: dict[str, Booking] = {}
+    control_identities_by_id: dict[str, str] = {}
+    answers_by_command_id: dict[str, CommandAnswer] = {}
+
+    def is_in_service(self, data_centre: str) -> bool:
+        """Tell whether a data centre takes traffic; one never defined does."""
+        found = self.data_centres_by_name.get(data_centre)
+        return found is None or found.state is DataCentreState.IN_SERVICE
+
+    def region_of(self, data_centre: str) -> str:
+        """Return the region of a data centre; one never defined is a region of its own."""
+        found = self.data_centres_by_name.get(data_centre)
+        return found.region if found else data_centre
+
+    def is_placeable(self, server_id: str) -> bool:
+        """Tell whether new flows may go to the server."""
+        member = self.servers_by_id.get(server_id)
+        if member is None or member.state is not ServerState.SERVING:
+            return False
+        return self.is_in_service(member.data_centre)
+
+    def members_of(self, service: str) -> list[ServerMember]:
+        """Return all members of a service, in the order of their ids."""
+        found = [m for m in self.servers_by_id.values() if m.service == service]
+        return sorted(found, key=lambda member: member.server_id)
+
+    def share_of(self, server_id: str) -> int:
+        """Return a server's quota weight; 0 for one that is no member."""
+        member = self.servers_by_id.get(server_id)
+        if member is None or member.service not in self.services_by_name:
+            return 0
+        shares = self.services_by_name[member.service].shares_by_server_id
+        return shares.get(server_id, DEFAULT_SHARE * member.slots)
+
+    def table_region(self, service: str, region: str) -> str:
+        """Return the region whose servers serve ``region``: itself, else the next with a server."""
+        regions = sorted(
+            {
+                self.region_of(m.data_centre)
+                for m in self.members_of(service)
+                if self.is_placeable(m.server_id)
+            }
+        )
+        if region in regions or not regions:
+            return region
+        return next((name for name in regions if name > region), regions[0])
+
+    def table_shares(self, service: str, region: str) -> dict[str, int]:
+        """Return the quota weights of the servers that may own buckets for a region."""
+        serving_region = self.table_region(service, region)
+        return {
+            m.server_id: self.share_of(m.server_id)
+            for m in self.members_of(service)
+            if self.is_placeable(m.server_id) and self.region_of(m.data_centre) == serving_region
+        }
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/durable.py
@@ -0,0 +1,30 @@
+"""What a control instance keeps on disk besides its log."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_state.configuration import Configuration
+
+
+class Vote(msgspec.Struct, frozen=True):
+    """The newest term seen and whom this instance voted for in it."""
+
+    term: int = 0
+    voted_for: str = ""
+
+
+class Snapshot(msgspec.Struct):
+    """A configuration that stands for all entries up to its index."""
+
+    configuration: Configuration
+
+    @property
+    def index(self) -> int:
+        """Index of the last entry that the snapshot includes."""
+        return self.configuration.index
+
+    @property
+    def term(self) -> int:
+        """Term of the last entry that the snapshot includes."""
+        return self.configuration.term
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -0,0 +1,100 @@
+"""Owner tables: rendezvous hashing with quotas.
+
+Source: highest random weight hashing (Thaler and Ravishankar, 1998). Each server's quota is its
+share of the buckets by largest remainder. All (bucket, server) pairs are taken in descending
+order of hash, and a pair is made where the bucket is free and the quota is not full.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import numpy as np
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from numpy.typing import NDArray
+
+_GOLDEN_RATIO = np.uint64(0x9E3779B97F4A7C15)
+_MIX_1 = np.uint64(0xBF58476D1CE4E5B9)
+_MIX_2 = np.uint64(0x94D049BB133111EB)
+
+
+class OwnerTable(msgspec.Struct):
+    """Owners by bucket; ``epoch`` is the log index of the change that made the table."""
+
+    epoch: int
+    owners_by_bucket: tuple[str, ...]
+
+    @classmethod
+    def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
+        """Build the table; the result depends on the arguments alone, not on their order."""
+        server_ids = sorted(key for key, share in shares_by_server_id.items() if share > 0)
+        if not server_ids:
+            return cls(epoch, ())
+        quotas = compute_quotas([shares_by_server_id[key] for key in server_ids], buckets)
+        owners = _assign(_pair_hashes(server_ids, buckets), quotas)
+        return cls(epoch, tuple(server_ids[owner] for owner in owners))
+
+    @classmethod
+    def build_plain(
+        cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int
+    ) -> OwnerTable:
+        """Build a table by rendezvous hashing without quotas: the baseline of measurements."""
+        server_ids = sorted(key for key, share in shares_by_server_id.items() if share > 0)
+        if not server_ids:
+            return cls(epoch, ())
+        owners = np.argmax(_pair_hashes(server_ids, buckets), axis=1).tolist()
+        return cls(epoch, tuple(server_ids[owner] for owner in owners))
+
+    def owner_of(self, bucket: int) -> str | None:
+        """Return the owner's server id, or None in an empty table."""
+        return self.owners_by_bucket[bucket] if self.owners_by_bucket else None
+
+    def buckets_of(self, server_id: str) -> list[int]:
+        """Return the buckets that the server owns, ascending."""
+        return [b for b, owner in enumerate(self.owners_by_bucket) if owner == server_id]
+
+
+def compute_quotas(shares: list[int], buckets: int) -> list[int]:
+    """Split ``buckets`` by largest remainder; ties go to the earlier server."""
+    total = sum(shares)
+    quotas = [share * buckets // total for share in shares]
+    by_remainder = sorted(range(len(shares)), key=lambda i: (-(shares[i] * buckets % total), i))
+    for position in by_remainder[: buckets - sum(quotas)]:
+        quotas[position] += 1
+    return quotas
+
+
+def _pair_hashes(server_ids: list[str], buckets: int) -> NDArray[np.uint64]:
+    seeds = np.array(
+        [xxhash.xxh3_64_intdigest(key.encode()) for key in server_ids], dtype=np.uint64
+    )
+    with np.errstate(over="ignore"):
+        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * _GOLDEN_RATIO
+        mixed = positions[:, None] ^ seeds[None, :]
+        mixed = (mixed ^ (mixed >> np.uint64(30))) * _MIX_1
+        mixed = (mixed ^ (mixed >> np.uint64(27))) * _MIX_2
+    result: NDArray[np.uint64] = mixed ^ (mixed >> np.uint64(31))
+    return result
+
+
+def _assign(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
+    buckets, servers = hashes.shape
+    order = np.argsort(~hashes.ravel(), kind="stable").tolist()
+    owners = [-1] * buckets
+    room = list(quotas)
+    unassigned = buckets
+    for pair in order:
+        bucket, server = divmod(pair, servers)
+        if owners[bucket] >= 0 or not room[server]:
+            continue
+        owners[bucket] = server
+        room[server] -= 1
+        unassigned -= 1
+        if not unassigned:
+            break
+    return owners
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -0,0 +1,32 @@
+"""Membership entry of a backend server and its agent."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_state.enums import ServerState
+
+
+class ServerMember(msgspec.Struct):
+    """A backend server announced by its agent; ``boot_id`` names the agent's incarnation."""
+
+    server_id: str
+    service: str
+    data_centre: str
+    host: str
+    port: int
+    rpc_port: int
+    boot_id: int
+    slots: int
+    state: ServerState = ServerState.SERVING
+    drain_deadline_s: float = 0.0
+    joined_index: int = 0
+
+
+class FormerMember(msgspec.Struct, frozen=True):
+    """A member that left the list, kept so that a claim knows whose tokens may live on."""
+
+    server_id: str
+    service: str
+    boot_id: int
+    removed_index: int
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
@@ -0,0 +1,21 @@
+"""A service as operators see it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_state.traffic_class import TrafficClass
+
+DEFAULT_BUCKET_COUNT = 1_024
+
+
+class Service(msgspec.Struct):
+    """A service has one address and several classes; ``shares_by_server_id`` are quota weights."""
+
+    name: str
+    address: str
+    bucket_count: int = DEFAULT_BUCKET_COUNT
+    classes_by_name: dict[str, TrafficClass] = {}
+    shares_by_server_id: dict[str, int] = {}
+    table_epoch: int = 0
+    operator_version: int = 0
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/target.py
@@ -0,0 +1,52 @@
+"""The target that operators set for a class of work."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class TargetKind(str, Enum):
+    """What a target bounds."""
+
+    RESPONSE_TIME = "response-time"
+    HELD_FLOWS = "held-flows"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A response time at a percentile (milliseconds) or a number of held flows per server."""
+
+    kind: TargetKind
+    limit: float
+    percentile: float = 99.0
+    importance: int = 1
+
+    @classmethod
+    def parse(cls, text: str, importance: int = 1) -> Target:
+        """Read ``p99<200ms`` or ``held<2000``; raise ValueError with the expected forms."""
+        left, separator, right = text.replace(" ", "").partition("<")
+        try:
+            if separator and left == "held":
+                return cls(TargetKind.HELD_FLOWS, _positive(right), importance=importance)
+            if separator and left.startswith("p") and right.endswith("ms"):
+                percentile = float(left[1:])
+                if not 0 < percentile < 100:
+                    raise ValueError(text)
+                limit_ms = _positive(right[:-2])
+                return cls(TargetKind.RESPONSE_TIME, limit_ms, percentile, importance)
+        except ValueError:
+            pass
+        raise ValueError(f"target {text!r} is neither like 'p99<200ms' nor like 'held<2000'")
+
+    def __str__(self) -> str:
+        if self.kind is TargetKind.HELD_FLOWS:
+            return f"held<{self.limit:g}"
+        return f"p{self.percentile:g}<{self.limit:g}ms"
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise ValueError(text)
+    return value
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/traffic_class.py
@@ -0,0 +1,25 @@
+"""A class of work within a service."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wagtailkeel_state.enums import FlowProtocol
+from wagtailkeel_state.target import Target
+from wagtailkeel_state.target import TargetKind
+
+
+class TrafficClass(msgspec.Struct):
+    """A class has its own port on the service's address and its own target."""
+
+    name: str
+    protocol: FlowProtocol
+    port: int
+    target: Target
+    is_idempotent: bool = True
+    idle_limit_s: float = 30.0
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the target bounds held flows rather than response times."""
+        return self.target.kind is TargetKind.HELD_FLOWS
--- /dev/null
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -0,0 +1,32 @@
+"""The methods that our processes offer one another and the operators' command line."""
+
+from __future__ import annotations
+
+from wagtailkeel_protocol import messages
+from wagtailkeel_protocol import raft_messages
+from wagtailkeel_transport.rpc import RpcMethod
+
+ANNOUNCE: RpcMethod[messages.AnnounceRequest, messages.AnnounceReply] = RpcMethod(
+    "Announce", messages.AnnounceRequest, messages.AnnounceReply
+)
+STOP_AGENT: RpcMethod[messages.StopRequest, messages.AnnounceReply] = RpcMethod(
+    "StopAgent", messages.StopRequest, messages.AnnounceReply
+)
+PULL: RpcMethod[messages.PullRequest, messages.PullReply] = RpcMethod(
+    "Pull", messages.PullRequest, messages.PullReply
+)
+COMMAND: RpcMethod[messages.CommandRequest, messages.CommandReply] = RpcMethod(
+    "Command", messages.CommandRequest, messages.CommandReply
+)
+DUMP: RpcMethod[messages.DumpRequest, messages.DumpReply] = RpcMethod(
+    "Dump", messages.DumpRequest, messages.DumpReply
+)
+STATUS: RpcMethod[messages.StatusRequest, messages.StatusReply] = RpcMethod(
+    "Status", messages.StatusRequest, messages.StatusReply
+)
+FORMATION: RpcMethod[raft_messages.FormationRequest, raft_messages.FormationReply] = RpcMethod(
+    "Formation", raft_messages.FormationRequest, raft_messages.FormationReply
+)
+RAFT: RpcMethod[raft_messages.RaftMessage, raft_messages.RaftMessage] = RpcMethod(
+    "Raft", raft_messages.RaftMessage, raft_messages.RaftMessage
+)
--- /dev/null
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -0,0 +1,174 @@
+"""Calls between processes: gRPC framing with a MessagePack codec."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import anyio
+import msgspec
+from grpclib.client import Channel
+from grpclib.client import UnaryUnaryMethod
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.const import Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server
+from grpclib.server import Stream
+
+from wagtailkeel_transport.errors import BindError
+from wagtailkeel_transport.errors import RpcError
+
+Request = TypeVar("Request")
+Reply = TypeVar("Reply")
+
+CALL_TIMEOUT_S = 3.0
+SERVICE_PATH = "/wagtailkeel.Node/"
+
+
+class MessagePackCodec(CodecBase):
+    """Encodes message structs with msgspec."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return the body of a message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Read a body; one that does not decode ends the call with INVALID_ARGUMENT."""
+        try:
+            return msgspec.msgpack.decode(data, type=message_type)
+        except msgspec.MsgspecError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+
+
+class RpcMethod(Generic[Request, Reply]):
+    """A method's name and the types of its request and reply."""
+
+    __slots__ = ("name", "reply_type", "request_type")
+
+    def __init__(self, name: str, request_type: Any, reply_type: Any) -> None:
+        self.name = name
+        self.request_type = request_type
+        self.reply_type = reply_type
+
+    @property
+    def path(self) -> str:
+        """The path of the method in gRPC."""
+        return SERVICE_PATH + self.name
+
+
+RpcHandlers = Mapping[RpcMethod[Any, Any], Callable[[Any], Awaitable[Any]]]
+
+
+class _Service:
+    def __init__(self, handlers: RpcHandlers) -> None:
+        self._handlers = handlers
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            method.path: Handler(
+                _serve(handle), Cardinality.UNARY_UNARY, method.request_type, method.reply_type
+            )
+            for method, handle in self._handlers.items()
+        }
+
+
+def _serve(
+    handle: Callable[[Any], Awaitable[Any]],
+) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
+    async def serve(stream: Stream[Any, Any]) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        await stream.send_message(await handle(request))
+
+    return serve
+
+
+class RpcServer:
+    """Serves the methods of one role."""
+
+    def __init__(self, handlers: RpcHandlers) -> None:
+        self._server = Server([_Service(handlers)], codec=MessagePackCodec())
+
+    async def start(self, host: str, port: int) -> None:
+        """Bind and listen."""
+        try:
+            await self._server.start(host, port)
+        except OSError as error:
+            raise BindError(host, port, error) from error
+
+    async def close(self) -> None:
+        """Stop listening and end the calls in progress."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class _BoundChannel(Channel):
+    """A channel whose connections come from the instance's own address."""
+
+    def __init__(self, host: str, port: int, source_host: str) -> None:
+        super().__init__(host, port, codec=MessagePackCodec())
+        self._source_host = source_host
+
+    async def _create_connection(self) -> Any:
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory,
+            self._host,
+            self._port,
+            local_addr=(self._source_host, 0) if self._source_host else None,
+        )
+        return protocol
+
+
+class RpcClient:
+    """Calls other processes; one connection each, opened when needed."""
+
+    def __init__(self, source_host: str = "") -> None:
+        self._source_host = source_host
+        self._channels_by_address: dict[tuple[str, int], Channel] = {}
+
+    async def call(
+        self,
+        address: tuple[str, int],
+        method: RpcMethod[Request, Reply],
+        request: Request,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Reply:
+        """Call a method; raise RpcError when there is no answer in time."""
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = _BoundChannel(*address, self._source_host)
+            self._channels_by_address[address] = channel
+        unary: UnaryUnaryMethod[Request, Reply] = UnaryUnaryMethod(
+            channel, method.path, method.request_type, method.reply_type
+        )
+        try:
+            with anyio.fail_after(timeout_s):
+                reply = await unary(request)
+        except (GRPCError, ProtocolError, StreamTerminatedError, OSError) as error:
+            self._drop(address, channel)
+            raise RpcError(f"{method.name} at {address[0]}:{address[1]}: {error!r}") from error
+        if reply is None:
+            raise RpcError(f"{method.name} at {address[0]}:{address[1]}: empty answer")
+        return reply
+
+    def _drop(self, address: tuple[str, int], channel: Channel) -> None:
+        """Close a connection that may have gone silent; the next call opens another."""
+        if self._channels_by_address.get(address) is channel:
+            del self._channels_by_address[address]
+        channel.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address, channel in list(self._channels_by_address.items()):
+            self._drop(address, channel)
--- /dev/null
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -0,0 +1,63 @@
+"""A UDP socket read in batches by one task."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+
+from wagtailkeel_transport.errors import BindError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+BATCH_DATAGRAMS = 64
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+MAX_DATAGRAM_BYTES = 65_535
+
+
+class UdpEndpoint:
+    """Owns a bound socket; received datagrams go to one callback, in order."""
+
+    def __init__(self, host: str, port: int) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        try:
+            self._socket.bind((host, port))
+        except OSError as error:
+            self._socket.close()
+            raise BindError(host, port, error) from error
+        self.send_failures = 0
+
+    @property
+    def port(self) -> int:
+        """The bound port."""
+        bound: int = self._socket.getsockname()[1]
+        return bound
+
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send without waiting; a datagram that can't be sent is counted and lost."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            self.send_failures += 1
+
+    async def receive(self, on_datagram: Callable[[bytes], None]) -> None:
+        """Pass on datagrams until cancelled."""
+        receive = self._socket.recv
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(BATCH_DATAGRAMS):
+                try:
+                    datagram = receive(MAX_DATAGRAM_BYTES)
+                except OSError:
+                    # Nothing more to read, or an ICMP error of an earlier send.
+                    break
+                on_datagram(datagram)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/application.py
@@ -0,0 +1,75 @@
+"""The operators' command line."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import click
+
+from wagtailkeel.console.commands.booking import booking
+from wagtailkeel.console.commands.data_centre import data_centre
+from wagtailkeel.console.commands.dump import dump
+from wagtailkeel.console.commands.server import server
+from wagtailkeel.console.commands.servers import servers
+from wagtailkeel.console.commands.service import service
+from wagtailkeel.console.commands.status import status
+from wagtailkeel.console.commands.traffic_class import traffic_class
+from wagtailkeel.console.context import ConsoleContext
+from wagtailkeel.console.control_client import Address
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel.errors import SettingsError
+from wagtailkeel.settings import load_settings
+
+CONTROL_VARIABLE = "WAGTAILKEEL_CONTROL"
+DEFAULT_DEADLINE_S = 15.0
+
+
+@click.group()
+@click.option("--control", multiple=True, help="HOST:PORT of a control instance; repeatable.")
+@click.option("--settings", type=click.Path(path_type=Path), help="Settings file naming control.")
+@click.option("--output", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@click.option("--deadline", type=float, default=DEFAULT_DEADLINE_S, show_default=True)
+@click.option("--author", default="", help="Who makes the change; default: the login name.")
+@click.pass_context
+def main(
+    context: click.Context,
+    control: tuple[str, ...],
+    settings: Path | None,
+    output: str,
+    deadline: float,
+    author: str,
+) -> None:
+    """Operate wagtailkeel.
+
+    Exit status: 0 done, 2 usage, 3 conflict, 4 rejected, 5 fate unknown, 6 control unreachable,
+    7 accepted but not yet in force.
+
+    Example: wagtailkeel --control 10.0.0.1:7002 status
+    """
+    addresses = [_parse_address(text) for text in control]
+    if not addresses and settings is not None:
+        addresses = _load_addresses(settings)
+    if not addresses and os.environ.get(CONTROL_VARIABLE):
+        addresses = [_parse_address(text) for text in os.environ[CONTROL_VARIABLE].split(",")]
+    context.obj = ConsoleContext(addresses, output == "json", deadline, author)
+
+
+def _parse_address(text: str) -> Address:
+    host, separator, port = text.strip().rpartition(":")
+    if not separator or not port.isdigit() or not host:
+        raise click.UsageError(f"expected HOST:PORT, found {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _load_addresses(settings: Path) -> list[Address]:
+    try:
+        loaded = load_settings(settings)
+    except SettingsError as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(ExitCode.USAGE) from error
+    return [(found.host, found.rpc_port) for found in loaded.control_instances]
+
+
+for command in (booking, data_centre, dump, server, servers, service, status, traffic_class):
+    main.add_command(command)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -0,0 +1,173 @@
+"""``wagtailkeel booking``."""
+
+from __future__ import annotations
+
+import uuid
+from datetime import UTC
+from datetime import datetime
+
+import click
+
+from wagtailkeel.console.context import ConsoleContext
+from wagtailkeel.console.context import command_options
+from wagtailkeel.console.context import pass_console
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel.console.moment_type import MOMENT
+from wagtailkeel.console.target_type import TARGET
+from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel_state.booking import Booking
+from wagtailkeel_state.commands import BookableCommand
+from wagtailkeel_state.commands import CancelBooking
+from wagtailkeel_state.commands import ChangeTarget
+from wagtailkeel_state.commands import CreateBooking
+from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import RestoreServer
+from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.configuration_machine import booking_subject
+from wagtailkeel_state.enums import DataCentreState
+from wagtailkeel_state.target import Target
+
+CHANGES = ("datacentre-out", "datacentre-back", "server-drain", "server-restore", "class-target")
+
+
+@click.group()
+def booking() -> None:
+    """Book changes ahead."""
+
+
+@booking.command()
+@click.argument("change", type=click.Choice(CHANGES))
+@click.argument("subject")
+@click.option("--start", type=MOMENT, required=True, help="ISO time with its zone.")
+@click.option("--end", type=MOMENT, required=True, help="ISO time with its zone.")
+@click.option("--target", type=TARGET, default=None, help="For class-target.")
+@click.option("--id", "booking_id", default="", help="Name of the booking.")
+@command_options
+@pass_console
+def create(
+    console: ConsoleContext,
+    change: str,
+    subject: str,
+    start: datetime,
+    end: datetime,
+    target: Target | None,
+    booking_id: str,
+    command_id: str,
+    expect_version: int | None,
+    wait: bool,
+) -> None:
+    """Book CHANGE of SUBJECT for a window; SUBJECT of class-target is SERVICE/CLASS.
+
+    Example: wagtailkeel booking create datacentre-out surat --start 2027-01-10T01:00+05:30
+    --end 2027-01-10T03:00+05:30
+    """
+    booking_id = booking_id or uuid.uuid4().hex[:8]
+    command = CreateBooking(
+        booking_id=booking_id,
+        start_s=start.timestamp(),
+        end_s=end.timestamp(),
+        change=_build_change(change, subject, target),
+    )
+    console.send(command, command_id, expect_version, wait, f"booking {booking_id} accepted")
+
+
+def _build_change(change: str, subject: str, target: Target | None) -> BookableCommand:
+    if change == "datacentre-out":
+        return SetDataCentreState(name=subject, state=DataCentreState.OUT_OF_SERVICE)
+    if change == "datacentre-back":
+        return SetDataCentreState(name=subject, state=DataCentreState.IN_SERVICE)
+    if change == "server-drain":
+        return DrainServer(server_id=subject)
+    if change == "server-restore":
+        return RestoreServer(server_id=subject)
+    service, separator, name = subject.partition("/")
+    if target is None or not separator:
+        raise click.UsageError("class-target takes SERVICE/CLASS and --target")
+    return ChangeTarget(service=service, name=name, target=target)
+
+
+@booking.command()
+@click.argument("booking_id")
+@command_options
+@pass_console
+def cancel(
+    console: ConsoleContext,
+    booking_id: str,
+    command_id: str,
+    expect_version: int | None,
+    wait: bool,
+) -> None:
+    """Cancel a booking that has not become active.
+
+    Example: wagtailkeel booking cancel 4f1c22aa
+    """
+    command = CancelBooking(booking_id=booking_id)
+    console.send(command, command_id, expect_version, wait, f"booking {booking_id} cancelled")
+
+
+@booking.command(name="list")
+@pass_console
+def list_bookings(console: ConsoleContext) -> None:
+    """List all bookings by start.
+
+    Example: wagtailkeel booking list
+    """
+    found = _load(console)
+    console.print(found, "\n".join(_format(b) for b in found) or "no bookings")
+
+
+@booking.command()
+@click.argument("booking_id")
+@pass_console
+def show(console: ConsoleContext, booking_id: str) -> None:
+    """Show one booking.
+
+    Example: wagtailkeel booking show 4f1c22aa
+    """
+    for found in _load(console):
+        if found.booking_id == booking_id:
+            console.print(found, _format(found))
+            return
+    console.fail(ExitCode.REJECTED, f"booking {booking_id} does not exist")
+
+
+@booking.command()
+@pass_console
+def calendar(console: ConsoleContext) -> None:
+    """List the pending bookings by day (UTC).
+
+    Example: wagtailkeel booking calendar
+    """
+    pending = [b for b in _load(console) if not b.state.is_final]
+    lines: list[str] = []
+    day = ""
+    for found in pending:
+        start_day = _format_moment(found.start_s)[:10]
+        if start_day != day:
+            day = start_day
+            lines.append(day)
+        lines.append("  " + _format(found))
+    console.print(pending, "\n".join(lines) or "nothing is booked")
+
+
+def _load(console: ConsoleContext) -> list[Booking]:
+    client = console.client()
+    try:
+        status = client.run(client.status)
+    except ControlUnreachableError as error:
+        console.fail(ExitCode.UNREACHABLE, str(error))
+    return sorted(status.configuration.bookings_by_id.values(), key=lambda b: b.start_s)
+
+
+def _format(found: Booking) -> str:
+    window = f"{_format_moment(found.start_s)} to {_format_moment(found.end_s)}"
+    reason = f" ({found.reason})" if found.reason else ""
+    subject = booking_subject(found.change)
+    return (
+        f"{found.booking_id:12} {window} {found.state.value:9} "
+        f"{type(found.change).__name__} {subject} by {found.author}{reason}"
+    )
+
+
+def _format_moment(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
@@ -0,0 +1,54 @@
+"""``wagtailkeel status``."""
+
+from __future__ import annotations
+
+import click
+
+from wagtailkeel.console.context import ConsoleContext
+from wagtailkeel.console.context import pass_console
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel_protocol.messages import StatusReply
+
+
+@click.command()
+@click.option("--wait", type=int, default=None, help="Wait until this version is in force.")
+@pass_console
+def status(console: ConsoleContext, wait: int | None) -> None:
+    """Show the version in force, and the nodes where it is not.
+
+    Example: wagtailkeel status --wait 118
+    """
+    client = console.client()
+    try:
+        behind = client.run(lambda: client.wait_in_force(wait)) if wait is not None else []
+        reply = console.client().run(console.client().status)
+    except ControlUnreachableError as error:
+        console.fail(ExitCode.UNREACHABLE, str(error))
+    console.print(reply, format_status(reply))
+    if behind:
+        console.fail(
+            ExitCode.NOT_IN_FORCE, f"version {wait} is not in force at {', '.join(behind)}"
+        )
+
+
+def format_status(reply: StatusReply) -> str:
+    """Return the picture as text, nodes that lag behind marked."""
+    leader = reply.leader_id or "none"
+    lines = [f"version {reply.version}, leader {leader}"]
+    if not reply.is_leader:
+        lines.append("answered by an instance that does not lead: this may be out of date")
+    for data_centre in reply.configuration.data_centres_by_name.values():
+        lines.append(f"data centre {data_centre.name}: {data_centre.state.value}")
+    for service in reply.configuration.services_by_name.values():
+        lines.append(f"service {service.name} at {service.address}")
+        for found in service.classes_by_name.values():
+            kind = "idempotent" if found.is_idempotent else "at most once"
+            lines.append(
+                f"  class {found.name}: {found.protocol.value} port {found.port}, "
+                f"target {found.target}, {kind}"
+            )
+    for node in reply.nodes:
+        mark = "" if node.version >= reply.version else f"  NOT IN FORCE (has {node.version})"
+        lines.append(f"{node.role:9} {node.instance_id:24} {node.state:14}{mark}")
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/context.py
@@ -0,0 +1,111 @@
+"""What all commands share: where control is, how to print, what to exit with."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from typing import NoReturn
+
+import click
+import msgspec
+
+from wagtailkeel.console.control_client import Address
+from wagtailkeel.console.control_client import ControlClient
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel_state.commands import AnyCommand
+from wagtailkeel_state.commands import CommandAnswer
+from wagtailkeel_state.enums import AnswerStatus
+
+EXIT_CODES_BY_STATUS = {
+    AnswerStatus.ACCEPTED: ExitCode.DONE,
+    AnswerStatus.CONFLICT: ExitCode.CONFLICT,
+    AnswerStatus.REJECTED: ExitCode.REJECTED,
+    AnswerStatus.UNKNOWN: ExitCode.UNKNOWN,
+}
+
+
+class ConsoleContext:
+    """Options of the command group, carried by click."""
+
+    __slots__ = ("addresses", "author", "deadline_s", "is_json")
+
+    def __init__(
+        self, addresses: list[Address], is_json: bool, deadline_s: float, author: str
+    ) -> None:
+        self.addresses = addresses
+        self.is_json = is_json
+        self.deadline_s = deadline_s
+        self.author = author
+
+    def client(self) -> ControlClient:
+        """Return a client of the control instances."""
+        if not self.addresses:
+            self.fail(ExitCode.USAGE, "name control with --control HOST:PORT or --settings FILE")
+        return ControlClient(self.addresses, self.deadline_s)
+
+    def print(self, value: Any, text: str) -> None:
+        """Print a value as JSON, or its text form."""
+        if self.is_json:
+            click.echo(json.dumps(msgspec.to_builtins(value), sort_keys=True))
+        else:
+            click.echo(text)
+
+    def fail(self, code: ExitCode, message: str) -> NoReturn:
+        """Print an error and exit."""
+        click.echo(f"error: {message}", err=True)
+        raise SystemExit(code)
+
+    def send(
+        self,
+        command: AnyCommand,
+        command_id: str,
+        expected_version: int | None,
+        wait: bool,
+        success: str,
+    ) -> None:
+        """Send a command, print its answer and exit with the status that belongs to it."""
+        client = self.client()
+
+        async def work() -> tuple[CommandAnswer, list[str]]:
+            answer = await client.send(command, command_id, self.author, expected_version)
+            behind: list[str] = []
+            if wait and answer.is_accepted:
+                behind = await client.wait_in_force(answer.index)
+            return answer, behind
+
+        try:
+            answer, behind = client.run(work)
+        except ControlUnreachableError as error:
+            self.fail(ExitCode.UNREACHABLE, str(error))
+        self._finish(answer, behind, success)
+
+    def _finish(self, answer: CommandAnswer, behind: list[str], success: str) -> None:
+        if answer.is_accepted:
+            self.print(answer, f"{success} (version {answer.index})")
+            if behind:
+                self.fail(ExitCode.NOT_IN_FORCE, f"not yet in force at {', '.join(behind)}")
+            return
+        if self.is_json:
+            self.print(answer, "")
+        self.fail(EXIT_CODES_BY_STATUS[answer.status], f"{answer.status.value}: {answer.reason}")
+
+
+pass_console = click.make_pass_decorator(ConsoleContext)
+
+
+def command_options(function: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that every changing command takes."""
+    function = click.option("--command-id", default="", help="Repeat a command by its id.")(
+        function
+    )
+    function = click.option(
+        "--expect-version",
+        type=int,
+        default=None,
+        help="Refuse unless this is the version of the last operator's change.",
+    )(function)
+    return click.option("--wait", is_flag=True, help="Wait until all nodes have the version.")(
+        function
+    )
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -0,0 +1,136 @@
+"""The operators' link to control."""
+
+from __future__ import annotations
+
+import getpass
+import time
+import uuid
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import anyio
+
+from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel_protocol.messages import CommandRequest
+from wagtailkeel_protocol.messages import DumpRequest
+from wagtailkeel_protocol.messages import StatusReply
+from wagtailkeel_protocol.messages import StatusRequest
+from wagtailkeel_state.commands import CommandAnswer
+from wagtailkeel_state.enums import AnswerStatus
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcError
+from wagtailkeel_transport.methods import COMMAND
+from wagtailkeel_transport.methods import DUMP
+from wagtailkeel_transport.methods import STATUS
+
+if TYPE_CHECKING:
+    from wagtailkeel_state.commands import AnyCommand
+
+Address = tuple[str, int]
+Result = TypeVar("Result")
+
+RETRY_INTERVAL_S = 0.2
+WAIT_INTERVAL_S = 0.1
+COMMAND_TIMEOUT_S = 6.0
+
+
+class ControlClient:
+    """Finds the leader among the control instances and sends it requests."""
+
+    def __init__(self, addresses: list[Address], deadline_s: float) -> None:
+        self._addresses = addresses
+        self._deadline_s = deadline_s
+        self._rpc_client = RpcClient()
+
+    def run(self, work: Callable[[], Awaitable[Result]]) -> Result:
+        """Run one piece of work in an event loop of its own."""
+
+        async def run_and_close() -> Result:
+            try:
+                return await work()
+            finally:
+                self.close()
+
+        return anyio.run(run_and_close)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._rpc_client.close()
+
+    async def send(
+        self,
+        command: AnyCommand,
+        command_id: str = "",
+        author: str = "",
+        expected_version: int | None = None,
+    ) -> CommandAnswer:
+        """Send a command until it has an answer; the same id makes every resend harmless.
+
+        The answer is UNKNOWN when the command may or may not have taken effect.
+        """
+        request = CommandRequest(
+            command, command_id or uuid.uuid4().hex, author or getpass.getuser(), expected_version
+        )
+        deadline = time.monotonic() + self._deadline_s
+        was_sent = False
+        while True:
+            for address in self._addresses:
+                try:
+                    reply = await self._rpc_client.call(
+                        address, COMMAND, request, COMMAND_TIMEOUT_S
+                    )
+                except RpcError:
+                    was_sent = True
+                    continue
+                if reply.answer is None:
+                    continue
+                if reply.answer.status is not AnswerStatus.UNKNOWN:
+                    return reply.answer
+                was_sent = True
+            if time.monotonic() > deadline:
+                break
+            await anyio.sleep(RETRY_INTERVAL_S)
+        if not was_sent:
+            raise ControlUnreachableError("no control instance leads; nothing was changed")
+        return CommandAnswer(
+            AnswerStatus.UNKNOWN,
+            f"no answer; send it again with --command-id {request.command_id} to learn its fate",
+        )
+
+    async def status(self) -> StatusReply:
+        """Return the leader's picture; without a leader, the newest that any instance has."""
+        best: StatusReply | None = None
+        for address in self._addresses:
+            try:
+                reply = await self._rpc_client.call(address, STATUS, StatusRequest())
+            except RpcError:
+                continue
+            if reply.is_leader:
+                return reply
+            if best is None or reply.version > best.version:
+                best = reply
+        if best is None:
+            raise ControlUnreachableError("no control instance answers; check the addresses")
+        return best
+
+    async def wait_in_force(self, version: int) -> list[str]:
+        """Wait until every node has a version; return those that lack it at the deadline."""
+        deadline = time.monotonic() + self._deadline_s
+        while True:
+            status = await self.status()
+            behind = [node.instance_id for node in status.nodes if node.version < version]
+            if not behind and status.version >= version:
+                return []
+            if time.monotonic() > deadline:
+                return behind or ["control"]
+            await anyio.sleep(WAIT_INTERVAL_S)
+
+    async def dump(self, address: Address) -> bytes:
+        """Return the state of the process at an address, as JSON text."""
+        try:
+            reply = await self._rpc_client.call(address, DUMP, DumpRequest())
+        except RpcError as error:
+            raise ControlUnreachableError(str(error)) from error
+        return reply.body
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -0,0 +1,69 @@
+"""One process: the roles that its settings name."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import anyio
+from loguru import logger
+
+from wagtailkeel.roles import Agent
+from wagtailkeel.roles import Balancer
+from wagtailkeel.roles import Control
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from wagtailkeel.settings import Settings
+
+
+class Role(Protocol):
+    """A role as the daemon sees it."""
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled; report as started once the role takes part."""
+
+    async def stop(self) -> None:
+        """Pass on what others need, before the role is cancelled."""
+
+
+class Daemon:
+    """Starts all roles, waits for a signal, stops them gracefully."""
+
+    def __init__(self, roles: list[Role]) -> None:
+        self._roles = roles
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Daemon:
+        """Build the roles in the order in which they depend on one another."""
+        roles: list[Role] = []
+        if settings.control is not None:
+            roles.append(Control.from_settings(settings))
+        roles.extend(Agent.from_settings(settings, section) for section in settings.agents)
+        if settings.balancer is not None:
+            roles.append(Balancer.from_settings(settings))
+        return cls(roles)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._start_roles, tasks)
+                async for number in signals:
+                    logger.info("stopping on {}", signal.Signals(number).name)
+                    break
+                await self._stop_roles()
+                tasks.cancel_scope.cancel()
+        logger.info("stopped")
+
+    async def _start_roles(self, tasks: anyio.abc.TaskGroup) -> None:
+        for role in self._roles:
+            await tasks.start(role.run)
+        logger.info("ready with {} roles", len(self._roles))
+
+    async def _stop_roles(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for role in self._roles:
+                tasks.start_soon(role.stop)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/errors.py
@@ -0,0 +1,19 @@
+"""Errors of the two binaries."""
+
+from __future__ import annotations
+
+
+class WagtailkeelError(Exception):
+    """Base of all errors that end a command with a message."""
+
+
+class SettingsError(WagtailkeelError):
+    """Settings that can't be used; names the file, the key, what was expected and found."""
+
+    def __init__(self, path: str, key: str, detail: str) -> None:
+        where = f"{path}: {key}" if key else path
+        super().__init__(f"{where}: {detail}")
+
+
+class ControlUnreachableError(WagtailkeelError):
+    """No control instance answered."""
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -0,0 +1,323 @@
+"""The agent role: the process beside one backend server."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatchmethod
+from random import Random
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+from loguru import logger
+
+from wagtailkeel.roles.address_book import AddressBook
+from wagtailkeel.roles.agent_outbox import AgentOutbox
+from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.metrics import Metrics
+from wagtailkeel.roles.node_link import NodeLink
+from wagtailkeel.roles.node_link import draw_boot_id
+from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel.roles.table_builder import TableBuilder
+from wagtailkeel_coordination import AgentIdentity
+from wagtailkeel_coordination import FlowRouter
+from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import Datagram
+from wagtailkeel_protocol.messages import DumpReply
+from wagtailkeel_protocol.messages import DumpRequest
+from wagtailkeel_protocol.messages import Gossip
+from wagtailkeel_protocol.messages import Heartbeat
+from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_protocol.messages import StopRequest
+from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcError
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport.methods import DUMP
+from wagtailkeel_transport.methods import PULL
+from wagtailkeel_transport.methods import STOP_AGENT
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from wagtailkeel.settings import AgentSettings
+    from wagtailkeel.settings import Settings
+    from wagtailkeel_state.configuration import Configuration
+
+TICK_INTERVAL_S = 0.02
+GOSSIP_INTERVAL_S = 0.25
+GOSSIP_FANOUT = 3
+STOP_POLL_INTERVAL_S = 0.05
+HINT_INTERVAL_S = 0.5
+
+
+class Agent:
+    """Owns the sockets and the flow router of one backend server's agent."""
+
+    def __init__(self, settings: Settings, section: AgentSettings) -> None:
+        self.metrics = Metrics()
+        self.store = ConfigurationStore()
+        self._instance = settings.instance
+        self._section = section
+        host = settings.instance.own_host
+        self._endpoint = UdpEndpoint(host, section.port)
+        self._server_endpoint = UdpEndpoint(host, section.server_side_port)
+        self._rpc_client = RpcClient(host)
+        self._address_book = AddressBook(settings.control_instances, self.store)
+        self._random = Random()
+        self._lease = PlacementLease()
+        self._outbox = AgentOutbox(
+            section,
+            self._address_book,
+            self._endpoint,
+            self._server_endpoint,
+            self.metrics.counters,
+        )
+        boot_id = draw_boot_id()
+        self._router = FlowRouter(
+            AgentIdentity(
+                section.server_id,
+                section.service,
+                settings.instance.data_centre,
+                section.slots,
+                boot_id,
+            ),
+            self._outbox,
+            self._outbox,
+            self._lease,
+            self._random,
+            self.metrics.counters,
+            self.metrics.record_response,
+            time.monotonic(),
+        )
+        self._tables = TableBuilder(
+            settings.instance.data_centre, is_plain=settings.instance.stateless
+        )
+        self._changed = anyio.Event()
+        self._is_stopping = False
+        self._hinted_at = float("-inf")
+        self.store.subscribe(self._on_configuration)
+        self._link = NodeLink(
+            section.server_id,
+            self._address_book,
+            self.store,
+            self._endpoint,
+            self._rpc_client,
+            self._build_announcement,
+            self._build_heartbeat,
+            self._router.rejoin,
+            self._lease,
+            self.metrics,
+            boot_id,
+        )
+
+    @classmethod
+    def from_settings(cls, settings: Settings, section: AgentSettings) -> Agent:
+        """Build the role; sockets are bound here."""
+        return cls(settings, section)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        await server.start(self._instance.own_host, self._section.rpc_port)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._refresh_forever)
+                tasks.start_soon(self._endpoint.receive, self._on_datagram)
+                tasks.start_soon(self._server_endpoint.receive, self._on_server_packet)
+                tasks.start_soon(self._link.run)
+                tasks.start_soon(self._tick_forever)
+                tasks.start_soon(self._gossip_forever)
+                await self._link.is_joined.wait()
+                task_status.started()
+        finally:
+            self._endpoint.close()
+            self._server_endpoint.close()
+            self._rpc_client.close()
+            with anyio.CancelScope(shield=True):
+                await server.close()
+
+    async def stop(self) -> None:
+        """Pass on all buckets before a planned stop; the server and its flows stay."""
+        self._is_stopping = True
+        with anyio.move_on_after(self._section.stop_limit_s):
+            await self._announce_stop()
+            while self._router.authority.can_pass_on:
+                await anyio.sleep(STOP_POLL_INTERVAL_S)
+        logger.info("passed on all but {} buckets", len(self._router.authority.tokens_by_bucket))
+
+    async def _announce_stop(self) -> None:
+        request = StopRequest(self._section.server_id, self._link.boot_id)
+        while True:
+            for control_id in [self._link.leader_id, *self._address_book.control_ids]:
+                address = self._address_book.rpc_address(control_id)
+                if address is None:
+                    continue
+                try:
+                    reply = await self._rpc_client.call(address, STOP_AGENT, request)
+                except RpcError:
+                    continue
+                if reply.is_joined:
+                    self._link.note_version(control_id, reply.index)
+                    return
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
+
+    def _build_announcement(self, boot_id: int) -> AnnounceRequest:
+        section = self._section
+        return AnnounceRequest(
+            server=ServerMember(
+                section.server_id,
+                section.service,
+                self._instance.data_centre,
+                self._instance.host,
+                section.port,
+                section.rpc_port,
+                boot_id,
+                section.slots,
+            )
+        )
+
+    def _build_heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
+        limiter = self._router.limiter
+        return msgspec.structs.replace(
+            heartbeat,
+            capacity=limiter.capacity,
+            is_cold=limiter.is_cold,
+            is_stopping=self._is_stopping,
+        )
+
+    # Packets and messages
+
+    def _on_datagram(self, datagram: bytes) -> None:
+        if gue.is_control(datagram):
+            self._on_control(datagram)
+            return
+        frame = gue.decode_frame(datagram)
+        if isinstance(frame, Malformed):
+            self.metrics.counters[f"dropped_{frame.value}"] += 1
+            return
+        self.metrics.counters["packets_received"] += 1
+        if self._instance.stateless:
+            self._outbox.deliver(frame.packet)
+            return
+        self._router.on_frame(frame, time.monotonic())
+
+    def _on_control(self, datagram: bytes) -> None:
+        message = decode_datagram(datagram)
+        if isinstance(message, Malformed):
+            self.metrics.counters[f"dropped_{message.value}"] += 1
+            return
+        self.metrics.counters["control_bytes_received"] += len(datagram)
+        self._on_message(message)
+
+    @singledispatchmethod
+    def _on_message(self, message: Datagram) -> None:
+        self._router.on_message(message, time.monotonic())
+
+    @_on_message.register
+    def _(self, message: HeartbeatAck) -> None:
+        self._link.on_ack(message)
+
+    @_on_message.register
+    def _(self, message: VersionHint) -> None:
+        self._link.note_version(message.sender, message.version)
+
+    @_on_message.register
+    def _(self, message: Gossip) -> None:
+        self._link.note_version(message.sender, message.version)
+        if message.version < self.store.version:
+            self._outbox.send(
+                message.sender, VersionHint(self._section.server_id, self.store.version)
+            )
+        self._router.on_message(message, time.monotonic())
+
+    def _on_server_packet(self, packet: bytes) -> None:
+        if self._instance.stateless:
+            self._outbox.reply(packet)
+            return
+        self._router.on_server_packet(packet, time.monotonic())
+
+    # Timers
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._router.tick(time.monotonic())
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    async def _gossip_forever(self) -> None:
+        while True:
+            self._send_gossip()
+            await anyio.sleep(GOSSIP_INTERVAL_S)
+
+    def _send_gossip(self) -> None:
+        config = self.store.configuration
+        peers = [
+            member.server_id
+            for member in config.members_of(self._section.service)
+            if member.server_id != self._section.server_id
+        ]
+        message = Gossip(
+            self._section.server_id, self._link.boot_id, self.store.version, self._router.load
+        )
+        for peer in self._random.sample(peers, min(GOSSIP_FANOUT, len(peers))):
+            self._outbox.send(peer, message)
+
+    # Configuration
+
+    def _on_configuration(self, config: Configuration) -> None:
+        self._changed.set()
+
+    async def _refresh_forever(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            service = self._section.service
+            await self._tables.refresh(self.store.configuration, [service])
+            table = self._tables.tables_by_service.get(service)
+            self._router.apply_configuration(self.store.configuration, table, time.monotonic())
+
+    async def _answer_pull(self, request: PullRequest) -> PullReply:
+        return self.store.answer_pull(request.since)
+
+    async def _dump(self, request: DumpRequest) -> DumpReply:
+        router = self._router
+        authority = router.authority
+        now = time.monotonic()
+        return build_dump(
+            {
+                "role": "agent",
+                "instance": self._section.server_id,
+                "service": self._section.service,
+                "data_centre": self._instance.data_centre,
+                "boot_id": self._link.boot_id,
+                "version": self.store.version,
+                "table_epoch": authority.table.epoch if authority.table else 0,
+                "control_silent_s": now - self._link.acknowledged_at,
+                "has_lease": self._lease.is_valid(now),
+                "has_lost_memory": authority.has_lost_memory,
+                "buckets_held": len(authority.tokens_by_bucket),
+                "buckets_claimed": len(authority.claims_by_bucket),
+                "grants_outgoing": len(authority.outgoing_by_bucket),
+                "local_flows": len(router.directory.local_flows_by_key),
+                "held_flows": router.local.held_count,
+                "remote_flows": router.directory.remote_flow_count,
+                "awaiting": router.local.awaiting_count,
+                "limit": router.limiter.limit,
+                "in_flight": router.limiter.in_flight,
+                "is_cold": router.limiter.is_cold,
+                "cold_events": router.limiter.cold_events,
+                "capacity": router.limiter.capacity,
+                "share": self.store.configuration.share_of(self._section.server_id),
+                "peers": sorted(router.peers.loads_by_id),
+                "send_failures": self._endpoint.send_failures,
+                "metrics": self.metrics.dump(),
+            }
+        )
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -0,0 +1,220 @@
+"""The balancer role: a thin entry instance without per-flow state."""
+
+from __future__ import annotations
+
+import time
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import anyio
+import xxhash
+
+from wagtailkeel.roles.address_book import AddressBook
+from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.metrics import Metrics
+from wagtailkeel.roles.node_link import NodeLink
+from wagtailkeel.roles.node_link import draw_boot_id
+from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel.roles.table_builder import TableBuilder
+from wagtailkeel_coordination.lease import PlacementLease
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.flow_key import IPV4_KEY_BYTES
+from wagtailkeel_protocol.flow_key import endpoint_key
+from wagtailkeel_protocol.flow_key import endpoint_of
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import Datagram
+from wagtailkeel_protocol.messages import DumpReply
+from wagtailkeel_protocol.messages import DumpRequest
+from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_protocol.packet import parse_flow_key
+from wagtailkeel_state.balancer_member import BalancerMember
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport.methods import DUMP
+from wagtailkeel_transport.methods import PULL
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from wagtailkeel.settings import BalancerSettings
+    from wagtailkeel.settings import Settings
+    from wagtailkeel_state.configuration import Configuration
+
+Hop = tuple[bytes, bytes, tuple[str, int]]
+"""Header before an IPv4 packet, header before an IPv6 packet, and the owner's address."""
+
+
+class Balancer:
+    """Sends each packet of the fabric to the owner of its bucket."""
+
+    def __init__(self, settings: Settings, section: BalancerSettings) -> None:
+        self.metrics = Metrics()
+        self.store = ConfigurationStore()
+        self._instance = settings.instance
+        self._section = section
+        self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
+        self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
+        self._rpc_client = RpcClient(settings.instance.own_host)
+        self._hops_by_endpoint: dict[bytes, list[Hop]] = {}
+        self._tables = TableBuilder(
+            settings.instance.data_centre, is_plain=settings.instance.stateless
+        )
+        self._changed = anyio.Event()
+        self.store.subscribe(self._on_configuration)
+        self._link = NodeLink(
+            settings.instance.id,
+            AddressBook(settings.control_instances, self.store),
+            self.store,
+            self._endpoint,
+            self._rpc_client,
+            self._build_announcement,
+            lambda heartbeat: heartbeat,
+            lambda boot_id: None,
+            PlacementLease(),
+            self.metrics,
+            draw_boot_id(),
+        )
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Balancer:
+        """Build the role; sockets are bound here."""
+        assert settings.balancer is not None, "the caller checks for the section"
+        return cls(settings, settings.balancer)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        await server.start(self._instance.own_host, self._section.rpc_port)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._endpoint.receive, self._on_datagram)
+                tasks.start_soon(self._fabric.receive, self._on_packet)
+                tasks.start_soon(self._refresh_forever)
+                tasks.start_soon(self._link.run)
+                await self._link.is_joined.wait()
+                task_status.started()
+        finally:
+            self._fabric.close()
+            self._endpoint.close()
+            self._rpc_client.close()
+            with anyio.CancelScope(shield=True):
+                await server.close()
+
+    async def stop(self) -> None:
+        """A balancer holds nothing that must be passed on."""
+
+    def _build_announcement(self, boot_id: int) -> AnnounceRequest:
+        return AnnounceRequest(
+            balancer=BalancerMember(
+                self._instance.id,
+                self._instance.data_centre,
+                self._instance.host,
+                self._section.port,
+                self._section.rpc_port,
+                boot_id,
+            )
+        )
+
+    # Packets
+
+    def _on_packet(self, packet: bytes) -> None:
+        key = parse_flow_key(packet)
+        counters = self.metrics.counters
+        if isinstance(key, Malformed):
+            counters[f"dropped_{key.value}"] += 1
+            return
+        if len(key) == IPV4_KEY_BYTES:
+            hops = self._hops_by_endpoint.get(key[4:8] + key[10:])
+        else:
+            hops = self._hops_by_endpoint.get(endpoint_of(key))
+        if not hops:
+            counters["dropped_no_server"] += 1
+            return
+        hop = hops[xxhash.xxh3_64_intdigest(key) % len(hops)]
+        header = hop[0] if len(key) == IPV4_KEY_BYTES else hop[1]
+        self._endpoint.send(header + packet, hop[2])
+        counters["packets_forwarded"] += 1
+
+    # Configuration
+
+    def _on_configuration(self, config: Configuration) -> None:
+        self._changed.set()
+
+    async def _refresh_forever(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            config = self.store.configuration
+            await self._tables.refresh(config, list(config.services_by_name))
+            self._hops_by_endpoint = self._build_hops()
+
+    def _build_hops(self) -> dict[bytes, list[Hop]]:
+        config = self.store.configuration
+        hops_by_endpoint: dict[bytes, list[Hop]] = {}
+        for name, table in self._tables.tables_by_service.items():
+            service = config.services_by_name[name]
+            hops = [
+                self._build_hop(bucket, table.epoch, owner)
+                for bucket, owner in enumerate(table.owners_by_bucket)
+            ]
+            for found in service.classes_by_name.values():
+                key = endpoint_key(service.address, found.port, found.protocol.number)
+                hops_by_endpoint[key] = hops
+        return hops_by_endpoint
+
+    def _build_hop(self, bucket: int, epoch: int, owner: str) -> Hop:
+        member = self.store.configuration.servers_by_id.get(owner)
+        address = (member.host, member.port) if member else ("127.0.0.1", 9)
+        return (
+            gue.encode_header(bucket, epoch, version=4),
+            gue.encode_header(bucket, epoch, version=6),
+            address,
+        )
+
+    # Messages
+
+    def _on_datagram(self, datagram: bytes) -> None:
+        message = decode_datagram(datagram)
+        if isinstance(message, Malformed):
+            self.metrics.counters[f"dropped_{message.value}"] += 1
+            return
+        self.metrics.counters["control_bytes_received"] += len(datagram)
+        self._on_message(message)
+
+    @singledispatchmethod
+    def _on_message(self, message: Datagram) -> None:
+        self.metrics.counters["dropped_unexpected_message"] += 1
+
+    @_on_message.register
+    def _(self, message: HeartbeatAck) -> None:
+        self._link.on_ack(message)
+
+    @_on_message.register
+    def _(self, message: VersionHint) -> None:
+        self._link.note_version(message.sender, message.version)
+
+    async def _answer_pull(self, request: PullRequest) -> PullReply:
+        return self.store.answer_pull(request.since)
+
+    async def _dump(self, request: DumpRequest) -> DumpReply:
+        return build_dump(
+            {
+                "role": "balancer",
+                "instance": self._instance.id,
+                "data_centre": self._instance.data_centre,
+                "boot_id": self._link.boot_id,
+                "version": self.store.version,
+                "control_silent_s": time.monotonic() - self._link.acknowledged_at,
+                "epochs_by_service": {
+                    name: table.epoch for name, table in self._tables.tables_by_service.items()
+                },
+                "send_failures": self._endpoint.send_failures,
+                "metrics": self.metrics.dump(),
+            }
+        )
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/pending_proposals.py
@@ -0,0 +1,46 @@
+"""Commands that wait for their commit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+if TYPE_CHECKING:
+    from wagtailkeel_state.commands import CommandAnswer
+    from wagtailkeel_state.commands import LogEntry
+
+
+class PendingProposal(msgspec.Struct):
+    """A proposal at its log position; the answer stays empty when another entry took it."""
+
+    term: int
+    done: anyio.Event
+    answer: CommandAnswer | None = None
+
+
+class PendingProposals:
+    """Proposals by log index."""
+
+    def __init__(self) -> None:
+        self._pending_by_index: dict[int, PendingProposal] = {}
+
+    def add(self, index: int, term: int) -> PendingProposal:
+        """Wait for an index."""
+        pending = PendingProposal(term, anyio.Event())
+        self._pending_by_index[index] = pending
+        return pending
+
+    def resolve(self, entry: LogEntry, answer: CommandAnswer) -> None:
+        """Wake who waits for the entry; one of another term took the place of theirs."""
+        pending = self._pending_by_index.pop(entry.index, None)
+        if pending is None:
+            return
+        if pending.term == entry.term:
+            pending.answer = answer
+        pending.done.set()
+
+    def forget(self, index: int) -> None:
+        """Stop waiting."""
+        self._pending_by_index.pop(index, None)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -0,0 +1,44 @@
+"""Counters and histograms of a role."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Counted events by name, and response times in microseconds."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+        self._responses = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        self._started_at = time.monotonic()
+
+    def record_response(self, response_s: float) -> None:
+        """Record one response time."""
+        value = min(max(int(response_s * 1e6), LOWEST_US), HIGHEST_US)
+        self._responses.record_value(value)
+
+    def dump(self) -> dict[str, object]:
+        """Return all values, for the dump of the process."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        percentiles = {
+            f"p{percentile:g}_ms": self._responses.get_value_at_percentile(percentile) / 1_000
+            for percentile in PERCENTILES
+        }
+        return {
+            "counters": dict(sorted(self.counters.items())),
+            "responses": self._responses.get_total_count(),
+            "response_ms": percentiles,
+            "uptime_s": time.monotonic() - self._started_at,
+            "cpu_s": usage.ru_utime + usage.ru_stime,
+            "max_rss_kb": usage.ru_maxrss,
+        }
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -0,0 +1,197 @@
+"""A node's link to control: it announces itself, sends heartbeats and pulls newer versions."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from wagtailkeel_protocol.codec import encode_datagram
+from wagtailkeel_protocol.messages import AnnounceReply
+from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import Heartbeat
+from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_transport import RpcError
+from wagtailkeel_transport.methods import ANNOUNCE
+from wagtailkeel_transport.methods import PULL
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel.roles.address_book import AddressBook
+    from wagtailkeel.roles.configuration_store import ConfigurationStore
+    from wagtailkeel.roles.metrics import Metrics
+    from wagtailkeel_coordination.lease import PlacementLease
+    from wagtailkeel_transport import RpcClient
+    from wagtailkeel_transport import UdpEndpoint
+
+HEARTBEAT_INTERVAL_S = 0.5
+ACK_SILENCE_LIMIT_S = 1.5
+ANNOUNCE_RETRY_S = 0.3
+ANNOUNCE_TIMEOUT_S = 3.0
+PULL_TIMEOUT_S = 2.0
+PULL_RETRY_S = 0.2
+BOOT_ID_BITS = 53
+
+
+def draw_boot_id() -> int:
+    """Return a number that names an incarnation of a node."""
+    return secrets.randbits(BOOT_ID_BITS)
+
+
+class NodeLink:
+    """Owns the membership and the version of one node."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        address_book: AddressBook,
+        store: ConfigurationStore,
+        endpoint: UdpEndpoint,
+        rpc_client: RpcClient,
+        build_announcement: Callable[[int], AnnounceRequest],
+        build_heartbeat: Callable[[Heartbeat], Heartbeat],
+        on_rejoin: Callable[[int], None],
+        lease: PlacementLease,
+        metrics: Metrics,
+        boot_id: int,
+    ) -> None:
+        self.boot_id = boot_id
+        self.leader_id = address_book.control_ids[0]
+        self.acknowledged_at = time.monotonic()
+        self.is_joined = anyio.Event()
+        self._instance_id = instance_id
+        self._address_book = address_book
+        self._store = store
+        self._endpoint = endpoint
+        self._rpc_client = rpc_client
+        self._build_announcement = build_announcement
+        self._build_heartbeat = build_heartbeat
+        self._on_rejoin = on_rejoin
+        self._lease = lease
+        self._metrics = metrics
+        self._joined_at = float("inf")
+        self._versions_by_source: dict[str, int] = {}
+        self._has_news = anyio.Event()
+        self._must_rejoin = anyio.Event()
+
+    async def run(self) -> None:
+        """Join, then keep the membership and the version up to date until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pull_forever)
+            await self._join()
+            tasks.start_soon(self._beat_forever)
+            tasks.start_soon(self._rejoin_forever)
+
+    async def _join(self) -> None:
+        candidates = list(self._address_book.control_ids)
+        while True:
+            control_id = candidates.pop(0)
+            candidates.append(control_id)
+            reply = await self._announce_to(control_id)
+            if reply is None or not reply.is_joined:
+                if reply is not None and reply.leader_id in candidates:
+                    candidates.remove(reply.leader_id)
+                    candidates.insert(0, reply.leader_id)
+                if reply is not None and reply.reason:
+                    logger.error("control refuses this instance: {}", reply.reason)
+                await anyio.sleep(ANNOUNCE_RETRY_S)
+                continue
+            self.leader_id = control_id
+            self._joined_at = time.monotonic()
+            self.note_version(control_id, reply.index)
+            logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
+            self.is_joined.set()
+            return
+
+    async def _announce_to(self, control_id: str) -> AnnounceReply | None:
+        address = self._address_book.rpc_address(control_id)
+        assert address is not None, "control instances are in the settings"
+        request = self._build_announcement(self.boot_id)
+        try:
+            return await self._rpc_client.call(address, ANNOUNCE, request, ANNOUNCE_TIMEOUT_S)
+        except RpcError:
+            self._metrics.counters["announce_failures"] += 1
+            return None
+
+    async def _beat_forever(self) -> None:
+        while True:
+            self._send_heartbeat()
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+
+    def _send_heartbeat(self) -> None:
+        now = time.monotonic()
+        if now - self.acknowledged_at > ACK_SILENCE_LIMIT_S:
+            self._try_next_control(now)
+        address = self._address_book.datagram_address(self.leader_id)
+        if address is None:
+            return
+        heartbeat = Heartbeat(self._instance_id, self.boot_id, self._store.version, sent_at=now)
+        datagram = encode_datagram(self._build_heartbeat(heartbeat))
+        self._metrics.counters["control_bytes_sent"] += len(datagram)
+        self._endpoint.send(datagram, address)
+
+    def _try_next_control(self, now: float) -> None:
+        ids = self._address_book.control_ids
+        position = ids.index(self.leader_id) if self.leader_id in ids else -1
+        self.leader_id = ids[(position + 1) % len(ids)]
+        self.acknowledged_at = now - ACK_SILENCE_LIMIT_S + HEARTBEAT_INTERVAL_S
+
+    def on_ack(self, message: HeartbeatAck) -> None:
+        """Handle the answer to a heartbeat."""
+        if message.leader_id in self._address_book.control_ids:
+            self.leader_id = message.leader_id
+        self.note_version(message.sender, message.version)
+        if message.leader_id != message.sender:
+            return
+        self.acknowledged_at = time.monotonic()
+        if message.is_member:
+            if message.lease_s > 0 and message.boot_id == self.boot_id:
+                self._lease.renew(message.sent_at, message.lease_s)
+        elif message.sent_at > self._joined_at and message.boot_id == self.boot_id:
+            self._must_rejoin.set()
+
+    async def _rejoin_forever(self) -> None:
+        while True:
+            await self._must_rejoin.wait()
+            self._joined_at = float("inf")
+            self._must_rejoin = anyio.Event()
+            self.boot_id = draw_boot_id()
+            self._metrics.counters["rejoins"] += 1
+            logger.warning("control has removed this incarnation; joining as {}", self.boot_id)
+            self._on_rejoin(self.boot_id)
+            await self._join()
+
+    def note_version(self, source: str, version: int) -> None:
+        """Remember that ``source`` has a version; pull it when it is newer than the own one."""
+        if version > self._store.version:
+            self._versions_by_source[source] = version
+            self._has_news.set()
+
+    async def _pull_forever(self) -> None:
+        while True:
+            await self._has_news.wait()
+            self._has_news = anyio.Event()
+            for source, version in list(self._versions_by_source.items()):
+                if version <= self._store.version or not await self._pull_from(source):
+                    del self._versions_by_source[source]
+            if self._versions_by_source:
+                await anyio.sleep(PULL_RETRY_S)
+                self._has_news.set()
+
+    async def _pull_from(self, source: str) -> bool:
+        address = self._address_book.rpc_address(source)
+        if address is None:
+            return False
+        try:
+            request = PullRequest(self._store.version)
+            reply = await self._rpc_client.call(address, PULL, request, PULL_TIMEOUT_S)
+        except RpcError:
+            self._metrics.counters["pull_failures"] += 1
+            return False
+        self._metrics.counters["pulls"] += 1
+        return self._store.accept(reply)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
@@ -0,0 +1,17 @@
+"""Answering a request for a process's state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_protocol.messages import DumpReply
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+def build_dump(parts: Mapping[str, object]) -> DumpReply:
+    """Return the state as JSON text."""
+    return DumpReply(msgspec.json.encode(parts))
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -0,0 +1,96 @@
+"""The settings of one process, as read from its TOML file."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from wagtailkeel_state.address_pool import AddressPool
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Base of all sections: unknown keys are errors."""
+
+
+class InstanceSettings(_Section):
+    """Who this process is; ``bind_host`` is needed where the announced host is not its own.
+
+    ``stateless`` turns the flow directory off: the baseline that measurements compare with.
+    """
+
+    id: Name
+    data_centre: Name
+    host: str
+    bind_host: str = ""
+    log_level: str = "INFO"
+    stateless: bool = False
+
+    @property
+    def own_host(self) -> str:
+        """The address that sockets are bound to."""
+        return self.bind_host or self.host
+
+
+class ControlInstanceSettings(_Section):
+    """Where a control instance listens."""
+
+    id: Name
+    host: str
+    port: Port
+    rpc_port: Port
+
+
+class BalancerSettings(_Section):
+    """The balancer role; the fabric hands packets to ``fabric_port``."""
+
+    port: Port
+    rpc_port: Port
+    fabric_port: Port
+
+
+class AgentSettings(_Section):
+    """The agent role, beside one backend server."""
+
+    server_id: Name
+    service: Name
+    slots: PositiveInt
+    port: Port
+    rpc_port: Port
+    server_side_port: Port
+    server_host: str
+    server_port: Port
+    caller_gateway_host: str
+    caller_gateway_port: Port
+    isolated_stop_s: float = 0.0
+    stop_limit_s: PositiveFloat = 10.0
+
+
+class DataCentreSettings(_Section):
+    """A data centre and its region."""
+
+    name: Name
+    region: Name
+
+
+class ControlSettings(_Section):
+    """The control role, on an instance with a disk."""
+
+    data_folder: str
+    pools: Annotated[list[AddressPool], msgspec.Meta(min_length=1)]
+    data_centres: Annotated[list[DataCentreSettings], msgspec.Meta(min_length=1)]
+
+
+class Settings(_Section):
+    """The whole file; a role runs where its section is present."""
+
+    instance: InstanceSettings
+    control_instances: Annotated[list[ControlInstanceSettings], msgspec.Meta(min_length=1)]
+    balancer: BalancerSettings | None = None
+    agents: list[AgentSettings] = []
+    control: ControlSettings | None = None
