--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import click
+import msgspec
 
+from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
+from wagtailkeel_bench.scenario.parser import ScenarioError
+from wagtailkeel_bench.scenario.parser import parse_scenario
+from wagtailkeel_bench.scenario.runner import run_scenario
 from wagtailkeel_bench.test_runner import run_tests
 
 
@@ -29,4 +35,28 @@
     raise SystemExit(run_tests(Path.cwd(), pattern))
 
 
-main()
+@main.command(name="scenario")
+@click.argument("scenario")
+@click.option("--seed", type=int, default=1)
+def scenario_command(scenario: str, seed: int) -> None:
+    """Run SCENARIO, a name below bench/scenarios or a path; the last line is JSON.
+
+    Exit status 1: an expectation failed; 2: the run itself failed.
+    """
+    path = Path(scenario)
+    if not path.exists():
+        path = Path("bench/scenarios") / f"{scenario}.scenario"
+    try:
+        parsed = parse_scenario(path.read_text(), str(path))
+        result = asyncio.run(run_scenario(parsed, path.stem, seed))
+    except (BenchError, ScenarioError, OSError) as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(2) from error
+    for failed in result["expectations_failed"]:
+        click.echo(f"expectation failed: {failed}")
+    click.echo(msgspec.json.encode(result).decode())
+    raise SystemExit(1 if result["expectations_failed"] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/src/wagtailkeel_bench/deployment.py
+++ b/bench/src/wagtailkeel_bench/deployment.py
@@ -140,7 +140,7 @@
         self.shape = shape
         self.folder = folder
         self._seed = seed
-        self._is_stateless = is_stateless
+        self.is_stateless = is_stateless
         self._addresses = AddressPlan()
         self.instances_by_name: dict[str, Instance] = {}
         hosts = [self._addresses.next_hosts()[0] for _ in range(3)]
@@ -228,7 +228,7 @@
                 "data_centre": instance.data_centre,
                 "host": instance.proxy_host,
                 "bind_host": instance.bind_host,
-                "stateless": self._is_stateless,
+                "stateless": self.is_stateless,
             },
             "control_instances": [
                 {"id": found.name, "host": found.proxy_host, **found.ports}
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -0,0 +1,153 @@
+"""What the steps of a scenario do."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from wagtailkeel_bench.scenario.parser import ScenarioError
+from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import RestoreServer
+from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.enums import DataCentreState
+
+if TYPE_CHECKING:
+    from wagtailkeel_bench.scenario.model import Step
+    from wagtailkeel_bench.site import Site
+
+LATE_GRACE_S = 3.0
+
+Action = Callable[..., Awaitable[None]]
+
+
+class Actions:
+    """Actions by verb, and what they mean for the judgement of the run."""
+
+    def __init__(self, site: Site) -> None:
+        self.lost_servers: list[str] = []
+        self.silenced_keys: list[str] = []
+        self.accepted_changes = 0
+        self._site = site
+        self._actions: dict[str, Action] = {
+            "drain": self._drain,
+            "restore": self._restore,
+            "kill": site.kill_instance,
+            "start": self._start,
+            "restart": self._restart,
+            "crash": self._crash,
+            "kill-server": self._kill_server,
+            "out": self._take_out,
+            "back": self._bring_back,
+            "cut": self._cut,
+            "cut-one-way": self._cut_one_way,
+            "heal": self._heal,
+            "cold": self._turn_cold,
+            "silence": self._silence,
+            "changes": self._change_members,
+            "restart-all": self._restart_all,
+            "pause": self._pause,
+            "resume": self._resume,
+            "measure": self._measure,
+        }
+
+    async def run(self, step: Step) -> None:
+        """Run one step."""
+        action = self._actions.get(step.verb)
+        if action is None:
+            known = ", ".join(sorted(self._actions))
+            raise ScenarioError(f"line {step.line}: no action {step.verb!r}; there are {known}")
+        try:
+            await action(*step.arguments)
+        except (KeyError, TypeError) as error:
+            raise ScenarioError(f"line {step.line}: {step.verb}: {error!r}") from error
+
+    async def _drain(self, server_id: str) -> None:
+        await self._site.operate(DrainServer(server_id=server_id))
+        self.accepted_changes += 1
+
+    async def _restore(self, server_id: str) -> None:
+        await self._site.operate(RestoreServer(server_id=server_id))
+        self.accepted_changes += 1
+
+    async def _start(self, name: str) -> None:
+        instance = self._site.deployment.instances_by_name[name]
+        if instance.role == "agent":
+            await self._site.servers.command("set_down", server_id=name, is_down=False)
+        await self._site.start_instance(instance)
+
+    async def _restart(self, name: str) -> None:
+        await self._site.restart_instance(name, is_planned=True)
+
+    async def _crash(self, name: str) -> None:
+        await self._site.restart_instance(name, is_planned=False)
+
+    async def _kill_server(self, name: str) -> None:
+        self.lost_servers.append(name)
+        await self._site.kill_server(name)
+
+    async def _take_out(self, name: str) -> None:
+        deployment = self._site.deployment
+        self.lost_servers.extend(
+            found.name for found in deployment.of_role("agent") if found.data_centre == name
+        )
+        await self._site.operate(
+            SetDataCentreState(name=name, state=DataCentreState.OUT_OF_SERVICE)
+        )
+        self.accepted_changes += 1
+        await self._site.servers.command("close_data_centre", name=name, grace_s=LATE_GRACE_S)
+
+    async def _bring_back(self, name: str) -> None:
+        await self._site.servers.command("open_data_centre", name=name)
+        await self._site.operate(SetDataCentreState(name=name, state=DataCentreState.IN_SERVICE))
+        self.accepted_changes += 1
+
+    async def _cut(self, *names: str) -> None:
+        others = [found for found in self._site.deployment.instances_by_name if found not in names]
+        await self._site.network.command(
+            "cut", senders=list(names), receivers=[*others, "operator"], is_one_way=False
+        )
+
+    async def _cut_one_way(self, sender: str, receiver: str) -> None:
+        await self._site.network.command(
+            "cut", senders=[sender], receivers=[receiver], is_one_way=True
+        )
+
+    async def _heal(self) -> None:
+        await self._site.network.command("heal")
+
+    async def _turn_cold(self, server_id: str) -> None:
+        await self._site.servers.command("turn_cold", server_id=server_id)
+
+    async def _silence(self, count: str, server_id: str) -> None:
+        keys = await self._site.servers.command("silence", server_id=server_id, count=int(count))
+        self.silenced_keys.extend(keys)
+
+    async def _change_members(self, count: str, over_s: str) -> None:
+        """Drain and restore one server after another: each step is a change of the table."""
+        service = self._site.deployment.shape.services[0]
+        interval_s = float(over_s) / int(count)
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        for number in range(int(count)):
+            server_id = f"{service.name}-{number // 2 % service.servers + 1}"
+            await (self._restore(server_id) if number % 2 else self._drain(server_id))
+            due += interval_s
+            await asyncio.sleep(max(0.0, due - loop.time()))
+
+    async def _restart_all(self) -> None:
+        for role in ("balancer", "agent", "control"):
+            for instance in self._site.deployment.of_role(role):
+                await self._site.restart_instance(instance.name, is_planned=True)
+                await self._site.wait_ready()
+
+    async def _pause(self, name: str) -> None:
+        self._site.pause_instance(name, True)
+
+    async def _resume(self, name: str) -> None:
+        self._site.pause_instance(name, False)
+
+    async def _measure(self) -> None:
+        await self._site.servers.command("reset_load")
+        await self._site.callers.command("reset_gaps")
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/scenario/model.py
@@ -0,0 +1,75 @@
+"""A scenario, parsed."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable
+
+import msgspec
+
+COMPARISONS: dict[str, Callable[[float, float], bool]] = {
+    "<=": operator.le,
+    ">=": operator.ge,
+    "==": operator.eq,
+    "<": operator.lt,
+    ">": operator.gt,
+}
+
+
+class FeedTraffic(msgspec.Struct):
+    """Long flows, opened over a time, each kept alive at an interval."""
+
+    count: int
+    class_path: str
+    interval_s: float
+    over_s: float
+
+
+class RequestTraffic(msgspec.Struct):
+    """Short requests at a mean rate; ``work_ms`` is their cost at speed 1."""
+
+    rate: float
+    class_path: str
+    work_ms: float
+    parts: int = 1
+
+
+class Step(msgspec.Struct):
+    """An action at a time after the traffic started."""
+
+    at_s: float
+    verb: str
+    arguments: list[str]
+    line: int
+
+
+class Expectation(msgspec.Struct):
+    """A bound on a figure of the result."""
+
+    path: str
+    comparison: str
+    bound: float
+
+    def is_met(self, value: float) -> bool:
+        """Compare a figure with the bound."""
+        return COMPARISONS[self.comparison](value, self.bound)
+
+    def __str__(self) -> str:
+        return f"{self.path} {self.comparison} {self.bound:g}"
+
+
+class Scenario(msgspec.Struct):
+    """All that a scenario file says."""
+
+    deployment: str = "marshals"
+    balancers: int | None = None
+    controls: int | None = None
+    absent: list[str] = []
+    duration_s: float = 10.0
+    feeds: list[FeedTraffic] = []
+    requests: list[RequestTraffic] = []
+    fabric_rule: dict[str, float] = {}
+    network_rule: dict[str, float] = {}
+    steps: list[Step] = []
+    expectations: list[Expectation] = []
+    has_baseline: bool = False
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -0,0 +1,230 @@
+"""Running a scenario and judging it."""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from wagtailkeel_bench.deployment import SHAPES_BY_NAME
+from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.scenario.actions import Actions
+from wagtailkeel_bench.scenario.model import FeedTraffic
+from wagtailkeel_bench.scenario.model import Scenario
+from wagtailkeel_bench.site import Site
+from wagtailkeel_bench.site import make_folder
+
+SETTLE_S = 2.5
+OPEN_LIMIT_S = 30.0
+MIN_WORK_S = 0.5
+
+Result = dict[str, Any]
+
+
+class ScenarioRun:
+    """One run of a scenario with real processes."""
+
+    def __init__(self, scenario: Scenario, seed: int, *, is_stateless: bool = False) -> None:
+        self._scenario = scenario
+        shape = msgspec.structs.replace(SHAPES_BY_NAME[scenario.deployment])
+        shape.balancers = scenario.balancers or shape.balancers
+        shape.controls = scenario.controls or shape.controls
+        self.folder = make_folder()
+        self._site = Site(Deployment(shape, self.folder, seed, is_stateless))
+        self._actions = Actions(self._site)
+        self._dumps_before: dict[str, Result] = {}
+        self._measured_from = 0.0
+
+    async def run(self) -> Result:
+        """Run all steps and return the figures."""
+        try:
+            await self._site.start(absent=self._scenario.absent)
+            await self._set_rules()
+            await self._start_traffic()
+            await self._run_steps()
+            await self._site.callers.command("stop_requests")
+            await asyncio.sleep(SETTLE_S)
+            return await self._collect()
+        finally:
+            await self._site.stop()
+
+    async def _set_rules(self) -> None:
+        network = self._site.network
+        if self._scenario.fabric_rule:
+            await network.command("set_fabric_rule", **self._scenario.fabric_rule)
+        if self._scenario.network_rule:
+            await network.command("set_default_rule", **self._scenario.network_rule)
+
+    async def _start_traffic(self) -> None:
+        for feeds in self._scenario.feeds:
+            await self._start_feeds(feeds)
+        for requests in self._scenario.requests:
+            service, _, name = requests.class_path.partition("/")
+            classes = self._site.deployment.shape.classes
+            found = next(c for c in classes if (c.service, c.name) == (service, name))
+            await self._site.callers.command(
+                "start_requests",
+                endpoint=self._site.endpoints_by_class[requests.class_path],
+                rate=requests.rate,
+                work_ms=requests.work_ms,
+                parts=requests.parts,
+                is_idempotent=found.is_idempotent,
+            )
+        self._dumps_before = await self._site.dumps()
+        self._measured_from = time.monotonic()
+
+    async def _start_feeds(self, feeds: FeedTraffic) -> None:
+        expected = await self._site.callers.command("count_open") + feeds.count
+        await self._site.callers.command(
+            "start_feeds",
+            endpoint=self._site.endpoints_by_class[feeds.class_path],
+            count=feeds.count,
+            interval_s=feeds.interval_s,
+            over_s=feeds.over_s,
+        )
+        deadline = time.monotonic() + feeds.over_s + OPEN_LIMIT_S
+        while time.monotonic() < deadline:
+            if await self._site.callers.command("count_open") >= expected:
+                return
+            await asyncio.sleep(0.1)
+
+    async def _run_steps(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for step in self._scenario.steps:
+            await asyncio.sleep(max(0.0, started_at + step.at_s - loop.time()))
+            await self._actions.run(step)
+        await asyncio.sleep(max(0.0, started_at + self._scenario.duration_s - loop.time()))
+
+    # Figures
+
+    async def _collect(self) -> Result:
+        max_interval_s = max((feeds.interval_s for feeds in self._scenario.feeds), default=1.0)
+        callers = await self._site.callers.command(
+            "report",
+            lost_servers=self._actions.lost_servers,
+            silenced=self._actions.silenced_keys,
+            max_idle_s=max_interval_s + SETTLE_S,
+        )
+        servers = await self._site.servers.command("report")
+        false_refusals = await self._site.servers.command(
+            "count_runs", request_ids=callers["refused_ids"]
+        )
+        outcomes = callers["outcomes"]
+        broken_by_cause = {
+            cause: outcomes[cause]
+            for cause in ("reset", "timed_out", "stale", "never_opened")
+            if outcomes.get(cause)
+        }
+        sent = callers.get("requests_sent", 0)
+        return {
+            "flows_opened": callers["feeds"] + sent,
+            "feeds": callers["feeds"],
+            "broken_flows": sum(broken_by_cause.values()),
+            "broken_by_cause": broken_by_cause,
+            "given_up_flows": outcomes.get("given_up", 0),
+            "silenced_flows": outcomes.get("silenced", 0),
+            "silenced_untold": outcomes.get("silenced", 0) - outcomes.get("silenced_told", 0),
+            "silence_told_s": callers["silence_told_s"],
+            "misrouted_packets": servers["misrouted_packets"],
+            "multi_server_flows": servers["multi_server_flows"],
+            "double_runs": servers["double_runs"],
+            "false_refusals": false_refusals,
+            "wrong_answers": callers.get("wrong_answers", 0),
+            "late_packets": servers["late_packets"],
+            "requests_refused": callers.get("requests_refused", 0),
+            "requests_unanswered": callers.get("requests_unanswered", 0),
+            "answered_share": callers.get("requests_answered", 0) / sent if sent else 1.0,
+            "worst_gap_ms": callers["worst_gap_ms"],
+            "response_ms": callers["response_ms"],
+            "server_falls": sum(s.get("falls", 0) for s in servers["servers"].values()),
+            "overloads": sum(s.get("overloads", 0) for s in servers["servers"].values()),
+            "accepted_changes": self._actions.accepted_changes,
+            **_measure_imbalance(servers["servers"], callers["feeds_by_server"]),
+            **await self._measure_cost(),
+        }
+
+    async def _measure_cost(self) -> Result:
+        dumps = await self._site.dumps()
+        bytes_by_role: dict[str, list[float]] = {}
+        cpu_by_role: dict[str, list[float]] = {}
+        rss_by_role: dict[str, list[float]] = {}
+        for name, dump in dumps.items():
+            after, before = dump["metrics"], self._dumps_before.get(name, {}).get("metrics")
+            if before is None or after["uptime_s"] < before["uptime_s"]:
+                before = {"uptime_s": 0.0, "cpu_s": 0.0, "counters": {}}
+            elapsed_s = after["uptime_s"] - before["uptime_s"]
+            sent = after["counters"].get("control_bytes_sent", 0)
+            sent -= before["counters"].get("control_bytes_sent", 0)
+            role = dump["role"]
+            bytes_by_role.setdefault(role, []).append(sent / elapsed_s)
+            cpu_by_role.setdefault(role, []).append((after["cpu_s"] - before["cpu_s"]) / elapsed_s)
+            rss_by_role.setdefault(role, []).append(after["max_rss_kb"] / 1_024)
+        return {
+            "control_bytes_per_s": _means(bytes_by_role),
+            "cpu_share": _means(cpu_by_role),
+            "rss_mb": _means(rss_by_role),
+            "counters": _sum_counters(dumps),
+        }
+
+
+def _means(values_by_role: dict[str, list[float]]) -> dict[str, float]:
+    return {role: round(statistics.fmean(v), 4) for role, v in sorted(values_by_role.items())}
+
+
+def _sum_counters(dumps: dict[str, Result]) -> dict[str, int]:
+    total: dict[str, int] = {}
+    for dump in dumps.values():
+        for name, value in dump["metrics"]["counters"].items():
+            total[name] = total.get(name, 0) + value
+    return dict(sorted(total.items()))
+
+
+def _measure_imbalance(
+    servers: dict[str, Result], feeds_by_server: dict[str, int]
+) -> dict[str, float]:
+    """Load relative to capacity: the worst over the services."""
+    worst = {"imbalance_cv": 0.0, "imbalance_max_over_mean": 1.0, "held_imbalance_cv": 0.0}
+    for service in sorted({s["service"] for s in servers.values()}):
+        found = {key: s for key, s in servers.items() if s["service"] == service}
+        loads = [s["busy_s"] / s["slots"] for s in found.values()]
+        held = [feeds_by_server.get(key, 0) / (s["slots"] * s["speed"]) for key, s in found.items()]
+        if sum(loads) > MIN_WORK_S:
+            cv = statistics.pstdev(loads) / statistics.fmean(loads)
+            worst["imbalance_cv"] = max(worst["imbalance_cv"], cv)
+            ratio = max(loads) / statistics.fmean(loads)
+            worst["imbalance_max_over_mean"] = max(worst["imbalance_max_over_mean"], ratio)
+        if sum(held) > 0:
+            cv = statistics.pstdev(held) / statistics.fmean(held)
+            worst["held_imbalance_cv"] = max(worst["held_imbalance_cv"], cv)
+    return worst
+
+
+async def run_scenario(scenario: Scenario, name: str, seed: int) -> Result:
+    """Run a scenario, and its baseline where it asks for one; judge the expectations."""
+    run = ScenarioRun(scenario, seed)
+    figures = await run.run()
+    if scenario.has_baseline:
+        baseline_run = ScenarioRun(scenario, seed, is_stateless=True)
+        figures["baseline"] = await baseline_run.run()
+        del figures["baseline"]["counters"]
+    failed = [
+        str(expectation)
+        for expectation in scenario.expectations
+        if not expectation.is_met(look_up(figures, expectation.path))
+    ]
+    result = {"scenario": name, "seed": seed, **figures, "expectations_failed": failed}
+    (Path(run.folder) / "result.json").write_bytes(msgspec.json.encode(result))
+    return result
+
+
+def look_up(figures: Result, path: str) -> float:
+    """Return a figure by its dotted path."""
+    value: Any = figures
+    for part in path.split("."):
+        value = value[part]
+    return float(value)
--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import tempfile
 import time
 from pathlib import Path
 from typing import Any
@@ -44,16 +45,16 @@
         ]
         self.client = ControlClient(addresses, DEADLINE_S)
 
-    async def start(self, *, has_traffic: bool = True) -> None:
-        """Start all processes, create services and classes, wait until all is in force."""
+    async def start(self, absent: list[str] | None = None) -> None:
+        """Start all but the absent processes, create services, wait until all is in force."""
         for stand_in in (self.network, self.servers, self.callers):
             await stand_in.start()
         for instance in self.deployment.instances_by_name.values():
-            await self.start_instance(instance)
+            if instance.name not in (absent or []):
+                await self.start_instance(instance)
         await self._create_services()
         await self.wait_ready()
-        if has_traffic:
-            await self._publish_endpoints()
+        await self._publish_endpoints()
 
     async def start_instance(self, instance: Instance) -> None:
         """Start one process of the system; a balancer joins the fabric."""
@@ -105,12 +106,13 @@
 
     async def _is_ready(self) -> bool:
         status = await self.client.status()
-        nodes = [f for f in self.deployment.instances_by_name.values() if f.role != "control"]
-        if len(status.nodes) < len(nodes) or not status.is_leader:
+        running = {name for name, found in self.processes_by_name.items() if found.is_running}
+        nodes = running - {found.name for found in self.deployment.of_role("control")}
+        if not status.is_leader or nodes - {node.instance_id for node in status.nodes}:
             return False
         if any(node.version < status.version for node in status.nodes):
             return False
-        if self.deployment._is_stateless:
+        if self.deployment.is_stateless:
             return True
         dumps = await self.dumps("agent")
         for service in status.configuration.services_by_name.values():
@@ -144,7 +146,7 @@
         names = [
             found.name
             for found in self.deployment.instances_by_name.values()
-            if (not role or found.role == role) and self.processes_by_name[found.name].is_running
+            if (not role or found.role == role) and self._is_running(found.name)
         ]
         found = await asyncio.gather(*(self.dump(name) for name in names), return_exceptions=True)
         return {
@@ -153,6 +155,10 @@
             if not isinstance(dump, BaseException)
         }
 
+    def _is_running(self, name: str) -> bool:
+        process = self.processes_by_name.get(name)
+        return process is not None and process.is_running
+
     # Faults
 
     async def kill_instance(self, name: str) -> None:
@@ -204,6 +210,4 @@
 
 def make_folder(root: Path | None = None) -> Path:
     """Return a new folder for settings, logs and data of a run."""
-    import tempfile
-
     return Path(tempfile.mkdtemp(prefix="wagtailkeel-", dir=root))
