Refuse grants and placements meant for an earlier incarnation

Change: grants and transfers name the incarnation they are for; a placement names the table of its sender, which must know the receiver's incarnation.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -179,7 +179,7 @@
                     del self.outgoing_by_bucket[bucket]
                 continue
             if table.epoch >= self._received_epochs_by_bucket.get(bucket, 0):
-                self._start_grant(bucket, owner, table.epoch)
+                self._start_grant(bucket, owner, self._boot_ids_by_member[owner], table.epoch)
 
     def start_incarnation(self, boot_id: int) -> None:
         """Drop all tokens, when control no longer counts the incarnation before as a member."""
@@ -207,7 +207,7 @@
         for claim in self.claims_by_bucket.values():
             if now < claim.asks_from:
                 continue
-            for member in claim.pending_ids:
+            for member in sorted(claim.pending_ids):
                 due_by_member.setdefault(member, []).append(claim.bucket)
         if not due_by_member:
             return
@@ -253,7 +253,7 @@
         token = self.tokens_by_bucket.get(bucket)
         if token is not None:
             if self._is_entitled(message, bucket):
-                self._start_grant(bucket, message.sender, message.epoch)
+                self._start_grant(bucket, message.sender, message.boot_id, message.epoch)
             return split_answer(bucket, True, [])
         self._raise_floor(bucket, Generation(message.epoch, 0))
         promised = self._promised_epochs_by_bucket.get(bucket, 0)
@@ -293,10 +293,9 @@
         floor = self._floors_by_bucket.get(bucket)
         return floor is not None and generation < floor
 
-    def is_placement_stale(self, bucket: int, generation: Generation) -> bool:
+    def is_placement_stale(self, bucket: int, token_epoch: int) -> bool:
         """Tell whether a placement was made under a token older than a promise given here."""
-        promised = self._promised_epochs_by_bucket.get(bucket, 0)
-        return generation < Generation(promised, 0)
+        return token_epoch < self._promised_epochs_by_bucket.get(bucket, 0)
 
     def _raise_floor(self, bucket: int, floor: Generation) -> None:
         self._floors_by_bucket[bucket] = max(self._floors_by_bucket.get(bucket, floor), floor)
@@ -315,22 +314,24 @@
             return
         owner = self.table.owner_of(bucket)
         if owner is not None and owner != self._own_id:
-            self._start_grant(bucket, owner, self.table.epoch)
+            self._start_grant(bucket, owner, self._boot_ids_by_member[owner], self.table.epoch)
 
     # Grants
 
-    def _start_grant(self, bucket: int, successor: str, epoch: int) -> None:
+    def _start_grant(self, bucket: int, successor: str, boot_id: int, epoch: int) -> None:
         outgoing = self.outgoing_by_bucket.get(bucket)
-        if outgoing is not None and outgoing.successor_id == successor and outgoing.epoch >= epoch:
+        if outgoing is not None and outgoing.is_for(successor, boot_id, epoch):
             return
         token = self.tokens_by_bucket[bucket]
         # Members that promised at the epoch of the grant must accept what it leads to.
         generation = Generation(max(token.epoch, epoch), token.counter + 1)
-        self.outgoing_by_bucket[bucket] = OutgoingGrant(bucket, successor, generation, epoch)
+        self.outgoing_by_bucket[bucket] = OutgoingGrant(
+            bucket, successor, boot_id, generation, epoch
+        )
 
     def _send_grants(self, now: float) -> None:
         budget = DATAGRAMS_PER_TICK
-        batches: dict[str, list[BucketGrant]] = {}
+        batches: dict[tuple[str, int], list[BucketGrant]] = {}
         for outgoing in list(self.outgoing_by_bucket.values()):
             if budget <= 0:
                 break
@@ -345,27 +346,35 @@
                     continue
                 self._release(outgoing, rest)
             outgoing.last_sent_at = now
-            batch = batches.setdefault(outgoing.successor_id, [])
+            successor = (outgoing.successor_id, outgoing.successor_boot_id)
+            batch = batches.setdefault(successor, [])
             if self._is_full(batch, outgoing):
-                self._send_batch(outgoing.successor_id, batch)
+                self._send_batch(*successor, batch)
                 budget -= 1
-                batch = batches[outgoing.successor_id] = []
+                batch = batches[successor] = []
             batch.append(outgoing.message)
         for successor, batch in batches.items():
-            self._send_batch(successor, batch)
+            self._send_batch(*successor, batch)
 
     def _is_full(self, batch: list[BucketGrant], outgoing: OutgoingGrant) -> bool:
         records = sum(len(grant.flows) for grant in batch) + len(outgoing.final_records)
         return bool(batch) and (records > RECORDS_PER_DATAGRAM or len(batch) >= GRANTS_PER_DATAGRAM)
 
-    def _send_batch(self, successor: str, batch: list[BucketGrant]) -> None:
-        self._outbox.send(successor, Grant(self._own_id, self._boot_id, batch))
+    def _send_batch(self, successor: str, boot_id: int, batch: list[BucketGrant]) -> None:
+        self._outbox.send(successor, Grant(self._own_id, boot_id, batch))
 
     def _send_parts(self, outgoing: OutgoingGrant) -> int:
         for part, flows in outgoing.parts_by_number.items():
             self._outbox.send(
                 outgoing.successor_id,
-                FlowTransfer(self._own_id, outgoing.bucket, outgoing.generation, part, flows),
+                FlowTransfer(
+                    self._own_id,
+                    outgoing.successor_boot_id,
+                    outgoing.bucket,
+                    outgoing.generation,
+                    part,
+                    flows,
+                ),
             )
         return len(outgoing.parts_by_number)
 
@@ -379,7 +388,13 @@
         self._counters["grants_released"] += 1
 
     def on_grant(self, message: Grant, now: float) -> None:
-        """Take the tokens that are newer than any seen, refuse the others, acknowledge all."""
+        """Take the tokens that are newer than any seen, refuse the others, acknowledge all.
+
+        A grant to an earlier incarnation is ignored: what that one promised is not known here.
+        """
+        if message.recipient_boot_id != self._boot_id:
+            self._counters["messages_of_old_incarnation"] += 1
+            return
         receipts = []
         for grant in message.grants:
             receipts.append(BucketReceipt(grant.bucket, grant.generation))
@@ -402,6 +417,9 @@
 
     def on_flow_transfer(self, message: FlowTransfer, now: float) -> None:
         """Store entries that are sent ahead of a grant."""
+        if message.recipient_boot_id != self._boot_id:
+            self._counters["messages_of_old_incarnation"] += 1
+            return
         if not self.is_stale(message.bucket, message.generation):
             self._directory.install(message.bucket, message.flows, now)
         self._outbox.send(
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -35,7 +35,6 @@
 from wagtailkeel_protocol.packet_builder import build_reset
 from wagtailkeel_state.flow_directory import FlowDirectory
 from wagtailkeel_state.flow_record import REFUSED
-from wagtailkeel_state.generation import Generation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -312,12 +311,11 @@
         self.peers.count_placement(peer)
         token = self.authority.tokens_by_bucket[frame.bucket]
         self._counters["starts_redirected"] += 1
+        epoch = self.authority.table.epoch if self.authority.table else 0
         marks = gue.MARK_DELIVER | gue.MARK_NEW
         self._packets.forward(
             peer,
-            DataFrame(
-                frame.packet, frame.bucket, token.epoch, marks, frame.hops + 1, token.counter
-            ),
+            DataFrame(frame.packet, frame.bucket, epoch, marks, frame.hops + 1, token.epoch),
         )
 
     def _refuse(self, frame: DataFrame, key: bytes) -> None:
@@ -364,7 +362,7 @@
     def _on_remote_placement(
         self, frame: DataFrame, key: bytes, traffic_class: TrafficClass
     ) -> None:
-        if self.authority.is_placement_stale(frame.bucket, Generation(frame.epoch, frame.counter)):
+        if self._is_placement_stale(frame):
             self._counters["placements_stale"] += 1
             return
         if self._can_start_here(traffic_class):
@@ -373,6 +371,14 @@
         self._rejected.add(key, self._now)
         self._return_rejected(frame)
 
+    def _is_placement_stale(self, frame: DataFrame) -> bool:
+        """A sender that does not know this incarnation may have lost its token since."""
+        assert self.config is not None, "frames are routed under a configuration"
+        own = self.config.servers_by_id.get(self._own_id)
+        if own is None or frame.epoch < own.joined_index:
+            return True
+        return self.authority.is_placement_stale(frame.bucket, frame.token_epoch)
+
     def _return_rejected(self, frame: DataFrame) -> None:
         self._counters["placements_rejected"] += 1
         if self.authority.is_authority(frame.bucket):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -16,6 +16,7 @@
 
     bucket: int
     successor_id: str
+    successor_boot_id: int
     generation: Generation
     epoch: int
     parts_by_number: dict[int, list[FlowRecord]] = {}
@@ -25,6 +26,11 @@
     is_released: bool = False
     last_sent_at: float = float("-inf")
 
+    def is_for(self, successor_id: str, boot_id: int, epoch: int) -> bool:
+        """Tell whether this grant already moves the token as a table of ``epoch`` asks."""
+        is_same = self.successor_id == successor_id and self.successor_boot_id == boot_id
+        return is_same and self.epoch >= epoch
+
     @property
     def message(self) -> BucketGrant:
         """The token as it is sent."""
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -4,7 +4,7 @@
 processes: 4 bytes of header, then 16 bytes of private data, then the IP packet; with the control
 bit set, a MessagePack datagram follows the 4 bytes instead.
 
-Private data: marks (1 byte), hops (1), bucket (2), generation counter (4), epoch (8).
+Private data: marks (1 byte), hops (1), bucket (2), token epoch (4), table epoch (8).
 """
 
 from __future__ import annotations
@@ -37,22 +37,22 @@
     epoch: int
     marks: int = 0
     hops: int = 0
-    counter: int = 0
+    token_epoch: int = 0
 
 
 def encode_header(
-    bucket: int, epoch: int, marks: int = 0, hops: int = 0, counter: int = 0, version: int = 4
+    bucket: int, epoch: int, marks: int = 0, hops: int = 0, token_epoch: int = 0, version: int = 4
 ) -> bytes:
     """Return the 20 bytes that go before an IP packet."""
     protocol = _PROTOCOL_IPV4 if version == 4 else _PROTOCOL_IPV6
-    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, marks, hops, bucket, counter, epoch)
+    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, marks, hops, bucket, token_epoch, epoch)
 
 
 def encode_frame(frame: DataFrame) -> bytes:
     """Return a whole datagram."""
     version = frame.packet[0] >> 4
     header = encode_header(
-        frame.bucket, frame.epoch, frame.marks, frame.hops, frame.counter, version
+        frame.bucket, frame.epoch, frame.marks, frame.hops, frame.token_epoch, version
     )
     return header + frame.packet
 
@@ -61,12 +61,12 @@
     """Read a variant 0 data datagram."""
     if len(datagram) < HEADER_BYTES + 28:
         return Malformed.TRUNCATED
-    first, protocol, _, marks, hops, bucket, counter, epoch = _HEADER.unpack_from(datagram)
+    first, protocol, _, marks, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
     if first != _PRIVATE_WORDS:
         return Malformed.WRONG_VERSION
     if protocol not in (_PROTOCOL_IPV4, _PROTOCOL_IPV6):
         return Malformed.FOREIGN
-    return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, marks, hops, counter)
+    return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, marks, hops, token_epoch)
 
 
 def is_control(datagram: bytes) -> bool:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -113,10 +113,10 @@
 
 
 class Grant(Datagram, tag=7):
-    """Holder to the next owner: the tokens of some buckets."""
+    """Holder to one incarnation of the next owner: the tokens of some buckets."""
 
     sender: str
-    boot_id: int
+    recipient_boot_id: int
     grants: list[BucketGrant]
 
 
@@ -138,6 +138,7 @@
     """Holder to the next owner: entries sent ahead of a grant too large for one datagram."""
 
     sender: str
+    recipient_boot_id: int
     bucket: int
     generation: Generation
     part: int
--- /dev/null
+++ b/tests/coordination/test_flow_invariants.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from tests.coordination.fake_cluster import BUCKETS
+from tests.coordination.fake_cluster import FakeCluster
+from tests.coordination.fake_cluster import flow_key
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_protocol.packet_builder import build_udp
+from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import RestoreServer
+from wagtailkeel_state.enums import ServerState
+
+SERVERS = ["a", "b", "c", "d"]
+STEPS = 250
+EXAMPLES = 60
+FLOWS = 40
+
+
+class Fuzzer:
+    """Draws moves: packets, losses, doubles, delays, changes, restarts and silences."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.cluster = FakeCluster(SERVERS)
+        self.cluster.settle(4.0)
+        self.silent_ids: set[str] = set()
+        self.moves = [
+            (30, self._deliver),
+            (4, self._lose),
+            (4, self._double),
+            (20, self._tick),
+            (20, self._send_report),
+            (10, self._open_feed),
+            (3, self._change_member),
+            (8, self._update),
+            (1, self._crash),
+            (1, self._toggle_silence),
+        ]
+
+    def step(self) -> None:
+        """Make one move."""
+        weights = [weight for weight, _ in self.moves]
+        self.random.choices([move for _, move in self.moves], weights)[0]()
+
+    def _any_position(self) -> int | None:
+        count = len(self.cluster.in_flight)
+        return self.random.randrange(count) if count else None
+
+    def _deliver(self) -> None:
+        position = self._any_position()
+        if position is not None:
+            self.cluster.deliver(position)
+
+    def _lose(self) -> None:
+        position = self._any_position()
+        if position is not None:
+            self.cluster.in_flight.pop(position)
+
+    def _double(self) -> None:
+        position = self._any_position()
+        if position is not None:
+            self.cluster.deliver(position, keeps_copy=True)
+
+    def _tick(self) -> None:
+        for server_id, node in list(self.cluster.nodes_by_id.items()):
+            if server_id not in self.silent_ids:
+                self.cluster.heartbeat(node)
+        self.cluster.advance(self.random.uniform(0.01, 0.4))
+
+    def _send_report(self) -> None:
+        key = flow_key(self.random.randrange(FLOWS), is_tcp=False)
+        self.cluster.inject(self.random.choice(SERVERS), build_udp(key, b"report"))
+
+    def _open_feed(self) -> None:
+        key = flow_key(self.random.randrange(FLOWS), is_tcp=True)
+        self.cluster.inject(self.random.choice(SERVERS), build_tcp(key, 1, 0, ip.SYN))
+
+    def _change_member(self) -> None:
+        server_id = self.random.choice(SERVERS)
+        member = self.cluster.config.servers_by_id.get(server_id)
+        if member is None or member.state is not ServerState.DRAINING:
+            self.cluster.log(DrainServer(server_id=server_id))
+        else:
+            self.cluster.log(RestoreServer(server_id=server_id))
+
+    def _update(self) -> None:
+        server_id = self.random.choice(SERVERS)
+        if server_id not in self.silent_ids:
+            self.cluster.nodes_by_id[server_id].update()
+
+    def _crash(self) -> None:
+        self.cluster.boot(self.random.choice(SERVERS))
+
+    def _toggle_silence(self) -> None:
+        self.silent_ids ^= {self.random.choice(SERVERS)}
+
+
+class FlowInvariantsTest(unittest.TestCase):
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.randoms(use_true_random=False))
+    def test_random_orders(self, random: Random) -> None:
+        fuzzer = Fuzzer(random)
+        cluster = fuzzer.cluster
+        for _ in range(STEPS):
+            fuzzer.step()
+            for bucket in range(BUCKETS):
+                self.assertLessEqual(len(cluster.placing_authorities(bucket)), 1)
+        for number in range(FLOWS):
+            for is_tcp in (False, True):
+                key = flow_key(number, is_tcp=is_tcp)
+                servers = cluster.servers_of(key)
+                self.assertLessEqual(len(servers), 1, "one server per flow")
+                if key in cluster.refused:
+                    self.assertEqual(servers, [], "a refused flow has not run")
+
+
+if __name__ == "__main__":
+    unittest.main()
