--- a/bench/src/wagtailkeel_bench/scenario/model.py
+++ b/bench/src/wagtailkeel_bench/scenario/model.py
@@ -65,6 +65,7 @@
     balancers: int | None = None
     controls: int | None = None
     absent: list[str] = []
+    warmup_s: float = 0.0
     duration_s: float = 10.0
     feeds: list[FeedTraffic] = []
     requests: list[RequestTraffic] = []
--- a/bench/src/wagtailkeel_bench/scenario/parser.py
+++ b/bench/src/wagtailkeel_bench/scenario/parser.py
@@ -40,6 +40,9 @@
     def without(self, name: Token) -> None:
         self.scenario.absent.append(str(name))
 
+    def warmup(self, seconds: float) -> None:
+        self.scenario.warmup_s = seconds
+
     def duration(self, seconds: float) -> None:
         self.scenario.duration_s = seconds
 
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -60,8 +60,6 @@
             await network.command("set_default_rule", **self._scenario.network_rule)
 
     async def _start_traffic(self) -> None:
-        for feeds in self._scenario.feeds:
-            await self._start_feeds(feeds)
         for requests in self._scenario.requests:
             service, _, name = requests.class_path.partition("/")
             classes = self._site.deployment.shape.classes
@@ -74,6 +72,9 @@
                 parts=requests.parts,
                 is_idempotent=found.is_idempotent,
             )
+        await asyncio.sleep(self._scenario.warmup_s)
+        for feeds in self._scenario.feeds:
+            await self._start_feeds(feeds)
         self._dumps_before = await self._site.dumps()
         self._measured_from = time.monotonic()
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -100,6 +100,7 @@
         self._is_out_of_service = False
         self._now = now
         self._started_at = now
+        self._boot_ids = {identity.boot_id}
 
     # Configuration
 
@@ -107,7 +108,7 @@
         self, config: Configuration, table: OwnerTable | None, now: float
     ) -> None:
         """Adopt a newer configuration; ``table`` is its owner table, built by the caller."""
-        if self.config is None and self._own_id in config.former_members_by_id:
+        if self._had_other_incarnation(config):
             self.authority.has_lost_memory = True
         self.config = config
         self._now = now
@@ -121,6 +122,14 @@
         if table.epoch > known_epoch:
             self._apply_table(config, table, known_epoch, now)
 
+    def _had_other_incarnation(self, config: Configuration) -> bool:
+        """Tell whether the own server had an agent before this process."""
+        known = (
+            config.servers_by_id.get(self._own_id),
+            config.former_members_by_id.get(self._own_id),
+        )
+        return any(found is not None and found.boot_id not in self._boot_ids for found in known)
+
     def _apply_table(
         self, config: Configuration, table: OwnerTable, known_epoch: int, now: float
     ) -> None:
@@ -162,10 +171,18 @@
         self.local.on_inbound(flow, frame.packet, now)
 
     def _give_up_local(self, flow: LocalFlow, frame: DataFrame) -> None:
-        self._counters["flows_given_up"] += 1
-        self.local.close(flow)
+        self._give_up(flow)
         self._reset_caller(frame.packet)
 
+    def _give_up(self, flow: LocalFlow) -> None:
+        """End a flow of a data centre that is out of service.
+
+        It is remembered for a while: its next owner must not start it elsewhere.
+        """
+        self._counters["flows_given_up"] += 1
+        if flow.key[-1] == ip.TCP:
+            self.local.end(flow)
+
     def _route(self, frame: DataFrame, key: bytes) -> None:
         if frame.hops > gue.MAX_HOPS:
             self._counters["dropped_hop_limit"] += 1
@@ -497,8 +514,7 @@
 
     def _abort_reply(self, flow: LocalFlow | None, packet: bytes, parsed: bytes) -> None:
         if flow is not None:
-            self.local.close(flow)
-            self._counters["flows_given_up"] += 1
+            self._give_up(flow)
         if parsed[-1] == ip.TCP and not ip.tcp_flags(packet) & ip.RST:
             self._packets.reply(build_abort(packet))
 
@@ -588,6 +604,7 @@
 
         Tokens are gone; the flows on the own server are as real as before.
         """
+        self._boot_ids.add(boot_id)
         self._lease.revoke()
         self.authority.start_incarnation(boot_id)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -25,7 +25,7 @@
 PROBE_INTERVAL_S = 1.0
 PROBE_LIMIT = 3
 SERVER_ALIVE_S = 2.0
-CLOSED_LINGER_S = 5.0
+CLOSED_LINGER_S = 10.0
 SWEEP_INTERVAL_S = 5.0
 SWEEP_FLOWS_PER_TICK = 2_000
 
@@ -75,6 +75,11 @@
         self.held_count -= flow.traffic_class.is_held
         self._counters["flows_closed"] += 1
 
+    def end(self, flow: LocalFlow) -> None:
+        """Treat a TCP flow as closed by both ends; it lingers against late packets."""
+        self._settle(flow)
+        flow.has_inbound_fin = flow.has_outbound_fin = True
+
     def on_inbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
         """Account for a packet and deliver it."""
         flow.last_inbound_at = now
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -145,11 +145,11 @@
 
     def on_ack(self, message: HeartbeatAck) -> None:
         """Handle the answer to a heartbeat."""
-        if message.leader_id in self._address_book.control_ids:
-            self.leader_id = message.leader_id
         self.note_version(message.sender, message.version)
         if message.leader_id != message.sender:
+            self._follow_hint(message.leader_id)
             return
+        self.leader_id = message.leader_id
         self.acknowledged_at = time.monotonic()
         if message.is_member:
             if message.lease_s > 0 and message.boot_id == self.boot_id:
@@ -168,6 +168,14 @@
             self._on_rejoin(self.boot_id)
             await self._join()
 
+    def _follow_hint(self, leader_id: str) -> None:
+        """Ask the leader that a follower names, and give it the time of a heartbeat."""
+        if leader_id not in self._address_book.control_ids or leader_id == self.leader_id:
+            return
+        self.leader_id = leader_id
+        self.acknowledged_at = time.monotonic() - ACK_SILENCE_LIMIT_S + 2 * HEARTBEAT_INTERVAL_S
+        self._send_heartbeat()
+
     def note_version(self, source: str, version: int) -> None:
         """Remember that ``source`` has a version; pull it when it is newer than the own one."""
         if version > self._store.version:
--- a/tests/coordination/fake_cluster.py
+++ b/tests/coordination/fake_cluster.py
@@ -42,6 +42,11 @@
 MAX_DELAY_S = 2.0
 
 
+def data_centre_of(server_id: str) -> str:
+    """Each server has a data centre of its own; all are of one region."""
+    return f"dc-{server_id}"
+
+
 def flow_key(number: int, *, is_tcp: bool) -> bytes:
     """Return the key of a caller's flow to the report (UDP) or feed (TCP) class."""
     port, protocol = (FEED_PORT, ip.TCP) if is_tcp else (REPORT_PORT, ip.UDP)
@@ -93,7 +98,7 @@
         self.config = Configuration()
         self.counters: Counter[str] = Counter()
         self.router = FlowRouter(
-            AgentIdentity(server_id, SERVICE, "dc", 2, boot_id),
+            AgentIdentity(server_id, SERVICE, data_centre_of(server_id), 2, boot_id),
             self,
             self,
             self.lease,
@@ -143,7 +148,8 @@
         self.replies: Counter[bytes] = Counter()
         self.heard_at_by_id: dict[str, float] = {}
         self._boot_id = 0
-        self.log(DefineDataCentre(name="dc", region="home"))
+        for server_id in server_ids:
+            self.log(DefineDataCentre(name=data_centre_of(server_id), region="home"))
         self.log(CreateService(name=SERVICE, address=ADDRESS))
         self.config.services_by_name[SERVICE].bucket_count = BUCKETS
         self._create_classes()
@@ -191,7 +197,8 @@
         node = FakeNode(self, server_id, self._boot_id)
         self.nodes_by_id[server_id] = node
         self.heard_at_by_id[server_id] = self.now
-        member = ServerMember(server_id, SERVICE, "dc", "127.0.0.1", 1, 2, self._boot_id, 2)
+        data_centre = data_centre_of(server_id)
+        member = ServerMember(server_id, SERVICE, data_centre, "127.0.0.1", 1, 2, self._boot_id, 2)
         self.log(JoinServer(member=member))
         node.update()
         return node
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -150,7 +150,7 @@
             )
         self.assertFalse(self.authority.is_authority(BUCKET))
         parts = [p for _, p in self.outbox.of_type(FlowTransfer) if isinstance(p, FlowTransfer)]
-        last = [g for _, g in self.outbox.of_type(Grant) if isinstance(g, Grant)][0]
+        last = next(g for _, g in self.outbox.of_type(Grant) if isinstance(g, Grant))
         sent = [flow for part in parts for flow in part.flows] + last.grants[0].flows
         self.assertCountEqual(sent, records)
 
--- a/tests/coordination/test_flow_invariants.py
+++ b/tests/coordination/test_flow_invariants.py
@@ -10,12 +10,15 @@
 
 from tests.coordination.fake_cluster import BUCKETS
 from tests.coordination.fake_cluster import FakeCluster
+from tests.coordination.fake_cluster import data_centre_of
 from tests.coordination.fake_cluster import flow_key
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_builder import build_udp
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RestoreServer
+from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.enums import DataCentreState
 from wagtailkeel_state.enums import ServerState
 
 SERVERS = ["a", "b", "c", "d"]
@@ -43,6 +46,7 @@
             (20, self._send_report),
             (10, self._open_feed),
             (3, self._change_member),
+            (2, self._change_data_centre),
             (8, self._update),
             (1, self._crash),
             (1, self._toggle_silence),
@@ -115,6 +119,12 @@
         else:
             self.cluster.log(RestoreServer(server_id=server_id))
 
+    def _change_data_centre(self) -> None:
+        name = data_centre_of(self.random.choice(SERVERS))
+        is_in = self.cluster.config.is_in_service(name)
+        state = DataCentreState.OUT_OF_SERVICE if is_in else DataCentreState.IN_SERVICE
+        self.cluster.log(SetDataCentreState(name=name, state=state))
+
     def _update(self) -> None:
         server_id = self.random.choice(SERVERS)
         if server_id not in self.silent_ids:
