Close three holes in token and placement transfer

Change: no denial once a newer generation was seen, no takeover below an own promise; rejections and repeated starts name the incarnation they belong to.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -4,7 +4,8 @@
 of classes that are not idempotent holds a bucket's token, because
 
 * an answer "no" to a claim at epoch e is a promise to refuse all grants of generations below
-  (e, 0), as in the prepare phase of Paxos (Lamport, 1998);
+  (e, 0), as in the prepare phase of Paxos (Lamport, 1998), and is given only where no newer
+  generation has been seen;
 * a takeover waits, beside all answers, until every lease older than the last removal of a member
   has run out;
 * a new incarnation of an agent starts without tokens.
@@ -241,6 +242,8 @@
         ready = [claim for claim in self.claims_by_bucket.values() if not claim.pending_ids]
         for claim in ready:
             generation = Generation(claim.epoch, 0)
+            if self.is_stale(claim.bucket, generation):
+                continue
             self._counters["takeovers"] += 1
             if now < self._uncertain_until:
                 self.uncertain_until_by_bucket[claim.bucket] = self._uncertain_until
@@ -269,7 +272,12 @@
             if self._is_entitled(message, bucket):
                 self._start_grant(bucket, message.sender, message.boot_id, message.epoch)
             return split_answer(bucket, True, [])
-        self._raise_floor(bucket, Generation(message.epoch, 0))
+        denied = Generation(message.epoch, 0)
+        if self.is_stale(bucket, denied):
+            # A newer token has been seen here: the claimant has an old table and must not go on.
+            self._counters["claims_outdated"] += 1
+            return []
+        self._raise_floor(bucket, denied)
         promised = self._promised_epochs_by_bucket.get(bucket, 0)
         self._promised_epochs_by_bucket[bucket] = max(promised, message.epoch)
         flows = self._directory.local_records([bucket], self._own_id)
@@ -399,6 +407,7 @@
         """From here on the token is on its way: this agent no longer is the authority."""
         outgoing.final_records = records
         outgoing.is_released = True
+        self._raise_floor(outgoing.bucket, outgoing.generation.successor)
         outgoing.uncertain_until = self.uncertain_until_by_bucket.pop(outgoing.bucket, 0.0)
         del self.tokens_by_bucket[outgoing.bucket]
         self.successors_by_bucket[outgoing.bucket] = outgoing.successor_id
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -54,6 +54,7 @@
     from wagtailkeel_state.traffic_class import TrafficClass
 
 ABSENCE_LIMIT_S = 30.0
+NEVER_JOINED = 2**31
 
 
 class FlowRouter:
@@ -238,7 +239,8 @@
         epoch = self.authority.table.epoch if self.authority.table else 0
         self._counters["packets_forwarded"] += 1
         self._packets.forward(
-            server_id, DataFrame(frame.packet, frame.bucket, epoch, marks, frame.hops + 1)
+            server_id,
+            DataFrame(frame.packet, frame.bucket, epoch, marks, frame.hops + 1, frame.token_epoch),
         )
 
     # Decisions of the authority
@@ -376,7 +378,8 @@
         traffic_class: TrafficClass,
         remote: RemoteFlow | None,
     ) -> None:
-        if remote is None or remote.is_refused:
+        if remote is None or not self._is_rejected_by(frame, remote):
+            self._counters["rejections_ignored"] += 1
             return
         self.directory.remove_remote(frame.bucket, key)
         if not _is_start(frame.packet, key):
@@ -386,12 +389,22 @@
         else:
             self._refuse(frame, key)
 
+    def _is_rejected_by(self, frame: DataFrame, remote: RemoteFlow) -> bool:
+        """Tell whether the rejection comes from the incarnation that the pointer names now."""
+        assert self.config is not None, "pointers exist only under a configuration"
+        member = self.config.servers_by_id.get(remote.server_id)
+        return member is not None and member.joined_index == frame.token_epoch
+
     # Delivery to the own server
 
     def _on_delivery(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
         if self._is_out_of_service:
             self._reset_caller(frame.packet)
             return
+        if _is_start(frame.packet, key) and frame.epoch < self._joined_index:
+            # Sent to an earlier incarnation, which may have rejected it.
+            self._counters["deliveries_stale"] += 1
+            return
         if self._rejected.contains(key, self._now):
             self._return_rejected(frame)
             return
@@ -407,7 +420,7 @@
     def _on_remote_placement(
         self, frame: DataFrame, key: bytes, traffic_class: TrafficClass
     ) -> None:
-        if self._is_placement_stale(frame):
+        if self.authority.is_placement_stale(frame.bucket, frame.token_epoch):
             self._counters["placements_stale"] += 1
             return
         if self._can_start_here(traffic_class):
@@ -416,20 +429,23 @@
         self._rejected.add(key, self._now)
         self._return_rejected(frame)
 
-    def _is_placement_stale(self, frame: DataFrame) -> bool:
-        """A sender that does not know this incarnation may have lost its token since."""
-        assert self.config is not None, "frames are routed under a configuration"
-        own = self.config.servers_by_id.get(self._own_id)
-        if own is None or frame.epoch < own.joined_index:
-            return True
-        return self.authority.is_placement_stale(frame.bucket, frame.token_epoch)
+    @property
+    def _joined_index(self) -> int:
+        """Log index at which this incarnation joined; beyond all indexes while it has not."""
+        own = self.config.servers_by_id.get(self._own_id) if self.config else None
+        if own is None or own.boot_id not in self._boot_ids:
+            return NEVER_JOINED
+        return own.joined_index
 
     def _return_rejected(self, frame: DataFrame) -> None:
         self._counters["placements_rejected"] += 1
         if self.authority.is_authority(frame.bucket):
             self._reset_caller(frame.packet)
             return
-        rejected = DataFrame(frame.packet, frame.bucket, 0, gue.MARK_REJECTED, frame.hops)
+        # The index of the join names this incarnation: another one's rejection doesn't count.
+        rejected = DataFrame(
+            frame.packet, frame.bucket, 0, gue.MARK_REJECTED, frame.hops, self._joined_index
+        )
         self._forward_to_successor(rejected)
 
     def _open_and_deliver(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -106,6 +106,24 @@
                 self.grant(Generation(granted, 4))
                 self.assertEqual(self.authority.is_authority(BUCKET), is_taken)
 
+    def test_claim_of_an_old_table_is_not_denied_once_the_token_went_on(self) -> None:
+        for epoch, denials in ((6, 0), (7, 1)):
+            with self.subTest(epoch=epoch):
+                self.setUp()
+                self.hold()
+                self.apply(6, "b")
+                self.authority.tick(1.0)
+                self.authority.on_claim(Claim("c", 3, epoch, [BUCKET]), 1.0)
+                self.assertEqual(len(self.outbox.of_type(ClaimAnswer)), denials)
+
+    def test_no_takeover_below_an_own_promise(self) -> None:
+        self.apply(5, "a")
+        self.authority.on_claim(Claim("c", 3, 6, [BUCKET]), 0.0)
+        for member in ("b", "c"):
+            self.deny(member, 5)
+        self.authority.tick(1.0)
+        self.assertFalse(self.authority.is_authority(BUCKET))
+
     def test_doubled_grant_does_nothing_after_the_token_went_on(self) -> None:
         self.hold()
         self.apply(6, "b")
