Let learners be found by every leader; keep leases through frequent changes

Change: a leader replicates to all instances of the settings; a lease needs a version at most 2 s old.

--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -26,6 +26,7 @@
 from wagtailkeel_state.target import Target
 
 READY_LIMIT_S = 40.0
+READY_TEXT = "ready with"
 POLL_INTERVAL_S = 0.05
 FABRIC_NOTICE_S = 0.3
 DEADLINE_S = 20.0
@@ -68,6 +69,7 @@
         self.processes_by_name[instance.name] = process
         await process.start()
         if instance.role == "balancer":
+            await self._wait_in_log(process, READY_TEXT)
             await self.network.command(
                 "set_balancer",
                 name=instance.name,
@@ -75,6 +77,15 @@
                 port=instance.ports["fabric_port"],
             )
 
+    async def _wait_in_log(self, process: ChildProcess, text: str) -> None:
+        """Wait as the health check of a fabric would."""
+        deadline = time.monotonic() + READY_LIMIT_S
+        seen = process.log.count(text)
+        while process.log.count(text) <= seen and time.monotonic() < deadline:
+            if not process.is_running:
+                raise BenchError(f"{process.name} ended: {process.log[-2_000:]}")
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     async def _create_services(self) -> None:
         for service in self.deployment.shape.services:
             await self.operate(CreateService(name=service.name))
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -57,6 +57,7 @@
         self._refused_ids: list[int] = []
         self._responses = HdrHistogram(1, 60_000_000, 3)
         self._worst_response_s = 0.0
+        self._measured_from = 0.0
         self._generators: list[asyncio.Task[None]] = []
 
     # Used by the flows
@@ -92,9 +93,11 @@
     def on_request_end(self, request: Request, key: bytes) -> None:
         """Account for a request."""
         self.forget_key(key)
-        self.counters[f"requests_{request.outcome.value}"] += 1
         if request.outcome is RequestOutcome.REFUSED:
             self._refused_ids.append(request.request_id)
+        if request.started_at < self._measured_from:
+            return
+        self.counters[f"requests_{request.outcome.value}"] += 1
         if request.outcome is RequestOutcome.ANSWERED:
             self._responses.record_value(max(1, int(request.response_s * 1e6)))
             self._worst_response_s = max(self._worst_response_s, request.response_s)
@@ -165,8 +168,12 @@
         return True
 
     def reset_gaps(self) -> bool:
-        """Start to measure the worst gap anew."""
+        """Start to measure gaps, answers and response times anew."""
         self._worst_response_s = 0.0
+        self._measured_from = asyncio.get_running_loop().time()
+        self._responses.reset()
+        for name in [name for name in self.counters if name.startswith("requests_")]:
+            del self.counters[name]
         for feed in self._feeds:
             feed.worst_gap_s = 0.0
         return True
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -190,7 +190,8 @@
             return
         found = self._classes_by_endpoint.get(endpoint_of(key))
         if found is None or found.service != self._identity.service:
-            self._counters["dropped_other_service"] += 1
+            cause = "dropped_unknown_class" if found is None else "dropped_other_service"
+            self._counters[cause] += 1
             return
         bucket = hash_flow(key) % self._bucket_count
         if bucket != frame.bucket:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,6 +22,7 @@
     from wagtailkeel_state.configuration import Configuration
 
 PAUSE_LIMIT_S = 1.0
+VERSION_LAG_LIMIT_S = 2.0
 MAX_SILENT_FRACTION = 0.5
 AGENT_STOP_LIMIT_S = 30.0
 
@@ -39,6 +41,7 @@
         self.reports_by_id: dict[str, NodeReport] = {}
         self.mass_silence_events = 0
         self._first_seen_by_id: dict[str, float] = {}
+        self._epochs_by_service: dict[str, deque[tuple[float, int]]] = {}
         self._ticked_at = now
         self._grace_from = now
 
@@ -51,7 +54,21 @@
         if not is_current(message, config):
             return 0.0
         self.reports_by_id[message.sender] = NodeReport(message, now)
-        return LEASE_S if _has_current_table(message, config) else 0.0
+        return LEASE_S if self._has_recent_table(message, config, now) else 0.0
+
+    def _has_recent_table(self, message: Heartbeat, config: Configuration, now: float) -> bool:
+        """A node far behind gets no lease; frequent changes alone don't cost it the lease."""
+        member = config.servers_by_id.get(message.sender)
+        if member is None or member.service not in config.services_by_name:
+            return True
+        epoch = config.services_by_name[member.service].table_epoch
+        epochs = self._epochs_by_service.setdefault(member.service, deque())
+        if not epochs or epochs[-1][1] != epoch:
+            epochs.append((now, epoch))
+        while len(epochs) > 1 and now - epochs[1][0] > VERSION_LAG_LIMIT_S:
+            epochs.popleft()
+        required = epochs[0][1] if now - epochs[0][0] > VERSION_LAG_LIMIT_S else 0
+        return message.version >= required
 
     def find_removals(
         self, config: Configuration, now: float
@@ -86,14 +103,6 @@
     return _boot_ids(config).get(message.sender) == message.boot_id
 
 
-def _has_current_table(message: Heartbeat, config: Configuration) -> bool:
-    member = config.servers_by_id.get(message.sender)
-    if member is None:
-        return True
-    service = config.services_by_name.get(member.service)
-    return service is None or message.version >= service.table_epoch
-
-
 def _boot_ids(config: Configuration) -> dict[str, int]:
     boot_ids = {key: member.boot_id for key, member in config.servers_by_id.items()}
     boot_ids.update({key: member.boot_id for key, member in config.balancers_by_id.items()})
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -31,6 +31,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
     from random import Random
 
     from wagtailkeel_coordination.raft.raft_log import RaftLog
@@ -64,6 +65,7 @@
         self,
         instance_id: str,
         identity: str,
+        instance_ids: Sequence[str],
         vote: Vote,
         log: RaftLog,
         configuration: Configuration,
@@ -85,6 +87,7 @@
         self.learner_identities_by_id: dict[str, str] = {}
         self._instance_id = instance_id
         self._identity = identity
+        self._instance_ids = tuple(instance_ids)
         self._voted_for = vote.voted_for
         self._storage = storage
         self._send = send
@@ -210,7 +213,8 @@
             self._replicate(peer, now)
 
     def _replication_targets(self) -> list[str]:
-        targets = set(self._voters_by_id) | set(self.learner_identities_by_id)
+        """All other instances: those without a vote follow the log as learners."""
+        targets = set(self._voters_by_id) | set(self._instance_ids)
         return sorted(targets - {self._instance_id})
 
     def flush(self, now: float) -> None:
@@ -463,7 +467,9 @@
             return
         progress.is_busy = False
         voter_identity = self._voters_by_id.get(reply.follower_id)
-        if voter_identity is not None and voter_identity != reply.follower_identity:
+        if voter_identity is None:
+            self.learner_identities_by_id[reply.follower_id] = reply.follower_identity
+        elif voter_identity != reply.follower_identity:
             self._on_foreign_identity(reply, progress, now)
             return
         progress.acknowledged_sent_at = progress.sent_at
@@ -505,7 +511,7 @@
                 del self.learner_identities_by_id[learner]
                 continue
             if learner in self._voters_by_id:
-                continue
+                continue  # Its former identity leaves the voters first.
             if self._progress_of(learner).match_index >= self.commit_index:
                 voters = {**self._voters_by_id, learner: identity}
                 self.propose(SetControlMembers(identities_by_id=voters))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -12,7 +12,9 @@
 COLD_STEP = 2.5
 WARM_STEP = 1.5
 COLD_SAMPLES = 3
-MEDIAN_STEP = 0.01
+FIRST_STEP = 0.05
+LAST_STEP = 0.003
+STEP_DECAY_SAMPLES = 4.0
 FREQUENCY_GAIN = 0.01
 STEP_FLOOR_S = 0.001
 MIN_SAMPLES = 20
@@ -25,6 +27,7 @@
     median_s: float
     frequency: float = 0.0
     samples: int = 0
+    steps: int = 0
     slow_streak: int = 0
     has_work: bool = True
 
@@ -35,6 +38,7 @@
     def __init__(self) -> None:
         self._times_by_class: dict[str, ClassTimes] = {}
         self._round_trip_s = 0.0
+        self._round_trips = 0
 
     @property
     def mean_service_s(self) -> float:
@@ -59,21 +63,24 @@
         """Learn from a handshake."""
         if self._round_trip_s == 0.0:
             self._round_trip_s = response_s
-        self._round_trip_s = _step_towards(self._round_trip_s, response_s)
+        self._round_trips += 1
+        self._round_trip_s = _step_towards(self._round_trip_s, response_s, self._round_trips)
 
     def learn(self, class_name: str, response_s: float, is_cold: bool, has_work: bool) -> bool:
         """Learn from an answer; return whether the last ones are a step above the baseline."""
         times = self._times_by_class.get(class_name)
         if times is None:
             times = self._times_by_class[class_name] = ClassTimes(response_s, has_work=has_work)
+        times.steps += 1
         if response_s < times.median_s / WARM_STEP and is_cold:
             # A server that warms up gets faster than any step of the median could follow.
             times.median_s = response_s
+            times.steps = 0
         if response_s > times.median_s * COLD_STEP + STEP_FLOOR_S:
             times.slow_streak += 1
             return times.slow_streak >= COLD_SAMPLES
         times.slow_streak = 0
-        times.median_s = _step_towards(times.median_s, response_s)
+        times.median_s = _step_towards(times.median_s, response_s, times.steps)
         if not is_cold:
             self._count(class_name)
         return False
@@ -90,9 +97,10 @@
             times.samples += is_seen
 
 
-def _step_towards(median_s: float, sample_s: float) -> float:
+def _step_towards(median_s: float, sample_s: float, steps: int) -> float:
+    step = max(LAST_STEP, FIRST_STEP * STEP_DECAY_SAMPLES / (STEP_DECAY_SAMPLES + steps))
     if sample_s > median_s:
-        return median_s * (1 + MEDIAN_STEP)
+        return median_s * (1 + step)
     if sample_s < median_s:
-        return median_s * (1 - MEDIAN_STEP)
+        return median_s * (1 - step)
     return median_s
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -15,7 +15,7 @@
     from wagtailkeel_state.server_member import ServerMember
 
 SHARE_INTERVAL_S = 5.0
-HYSTERESIS = 0.04
+HYSTERESIS = 0.02
 MAX_MOVED_FRACTION = 0.25
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -52,9 +52,9 @@
     from wagtailkeel.settings import Settings
     from wagtailkeel_state.configuration import Configuration
 
-TICK_INTERVAL_S = 0.02
-GOSSIP_INTERVAL_S = 0.25
-GOSSIP_FANOUT = 3
+TICK_INTERVAL_S = 0.05
+GOSSIP_INTERVAL_S = 0.5
+GOSSIP_FANOUT = 6
 STOP_POLL_INTERVAL_S = 0.05
 HINT_INTERVAL_S = 0.5
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -79,7 +79,7 @@
     from wagtailkeel_state.commands import AnyCommand
     from wagtailkeel_state.commands import LogEntry
 
-TICK_INTERVAL_S = 0.02
+TICK_INTERVAL_S = 0.05
 DUTY_INTERVAL_S = 0.25
 FORMATION_RETRY_S = 0.2
 FORMATION_TIMEOUT_S = 1.0
@@ -136,6 +136,7 @@
         return RaftNode(
             self._instance_id,
             self._folder.identity,
+            self._address_book.control_ids,
             self._log_store.vote,
             log,
             configuration,
--- /dev/null
+++ b/tests/coordination/test_raft.py
@@ -0,0 +1,278 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+import msgspec
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wagtailkeel_coordination.raft import RaftLog
+from wagtailkeel_coordination.raft import RaftNode
+from wagtailkeel_coordination.raft import StorageFaultError
+from wagtailkeel_protocol.raft_messages import RaftMessage
+from wagtailkeel_state import CommandAnswer
+from wagtailkeel_state import Configuration
+from wagtailkeel_state import LogEntry
+from wagtailkeel_state import apply_entry
+from wagtailkeel_state.commands import DefineDataCentre
+from wagtailkeel_state.durable import Snapshot
+from wagtailkeel_state.durable import Vote
+
+VOTERS = ["a", "b", "c"]
+STEPS = 400
+EXAMPLES = 40
+
+
+class FakeDisk:
+    """Durable state in memory; survives a restart of its node unless wiped."""
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.vote = Vote()
+        self.entries: list[LogEntry] = []
+        self.snapshot = b""
+        self.is_broken = False
+
+    def _check(self) -> None:
+        if self.is_broken:
+            raise StorageFaultError("broken")
+
+    def save_vote(self, vote: Vote) -> None:
+        self._check()
+        self.vote = vote
+
+    def append(self, entries: list[LogEntry]) -> None:
+        self._check()
+        self.entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        self._check()
+        self.entries = [entry for entry in self.entries if entry.index < index]
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        self._check()
+        self.snapshot = msgspec.msgpack.encode(snapshot.configuration)
+
+    def load(self) -> tuple[Configuration, RaftLog]:
+        config = Configuration()
+        if self.snapshot:
+            config = msgspec.msgpack.decode(self.snapshot, type=Configuration)
+        entries = [entry for entry in self.entries if entry.index > config.index]
+        if entries and entries[0].index != config.index + 1:
+            entries = []
+        return config, RaftLog(config.index, config.term, entries)
+
+
+class FakeControl:
+    """One instance: a node, its disk, and what it has applied."""
+
+    def __init__(self, cluster: FakeRaftCluster, name: str, disk: FakeDisk) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.disk = disk
+        self.config, log = disk.load()
+        self.node = RaftNode(
+            name,
+            disk.identity,
+            VOTERS,
+            disk.vote,
+            log,
+            self.config,
+            disk,
+            self.send,
+            self.apply,
+            self.replace,
+            Random(cluster.random.random()),
+            cluster.now,
+        )
+
+    def send(self, peer: str, message: RaftMessage) -> None:
+        self.cluster.requests.append((self.name, peer, message))
+
+    def apply(self, entry: LogEntry) -> CommandAnswer:
+        self.cluster.on_apply(entry)
+        return apply_entry(self.config, entry)
+
+    def replace(self, config: Configuration) -> None:
+        self.config = config
+
+
+class FakeRaftCluster:
+    """Requests and replies are lost, doubled and late; nodes restart, are cut off or wiped."""
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.now = 0.0
+        self.requests: list[tuple[str, str, RaftMessage]] = []
+        self.replies: list[tuple[str, RaftMessage]] = []
+        self.committed: dict[int, LogEntry] = {}
+        self.cut: set[str] = set()
+        self.accepted: set[str] = set()
+        self.leaders_by_term: dict[int, str] = {}
+        self.proposals = 0
+        self.wipes = 0
+        self.controls = {n: FakeControl(self, n, FakeDisk(f"{n}0")) for n in VOTERS}
+        for control in self.controls.values():
+            control.node.form({n: f"{n}0" for n in VOTERS})
+
+    def on_apply(self, entry: LogEntry) -> None:
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, "two replicas applied different entries at one index"
+        if entry.command_id:
+            self.accepted.add(entry.command_id)
+
+    def step(self) -> None:
+        moves = [
+            (30, self.deliver_request),
+            (30, self.deliver_reply),
+            (3, self.lose),
+            (15, self.tick),
+            (6, self.propose),
+            (1, self.restart),
+            (1, self.toggle_cut),
+            (0.3, self.wipe),
+        ]
+        weights = [weight for weight, _ in moves]
+        self.random.choices([move for _, move in moves], weights)[0]()
+        for control in self.controls.values():
+            if control.node.is_leader:
+                known = self.leaders_by_term.setdefault(control.node.term, control.name)
+                assert known == control.name, "two leaders in one term"
+
+    def deliver_request(self, *, in_order: bool = False) -> None:
+        if not self.requests:
+            return
+        position = 0 if in_order else self.random.randrange(len(self.requests))
+        keeps = not in_order and self.random.random() < 0.05
+        request = self.requests[position] if keeps else self.requests.pop(position)
+        sender, receiver, message = request
+        if {sender, receiver} & self.cut:
+            return
+        reply = self.controls[receiver].node.on_request(self.copy(message), self.now)
+        self.replies.append((sender, reply))
+
+    def deliver_reply(self, *, in_order: bool = False) -> None:
+        if not self.replies:
+            return
+        position = 0 if in_order else self.random.randrange(len(self.replies))
+        receiver, reply = self.replies.pop(position)
+        if receiver not in self.cut:
+            self.controls[receiver].node.on_reply(self.copy(reply), self.now)
+
+    @staticmethod
+    def copy(message: RaftMessage) -> RaftMessage:
+        encoded = msgspec.msgpack.encode(message)
+        return msgspec.msgpack.decode(encoded, type=RaftMessage)
+
+    def lose(self) -> None:
+        for queue in (self.requests, self.replies):
+            if queue and self.random.random() < 0.5:
+                queue.pop(self.random.randrange(len(queue)))
+
+    def tick(self) -> None:
+        self.now += self.random.uniform(0.01, 0.5)
+        for control in self.controls.values():
+            control.node.tick(self.now)
+            control.node.admit_learners(self.now)
+
+    def propose(self) -> None:
+        for control in self.controls.values():
+            if control.node.is_leader:
+                self.proposals += 1
+                command = DefineDataCentre(name=f"dc{self.proposals}", region="home")
+                control.node.propose(command, command_id=f"p{self.proposals}")
+                control.node.flush(self.now)
+
+    def restart(self) -> None:
+        name = self.random.choice(VOTERS)
+        self.controls[name] = FakeControl(self, name, self.controls[name].disk)
+
+    def wipe(self) -> None:
+        """Lose one disk, only while both others are full members that hold all commits."""
+        name = self.random.choice(VOTERS)
+        others = [c for n, c in self.controls.items() if n != name]
+        newest = max(self.committed, default=0)
+        is_whole = all(
+            other.node.is_voter
+            and other.node.log.last_index >= newest
+            and len(other.node.voters_by_id) == len(VOTERS)
+            for other in others
+        )
+        if not is_whole or self.cut:
+            return
+        self.wipes += 1
+        self.controls[name] = FakeControl(self, name, FakeDisk(f"{name}{self.wipes}"))
+
+    def toggle_cut(self) -> None:
+        self.cut = set() if self.cut else {self.random.choice(VOTERS)}
+
+    def settle(self, seconds: float = 20.0) -> None:
+        self.cut = set()
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            for control in self.controls.values():
+                control.node.tick(self.now)
+                control.node.admit_learners(self.now)
+            while self.requests or self.replies:
+                self.deliver_request(in_order=True)
+                self.deliver_reply(in_order=True)
+
+
+class RaftTest(unittest.TestCase):
+    @settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.randoms(use_true_random=False))
+    def test_histories(self, random: Random) -> None:
+        cluster = FakeRaftCluster(random)
+        for _ in range(STEPS):
+            cluster.step()
+        accepted = set(cluster.accepted)
+        cluster.settle()
+        configs = [control.config for control in cluster.controls.values()]
+        self.assertEqual({config.index for config in configs}, {configs[0].index})
+        for config in configs:
+            found = set(config.answers_by_command_id)
+            self.assertLessEqual(accepted, found, "an accepted command is never lost")
+            self.assertEqual(len(config.control_identities_by_id), len(VOTERS))
+
+    def test_wiped_voter_does_not_vote_and_returns_as_a_learner(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle()
+        cluster.controls["c"] = FakeControl(cluster, "c", FakeDisk("fresh"))
+        self.assertFalse(cluster.controls["c"].node.is_voter)
+        cluster.settle()
+        self.assertTrue(cluster.controls["c"].node.is_voter)
+        self.assertEqual(cluster.controls["a"].config.control_identities_by_id["c"], "fresh")
+
+    def test_disk_fault_steps_the_leader_down_for_good(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle()
+        leader = next(c for c in cluster.controls.values() if c.node.is_leader)
+        leader.disk.is_broken = True
+        command = DefineDataCentre(name="x", region="home")
+        self.assertIsNone(leader.node.propose(command, command_id="x"))
+        self.assertTrue(leader.node.has_failed)
+        cluster.settle()
+        others = [c for c in cluster.controls.values() if c is not leader]
+        self.assertEqual(sum(c.node.is_leader for c in others), 1)
+        self.assertFalse(leader.node.is_leader)
+
+    def test_cut_off_leader_serves_no_reads(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle()
+        leader = next(c for c in cluster.controls.values() if c.node.is_leader)
+        self.assertTrue(leader.node.has_read_lease(cluster.now))
+        cluster.now += 1.0
+        self.assertFalse(leader.node.has_read_lease(cluster.now))
+
+
+if __name__ == "__main__":
+    unittest.main()
