Make heartbeats and balancer routes independent of the fleet's size

Cause: slopes: a heartbeat cost the leader 855 us at 13,000 servers (a dictionary of all members a message), and a balancer kept a header and an address for each of 1,024 buckets of each service (about 230 bytes a bucket, 900 MB at 3,800 services, by calculation). Change: membership is looked up; owner tables hold two bytes a bucket, headers are put together from three parts.

--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -10,11 +10,20 @@
 
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
+from wagtailkeel_bench.measurements.forward import measure_forward
+from wagtailkeel_bench.measurements.slopes import measure_slopes
+from wagtailkeel_bench.measurements.table_build import measure_table_build
 from wagtailkeel_bench.scenario.parser import ScenarioError
 from wagtailkeel_bench.scenario.parser import parse_scenario
 from wagtailkeel_bench.scenario.runner import run_scenario
 from wagtailkeel_bench.test_runner import run_tests
 
+MEASUREMENTS = {
+    "forward": measure_forward,
+    "slopes": measure_slopes,
+    "table-build": measure_table_build,
+}
+
 
 @click.group()
 def main() -> None:
@@ -39,10 +48,13 @@
 @click.argument("scenario")
 @click.option("--seed", type=int, default=1)
 def scenario_command(scenario: str, seed: int) -> None:
-    """Run SCENARIO, a name below bench/scenarios or a path; the last line is JSON.
+    """Run SCENARIO: a name below bench/scenarios, a path or a measurement; prints one JSON line.
 
     Exit status 1: an expectation failed; 2: the run itself failed.
     """
+    if scenario in MEASUREMENTS:
+        click.echo(msgspec.json.encode(MEASUREMENTS[scenario]()).decode())
+        return
     path = Path(scenario)
     if not path.exists():
         path = Path("bench/scenarios") / f"{scenario}.scenario"
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -0,0 +1,240 @@
+"""Packets per second of a balancer and an agent against a bare loop of the same batch form."""
+
+from __future__ import annotations
+
+import multiprocessing
+import socket
+import struct
+import time
+from multiprocessing.connection import Connection
+from typing import Any
+
+import anyio
+
+from wagtailkeel.roles.agent import Agent
+from wagtailkeel.roles.balancer import Balancer
+from wagtailkeel.settings.model import AgentSettings
+from wagtailkeel.settings.model import BalancerSettings
+from wagtailkeel.settings.model import ControlInstanceSettings
+from wagtailkeel.settings.model import InstanceSettings
+from wagtailkeel.settings.model import Settings
+from wagtailkeel_bench.deployment import AddressPlan
+from wagtailkeel_bench.deployment import free_port
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.flow_key import endpoint_key
+from wagtailkeel_protocol.flow_key import hash_flow
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_state import Configuration
+from wagtailkeel_state import FlowProtocol
+from wagtailkeel_state import LogEntry
+from wagtailkeel_state import ServerMember
+from wagtailkeel_state import Target
+from wagtailkeel_state import apply_entry
+from wagtailkeel_state.commands import CreateClass
+from wagtailkeel_state.commands import CreateService
+from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_transport import UdpEndpoint
+
+FLOW_COUNTS = (1_000, 20_000, 200_000)
+SECONDS = 3.0
+ROUNDS = 3
+PORT = 20_000
+ADDRESS = "10.90.0.1"
+BUCKETS = 1_024
+
+
+def _keys(count: int) -> list[bytes]:
+    target = endpoint_key(ADDRESS, PORT, ip.TCP)
+    return [
+        struct.pack("!I", 0x0A010000 + number // 60_000)
+        + target[:4]
+        + struct.pack("!H", 2_000 + number % 60_000)
+        + target[4:]
+        for number in range(count)
+    ]
+
+
+def _send_load(host: str, port: int, packets: list[bytes], go: Connection) -> None:
+    """Send for longer than the measurement, as fast as the receiver's buffer takes."""
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    go.recv()
+    end = time.monotonic() + SECONDS + 1.0
+    position = 0
+    while time.monotonic() < end:
+        for _ in range(256):
+            sender.sendto(packets[position % len(packets)], (host, port))
+            position += 1
+
+
+class _Target:
+    """What is measured: an endpoint to load and a counter of what it has handled."""
+
+    def __init__(self, plan: AddressPlan) -> None:
+        self.host = plan.next_hosts()[0]
+        self.port = free_port(self.host)
+        self.sink = UdpEndpoint(self.host, free_port(self.host))
+        self.handled = 0
+
+    def packets(self, keys: list[bytes]) -> list[bytes]:
+        """Return the datagrams of the load."""
+        return [build_tcp(key, 1, 1, ip.ACK, b"x" * 32) for key in keys]
+
+    async def serve(self) -> None:
+        """Handle datagrams until cancelled."""
+        raise NotImplementedError
+
+
+class _BareLoop(_Target):
+    def __init__(self, plan: AddressPlan) -> None:
+        super().__init__(plan)
+        self._endpoint = UdpEndpoint(self.host, self.port)
+        self._address = (self.host, self.sink.port)
+
+    async def serve(self) -> None:
+        await self._endpoint.receive(self._handle)
+
+    def _handle(self, datagram: bytes) -> None:
+        self._endpoint.send(datagram, self._address)
+        self.handled += 1
+
+
+def _configuration(host: str, agent_port: int) -> Configuration:
+    config = Configuration()
+    member = ServerMember("desk-1", "desk", "dc-1", host, agent_port, 9, 1, 2)
+    commands = (
+        CreateService(name="desk", address=ADDRESS),
+        CreateClass(
+            service="desk",
+            name="feed",
+            protocol=FlowProtocol.TCP,
+            target=Target.parse("held<1000000"),
+            port=PORT,
+            idle_limit_s=36_000.0,
+        ),
+        JoinServer(member=member),
+    )
+    for command in commands:
+        apply_entry(config, LogEntry(config.index + 1, 1, command))
+    return config
+
+
+def _settings(target: _Target, balancer: BalancerSettings | None) -> Settings:
+    return Settings(
+        instance=InstanceSettings(id="bench", data_centre="dc-1", host=target.host),
+        control_instances=[
+            ControlInstanceSettings(id="control-1", host=target.host, port=9, rpc_port=10)
+        ],
+        balancer=balancer,
+    )
+
+
+class _BalancerTarget(_Target):
+    def __init__(self, plan: AddressPlan) -> None:
+        super().__init__(plan)
+        section = BalancerSettings(
+            port=free_port(self.host), rpc_port=free_port(self.host), fabric_port=self.port
+        )
+        self._balancer = Balancer.from_settings(_settings(self, section))
+
+    async def serve(self) -> None:
+        config = _configuration(self.host, self.sink.port)
+        self._balancer.store.accept(PullReply(snapshot=config))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._balancer._refresh_forever)
+            tasks.start_soon(self._balancer._fabric.receive, self._handle)
+
+    def _handle(self, datagram: bytes) -> None:
+        self._balancer._on_packet(datagram)
+        self.handled += 1
+
+
+class _AgentTarget(_Target):
+    def __init__(self, plan: AddressPlan) -> None:
+        super().__init__(plan)
+        self._section = AgentSettings(
+            server_id="desk-1",
+            service="desk",
+            slots=2,
+            port=self.port,
+            rpc_port=free_port(self.host),
+            server_side_port=free_port(self.host),
+            server_host=self.host,
+            server_port=self.sink.port,
+            caller_gateway_host=self.host,
+            caller_gateway_port=self.sink.port,
+        )
+        self._agent = Agent.from_settings(_settings(self, None), self._section)
+        self._flows: list[bytes] = []
+
+    def packets(self, keys: list[bytes]) -> list[bytes]:
+        self._flows = keys
+        return [
+            gue.encode_frame(gue.DataFrame(packet, hash_flow(key) % BUCKETS, 3))
+            for key, packet in zip(keys, super().packets(keys), strict=True)
+        ]
+
+    async def serve(self) -> None:
+        agent = self._agent
+        agent.store.accept(PullReply(snapshot=_configuration(self.host, self.port)))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(agent._refresh_forever)
+            await anyio.sleep(0.2)
+            router = agent._router
+            assert router.config is not None, "the table has been built"
+            found = router.config.services_by_name["desk"].classes_by_name["feed"]
+            for key in self._flows:
+                router.local.open(key, hash_flow(key) % BUCKETS, found, time.monotonic())
+            tasks.start_soon(agent._tick_forever)
+            tasks.start_soon(agent._endpoint.receive, self._handle)
+
+    def _handle(self, datagram: bytes) -> None:
+        self._agent._on_datagram(datagram)
+        self.handled += 1
+
+
+async def _run(target: _Target, keys: list[bytes]) -> float:
+    packets = target.packets(keys)
+    ours, theirs = multiprocessing.Pipe()
+    context = multiprocessing.get_context("fork")
+    process = context.Process(target=_send_load, args=(target.host, target.port, packets, theirs))
+    process.start()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(target.serve)
+        await anyio.sleep(1.0 + len(keys) / 100_000)
+        ours.send(True)
+        await anyio.sleep(0.3)
+        before, started_at = target.handled, time.perf_counter()
+        await anyio.sleep(SECONDS)
+        rate = (target.handled - before) / (time.perf_counter() - started_at)
+        tasks.cancel_scope.cancel()
+    process.join()
+    target.sink.close()
+    return rate
+
+
+def measure_forward() -> dict[str, Any]:
+    """Return rates and their ratios to the bare loop, alternating within one run."""
+    plan = AddressPlan()
+    cases = []
+    for flows in FLOW_COUNTS:
+        keys = _keys(flows)
+        rates: dict[str, list[float]] = {"bare": [], "balancer": [], "agent": []}
+        for _ in range(ROUNDS):
+            for name, kind in (
+                ("bare", _BareLoop),
+                ("balancer", _BalancerTarget),
+                ("agent", _AgentTarget),
+            ):
+                rates[name].append(anyio.run(_run, kind(plan), keys))
+        best = {name: max(found) for name, found in rates.items()}
+        cases.append(
+            {
+                "flows": flows,
+                **{f"{name}_packets_per_s": round(rate) for name, rate in best.items()},
+                "balancer_ratio": round(best["balancer"] / best["bare"], 3),
+                "agent_ratio": round(best["agent"] / best["bare"], 3),
+            }
+        )
+    return {"measurement": "forward", "cases": cases}
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/measurements/table_build.py
@@ -0,0 +1,40 @@
+"""Cost of building owner tables against servers and buckets."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from typing import Any
+
+from wagtailkeel_state.owner_table import OwnerTable
+
+CASES = ((4, 1_024), (7, 1_024), (10, 1_024), (20, 1_024), (50, 1_024), (50, 4_096), (100, 4_096))
+REPEATS = 5
+
+
+def measure_table_build() -> dict[str, Any]:
+    """Return milliseconds, moves on a removal over the least possible, and the evenness."""
+    return {"measurement": "table-build", "cases": [_measure(*case) for case in CASES]}
+
+
+def _measure(servers: int, buckets: int) -> dict[str, float]:
+    shares = {f"server-{number}": 1_000 + 37 * number for number in range(servers)}
+    times_ms = []
+    for _ in range(REPEATS):
+        started_at = time.perf_counter()
+        table = OwnerTable.build(1, shares, buckets)
+        times_ms.append((time.perf_counter() - started_at) * 1_000)
+    without = dict(shares)
+    removed = without.popitem()[0]
+    smaller = OwnerTable.build(2, without, buckets)
+    moved = sum(table.owner_of(n) != smaller.owner_of(n) for n in range(buckets))
+    total = sum(shares.values())
+    loads = [len(table.buckets_of(key)) / share * total for key, share in shares.items()]
+    return {
+        "servers": servers,
+        "buckets": buckets,
+        "build_ms": round(statistics.median(times_ms), 3),
+        "microseconds_per_pair": round(statistics.median(times_ms) * 1_000 / servers / buckets, 4),
+        "moves_over_least": round(moved / len(table.buckets_of(removed)), 2),
+        "share_cv": round(statistics.pstdev(loads) / statistics.fmean(loads), 4),
+    }
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -92,7 +92,7 @@
     @property
     def can_pass_on(self) -> bool:
         """Tell whether there are tokens left that another server may take."""
-        has_successors = self.table is not None and bool(self.table.owners_by_bucket)
+        has_successors = self.table is not None and self.table.has_owners
         return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
 
     def is_authority(self, bucket: int) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -100,7 +100,10 @@
 
 def is_current(message: Heartbeat, config: Configuration) -> bool:
     """Tell whether the sender's incarnation is a member."""
-    return _boot_ids(config).get(message.sender) == message.boot_id
+    member = config.servers_by_id.get(message.sender)
+    balancer = config.balancers_by_id.get(message.sender)
+    found = member or balancer
+    return found is not None and found.boot_id == message.boot_id
 
 
 def _boot_ids(config: Configuration) -> dict[str, int]:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -17,6 +17,7 @@
 
 CONTROL_PREFIX = b"\x20\x00\x00\x00"
 HEADER_BYTES = 20
+BUCKET_OFFSET = 6
 MARK_DELIVER = 0x01
 MARK_NEW = 0x02
 MARK_REJECTED = 0x04
@@ -48,6 +49,16 @@
     return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, marks, hops, bucket, token_epoch, epoch)
 
 
+def header_prefix(version: int) -> bytes:
+    """Return the 6 bytes of a header before the bucket, without marks and hops."""
+    return encode_header(0, 0, version=version)[:BUCKET_OFFSET]
+
+
+def header_suffix(epoch: int) -> bytes:
+    """Return the 12 bytes of a header behind the bucket."""
+    return encode_header(0, epoch)[BUCKET_OFFSET + 2 :]
+
+
 def encode_frame(frame: DataFrame) -> bytes:
     """Return a whole datagram."""
     version = frame.packet[0] >> 4
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from array import array
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,45 +19,72 @@
 
     from numpy.typing import NDArray
 
+POSITION_TYPE = "H"
 _GOLDEN_RATIO = np.uint64(0x9E3779B97F4A7C15)
 _MIX_1 = np.uint64(0xBF58476D1CE4E5B9)
 _MIX_2 = np.uint64(0x94D049BB133111EB)
 
 
 class OwnerTable(msgspec.Struct):
-    """Owners by bucket; ``epoch`` is the log index of the change that made the table."""
+    """Owners by bucket, as positions in ``server_ids``: two bytes a bucket.
+
+    ``epoch`` is the log index of the change that made the table.
+    """
 
     epoch: int
-    owners_by_bucket: tuple[str, ...]
+    server_ids: tuple[str, ...]
+    positions: array[int]
 
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
         """Build the table; the result depends on the arguments alone, not on their order."""
-        server_ids = sorted(key for key, share in shares_by_server_id.items() if share > 0)
+        server_ids = _select(shares_by_server_id)
         if not server_ids:
-            return cls(epoch, ())
+            return cls.empty(epoch)
         quotas = compute_quotas([shares_by_server_id[key] for key in server_ids], buckets)
         owners = _assign(_pair_hashes(server_ids, buckets), quotas)
-        return cls(epoch, tuple(server_ids[owner] for owner in owners))
+        return cls(epoch, tuple(server_ids), array(POSITION_TYPE, owners))
 
     @classmethod
     def build_plain(
         cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int
     ) -> OwnerTable:
         """Build a table by rendezvous hashing without quotas: the baseline of measurements."""
-        server_ids = sorted(key for key, share in shares_by_server_id.items() if share > 0)
+        server_ids = _select(shares_by_server_id)
         if not server_ids:
-            return cls(epoch, ())
+            return cls.empty(epoch)
         owners = np.argmax(_pair_hashes(server_ids, buckets), axis=1).tolist()
-        return cls(epoch, tuple(server_ids[owner] for owner in owners))
+        return cls(epoch, tuple(server_ids), array(POSITION_TYPE, owners))
+
+    @classmethod
+    def single(cls, epoch: int, server_id: str, buckets: int = 1) -> OwnerTable:
+        """Return a table in which one server owns all buckets."""
+        return cls(epoch, (server_id,), array(POSITION_TYPE, [0] * buckets))
+
+    @classmethod
+    def empty(cls, epoch: int) -> OwnerTable:
+        """Return a table without owners."""
+        return cls(epoch, (), array(POSITION_TYPE))
+
+    @property
+    def has_owners(self) -> bool:
+        """Tell whether any server owns buckets."""
+        return bool(self.server_ids)
 
     def owner_of(self, bucket: int) -> str | None:
         """Return the owner's server id, or None in an empty table."""
-        return self.owners_by_bucket[bucket] if self.owners_by_bucket else None
+        return self.server_ids[self.positions[bucket]] if self.server_ids else None
 
     def buckets_of(self, server_id: str) -> list[int]:
         """Return the buckets that the server owns, ascending."""
-        return [b for b, owner in enumerate(self.owners_by_bucket) if owner == server_id]
+        if server_id not in self.server_ids:
+            return []
+        own = self.server_ids.index(server_id)
+        return [bucket for bucket, position in enumerate(self.positions) if position == own]
+
+
+def _select(shares_by_server_id: Mapping[str, int]) -> list[str]:
+    return sorted(key for key, share in shares_by_server_id.items() if share > 0)
 
 
 def compute_quotas(shares: list[int], buckets: int) -> list[int]:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -15,9 +15,12 @@
 from wagtailkeel.roles.node_link import NodeLink
 from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel.roles.service_route import BUCKET_BYTES
+from wagtailkeel.roles.service_route import PREFIX_IPV4
+from wagtailkeel.roles.service_route import PREFIX_IPV6
+from wagtailkeel.roles.service_route import ServiceRoute
 from wagtailkeel.roles.table_builder import TableBuilder
 from wagtailkeel_coordination.lease import PlacementLease
-from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.flow_key import IPV4_KEY_BYTES
 from wagtailkeel_protocol.flow_key import endpoint_key
@@ -46,9 +49,6 @@
     from wagtailkeel.settings import Settings
     from wagtailkeel_state.configuration import Configuration
 
-Hop = tuple[bytes, bytes, tuple[str, int]]
-"""Header before an IPv4 packet, header before an IPv6 packet, and the owner's address."""
-
 
 class Balancer:
     """Sends each packet of the fabric to the owner of its bucket."""
@@ -61,7 +61,7 @@
         self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
         self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
         self._rpc_client = RpcClient(settings.instance.own_host)
-        self._hops_by_endpoint: dict[bytes, list[Hop]] = {}
+        self._routes_by_endpoint: dict[bytes, ServiceRoute] = {}
         self._tables = TableBuilder(
             settings.instance.data_centre, is_plain=settings.instance.stateless
         )
@@ -130,15 +130,23 @@
             counters[f"dropped_{key.value}"] += 1
             return
         if len(key) == IPV4_KEY_BYTES:
-            hops = self._hops_by_endpoint.get(key[4:8] + key[10:])
+            route = self._routes_by_endpoint.get(key[4:8] + key[10:])
+            prefix = PREFIX_IPV4
         else:
-            hops = self._hops_by_endpoint.get(endpoint_of(key))
-        if not hops:
+            route = self._routes_by_endpoint.get(endpoint_of(key))
+            prefix = PREFIX_IPV6
+        if route is None:
+            counters["dropped_unknown_class"] += 1
+            return
+        if not route.addresses:
             counters["dropped_no_server"] += 1
             return
-        hop = hops[xxhash.xxh3_64_intdigest(key) % len(hops)]
-        header = hop[0] if len(key) == IPV4_KEY_BYTES else hop[1]
-        self._endpoint.send(header + packet, hop[2])
+        bucket = xxhash.xxh3_64_intdigest(key) % len(route.positions)
+        address = route.addresses[route.positions[bucket]]
+        if address is None:
+            counters["dropped_no_server"] += 1
+            return
+        self._endpoint.send(prefix + BUCKET_BYTES[bucket] + route.suffix + packet, address)
         counters["packets_forwarded"] += 1
 
     # Configuration
@@ -152,30 +160,17 @@
             self._changed = anyio.Event()
             config = self.store.configuration
             await self._tables.refresh(config, list(config.services_by_name))
-            self._hops_by_endpoint = self._build_hops()
+            self._routes_by_endpoint = self._build_routes(config)
 
-    def _build_hops(self) -> dict[bytes, list[Hop]]:
-        config = self.store.configuration
-        hops_by_endpoint: dict[bytes, list[Hop]] = {}
+    def _build_routes(self, config: Configuration) -> dict[bytes, ServiceRoute]:
+        routes_by_endpoint: dict[bytes, ServiceRoute] = {}
         for name, table in self._tables.tables_by_service.items():
             service = config.services_by_name[name]
-            hops = [
-                self._build_hop(bucket, table.epoch, owner)
-                for bucket, owner in enumerate(table.owners_by_bucket)
-            ]
+            route = ServiceRoute.from_table(table, config)
             for found in service.classes_by_name.values():
                 key = endpoint_key(service.address, found.port, found.protocol.number)
-                hops_by_endpoint[key] = hops
-        return hops_by_endpoint
-
-    def _build_hop(self, bucket: int, epoch: int, owner: str) -> Hop:
-        member = self.store.configuration.servers_by_id.get(owner)
-        address = (member.host, member.port) if member else ("127.0.0.1", 9)
-        return (
-            gue.encode_header(bucket, epoch, version=4),
-            gue.encode_header(bucket, epoch, version=6),
-            address,
-        )
+                routes_by_endpoint[key] = route
+        return routes_by_endpoint
 
     # Messages
 
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -50,7 +50,7 @@
     def apply(self, epoch: int, owner: str, *, removed: str = "", now: float = 0.0) -> None:
         members = {key: boot for key, boot in BOOT_IDS.items() if key != removed}
         removed_ids = {removed} if removed else set()
-        self.authority.apply_table(OwnerTable(epoch, (owner,)), members, removed_ids, now)
+        self.authority.apply_table(OwnerTable.single(epoch, owner), members, removed_ids, now)
 
     def deny(self, member: str, epoch: int, now: float = 0.0) -> None:
         answers = [BucketAnswer(BUCKET, False, [])]
@@ -174,7 +174,7 @@
 
     def test_removed_incarnation_forgets_its_tokens(self) -> None:
         self.hold()
-        self.authority.apply_table(OwnerTable(6, ("b",)), {"b": 2, "c": 3}, {"a"}, 0.0)
+        self.authority.apply_table(OwnerTable.single(6, "b"), {"b": 2, "c": 3}, {"a"}, 0.0)
         self.assertFalse(self.authority.is_authority(BUCKET))
 
 
