Never change the log in place; measure round trips to the server by probes

Change: a record overrides what it overlaps; agents probe their server with a TCP packet of no connection.

--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -147,8 +147,23 @@
             "accepted_changes": self._actions.accepted_changes,
             **_measure_imbalance(servers["servers"], callers["feeds_by_server"]),
             **await self._measure_cost(),
+            "share_error_cv": await self._measure_share_error(),
         }
 
+    async def _measure_share_error(self) -> float:
+        """Evenness of logged shares relative to true capacities: the worst over the services."""
+        config = (await self._site.client.status()).configuration
+        worst = 0.0
+        for service in config.services_by_name:
+            ratios = []
+            for member in config.members_of(service):
+                instance = self._site.deployment.instances_by_name[member.server_id]
+                share = config.share_of(member.server_id)
+                ratios.append(share / (instance.slots * instance.speed))
+            if ratios:
+                worst = max(worst, statistics.pstdev(ratios) / statistics.fmean(ratios))
+        return worst
+
     async def _measure_cost(self) -> Result:
         dumps = await self._site.dumps()
         bytes_by_role: dict[str, list[float]] = {}
--- a/bench/src/wagtailkeel_bench/stand_ins/run_ledger.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/run_ledger.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination.round_trip_probe import PROBE_SOURCE_IPV4
 from wagtailkeel_protocol.flow_key import endpoint_of
 
 if TYPE_CHECKING:
@@ -44,7 +45,12 @@
         return True
 
     def check_arrival(self, plan: ServerPlan, key: bytes) -> None:
-        """Count a packet that should not be here."""
+        """Count a packet of a caller that should not be here.
+
+        The agents' own probes of the round trip come from a network set aside for documentation.
+        """
+        if key.startswith(PROBE_SOURCE_IPV4):
+            return
         if self._service_by_endpoint.get(endpoint_of(key)) != plan.service:
             self.misrouted_packets += 1
         closed_from = self._closed_from_by_data_centre.get(plan.data_centre)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -78,9 +78,9 @@
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
-    def on_handshake(self, response_s: float) -> None:
+    def on_round_trip(self, round_trip_s: float) -> None:
         """Learn the time that a packet takes to the server and back, without any work."""
-        self._times.learn_round_trip(response_s)
+        self._times.learn_round_trip(round_trip_s)
 
     def _learn(self, class_name: str, response_s: float, target: Target) -> None:
         # Held flows cost their server little; what they answer says nothing of its speed.
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -15,6 +15,7 @@
 from wagtailkeel_coordination.recovery import RecoveryBook
 from wagtailkeel_coordination.rejected_starts import RejectedStarts
 from wagtailkeel_coordination.remote_flows import RemoteFlowSweeper
+from wagtailkeel_coordination.round_trip_probe import RoundTripProbe
 from wagtailkeel_coordination.service_view import index_classes
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
@@ -94,9 +95,11 @@
         self._recoveries = RecoveryBook()
         self._rejected = RejectedStarts()
         self._starts = AdmissionQueue()
+        self._probe = RoundTripProbe()
         self._sweeper = RemoteFlowSweeper(self.directory)
         self._classes_by_endpoint: dict[bytes, ServiceClass] = {}
         self._absent_since_by_id: dict[str, float] = {}
+        self._own_endpoint = b""
         self._bucket_count = 0
         self._is_out_of_service = False
         self._now = now
@@ -114,6 +117,14 @@
         self.config = config
         self._now = now
         self._classes_by_endpoint = index_classes(config)
+        self._own_endpoint = next(
+            (
+                endpoint
+                for endpoint, found in self._classes_by_endpoint.items()
+                if found.service == self._identity.service
+            ),
+            b"",
+        )
         self._is_out_of_service = not config.is_in_service(self._identity.data_centre)
         service = config.services_by_name.get(self._identity.service)
         if service is None or table is None:
@@ -517,6 +528,10 @@
             self._counters[f"dropped_reply_{parsed.value}"] += 1
             return
         key = ip.reverse_key(parsed)
+        round_trip_s = self._probe.match(key, now)
+        if round_trip_s is not None:
+            self.limiter.on_round_trip(round_trip_s)
+            return
         flow = self.directory.local_flows_by_key.get(key)
         if self._is_out_of_service:
             self._abort_reply(flow, packet, parsed)
@@ -612,10 +627,18 @@
         self.authority.tick(now)
         self.local.tick(now)
         self._drain_starts()
+        self._send_probe()
         self._sweeper.tick(self._classes_by_endpoint, now)
         self._recoveries.expire(now)
         self._rejected.expire(now)
 
+    def _send_probe(self) -> None:
+        if self._is_out_of_service or not self._own_endpoint:
+            return
+        probe = self._probe.build(self._own_endpoint, self._now)
+        if probe is not None:
+            self._packets.deliver(probe)
+
     def rejoin(self, boot_id: int) -> None:
         """Start as a new incarnation: control has removed the one before.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -129,15 +129,10 @@
         if flow.awaiting_since <= 0.0:
             return
         if flags & ip.SYN:
-            self._learn_handshake(flow, now)
+            self._settle(flow)
         elif len(packet) > offset + (packet[offset + 12] >> 4) * 4:
             self._learn_answer(flow, now)
 
-    def _learn_handshake(self, flow: LocalFlow, now: float) -> None:
-        response_s = now - flow.awaiting_since
-        self._settle(flow)
-        self._limiter.on_handshake(response_s)
-
     def _learn_answer(self, flow: LocalFlow, now: float) -> None:
         response_s = now - flow.awaiting_since
         traffic_class = flow.traffic_class
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
@@ -0,0 +1,47 @@
+"""Measuring the round trip to the own server without any work.
+
+A TCP packet of a connection that does not exist is answered with RST by the server's kernel, so
+the time of the answer holds no work of the server's programs.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.packet_builder import build_tcp
+
+PROBE_INTERVAL_S = 0.5
+PROBE_SOURCE_IPV4 = ipaddress.ip_address("192.0.2.1").packed
+PROBE_SOURCE_IPV6 = ipaddress.ip_address("2001:db8::1").packed
+FIRST_PORT = 1_024
+PORTS = 64_000
+
+
+class RoundTripProbe:
+    """One probe at a time; the next one goes out whether or not the last was answered."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._key = b""
+        self._sent_at = float("-inf")
+
+    def build(self, endpoint: bytes, now: float) -> bytes | None:
+        """Return the next probe towards a class's endpoint, or None while none is due."""
+        if now - self._sent_at < PROBE_INTERVAL_S:
+            return None
+        self._number += 1
+        self._sent_at = now
+        source = PROBE_SOURCE_IPV4 if len(endpoint) == 7 else PROBE_SOURCE_IPV6
+        port = struct.pack("!H", FIRST_PORT + self._number % PORTS)
+        address, target_port = endpoint[:-3], endpoint[-3:-1]
+        self._key = source + address + port + target_port + bytes([ip.TCP])
+        return build_tcp(self._key, 1, 1, ip.ACK)
+
+    def match(self, key: bytes, now: float) -> float | None:
+        """Return the round trip in seconds when a packet answers the probe."""
+        if key != self._key:
+            return None
+        self._key = b""
+        return now - self._sent_at
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -2,7 +2,7 @@
 
 The median is tracked by stochastic approximation (Robbins and Monro, 1951), so that single delays
 in this process do not pass for a slow server. The round trip to the server without any work is
-measured by handshakes and taken off, since it weighs more on a fast server than on a slow one.
+measured by probes and taken off, since it weighs more on a fast server than on a slow one.
 """
 
 from __future__ import annotations
@@ -60,7 +60,7 @@
         return response_s <= self.baseline_s(class_name) * WARM_STEP
 
     def learn_round_trip(self, response_s: float) -> None:
-        """Learn from a handshake."""
+        """Learn from a probe."""
         if self._round_trip_s == 0.0:
             self._round_trip_s = response_s
         self._round_trips += 1
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/log_store.py
@@ -1,11 +1,13 @@
 """The durable log: segments of checksummed records, a vote, and snapshots.
 
-A record holds the entries of one write, so that a torn write damages one record only.
+A record holds the entries of one write, so that a torn write damages one record only. A record
+that overlaps earlier ones overrides them: the log is never changed in place.
 """
 
 from __future__ import annotations
 
 import os
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -20,32 +22,23 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from pathlib import Path
 
     from wagtailkeel_transport.data_folder import DataFolder
 
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_PREFIX = "log-"
-SEGMENT_ENTRIES = 500
+SEGMENT_RECORDS = 500
 RETAINED_ENTRIES = 500
 
 
-class RecordPosition(msgspec.Struct, frozen=True):
-    """Where a record starts in its segment, and the first entry in it."""
-
-    offset: int
-    first_index: int
-
-
 class Segment(msgspec.Struct):
-    """A file of consecutive records."""
+    """A file of records in the order in which they were written."""
 
-    path: str
-    first_index: int
+    path: Path
     last_index: int
     size: int
-    positions: list[RecordPosition]
+    records: int
 
 
 class LogStore:
@@ -55,6 +48,7 @@
         self._folder = folder
         self._sync = sync
         self._segments: list[Segment] = []
+        self._last_segment_number = 0
         self.cut_bytes = 0
         vote = folder.load(VOTE_FILE)
         self.vote = msgspec.msgpack.decode(vote, type=Vote) if vote else Vote()
@@ -84,13 +78,13 @@
             return
         record = encode_record(msgspec.msgpack.encode(entries))
         try:
-            segment = self._segment_for(entries[0].index)
+            segment = self._current_segment()
             self._write(segment, record)
         except OSError as error:
             raise StorageError(f"can't append to the log: {error}") from error
-        segment.positions.append(RecordPosition(segment.size, entries[0].index))
         segment.size += len(record)
-        segment.last_index = entries[-1].index
+        segment.records += 1
+        segment.last_index = max(segment.last_index, entries[-1].index)
 
     def _write(self, segment: Segment, record: bytes) -> None:
         descriptor = os.open(segment.path, os.O_WRONLY)
@@ -102,53 +96,25 @@
         finally:
             os.close(descriptor)
 
-    def _segment_for(self, first_index: int) -> Segment:
-        if self._segments:
-            last = self._segments[-1]
-            if last.last_index - last.first_index < SEGMENT_ENTRIES:
-                return last
-        path = self._folder.path / f"{SEGMENT_PREFIX}{first_index:020d}"
+    def _current_segment(self) -> Segment:
+        if self._segments and self._segments[-1].records < SEGMENT_RECORDS:
+            return self._segments[-1]
+        self._last_segment_number += 1
+        path = self._folder.path / f"{SEGMENT_PREFIX}{self._last_segment_number:012d}"
         with path.open("wb") as file:
             self._sync(file.fileno())
         self._folder.sync()
-        segment = Segment(str(path), first_index, first_index - 1, 0, [])
+        segment = Segment(path, 0, 0, 0)
         self._segments.append(segment)
         return segment
 
     def truncate_from(self, index: int) -> None:
-        """Remove the entry at ``index`` and all after it, durably."""
-        try:
-            while self._segments and self._segments[-1].first_index >= index:
-                os.unlink(self._segments.pop().path)
-            if self._segments and self._segments[-1].last_index >= index:
-                self._truncate_segment(self._segments[-1], index)
-            self._folder.sync()
-        except OSError as error:
-            raise StorageError(f"can't truncate the log: {error}") from error
+        """Remove the entry at ``index`` and all after it.
 
-    def _truncate_segment(self, segment: Segment, index: int) -> None:
-        position = next(p for p in reversed(segment.positions) if p.first_index <= index)
-        kept = self._entries_before(segment, position, index)
-        descriptor = os.open(segment.path, os.O_WRONLY)
-        try:
-            os.ftruncate(descriptor, position.offset)
-            self._sync(descriptor)
-        finally:
-            os.close(descriptor)
-        segment.positions = [p for p in segment.positions if p.offset < position.offset]
-        segment.size = position.offset
-        segment.last_index = position.first_index - 1
-        self.append(kept)
-
-    def _entries_before(
-        self, segment: Segment, position: RecordPosition, index: int
-    ) -> list[LogEntry]:
-        with open(segment.path, "rb") as file:
-            file.seek(position.offset)
-            body = file.read(segment.size - position.offset)
-        payload = body[12 : 12 + int.from_bytes(body[:4], "little")]
-        entries = msgspec.msgpack.decode(payload, type=list[LogEntry])
-        return [entry for entry in entries if entry.index < index]
+        Nothing is written: the next record starts at ``index`` and overrides what it overlaps.
+        Until then a restart finds entries again that no quorum has, which consensus allows; a
+        write in place could lose earlier entries of the same record.
+        """
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot, then remove segments that are no longer needed."""
@@ -156,7 +122,7 @@
         oldest_needed = snapshot.index - RETAINED_ENTRIES
         try:
             while len(self._segments) > 1 and self._segments[0].last_index < oldest_needed:
-                os.unlink(self._segments.pop(0).path)
+                self._segments.pop(0).path.unlink()
             self._folder.sync()
         except OSError as error:
             raise StorageError(f"can't remove old segments: {error}") from error
@@ -165,24 +131,18 @@
         entries: list[LogEntry] = []
         paths = sorted(self._folder.path.glob(SEGMENT_PREFIX + "*"))
         for path in paths:
-            entries.extend(self._load_segment(path, is_last=path == paths[-1]))
+            for batch in self._load_segment(path, is_last=path == paths[-1]):
+                entries = _override(entries, batch)
         return entries
 
-    def _load_segment(self, path: Path, *, is_last: bool) -> list[LogEntry]:
+    def _load_segment(self, path: Path, *, is_last: bool) -> list[list[LogEntry]]:
         payloads, end = read_records(path, is_last_file=is_last)
         self._cut_tail(path, end)
-        first_index = int(path.name.removeprefix(SEGMENT_PREFIX))
-        segment = Segment(str(path), first_index, first_index - 1, end, [])
-        entries: list[LogEntry] = []
-        offset = 0
-        for payload in payloads:
-            batch = msgspec.msgpack.decode(payload, type=list[LogEntry])
-            segment.positions.append(RecordPosition(offset, batch[0].index))
-            segment.last_index = batch[-1].index
-            offset += len(encode_record(payload))
-            entries.extend(batch)
-        self._segments.append(segment)
-        return entries
+        batches = [msgspec.msgpack.decode(body, type=list[LogEntry]) for body in payloads]
+        last_index = max((batch[-1].index for batch in batches), default=0)
+        self._segments.append(Segment(path, last_index, end, len(batches)))
+        self._last_segment_number = int(path.name.removeprefix(SEGMENT_PREFIX))
+        return batches
 
     def _cut_tail(self, path: Path, end: int) -> None:
         size = path.stat().st_size
@@ -195,3 +155,11 @@
             self._sync(descriptor)
         finally:
             os.close(descriptor)
+
+
+def _override(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
+    """Append a batch: it replaces what it overlaps; behind a gap only the batch is left."""
+    first_index = batch[0].index
+    if not entries or first_index > entries[-1].index + 1 or first_index <= entries[0].index:
+        return list(batch)
+    return entries[: first_index - entries[0].index] + batch
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -45,12 +45,17 @@
         self.vote = vote
 
     def append(self, entries: list[LogEntry]) -> None:
+        """As the log store does: what is overlapped is overridden, behind a gap all is new."""
         self._check()
-        self.entries.extend(entries)
+        first = entries[0].index
+        kept = [entry for entry in self.entries if entry.index < first]
+        if kept and kept[-1].index != first - 1:
+            kept = []
+        self.entries = kept + entries
 
     def truncate_from(self, index: int) -> None:
+        """Not written: after a restart the entries are there again."""
         self._check()
-        self.entries = [entry for entry in self.entries if entry.index < index]
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         self._check()
