Add scenarios of control under failure, and operators who remember every answer

Cause: nothing proved that accepted commands survive. Change: actions that wipe disks, kill leaders, race operators and watch every node's version.

--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.scenario.parser import ScenarioError
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RestoreServer
@@ -15,9 +16,12 @@
 
 if TYPE_CHECKING:
     from wagtailkeel_bench.scenario.model import Step
+    from wagtailkeel_bench.scenario.operators import Operators
     from wagtailkeel_bench.site import Site
 
 LATE_GRACE_S = 3.0
+VOTER_POLLS = 100
+VOTER_POLL_INTERVAL_S = 0.2
 
 Action = Callable[..., Awaitable[None]]
 
@@ -25,11 +29,15 @@
 class Actions:
     """Actions by verb, and what they mean for the judgement of the run."""
 
-    def __init__(self, site: Site) -> None:
+    def __init__(self, site: Site, operators: Operators) -> None:
         self.lost_servers: list[str] = []
         self.silenced_keys: list[str] = []
         self.accepted_changes = 0
         self._site = site
+        self._operators = operators
+        self._background: list[asyncio.Task[None]] = []
+        self._watcher: asyncio.Task[None] | None = None
+        self._killed_leader = ""
         self._actions: dict[str, Action] = {
             "drain": self._drain,
             "restore": self._restore,
@@ -50,6 +58,14 @@
             "pause": self._pause,
             "resume": self._resume,
             "measure": self._measure,
+            "commands": self._send_commands,
+            "race": self._race,
+            "wipe": site.wipe_instance,
+            "kill-leader": self._kill_leader,
+            "start-killed": self._start_killed,
+            "await-voters": self._await_voters,
+            "in-force": self._operators.measure_in_force,
+            "watch-versions": self._watch_versions,
         }
 
     async def run(self, step: Step) -> None:
@@ -142,6 +158,39 @@
                 await self._site.restart_instance(instance.name, is_planned=True)
                 await self._site.wait_ready()
 
+    async def _send_commands(self, count: str, over_s: str) -> None:
+        """Commands go on while the next steps run."""
+        work = self._operators.send_commands(int(count), float(over_s))
+        self._background.append(asyncio.create_task(work))
+
+    async def _race(self, count: str) -> None:
+        self._background.append(asyncio.create_task(self._operators.race(int(count))))
+
+    async def _watch_versions(self) -> None:
+        self._watcher = asyncio.create_task(self._operators.watch_versions())
+
+    async def finish(self) -> None:
+        """Wait for what runs in the background."""
+        await asyncio.gather(*self._background)
+        if self._watcher is not None:
+            self._watcher.cancel()
+
+    async def _kill_leader(self) -> None:
+        self._killed_leader = await self._site.find_leader()
+        await self._site.kill_instance(self._killed_leader)
+
+    async def _start_killed(self) -> None:
+        await self._start(self._killed_leader)
+
+    async def _await_voters(self, count: str) -> None:
+        """Wait until the leader counts so many voters, all with their present folders."""
+        for _ in range(VOTER_POLLS):
+            dumps = (await self._site.dumps("control")).values()
+            if sum(dump["is_voter"] for dump in dumps) == int(count):
+                return
+            await asyncio.sleep(VOTER_POLL_INTERVAL_S)
+        raise BenchError(f"there are not {count} voters after {VOTER_POLLS} polls")
+
     async def _pause(self, name: str) -> None:
         self._site.pause_instance(name, True)
 
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -0,0 +1,154 @@
+"""Operators who send commands, resend them, race one another, and remember every answer."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from random import Random
+from typing import Any
+
+import msgspec
+
+from wagtailkeel.console.control_client import ControlClient
+from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel_bench.site import Site
+from wagtailkeel_state import AnswerStatus
+from wagtailkeel_state import CommandAnswer
+from wagtailkeel_state import Configuration
+from wagtailkeel_state import Target
+from wagtailkeel_state.commands import ChangeTarget
+
+FATE_LIMIT_S = 30.0
+IMPATIENCE_S = 0.02
+POLL_INTERVAL_S = 0.1
+
+
+class SentCommand(msgspec.Struct):
+    """One command id and all answers that came back for it."""
+
+    command_id: str
+    expected_version: int | None
+    answers: list[CommandAnswer] = []
+
+
+class Operators:
+    """Sends changes of one target; judges the history at the end."""
+
+    def __init__(self, site: Site, seed: int) -> None:
+        self.sent: list[SentCommand] = []
+        self.worst_in_force_s = 0.0
+        self.reversals = 0
+        self._site = site
+        self._random = Random(seed)
+        self._number = 0
+        self._versions_by_incarnation: dict[tuple[str, int], int] = {}
+
+    def _next_change(self) -> ChangeTarget:
+        self._number += 1
+        found = self._site.deployment.shape.classes[0]
+        target = Target.parse(f"held<{2_000 + self._number}")
+        return ChangeTarget(service=found.service, name=found.name, target=target)
+
+    def _client(self) -> ControlClient:
+        return self._site.new_client(FATE_LIMIT_S)
+
+    async def send_commands(self, count: int, over_s: float) -> None:
+        """Send commands one after another; each is sent until its fate is known."""
+        client = self._client()
+        for _ in range(count):
+            await self._send(client, self._next_change(), None)
+            await asyncio.sleep(over_s / count)
+        client.close()
+
+    async def _send(
+        self, client: ControlClient, change: ChangeTarget, expected_version: int | None
+    ) -> CommandAnswer | None:
+        command = SentCommand(uuid.UUID(int=self._random.getrandbits(128)).hex, expected_version)
+        self.sent.append(command)
+        if self._random.random() < 0.3:
+            await self._send_and_lose_answer(client, change, command)
+        resends = 2 if self._random.random() < 0.3 else 1
+        answer = None
+        for _ in range(resends):
+            try:
+                answer = await client.send(
+                    change, command.command_id, "bench", command.expected_version
+                )
+            except ControlUnreachableError:
+                continue
+            if answer.status is not AnswerStatus.UNKNOWN:
+                command.answers.append(answer)
+        return answer
+
+    async def _send_and_lose_answer(
+        self, client: ControlClient, change: ChangeTarget, command: SentCommand
+    ) -> None:
+        try:
+            async with asyncio.timeout(IMPATIENCE_S):
+                await client.send(change, command.command_id, "bench", command.expected_version)
+        except (TimeoutError, ControlUnreachableError):
+            return
+
+    async def race(self, count: int) -> None:
+        """Two operators change the same target on the same version, again and again."""
+        clients = [self._client(), self._client()]
+        for _ in range(count // 2):
+            version = (await clients[0].status()).configuration.operator_version
+            await asyncio.gather(
+                *(self._send(client, self._next_change(), version) for client in clients)
+            )
+        for client in clients:
+            client.close()
+
+    async def measure_in_force(self) -> None:
+        """Send one command and measure how long until every node has its version."""
+        client = self._client()
+        loop = asyncio.get_running_loop()
+        answer = await self._send(client, self._next_change(), None)
+        if answer is None or not answer.is_accepted:
+            self.worst_in_force_s = float("inf")
+            return
+        accepted_at = loop.time()
+        behind = await client.wait_in_force(answer.index)
+        elapsed_s = float("inf") if behind else loop.time() - accepted_at
+        self.worst_in_force_s = max(self.worst_in_force_s, elapsed_s)
+        client.close()
+
+    async def watch_versions(self) -> None:
+        """Poll every node's version until cancelled; count those that go down."""
+        while True:
+            for name, dump in (await self._site.dumps()).items():
+                incarnation = (name, dump.get("boot_id", dump["metrics"]["started_at"]))
+                known = self._versions_by_incarnation.get(incarnation, 0)
+                self.reversals += dump["version"] < known
+                self._versions_by_incarnation[incarnation] = max(known, dump["version"])
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def judge(self) -> dict[str, Any]:
+        """Compare all answers with the final configuration."""
+        config = (await self._site.client.status()).configuration
+        accepted = [s for s in self.sent if any(a.is_accepted for a in s.answers)]
+        return {
+            "commands_sent": len(self.sent),
+            "commands_accepted": len(accepted),
+            "commands_unanswered": sum(not s.answers for s in self.sent),
+            "accepted_lost": sum(not _is_kept(s, config) for s in accepted),
+            "answers_changed": sum(_has_changed(s) for s in self.sent),
+            "double_winners": _count_double_winners(accepted),
+            "version_reversals": self.reversals,
+            "in_force_s": self.worst_in_force_s,
+        }
+
+
+def _is_kept(command: SentCommand, config: Configuration) -> bool:
+    kept = config.answers_by_command_id.get(command.command_id)
+    return kept is not None and kept.is_accepted
+
+
+def _has_changed(command: SentCommand) -> bool:
+    return any(answer != command.answers[0] for answer in command.answers)
+
+
+def _count_double_winners(accepted: list[SentCommand]) -> int:
+    versions = [s.expected_version for s in accepted if s.expected_version is not None]
+    return len(versions) - len(set(versions))
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -15,6 +15,7 @@
 from wagtailkeel_bench.scenario.actions import Actions
 from wagtailkeel_bench.scenario.model import FeedTraffic
 from wagtailkeel_bench.scenario.model import Scenario
+from wagtailkeel_bench.scenario.operators import Operators
 from wagtailkeel_bench.site import Site
 from wagtailkeel_bench.site import make_folder
 
@@ -35,7 +36,8 @@
         shape.controls = scenario.controls or shape.controls
         self.folder = make_folder()
         self._site = Site(Deployment(shape, self.folder, seed, is_stateless))
-        self._actions = Actions(self._site)
+        self._operators = Operators(self._site, seed)
+        self._actions = Actions(self._site, self._operators)
         self._dumps_before: dict[str, Result] = {}
         self._measured_from = 0.0
 
@@ -100,6 +102,7 @@
             await asyncio.sleep(max(0.0, started_at + step.at_s - loop.time()))
             await self._actions.run(step)
         await asyncio.sleep(max(0.0, started_at + self._scenario.duration_s - loop.time()))
+        await self._actions.finish()
 
     # Figures
 
@@ -147,6 +150,7 @@
             "accepted_changes": self._actions.accepted_changes,
             **_measure_imbalance(servers["servers"], callers["feeds_by_server"]),
             **await self._measure_cost(),
+            **await self._operators.judge(),
             "share_error_cv": await self._measure_share_error(),
         }
 
--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import shutil
 import signal
 import tempfile
 import time
@@ -42,10 +43,7 @@
         self.callers = StandIn("callers", deployment.callers_plan(), deployment.folder)
         self.processes_by_name: dict[str, ChildProcess] = {}
         self.endpoints_by_class: dict[str, str] = {}
-        addresses = [
-            (found.proxy_host, found.ports["rpc_port"]) for found in deployment.of_role("control")
-        ]
-        self.client = ControlClient(addresses, DEADLINE_S)
+        self.client = self.new_client(DEADLINE_S)
 
     async def start(self, absent: list[str] | None = None) -> None:
         """Start all but the absent processes, create services, wait until all is in force."""
@@ -58,6 +56,14 @@
         await self.wait_ready()
         await self._publish_endpoints()
 
+    def new_client(self, deadline_s: float) -> ControlClient:
+        """Return a client of control with connections of its own."""
+        addresses = [
+            (found.proxy_host, found.ports["rpc_port"])
+            for found in self.deployment.of_role("control")
+        ]
+        return ControlClient(addresses, deadline_s)
+
     async def start_instance(self, instance: Instance) -> None:
         """Start one process of the system; a balancer joins the fabric."""
         path = self.deployment.write_settings(instance)
@@ -194,6 +200,19 @@
             await self.kill_instance(name)
         await self.start_instance(instance)
 
+    async def wipe_instance(self, name: str) -> None:
+        """End a control process, lose its disk and start it with an empty folder."""
+        await self.kill_instance(name)
+        shutil.rmtree(self.deployment.folder / f"{name}-data")
+        await self.start_instance(self.deployment.instances_by_name[name])
+
+    async def find_leader(self) -> str:
+        """Return the name of the leading control instance, or an empty text."""
+        for name, dump in (await self.dumps("control")).items():
+            if dump["raft_role"] == "leader":
+                return name
+        return ""
+
     async def kill_server(self, name: str) -> None:
         """End a backend server together with its agent."""
         await self.servers.command("set_down", server_id=name, is_down=True)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -21,6 +21,7 @@
         self.counters: Counter[str] = Counter()
         self._responses = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self._started_at = time.monotonic()
+        self._started_wall_s = time.time()
 
     def record_response(self, response_s: float) -> None:
         """Record one response time."""
@@ -38,6 +39,7 @@
             "counters": dict(sorted(self.counters.items())),
             "responses": self._responses.get_total_count(),
             "response_ms": percentiles,
+            "started_at": self._started_wall_s,
             "uptime_s": time.monotonic() - self._started_at,
             "cpu_s": usage.ru_utime + usage.ru_stime,
             "max_rss_kb": usage.ru_maxrss,
