--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/tests/state/test_configuration_machine.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import unittest
+
+from wagtailkeel_state import AnswerStatus
+from wagtailkeel_state import BookingState
+from wagtailkeel_state import CommandAnswer
+from wagtailkeel_state import Configuration
+from wagtailkeel_state import DataCentreState
+from wagtailkeel_state import FlowProtocol
+from wagtailkeel_state import LogEntry
+from wagtailkeel_state import ServerMember
+from wagtailkeel_state import Target
+from wagtailkeel_state import apply_entry
+from wagtailkeel_state.commands import AdvanceBooking
+from wagtailkeel_state.commands import AnyCommand
+from wagtailkeel_state.commands import CancelBooking
+from wagtailkeel_state.commands import ChangeTarget
+from wagtailkeel_state.commands import CreateBooking
+from wagtailkeel_state.commands import CreateClass
+from wagtailkeel_state.commands import CreateService
+from wagtailkeel_state.commands import DefineDataCentre
+from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import RemoveServer
+from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.enums import ServerState
+
+TARGET = Target.parse("p99<200ms")
+OUT = DataCentreState.OUT_OF_SERVICE
+
+
+def member(server_id: str, boot_id: int = 1, service: str = "desk") -> ServerMember:
+    return ServerMember(server_id, service, "east", "127.0.0.1", 1, 2, boot_id, 2)
+
+
+class ConfigurationMachineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.config = Configuration()
+        self.accept(DefineDataCentre(name="east", region="home"))
+        self.accept(DefineDataCentre(name="west", region="home"))
+        self.accept(CreateService(name="desk", address="10.0.0.1"))
+        self.accept(self.create_class("feed", 20_000))
+        self.accept(JoinServer(member=member("a")))
+        self.accept(JoinServer(member=member("b")))
+
+    @staticmethod
+    def create_class(name: str, port: int, service: str = "desk") -> CreateClass:
+        return CreateClass(
+            service=service, name=name, protocol=FlowProtocol.TCP, target=TARGET, port=port
+        )
+
+    def apply(
+        self, command: AnyCommand, command_id: str = "", expected: int | None = None
+    ) -> CommandAnswer:
+        index = self.config.index + 1
+        return apply_entry(self.config, LogEntry(index, 1, command, command_id, "ann", expected))
+
+    def accept(self, command: AnyCommand) -> None:
+        answer = self.apply(command)
+        self.assertTrue(answer.is_accepted, answer.reason)
+
+    def test_rejections_name_the_reason(self) -> None:
+        change = ChangeTarget(service="desk", name="none", target=TARGET)
+        table: list[tuple[AnyCommand, str]] = [
+            (CreateService(name="desk", address="10.0.0.2"), "exists already"),
+            (CreateService(name="other", address="10.0.0.1"), "is taken"),
+            (CreateService(name="other", address=""), "pool is used up"),
+            (self.create_class("feed", 20_001), "exists already"),
+            (self.create_class("new", 20_000), "is taken"),
+            (self.create_class("new", 20_001, "none"), "does not exist"),
+            (change, "does not exist"),
+            (SetDataCentreState(name="north", state=OUT), "is not known"),
+            (DrainServer(server_id="none"), "is not a member"),
+            (RemoveServer(server_id="a", boot_id=9), "is not a member"),
+            (JoinServer(member=member("a", 2, "other")), "use another server id"),
+            (CancelBooking(booking_id="none"), "does not exist"),
+        ]
+        for command, reason in table:
+            with self.subTest(command=type(command).__name__, reason=reason):
+                before = self.config.operator_version
+                answer = self.apply(command)
+                self.assertIs(answer.status, AnswerStatus.REJECTED)
+                self.assertIn(reason, answer.reason)
+                self.assertEqual(self.config.operator_version, before)
+
+    def test_resent_command_gets_its_first_answer(self) -> None:
+        change = SetDataCentreState(name="east", state=OUT)
+        first = self.apply(change, "id1")
+        again = self.apply(change, "id1")
+        self.assertTrue(first.is_accepted)
+        self.assertEqual(again, first)
+
+    def test_one_of_two_equal_versions_wins(self) -> None:
+        version = self.config.operator_version
+        change = ChangeTarget(service="desk", name="feed", target=TARGET)
+        first = self.apply(change, "id1", version)
+        second = self.apply(change, "id2", version)
+        self.assertTrue(first.is_accepted)
+        self.assertIs(second.status, AnswerStatus.CONFLICT)
+        self.assertIn("by ann", second.reason)
+        self.assertIn(str(first.index), second.reason)
+
+    def test_last_capacity_is_kept(self) -> None:
+        self.accept(SetDataCentreState(name="west", state=OUT))
+        answer = self.apply(SetDataCentreState(name="east", state=OUT))
+        self.assertIn("last one in service", answer.reason)
+        self.accept(DrainServer(server_id="a"))
+        self.assertIn("last one serving", self.apply(DrainServer(server_id="b")).reason)
+
+    def test_restart_of_an_agent_leaves_a_former_member(self) -> None:
+        self.accept(DrainServer(server_id="a"))
+        self.accept(JoinServer(member=member("a", 2)))
+        found = self.config.servers_by_id["a"]
+        self.assertIs(found.state, ServerState.DRAINING)
+        self.assertEqual(self.config.former_members_by_id["a"].boot_id, 1)
+        self.assertEqual(found.joined_index, self.config.index)
+
+    def test_region_without_a_server_uses_the_next_one(self) -> None:
+        self.accept(DefineDataCentre(name="far", region="overseas"))
+        self.assertEqual(self.config.table_region("desk", "overseas"), "home")
+        self.assertEqual(set(self.config.table_shares("desk", "overseas")), {"a", "b"})
+
+    def book(self, booking_id: str, start_s: float, end_s: float, name: str) -> CommandAnswer:
+        change = SetDataCentreState(name=name, state=OUT)
+        return self.apply(
+            CreateBooking(booking_id=booking_id, start_s=start_s, end_s=end_s, change=change)
+        )
+
+    def test_booking_conflicts_are_answered_when_booked(self) -> None:
+        self.assertTrue(self.book("one", 100, 200, "east").is_accepted)
+        table = [
+            ("one", 300, 400, "east", "exists already"),
+            ("two", 150, 250, "east", "booking one by ann"),
+            ("two", 200, 100, "east", "ends before it starts"),
+            ("two", 150, 250, "west", "no data centre would be left"),
+            ("two", 200, 250, "east", ""),
+        ]
+        for booking_id, start_s, end_s, name, reason in table:
+            with self.subTest(reason=reason or "accepted"):
+                answer = self.book(booking_id, start_s, end_s, name)
+                self.assertEqual(answer.is_accepted, not reason, answer.reason)
+                self.assertIn(reason, answer.reason)
+
+    def test_booking_states(self) -> None:
+        active, done = BookingState.ACTIVE, BookingState.DONE
+        table = [
+            ([active], BookingState.ACTIVE, OUT),
+            ([active, done], BookingState.DONE, OUT),
+            ([BookingState.LAPSED], BookingState.LAPSED, DataCentreState.IN_SERVICE),
+            ([BookingState.LAPSED, active], BookingState.LAPSED, DataCentreState.IN_SERVICE),
+        ]
+        for states, final, expected in table:
+            with self.subTest(states=states):
+                self.setUp()
+                self.book("one", 100, 200, "east")
+                for state in states:
+                    self.apply(AdvanceBooking(booking_id="one", state=state))
+                self.assertIs(self.config.bookings_by_id["one"].state, final)
+                self.assertIs(self.config.data_centres_by_name["east"].state, expected)
+
+    def test_booking_that_no_longer_fits_fails_with_its_reason(self) -> None:
+        self.book("one", 100, 200, "east")
+        self.accept(SetDataCentreState(name="west", state=OUT))
+        self.apply(AdvanceBooking(booking_id="one", state=BookingState.ACTIVE))
+        found = self.config.bookings_by_id["one"]
+        self.assertIs(found.state, BookingState.FAILED)
+        self.assertIn("last one in service", found.reason)
+
+    def test_gaps_are_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            apply_entry(self.config, LogEntry(self.config.index + 2, 1, DrainServer(server_id="a")))
+
+
+if __name__ == "__main__":
+    unittest.main()
