End drains at their deadline, return servers cold, stop isolated agents where asked

Cause: the drain deadline and the setting isolated_stop_s had no effect; a server that came back from a drain or an outage was taken as warm. Change: these three; a scenario in which servers change speed; hops counted at delivery.

--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -52,6 +52,7 @@
             "cut-one-way": self._cut_one_way,
             "heal": self._heal,
             "cold": self._turn_cold,
+            "speed": self._set_speed,
             "silence": self._silence,
             "changes": self._change_members,
             "restart-all": self._restart_all,
@@ -136,6 +137,10 @@
     async def _turn_cold(self, server_id: str) -> None:
         await self._site.servers.command("turn_cold", server_id=server_id)
 
+    async def _set_speed(self, server_id: str, speed: str) -> None:
+        self._site.deployment.instances_by_name[server_id].speed = float(speed)
+        await self._site.servers.command("set_speed", server_id=server_id, speed=float(speed))
+
     async def _silence(self, count: str, server_id: str) -> None:
         keys = await self._site.servers.command("silence", server_id=server_id, count=int(count))
         self.silenced_keys.extend(keys)
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -50,7 +50,8 @@
             await self._run_steps()
             await self._site.callers.command("stop_requests")
             await asyncio.sleep(SETTLE_S)
-            return await self._collect()
+            figures = await self._collect()
+            return {**figures, "settled_hops": await self._measure_settled_hops()}
         finally:
             await self._site.stop()
 
@@ -168,6 +169,18 @@
                 worst = max(worst, statistics.pstdev(ratios) / statistics.fmean(ratios))
         return worst
 
+    async def _measure_settled_hops(self) -> int:
+        """Most hops between agents that a packet took in the second after all has settled."""
+        before = _sum_counters(await self._site.dumps("agent"))
+        await asyncio.sleep(1.0)
+        after = _sum_counters(await self._site.dumps("agent"))
+        hops = [
+            int(name.split("_")[2])
+            for name in after
+            if name.startswith("delivered_after_") and after[name] > before.get(name, 0)
+        ]
+        return max(hops, default=0)
+
     async def _measure_cost(self) -> Result:
         dumps = await self._site.dumps()
         bytes_by_role: dict[str, list[float]] = {}
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -37,6 +37,11 @@
         self._servers_by_id[server_id].turn_cold()
         return True
 
+    def set_speed(self, server_id: str, speed: float) -> bool:
+        """Change a server's speed."""
+        self._servers_by_id[server_id].plan.speed = speed
+        return True
+
     def set_down(self, server_id: str, is_down: bool) -> bool:
         """Stop or start a server."""
         self._servers_by_id[server_id].set_down(is_down)
@@ -87,6 +92,7 @@
         "count_runs": servers.ledger.count_runs,
         "turn_cold": servers.turn_cold,
         "set_down": servers.set_down,
+        "set_speed": servers.set_speed,
         "silence": servers.silence,
         "reset_load": servers.reset_load,
         "report": servers.report,
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -91,6 +91,13 @@
         elif self.limit >= self._slots and self._times.is_near_baseline(class_name, response_s):
             self.is_cold = False
 
+    def restart(self) -> None:
+        """Start again as for a cold server; what was learned of its speed stays."""
+        self.is_cold = True
+        self.limit = INITIAL_LIMIT
+        self._answers_at_limit = 0
+        self._times.forget_streaks()
+
     def on_silence(self) -> None:
         """Treat a server that owes answers and sends none as cold."""
         if not self.is_cold:
@@ -117,8 +124,5 @@
         return queue_s
 
     def _turn_cold(self) -> None:
-        self.is_cold = True
         self.cold_events += 1
-        self.limit = INITIAL_LIMIT
-        self._answers_at_limit = 0
-        self._times.forget_streaks()
+        self.restart()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -35,6 +35,7 @@
 from wagtailkeel_protocol.packet_builder import build_abort
 from wagtailkeel_protocol.packet_builder import build_refusal
 from wagtailkeel_protocol.packet_builder import build_reset
+from wagtailkeel_state.enums import ServerState
 from wagtailkeel_state.flow_directory import FlowDirectory
 from wagtailkeel_state.flow_record import REFUSED
 
@@ -99,6 +100,9 @@
         self._sweeper = RemoteFlowSweeper(self.directory)
         self._classes_by_endpoint: dict[bytes, ServiceClass] = {}
         self._absent_since_by_id: dict[str, float] = {}
+        self._is_own_server_placeable = False
+        self._draining_since = float("inf")
+        self._is_isolated = False
         self._own_endpoint = b""
         self._bucket_count = 0
         self._is_out_of_service = False
@@ -125,7 +129,12 @@
             ),
             b"",
         )
-        self._is_out_of_service = not config.is_in_service(self._identity.data_centre)
+        was_placeable = self._is_own_server_placeable
+        self._is_own_server_placeable = config.is_placeable(self._own_id)
+        if self._is_own_server_placeable and not was_placeable:
+            # Whatever the server was doing meanwhile, it may have turned cold.
+            self.limiter.restart()
+        self._update_service_state()
         service = config.services_by_name.get(self._identity.service)
         if service is None or table is None:
             return
@@ -134,6 +143,24 @@
         if table.epoch > known_epoch:
             self._apply_table(config, table, known_epoch, now)
 
+    def set_isolated(self, is_isolated: bool) -> None:
+        """End all service, or take it up again, where the settings ask so for an isolated node."""
+        self._is_isolated = is_isolated
+        self._update_service_state()
+
+    def _update_service_state(self) -> None:
+        assert self.config is not None, "service starts with a configuration"
+        is_in = self.config.is_in_service(self._identity.data_centre)
+        self._is_out_of_service = not is_in or self._is_isolated or self._is_drain_over()
+
+    def _is_drain_over(self) -> bool:
+        own = self.config.servers_by_id.get(self._own_id) if self.config else None
+        if own is None or own.state is not ServerState.DRAINING:
+            self._draining_since = float("inf")
+            return False
+        self._draining_since = min(self._draining_since, self._now)
+        return self._now - self._draining_since > own.drain_deadline_s
+
     def _had_other_incarnation(self, config: Configuration) -> bool:
         """Tell whether the own server had an agent before this process."""
         known = (
@@ -180,6 +207,8 @@
         if self._is_out_of_service:
             self._give_up_local(flow, frame)
             return
+        if frame.hops:
+            self._counters[f"delivered_after_{frame.hops}_hops"] += 1
         self.local.on_inbound(flow, frame.packet, now)
 
     def _give_up_local(self, flow: LocalFlow, frame: DataFrame) -> None:
@@ -624,6 +653,8 @@
     def tick(self, now: float) -> None:
         """Run all timers; called every few tens of milliseconds."""
         self._now = now
+        if self._draining_since < now:
+            self._update_service_state()
         self.authority.tick(now)
         self.local.tick(now)
         self._drain_starts()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -103,6 +103,8 @@
         )
         self._changed = anyio.Event()
         self._is_stopping = False
+        self._is_isolated = False
+        self._heard_at = time.monotonic()
         self._hinted_at = float("-inf")
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
@@ -216,6 +218,7 @@
             self.metrics.counters[f"dropped_{message.value}"] += 1
             return
         self.metrics.counters["control_bytes_received"] += len(datagram)
+        self._heard_at = time.monotonic()
         self._on_message(message)
 
     @singledispatchmethod
@@ -249,9 +252,20 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            self._check_isolation()
             self._router.tick(time.monotonic())
             await anyio.sleep(TICK_INTERVAL_S)
 
+    def _check_isolation(self) -> None:
+        limit_s = self._section.isolated_stop_s
+        if limit_s <= 0 or self._router.config is None:
+            return
+        is_isolated = time.monotonic() - self._heard_at > limit_s
+        if is_isolated != self._is_isolated:
+            self._is_isolated = is_isolated
+            logger.warning("isolated: service ends" if is_isolated else "service goes on")
+            self._router.set_isolated(is_isolated)
+
     async def _gossip_forever(self) -> None:
         while True:
             self._send_gossip()
