--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -182,8 +182,8 @@
             tasks.start_soon(agent._refresh_forever)
             await anyio.sleep(0.2)
             router = agent._router
-            assert router.config is not None, "the table has been built"
-            found = router.config.services_by_name["desk"].classes_by_name["feed"]
+            assert router.view.config is not None, "the table has been built"
+            found = router.view.config.services_by_name["desk"].classes_by_name["feed"]
             for key in self._flows:
                 router.local.open(key, hash_flow(key) % BUCKETS, found, time.monotonic())
             tasks.start_soon(agent._tick_forever)
--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -145,7 +145,7 @@
 
 def _measure_flows(count: int) -> dict[str, float]:
     router = _build_router(0.0)
-    traffic_class = router.config.services_by_name["desk"].classes_by_name["feed"]  # type: ignore[union-attr]
+    traffic_class = router.view.config.services_by_name["desk"].classes_by_name["feed"]  # type: ignore[union-attr]
     keys = _keys(count)
     gc.collect()
     tracemalloc.start()
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -0,0 +1,137 @@
+"""What an agent knows of the configuration and of its own place in it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.service_view import index_classes
+from wagtailkeel_protocol.flow_key import endpoint_of
+from wagtailkeel_state.enums import ServerState
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.agent_identity import AgentIdentity
+    from wagtailkeel_coordination.service_view import ServiceClass
+    from wagtailkeel_state.configuration import Configuration
+    from wagtailkeel_state.server_member import ServerMember
+
+NEVER_JOINED = 2**31
+
+
+class AgentView:
+    """The newest configuration, as one agent reads it."""
+
+    def __init__(self, identity: AgentIdentity) -> None:
+        self.config: Configuration | None = None
+        self.classes_by_endpoint: dict[bytes, ServiceClass] = {}
+        self.own_endpoint = b""
+        self.bucket_count = 0
+        self.is_out_of_service = False
+        self._identity = identity
+        self._boot_ids = {identity.boot_id}
+        self._draining_since = float("inf")
+        self._is_isolated = False
+
+    @property
+    def own_id(self) -> str:
+        """The own server's id."""
+        return self._identity.server_id
+
+    @property
+    def own_member(self) -> ServerMember | None:
+        """The own membership entry, of whatever incarnation."""
+        return self.find_member(self.own_id)
+
+    @property
+    def joined_index(self) -> int:
+        """Log index at which this incarnation joined; beyond all indexes while it has not."""
+        own = self.own_member
+        if own is None or own.boot_id not in self._boot_ids:
+            return NEVER_JOINED
+        return own.joined_index
+
+    @property
+    def share(self) -> int:
+        """The own server's quota weight."""
+        return self.config.share_of(self.own_id) if self.config else 0
+
+    def update(self, config: Configuration, now: float) -> None:
+        """Adopt a newer configuration."""
+        self.config = config
+        self.classes_by_endpoint = index_classes(config)
+        own_endpoints = (
+            endpoint
+            for endpoint, found in self.classes_by_endpoint.items()
+            if found.service == self._identity.service
+        )
+        self.own_endpoint = next(own_endpoints, b"")
+        service = config.services_by_name.get(self._identity.service)
+        self.bucket_count = service.bucket_count if service else 0
+        self.refresh(now)
+
+    def refresh(self, now: float) -> None:
+        """Decide anew whether the own server takes traffic; a drain ends by the clock."""
+        if self.config is None:
+            return
+        is_in = self.config.is_in_service(self._identity.data_centre)
+        self.is_out_of_service = not is_in or self._is_isolated or self._is_drain_over(now)
+
+    def set_isolated(self, is_isolated: bool, now: float) -> None:
+        """End all service, or take it up again, where the settings ask so for an isolated node."""
+        self._is_isolated = is_isolated
+        self.refresh(now)
+
+    def add_incarnation(self, boot_id: int) -> None:
+        """Remember that a boot id is this process's own."""
+        self._boot_ids.add(boot_id)
+
+    def had_other_incarnation(self) -> bool:
+        """Tell whether the own server had an agent before this process."""
+        if self.config is None:
+            return False
+        known = (self.own_member, self.config.former_members_by_id.get(self.own_id))
+        return any(found is not None and found.boot_id not in self._boot_ids for found in known)
+
+    def find_class(self, key: bytes) -> ServiceClass | None:
+        """Return the class that a flow belongs to, of whatever service."""
+        return self.classes_by_endpoint.get(endpoint_of(key))
+
+    def is_own_class(self, found: ServiceClass) -> bool:
+        """Tell whether a class belongs to the own server's service."""
+        return found.service == self._identity.service
+
+    def find_member(self, server_id: str) -> ServerMember | None:
+        """Return a server's membership entry."""
+        return self.config.servers_by_id.get(server_id) if self.config else None
+
+    def is_placeable(self, server_id: str) -> bool:
+        """Tell whether new flows may go to a server."""
+        return self.config is not None and self.config.is_placeable(server_id)
+
+    def boot_ids_by_member(self) -> dict[str, int]:
+        """Return the members of the own service and region, with their incarnations."""
+        if self.config is None:
+            return {}
+        region = self.config.region_of(self._identity.data_centre)
+        return {
+            member.server_id: member.boot_id
+            for member in self.config.members_of(self._identity.service)
+            if self.config.region_of(member.data_centre) == region
+        }
+
+    def removed_since(self, epoch: int) -> set[str]:
+        """Return the servers of the own service of which an incarnation left after an epoch."""
+        if self.config is None:
+            return set()
+        return {
+            former.server_id
+            for former in self.config.former_members_by_id.values()
+            if former.service == self._identity.service and former.removed_index > epoch
+        }
+
+    def _is_drain_over(self, now: float) -> bool:
+        own = self.own_member
+        if own is None or own.state is not ServerState.DRAINING:
+            self._draining_since = float("inf")
+            return False
+        self._draining_since = min(self._draining_since, now)
+        return now - self._draining_since > own.drain_deadline_s
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
@@ -0,0 +1,106 @@
+"""What the parts of an agent's routing share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.gue import DataFrame
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.packet_builder import build_reset
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.agent_view import AgentView
+    from wagtailkeel_coordination.bucket_authority import BucketAuthority
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.local_flows import LocalFlows
+    from wagtailkeel_coordination.outbox import PacketOutbox
+    from wagtailkeel_state.flow_directory import FlowDirectory
+    from wagtailkeel_state.traffic_class import TrafficClass
+
+
+class FlowContext:
+    """State of one agent; ``now`` is the time of the event that is being handled."""
+
+    __slots__ = ("authority", "counters", "directory", "local", "now", "packets", "view")
+
+    def __init__(
+        self,
+        view: AgentView,
+        directory: FlowDirectory,
+        local: LocalFlows,
+        authority: BucketAuthority,
+        packets: PacketOutbox,
+        counters: Counters,
+        now: float,
+    ) -> None:
+        self.view = view
+        self.directory = directory
+        self.local = local
+        self.authority = authority
+        self.packets = packets
+        self.counters = counters
+        self.now = now
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the newest owner table."""
+        return self.authority.table.epoch if self.authority.table else 0
+
+    def forward(self, server_id: str, frame: DataFrame, marks: int) -> None:
+        """Send a frame on to another agent."""
+        self.counters["packets_forwarded"] += 1
+        self.packets.forward(
+            server_id,
+            DataFrame(
+                frame.packet, frame.bucket, self.epoch, marks, frame.hops + 1, frame.token_epoch
+            ),
+        )
+
+    def forward_to_successor(self, frame: DataFrame) -> None:
+        """Send a frame towards its bucket's authority: to whom the token went, else the owner."""
+        successor = self.authority.successors_by_bucket.get(frame.bucket)
+        kept = frame.marks & gue.MARK_REJECTED
+        if successor is not None:
+            self.forward(successor, frame, kept | gue.MARK_GRANTED)
+            return
+        owner = self.authority.table.owner_of(frame.bucket) if self.authority.table else None
+        if owner is None or owner == self.view.own_id:
+            self.counters["dropped_no_owner"] += 1
+            return
+        self.forward(owner, frame, kept)
+
+    def open_and_deliver(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
+        """Start to account for a flow on the own server and deliver its packet."""
+        flow = self.local.open(key, frame.bucket, traffic_class, self.now)
+        self.local.on_inbound(flow, frame.packet, self.now)
+
+    def return_rejected(self, frame: DataFrame) -> None:
+        """Tell the authority that the own server does not have, or take, the flow."""
+        self.counters["placements_rejected"] += 1
+        if self.authority.is_authority(frame.bucket):
+            self.reset_caller(frame.packet)
+            return
+        # The index of the join names this incarnation: another one's rejection doesn't count.
+        joined_index = self.view.joined_index
+        rejected = DataFrame(
+            frame.packet, frame.bucket, 0, gue.MARK_REJECTED, frame.hops, joined_index
+        )
+        self.forward_to_successor(rejected)
+
+    def reset_caller(self, packet: bytes) -> None:
+        """Answer a caller's TCP packet with RST; a UDP packet is dropped."""
+        key = ip.parse_flow_key(packet)
+        if isinstance(key, Malformed) or key[-1] != ip.TCP:
+            return
+        if not ip.tcp_flags(packet) & ip.RST:
+            self.counters["resets_sent"] += 1
+            self.packets.reply(build_reset(packet))
+
+
+def is_start(packet: bytes, key: bytes) -> bool:
+    """Tell whether a packet may open a flow: any UDP packet, or a SYN."""
+    if key[-1] != ip.TCP:
+        return True
+    return ip.tcp_flags(packet) & (ip.SYN | ip.ACK) == ip.SYN
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -0,0 +1,197 @@
+"""Where an authority starts new flows: here, on a peer, a moment later, or nowhere."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.admission_queue import AdmissionQueue
+from wagtailkeel_coordination.bucket_authority import RETRY_HORIZON_S
+from wagtailkeel_coordination.flow_context import is_start
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol.gue import DataFrame
+from wagtailkeel_protocol.messages import Load
+from wagtailkeel_protocol.packet_builder import build_refusal
+from wagtailkeel_state.flow_record import REFUSED
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.admission_queue import QueuedStart
+    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.flow_context import FlowContext
+    from wagtailkeel_coordination.lease import PlacementLease
+    from wagtailkeel_coordination.peer_view import PeerView
+    from wagtailkeel_state.remote_flow import RemoteFlow
+    from wagtailkeel_state.traffic_class import TrafficClass
+
+
+class Placement:
+    """Decides for flows that are new in a bucket whose token this agent holds."""
+
+    def __init__(
+        self,
+        context: FlowContext,
+        limiter: ConcurrencyLimiter,
+        peers: PeerView,
+        lease: PlacementLease,
+        pass_to_authority: Callable[[DataFrame, bytes], None],
+    ) -> None:
+        self._context = context
+        self._limiter = limiter
+        self._peers = peers
+        self._lease = lease
+        self._pass_to_authority = pass_to_authority
+        self._starts = AdmissionQueue()
+        self._started_at = context.now
+
+    @property
+    def load(self) -> Load:
+        """What peers need to know of the own server."""
+        view = self._context.view
+        return Load(
+            self._limiter.in_flight,
+            int(self._limiter.limit) if view.is_placeable(view.own_id) else 0,
+            self._context.local.held_count,
+            view.share,
+            self._limiter.is_cold,
+        )
+
+    def place(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
+        """Start a flow now or soon, refuse it, or leave it unanswered where it may have run."""
+        if not self._may_place(frame.bucket, traffic_class) or self._starts.contains(key):
+            return
+        if self._start_now(frame, key, traffic_class):
+            return
+        if self._must_stay_here(traffic_class):
+            # The former incarnation may have placed the flow on the own server.
+            self._context.counters["starts_dropped_uncertain"] += 1
+        elif not self._starts.add(frame, key, traffic_class, self._context.now):
+            self._refuse(frame, key)
+
+    def drain(self) -> None:
+        """Start what waits, oldest first; refuse what has waited too long."""
+        context = self._context
+        while len(self._starts):
+            start = self._starts.first
+            if not context.authority.is_authority(start.frame.bucket):
+                self._starts.pop()
+                self._pass_to_authority(start.frame, start.key)
+            elif self._settle(start):
+                self._starts.pop()
+            elif context.now >= start.expires_at:
+                self._starts.pop()
+                self._refuse(start.frame, start.key)
+            else:
+                return
+
+    def _settle(self, start: QueuedStart) -> bool:
+        """Start what waits, or let it go unanswered; False while there is no room."""
+        if not self._may_place(start.frame.bucket, start.traffic_class):
+            return True
+        return self._start_now(start.frame, start.key, start.traffic_class)
+
+    def can_start_here(self, traffic_class: TrafficClass) -> bool:
+        """Tell whether the own server has room for a flow of a class."""
+        view = self._context.view
+        if not view.is_placeable(view.own_id) or not self._limiter.allows_start():
+            return False
+        held_count = self._context.local.held_count
+        return not traffic_class.is_held or held_count < traffic_class.target.limit
+
+    def on_rejection(
+        self,
+        frame: DataFrame,
+        key: bytes,
+        traffic_class: TrafficClass,
+        remote: RemoteFlow | None,
+    ) -> None:
+        """A peer did not take a flow that was placed there."""
+        context = self._context
+        if remote is None or not self._is_rejected_by(frame, remote):
+            context.counters["rejections_ignored"] += 1
+            return
+        context.directory.remove_remote(frame.bucket, key)
+        if not is_start(frame.packet, key):
+            context.reset_caller(frame.packet)
+        elif self.can_start_here(traffic_class):
+            context.open_and_deliver(frame, key, traffic_class)
+        else:
+            self._refuse(frame, key)
+
+    def refuse_again(self, frame: DataFrame) -> None:
+        """Answer another packet of a refused flow as the first one."""
+        self._context.counters["starts_refused_again"] += 1
+        self._context.packets.reply(build_refusal(frame.packet))
+
+    def _may_place(self, bucket: int, traffic_class: TrafficClass) -> bool:
+        if traffic_class.is_idempotent:
+            return True
+        context = self._context
+        if not self._lease.is_valid(context.now):
+            context.counters["starts_dropped_no_lease"] += 1
+            return False
+        if context.authority.is_uncertain(bucket, context.now):
+            context.counters["starts_dropped_uncertain"] += 1
+            return False
+        return True
+
+    def _must_stay_here(self, traffic_class: TrafficClass) -> bool:
+        """A former incarnation's starts may still be sent again: they were on the own server."""
+        is_forgetful = self._context.authority.has_lost_memory
+        is_recent = self._context.now - self._started_at < RETRY_HORIZON_S
+        return is_forgetful and is_recent and not traffic_class.is_idempotent
+
+    def _start_now(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> bool:
+        """Start a flow where there is room; False when there is none."""
+        if self._prefers_own_server(traffic_class):
+            self._context.open_and_deliver(frame, key, traffic_class)
+            return True
+        if self._must_stay_here(traffic_class):
+            return False
+        peer = self._choose_peer(traffic_class)
+        if peer is not None:
+            self._place_remotely(frame, key, peer)
+            return True
+        if self.can_start_here(traffic_class):
+            self._context.open_and_deliver(frame, key, traffic_class)
+            return True
+        return False
+
+    def _prefers_own_server(self, traffic_class: TrafficClass) -> bool:
+        if not self.can_start_here(traffic_class):
+            return False
+        if not traffic_class.is_held or self._must_stay_here(traffic_class):
+            return True
+        return self._peers.is_least_held(self.load, self._context.now)
+
+    def _choose_peer(self, traffic_class: TrafficClass) -> str | None:
+        excluded = {self._context.view.own_id}
+        if traffic_class.is_held:
+            return self._peers.choose_for_held_flow(excluded, self._context.now)
+        return self._peers.choose_for_request(excluded, self._context.now)
+
+    def _place_remotely(self, frame: DataFrame, key: bytes, peer: str) -> None:
+        context = self._context
+        context.directory.add_remote(frame.bucket, key, peer, context.now)
+        self._peers.count_placement(peer)
+        context.counters["starts_redirected"] += 1
+        token = context.authority.tokens_by_bucket[frame.bucket]
+        marks = gue.MARK_DELIVER | gue.MARK_NEW
+        context.packets.forward(
+            peer,
+            DataFrame(
+                frame.packet, frame.bucket, context.epoch, marks, frame.hops + 1, token.epoch
+            ),
+        )
+
+    def _refuse(self, frame: DataFrame, key: bytes) -> None:
+        """No packet of the flow has reached a server, and none will while this is remembered."""
+        context = self._context
+        context.directory.add_remote(frame.bucket, key, REFUSED, context.now)
+        context.counters["starts_refused"] += 1
+        context.packets.reply(build_refusal(frame.packet))
+
+    def _is_rejected_by(self, frame: DataFrame, remote: RemoteFlow) -> bool:
+        """Tell whether the rejection comes from the incarnation that the pointer names now."""
+        member = self._context.view.find_member(remote.server_id)
+        return member is not None and member.joined_index == frame.token_epoch
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
@@ -7,10 +7,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.gue import DataFrame
 
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.flow_context import FlowContext
+
 RECOVERY_LIMIT_S = 5.0
 
 
@@ -20,32 +27,65 @@
     frame: DataFrame
     started_at: float
     candidates: list[str]
-    asked_by: str = ""
+    is_for_authority: bool = False
 
 
-class RecoveryBook:
+class FlowRecovery:
     """Recoveries in progress by flow key."""
 
-    def __init__(self) -> None:
+    def __init__(self, context: FlowContext) -> None:
+        self._context = context
         self._pending_by_key: dict[bytes, PendingRecovery] = {}
 
-    def __len__(self) -> int:
-        return len(self._pending_by_key)
-
-    def start(self, key: bytes, recovery: PendingRecovery) -> None:
-        """Record a recovery; the newest packet is the one that is passed on."""
-        self._pending_by_key[key] = recovery
-
-    def find(self, key: bytes) -> PendingRecovery | None:
-        """Return the recovery of a flow, if one is in progress."""
-        return self._pending_by_key.get(key)
-
-    def finish(self, key: bytes) -> PendingRecovery | None:
-        """End a recovery and return it."""
-        return self._pending_by_key.pop(key, None)
+    def start(
+        self,
+        frame: DataFrame,
+        key: bytes,
+        candidates: list[str],
+        *,
+        is_for_authority: bool = False,
+    ) -> None:
+        """Ask the own server first, where this incarnation may have forgotten the flow."""
+        context = self._context
+        if key[-1] != ip.TCP or ip.tcp_flags(frame.packet) & ip.RST:
+            context.counters["dropped_unknown_flow"] += 1
+            return
+        pending = PendingRecovery(frame, context.now, candidates, is_for_authority)
+        if not context.authority.has_lost_memory or context.view.is_out_of_service:
+            self._ask_next(pending, key)
+            return
+        self._pending_by_key[key] = pending
+        context.counters["recoveries_started"] += 1
+        context.packets.deliver(frame.packet)
+
+    def on_reset(self, key: bytes) -> None:
+        """The own server does not have the connection: swallow its RST and go on."""
+        pending = self._pending_by_key.pop(key, None)
+        if pending is not None:
+            self._ask_next(pending, key)
+
+    def on_answer(self, key: bytes) -> None:
+        """The own server has the connection."""
+        self._pending_by_key.pop(key, None)
 
     def expire(self, now: float) -> None:
         """Forget recoveries without an answer; the caller's next packet starts another."""
         for key, pending in list(self._pending_by_key.items()):
             if now - pending.started_at > RECOVERY_LIMIT_S:
                 del self._pending_by_key[key]
+
+    def _ask_next(self, pending: PendingRecovery, key: bytes) -> None:
+        context = self._context
+        if pending.is_for_authority:
+            context.return_rejected(pending.frame)
+            return
+        if not context.authority.is_authority(pending.frame.bucket):
+            context.counters["dropped_unknown_flow"] += 1
+            return
+        if not pending.candidates:
+            context.counters["unknown_flows_reset"] += 1
+            context.reset_caller(pending.frame.packet)
+            return
+        candidate = pending.candidates.pop(0)
+        context.directory.add_remote(pending.frame.bucket, key, candidate, context.now)
+        context.forward(candidate, pending.frame, gue.MARK_DELIVER)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -258,13 +258,13 @@
 
     def _check_isolation(self) -> None:
         limit_s = self._section.isolated_stop_s
-        if limit_s <= 0 or self._router.config is None:
+        if limit_s <= 0 or self._router.view.config is None:
             return
         is_isolated = time.monotonic() - self._heard_at > limit_s
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
             logger.warning("isolated: service ends" if is_isolated else "service goes on")
-            self._router.set_isolated(is_isolated)
+            self._router.set_isolated(is_isolated, time.monotonic())
 
     async def _gossip_forever(self) -> None:
         while True:
