Run each call between processes in a task of its own

When a connection is lost, the gRPC library cancels the calling task and leaves its count of cancellations at 1; the caller's next timeout then takes itself for cancelled from outside. A node's pull loop could have ended silently in the same way. Change: the call runs in its own task. Result: a test with a connection cut under a call fails before and passes after.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -9,7 +10,6 @@
 from typing import Generic
 from typing import TypeVar
 
-import anyio
 import msgspec
 from grpclib.client import Channel
 from grpclib.client import UnaryUnaryMethod
@@ -30,6 +30,8 @@
 Reply = TypeVar("Reply")
 
 CALL_TIMEOUT_S = 3.0
+
+_CALL_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 SERVICE_PATH = "/wagtailkeel.Node/"
 
 
@@ -152,14 +154,26 @@
         unary: UnaryUnaryMethod[Request, Reply] = UnaryUnaryMethod(
             channel, method.path, method.request_type, method.reply_type
         )
+        # A task of its own: when a connection is lost, the library cancels the calling task and
+        # leaves its count of cancellations raised, which would end the caller's next timeout.
+        task = asyncio.create_task(unary(request))
+        try:
+            await asyncio.wait({task}, timeout=timeout_s)
+        finally:
+            is_answered = task.done()
+            task.cancel()
+            task.add_done_callback(_forget_outcome)
+        where = f"{method.name} at {address[0]}:{address[1]}"
+        if not is_answered:
+            self._drop(address, channel)
+            raise RpcError(f"{where}: no answer within {timeout_s:g} s")
         try:
-            with anyio.fail_after(timeout_s):
-                reply = await unary(request)
-        except (GRPCError, ProtocolError, StreamTerminatedError, OSError) as error:
+            reply = task.result()
+        except (*_CALL_ERRORS, asyncio.CancelledError) as error:
             self._drop(address, channel)
-            raise RpcError(f"{method.name} at {address[0]}:{address[1]}: {error!r}") from error
+            raise RpcError(f"{where}: {error!r}") from error
         if reply is None:
-            raise RpcError(f"{method.name} at {address[0]}:{address[1]}: empty answer")
+            raise RpcError(f"{where}: empty answer")
         return reply
 
     def _drop(self, address: tuple[str, int], channel: Channel) -> None:
@@ -172,3 +186,9 @@
         """Close all connections."""
         for address, channel in list(self._channels_by_address.items()):
             self._drop(address, channel)
+
+
+def _forget_outcome(task: asyncio.Task[Any]) -> None:
+    """Mark the outcome of an abandoned call as seen, so that it is not reported as lost."""
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/tests/transport/test_rpc.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import unittest
+
+import anyio
+
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcError
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport.methods import PULL
+
+HOST = "127.0.0.1"
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class RpcTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.port = free_port()
+        self.client = RpcClient(HOST)
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+
+    async def answer(self, request: PullRequest) -> PullReply:
+        if request.since < 0:
+            await asyncio.sleep(60)
+        return PullReply()
+
+    async def start_server(self) -> RpcServer:
+        server = RpcServer({PULL: self.answer})
+        await server.start(HOST, self.port)
+        return server
+
+    async def call(self, since: int, timeout_s: float = 5.0) -> PullReply:
+        return await self.client.call((HOST, self.port), PULL, PullRequest(since), timeout_s)
+
+    async def test_call(self) -> None:
+        server = await self.start_server()
+        self.assertEqual(await self.call(0), PullReply())
+        await server.close()
+
+    async def test_no_server_and_no_answer_are_errors(self) -> None:
+        with self.assertRaises(RpcError):
+            await self.call(0)
+        server = await self.start_server()
+        with self.assertRaises(RpcError):
+            await self.call(-1, timeout_s=0.05)
+        self.assertEqual(await self.call(0), PullReply())
+        await server.close()
+
+    async def test_lost_connection_leaves_the_caller_uncancelled(self) -> None:
+        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(hang_up, HOST, self.port)
+        self.assertEqual(await self.lose_connection(), 0)
+        server.close()
+
+    async def lose_connection(self) -> int:
+        with contextlib.suppress(RpcError):
+            await self.call(-1)
+        with anyio.move_on_after(0.01):
+            await anyio.sleep(60)
+        task = asyncio.current_task()
+        return task.cancelling() if task else -1
+
+
+if __name__ == "__main__":
+    unittest.main()
