Shorten the paths that packets of known flows take

Change: headers are read by one unpack, packets of known flows need no frame object, counters of packets are plain integers; medians and the round trip are in the dump.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -51,6 +51,11 @@
             return 0
         return round(self._slots * CAPACITY_UNITS_PER_SLOT_S / service_s)
 
+    @property
+    def times(self) -> ServiceTimes:
+        """What was learned of response times, for dumps."""
+        return self._times
+
     def allows_start(self) -> bool:
         """Tell whether a new flow may start."""
         return self.in_flight < int(self.limit)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -146,6 +146,16 @@
 
     # Packets from balancers and agents
 
+    def deliver_known(self, packet: bytes, hops: int, now: float) -> bool:
+        """Deliver a packet of a flow of the own server; False for any other: see on_frame."""
+        flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
+        if flow is None or self.view.is_out_of_service:
+            return False
+        if hops:
+            self._counters[f"delivered_after_{hops}_hops"] += 1
+        self.local.on_inbound(flow, packet, now)
+        return True
+
     def on_frame(self, frame: DataFrame, now: float) -> None:
         """Route one packet that travels from a caller to a server."""
         self._context.now = now
@@ -161,9 +171,7 @@
             self._give_up(flow)
             self._context.reset_caller(frame.packet)
             return
-        if frame.hops:
-            self._counters[f"delivered_after_{frame.hops}_hops"] += 1
-        self.local.on_inbound(flow, frame.packet, now)
+        self.deliver_known(frame.packet, frame.hops, now)
 
     def _give_up(self, flow: LocalFlow) -> None:
         """End a flow of a data centre that is out of service.
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -29,6 +29,8 @@
 SWEEP_INTERVAL_S = 5.0
 SWEEP_FLOWS_PER_TICK = 2_000
 
+_CONNECTION_FLAGS = ip.RST | ip.SYN | ip.FIN
+
 
 class LocalFlows:
     """Accounts for every packet of the flows on the own server."""
@@ -87,20 +89,25 @@
             self._expect_answer(flow, packet, now)
             self._outbox.deliver(packet)
             return
+        self._outbox.deliver(packet)
         offset = ip.transport_offset(packet)
         flags = packet[offset + 13]
-        self._outbox.deliver(packet)
+        if flags & _CONNECTION_FLAGS:
+            self._track_connection(flow, flags)
         if flags & ip.RST:
-            self.close(flow)
             return
-        if flags & ip.FIN:
-            flow.has_inbound_fin = True
-        if flags & ip.SYN:
-            flow.has_inbound_fin = flow.has_outbound_fin = False
         has_payload = len(packet) > offset + (packet[offset + 12] >> 4) * 4
         if has_payload or flags & ip.SYN:
             self._expect_answer(flow, packet, now)
 
+    def _track_connection(self, flow: LocalFlow, flags: int) -> None:
+        if flags & ip.RST:
+            self.close(flow)
+        elif flags & ip.SYN:
+            flow.has_inbound_fin = flow.has_outbound_fin = False
+        else:
+            flow.has_inbound_fin = True
+
     def _expect_answer(self, flow: LocalFlow, packet: bytes, now: float) -> None:
         flow.unanswered_packets += 1
         flow.last_packet = packet
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -50,6 +50,16 @@
         response_s = sum(t.frequency * t.median_s for t in working) / weight
         return max(response_s - self._round_trip_s, MIN_SERVICE_S)
 
+    @property
+    def round_trip_s(self) -> float:
+        """Median time to the server and back, without work."""
+        return self._round_trip_s
+
+    @property
+    def medians_by_class(self) -> dict[str, float]:
+        """Median response times in seconds."""
+        return {name: times.median_s for name, times in self._times_by_class.items()}
+
     def baseline_s(self, class_name: str) -> float:
         """Return the median response of a class; infinity before the first answer."""
         times = self._times_by_class.get(class_name)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -80,6 +80,13 @@
     return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, marks, hops, token_epoch)
 
 
+def peek_marks_and_hops(datagram: bytes) -> tuple[int, int]:
+    """Return marks and hops of a data datagram; anything else counts as rejected."""
+    if len(datagram) < HEADER_BYTES or datagram[0] != _PRIVATE_WORDS:
+        return MARK_REJECTED, 0
+    return datagram[4], datagram[5]
+
+
 def is_control(datagram: bytes) -> bool:
     """Tell whether a datagram carries a control message."""
     return datagram[:1] == b"\x20"
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import struct
+
 from wagtailkeel_protocol.malformed import Malformed
 
 TCP = 6
@@ -23,22 +25,26 @@
 _TCP_HEADER_BYTES = 20
 _UDP_HEADER_BYTES = 8
 _FRAGMENT_MASK = 0x3FFF
+_IPV4_START = struct.Struct("!BxHxxHxB").unpack_from
 
 
 def parse_flow_key(packet: bytes) -> bytes | Malformed:
     """Return the key of a packet that travels from caller to server, or why there is none."""
-    if len(packet) < 28:
+    size = len(packet)
+    if size < 28:
         return Malformed.TRUNCATED
-    if packet[0] == 0x45:
-        protocol = packet[9]
-        if (packet[6] << 8 | packet[7]) & _FRAGMENT_MASK:
-            return Malformed.FRAGMENTED
-        if (packet[2] << 8 | packet[3]) != len(packet):
-            return _length_fault(packet[2] << 8 | packet[3], len(packet))
-        if protocol == UDP or (protocol == TCP and len(packet) >= 40):
-            return packet[12:24] + packet[9:10]
-        return Malformed.TRUNCATED if protocol == TCP else Malformed.FOREIGN
-    return _parse_uncommon(packet)
+    version, total, fragment, protocol = _IPV4_START(packet)
+    if version != 0x45:
+        return _parse_uncommon(packet)
+    if fragment & _FRAGMENT_MASK:
+        return Malformed.FRAGMENTED
+    if total != size:
+        return _length_fault(total, size)
+    if protocol == TCP:
+        return packet[12:24] + b"\x06" if size >= 40 else Malformed.TRUNCATED
+    if protocol == UDP:
+        return packet[12:24] + b"\x11"
+    return Malformed.FOREIGN
 
 
 def _parse_uncommon(packet: bytes) -> bytes | Malformed:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -31,6 +31,7 @@
             self._socket.close()
             raise BindError(host, port, error) from error
         self.send_failures = 0
+        self._sendto = self._socket.sendto
 
     @property
     def port(self) -> int:
@@ -41,7 +42,7 @@
     def send(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Send without waiting; a datagram that can't be sent is counted and lost."""
         try:
-            self._socket.sendto(datagram, address)
+            self._sendto(datagram, address)
         except OSError:
             self.send_failures += 1
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -202,11 +202,16 @@
         if gue.is_control(datagram):
             self._on_control(datagram)
             return
+        # Most packets belong to flows of the own server: they need no frame.
+        marks, hops = gue.peek_marks_and_hops(datagram)
+        if not marks & gue.MARK_REJECTED and not self._instance.stateless:
+            packet = datagram[gue.HEADER_BYTES :]
+            if self._router.deliver_known(packet, hops, time.monotonic()):
+                return
         frame = gue.decode_frame(datagram)
         if isinstance(frame, Malformed):
             self.metrics.counters[f"dropped_{frame.value}"] += 1
             return
-        self.metrics.counters["packets_received"] += 1
         if self._instance.stateless:
             self._outbox.deliver(frame.packet)
             return
@@ -304,6 +309,8 @@
     async def _dump(self, request: DumpRequest) -> DumpReply:
         router = self._router
         authority = router.authority
+        self.metrics.counters["packets_delivered"] = self._outbox.delivered_packets
+        self.metrics.counters["packets_returned"] = self._outbox.returned_packets
         now = time.monotonic()
         return build_dump(
             {
@@ -329,6 +336,11 @@
                 "is_cold": router.limiter.is_cold,
                 "cold_events": router.limiter.cold_events,
                 "capacity": router.limiter.capacity,
+                "round_trip_ms": router.limiter.times.round_trip_s * 1_000,
+                "median_ms_by_class": {
+                    name: median_s * 1_000
+                    for name, median_s in router.limiter.times.medians_by_class.items()
+                },
                 "share": self.store.configuration.share_of(self._section.server_id),
                 "peers": sorted(router.peers.loads_by_id),
                 "send_failures": self._endpoint.send_failures,
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent_outbox.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent_outbox.py
@@ -27,6 +27,8 @@
         server_endpoint: UdpEndpoint,
         counters: Counters,
     ) -> None:
+        self.delivered_packets = 0
+        self.returned_packets = 0
         self._address_book = address_book
         self._peer_endpoint = peer_endpoint
         self._server_endpoint = server_endpoint
@@ -36,12 +38,12 @@
 
     def deliver(self, packet: bytes) -> None:
         """Hand a packet to the own server."""
-        self._counters["packets_delivered"] += 1
+        self.delivered_packets += 1
         self._server_endpoint.send(packet, self._server_address)
 
     def reply(self, packet: bytes) -> None:
         """Send a packet towards its caller."""
-        self._counters["packets_returned"] += 1
+        self.returned_packets += 1
         self._server_endpoint.send(packet, self._gateway_address)
 
     def forward(self, server_id: str, frame: DataFrame) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -65,6 +65,7 @@
         self._tables = TableBuilder(
             settings.instance.data_centre, is_plain=settings.instance.stateless
         )
+        self._forwarded_packets = 0
         self._changed = anyio.Event()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
@@ -125,9 +126,8 @@
 
     def _on_packet(self, packet: bytes) -> None:
         key = parse_flow_key(packet)
-        counters = self.metrics.counters
         if isinstance(key, Malformed):
-            counters[f"dropped_{key.value}"] += 1
+            self.metrics.counters[f"dropped_{key.value}"] += 1
             return
         if len(key) == IPV4_KEY_BYTES:
             route = self._routes_by_endpoint.get(key[4:8] + key[10:])
@@ -136,18 +136,18 @@
             route = self._routes_by_endpoint.get(endpoint_of(key))
             prefix = PREFIX_IPV6
         if route is None:
-            counters["dropped_unknown_class"] += 1
+            self.metrics.counters["dropped_unknown_class"] += 1
             return
         if not route.addresses:
-            counters["dropped_no_server"] += 1
+            self.metrics.counters["dropped_no_server"] += 1
             return
         bucket = xxhash.xxh3_64_intdigest(key) % len(route.positions)
         address = route.addresses[route.positions[bucket]]
         if address is None:
-            counters["dropped_no_server"] += 1
+            self.metrics.counters["dropped_no_server"] += 1
             return
         self._endpoint.send(prefix + BUCKET_BYTES[bucket] + route.suffix + packet, address)
-        counters["packets_forwarded"] += 1
+        self._forwarded_packets += 1
 
     # Configuration
 
@@ -198,6 +198,7 @@
         return self.store.answer_pull(request.since)
 
     async def _dump(self, request: DumpRequest) -> DumpReply:
+        self.metrics.counters["packets_forwarded"] = self._forwarded_packets
         return build_dump(
             {
                 "role": "balancer",
