--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
@@ -22,7 +22,7 @@
     client = console.client()
     try:
         behind = client.run(lambda: client.wait_in_force(wait)) if wait is not None else []
-        reply = console.client().run(console.client().status)
+        reply = client.run(client.status)
     except ControlUnreachableError as error:
         console.fail(ExitCode.UNREACHABLE, str(error))
     console.print(reply, format_status(reply))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -12,7 +12,6 @@
 
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
-from wagtailkeel.roles.control.formation import decide_formation
 from wagtailkeel.roles.control.pending_proposals import PendingProposals
 from wagtailkeel.roles.control.raft_disk import RaftDisk
 from wagtailkeel.roles.metrics import Metrics
@@ -23,6 +22,7 @@
 from wagtailkeel_coordination.membership import is_current
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
+from wagtailkeel_coordination.raft.formation import decide_formation
 from wagtailkeel_coordination.shares import SHARE_INTERVAL_S
 from wagtailkeel_coordination.shares import plan_shares
 from wagtailkeel_protocol.codec import decode_datagram
--- /dev/null
+++ b/tests/integration/test_console.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from click.testing import CliRunner
+
+from wagtailkeel.console.application import main
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel_bench.deployment import SMALL
+from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.site import Site
+from wagtailkeel_bench.site import make_folder
+
+WINDOW = ("--start", "2040-01-10T01:00+05:30", "--end", "2040-01-10T03:00+05:30")
+UDP = ("--protocol", "udp", "--target", "p99<1000ms")
+SHORT = ("--deadline", "1")
+
+
+class ConsoleTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.site = Site(Deployment(SMALL, make_folder(), 1, is_stateless=False))
+        await self.site.start()
+        control = self.site.deployment.of_role("control")[0]
+        self.control = f"{control.proxy_host}:{control.ports['rpc_port']}"
+
+    async def asyncTearDown(self) -> None:
+        await self.site.stop()
+
+    async def run_command(self, *arguments: str) -> tuple[int, str]:
+        options = ["--control", self.control, "--author", "ann", *arguments]
+        result = await asyncio.to_thread(CliRunner().invoke, main, options)
+        return result.exit_code, result.output
+
+    async def run_json(self, *arguments: str) -> Any:
+        status, output = await self.run_command("--output", "json", *arguments)
+        self.assertEqual(status, ExitCode.DONE, output)
+        return json.loads(output)
+
+    async def test_commands(self) -> None:
+        created = await self.run_json("service", "create", "sheet-office", "--wait")
+        table: list[tuple[tuple[str, ...], ExitCode, str]] = [
+            (("service", "create", "sheet-office"), ExitCode.REJECTED, "exists already"),
+            (
+                ("service", "create", "x", "--expect-version", str(created["index"] - 1)),
+                ExitCode.CONFLICT,
+                "by ann",
+            ),
+            (
+                ("class", "create", "sheet-office", "sheet", *UDP, "--wait"),
+                ExitCode.DONE,
+                "created",
+            ),
+            (("class", "target", "sheet-office", "sheet", "quick"), ExitCode.USAGE, "p99<200ms"),
+            (("class", "target", "sheet-office", "sheet", "p95<90ms"), ExitCode.DONE, "p95<90ms"),
+            (("server", "drain", "marshal-desk-1", "--wait"), ExitCode.DONE, "draining"),
+            (("server", "drain", "marshal-desk-1"), ExitCode.REJECTED, "already"),
+            (("server", "restore", "marshal-desk-1"), ExitCode.DONE, "serving"),
+            (("datacentre", "out", "atlantis"), ExitCode.REJECTED, "not known"),
+            (("datacentre", "out", "surat", "--wait"), ExitCode.DONE, "out of service"),
+            (("datacentre", "back", "surat"), ExitCode.DONE, "in service"),
+            (
+                ("booking", "create", "datacentre-out", "surat", "--id", "one", *WINDOW),
+                ExitCode.DONE,
+                "accepted",
+            ),
+            (
+                ("booking", "create", "datacentre-out", "surat", "--id", "two", *WINDOW),
+                ExitCode.REJECTED,
+                "booking one by ann",
+            ),
+            (("booking", "create", "datacentre-out", "surat"), ExitCode.USAGE, "--start"),
+            (("booking", "show", "one"), ExitCode.DONE, "2040-01-09 19:30:00 UTC"),
+            (("booking", "calendar"), ExitCode.DONE, "2040-01-09"),
+            (("booking", "cancel", "one"), ExitCode.DONE, "cancelled"),
+            (("booking", "cancel", "one"), ExitCode.REJECTED, "cancelled already"),
+            (("booking", "list"), ExitCode.DONE, "cancelled"),
+            (("status",), ExitCode.DONE, "data centre surat: in-service"),
+            (("servers",), ExitCode.DONE, "marshal-desk-2"),
+            (("dump", "nobody"), ExitCode.UNREACHABLE, "no instance nobody"),
+        ]
+        for arguments, expected, text in table:
+            with self.subTest(" ".join(arguments)):
+                status, output = await self.run_command(*arguments)
+                self.assertEqual(status, expected, output)
+                self.assertIn(text, output)
+
+    async def test_resend_and_status(self) -> None:
+        change = ("class", "target", "marshal-desk", "feed", "held<999", "--command-id", "same")
+        first = await self.run_json(*change)
+        again = await self.run_json(*change)
+        self.assertEqual(first, again)
+        waited = await self.run_json("status", "--wait", str(first["index"]))
+        self.assertEqual([n for n in waited["nodes"] if n["version"] < first["index"]], [])
+        dump = await self.run_json("dump", "marshal-desk-2")
+        self.assertEqual(dump["role"], "agent")
+        self.assertGreaterEqual(dump["version"], first["index"])
+
+    async def test_without_control(self) -> None:
+        await self.site.kill_instance("control-1")
+        for arguments in ((*SHORT, "status"), (*SHORT, "servers")):
+            self.assertEqual((await self.run_command(*arguments))[0], ExitCode.UNREACHABLE)
+        status, output = await self.run_command(*SHORT, "service", "create", "late")
+        self.assertEqual(status, ExitCode.UNKNOWN, output)
+        self.assertIn("--command-id", output)
+
+
+if __name__ == "__main__":
+    unittest.main()
