Keep members by service; stop sending to a data centre before its tables are built

Change: each service lists its servers; only services with a server there get a new table; routes drop the servers of a data centre that is out at once, and only changed routes are built.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -10,9 +10,9 @@
 
 if TYPE_CHECKING:
     from wagtailkeel_coordination.agent_identity import AgentIdentity
-    from wagtailkeel_coordination.service_view import ServiceClass
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_state.server_member import ServerMember
+    from wagtailkeel_state.traffic_class import TrafficClass
 
 NEVER_JOINED = 2**31
 
@@ -22,7 +22,7 @@
 
     def __init__(self, identity: AgentIdentity) -> None:
         self.config: Configuration | None = None
-        self.classes_by_endpoint: dict[bytes, ServiceClass] = {}
+        self.classes_by_endpoint: dict[bytes, TrafficClass] = {}
         self.own_endpoint = b""
         self.bucket_count = 0
         self.is_out_of_service = False
@@ -57,14 +57,9 @@
     def update(self, config: Configuration, now: float) -> None:
         """Adopt a newer configuration."""
         self.config = config
-        self.classes_by_endpoint = index_classes(config)
-        own_endpoints = (
-            endpoint
-            for endpoint, found in self.classes_by_endpoint.items()
-            if found.service == self._identity.service
-        )
-        self.own_endpoint = next(own_endpoints, b"")
         service = config.services_by_name.get(self._identity.service)
+        self.classes_by_endpoint = index_classes(service) if service else {}
+        self.own_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
         self.refresh(now)
 
@@ -91,14 +86,10 @@
         known = (self.own_member, self.config.former_members_by_id.get(self.own_id))
         return any(found is not None and found.boot_id not in self._boot_ids for found in known)
 
-    def find_class(self, key: bytes) -> ServiceClass | None:
-        """Return the class that a flow belongs to, of whatever service."""
+    def find_class(self, key: bytes) -> TrafficClass | None:
+        """Return the class of the own service that a flow belongs to."""
         return self.classes_by_endpoint.get(endpoint_of(key))
 
-    def is_own_class(self, found: ServiceClass) -> bool:
-        """Tell whether a class belongs to the own server's service."""
-        return found.service == self._identity.service
-
     def find_member(self, server_id: str) -> ServerMember | None:
         """Return a server's membership entry."""
         return self.config.servers_by_id.get(server_id) if self.config else None
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -186,18 +186,18 @@
         if frame.hops > gue.MAX_HOPS:
             self._counters["dropped_hop_limit"] += 1
             return
-        found = self.view.find_class(key)
-        if found is None or not self.view.is_own_class(found):
-            cause = "dropped_unknown_class" if found is None else "dropped_other_service"
-            self._counters[cause] += 1
+        traffic_class = self.view.find_class(key)
+        if traffic_class is None:
+            # Of another service, or of a class that is not known here yet.
+            self._counters["dropped_unknown_class"] += 1
             return
         if hash_flow(key) % self.view.bucket_count != frame.bucket:
             self._counters["dropped_wrong_bucket"] += 1
             return
         if frame.marks & gue.MARK_DELIVER:
-            self._on_delivery(frame, key, found.traffic_class)
+            self._on_delivery(frame, key, traffic_class)
         elif self.authority.is_authority(frame.bucket):
-            self._decide(frame, key, found.traffic_class)
+            self._decide(frame, key, traffic_class)
         else:
             self._pass_to_authority(frame, key)
 
@@ -263,10 +263,10 @@
 
     def _adopt(self, frame: DataFrame, key: bytes) -> None:
         """The records say that the own server has the flow, but this incarnation forgot it."""
-        found = self.view.find_class(key)
-        if found is not None:
+        traffic_class = self.view.find_class(key)
+        if traffic_class is not None:
             self._counters["flows_adopted"] += 1
-            self._context.open_and_deliver(frame, key, found.traffic_class)
+            self._context.open_and_deliver(frame, key, traffic_class)
 
     # Delivery to the own server, as another authority asks
 
@@ -337,15 +337,15 @@
             self._recovery.on_reset(key)
             return
         self._recovery.on_answer(key)
-        found = self.view.find_class(key)
-        if found is None or not self.view.is_own_class(found):
-            self._counters["dropped_reply_foreign"] += 1
+        traffic_class = self.view.find_class(key)
+        if traffic_class is None:
+            self._counters["dropped_reply_unknown_class"] += 1
             return
         if key[-1] != ip.TCP or self.authority.has_lost_memory:
             self._counters["flows_adopted"] += 1
             bucket = hash_flow(key) % self.view.bucket_count
             now = self._context.now
-            flow = self.local.open(key, bucket, found.traffic_class, now)
+            flow = self.local.open(key, bucket, traffic_class, now)
             self.local.on_outbound(flow, packet, now)
         # Otherwise the flow was closed here, and its last packets still go out.
         self._packets.reply(packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wagtailkeel_coordination.service_view import ServiceClass
     from wagtailkeel_state.flow_directory import FlowDirectory
     from wagtailkeel_state.remote_flow import RemoteFlow
+    from wagtailkeel_state.traffic_class import TrafficClass
 
 REFUSAL_MEMORY_S = 15.0
 CLOSING_LINGER_S = 30.0
@@ -26,7 +26,7 @@
         self._directory = directory
         self._swept_at = float("-inf")
 
-    def tick(self, classes_by_endpoint: Mapping[bytes, ServiceClass], now: float) -> None:
+    def tick(self, classes_by_endpoint: Mapping[bytes, TrafficClass], now: float) -> None:
         """Sweep when due."""
         if now - self._swept_at < SWEEP_INTERVAL_S:
             return
@@ -38,11 +38,11 @@
 
 
 def _limit_s(
-    key: bytes, flow: RemoteFlow, classes_by_endpoint: Mapping[bytes, ServiceClass]
+    key: bytes, flow: RemoteFlow, classes_by_endpoint: Mapping[bytes, TrafficClass]
 ) -> float:
     if flow.is_refused:
         return REFUSAL_MEMORY_S
     if flow.is_closing:
         return CLOSING_LINGER_S
     found = classes_by_endpoint.get(endpoint_of(key))
-    return found.traffic_class.idle_limit_s if found else DEFAULT_IDLE_LIMIT_S
+    return found.idle_limit_s if found else DEFAULT_IDLE_LIMIT_S
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -52,8 +52,8 @@
 
     def members_of(self, service: str) -> list[ServerMember]:
         """Return all members of a service, in the order of their ids."""
-        found = [m for m in self.servers_by_id.values() if m.service == service]
-        return sorted(found, key=lambda member: member.server_id)
+        found = self.services_by_name.get(service)
+        return [self.servers_by_id[key] for key in found.server_ids] if found else []
 
     def share_of(self, server_id: str) -> int:
         """Return a server's quota weight; 0 for one that is no member."""
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from functools import singledispatch
 
 import msgspec
@@ -99,10 +100,16 @@
         del answers[next(iter(answers))]
 
 
-def _touch_tables(config: Configuration, index: int, service: str | None = None) -> None:
-    for name, found in config.services_by_name.items():
-        if service is None or name == service:
-            found.table_epoch = index
+def _touch_table(config: Configuration, index: int, service: str) -> None:
+    found = config.services_by_name.get(service)
+    if found is not None:
+        found.table_epoch = index
+
+
+def _touch_tables_of_data_centre(config: Configuration, index: int, name: str) -> None:
+    """Only services with a server there get a new table: the others' owners stay as they are."""
+    for service in {m.service for m in config.servers_by_id.values() if m.data_centre == name}:
+        _touch_table(config, index, service)
 
 
 @singledispatch
@@ -127,8 +134,9 @@
     config.services_by_name[command.name] = Service(
         command.name,
         command.address,
-        classes_by_name={},
-        shares_by_server_id={},
+        server_ids=sorted(
+            key for key, m in config.servers_by_id.items() if m.service == command.name
+        ),
         table_epoch=entry.index,
     )
     return None
@@ -175,7 +183,7 @@
         found.region = command.region
     else:
         config.data_centres_by_name[command.name] = DataCentre(command.name, command.region)
-    _touch_tables(config, entry.index)
+    _touch_tables_of_data_centre(config, entry.index, command.name)
     return None
 
 
@@ -195,7 +203,7 @@
         return f"data centre {command.name} is the last one in service"
     found.state = command.state
     found.state_index = entry.index
-    _touch_tables(config, entry.index)
+    _touch_tables_of_data_centre(config, entry.index, command.name)
     return None
 
 
@@ -211,7 +219,7 @@
         return f"server {command.server_id} is the last one serving {member.service}"
     member.state = ServerState.DRAINING
     member.drain_deadline_s = command.deadline_s
-    _touch_tables(config, entry.index, member.service)
+    _touch_table(config, entry.index, member.service)
     return None
 
 
@@ -223,7 +231,7 @@
     if member.state is ServerState.SERVING:
         return f"server {command.server_id} is serving already"
     member.state = ServerState.SERVING
-    _touch_tables(config, entry.index, member.service)
+    _touch_table(config, entry.index, member.service)
     return None
 
 
@@ -239,7 +247,10 @@
             member.drain_deadline_s = earlier.drain_deadline_s
         _retain_former_member(config, earlier.server_id, entry.index)
     config.servers_by_id[member.server_id] = member
-    _touch_tables(config, entry.index, member.service)
+    service = config.services_by_name.get(member.service)
+    if service is not None and earlier is None:
+        insort(service.server_ids, member.server_id)
+    _touch_table(config, entry.index, member.service)
     return None
 
 
@@ -250,7 +261,7 @@
         return f"server {command.server_id} with boot id {command.boot_id} is not a member"
     if member.state is ServerState.SERVING:
         member.state = ServerState.AGENT_STOPPING
-        _touch_tables(config, entry.index, member.service)
+        _touch_table(config, entry.index, member.service)
     return None
 
 
@@ -267,7 +278,10 @@
         return f"server {command.server_id} with boot id {command.boot_id} is not a member"
     _retain_former_member(config, command.server_id, entry.index)
     del config.servers_by_id[command.server_id]
-    _touch_tables(config, entry.index, member.service)
+    service = config.services_by_name.get(member.service)
+    if service is not None:
+        service.server_ids.remove(command.server_id)
+    _touch_table(config, entry.index, member.service)
     return None
 
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
@@ -10,12 +10,16 @@
 
 
 class Service(msgspec.Struct):
-    """A service has one address and several classes; ``shares_by_server_id`` are quota weights."""
+    """A service has one address, several classes and its servers.
+
+    ``shares_by_server_id`` are quota weights; ``table_epoch`` is the log index of the last change
+    that concerns the owner tables.
+    """
 
     name: str
     address: str
     bucket_count: int = DEFAULT_BUCKET_COUNT
     classes_by_name: dict[str, TrafficClass] = {}
+    server_ids: list[str] = []
     shares_by_server_id: dict[str, int] = {}
     table_epoch: int = 0
-    operator_version: int = 0
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -62,6 +62,7 @@
         self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
         self._rpc_client = RpcClient(settings.instance.own_host)
         self._routes_by_endpoint: dict[bytes, ServiceRoute] = {}
+        self._route_versions_by_service: dict[str, tuple[int, int, int]] = {}
         self._tables = TableBuilder(
             settings.instance.data_centre, is_plain=settings.instance.stateless
         )
@@ -159,18 +160,22 @@
             await self._changed.wait()
             self._changed = anyio.Event()
             config = self.store.configuration
+            self._refresh_routes(config)
             await self._tables.refresh(config, list(config.services_by_name))
-            self._routes_by_endpoint = self._build_routes(config)
+            self._refresh_routes(config)
 
-    def _build_routes(self, config: Configuration) -> dict[bytes, ServiceRoute]:
-        routes_by_endpoint: dict[bytes, ServiceRoute] = {}
+    def _refresh_routes(self, config: Configuration) -> None:
+        """Build the routes of services whose table, members or classes have changed."""
         for name, table in self._tables.tables_by_service.items():
             service = config.services_by_name[name]
+            version = (service.table_epoch, table.epoch, len(service.classes_by_name))
+            if self._route_versions_by_service.get(name) == version:
+                continue
+            self._route_versions_by_service[name] = version
             route = ServiceRoute.from_table(table, config)
             for found in service.classes_by_name.values():
                 key = endpoint_key(service.address, found.port, found.protocol.number)
-                routes_by_endpoint[key] = route
-        return routes_by_endpoint
+                self._routes_by_endpoint[key] = route
 
     # Messages
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -29,7 +29,17 @@
 
     @classmethod
     def from_table(cls, table: OwnerTable, config: Configuration) -> ServiceRoute:
-        """Build the route; a server that is no member any more has no address."""
-        members = [config.servers_by_id.get(server_id) for server_id in table.server_ids]
-        addresses = tuple((m.host, m.port) if m is not None else None for m in members)
+        """Build the route.
+
+        A server that is no member any more, or whose data centre is out of service, has no
+        address: nothing is sent there, even before the table without it is built.
+        """
+        addresses = tuple(_find_address(server_id, config) for server_id in table.server_ids)
         return cls(memoryview(table.positions), addresses, gue.header_suffix(table.epoch))
+
+
+def _find_address(server_id: str, config: Configuration) -> Address | None:
+    member = config.servers_by_id.get(server_id)
+    if member is None or not config.is_in_service(member.data_centre):
+        return None
+    return member.host, member.port
