--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -75,7 +75,7 @@
         self.in_flight = max(0, self.in_flight - 1)
         response_s = max(response_s, RESPONSE_FLOOR_S)
         if not was_queued:
-            self._learn(class_name, response_s, target)
+            self._learn(class_name, response_s, target, now)
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
@@ -87,10 +87,10 @@
         """Learn the time that a packet takes to the server and back, without any work."""
         self._times.learn_round_trip(round_trip_s)
 
-    def _learn(self, class_name: str, response_s: float, target: Target) -> None:
+    def _learn(self, class_name: str, response_s: float, target: Target, now: float) -> None:
         # Held flows cost their server little; what they answer says nothing of its speed.
         has_work = target.kind is TargetKind.RESPONSE_TIME
-        is_step = self._times.learn(class_name, response_s, self.is_cold, has_work)
+        is_step = self._times.learn(class_name, response_s, self.is_cold, has_work, now)
         if is_step and not self.is_cold:
             self._turn_cold()
         elif self.limit >= self._slots and self._times.is_near_baseline(class_name, response_s):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -13,6 +13,7 @@
 COLD_STEP = 2.5
 WARM_STEP = 1.5
 COLD_SAMPLES = 3
+COLD_SPAN_S = 0.1
 STEP_FLOOR_S = 0.001
 WINDOW_SAMPLES = 128
 REFRESH_SAMPLES = 8
@@ -51,12 +52,13 @@
 class ClassTimes:
     """One class: its window, its share of the requests, and recent slow answers."""
 
-    __slots__ = ("frequency", "has_work", "slow_streak", "window")
+    __slots__ = ("frequency", "has_work", "slow_since", "slow_streak", "window")
 
     def __init__(self, *, has_work: bool) -> None:
         self.window = MedianWindow()
         self.frequency = 0.0
         self.slow_streak = 0
+        self.slow_since = 0.0
         self.has_work = has_work
 
 
@@ -100,8 +102,13 @@
         """Learn from a probe."""
         self._round_trip.add(round_trip_s)
 
-    def learn(self, class_name: str, response_s: float, is_cold: bool, has_work: bool) -> bool:
-        """Learn from an answer; return whether the last ones are a step above the baseline."""
+    def learn(
+        self, class_name: str, response_s: float, is_cold: bool, has_work: bool, now: float
+    ) -> bool:
+        """Learn from an answer; return whether the last ones are a step above the baseline.
+
+        The step has to last: one stall of a process delays several answers at once.
+        """
         times = self._times_by_class.get(class_name)
         if times is None:
             times = self._times_by_class[class_name] = ClassTimes(has_work=has_work)
@@ -110,8 +117,10 @@
             # What a server answered while it was colder says nothing of its speed.
             times.window.clear()
         if baseline_s and response_s > baseline_s * COLD_STEP + STEP_FLOOR_S:
+            if not times.slow_streak:
+                times.slow_since = now
             times.slow_streak += 1
-            return times.slow_streak >= COLD_SAMPLES
+            return times.slow_streak >= COLD_SAMPLES and now - times.slow_since >= COLD_SPAN_S
         times.slow_streak = 0
         times.window.add(response_s)
         self._count(class_name)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -68,6 +68,13 @@
                 self.assertLess(self.limiter.limit, before)
                 self.assertEqual(self.limiter.is_cold, is_cold)
 
+    def test_one_stall_that_delays_many_answers_is_no_cold_start(self) -> None:
+        self.warm()
+        for _ in range(10):
+            self.limiter.on_start()
+            self.limiter.on_answer("class", USUAL_S * 2.8, WORK, False, self.now)
+        self.assertFalse(self.limiter.is_cold)
+
     def test_answers_without_work_do_not_open_a_cold_server(self) -> None:
         self.answer(0.000_5, 200, HELD)
         self.assertLessEqual(self.limiter.limit, SLOTS)
