Spread pulls over control, pace hints and share changes

Cause: by calculation from slopes: a change told to 14,700 nodes at once would have the leader answer 14,700 pulls of about 0.3 ms each, and 3,800 services could change their shares every 5 s. Change: nodes pull from any control instance; hints go out at most every 100 ms, with what has been committed by then; a round changes the shares of 40 services at most.

--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -10,8 +10,11 @@
 from random import Random
 from typing import Any
 
+import anyio
 import msgspec
 
+from wagtailkeel_bench.deployment import AddressPlan
+from wagtailkeel_bench.deployment import free_port
 from wagtailkeel_coordination import AgentIdentity
 from wagtailkeel_coordination import FlowRouter
 from wagtailkeel_coordination import PlacementLease
@@ -30,6 +33,8 @@
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
 from wagtailkeel_protocol.messages import Load
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_state import Configuration
@@ -46,12 +51,16 @@
 from wagtailkeel_state.commands import CreateClass
 from wagtailkeel_state.commands import CreateService
 from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport.methods import PULL
 
 FLOW_COUNTS = (1_000, 10_000, 50_000, 200_000)
 SERVER_COUNTS = (100, 1_000, 5_000, 13_000)
 SERVERS_PER_SERVICE = 3
 LOOKUPS = 20_000
 REPEATS = 2_000
+CALLS = 500
 BOOT_ID = 2**52
 ADDRESS = "10.90.0.1"
 PORT = 20_000
@@ -78,6 +87,7 @@
         "flows": [_measure_flows(count) for count in FLOW_COUNTS],
         "configuration": [_measure_configuration(count) for count in SERVER_COUNTS],
         "messages": _measure_messages(),
+        "calls": anyio.run(_measure_calls),
         "heartbeats": [_measure_heartbeats(count) for count in SERVER_COUNTS],
     }
 
@@ -251,6 +261,29 @@
     return result
 
 
+async def _measure_calls() -> dict[str, float]:
+    """Time of one pull of one change, client and server in one process together."""
+    change = ChangeTarget(service="desk", name="feed", target=Target.parse("p99<200ms"))
+    entry = LogEntry(7, 1, change, "0123456789abcdef0123456789abcdef", "operator")
+
+    async def answer(request: PullRequest) -> PullReply:
+        return PullReply(entries=[entry])
+
+    host = AddressPlan().next_hosts()[0]
+    port = free_port(host)
+    server = RpcServer({PULL: answer})
+    await server.start(host, port)
+    client = RpcClient(host)
+    await client.call((host, port), PULL, PullRequest(6))
+    started_at = time.perf_counter()
+    for _ in range(CALLS):
+        await client.call((host, port), PULL, PullRequest(6))
+    microseconds = (time.perf_counter() - started_at) * 1e6 / CALLS
+    client.close()
+    await server.close()
+    return {"pull_us_both_ends": round(microseconds, 1)}
+
+
 def _measure_heartbeats(servers: int) -> dict[str, float]:
     config, _ = _fleet(servers)
     membership = Membership(0.0)
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -40,6 +40,7 @@
         self._actions = Actions(self._site, self._operators)
         self._dumps_before: dict[str, Result] = {}
         self._measured_from = 0.0
+        self._call_bytes_before = 0
 
     async def run(self) -> Result:
         """Run all steps and return the figures."""
@@ -80,6 +81,8 @@
             await self._start_feeds(feeds)
         self._dumps_before = await self._site.dumps()
         self._measured_from = time.monotonic()
+        counters = await self._site.network.command("counters")
+        self._call_bytes_before = counters["call_bytes"]
 
     async def _start_feeds(self, feeds: FeedTraffic) -> None:
         expected = await self._site.callers.command("count_open") + feeds.count
@@ -149,6 +152,7 @@
             "server_falls": sum(s.get("falls", 0) for s in servers["servers"].values()),
             "overloads": sum(s.get("overloads", 0) for s in servers["servers"].values()),
             "accepted_changes": self._actions.accepted_changes,
+            "call_bytes_per_node_s": await self._measure_call_bytes(),
             **_measure_imbalance(servers["servers"], callers["feeds_by_server"]),
             **await self._measure_cost(),
             **await self._operators.judge(),
@@ -181,6 +185,14 @@
         ]
         return max(hops, default=0)
 
+    async def _measure_call_bytes(self) -> float:
+        """Bytes of calls between processes, both ways, a node and second."""
+        counters = await self._site.network.command("counters")
+        elapsed_s = time.monotonic() - self._measured_from
+        nodes = len(self._site.deployment.instances_by_name)
+        rate: float = (counters["call_bytes"] - self._call_bytes_before) / elapsed_s / nodes
+        return rate
+
     async def _measure_cost(self) -> Result:
         dumps = await self._site.dumps()
         bytes_by_role: dict[str, list[float]] = {}
--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -54,6 +54,7 @@
         self._balancers_by_name: dict[str, Address] = {}
         self._balancers: list[Address] = []
         self.forwarded = 0
+        self.call_bytes = 0
 
     async def start(self) -> None:
         """Bind all ports."""
@@ -138,6 +139,7 @@
         try:
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._wait_while_cut(sender, to)
+                self.call_bytes += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
@@ -176,7 +178,7 @@
 
     def counters(self) -> dict[str, int]:
         """Return what was forwarded."""
-        return {"forwarded": self.forwarded}
+        return {"forwarded": self.forwarded, "call_bytes": self.call_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -81,6 +81,8 @@
 
 TICK_INTERVAL_S = 0.05
 DUTY_INTERVAL_S = 0.25
+HINT_INTERVAL_S = 0.1
+SHARE_CHANGES_PER_ROUND = 40
 FORMATION_RETRY_S = 0.2
 FORMATION_TIMEOUT_S = 1.0
 RAFT_CALL_TIMEOUT_S = 1.0
@@ -108,6 +110,8 @@
         self._membership = Membership(time.monotonic())
         self._led_term = 0
         self._hinted_version = 0
+        self._hinted_at = float("-inf")
+        self._share_position = 0
         self._shares_planned_at = time.monotonic()
         self._tasks: TaskGroup | None = None
 
@@ -261,10 +265,12 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _send_hints(self) -> None:
-        version = self._store.version
+        version, now = self._store.version, time.monotonic()
         if version == self._hinted_version or not self._raft.is_leader:
             return
-        self._hinted_version = version
+        if now - self._hinted_at < HINT_INTERVAL_S:
+            return
+        self._hinted_version, self._hinted_at = version, now
         datagram = encode_datagram(VersionHint(self._instance_id, version))
         config = self._store.configuration
         for node_id in [*config.servers_by_id, *config.balancers_by_id]:
@@ -343,9 +349,16 @@
             for key, report in self._membership.reports_by_id.items()
             if not report.heartbeat.is_cold
         }
-        for service in list(config.services_by_name):
-            command = plan_shares(config, service, capacities)
+        services = list(config.services_by_name)
+        changes = 0
+        for _ in range(len(services)):
+            if changes >= SHARE_CHANGES_PER_ROUND:
+                # The next round goes on here: every node has to pull each change.
+                return
+            self._share_position = (self._share_position + 1) % len(services)
+            command = plan_shares(config, services[self._share_position], capacities)
             if command is not None:
+                changes += 1
                 self.metrics.counters["share_changes"] += 1
                 self._propose_duty(command)
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -4,6 +4,7 @@
 
 import secrets
 import time
+from random import Random
 from typing import TYPE_CHECKING
 
 import anyio
@@ -75,6 +76,7 @@
         self._lease = lease
         self._metrics = metrics
         self._joined_at = float("inf")
+        self._random = Random()
         self._versions_by_source: dict[str, int] = {}
         self._has_news = anyio.Event()
         self._must_rejoin = anyio.Event()
@@ -187,12 +189,22 @@
             await self._has_news.wait()
             self._has_news = anyio.Event()
             for source, version in list(self._versions_by_source.items()):
-                if version <= self._store.version or not await self._pull_from(source):
+                if version <= self._store.version or not await self._pull_near(source):
                     del self._versions_by_source[source]
             if self._versions_by_source:
+                # Changes that come close together are pulled together.
                 await anyio.sleep(PULL_RETRY_S)
                 self._has_news.set()
 
+    async def _pull_near(self, source: str) -> bool:
+        """Pull from any control instance rather than all from the leader; else from the source."""
+        control_ids = self._address_book.control_ids
+        if source in control_ids:
+            chosen = self._random.choice(control_ids)
+            if chosen != source and await self._pull_from(chosen):
+                return True
+        return await self._pull_from(source)
+
     async def _pull_from(self, source: str) -> bool:
         address = self._address_book.rpc_address(source)
         if address is None:
