--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -250,7 +250,7 @@
     role: str
     data_centre: str
     version: int
-    age_s: float
+    age_s: float | None
     state: str
     service: str = ""
     capacity: int = 0
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -16,6 +16,7 @@
 from wagtailkeel.console.target_type import TARGET
 from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_state.booking import Booking
+from wagtailkeel_state.booking_rules import booking_subject
 from wagtailkeel_state.commands import BookableCommand
 from wagtailkeel_state.commands import CancelBooking
 from wagtailkeel_state.commands import ChangeTarget
@@ -23,7 +24,6 @@
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RestoreServer
 from wagtailkeel_state.commands import SetDataCentreState
-from wagtailkeel_state.configuration_machine import booking_subject
 from wagtailkeel_state.enums import DataCentreState
 from wagtailkeel_state.target import Target
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -12,19 +12,17 @@
 
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.control.leader_duties import LeaderDuties
+from wagtailkeel.roles.control.node_statuses import list_nodes
 from wagtailkeel.roles.control.pending_proposals import PendingProposals
 from wagtailkeel.roles.control.raft_disk import RaftDisk
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel_coordination.address_assignment import assign_addresses
-from wagtailkeel_coordination.booking_clock import find_due_bookings
-from wagtailkeel_coordination.membership import Membership
 from wagtailkeel_coordination.membership import is_current
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft.formation import decide_formation
-from wagtailkeel_coordination.shares import SHARE_INTERVAL_S
-from wagtailkeel_coordination.shares import plan_shares
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
@@ -36,7 +34,6 @@
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
-from wagtailkeel_protocol.messages import NodeStatus
 from wagtailkeel_protocol.messages import PullReply
 from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import StatusReply
@@ -46,7 +43,6 @@
 from wagtailkeel_protocol.raft_messages import FormationReply
 from wagtailkeel_protocol.raft_messages import FormationRequest
 from wagtailkeel_state.commands import CommandAnswer
-from wagtailkeel_state.commands import DefineDataCentre
 from wagtailkeel_state.commands import JoinBalancer
 from wagtailkeel_state.commands import JoinServer
 from wagtailkeel_state.commands import StopAgent
@@ -82,7 +78,6 @@
 TICK_INTERVAL_S = 0.05
 DUTY_INTERVAL_S = 0.25
 HINT_INTERVAL_S = 0.1
-SHARE_CHANGES_PER_ROUND = 40
 FORMATION_RETRY_S = 0.2
 FORMATION_TIMEOUT_S = 1.0
 RAFT_CALL_TIMEOUT_S = 1.0
@@ -107,12 +102,10 @@
         self._address_book = AddressBook(settings.control_instances, self._store)
         self._pending = PendingProposals()
         self._raft = self._build_raft()
-        self._membership = Membership(time.monotonic())
+        self._duties = LeaderDuties.from_settings(section, self.metrics, time.monotonic())
         self._led_term = 0
         self._hinted_version = 0
         self._hinted_at = float("-inf")
-        self._share_position = 0
-        self._shares_planned_at = time.monotonic()
         self._tasks: TaskGroup | None = None
 
     @classmethod
@@ -320,48 +313,13 @@
                 continue
             if self._led_term != self._raft.term:
                 self._led_term = self._raft.term
-                self._membership = Membership(now)
+                self._duties.start_term(now)
                 logger.info("leading term {}", self._raft.term)
             if self._raft.commit_index == self._raft.log.last_index:
-                self._perform_duties(now)
+                for command in self._duties.find_due(self._store.configuration, now, time.time()):
+                    self._propose_duty(command)
             self._raft.admit_learners(now)
 
-    def _perform_duties(self, now: float) -> None:
-        config = self._store.configuration
-        for data_centre in self._section.data_centres:
-            known = config.data_centres_by_name.get(data_centre.name)
-            if known is None or known.region != data_centre.region:
-                command = DefineDataCentre(name=data_centre.name, region=data_centre.region)
-                self._propose_duty(command)
-        for removal in self._membership.find_removals(config, now):
-            logger.warning("removing {}", removal)
-            self._propose_duty(removal)
-        for advance in find_due_bookings(config, time.time()):
-            logger.info("booking {} is {}", advance.booking_id, advance.state.value)
-            self._propose_duty(advance)
-        if now - self._shares_planned_at >= SHARE_INTERVAL_S:
-            self._shares_planned_at = now
-            self._plan_shares(config)
-
-    def _plan_shares(self, config: Configuration) -> None:
-        capacities = {
-            key: report.heartbeat.capacity
-            for key, report in self._membership.reports_by_id.items()
-            if not report.heartbeat.is_cold
-        }
-        services = list(config.services_by_name)
-        changes = 0
-        for _ in range(len(services)):
-            if changes >= SHARE_CHANGES_PER_ROUND:
-                # The next round goes on here: every node has to pull each change.
-                return
-            self._share_position = (self._share_position + 1) % len(services)
-            command = plan_shares(config, services[self._share_position], capacities)
-            if command is not None:
-                changes += 1
-                self.metrics.counters["share_changes"] += 1
-                self._propose_duty(command)
-
     # Messages of nodes
 
     def _on_datagram(self, datagram: bytes) -> None:
@@ -379,7 +337,7 @@
         now = time.monotonic()
         config = self._store.configuration
         is_leader = self._raft.has_read_lease(now)
-        lease_s = self._membership.on_heartbeat(message, config, now) if is_leader else 0.0
+        lease_s = self._duties.membership.on_heartbeat(message, config, now) if is_leader else 0.0
         ack = HeartbeatAck(
             self._instance_id,
             config.index,
@@ -435,42 +393,10 @@
             self._store.version,
             self._raft.leader_id,
             self._raft.has_read_lease(now),
-            self._list_nodes(now),
+            list_nodes(self._store.configuration, self._duties.membership, now),
             self._store.configuration,
         )
 
-    def _list_nodes(self, now: float) -> list[NodeStatus]:
-        config = self._store.configuration
-        nodes = [
-            self._describe(member.server_id, "agent", member.data_centre, member.state.value, now)
-            for member in config.servers_by_id.values()
-        ]
-        for node in nodes:
-            node.service = config.servers_by_id[node.instance_id].service
-        nodes += [
-            self._describe(member.instance_id, "balancer", member.data_centre, "serving", now)
-            for member in config.balancers_by_id.values()
-        ]
-        return sorted(nodes, key=lambda node: node.instance_id)
-
-    def _describe(
-        self, node_id: str, role: str, data_centre: str, state: str, now: float
-    ) -> NodeStatus:
-        report = self._membership.reports_by_id.get(node_id)
-        if report is None:
-            return NodeStatus(node_id, role, data_centre, 0, float("inf"), state)
-        heartbeat = report.heartbeat
-        age_s = now - report.heard_at
-        return NodeStatus(
-            node_id,
-            role,
-            data_centre,
-            heartbeat.version,
-            age_s,
-            state,
-            capacity=heartbeat.capacity,
-        )
-
     async def _dump(self, request: DumpRequest) -> DumpReply:
         raft = self._raft
         return build_dump(
@@ -488,7 +414,7 @@
                 "last_index": raft.log.last_index,
                 "base_index": raft.log.base_index,
                 "has_failed": raft.has_failed,
-                "mass_silence_events": self._membership.mass_silence_events,
+                "mass_silence_events": self._duties.membership.mass_silence_events,
                 "metrics": self.metrics.dump(),
             }
         )
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -37,7 +37,7 @@
     async def run_json(self, *arguments: str) -> Any:
         status, output = await self.run_command("--output", "json", *arguments)
         self.assertEqual(status, ExitCode.DONE, output)
-        return json.loads(output)
+        return json.loads(output, parse_constant=self.fail)
 
     async def test_commands(self) -> None:
         created = await self.run_json("service", "create", "sheet-office", "--wait")
