--- /dev/null
+++ b/tests/integration/test_bad_input.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from collections import Counter
+from random import Random
+
+from wagtailkeel_bench.deployment import SMALL
+from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.site import Site
+from wagtailkeel_bench.site import make_folder
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol.flow_key import endpoint_key
+from wagtailkeel_protocol.packet_builder import build_udp
+
+LIMIT_S = 20.0
+SEED = 7
+GARBAGE_DATAGRAMS = 200
+KEY = bytes([10, 1, 0, 1]) + bytes([10, 90, 0, 1]) + b"\x07\xd0\x4e\x20\x11"
+
+
+def bad_packets() -> dict[str, bytes]:
+    """Return packets by the cause under which they have to be counted."""
+    good = build_udp(KEY, b"body")
+    return {
+        "dropped_truncated": good[:-3],
+        "dropped_oversized": good + b"more",
+        "dropped_fragmented": good[:6] + b"\x20\x00" + good[8:],
+        "dropped_foreign": good[:9] + b"\x2f" + good[10:],
+        "dropped_wrong_version": b"\x95" + good[1:],
+        "dropped_unknown_class": build_udp(KEY[:4] + b"\x0a\x5a\x00\xfe" + KEY[8:], b"body"),
+    }
+
+
+class BadInputTest(unittest.IsolatedAsyncioTestCase):
+    """Bad datagrams are counted by cause and dropped; every task lives on."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = Site(Deployment(SMALL, make_folder(), 1, is_stateless=False))
+        await self.site.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.site.stop()
+
+    async def test_bad_input(self) -> None:
+        packets = bad_packets()
+        await self.site.callers.command("send_raw", packets=[p.hex() for p in packets.values()])
+        self.send_garbage()
+        await self.wait_for_counters("balancer", set(packets))
+        await self.wait_for_counters("agent", {"dropped_undecodable", "dropped_truncated"})
+        await self.wait_for_counters("control", {"dropped_undecodable", "dropped_wrong_version"})
+        await self.site.callers.command(
+            "start_requests",
+            endpoint=endpoint_key("10.90.0.1", 20_001, 17).hex(),
+            rate=20.0,
+            work_ms=1.0,
+            parts=1,
+            is_idempotent=False,
+        )
+        async with asyncio.timeout(LIMIT_S):
+            while "requests_answered" not in await self.report():
+                await asyncio.sleep(0.1)
+
+    async def report(self) -> dict[str, object]:
+        found: dict[str, object] = await self.site.callers.command(
+            "report", lost_servers=[], silenced=[], max_idle_s=1.0
+        )
+        return found
+
+    def send_garbage(self) -> None:
+        random = Random(SEED)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for instance in self.site.deployment.instances_by_name.values():
+                address = (instance.bind_host, instance.ports["port"])
+                for _ in range(GARBAGE_DATAGRAMS):
+                    body = random.randbytes(random.randrange(1, 200))
+                    sender.sendto(body, address)
+                    sender.sendto(gue.CONTROL_PREFIX + body, address)
+                    sender.sendto(b"\x04\x04" + body, address)
+
+    async def wait_for_counters(self, role: str, names: set[str]) -> None:
+        found: Counter[str] = Counter()
+        async with asyncio.timeout(LIMIT_S):
+            while not names <= set(found):
+                await asyncio.sleep(0.1)
+                found = Counter()
+                for dump in (await self.site.dumps(role)).values():
+                    found.update(dump["metrics"]["counters"])
+
+
+if __name__ == "__main__":
+    unittest.main()
