--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -68,6 +68,7 @@
         )
         self._forwarded_packets = 0
         self._changed = anyio.Event()
+        self._has_routes = anyio.Event()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             settings.instance.id,
@@ -100,6 +101,9 @@
                 tasks.start_soon(self._refresh_forever)
                 tasks.start_soon(self._link.run)
                 await self._link.is_joined.wait()
+                # Ready only with the routes of the version of the own join.
+                self._changed.set()
+                await self._has_routes.wait()
                 task_status.started()
         finally:
             self._fabric.close()
@@ -163,6 +167,8 @@
             self._refresh_routes(config)
             await self._tables.refresh(config, list(config.services_by_name))
             self._refresh_routes(config)
+            if self._link.is_joined.is_set():
+                self._has_routes.set()
 
     def _refresh_routes(self, config: Configuration) -> None:
         """Build the routes of services whose table, members or classes have changed."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -36,6 +36,7 @@
 ANNOUNCE_TIMEOUT_S = 3.0
 PULL_TIMEOUT_S = 2.0
 PULL_RETRY_S = 0.2
+VERSION_POLL_S = 0.01
 BOOT_ID_BITS = 53
 
 
@@ -108,6 +109,9 @@
             self.leader_id = control_id
             self._joined_at = time.monotonic()
             self.note_version(control_id, reply.index)
+            while self._store.version < reply.index:
+                # A node serves only with a version at least as new as its own join.
+                await anyio.sleep(VERSION_POLL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
             self.is_joined.set()
             return
