Keep serving flows of an agent that only control can't hear

Cause: by reading: control removes an agent that it does not hear; peers then dropped the packets of its flows and told their callers after 30 s, though server and data path were well. Change: pointers to a former member are followed for 30 s, and it is asked for unknown flows.

--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -49,6 +49,7 @@
             "out": self._take_out,
             "back": self._bring_back,
             "cut": self._cut,
+            "cut-pair": self._cut_pair,
             "cut-one-way": self._cut_one_way,
             "heal": self._heal,
             "cold": self._turn_cold,
@@ -131,6 +132,9 @@
             "cut", senders=[sender], receivers=[receiver], is_one_way=True
         )
 
+    async def _cut_pair(self, one: str, other: str) -> None:
+        await self._site.network.command("cut", senders=[one], receivers=[other], is_one_way=False)
+
     async def _heal(self) -> None:
         await self._site.network.command("heal")
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -15,6 +15,7 @@
     from wagtailkeel_state.traffic_class import TrafficClass
 
 NEVER_JOINED = 2**31
+ABSENCE_LIMIT_S = 30.0
 
 
 class AgentView:
@@ -28,6 +29,7 @@
         self.is_out_of_service = False
         self._identity = identity
         self._boot_ids = {identity.boot_id}
+        self._absent_since_by_id: dict[str, float] = {}
         self._draining_since = float("inf")
         self._is_isolated = False
 
@@ -61,8 +63,29 @@
         self.classes_by_endpoint = index_classes(service) if service else {}
         self.own_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
+        self._note_absences(now)
         self.refresh(now)
 
+    def _note_absences(self, now: float) -> None:
+        assert self.config is not None, "called with a configuration"
+        members = self.config.servers_by_id
+        absent = {
+            former.server_id
+            for former in self.config.former_members_by_id.values()
+            if former.service == self._identity.service and former.server_id not in members
+        }
+        self._absent_since_by_id = {
+            server_id: self._absent_since_by_id.get(server_id, now) for server_id in absent
+        }
+
+    def recently_removed(self, now: float) -> list[str]:
+        """Return former members that may still serve their flows, without control hearing them."""
+        return [
+            server_id
+            for server_id, since in sorted(self._absent_since_by_id.items())
+            if now - since <= ABSENCE_LIMIT_S
+        ]
+
     def refresh(self, now: float) -> None:
         """Decide anew whether the own server takes traffic; a drain ends by the clock."""
         if self.config is None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -49,8 +49,6 @@
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.traffic_class import TrafficClass
 
-ABSENCE_LIMIT_S = 30.0
-
 
 class FlowRouter:
     """Routing decisions of one agent; it owns the directory and all that hangs on it."""
@@ -94,7 +92,6 @@
         self._rejected = RejectedStarts()
         self._probe = RoundTripProbe()
         self._sweeper = RemoteFlowSweeper(self.directory)
-        self._absent_since_by_id: dict[str, float] = {}
         self._was_placeable = False
 
     @property
@@ -127,8 +124,6 @@
     def _apply_table(self, table: OwnerTable, known_epoch: int, now: float) -> None:
         boot_ids = self.view.boot_ids_by_member()
         self.peers.retain(boot_ids)
-        for server_id in boot_ids:
-            self._absent_since_by_id.pop(server_id, None)
         self.authority.apply_table(table, boot_ids, self.view.removed_since(known_epoch), now)
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
@@ -231,7 +226,9 @@
         elif is_start(frame.packet, key):
             self._placement.place(frame, key, traffic_class)
         else:
-            self._recovery.start(frame, key, sorted(self.authority.forgetful_since_by_id))
+            candidates = sorted(self.authority.forgetful_since_by_id)
+            candidates += self.view.recently_removed(self._context.now)
+            self._recovery.start(frame, key, candidates)
 
     def _send_to_remote(self, frame: DataFrame, key: bytes, remote: RemoteFlow) -> None:
         remote.last_seen_at = self._context.now
@@ -254,12 +251,16 @@
         self._context.forward(remote.server_id, frame, gue.MARK_DELIVER)
 
     def _on_absent_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
-        """Drop while the agent may come back, since the server may still have the connection."""
-        now = self._context.now
-        self._counters["dropped_absent_server"] += 1
-        if now - self._absent_since_by_id.setdefault(server_id, now) > ABSENCE_LIMIT_S:
-            self.directory.remove_remote(frame.bucket, key)
-            self._context.reset_caller(frame.packet)
+        """Go on sending to a former member for a while: control's silence may be all it has.
+
+        A dead one does not answer; its callers get RST once nobody may have the flow any more.
+        """
+        if server_id in self.view.recently_removed(self._context.now):
+            self._counters["packets_to_former_member"] += 1
+            self._context.forward(server_id, frame, gue.MARK_DELIVER)
+            return
+        self.directory.remove_remote(frame.bucket, key)
+        self._context.reset_caller(frame.packet)
 
     def _adopt(self, frame: DataFrame, key: bytes) -> None:
         """The records say that the own server has the flow, but this incarnation forgot it."""
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -290,7 +290,9 @@
     member = config.servers_by_id[server_id]
     former = config.former_members_by_id
     former.pop(server_id, None)
-    former[server_id] = FormerMember(server_id, member.service, member.boot_id, index)
+    former[server_id] = FormerMember(
+        server_id, member.service, member.boot_id, index, member.host, member.port
+    )
     while len(former) > RETAINED_FORMER_MEMBERS:
         del former[next(iter(former))]
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -24,9 +24,11 @@
 
 
 class FormerMember(msgspec.Struct, frozen=True):
-    """A member that left the list, kept so that a claim knows whose tokens may live on."""
+    """A member that left the list: its tokens may live on, and so may its server's flows."""
 
     server_id: str
     service: str
     boot_id: int
     removed_index: int
+    host: str = ""
+    port: int = 0
--- a/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
@@ -26,12 +26,19 @@
         return list(self._control_by_id)
 
     def datagram_address(self, instance_id: str) -> Address | None:
-        """Return where an instance takes datagrams."""
+        """Return where an instance takes datagrams.
+
+        A former member is found too: one that only control can't hear still serves its flows.
+        """
         control = self._control_by_id.get(instance_id)
         if control is not None:
             return (control.host, control.port)
         config = self._store.configuration
-        member = config.servers_by_id.get(instance_id) or config.balancers_by_id.get(instance_id)
+        member = (
+            config.servers_by_id.get(instance_id)
+            or config.balancers_by_id.get(instance_id)
+            or config.former_members_by_id.get(instance_id)
+        )
         return (member.host, member.port) if member else None
 
     def rpc_address(self, instance_id: str) -> Address | None:
--- a/tests/coordination/fake_cluster.py
+++ b/tests/coordination/fake_cluster.py
@@ -144,6 +144,7 @@
         self.nodes_by_id: dict[str, FakeNode] = {}
         self.survivors: list[FakeNode] = []
         self.refused: set[bytes] = set()
+        self.cut_from_control: set[str] = set()
         self.resets: Counter[bytes] = Counter()
         self.replies: Counter[bytes] = Counter()
         self.heard_at_by_id: dict[str, float] = {}
@@ -254,6 +255,8 @@
         end = self.now + seconds
         while self.now < end:
             for node in self.nodes_by_id.values():
+                if node.server_id in self.cut_from_control:
+                    continue
                 self.heartbeat(node)
                 if node.config.index < self.config.index:
                     node.update()
@@ -272,6 +275,11 @@
         for node in [*self.nodes_by_id.values(), *self.survivors]:
             node.router.tick(self.now)
 
+    def remove(self, server_id: str) -> None:
+        """Control loses sight of an agent, which goes on."""
+        boot_id = self.config.servers_by_id[server_id].boot_id
+        self.log(RemoveServer(server_id=server_id, boot_id=boot_id))
+
     def heartbeat(self, node: FakeNode) -> None:
         """A heartbeat that arrives and is answered at once."""
         member = self.config.servers_by_id.get(node.server_id)
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -74,6 +74,16 @@
             self.cluster.boot(server_id)
             self.cluster.settle(SETTLE_S)
 
+    def test_flows_live_on_an_agent_that_only_control_lost(self) -> None:
+        self.open_feeds()
+        self.cluster.cut_from_control = {"b"}
+        self.cluster.remove("b")
+        self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+        self.cluster.cut_from_control = set()
+        self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+
     def test_unknown_connection_is_reset_once_all_have_said_no(self) -> None:
         key = flow_key(99, is_tcp=True)
         self.send(key, ip.PSH | ip.ACK, b"ping")
