--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -209,12 +209,22 @@
             self._context.forward(claim.holder_id, frame, 0)
             return
         is_known_to_nobody = not claim.pending_ids and not is_start(frame.packet, key)
-        if is_known_to_nobody and self.authority.has_lost_memory:
-            self._recovery.start(frame, key, [])
+        if is_known_to_nobody and self._ask_before_takeover(frame, key):
             return
         if not claim.enqueue(frame, self._context.now):
             self._counters["dropped_claim_queue_full"] += 1
 
+    def _ask_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
+        """A takeover waits for leases; a flow that no member knows need not wait with it."""
+        if self.authority.has_lost_memory:
+            self._recovery.start(frame, key, [])
+            return True
+        former_members = self.view.recently_removed(self._context.now)
+        for server_id in former_members:
+            self._counters["packets_to_former_member"] += 1
+            self._context.forward(server_id, frame, gue.MARK_DELIVER)
+        return bool(former_members)
+
     # Decisions of the authority
 
     def _decide(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
