--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -3,6 +3,9 @@
 import asyncio
 import json
 import unittest
+from datetime import UTC
+from datetime import datetime
+from datetime import timedelta
 from typing import Any
 
 from click.testing import CliRunner
@@ -16,6 +19,7 @@
 
 WINDOW = ("--start", "2040-01-10T01:00+05:30", "--end", "2040-01-10T03:00+05:30")
 UDP = ("--protocol", "udp", "--target", "p99<1000ms")
+LIMIT_S = 20.0
 SHORT = ("--deadline", "1")
 
 
@@ -87,6 +91,19 @@
                 self.assertEqual(status, expected, output)
                 self.assertIn(text, output)
 
+    async def test_booking_takes_effect_in_its_window(self) -> None:
+        now = datetime.now(UTC)
+        window = [(now + timedelta(seconds=offset)).isoformat() for offset in (-1, 600)]
+        arguments = ("booking", "create", "datacentre-out", "surat", "--id", "soon")
+        await self.run_json(*arguments, "--start", window[0], "--end", window[1])
+        async with asyncio.timeout(LIMIT_S):
+            while (await self.run_json("booking", "show", "soon"))["state"] != "active":
+                await asyncio.sleep(0.1)
+        status = await self.run_json("status")
+        states = status["configuration"]["data_centres_by_name"]
+        self.assertEqual(states["surat"]["state"], "out-of-service")
+        self.assertEqual(states["vadodara"]["state"], "in-service")
+
     async def test_resend_and_status(self) -> None:
         change = ("class", "target", "marshal-desk", "feed", "held<999", "--command-id", "same")
         first = await self.run_json(*change)
