--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -56,10 +56,6 @@
         for gone in set(self._loads_by_id) - set(server_ids):
             del self._loads_by_id[gone]
 
-    def find(self, server_id: str) -> PeerLoad | None:
-        """Return a peer's last report."""
-        return self._loads_by_id.get(server_id)
-
     def choose_for_request(self, excluded: Collection[str], now: float) -> str | None:
         """Return the one of two random peers with more headroom.
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -4,6 +4,7 @@
 
 import time
 from functools import singledispatchmethod
+from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,7 @@
 from wagtailkeel_coordination import PlacementLease
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.flow_key import describe_flow
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.messages import AnnounceRequest
 from wagtailkeel_protocol.messages import Datagram
@@ -56,7 +58,7 @@
 GOSSIP_INTERVAL_S = 0.5
 GOSSIP_FANOUT = 6
 STOP_POLL_INTERVAL_S = 0.05
-HINT_INTERVAL_S = 0.5
+FLOWS_IN_DUMP = 10
 
 
 class Agent:
@@ -105,7 +107,6 @@
         self._is_stopping = False
         self._is_isolated = False
         self._heard_at = time.monotonic()
-        self._hinted_at = float("-inf")
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             section.server_id,
@@ -329,6 +330,10 @@
                 "grants_outgoing": len(authority.outgoing_by_bucket),
                 "local_flows": len(router.directory.local_flows_by_key),
                 "held_flows": router.local.held_count,
+                "local_flows_sample": [
+                    describe_flow(key)
+                    for key in islice(router.directory.local_flows_by_key, FLOWS_IN_DUMP)
+                ],
                 "remote_flows": router.directory.remote_flow_count,
                 "awaiting": router.local.awaiting_count,
                 "limit": router.limiter.limit,
