--- a/bench/src/wagtailkeel_bench/demonstration.py
+++ b/bench/src/wagtailkeel_bench/demonstration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 
 from wagtailkeel_bench.deployment import SMALL
 from wagtailkeel_bench.deployment import Deployment
@@ -13,6 +14,7 @@
 FEEDS = 60
 REQUESTS_PER_S = 60.0
 SEED = 1
+OUTCOME_LIMIT_S = 8.0
 
 
 def run_demonstration(seconds: float) -> int:
@@ -57,11 +59,28 @@
     )
     await asyncio.sleep(seconds)
     await site.callers.command("stop_requests")
-    await asyncio.sleep(1.0)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(OUTCOME_LIMIT_S):
+            while not await _all_have_outcome(site):
+                await asyncio.sleep(0.1)
+
+
+async def _all_have_outcome(site: Site) -> bool:
+    callers = await _report_callers(site)
+    outcomes = sum(callers.get(f"requests_{name}", 0) for name in ("answered", "refused"))
+    is_done: bool = outcomes == callers["requests_sent"]
+    return is_done
+
+
+async def _report_callers(site: Site) -> dict[str, Any]:
+    found: dict[str, Any] = await site.callers.command(
+        "report", lost_servers=[], silenced=[], max_idle_s=3.0
+    )
+    return found
 
 
 async def _report(site: Site) -> int:
-    callers = await site.callers.command("report", lost_servers=[], silenced=[], max_idle_s=3.0)
+    callers = await _report_callers(site)
     servers = await site.servers.command("report")
     is_open = callers["outcomes"].get("open", 0)
     answered = callers.get("requests_answered", 0)
