Grant only to members; let the next region serve a region's last flows

Cause: by reading: an owner that is no member of the own region (a region without a server uses the next one) ended the agent with KeyError. Change: nothing is granted to a non-member; members of the serving region count as members. Result: two tests fail with KeyError before and pass after.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -122,14 +122,19 @@
         return self.config is not None and self.config.is_placeable(server_id)
 
     def boot_ids_by_member(self) -> dict[str, int]:
-        """Return the members of the own service and region, with their incarnations."""
+        """Return the members of the own service and region, with their incarnations.
+
+        Where the own region has no server left, those of the region that serves it belong to them.
+        """
         if self.config is None:
             return {}
-        region = self.config.region_of(self._identity.data_centre)
+        service = self._identity.service
+        own_region = self.config.region_of(self._identity.data_centre)
+        regions = {own_region, self.config.table_region(service, own_region)}
         return {
             member.server_id: member.boot_id
-            for member in self.config.members_of(self._identity.service)
-            if self.config.region_of(member.data_centre) == region
+            for member in self.config.members_of(service)
+            if self.config.region_of(member.data_centre) in regions
         }
 
     def removed_since(self, epoch: int) -> set[str]:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -185,16 +185,16 @@
 
     def _grant_lost_buckets(self, table: OwnerTable) -> None:
         for bucket in list(self.tokens_by_bucket):
-            owner = table.owner_of(bucket)
-            if owner is None:
-                continue
-            outgoing = self.outgoing_by_bucket.get(bucket)
-            if owner == self._own_id:
-                if outgoing is not None:
-                    del self.outgoing_by_bucket[bucket]
-                continue
-            if table.epoch >= self._received_epochs_by_bucket.get(bucket, 0):
-                self._start_grant(bucket, owner, self._boot_ids_by_member[owner], table.epoch)
+            if table.owner_of(bucket) == self._own_id:
+                self.outgoing_by_bucket.pop(bucket, None)
+            elif table.epoch >= self._received_epochs_by_bucket.get(bucket, 0):
+                self._grant_to_owner(bucket, table)
+
+    def _grant_to_owner(self, bucket: int, table: OwnerTable) -> None:
+        owner = table.owner_of(bucket)
+        boot_id = self._boot_ids_by_member.get(owner) if owner is not None else None
+        if owner is not None and boot_id is not None and owner != self._own_id:
+            self._start_grant(bucket, owner, boot_id, table.epoch)
 
     def start_incarnation(self, boot_id: int) -> None:
         """Drop all tokens, when control no longer counts the incarnation before as a member."""
@@ -337,9 +337,7 @@
         if self.table is None or self.table.epoch < epoch:
             # The sender knew a newer table; passing on by the older one would send it back.
             return
-        owner = self.table.owner_of(bucket)
-        if owner is not None and owner != self._own_id:
-            self._start_grant(bucket, owner, self._boot_ids_by_member[owner], self.table.epoch)
+        self._grant_to_owner(bucket, self.table)
 
     # Grants
 
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -172,6 +172,12 @@
         sent = [flow for part in parts for flow in part.flows] + last.grants[0].flows
         self.assertCountEqual(sent, records)
 
+    def test_owner_that_is_no_member_gets_nothing(self) -> None:
+        self.hold()
+        self.apply(6, "stranger")
+        self.authority.tick(1.0)
+        self.assertTrue(self.authority.is_authority(BUCKET))
+
     def test_removed_incarnation_forgets_its_tokens(self) -> None:
         self.hold()
         self.authority.apply_table(OwnerTable.single(6, "b"), {"b": 2, "c": 3}, {"a"}, 0.0)
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -8,6 +8,7 @@
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_builder import build_udp
+from wagtailkeel_state.commands import DefineDataCentre
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RestoreServer
 from wagtailkeel_state.commands import SetDataCentreState
@@ -132,6 +133,18 @@
             self.send(key, ip.PSH | ip.ACK, b"ping", to="c")
         self.assertEqual(set(self.cluster.resets), lost)
 
+    def test_last_server_of_a_region_passes_its_flows_to_the_next_region(self) -> None:
+        self.open_feeds()
+        name = data_centre_of("c")
+        self.cluster.log(DefineDataCentre(name=name, region="overseas"))
+        self.cluster.settle(SETTLE_S)
+        self.cluster.log(DrainServer(server_id="c"))
+        self.cluster.settle(SETTLE_S)
+        for key in self.feeds:
+            if self.cluster.servers_of(key) == ["c"]:
+                self.send(key, ip.PSH | ip.ACK, b"ping", to="c")
+        self.assertEqual(sum(self.cluster.resets.values()), 0)
+
     def test_data_centre_out_gets_no_new_flow(self) -> None:
         self.take_out("b")
         self.cluster.settle(2.0)
