Survive messages that decode but make no sense

Cause: by reading: a grant of a bucket beyond the table ended the agent with IndexError. Change: no bucket of the table has no owner.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -72,8 +72,10 @@
         return bool(self.server_ids)
 
     def owner_of(self, bucket: int) -> str | None:
-        """Return the owner's server id, or None in an empty table."""
-        return self.server_ids[self.positions[bucket]] if self.server_ids else None
+        """Return the owner's server id, or None in an empty table or for no bucket of it."""
+        if not 0 <= bucket < len(self.positions):
+            return None
+        return self.server_ids[self.positions[bucket]]
 
     def buckets_of(self, server_id: str) -> list[int]:
         """Return the buckets that the server owns, ascending."""
