Beat while the first version is pulled, and pull it until it is there

Cause: by reading: a node that joined waited for the version of its join without heartbeats, so a pull of more than 2.5 s had it removed; and a pull that failed once was never tried again. Change: heartbeats start with the join; the version is noted until it has come.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -36,7 +36,7 @@
 ANNOUNCE_TIMEOUT_S = 3.0
 PULL_TIMEOUT_S = 2.0
 PULL_RETRY_S = 0.2
-VERSION_POLL_S = 0.01
+VERSION_POLL_S = 0.02
 BOOT_ID_BITS = 53
 
 
@@ -86,8 +86,8 @@
         """Join, then keep the membership and the version up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._pull_forever)
-            await self._join()
             tasks.start_soon(self._beat_forever)
+            await self._join()
             tasks.start_soon(self._rejoin_forever)
 
     async def _join(self) -> None:
@@ -108,9 +108,10 @@
                 continue
             self.leader_id = control_id
             self._joined_at = time.monotonic()
-            self.note_version(control_id, reply.index)
             while self._store.version < reply.index:
-                # A node serves only with a version at least as new as its own join.
+                # A node serves only with a version at least as new as its own join. Noted again
+                # and again, since a pull that fails forgets its source.
+                self.note_version(control_id, reply.index)
                 await anyio.sleep(VERSION_POLL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
             self.is_joined.set()
@@ -128,9 +129,15 @@
 
     async def _beat_forever(self) -> None:
         while True:
-            self._send_heartbeat()
+            if self._is_announced:
+                self._send_heartbeat()
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
+    @property
+    def _is_announced(self) -> bool:
+        """Tell whether control has logged the present incarnation."""
+        return self._joined_at < float("inf")
+
     def _send_heartbeat(self) -> None:
         now = time.monotonic()
         if now - self.acknowledged_at > ACK_SILENCE_LIMIT_S:
