A restarted voter waits out a leader's lease before it votes

Cause: by reading: a voter that restarted forgot that it had just heard a leader, and could elect another while the first still answered reads by its lease. Change: a start counts as hearing a leader.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -96,7 +96,8 @@
         self._random = random
         self._votes: set[str] = set()
         self._is_pre_vote = False
-        self._heard_leader_at = float("-inf")
+        # A restarted voter may have heard a leader that still counts on its read lease.
+        self._heard_leader_at = now
         self._election_at = now + self._draw_timeout()
         self._voters_by_id = self._find_voters()
 
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -12,7 +12,10 @@
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft import StorageFaultError
+from wagtailkeel_coordination.raft.raft_node import ELECTION_TIMEOUT_MIN_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
+from wagtailkeel_protocol.raft_messages import VoteReply
+from wagtailkeel_protocol.raft_messages import VoteRequest
 from wagtailkeel_state import CommandAnswer
 from wagtailkeel_state import Configuration
 from wagtailkeel_state import LogEntry
@@ -270,6 +273,19 @@
         self.assertEqual(sum(c.node.is_leader for c in others), 1)
         self.assertFalse(leader.node.is_leader)
 
+    def test_restarted_voter_does_not_vote_within_a_leader_lease(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle()
+        leader = next(c for c in cluster.controls.values() if c.node.is_leader)
+        voter, candidate = (c.name for c in cluster.controls.values() if c is not leader)
+        cluster.controls[voter] = FakeControl(cluster, voter, cluster.controls[voter].disk)
+        request = VoteRequest(leader.node.term + 1, candidate, 10**6, 10**6, False, f"{candidate}0")
+        for delay_s, is_granted in ((0.0, False), (ELECTION_TIMEOUT_MIN_S, True)):
+            now = cluster.now + delay_s
+            reply = cluster.controls[voter].node.on_request(request, now)
+            assert isinstance(reply, VoteReply)
+            self.assertEqual(reply.is_granted, is_granted)
+
     def test_cut_off_leader_serves_no_reads(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
