Forget the reports of nodes that are no members

Cause: by reading: the leader kept an entry for every incarnation it had ever heard of. Change: the removal check drops them.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -40,7 +40,7 @@
     def __init__(self, now: float) -> None:
         self.reports_by_id: dict[str, NodeReport] = {}
         self.mass_silence_events = 0
-        self._first_seen_by_id: dict[str, float] = {}
+        self._first_seen_by_incarnation: dict[tuple[str, int], float] = {}
         self._epochs_by_service: dict[str, deque[tuple[float, int]]] = {}
         self._ticked_at = now
         self._grace_from = now
@@ -78,19 +78,27 @@
             self._grace_from = now
         self._ticked_at = now
         boot_ids = _boot_ids(config)
+        self._forget_former_nodes(boot_ids)
         silent = [key for key, boot_id in boot_ids.items() if self._is_silent(key, boot_id, now)]
         if len(silent) > 1 and len(silent) > MAX_SILENT_FRACTION * len(boot_ids):
             self.mass_silence_events += 1
             return []
         return [_removal(key, boot_ids[key], config) for key in silent]
 
+    def _forget_former_nodes(self, boot_ids: dict[str, int]) -> None:
+        for node_id in set(self.reports_by_id) - set(boot_ids):
+            del self.reports_by_id[node_id]
+        present = set(boot_ids.items())
+        for incarnation in set(self._first_seen_by_incarnation) - present:
+            del self._first_seen_by_incarnation[incarnation]
+
     def _is_silent(self, node_id: str, boot_id: int, now: float) -> bool:
         report = self.reports_by_id.get(node_id)
         heard_at = self._grace_from
         if report is not None and report.heartbeat.boot_id == boot_id:
             heard_at = max(heard_at, report.heard_at)
         else:
-            first_seen = self._first_seen_by_id.setdefault(f"{node_id}/{boot_id}", now)
+            first_seen = self._first_seen_by_incarnation.setdefault((node_id, boot_id), now)
             heard_at = max(heard_at, first_seen)
         limit_s = REMOVAL_SILENCE_S
         if report is not None and report.heartbeat.is_stopping:
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -94,6 +94,12 @@
         late = 1.0 + VERSION_LAG_LIMIT_S + 0.1
         self.assertEqual(self.beat("a", late, version=epoch - 1), 0.0)
 
+    def test_removed_nodes_are_forgotten(self) -> None:
+        self.run_until(1.0, set())
+        apply(self.config, RemoveServer(server_id="a", boot_id=7))
+        self.membership.find_removals(self.config, 1.25)
+        self.assertEqual(set(self.membership.reports_by_id), {"b", "c", "d"})
+
     def test_late_heartbeat_renews_nothing(self) -> None:
         self.beat("a", 5.0)
         heartbeat = Heartbeat("a", 7, self.config.index, sent_at=4.0)
