Book services and classes; refuse drains that leave a service without a server

Cause: the command line could not book all changes, and booked drains were checked only when due. Change: both, the reason being the same on every replica. Result: tests of the state machine and the command line.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
@@ -26,25 +26,34 @@
     for booking in overlapping:
         if booking_subject(booking.change) == subject:
             return f"booking {booking.booking_id} by {booking.author} changes {subject} then"
-    removed = {_out_data_centre(booking.change) for booking in overlapping}
-    removed.add(_out_data_centre(command.change))
-    removed.discard(None)
+    return _find_lost_capacity(config, [command.change, *(b.change for b in overlapping)])
+
+
+def _find_lost_capacity(config: Configuration, changes: list[Command]) -> str | None:
+    """Return what would be without any server while all the changes hold together, or None."""
+    out = {
+        change.name
+        for change in changes
+        if isinstance(change, SetDataCentreState) and change.state is DataCentreState.OUT_OF_SERVICE
+    }
     remaining = [
         dc
         for dc in config.data_centres_by_name.values()
-        if dc.state is DataCentreState.IN_SERVICE and dc.name not in removed
+        if dc.state is DataCentreState.IN_SERVICE and dc.name not in out
     ]
-    if removed and not remaining:
+    if out and not remaining:
         return "no data centre would be left in service in that window"
+    drained = {change.server_id for change in changes if isinstance(change, DrainServer)}
+    for service in {
+        config.servers_by_id[key].service for key in drained & set(config.servers_by_id)
+    }:
+        placeable = [m for m in config.members_of(service) if config.is_placeable(m.server_id)]
+        left = [m for m in placeable if m.server_id not in drained and m.data_centre not in out]
+        if placeable and not left:
+            return f"no server of {service} would be left in that window"
     return None
 
 
-def _out_data_centre(change: Command) -> str | None:
-    if not isinstance(change, SetDataCentreState):
-        return None
-    return change.name if change.state is DataCentreState.OUT_OF_SERVICE else None
-
-
 def booking_subject(change: Command) -> str:
     """Return the name of what a change is about; two changes of one subject conflict."""
     if isinstance(change, SetDataCentreState):
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -21,13 +21,24 @@
 from wagtailkeel_state.commands import CancelBooking
 from wagtailkeel_state.commands import ChangeTarget
 from wagtailkeel_state.commands import CreateBooking
+from wagtailkeel_state.commands import CreateClass
+from wagtailkeel_state.commands import CreateService
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RestoreServer
 from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.enums import DataCentreState
+from wagtailkeel_state.enums import FlowProtocol
 from wagtailkeel_state.target import Target
 
-CHANGES = ("datacentre-out", "datacentre-back", "server-drain", "server-restore", "class-target")
+CHANGES = (
+    "datacentre-out",
+    "datacentre-back",
+    "server-drain",
+    "server-restore",
+    "service-create",
+    "class-create",
+    "class-target",
+)
 
 
 @click.group()
@@ -40,7 +51,10 @@
 @click.argument("subject")
 @click.option("--start", type=MOMENT, required=True, help="ISO time with its zone.")
 @click.option("--end", type=MOMENT, required=True, help="ISO time with its zone.")
-@click.option("--target", type=TARGET, default=None, help="For class-target.")
+@click.option("--target", type=TARGET, default=None, help="For class-create and class-target.")
+@click.option("--protocol", type=click.Choice(["tcp", "udp"]), default="tcp", show_default=True)
+@click.option("--non-idempotent", is_flag=True, help="For class-create.")
+@click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
 @click.option("--id", "booking_id", default="", help="Name of the booking.")
 @command_options
 @pass_console
@@ -51,12 +65,15 @@
     start: datetime,
     end: datetime,
     target: Target | None,
+    protocol: str,
+    non_idempotent: bool,
+    idle_limit: float,
     booking_id: str,
     command_id: str,
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Book CHANGE of SUBJECT for a window; SUBJECT of class-target is SERVICE/CLASS.
+    """Book CHANGE of SUBJECT for a window; SUBJECT of a class is SERVICE/CLASS.
 
     Example: wagtailkeel booking create datacentre-out surat --start 2027-01-10T01:00+05:30
     --end 2027-01-10T03:00+05:30
@@ -66,12 +83,19 @@
         booking_id=booking_id,
         start_s=start.timestamp(),
         end_s=end.timestamp(),
-        change=_build_change(change, subject, target),
+        change=_build_change(change, subject, target, protocol, non_idempotent, idle_limit),
     )
     console.send(command, command_id, expect_version, wait, f"booking {booking_id} accepted")
 
 
-def _build_change(change: str, subject: str, target: Target | None) -> BookableCommand:
+def _build_change(
+    change: str,
+    subject: str,
+    target: Target | None,
+    protocol: str,
+    non_idempotent: bool,
+    idle_limit: float,
+) -> BookableCommand:
     if change == "datacentre-out":
         return SetDataCentreState(name=subject, state=DataCentreState.OUT_OF_SERVICE)
     if change == "datacentre-back":
@@ -80,9 +104,20 @@
         return DrainServer(server_id=subject)
     if change == "server-restore":
         return RestoreServer(server_id=subject)
+    if change == "service-create":
+        return CreateService(name=subject)
     service, separator, name = subject.partition("/")
     if target is None or not separator:
-        raise click.UsageError("class-target takes SERVICE/CLASS and --target")
+        raise click.UsageError(f"{change} takes SERVICE/CLASS and --target")
+    if change == "class-create":
+        return CreateClass(
+            service=service,
+            name=name,
+            protocol=FlowProtocol(protocol),
+            target=target,
+            is_idempotent=not non_idempotent,
+            idle_limit_s=idle_limit,
+        )
     return ChangeTarget(service=service, name=name, target=target)
 
 
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -77,6 +77,21 @@
             ),
             (("booking", "create", "datacentre-out", "surat"), ExitCode.USAGE, "--start"),
             (("booking", "show", "one"), ExitCode.DONE, "2040-01-09 19:30:00 UTC"),
+            (
+                ("booking", "create", "class-create", "sheet-office/map", *UDP, *WINDOW),
+                ExitCode.DONE,
+                "accepted",
+            ),
+            (
+                ("booking", "create", "service-create", "archive", *WINDOW),
+                ExitCode.DONE,
+                "accepted",
+            ),
+            (
+                ("booking", "create", "class-target", "sheet-office", *WINDOW),
+                ExitCode.USAGE,
+                "SERVICE/CLASS",
+            ),
             (("booking", "calendar"), ExitCode.DONE, "2040-01-09"),
             (("booking", "cancel", "one"), ExitCode.DONE, "cancelled"),
             (("booking", "cancel", "one"), ExitCode.REJECTED, "cancelled already"),
--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -142,6 +142,18 @@
                 self.assertEqual(answer.is_accepted, not reason, answer.reason)
                 self.assertIn(reason, answer.reason)
 
+    def test_booked_drains_leave_a_server(self) -> None:
+        table = [
+            (DrainServer(server_id="a"), ""),
+            (DrainServer(server_id="b"), "no server of desk"),
+        ]
+        for number, (change, reason) in enumerate(table):
+            answer = self.apply(
+                CreateBooking(booking_id=str(number), start_s=100, end_s=200, change=change)
+            )
+            self.assertEqual(answer.is_accepted, not reason, answer.reason)
+            self.assertIn(reason, answer.reason)
+
     def test_booking_states(self) -> None:
         active, done = BookingState.ACTIVE, BookingState.DONE
         table = [
