Tell a balancer from the control instance in its own process

Cause: the example of a small site, run by hand: no change came into force. The balancer had the id of the control instance, so answers to its heartbeats went to control's port. Change: a balancer can have an id of its own; ids that meet are refused when settings are checked.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -58,6 +58,7 @@
         self.store = ConfigurationStore()
         self._instance = settings.instance
         self._section = section
+        self._balancer_id = settings.balancer_id
         self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
         self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
         self._rpc_client = RpcClient(settings.instance.own_host)
@@ -71,7 +72,7 @@
         self._has_routes = anyio.Event()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
-            settings.instance.id,
+            settings.balancer_id,
             AddressBook(settings.control_instances, self.store),
             self.store,
             self._endpoint,
@@ -118,7 +119,7 @@
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
         return AnnounceRequest(
             balancer=BalancerMember(
-                self._instance.id,
+                self._balancer_id,
                 self._instance.data_centre,
                 self._instance.host,
                 self._section.port,
@@ -213,7 +214,7 @@
         return build_dump(
             {
                 "role": "balancer",
-                "instance": self._instance.id,
+                "instance": self._balancer_id,
                 "data_centre": self._instance.data_centre,
                 "boot_id": self._link.boot_id,
                 "version": self.store.version,
--- a/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
@@ -47,6 +47,7 @@
     _check_hosts(settings, path)
     _check_log_level(settings, path)
     _check_control_instances(settings, path)
+    _check_ids(settings, path)
     _check_ports(settings, path)
     _check_pools(settings, path)
     _check_data_folder(settings, path)
@@ -96,6 +97,18 @@
         raise SettingsError(path, "control_instances", "expected ids that differ, found a repeat")
 
 
+def _check_ids(settings: Settings, path: str) -> None:
+    """Members and control instances are told apart by id alone."""
+    taken = {found.id for found in settings.control_instances}
+    members = [(f"agents[{n}].server_id", a.server_id) for n, a in enumerate(settings.agents)]
+    if settings.balancer is not None:
+        members.append(("balancer.id", settings.balancer_id))
+    for key, member_id in members:
+        if member_id in taken:
+            raise SettingsError(path, key, f"expected an id of its own, found {member_id!r} twice")
+        taken.add(member_id)
+
+
 def _check_ports(settings: Settings, path: str) -> None:
     taken: dict[int, str] = {}
     for key, port in _bound_ports(settings):
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -47,11 +47,15 @@
 
 
 class BalancerSettings(_Section):
-    """The balancer role; the fabric hands packets to ``fabric_port``."""
+    """The balancer role; the fabric hands packets to ``fabric_port``.
+
+    ``id`` is needed where the instance's own id is that of its control role.
+    """
 
     port: Port
     rpc_port: Port
     fabric_port: Port
+    id: Name | None = None
 
 
 class AgentSettings(_Section):
@@ -94,3 +98,9 @@
     balancer: BalancerSettings | None = None
     agents: list[AgentSettings] = []
     control: ControlSettings | None = None
+
+    @property
+    def balancer_id(self) -> str:
+        """The id under which the balancer is a member."""
+        own_id = self.balancer.id if self.balancer else None
+        return own_id or self.instance.id
--- a/tests/wagtailkeel/test_settings.py
+++ b/tests/wagtailkeel/test_settings.py
@@ -59,6 +59,13 @@
             "not an address": (VALID.replace('"127.0.0.1"', '"localhost"'), "instance.host"),
             "one port twice": (VALID.replace("7002", "7001"), "control_instances.rpc_port"),
             "no such instance": (VALID.replace('"control-1"', '"other"', 1), "control_instances"),
+            "an id twice": (
+                VALID.replace(
+                    "[control]",
+                    "[balancer]\nport = 1\nrpc_port = 2\nfabric_port = 3\n\n[control]",
+                ),
+                "balancer.id",
+            ),
             "no role": (VALID[: VALID.index("[control]")], "names no role"),
             "no TOML": ("instance = ", "is not TOML"),
             "unknown level": (
