--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -86,11 +86,13 @@
         return [_removal(key, boot_ids[key], config) for key in silent]
 
     def _forget_former_nodes(self, boot_ids: dict[str, int]) -> None:
-        for node_id in set(self.reports_by_id) - set(boot_ids):
-            del self.reports_by_id[node_id]
-        present = set(boot_ids.items())
-        for incarnation in set(self._first_seen_by_incarnation) - present:
-            del self._first_seen_by_incarnation[incarnation]
+        """Only when there are more entries than members: the check runs several times a second."""
+        if len(self.reports_by_id) > len(boot_ids):
+            for node_id in set(self.reports_by_id) - set(boot_ids):
+                del self.reports_by_id[node_id]
+        if len(self._first_seen_by_incarnation) > len(boot_ids):
+            for incarnation in set(self._first_seen_by_incarnation) - set(boot_ids.items()):
+                del self._first_seen_by_incarnation[incarnation]
 
     def _is_silent(self, node_id: str, boot_id: int, now: float) -> bool:
         report = self.reports_by_id.get(node_id)
