Share the sample service of the measurements; look a known flow up once

Cause: two measurements built the same service and keys; a frame of a known flow was parsed and looked up a second time on its way to the server. Change: one module for both; delivery takes the flow that was found. No behaviour changes.

--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -4,7 +4,6 @@
 
 import multiprocessing
 import socket
-import struct
 import time
 from multiprocessing.connection import Connection
 from typing import Any
@@ -20,42 +19,23 @@
 from wagtailkeel.settings.model import Settings
 from wagtailkeel_bench.deployment import AddressPlan
 from wagtailkeel_bench.deployment import free_port
+from wagtailkeel_bench.measurements.sample_service import build_configuration
+from wagtailkeel_bench.measurements.sample_service import build_keys
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
-from wagtailkeel_protocol.flow_key import endpoint_key
 from wagtailkeel_protocol.flow_key import hash_flow
 from wagtailkeel_protocol.messages import PullReply
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_state import Configuration
-from wagtailkeel_state import FlowProtocol
-from wagtailkeel_state import LogEntry
 from wagtailkeel_state import ServerMember
-from wagtailkeel_state import Target
-from wagtailkeel_state import apply_entry
-from wagtailkeel_state.commands import CreateClass
-from wagtailkeel_state.commands import CreateService
-from wagtailkeel_state.commands import JoinServer
 from wagtailkeel_transport import UdpEndpoint
 
 FLOW_COUNTS = (1_000, 20_000, 200_000)
 SECONDS = 1.5
 ROUNDS = 3
-PORT = 20_000
-ADDRESS = "10.90.0.1"
 BUCKETS = 1_024
 
 
-def _keys(count: int) -> list[bytes]:
-    target = endpoint_key(ADDRESS, PORT, ip.TCP)
-    return [
-        struct.pack("!I", 0x0A010000 + number // 60_000)
-        + target[:4]
-        + struct.pack("!H", 2_000 + number % 60_000)
-        + target[4:]
-        for number in range(count)
-    ]
-
-
 def _send_load(host: str, port: int, packets: list[bytes], go: Connection) -> None:
     """Send for longer than the measurement, as fast as the receiver's buffer takes."""
     sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -101,23 +81,7 @@
 
 
 def _configuration(host: str, agent_port: int) -> Configuration:
-    config = Configuration()
-    member = ServerMember("desk-1", "desk", "dc-1", host, agent_port, 9, 1, 2)
-    commands = (
-        CreateService(name="desk", address=ADDRESS),
-        CreateClass(
-            service="desk",
-            name="feed",
-            protocol=FlowProtocol.TCP,
-            target=Target.parse("held<1000000"),
-            port=PORT,
-            idle_limit_s=36_000.0,
-        ),
-        JoinServer(member=member),
-    )
-    for command in commands:
-        apply_entry(config, LogEntry(config.index + 1, 1, command))
-    return config
+    return build_configuration(ServerMember("desk-1", "desk", "dc-1", host, agent_port, 9, 1, 2))
 
 
 def _settings(target: _Target, balancer: BalancerSettings | None) -> Settings:
@@ -219,7 +183,7 @@
     plan = AddressPlan()
     cases = []
     for flows in FLOW_COUNTS:
-        keys = _keys(flows)
+        keys = build_keys(flows)
         rates: dict[str, list[float]] = {"bare": [], "balancer": [], "agent": []}
         for _ in range(ROUNDS):
             for name, kind in (
--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -15,6 +15,8 @@
 
 from wagtailkeel_bench.deployment import AddressPlan
 from wagtailkeel_bench.deployment import free_port
+from wagtailkeel_bench.measurements.sample_service import build_configuration
+from wagtailkeel_bench.measurements.sample_service import build_keys
 from wagtailkeel_coordination import AgentIdentity
 from wagtailkeel_coordination import FlowRouter
 from wagtailkeel_coordination import PlacementLease
@@ -22,7 +24,6 @@
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
-from wagtailkeel_protocol.flow_key import endpoint_key
 from wagtailkeel_protocol.flow_key import hash_flow
 from wagtailkeel_protocol.gue import DataFrame
 from wagtailkeel_protocol.messages import AnyDatagram
@@ -38,7 +39,6 @@
 from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_state import Configuration
-from wagtailkeel_state import FlowProtocol
 from wagtailkeel_state import FlowRecord
 from wagtailkeel_state import Generation
 from wagtailkeel_state import LogEntry
@@ -48,7 +48,6 @@
 from wagtailkeel_state import apply_entry
 from wagtailkeel_state.commands import AnyCommand
 from wagtailkeel_state.commands import ChangeTarget
-from wagtailkeel_state.commands import CreateClass
 from wagtailkeel_state.commands import CreateService
 from wagtailkeel_state.commands import JoinServer
 from wagtailkeel_transport import RpcClient
@@ -62,8 +61,6 @@
 REPEATS = 2_000
 CALLS = 500
 BOOT_ID = 2**52
-ADDRESS = "10.90.0.1"
-PORT = 20_000
 
 
 class _NullOutbox:
@@ -98,24 +95,6 @@
     return entry
 
 
-def _small_configuration() -> Configuration:
-    config = Configuration()
-    _apply(config, CreateService(name="desk", address=ADDRESS))
-    _apply(
-        config,
-        CreateClass(
-            service="desk",
-            name="feed",
-            protocol=FlowProtocol.TCP,
-            target=Target.parse("held<1000000"),
-            port=PORT,
-            idle_limit_s=36_000.0,
-        ),
-    )
-    _apply(config, JoinServer(member=_member("desk-1", "desk")))
-    return config
-
-
 def _member(server_id: str, service: str) -> ServerMember:
     return ServerMember(server_id, service, "dc-1", "10.0.0.1", 7_001, 7_002, BOOT_ID, 2)
 
@@ -132,7 +111,7 @@
         lambda response_s: None,
         now,
     )
-    config = _small_configuration()
+    config = build_configuration(_member("desk-1", "desk"))
     service = config.services_by_name["desk"]
     table = OwnerTable.build(
         service.table_epoch, config.table_shares("desk", "dc-1"), service.bucket_count
@@ -142,21 +121,10 @@
     return router
 
 
-def _keys(count: int) -> list[bytes]:
-    target = endpoint_key(ADDRESS, PORT, ip.TCP)
-    return [
-        (0x0A010000 + number // 60_000).to_bytes(4, "big")
-        + target[:4]
-        + (2_000 + number % 60_000).to_bytes(2, "big")
-        + target[4:]
-        for number in range(count)
-    ]
-
-
 def _measure_flows(count: int) -> dict[str, float]:
     router = _build_router(0.0)
     traffic_class = router.view.config.services_by_name["desk"].classes_by_name["feed"]  # type: ignore[union-attr]
-    keys = _keys(count)
+    keys = build_keys(count)
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
@@ -225,7 +193,7 @@
 
 
 def _measure_messages() -> dict[str, dict[str, float]]:
-    record = FlowRecord(_keys(1)[0], "service-120-361")
+    record = FlowRecord(build_keys(1)[0], "service-120-361")
     change = LogEntry(
         120_000,
         7,
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -146,10 +146,13 @@
         flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
         if flow is None or self.view.is_out_of_service:
             return False
+        self._deliver(flow, packet, hops, now)
+        return True
+
+    def _deliver(self, flow: LocalFlow, packet: bytes, hops: int, now: float) -> None:
         if hops:
             self._counters[f"delivered_after_{hops}_hops"] += 1
         self.local.on_inbound(flow, packet, now)
-        return True
 
     def on_frame(self, frame: DataFrame, now: float) -> None:
         """Route one packet that travels from a caller to a server."""
@@ -166,7 +169,7 @@
             self._give_up(flow)
             self._context.reset_caller(frame.packet)
             return
-        self.deliver_known(frame.packet, frame.hops, now)
+        self._deliver(flow, frame.packet, frame.hops, now)
 
     def _give_up(self, flow: LocalFlow) -> None:
         """End a flow of a data centre that is out of service.
