--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Puts the pinned dependencies and our own packages into target/deps.
+set -eu
+if [ ! -e target/.installed ] || [ deploy/requirements.txt -nt target/.installed ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --target target/deps --requirement deploy/requirements.txt
+    touch target/.installed
+fi
+for package in wagtailkeel_state wagtailkeel_protocol wagtailkeel_coordination \
+    wagtailkeel_transport wagtailkeel; do
+    rm -rf "target/deps/$package"
+done
+cp -R packages/*/src/wagtailkeel* target/deps/
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -0,0 +1,408 @@
+"""What an agent does with each packet where the opening handshake settles a flow's server.
+
+Every agent is the directory owner of some flows, by hash among the agents of the caller's data
+centre, and holds the flows of its own server. The held flows are the ground truth; an owner's
+pointers are a cache of it that a search rebuilds. Two servers may take copies of one opening:
+the caller acknowledges one of them, and the other returns what follows, so no exclusive right to
+place is needed.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.handshake.flow_pointers import FlowPointers
+from wagtailkeel_coordination.handshake.flow_search import FlowSearches
+from wagtailkeel_coordination.handshake.held_flows import HeldFlows
+from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
+from wagtailkeel_coordination.handshake.routing_table import RoutingTable
+from wagtailkeel_coordination.handshake.server_choice import PeerLoads
+from wagtailkeel_coordination.handshake.server_choice import choose_server
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import ServerLoad
+from wagtailkeel_protocol.relay import RelayFrame
+from wagtailkeel_protocol.relay import RelayKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.handshake.held_flows import HeldFlow
+    from wagtailkeel_coordination.handshake.outbox import RelayOutbox
+    from wagtailkeel_coordination.handshake.server_gate import ServerGate
+    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_state.routing import RoutingDocument
+
+Address = tuple[str, int]
+
+PLACEMENT_ATTEMPTS = 4
+FORGETFUL_S = 60.0
+"""A restarted agent may lack flows that its server has for as long as a flow may last."""
+
+
+class AgentRouter:
+    """Routing decisions of one agent; time and randomness come from outside."""
+
+    def __init__(
+        self,
+        own_address: Address,
+        data_centre: str,
+        packet_format: PacketFormat,
+        gate: ServerGate,
+        outbox: RelayOutbox,
+        random: Random,
+        counters: Counters,
+        record_response: Callable[[float], None],
+        now: float,
+    ) -> None:
+        self.own_address = own_address
+        self.gate = gate
+        self.held = HeldFlows(record_response)
+        self.pointers = FlowPointers()
+        self.searches = FlowSearches()
+        self.loads = PeerLoads()
+        self.routing = RoutingTable()
+        self.peers: frozenset[Address] = frozenset()
+        self.probes = MemoryProbes()
+        self._data_centre = data_centre
+        self._format = packet_format
+        self._outbox = outbox
+        self._random = random
+        self._counters = counters
+        self._own_tag = relay.service_tag(gate.service)
+        self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
+        self._forgetful_until = now + FORGETFUL_S
+        self._now = now
+
+    # Configuration and reports
+
+    def apply_routing(self, document: RoutingDocument) -> None:
+        """Adopt a newer routing document."""
+        if not self.routing.update(document):
+            return
+        for service in document.policies_by_service:
+            self._services_by_tag[relay.service_tag(service)] = service
+        policy = document.policies_by_service.get(self.gate.service)
+        self.gate.cold_starts_per_s = policy.cold_starts_per_s if policy else 0.0
+        self.held.idle_limit_s = document.idle_limit_s
+        self.pointers.idle_limit_s = document.idle_limit_s
+
+    def set_peers(self, addresses: frozenset[Address]) -> None:
+        """Set the agents that may hold flows: the members and those removed recently."""
+        self.peers = addresses - {self.own_address}
+        self.loads.retain(addresses)
+
+    def on_report(self, report: ServerReport, now: float) -> bool:
+        """Take in what the own server says; return whether it counts."""
+        known = self.gate.report
+        if not self.gate.on_report(report, now):
+            return False
+        self.held.slots = report.slots
+        if known is not None and known.started_at_ms != report.started_at_ms:
+            self._counters["server_incarnations"] += 1
+            self.held.clear()
+            self.held.service_s = 0.0
+        if known is None and report.sequence <= 1:
+            # The server is as young as this agent: there is nothing to have forgotten.
+            self._forgetful_until = now
+        return True
+
+    def build_load(self, now: float) -> ServerLoad:
+        """Return what peers need to know of the own server."""
+        return ServerLoad(
+            self._own_tag,
+            self.gate.accepts(now),
+            self.held.in_flight,
+            len(self.held.by_key),
+            self.held.slots,
+            self.held.service_s * 1_000,
+            self.gate.is_cold(now),
+            self.gate.is_leaving,
+        )
+
+    # Frames
+
+    def on_frame(self, frame: RelayFrame, source: Address, now: float) -> None:
+        """Handle a frame of a balancer or another agent."""
+        self._now = now
+        if frame.kind is RelayKind.FOUND:
+            self._on_found(frame.body, source)
+            return
+        if frame.kind is RelayKind.NOT_FOUND:
+            self._on_not_found(frame.body, source)
+            return
+        if frame.hops > relay.MAX_HOPS:
+            self._counters["dropped_hop_limit"] += 1
+            return
+        head = self._format.parse_inbound(frame.body)
+        if isinstance(head, Malformed):
+            self._counters[f"dropped_{head.value}"] += 1
+            return
+        flow = self.held.by_key.get(head.key)
+        if flow is not None and frame.kind not in (RelayKind.REJECTED, RelayKind.RETURNED):
+            self._deliver_held(flow, frame, head, source)
+            return
+        self._route(frame, head, source)
+
+    def _deliver_held(
+        self, flow: HeldFlow, frame: RelayFrame, head: PacketHead, source: Address
+    ) -> None:
+        flow.owner = self.own_address if frame.kind is RelayKind.FORWARD else source
+        if frame.kind is RelayKind.SEARCH:
+            self._send(source, RelayKind.FOUND, frame, head.key)
+        self.held.on_inbound(flow, head, self._now)
+        self._outbox.deliver(frame.body)
+
+    def _route(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        kind = frame.kind
+        if kind is RelayKind.FORWARD:
+            self._on_forward(frame, head)
+        elif kind is RelayKind.PLACE:
+            self._on_place(frame, head, source)
+        elif kind is RelayKind.DELIVER:
+            self._on_unknown(frame, head, source, RelayKind.RETURNED, frame.body)
+        elif kind is RelayKind.SEARCH:
+            self._on_unknown(frame, head, source, RelayKind.NOT_FOUND, head.key)
+        elif kind is RelayKind.REJECTED:
+            self._on_rejected(frame, head, source)
+        else:
+            self._on_returned(frame, head, source)
+
+    # The directory owner's part
+
+    def _on_forward(self, frame: RelayFrame, head: PacketHead) -> None:
+        pointer = self.pointers.find(head.key, self._now)
+        if pointer is not None and head.is_opening and not self._is_reachable(pointer.target):
+            # The first copy may have gone to an agent that has died: another server takes this.
+            pointer.tried.add(pointer.target)
+            self._place(frame, head.key, pointer.tried)
+        elif pointer is not None:
+            kind = RelayKind.PLACE if head.is_opening else RelayKind.DELIVER
+            self._send(pointer.target, kind, frame, frame.body)
+        elif head.is_opening:
+            self._place(frame, head.key, set())
+        elif head.marks & marks.RESETS:
+            self._counters["dropped_unknown_reset"] += 1
+        else:
+            self._search(frame, head.key, exclude=None)
+
+    def _is_reachable(self, address: Address) -> bool:
+        return self.loads.is_fresh(address, self._now)
+
+    def _place(self, frame: RelayFrame, key: bytes, tried: set[Address]) -> None:
+        """Choose a server for an opening that no server has."""
+        service = self._resolve_service(frame, key)
+        if service is None:
+            self._counters["dropped_route_changed"] += 1
+            return
+        tag = relay.service_tag(service)
+        own_load = self.build_load(self._now)
+        self.loads.on_load(self.own_address, self._data_centre, own_load, self._now)
+        while len(tried) < PLACEMENT_ATTEMPTS:
+            peer = choose_server(
+                self.loads.candidates(tag, self._now), self._data_centre, tried, self._random
+            )
+            if peer is None:
+                break
+            if peer.address != self.own_address:
+                self.loads.note_opening(peer.address)
+                self.pointers.point(key, peer.address, self._now).tried = tried
+                self._relay(peer.address, RelayKind.PLACE, frame, tag, frame.body)
+                return
+            if self._admit(service):
+                self._open(frame.body, key, self.own_address)
+                return
+            tried.add(self.own_address)
+        self._refuse(frame.body, key)
+
+    def _resolve_service(self, frame: RelayFrame, key: bytes) -> str | None:
+        """Return the service of an opening by the newer of the sender's and the own routing."""
+        if self.routing.version > frame.routing_version:
+            destinations = self.routing.find(self._format.endpoint_of(key))
+            return destinations.choose(key) if destinations else None
+        return self._services_by_tag.get(frame.service_tag)
+
+    def _refuse(self, packet: bytes, key: bytes) -> None:
+        """No server takes the opening: none has seen it, and the caller learns so at once."""
+        self._counters["openings_refused"] += 1
+        self.pointers.remove(key)
+        self._reset(packet, key)
+
+    def _reset(self, packet: bytes, key: bytes) -> None:
+        refusal = self._format.build_refusal(packet)
+        if refusal is not None:
+            self._outbox.reply(refusal, self._format.caller_host(key))
+
+    def _on_rejected(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        pointer = self.pointers.by_key.get(head.key)
+        if pointer is not None and pointer.target != source:
+            self._counters["dropped_late_rejection"] += 1
+            return
+        tried = pointer.tried if pointer is not None else set()
+        tried.add(source)
+        if head.key not in self.held.by_key:
+            self._place(frame, head.key, tried)
+
+    def _on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        pointer = self.pointers.by_key.get(head.key)
+        if pointer is not None and pointer.target == source:
+            self.pointers.remove(head.key)
+        self._search(frame, head.key, exclude=source)
+
+    def _search(self, frame: RelayFrame, key: bytes, exclude: Address | None) -> None:
+        asked = set(self.peers)
+        if self._is_forgetful:
+            asked.add(self.own_address)
+        if exclude is not None:
+            asked.discard(exclude)
+        for address in self.searches.begin(key, frame.body, asked, self._now):
+            self._counters["search_requests"] += 1
+            if address == self.own_address:
+                self._probe(key, frame.body, self.own_address)
+            else:
+                self._send(address, RelayKind.SEARCH, frame, frame.body)
+
+    def _on_found(self, key: bytes, source: Address) -> None:
+        queued = self.searches.on_found(key)
+        if source != self.own_address:
+            self.pointers.point(key, source, self._now)
+        for packet in queued:
+            if source == self.own_address:
+                self._outbox.deliver(packet)
+            else:
+                self._relay_packet(source, RelayKind.DELIVER, packet)
+
+    def _on_not_found(self, key: bytes, source: Address) -> None:
+        if self.searches.on_not_found(key, source):
+            self._counters["flows_found_nowhere"] += 1
+
+    # The part of the agent beside the flow's server
+
+    def _on_place(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        service = self._resolve_service(frame, head.key)
+        if service is not None and self._admit(service):
+            self._open(frame.body, head.key, source)
+        else:
+            self._send(source, RelayKind.REJECTED, frame, frame.body)
+
+    def _admit(self, service: str) -> bool:
+        reason = self.gate.admit(service, self._now)
+        if reason is not None:
+            self._counters[f"rejected_{reason.value}"] += 1
+        return reason is None
+
+    def _open(self, packet: bytes, key: bytes, owner: Address) -> None:
+        self._counters["flows_opened"] += 1
+        self.held.open(key, owner, self._now)
+        self._outbox.deliver(packet)
+
+    @property
+    def _is_forgetful(self) -> bool:
+        return self._now < self._forgetful_until
+
+    def _on_unknown(
+        self,
+        frame: RelayFrame,
+        head: PacketHead,
+        source: Address,
+        answer: RelayKind,
+        body: bytes,
+    ) -> None:
+        if not self._is_forgetful or head.is_opening:
+            self._send(source, answer, frame, body)
+            return
+        self._probe(head.key, frame.body, source)
+
+    def _probe(self, key: bytes, packet: bytes, requester: Address) -> None:
+        """Ask the own server for a flow that this agent may have forgotten."""
+        self._counters["memory_probes"] += 1
+        self.probes.add(key, requester, self._now)
+        self._outbox.deliver(packet)
+
+    # Packets from the own server
+
+    def on_server_packet(self, packet: bytes, now: float) -> None:
+        """Send a server's packet to its caller, or deal with one that it returned."""
+        self._now = now
+        head = self._format.parse_outbound(packet)
+        if isinstance(head, Malformed):
+            self._counters[f"dropped_reply_{head.value}"] += 1
+            return
+        flow = self.held.by_key.get(head.key)
+        if head.marks & marks.BOUNCED:
+            self._on_bounce(self._format.restore_bounced(packet), head, flow)
+            return
+        if flow is None and not head.marks & marks.RESETS:
+            flow = self._adopt(head.key)
+        if flow is not None:
+            self.held.on_outbound(flow, head, now)
+        self._outbox.reply(packet, self._format.caller_host(head.key))
+
+    def _adopt(self, key: bytes) -> HeldFlow:
+        """The server speaks on a flow that this agent has forgotten."""
+        self._counters["flows_adopted"] += 1
+        requester = self.probes.remove(key)
+        flow = self.held.open(key, requester or self.own_address, self._now)
+        if requester is not None:
+            self._answer(requester, RelayKind.FOUND, key)
+        return flow
+
+    def _on_bounce(self, packet: bytes, head: PacketHead, flow: HeldFlow | None) -> None:
+        self._counters["bounces"] += 1
+        requester = self.probes.remove(head.key)
+        if requester is not None:
+            self._answer(requester, RelayKind.NOT_FOUND, head.key)
+            return
+        if flow is None or (head.is_opening and flow.has_reply):
+            return
+        self.held.remove(flow)
+        kind = RelayKind.REJECTED if head.is_opening else RelayKind.RETURNED
+        frame = RelayFrame(kind, 0, 0, relay.NO_SERVICE, packet)
+        if head.is_opening:
+            frame.routing_version = self.routing.version
+            frame.service_tag = self._own_tag
+        if flow.owner != self.own_address:
+            self._send(flow.owner, kind, frame, packet)
+        else:
+            self._route(frame, head, self.own_address)
+
+    # Timers
+
+    def tick(self, now: float) -> None:
+        """Settle probes that met silence, and forget what is over."""
+        self._now = now
+        for key, requester in self.probes.take_silent(now):
+            if self.gate.is_heard(now):
+                # The server has not returned the packet, so it has the flow.
+                self.held.open(key, requester, now)
+                self._answer(requester, RelayKind.FOUND, key)
+        self._counters["searches_expired"] += self.searches.expire(now)
+        self.held.sweep(now)
+        self.pointers.sweep(now)
+
+    # Sending
+
+    def _answer(self, requester: Address, kind: RelayKind, key: bytes) -> None:
+        if requester != self.own_address:
+            self._outbox.relay(requester, kind, 0, 0, relay.NO_SERVICE, key)
+        elif kind is RelayKind.FOUND:
+            self._on_found(key, requester)
+        else:
+            self._on_not_found(key, requester)
+
+    def _send(self, address: Address, kind: RelayKind, frame: RelayFrame, body: bytes) -> None:
+        self._relay(address, kind, frame, frame.service_tag, body)
+
+    def _relay(
+        self, address: Address, kind: RelayKind, frame: RelayFrame, tag: int, body: bytes
+    ) -> None:
+        version = max(frame.routing_version, self.routing.version if tag else 0)
+        self._outbox.relay(address, kind, frame.hops + 1, version, tag, body)
+
+    def _relay_packet(self, address: Address, kind: RelayKind, packet: bytes) -> None:
+        self._outbox.relay(address, kind, 1, 0, relay.NO_SERVICE, packet)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -0,0 +1,76 @@
+"""What a balancer does with each packet: hand it to the directory owner of its flow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.handshake.owner_map import OwnerMap
+from wagtailkeel_coordination.handshake.routing_table import RoutingTable
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.relay import RelayKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_state.routing import RoutingDocument
+
+Address = tuple[str, int]
+
+
+class BalancerRouter:
+    """Holds nothing about any flow."""
+
+    def __init__(
+        self,
+        packet_format: PacketFormat,
+        send: Callable[[bytes, Address], None],
+        reply: Callable[[bytes, str], None],
+        counters: Counters,
+    ) -> None:
+        self.routing = RoutingTable()
+        self.owners = OwnerMap()
+        self._format = packet_format
+        self._send = send
+        self._reply = reply
+        self._counters = counters
+        self._tags_by_service: dict[str, int] = {}
+
+    def apply_routing(self, document: RoutingDocument) -> None:
+        """Adopt a newer routing document."""
+        if self.routing.update(document):
+            names = document.policies_by_service
+            self._tags_by_service = {name: relay.service_tag(name) for name in names}
+
+    def on_packet(self, packet: bytes) -> None:
+        """Hand a caller's packet on."""
+        head = self._format.parse_inbound(packet)
+        if isinstance(head, Malformed):
+            self._counters[f"dropped_{head.value}"] += 1
+            return
+        tag = relay.NO_SERVICE
+        if head.is_opening:
+            destinations = self.routing.find(self._format.endpoint_of(head.key))
+            if destinations is None:
+                self._on_unknown_route(packet, head)
+                return
+            tag = self._tags_by_service[destinations.choose(head.key)]
+        owner = self.owners.owner_of(head.key)
+        if owner is None:
+            self._counters["dropped_no_agent"] += 1
+            return
+        self._counters["packets_forwarded"] += 1
+        frame = relay.encode_relay(RelayKind.FORWARD, 0, self.routing.version, tag, packet)
+        self._send(frame, owner)
+
+    def _on_unknown_route(self, packet: bytes, head: PacketHead) -> None:
+        """A first copy is dropped, since a new route may be on its way here; others refused."""
+        self._counters["openings_without_route"] += 1
+        if not head.attempt:
+            return
+        refusal = self._format.build_refusal(packet)
+        if refusal is not None:
+            self._reply(refusal, self._format.caller_host(head.key))
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -0,0 +1,77 @@
+"""Searches for flows whose server the directory owner does not know.
+
+An owner that has just taken a bucket over, or has restarted, asks every agent. The one that has
+the flow delivers the packet and answers; the others answer that they do not have it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Address = tuple[str, int]
+
+REPEAT_AFTER_S = 0.1
+EXPIRES_AFTER_S = 2.0
+QUEUE_LIMIT_PACKETS = 16
+SEARCH_LIMIT = 20_000
+
+
+class Search(msgspec.Struct):
+    """One search; ``queued`` are packets to deliver once the flow is found."""
+
+    started_at: float
+    asked_at: float
+    silent: set[Address]
+    queued: list[bytes]
+
+
+class FlowSearches:
+    """Searches in progress by flow key."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[bytes, Search] = {}
+
+    def begin(
+        self, key: bytes, packet: bytes, asked: Iterable[Address], now: float
+    ) -> list[Address]:
+        """Return the agents to ask with this packet: all, those still silent, or none yet."""
+        search = self.by_key.get(key)
+        if search is None:
+            if len(self.by_key) >= SEARCH_LIMIT:
+                return []
+            self.by_key[key] = Search(now, now, set(asked), [])
+            return list(self.by_key[key].silent)
+        if now - search.asked_at >= REPEAT_AFTER_S:
+            search.asked_at = now
+            return list(search.silent)
+        if len(search.queued) < QUEUE_LIMIT_PACKETS:
+            search.queued.append(packet)
+        return []
+
+    def on_found(self, key: bytes) -> list[bytes]:
+        """End a search; return the packets that have waited for it."""
+        search = self.by_key.pop(key, None)
+        return search.queued if search else []
+
+    def on_not_found(self, key: bytes, source: Address) -> bool:
+        """Note a "no"; return whether it was the last answer missing."""
+        search = self.by_key.get(key)
+        if search is None:
+            return False
+        search.silent.discard(source)
+        if search.silent:
+            return False
+        del self.by_key[key]
+        return True
+
+    def expire(self, now: float) -> int:
+        """Forget searches that not all agents have answered; return how many."""
+        late = [k for k, s in self.by_key.items() if now - s.started_at > EXPIRES_AFTER_S]
+        for key in late:
+            del self.by_key[key]
+        return len(late)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -0,0 +1,131 @@
+"""Flows on the agent's own server, and what they tell of its load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_protocol import packet_format as marks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_protocol.packet_format import PacketHead
+
+Address = tuple[str, int]
+
+CLOSED_LINGER_S = 3.0
+"""A closed flow's late packets still go to its server, which answers them."""
+ANSWER_LIMIT_S = 5.0
+SWEEP_INTERVAL_S = 1.0
+SMOOTHING = 0.1
+
+
+class HeldFlow(msgspec.Struct):
+    """A flow that the own server has; ``owner`` sent its last packet here. Times in seconds."""
+
+    key: bytes
+    owner: Address
+    last_seen_at: float
+    has_reply: bool = False
+    awaiting_since: float = 0.0
+    is_alone: bool = False
+    closes: int = 0
+    closed_at: float = 0.0
+
+
+_CALLER_FINISHED = 1
+_SERVER_FINISHED = 2
+
+
+class HeldFlows:
+    """Accounts for every packet of the own server's flows."""
+
+    def __init__(self, record_response: Callable[[float], None]) -> None:
+        self.by_key: dict[bytes, HeldFlow] = {}
+        self.idle_limit_s = 60.0
+        self.slots = 1
+        self.service_s = 0.0
+        self.response_s = 0.0
+        self._awaiting_by_key: dict[bytes, HeldFlow] = {}
+        self._record_response = record_response
+        self._swept_at = float("-inf")
+
+    @property
+    def in_flight(self) -> int:
+        """The number of flows that the server owes an answer."""
+        return len(self._awaiting_by_key)
+
+    def open(self, key: bytes, owner: Address, now: float) -> HeldFlow:
+        """Start to account for a flow."""
+        flow = HeldFlow(key, owner, now)
+        self.by_key[key] = flow
+        return flow
+
+    def remove(self, flow: HeldFlow) -> None:
+        """Forget a flow."""
+        self.by_key.pop(flow.key, None)
+        self._awaiting_by_key.pop(flow.key, None)
+
+    def clear(self) -> None:
+        """Forget all flows: the server has started anew."""
+        self.by_key.clear()
+        self._awaiting_by_key.clear()
+
+    def on_inbound(self, flow: HeldFlow, head: PacketHead, now: float) -> None:
+        """Account for a packet that is about to be delivered."""
+        flow.last_seen_at = now
+        if head.payload_bytes and not flow.awaiting_since:
+            flow.awaiting_since = now
+            flow.is_alone = len(self._awaiting_by_key) < self.slots
+            self._awaiting_by_key[flow.key] = flow
+        if head.marks & (marks.FINISHES | marks.RESETS):
+            self._note_close(flow, head, _CALLER_FINISHED, now)
+
+    def on_outbound(self, flow: HeldFlow, head: PacketHead, now: float) -> None:
+        """Account for a packet of the server."""
+        flow.last_seen_at = now
+        flow.has_reply = True
+        if head.payload_bytes and flow.awaiting_since:
+            self._learn_answer(flow, now)
+        if head.marks & (marks.FINISHES | marks.RESETS):
+            self._note_close(flow, head, _SERVER_FINISHED, now)
+
+    def _note_close(self, flow: HeldFlow, head: PacketHead, end: int, now: float) -> None:
+        flow.closes |= end
+        if head.marks & marks.RESETS or flow.closes == _CALLER_FINISHED | _SERVER_FINISHED:
+            flow.closed_at = flow.closed_at or now
+            self._forget_debt(flow)
+
+    def _learn_answer(self, flow: HeldFlow, now: float) -> None:
+        response_s = now - flow.awaiting_since
+        self._record_response(response_s)
+        self.response_s = _smooth(self.response_s, response_s)
+        if flow.is_alone:
+            self.service_s = _smooth(self.service_s, response_s)
+        self._forget_debt(flow)
+
+    def _forget_debt(self, flow: HeldFlow) -> None:
+        flow.awaiting_since = 0.0
+        self._awaiting_by_key.pop(flow.key, None)
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that are over, and answers that will not come."""
+        if now - self._swept_at < SWEEP_INTERVAL_S:
+            return
+        self._swept_at = now
+        for flow in list(self._awaiting_by_key.values()):
+            if now - flow.awaiting_since > ANSWER_LIMIT_S:
+                self._forget_debt(flow)
+        for flow in [f for f in self.by_key.values() if self._is_over(f, now)]:
+            self.remove(flow)
+
+    def _is_over(self, flow: HeldFlow, now: float) -> bool:
+        if flow.closed_at and now - flow.closed_at > CLOSED_LINGER_S:
+            return True
+        return now - flow.last_seen_at > self.idle_limit_s
+
+
+def _smooth(average: float, value: float) -> float:
+    return average + SMOOTHING * (value - average) if average else value
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -0,0 +1,71 @@
+"""Lookup of routes by a packet's destination."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+from bisect import bisect_right
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+if TYPE_CHECKING:
+    from wagtailkeel_state.routing import Route
+    from wagtailkeel_state.routing import RoutingDocument
+
+SPLIT_SEED = 0x5EED
+
+
+class Destinations(msgspec.Struct, frozen=True):
+    """The services of a route and the running sums of their weights."""
+
+    services: tuple[str, ...]
+    bounds: tuple[int, ...]
+
+    @classmethod
+    def from_route(cls, route: Route) -> Destinations:
+        """Leave out services without weight."""
+        weighted = [found for found in route.destinations if found.weight > 0]
+        bounds = accumulate(found.weight for found in weighted)
+        return cls(tuple(found.service for found in weighted), tuple(bounds))
+
+    def choose(self, key: bytes) -> str:
+        """Return the service of a flow; the same for every copy of its opening."""
+        if len(self.services) == 1:
+            return self.services[0]
+        point = xxhash.xxh3_64_intdigest(key, SPLIT_SEED) % self.bounds[-1]
+        return self.services[bisect_right(self.bounds, point)]
+
+
+class RoutingTable:
+    """Destinations by endpoint (packed address and port), for one routing document."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._by_endpoint: dict[bytes, Destinations] = {}
+        self._routes: dict[str, Route] = {}
+
+    def update(self, document: RoutingDocument) -> bool:
+        """Adopt a newer document; return whether it was newer."""
+        if document.version <= self.version:
+            return False
+        for place, route in self._routes.items():
+            if place not in document.routes_by_place:
+                del self._by_endpoint[endpoint_of_route(route)]
+        for place, route in document.routes_by_place.items():
+            if self._routes.get(place) != route:
+                self._by_endpoint[endpoint_of_route(route)] = Destinations.from_route(route)
+        self._routes = document.routes_by_place
+        self.version = document.version
+        return True
+
+    def find(self, endpoint: bytes) -> Destinations | None:
+        """Return where new flows to an endpoint go, or None where there is no route."""
+        return self._by_endpoint.get(endpoint)
+
+
+def endpoint_of_route(route: Route) -> bytes:
+    """Return a route's address and port as packets have them."""
+    return ipaddress.ip_address(route.address).packed + struct.pack("!H", route.port)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -0,0 +1,103 @@
+"""Which server gets a new flow.
+
+Load patterns answered: servers of unlike speed with few slots each, where random placement makes
+some queue while others idle; and bursts that arrive faster than load reports do, which openings
+counted since the last report answer.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wagtailkeel_protocol.messages import ServerLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from random import Random
+
+Address = tuple[str, int]
+
+REPORT_LIMIT_S = 1.2
+"""Reports come twice a second at least."""
+REMOTE_PENALTY_MS = 3.0
+"""What a flow into another data centre costs, as waiting time: its packets cross twice."""
+HELD_FLOW_WEIGHT = 0.25
+"""How much of a request an open flow stands for, on average."""
+COLD_FACTOR = 2.0
+UNKNOWN_SERVICE_MS = 20.0
+
+
+class PeerLoad(msgspec.Struct):
+    """The last report of an agent and the openings sent to it since."""
+
+    address: Address
+    data_centre: str
+    load: ServerLoad
+    heard_at: float
+    sent_since: int = 0
+
+
+class PeerLoads:
+    """Load reports by address of the agent that sent them."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[Address, PeerLoad] = {}
+
+    def on_load(self, address: Address, data_centre: str, load: ServerLoad, now: float) -> None:
+        """Take in a report."""
+        self.by_address[address] = PeerLoad(address, data_centre, load, now)
+
+    def note_opening(self, address: Address) -> None:
+        """Count an opening that the last report can't know of."""
+        peer = self.by_address.get(address)
+        if peer is not None:
+            peer.sent_since += 1
+
+    def retain(self, addresses: Collection[Address]) -> None:
+        """Forget agents that are no members."""
+        for address in [a for a in self.by_address if a not in addresses]:
+            del self.by_address[address]
+
+    def is_fresh(self, address: Address, now: float) -> bool:
+        """Tell whether an agent has reported recently and is not about to stop."""
+        peer = self.by_address.get(address)
+        if peer is None or peer.load.is_leaving:
+            return False
+        return now - peer.heard_at <= REPORT_LIMIT_S
+
+    def candidates(self, service_tag: int, now: float) -> list[PeerLoad]:
+        """Return the agents whose servers take openings of a service."""
+        return [
+            peer
+            for peer in self.by_address.values()
+            if peer.load.service_tag == service_tag
+            and peer.load.accepts
+            and not peer.load.is_leaving
+            and now - peer.heard_at <= REPORT_LIMIT_S
+        ]
+
+
+def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
+    """Return the time that a new flow's first request would take, and a share of later load."""
+    load = peer.load
+    service_ms = load.service_ms or UNKNOWN_SERVICE_MS
+    if load.is_cold:
+        service_ms *= COLD_FACTOR
+    work = load.in_flight + peer.sent_since + HELD_FLOW_WEIGHT * load.held_flows + 1.0
+    wait_ms = service_ms * work / max(1, load.slots)
+    return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
+
+
+def choose_server(
+    candidates: Iterable[PeerLoad], data_centre: str, tried: Collection[Address], random: Random
+) -> PeerLoad | None:
+    """Return the candidate with the least expected wait, ties by lot; None where all were tried."""
+    scored = [
+        (expected_wait_ms(peer, data_centre), random.random(), peer)
+        for peer in candidates
+        if peer.address not in tried
+    ]
+    return min(scored, key=lambda entry: entry[:2])[2] if scored else None
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -0,0 +1,126 @@
+"""Which openings an agent lets through to its own server.
+
+Load patterns answered: a server that is leaving or out of service gets no new flow, whoever
+asks; a server that has just started gets no more openings a second than it bears, also while the
+agent is cut off, since no other process hands it any.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+
+import msgspec
+
+COLD_WINDOW_S = 1.0
+WARM_RETURN_CHECK_S = 2.0
+"""After its data centre returns a server counts as cold until a newer report says otherwise."""
+
+
+class ServerReport(msgspec.Struct, frozen=True):
+    """What a server says of itself.
+
+    ``started_at_ms`` names its incarnation and ``sequence`` orders its reports; ``cold_for_s`` is
+    how long it stays slow. ``has_left`` is its last word.
+    """
+
+    server_id: str
+    service: str
+    started_at_ms: int
+    sequence: int
+    slots: int
+    is_draining: bool = False
+    has_left: bool = False
+    cold_for_s: float = 0.0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Reports count only in this order; a late one of an earlier incarnation is dropped."""
+        return self.started_at_ms, self.sequence
+
+
+class GateReason(Enum):
+    """Why an opening was not let through."""
+
+    UNHEARD = "server_unheard"
+    WRONG_SERVICE = "wrong_service"
+    DRAINING = "server_draining"
+    OUT_OF_SERVICE = "data_centre_out_of_service"
+    COLD = "server_cold"
+    LEAVING = "agent_leaving"
+
+
+class ServerGate:
+    """The state of the own server as far as openings are concerned; times in seconds."""
+
+    def __init__(self, service: str, report_limit_s: float) -> None:
+        self.service = service
+        self.report: ServerReport | None = None
+        self.heard_at = float("-inf")
+        self.is_in_service = True
+        self.is_leaving = False
+        self.cold_starts_per_s = 0.0
+        self._report_limit_s = report_limit_s
+        self._cold_until = float("-inf")
+        self._returned_at = float("-inf")
+        self._openings: deque[float] = deque()
+
+    def on_report(self, report: ServerReport, now: float) -> bool:
+        """Take a report in; return False for one that is late or of another service."""
+        known = self.report
+        if known is not None and report.order <= known.order:
+            return False
+        if report.service != self.service:
+            return False
+        self.report = report
+        self.heard_at = now
+        self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
+        return True
+
+    def set_in_service(self, is_in_service: bool, now: float) -> None:
+        """Follow the state of the data centre."""
+        if is_in_service and not self.is_in_service:
+            self._returned_at = now
+        self.is_in_service = is_in_service
+
+    def is_heard(self, now: float) -> bool:
+        """Tell whether the server has spoken recently; its address may be another's by now."""
+        return self.report is not None and now - self.heard_at <= self._report_limit_s
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the server is slow, or may have turned so while it was out of service."""
+        is_unchecked = self.heard_at < self._returned_at
+        return now < self._cold_until or (
+            is_unchecked and now - self._returned_at < WARM_RETURN_CHECK_S
+        )
+
+    def accepts(self, now: float) -> bool:
+        """Tell whether peers should offer openings."""
+        return self._find_reason(now) is None
+
+    def admit(self, service: str, now: float) -> GateReason | None:
+        """Count an opening in and return None, or return why it may not pass."""
+        if service != self.service:
+            return GateReason.WRONG_SERVICE
+        reason = self._find_reason(now)
+        if reason is None and self.is_cold(now):
+            self._openings.append(now)
+        return reason
+
+    def _find_reason(self, now: float) -> GateReason | None:
+        if self.is_leaving:
+            return GateReason.LEAVING
+        if not self.is_in_service:
+            return GateReason.OUT_OF_SERVICE
+        if self.report is None or not self.is_heard(now):
+            return GateReason.UNHEARD
+        if self.report.is_draining or self.report.has_left:
+            return GateReason.DRAINING
+        if self.is_cold(now) and not self._has_cold_room(now):
+            return GateReason.COLD
+        return None
+
+    def _has_cold_room(self, now: float) -> bool:
+        while self._openings and now - self._openings[0] > COLD_WINDOW_S:
+            self._openings.popleft()
+        return len(self._openings) < max(1.0, self.cold_starts_per_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -48,6 +48,11 @@
 ENTRIES_PER_APPEND = 200
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
 RETAINED_ENTRIES = 500
+STORAGE_RETRY_S = 0.5
+VOTER_SILENCE_S = 4.0
+"""A voter silent for longer is replaced where a caught-up instance without a vote stands by."""
+LEARNER_SILENCE_S = 30.0
+UNLIMITED_VOTERS = 1_000
 
 
 class RaftRole(str, Enum):
@@ -75,6 +80,7 @@
         replace: Callable[[Configuration], None],
         random: Random,
         now: float,
+        voter_limit: int = UNLIMITED_VOTERS,
     ) -> None:
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
@@ -87,7 +93,9 @@
         self.learner_identities_by_id: dict[str, str] = {}
         self._instance_id = instance_id
         self._identity = identity
-        self._instance_ids = tuple(instance_ids)
+        self._instance_ids = set(instance_ids)
+        self._voter_limit = voter_limit
+        self._retry_storage_at = float("inf")
         self._voted_for = vote.voted_for
         self._storage = storage
         self._send = send
@@ -125,6 +133,15 @@
         lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
         return now < self._quorum_sent_at(now) + lease_s
 
+    def is_read_confirmed(self, asked_at: float, now: float) -> bool:
+        """Tell whether a quorum has answered a request sent after ``asked_at``.
+
+        Source: ReadIndex, section 6.4 of the thesis. No clock of another instance is trusted.
+        """
+        if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
+            return False
+        return self._quorum_sent_at(now) >= asked_at
+
     def _quorum_sent_at(self, now: float) -> float:
         times = [
             now if voter == self._instance_id else self._progress_of(voter).acknowledged_sent_at
@@ -175,11 +192,27 @@
         return True
 
     def _fail(self) -> None:
-        """A disk that does not sync makes the instance useless as a voter; it steps down."""
+        """An instance whose disk does not sync is no use as a voter; it steps down for now."""
         self.has_failed = True
+        self._retry_storage_at = float("-inf")
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
 
+    def _retry_storage(self, now: float) -> None:
+        """Try the disk again after a while: it may have been full for a time only.
+
+        What failed was not added to the log in memory, and the next write takes its place.
+        """
+        if self._retry_storage_at == float("-inf"):
+            self._retry_storage_at = now + STORAGE_RETRY_S
+        if now < self._retry_storage_at:
+            return
+        self.has_failed = False
+        if not self._save_vote(self.term, self._voted_for):
+            return
+        self._heard_leader_at = now
+        self._election_at = now + self._draw_timeout()
+
     def _find_voters(self) -> dict[str, str]:
         for index in range(self.log.last_index, self.configuration.index, -1):
             command = self.log.entry_at(index).command
@@ -200,6 +233,7 @@
     def tick(self, now: float) -> None:
         """Start elections, send heartbeats, and step down without a quorum."""
         if self.has_failed:
+            self._retry_storage(now)
             return
         if self.is_leader:
             self._lead(now)
@@ -210,6 +244,7 @@
         if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
             self._step_down(self.term, now)
             return
+        self._forget_silent_learners(now)
         for peer in self._replication_targets():
             self._replicate(peer, now)
 
@@ -218,6 +253,19 @@
         targets = set(self._voters_by_id) | set(self._instance_ids)
         return sorted(targets - {self._instance_id})
 
+    def learn_instance(self, instance_id: str, now: float) -> None:
+        """Replicate to an instance without a vote from now on."""
+        if instance_id not in self._instance_ids:
+            self._instance_ids.add(instance_id)
+            self._progress_of(instance_id).acknowledged_sent_at = now
+
+    def _forget_silent_learners(self, now: float) -> None:
+        for instance_id in self._instance_ids - set(self._voters_by_id) - {self._instance_id}:
+            if now - self._progress_of(instance_id).acknowledged_sent_at > LEARNER_SILENCE_S:
+                self._instance_ids.discard(instance_id)
+                self.learner_identities_by_id.pop(instance_id, None)
+                del self.progress_by_id[instance_id]
+
     def flush(self, now: float) -> None:
         """Send new entries at once instead of at the next heartbeat."""
         if not self.is_leader:
@@ -504,21 +552,51 @@
             self.flush(now)
 
     def admit_learners(self, now: float) -> None:
-        """Make a caught-up learner a voter, one at a time."""
+        """Make a caught-up learner a voter, one at a time, in the place of a silent one if full."""
         if not self.is_leader or self.is_member_change_pending:
             return
+        if self.log.term_at(self.commit_index) != self.term:
+            return
+        if len(self._voters_by_id) >= self._voter_limit:
+            self._replace_silent_voter(now)
+            return
         for learner, identity in list(self.learner_identities_by_id.items()):
             if self._voters_by_id.get(learner) == identity:
                 del self.learner_identities_by_id[learner]
                 continue
             if learner in self._voters_by_id:
                 continue  # Its former identity leaves the voters first.
-            if self._progress_of(learner).match_index >= self.commit_index:
+            if self._can_stand_in(learner, now):
                 voters = {**self._voters_by_id, learner: identity}
                 self.propose(SetControlMembers(identities_by_id=voters))
                 self.flush(now)
                 return
 
+    def _replace_silent_voter(self, now: float) -> None:
+        """Remove a voter that is silent for long, if another instance can take its place."""
+        if not any(self._can_stand_in(learner, now) for learner in self.learner_identities_by_id):
+            return
+        silent = [
+            voter
+            for voter in self._voters_by_id
+            if voter != self._instance_id
+            and now - self._progress_of(voter).acknowledged_sent_at > VOTER_SILENCE_S
+        ]
+        if not silent:
+            return
+        longest = min(silent, key=lambda v: self._progress_of(v).acknowledged_sent_at)
+        voters = {key: value for key, value in self._voters_by_id.items() if key != longest}
+        self._instance_ids.add(longest)
+        self.propose(SetControlMembers(identities_by_id=voters))
+        self.flush(now)
+
+    def _can_stand_in(self, learner: str, now: float) -> bool:
+        if learner in self._voters_by_id:
+            return False
+        progress = self._progress_of(learner)
+        is_heard = now - progress.acknowledged_sent_at < REPLY_TIMEOUT_S
+        return is_heard and progress.match_index >= self.commit_index
+
     # Commit
 
     def _advance_commit(self) -> None:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -163,6 +163,23 @@
     part: int
 
 
+class ServerLoad(Datagram, tag=11):
+    """Agent to agents and to the balancers of its data centre: what its server bears now.
+
+    ``service_ms`` is the time that the server takes for one request, without waiting.
+    ``is_leaving`` says that the agent is about to stop.
+    """
+
+    service_tag: int
+    accepts: bool
+    in_flight: int
+    held_flows: int
+    slots: int
+    service_ms: float
+    is_cold: bool = False
+    is_leaving: bool = False
+
+
 AnyDatagram = (
     Heartbeat
     | HeartbeatAck
@@ -174,6 +191,7 @@
     | GrantAck
     | FlowTransfer
     | FlowTransferAck
+    | ServerLoad
 )
 
 
@@ -229,6 +247,31 @@
     leader_id: str = ""
 
 
+class ControlJoinRequest(msgspec.Struct):
+    """A control instance without a vote asks to follow the log."""
+
+    instance_id: str
+    identity: str
+
+
+class ControlJoinReply(msgspec.Struct):
+    """Whether the asked instance leads and has noted the other; otherwise whom to ask."""
+
+    is_noted: bool
+    leader_id: str = ""
+
+
+class DiscoverRequest(msgspec.Struct):
+    """Ask a control instance for all that it knows."""
+
+
+class DiscoverReply(msgspec.Struct):
+    """Ids of the voters, and the leader where one is known."""
+
+    control_ids: list[str]
+    leader_id: str = ""
+
+
 class DumpRequest(msgspec.Struct):
     """Ask a process for its state."""
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import struct
 
 from wagtailkeel_protocol.malformed import Malformed
@@ -95,6 +96,11 @@
     return key[16:32] + key[:16] + key[34:36] + key[32:34] + key[36:]
 
 
+def source_host(key: bytes) -> str:
+    """Return the caller's address of a key as text."""
+    return str(ipaddress.ip_address(key[:4] if len(key) == 13 else key[:16]))
+
+
 def transport_offset(packet: bytes) -> int:
     """Return where the TCP or UDP header starts; the packet has been parsed before."""
     return (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else _IPV6_HEADER_BYTES
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -9,6 +9,7 @@
 from wagtailkeel_state.enums import BookingState
 from wagtailkeel_state.enums import DataCentreState
 from wagtailkeel_state.enums import FlowProtocol
+from wagtailkeel_state.routing import RoutingChange
 from wagtailkeel_state.server_member import ServerMember
 from wagtailkeel_state.target import Target
 
@@ -56,10 +57,20 @@
 
 
 class SetDataCentreState(Command):
-    """Take a data centre out of service or bring it back."""
+    """Take a data centre out of service or bring it back.
+
+    ``may_be_last`` allows to take out the last one in service.
+    """
 
     name: str
     state: DataCentreState
+    may_be_last: bool = False
+
+
+class ReplaceRouting(Command):
+    """Put a newer routing document in force; one that is not newer changes nothing."""
+
+    change: RoutingChange
 
 
 class DrainServer(Command):
@@ -153,6 +164,7 @@
     | ChangeTarget
     | DefineDataCentre
     | SetDataCentreState
+    | ReplaceRouting
     | DrainServer
     | RestoreServer
     | JoinServer
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -10,6 +10,7 @@
 from wagtailkeel_state.data_centre import DataCentre
 from wagtailkeel_state.enums import DataCentreState
 from wagtailkeel_state.enums import ServerState
+from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.server_member import FormerMember
 from wagtailkeel_state.server_member import ServerMember
 from wagtailkeel_state.service import Service
@@ -32,6 +33,7 @@
     bookings_by_id: dict[str, Booking] = {}
     control_identities_by_id: dict[str, str] = {}
     answers_by_command_id: dict[str, CommandAnswer] = {}
+    routing: RoutingDocument = msgspec.field(default_factory=RoutingDocument)
 
     def is_in_service(self, data_centre: str) -> bool:
         """Tell whether a data centre takes traffic; one never defined does."""
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -25,6 +25,7 @@
 from wagtailkeel_state.commands import Noop
 from wagtailkeel_state.commands import RemoveBalancer
 from wagtailkeel_state.commands import RemoveServer
+from wagtailkeel_state.commands import ReplaceRouting
 from wagtailkeel_state.commands import RestoreServer
 from wagtailkeel_state.commands import SetControlMembers
 from wagtailkeel_state.commands import SetDataCentreState
@@ -36,6 +37,7 @@
 from wagtailkeel_state.enums import BookingState
 from wagtailkeel_state.enums import DataCentreState
 from wagtailkeel_state.enums import ServerState
+from wagtailkeel_state.routing import apply_change
 from wagtailkeel_state.server_member import FormerMember
 from wagtailkeel_state.service import Service
 from wagtailkeel_state.traffic_class import TrafficClass
@@ -200,7 +202,7 @@
         for other in config.data_centres_by_name.values()
         if other.name != command.name
     )
-    if command.state is DataCentreState.OUT_OF_SERVICE and is_last:
+    if command.state is DataCentreState.OUT_OF_SERVICE and is_last and not command.may_be_last:
         return f"data centre {command.name} is the last one in service"
     found.state = command.state
     found.state_index = entry.index
@@ -208,6 +210,17 @@
     return None
 
 
+@apply_command.register
+def _(command: ReplaceRouting, config: Configuration, entry: LogEntry) -> str | None:
+    known = config.routing.version
+    if command.change.version <= known:
+        return None
+    if command.change.base_version != known:
+        return f"the change is from version {command.change.base_version}, not from {known}"
+    config.routing = apply_change(config.routing, command.change)
+    return None
+
+
 @apply_command.register
 def _(command: DrainServer, config: Configuration, entry: LogEntry) -> str | None:
     member = config.servers_by_id.get(command.server_id)
--- /dev/null
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -0,0 +1,121 @@
+"""Routing documents: which service new flows to an address and port go to.
+
+A document is replaced as a whole under a rising version. Log entries carry only what differs
+from the version before, so that a large document costs little to change.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class WeightedService(msgspec.Struct, frozen=True):
+    """One destination of a route; ``weight`` is relative to the other destinations."""
+
+    service: str
+    weight: int
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where new flows to one address and port go.
+
+    ``source`` is the route as the operator wrote it, returned unchanged when it is read back.
+    """
+
+    address: str
+    port: int
+    destinations: tuple[WeightedService, ...]
+    source: bytes = b""
+
+    @property
+    def place(self) -> str:
+        """The address and port as text: the key of a route."""
+        return f"{self.address}:{self.port}"
+
+
+class ServicePolicy(msgspec.Struct, frozen=True):
+    """What a service's servers bear after a start; ``source`` as in :class:`Route`."""
+
+    name: str
+    cold_starts_per_s: float = 0.0
+    source: bytes = b""
+
+
+class RoutingDocument(msgspec.Struct):
+    """All routes of one version; version 0 is the empty document before the first."""
+
+    version: int = 0
+    routes_by_place: dict[str, Route] = {}
+    policies_by_service: dict[str, ServicePolicy] = {}
+    idle_limit_s: float = 60.0
+    source: bytes = b""
+
+
+class RoutingChange(msgspec.Struct):
+    """What turns the document of ``base_version`` into that of ``version``.
+
+    ``places`` gives the order of all routes where it can't be derived, else it is empty.
+    """
+
+    version: int
+    base_version: int
+    changed_routes: list[Route]
+    removed_places: list[str]
+    changed_policies: list[ServicePolicy]
+    removed_policies: list[str]
+    idle_limit_s: float
+    source: bytes
+    places: list[str] = []
+
+
+def find_document_fault(document: RoutingDocument) -> str | None:
+    """Return why a document can't be put in force, or None."""
+    if document.version <= 0:
+        return f"version {document.version} is not a positive number"
+    for route in document.routes_by_place.values():
+        if not route.destinations:
+            return f"route {route.place} names no service"
+        for destination in route.destinations:
+            if destination.service not in document.policies_by_service:
+                return f"route {route.place} names the unknown service {destination.service}"
+            if destination.weight < 0:
+                return f"route {route.place} has the negative weight {destination.weight}"
+        if not sum(destination.weight for destination in route.destinations):
+            return f"route {route.place} gives no service any weight"
+    return None
+
+
+def compute_change(old: RoutingDocument, new: RoutingDocument) -> RoutingChange:
+    """Return what differs between two documents."""
+    change = RoutingChange(
+        new.version,
+        old.version,
+        [r for place, r in new.routes_by_place.items() if old.routes_by_place.get(place) != r],
+        [place for place in old.routes_by_place if place not in new.routes_by_place],
+        [
+            policy
+            for name, policy in new.policies_by_service.items()
+            if old.policies_by_service.get(name) != policy
+        ],
+        [name for name in old.policies_by_service if name not in new.policies_by_service],
+        new.idle_limit_s,
+        new.source,
+    )
+    if list(apply_change(old, change).routes_by_place) != list(new.routes_by_place):
+        change.places = list(new.routes_by_place)
+    return change
+
+
+def apply_change(old: RoutingDocument, change: RoutingChange) -> RoutingDocument:
+    """Return the document after a change; ``old`` stays as it is."""
+    routes = dict(old.routes_by_place)
+    for place in change.removed_places:
+        routes.pop(place, None)
+    routes.update({route.place: route for route in change.changed_routes})
+    if change.places:
+        routes = {place: routes[place] for place in change.places}
+    policies = dict(old.policies_by_service)
+    for name in change.removed_policies:
+        policies.pop(name, None)
+    policies.update({policy.name: policy for policy in change.changed_policies})
+    return RoutingDocument(change.version, routes, policies, change.idle_limit_s, change.source)
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -24,6 +24,12 @@
 STATUS: RpcMethod[messages.StatusRequest, messages.StatusReply] = RpcMethod(
     "Status", messages.StatusRequest, messages.StatusReply
 )
+CONTROL_JOIN: RpcMethod[messages.ControlJoinRequest, messages.ControlJoinReply] = RpcMethod(
+    "ControlJoin", messages.ControlJoinRequest, messages.ControlJoinReply
+)
+DISCOVER: RpcMethod[messages.DiscoverRequest, messages.DiscoverReply] = RpcMethod(
+    "Discover", messages.DiscoverRequest, messages.DiscoverReply
+)
 FORMATION: RpcMethod[raft_messages.FormationRequest, raft_messages.FormationReply] = RpcMethod(
     "Formation", raft_messages.FormationRequest, raft_messages.FormationReply
 )
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -59,6 +59,19 @@
                     break
                 on_datagram(datagram)
 
+    async def receive_from(self, on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
+        """Pass on datagrams with their sender's address until cancelled."""
+        receive = self._socket.recvfrom
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(BATCH_DATAGRAMS):
+                try:
+                    datagram, address = receive(MAX_DATAGRAM_BYTES)
+                except OSError:
+                    # Nothing more to read, or an ICMP error of an earlier send.
+                    break
+                on_datagram(datagram, address)
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -14,6 +14,8 @@
 from wagtailkeel.roles import Control
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskStatus
 
     from wagtailkeel.settings import Settings
@@ -32,8 +34,9 @@
 class Daemon:
     """Starts all roles, waits for a signal, stops them gracefully."""
 
-    def __init__(self, roles: list[Role]) -> None:
+    def __init__(self, roles: list[Role], on_reload: Callable[[], None] | None = None) -> None:
         self._roles = roles
+        self._on_reload = on_reload
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
@@ -47,17 +50,26 @@
         return cls(roles)
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        """Serve until SIGTERM or SIGINT; SIGHUP says that the settings have changed."""
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*watched) as signals:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._start_roles, tasks)
                 async for number in signals:
+                    if number == signal.SIGHUP:
+                        self._reload()
+                        continue
                     logger.info("stopping on {}", signal.Signals(number).name)
                     break
                 await self._stop_roles()
                 tasks.cancel_scope.cancel()
         logger.info("stopped")
 
+    def _reload(self) -> None:
+        logger.info("the settings have changed")
+        if self._on_reload is not None:
+            self._on_reload()
+
     async def _start_roles(self, tasks: anyio.abc.TaskGroup) -> None:
         for role in self._roles:
             await tasks.start(role.run)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from functools import singledispatchmethod
 from itertools import islice
 from random import Random
@@ -43,6 +42,7 @@
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import RpcServer
 from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport import clock
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import PULL
 from wagtailkeel_transport.methods import STOP_AGENT
@@ -73,7 +73,7 @@
         self._endpoint = UdpEndpoint(host, section.port)
         self._server_endpoint = UdpEndpoint(host, section.server_side_port)
         self._rpc_client = RpcClient(host)
-        self._address_book = AddressBook(settings.control_instances, self.store)
+        self._address_book = AddressBook.from_settings(settings, self.store)
         self._random = Random()
         self._lease = PlacementLease()
         self._outbox = AgentOutbox(
@@ -98,7 +98,7 @@
             self._random,
             self.metrics.counters,
             self.metrics.record_response,
-            time.monotonic(),
+            clock.seconds(),
         )
         self._tables = TableBuilder(
             settings.instance.data_centre, is_plain=settings.instance.stateless
@@ -106,7 +106,7 @@
         self._changed = anyio.Event()
         self._is_stopping = False
         self._is_isolated = False
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.seconds()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             section.server_id,
@@ -207,7 +207,7 @@
         marks, hops = gue.peek_marks_and_hops(datagram)
         if not marks & gue.MARK_REJECTED and not self._instance.stateless:
             packet = datagram[gue.HEADER_BYTES :]
-            if self._router.deliver_known(packet, hops, time.monotonic()):
+            if self._router.deliver_known(packet, hops, clock.seconds()):
                 return
         frame = gue.decode_frame(datagram)
         if isinstance(frame, Malformed):
@@ -216,7 +216,7 @@
         if self._instance.stateless:
             self._outbox.deliver(frame.packet)
             return
-        self._router.on_frame(frame, time.monotonic())
+        self._router.on_frame(frame, clock.seconds())
 
     def _on_control(self, datagram: bytes) -> None:
         message = decode_datagram(datagram)
@@ -224,12 +224,12 @@
             self.metrics.counters[f"dropped_{message.value}"] += 1
             return
         self.metrics.counters["control_bytes_received"] += len(datagram)
-        self._heard_at = time.monotonic()
+        self._heard_at = clock.seconds()
         self._on_message(message)
 
     @singledispatchmethod
     def _on_message(self, message: Datagram) -> None:
-        self._router.on_message(message, time.monotonic())
+        self._router.on_message(message, clock.seconds())
 
     @_on_message.register
     def _(self, message: HeartbeatAck) -> None:
@@ -246,31 +246,31 @@
             self._outbox.send(
                 message.sender, VersionHint(self._section.server_id, self.store.version)
             )
-        self._router.on_message(message, time.monotonic())
+        self._router.on_message(message, clock.seconds())
 
     def _on_server_packet(self, packet: bytes) -> None:
         if self._instance.stateless:
             self._outbox.reply(packet)
             return
-        self._router.on_server_packet(packet, time.monotonic())
+        self._router.on_server_packet(packet, clock.seconds())
 
     # Timers
 
     async def _tick_forever(self) -> None:
         while True:
             self._check_isolation()
-            self._router.tick(time.monotonic())
+            self._router.tick(clock.seconds())
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _check_isolation(self) -> None:
         limit_s = self._section.isolated_stop_s
         if limit_s <= 0 or self._router.view.config is None:
             return
-        is_isolated = time.monotonic() - self._heard_at > limit_s
+        is_isolated = clock.seconds() - self._heard_at > limit_s
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
             logger.warning("isolated: service ends" if is_isolated else "service goes on")
-            self._router.set_isolated(is_isolated, time.monotonic())
+            self._router.set_isolated(is_isolated, clock.seconds())
 
     async def _gossip_forever(self) -> None:
         while True:
@@ -302,7 +302,7 @@
             service = self._section.service
             await self._tables.refresh(self.store.configuration, [service])
             table = self._tables.tables_by_service.get(service)
-            self._router.apply_configuration(self.store.configuration, table, time.monotonic())
+            self._router.apply_configuration(self.store.configuration, table, clock.seconds())
 
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request.since)
@@ -312,7 +312,7 @@
         authority = router.authority
         self.metrics.counters["packets_delivered"] = self._outbox.delivered_packets
         self.metrics.counters["packets_returned"] = self._outbox.returned_packets
-        now = time.monotonic()
+        now = clock.seconds()
         return build_dump(
             {
                 "role": "agent",
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
@@ -39,6 +38,7 @@
 from wagtailkeel_transport import RpcClient
 from wagtailkeel_transport import RpcServer
 from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport import clock
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import PULL
 
@@ -73,7 +73,7 @@
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             settings.balancer_id,
-            AddressBook(settings.control_instances, self.store),
+            AddressBook.from_settings(settings, self.store),
             self.store,
             self._endpoint,
             self._rpc_client,
@@ -218,7 +218,7 @@
                 "data_centre": self._instance.data_centre,
                 "boot_id": self._link.boot_id,
                 "version": self.store.version,
-                "control_silent_s": time.monotonic() - self._link.acknowledged_at,
+                "control_silent_s": clock.seconds() - self._link.acknowledged_at,
                 "epochs_by_service": {
                     name: table.epoch for name, table in self._tables.tables_by_service.items()
                 },
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -18,11 +18,13 @@
 from wagtailkeel.roles.control.raft_disk import RaftDisk
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel.settings import ControlInstanceSettings
 from wagtailkeel_coordination.address_assignment import assign_addresses
 from wagtailkeel_coordination.membership import is_current
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft.formation import decide_formation
+from wagtailkeel_coordination.raft.raft_node import UNLIMITED_VOTERS
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
@@ -30,6 +32,10 @@
 from wagtailkeel_protocol.messages import AnnounceRequest
 from wagtailkeel_protocol.messages import CommandReply
 from wagtailkeel_protocol.messages import CommandRequest
+from wagtailkeel_protocol.messages import ControlJoinReply
+from wagtailkeel_protocol.messages import ControlJoinRequest
+from wagtailkeel_protocol.messages import DiscoverReply
+from wagtailkeel_protocol.messages import DiscoverRequest
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import Heartbeat
@@ -45,18 +51,27 @@
 from wagtailkeel_state.commands import CommandAnswer
 from wagtailkeel_state.commands import JoinBalancer
 from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import ReplaceRouting
+from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.commands import StopAgent
 from wagtailkeel_state.configuration import Configuration
 from wagtailkeel_state.configuration_machine import apply_entry
 from wagtailkeel_state.enums import AnswerStatus
+from wagtailkeel_state.enums import DataCentreState
+from wagtailkeel_state.routing import RoutingDocument
+from wagtailkeel_state.routing import compute_change
+from wagtailkeel_state.routing import find_document_fault
 from wagtailkeel_transport import DataFolder
 from wagtailkeel_transport import LogStore
 from wagtailkeel_transport import RpcClient
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import RpcServer
 from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport import clock
 from wagtailkeel_transport.methods import ANNOUNCE
 from wagtailkeel_transport.methods import COMMAND
+from wagtailkeel_transport.methods import CONTROL_JOIN
+from wagtailkeel_transport.methods import DISCOVER
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import FORMATION
 from wagtailkeel_transport.methods import PULL
@@ -65,10 +80,11 @@
 from wagtailkeel_transport.methods import STOP_AGENT
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
     from anyio.abc import TaskStatus
 
-    from wagtailkeel.settings import ControlInstanceSettings
     from wagtailkeel.settings import ControlSettings
     from wagtailkeel.settings import Settings
     from wagtailkeel_protocol.raft_messages import RaftMessage
@@ -82,12 +98,22 @@
 FORMATION_TIMEOUT_S = 1.0
 RAFT_CALL_TIMEOUT_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
+COMMIT_POLL_S = 0.2
+LEARNER_RETRY_S = 0.5
+READ_TIMEOUT_S = 0.9
+READ_POLL_S = 0.01
+ROUTING_ATTEMPTS = 3
 
 
 class Control:
     """Owns the data folder, the consensus node and the leader's duties."""
 
-    def __init__(self, settings: Settings, section: ControlSettings) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        section: ControlSettings,
+        read_seeds: Callable[[], list[str]] | None = None,
+    ) -> None:
         self.metrics = Metrics()
         self._settings = settings
         self._section = section
@@ -99,24 +125,33 @@
         self._disk = RaftDisk(self._open_log())
         self._store = ConfigurationStore()
         self._store.configuration = self._log_store.configuration
-        self._address_book = AddressBook(settings.control_instances, self._store)
+        self._address_book = AddressBook.from_settings(settings, self._store, read_seeds)
         self._pending = PendingProposals()
         self._raft = self._build_raft()
-        self._duties = LeaderDuties.from_settings(section, self.metrics, time.monotonic())
+        self._duties = LeaderDuties.from_settings(section, self.metrics, clock.seconds())
+        self._routing_lock = anyio.Lock()
         self._led_term = 0
         self._hinted_version = 0
         self._hinted_at = float("-inf")
         self._tasks: TaskGroup | None = None
 
     @classmethod
-    def from_settings(cls, settings: Settings) -> Control:
+    def from_settings(
+        cls, settings: Settings, read_seeds: Callable[[], list[str]] | None = None
+    ) -> Control:
         """Build the role; the data folder is locked and read here."""
         assert settings.control is not None, "the caller checks for the section"
-        return cls(settings, settings.control)
+        return cls(settings, settings.control, read_seeds)
 
     @staticmethod
     def _find_own(settings: Settings) -> ControlInstanceSettings:
         own_id = settings.instance.id
+        discovery = settings.discovery
+        if discovery is not None:
+            host = settings.instance.host
+            return ControlInstanceSettings(
+                id=own_id, host=host, port=discovery.port, rpc_port=discovery.rpc_port
+            )
         return next(found for found in settings.control_instances if found.id == own_id)
 
     def _open_log(self) -> LogStore:
@@ -130,10 +165,11 @@
     def _build_raft(self) -> RaftNode:
         configuration = self._log_store.configuration
         log = RaftLog(configuration.index, configuration.term, self._log_store.entries)
+        discovery = self._settings.discovery
         return RaftNode(
             self._instance_id,
             self._folder.identity,
-            self._address_book.control_ids,
+            [] if discovery else self._address_book.control_ids,
             self._log_store.vote,
             log,
             configuration,
@@ -142,7 +178,8 @@
             self._apply,
             self._replace,
             Random(),
-            time.monotonic(),
+            clock.seconds(),
+            discovery.voters if discovery else UNLIMITED_VOTERS,
         )
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -156,6 +193,8 @@
                 STATUS: self._status,
                 DUMP: self._dump,
                 FORMATION: self._answer_formation,
+                CONTROL_JOIN: self._note_learner,
+                DISCOVER: self._discover,
                 RAFT: self._on_raft_request,
             }
         )
@@ -165,9 +204,12 @@
                 self._tasks = tasks
                 tasks.start_soon(self._endpoint.receive, self._on_datagram)
                 task_status.started()
-                await self._form()
                 tasks.start_soon(self._tick_forever)
                 tasks.start_soon(self._lead_forever)
+                if self._settings.discovery is not None:
+                    tasks.start_soon(self._join_as_learner)
+                if self._may_form:
+                    await self._form()
         finally:
             self._endpoint.close()
             self._rpc_client.close()
@@ -180,10 +222,56 @@
 
     # Forming the cluster
 
+    @property
+    def _may_form(self) -> bool:
+        discovery = self._settings.discovery
+        if discovery is None:
+            return True
+        return discovery.may_form and self._instance_id in self._address_book.seeds
+
+    async def _join_as_learner(self) -> None:
+        """Ask to follow the log while this data folder has no vote."""
+        while True:
+            if not self._raft.is_voter:
+                await self._ask_to_follow()
+            await anyio.sleep(LEARNER_RETRY_S)
+
+    async def _ask_to_follow(self) -> None:
+        request = ControlJoinRequest(self._instance_id, self._folder.identity)
+        asked: set[str] = {self._instance_id}
+        to_ask = [id_ for id_ in self._address_book.control_ids if id_ not in asked]
+        while to_ask:
+            control_id = to_ask.pop(0)
+            address = self._address_book.rpc_address(control_id)
+            if control_id in asked or address is None:
+                continue
+            asked.add(control_id)
+            try:
+                reply = await self._rpc_client.call(
+                    address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
+                )
+            except RpcError:
+                self.metrics.counters["control_join_failures"] += 1
+                continue
+            if reply.is_noted:
+                return
+            if reply.leader_id:
+                to_ask.insert(0, reply.leader_id)
+        self._address_book.reload_seeds()
+
+    async def _note_learner(self, request: ControlJoinRequest) -> ControlJoinReply:
+        if not self._raft.is_leader:
+            return ControlJoinReply(False, self._raft.leader_id)
+        self._raft.learn_instance(request.instance_id, clock.seconds())
+        return ControlJoinReply(True, self._instance_id)
+
+    async def _discover(self, request: DiscoverRequest) -> DiscoverReply:
+        return DiscoverReply(sorted(self._raft.voters_by_id), self._raft.leader_id)
+
     async def _form(self) -> None:
         while not self._raft.voters_by_id:
             replies = await self._ask_formation()
-            expected = self._address_book.control_ids
+            expected = self._founder_ids
             voters = decide_formation(self._instance_id, self._folder.identity, expected, replies)
             if voters is not None and not self._raft.voters_by_id:
                 self._raft.form(voters)
@@ -191,6 +279,12 @@
                 return
             await anyio.sleep(FORMATION_RETRY_S)
 
+    @property
+    def _founder_ids(self) -> list[str]:
+        if self._settings.discovery is not None:
+            return self._address_book.seeds
+        return self._address_book.control_ids
+
     async def _ask_formation(self) -> list[FormationReply]:
         replies: list[FormationReply] = []
 
@@ -206,7 +300,7 @@
                 self.metrics.counters["formation_failures"] += 1
 
         async with anyio.create_task_group() as tasks:
-            for control_id in self._address_book.control_ids:
+            for control_id in self._founder_ids:
                 if control_id != self._instance_id:
                     tasks.start_soon(ask, control_id)
         return replies
@@ -232,10 +326,10 @@
         except RpcError:
             self.metrics.counters["raft_failures"] += 1
             return
-        self._raft.on_reply(reply, time.monotonic())
+        self._raft.on_reply(reply, clock.seconds())
 
     async def _on_raft_request(self, request: RaftMessage) -> RaftMessage:
-        return self._raft.on_request(request, time.monotonic())
+        return self._raft.on_request(request, clock.seconds())
 
     def _apply(self, entry: LogEntry) -> CommandAnswer:
         self._store.retain(entry)
@@ -250,7 +344,7 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._raft.tick(time.monotonic())
+            self._raft.tick(clock.seconds())
             if self._raft.has_failed and self._disk.last_error:
                 logger.error("stepped down for good: {}", self._disk.last_error)
                 self._disk.last_error = ""
@@ -258,7 +352,7 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _send_hints(self) -> None:
-        version, now = self._store.version, time.monotonic()
+        version, now = self._store.version, clock.seconds()
         if version == self._hinted_version or not self._raft.is_leader:
             return
         if now - self._hinted_at < HINT_INTERVAL_S:
@@ -289,9 +383,12 @@
         if proposed is None:
             self._pending.forget(index)
             return None
-        self._raft.flush(time.monotonic())
+        self._raft.flush(clock.seconds())
         with anyio.move_on_after(COMMIT_TIMEOUT_S):
-            await pending.done.wait()
+            while self._raft.is_leader and self._raft.term == pending.term:
+                with anyio.move_on_after(COMMIT_POLL_S):
+                    await pending.done.wait()
+                    break
         self._pending.forget(index)
         if pending.answer is not None:
             return pending.answer
@@ -301,14 +398,14 @@
 
     def _propose_duty(self, command: AnyCommand) -> None:
         if self._raft.propose(command, author="control") is not None:
-            self._raft.flush(time.monotonic())
+            self._raft.flush(clock.seconds())
 
     # Leader's duties
 
     async def _lead_forever(self) -> None:
         while True:
             await anyio.sleep(DUTY_INTERVAL_S)
-            now = time.monotonic()
+            now = clock.seconds()
             if not self._raft.has_read_lease(now):
                 continue
             if self._led_term != self._raft.term:
@@ -334,7 +431,7 @@
             self.metrics.counters["dropped_unexpected_message"] += 1
 
     def _on_heartbeat(self, message: Heartbeat) -> None:
-        now = time.monotonic()
+        now = clock.seconds()
         config = self._store.configuration
         is_leader = self._raft.has_read_lease(now)
         lease_s = self._duties.membership.on_heartbeat(message, config, now) if is_leader else 0.0
@@ -378,6 +475,72 @@
             return AnnounceReply(False, answer.index, self._raft.leader_id, answer.reason)
         return AnnounceReply(True, answer.index, self._instance_id)
 
+    # Routing documents and data centres, as whole states rather than commands
+
+    @property
+    def leader_id(self) -> str:
+        """The leader as this instance knows it; empty while there is none."""
+        return self._raft.leader_id
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this instance believes that it leads."""
+        return self._raft.is_leader
+
+    async def replace_routing(self, document: RoutingDocument, author: str) -> CommandAnswer:
+        """Put a document in force, or confirm that a newer one is.
+
+        The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
+        same document may then be sent again, here or elsewhere.
+        """
+        fault = find_document_fault(document)
+        if fault is not None:
+            return CommandAnswer(AnswerStatus.REJECTED, fault)
+        async with self._routing_lock:
+            for _ in range(ROUTING_ATTEMPTS):
+                known = self._store.configuration.routing
+                if document.version <= known.version:
+                    return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
+                command = ReplaceRouting(change=compute_change(known, document))
+                answer = await self._propose(CommandRequest(command, "", author))
+                if answer is None or answer.status is AnswerStatus.UNKNOWN:
+                    break
+                if answer.is_accepted:
+                    logger.info("routing version {} is committed", document.version)
+                    return answer
+        return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
+
+    async def read_routing(self) -> RoutingDocument | None:
+        """Return the newest document, or None where a quorum does not confirm that it is."""
+        if not await self._confirm_read():
+            return None
+        return self._store.configuration.routing
+
+    async def set_data_centre_state(
+        self, name: str, state: DataCentreState, author: str
+    ) -> CommandAnswer:
+        """Take a data centre out or back; one that is in the state already is confirmed."""
+        async with self._routing_lock:
+            if not await self._confirm_read():
+                return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
+            found = self._store.configuration.data_centres_by_name.get(name)
+            if found is not None and found.state is state:
+                return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
+            command = SetDataCentreState(name=name, state=state, may_be_last=True)
+            answer = await self._propose(CommandRequest(command, "", author))
+        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance does not lead")
+
+    async def _confirm_read(self) -> bool:
+        asked_at = clock.seconds()
+        while self._raft.is_leader:
+            now = clock.seconds()
+            if self._raft.is_read_confirmed(asked_at, now):
+                return True
+            if now - asked_at > READ_TIMEOUT_S:
+                return False
+            await anyio.sleep(READ_POLL_S)
+        return False
+
     # Operators
 
     async def _command(self, request: CommandRequest) -> CommandReply:
@@ -388,7 +551,7 @@
         return self._store.answer_pull(request.since)
 
     async def _status(self, request: StatusRequest) -> StatusReply:
-        now = time.monotonic()
+        now = clock.seconds()
         return StatusReply(
             self._store.version,
             self._raft.leader_id,
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -0,0 +1,297 @@
+"""The agent role: the process beside one backend server."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from random import Random
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from wagtailkeel.roles.address_book import AddressBook
+from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.handshake.relay_outbox import UdpRelayOutbox
+from wagtailkeel.roles.metrics import Metrics
+from wagtailkeel.roles.node_link import NodeLink
+from wagtailkeel.roles.node_link import draw_boot_id
+from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_coordination.handshake import AgentRouter
+from wagtailkeel_coordination.handshake import ServerGate
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.codec import encode_datagram
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import Datagram
+from wagtailkeel_protocol.messages import DumpReply
+from wagtailkeel_protocol.messages import DumpRequest
+from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_protocol.messages import ServerLoad
+from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport import clock
+from wagtailkeel_transport.methods import DUMP
+from wagtailkeel_transport.methods import PULL
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskStatus
+
+    from wagtailkeel.settings import HandshakeAgentSettings
+    from wagtailkeel.settings import Settings
+    from wagtailkeel_coordination.handshake import ServerReport
+    from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_state.configuration import Configuration
+
+Address = tuple[str, int]
+
+TICK_INTERVAL_S = 0.05
+LOAD_INTERVAL_S = 0.1
+QUIET_LOAD_INTERVAL_S = 0.5
+PEER_MEMORY_S = 60.0
+"""A removed agent may still hold flows that it serves behind a cut."""
+LEAVING_NOTICES = 3
+LEAVING_NOTICE_INTERVAL_S = 0.05
+
+
+class HandshakeAgent:
+    """Owns the sockets and the router of one backend server's agent."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        section: HandshakeAgentSettings,
+        packet_format: PacketFormat,
+        read_seeds: Callable[[], list[str]] | None,
+    ) -> None:
+        self.metrics = Metrics()
+        self.store = ConfigurationStore()
+        self._instance = settings.instance
+        self._section = section
+        self._agent_id = f"{section.service}@{settings.instance.id}"
+        host = settings.instance.own_host
+        self._endpoint = UdpEndpoint(host, section.port)
+        self._server_endpoint = UdpEndpoint(host, section.server_side_port)
+        self._rpc_client = RpcClient(host)
+        self._data_centres_by_peer: dict[Address, str] = {}
+        self._seen_at_by_peer: dict[Address, float] = {}
+        self._last_load: ServerLoad | None = None
+        self._load_sent_at = float("-inf")
+        self.router = AgentRouter(
+            (settings.instance.host, section.port),
+            settings.instance.data_centre,
+            packet_format,
+            ServerGate(section.service, section.report_limit_s),
+            UdpRelayOutbox(section, self._endpoint, self._server_endpoint),
+            Random(),
+            self.metrics.counters,
+            self.metrics.record_response,
+            clock.seconds(),
+        )
+        self.store.subscribe(self._on_configuration)
+        self._link = NodeLink(
+            self._agent_id,
+            AddressBook.from_settings(settings, self.store, read_seeds),
+            self.store,
+            self._endpoint,
+            self._rpc_client,
+            self._build_announcement,
+            lambda heartbeat: heartbeat,
+            lambda boot_id: None,
+            PlacementLease(),
+            self.metrics,
+            draw_boot_id(),
+        )
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        packet_format: PacketFormat,
+        read_seeds: Callable[[], list[str]] | None = None,
+    ) -> HandshakeAgent:
+        """Build the role; sockets are bound here."""
+        assert settings.handshake_agent is not None, "the caller checks for the section"
+        return cls(settings, settings.handshake_agent, packet_format, read_seeds)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the agent takes part."""
+        return self._link.is_joined.is_set() and not self.router.gate.is_leaving
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        await server.start(self._instance.own_host, self._section.rpc_port)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._endpoint.receive_from, self._on_datagram)
+                tasks.start_soon(self._server_endpoint.receive, self._on_server_packet)
+                tasks.start_soon(self._link.run)
+                tasks.start_soon(self._tick_forever)
+                tasks.start_soon(self._report_forever)
+                task_status.started()
+        finally:
+            self._endpoint.close()
+            self._server_endpoint.close()
+            self._rpc_client.close()
+            with anyio.CancelScope(shield=True):
+                await server.close()
+
+    async def stop(self) -> None:
+        """Tell all others that this agent keeps no directory entries from now on."""
+        self.router.gate.is_leaving = True
+        for _ in range(LEAVING_NOTICES):
+            self._send_load(self.router.build_load(clock.seconds()))
+            await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
+
+    def on_report(self, report: ServerReport) -> bool:
+        """Take in what the server says; return whether it counts."""
+        now = clock.seconds()
+        if not self.router.on_report(report, now):
+            return False
+        load = self.router.build_load(now)
+        if self._last_load is None or self._last_load.accepts != load.accepts:
+            logger.info("server {} accepts openings: {}", report.server_id, load.accepts)
+            self._send_load(load)
+        return True
+
+    def _build_announcement(self, boot_id: int) -> AnnounceRequest:
+        return AnnounceRequest(
+            server=ServerMember(
+                self._agent_id,
+                self._section.service,
+                self._instance.data_centre,
+                self._instance.host,
+                self._section.port,
+                self._section.rpc_port,
+                boot_id,
+                self.router.held.slots,
+            )
+        )
+
+    # Configuration
+
+    def _on_configuration(self, config: Configuration) -> None:
+        now = clock.seconds()
+        self.router.apply_routing(config.routing)
+        self.router.gate.set_in_service(config.is_in_service(self._instance.data_centre), now)
+        for member in config.servers_by_id.values():
+            address = (member.host, member.port)
+            self._data_centres_by_peer[address] = member.data_centre
+            self._seen_at_by_peer[address] = now
+        for address, seen_at in list(self._seen_at_by_peer.items()):
+            if now - seen_at > PEER_MEMORY_S:
+                del self._seen_at_by_peer[address]
+                del self._data_centres_by_peer[address]
+        self.router.set_peers(frozenset(self._seen_at_by_peer))
+
+    # Packets and messages
+
+    def _on_datagram(self, datagram: bytes, source: Address) -> None:
+        if not relay.is_relay(datagram):
+            self._on_control(datagram, source)
+            return
+        frame = relay.decode_relay(datagram)
+        if isinstance(frame, Malformed):
+            self.metrics.counters[f"dropped_{frame.value}"] += 1
+            return
+        self.router.on_frame(frame, source, clock.seconds())
+
+    def _on_control(self, datagram: bytes, source: Address) -> None:
+        message = decode_datagram(datagram)
+        if isinstance(message, Malformed):
+            self.metrics.counters[f"dropped_{message.value}"] += 1
+            return
+        self._on_message(message, source)
+
+    @singledispatchmethod
+    def _on_message(self, message: Datagram, source: Address) -> None:
+        self.metrics.counters["dropped_unexpected_message"] += 1
+
+    @_on_message.register
+    def _(self, message: HeartbeatAck, source: Address) -> None:
+        self._link.on_ack(message)
+
+    @_on_message.register
+    def _(self, message: VersionHint, source: Address) -> None:
+        self._link.note_version(message.sender, message.version)
+
+    @_on_message.register
+    def _(self, message: ServerLoad, source: Address) -> None:
+        data_centre = self._data_centres_by_peer.get(source, "")
+        self.router.loads.on_load(source, data_centre, message, clock.seconds())
+
+    def _on_server_packet(self, packet: bytes) -> None:
+        self.router.on_server_packet(packet, clock.seconds())
+
+    # Timers
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self.router.tick(clock.seconds())
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    async def _report_forever(self) -> None:
+        while True:
+            now = clock.seconds()
+            load = self.router.build_load(now)
+            is_quiet = self._last_load is not None and not _differs(self._last_load, load)
+            if not is_quiet or now - self._load_sent_at >= QUIET_LOAD_INTERVAL_S:
+                self._send_load(load)
+            await anyio.sleep(LOAD_INTERVAL_S)
+
+    def _send_load(self, load: ServerLoad) -> None:
+        self._last_load = load
+        self._load_sent_at = clock.seconds()
+        datagram = encode_datagram(load)
+        config = self.store.configuration
+        for member in config.servers_by_id.values():
+            if (member.host, member.port) != self.router.own_address:
+                self._endpoint.send(datagram, (member.host, member.port))
+        for balancer in config.balancers_by_id.values():
+            if balancer.data_centre == self._instance.data_centre:
+                self._endpoint.send(datagram, (balancer.host, balancer.port))
+
+    async def _answer_pull(self, request: PullRequest) -> PullReply:
+        return self.store.answer_pull(request.since)
+
+    async def _dump(self, request: DumpRequest) -> DumpReply:
+        router = self.router
+        now = clock.seconds()
+        return build_dump(
+            {
+                "role": "agent",
+                "instance": self._agent_id,
+                "service": self._section.service,
+                "data_centre": self._instance.data_centre,
+                "boot_id": self._link.boot_id,
+                "version": self.store.version,
+                "routing_version": router.routing.version,
+                "control_silent_s": now - self._link.acknowledged_at,
+                "accepts": router.gate.accepts(now),
+                "held_flows": len(router.held.by_key),
+                "pointers": len(router.pointers.by_key),
+                "searches": len(router.searches.by_key),
+                "in_flight": router.held.in_flight,
+                "service_ms": router.held.service_s * 1_000,
+                "send_failures": self._endpoint.send_failures,
+                "metrics": self.metrics.dump(),
+            }
+        )
+
+
+def _differs(known: ServerLoad, load: ServerLoad) -> bool:
+    return (known.accepts, known.in_flight, known.held_flows) != (
+        load.accepts,
+        load.in_flight,
+        load.held_flows,
+    )
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -0,0 +1,213 @@
+"""The balancer role: a thin entry instance that hands packets to the owners of their flows."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from wagtailkeel.roles.address_book import AddressBook
+from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.metrics import Metrics
+from wagtailkeel.roles.node_link import NodeLink
+from wagtailkeel.roles.node_link import draw_boot_id
+from wagtailkeel.roles.process_dump import build_dump
+from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_coordination.handshake import BalancerRouter
+from wagtailkeel_coordination.handshake.server_choice import PeerLoads
+from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import Datagram
+from wagtailkeel_protocol.messages import DumpReply
+from wagtailkeel_protocol.messages import DumpRequest
+from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import PullReply
+from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_protocol.messages import ServerLoad
+from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_state.balancer_member import BalancerMember
+from wagtailkeel_transport import RpcClient
+from wagtailkeel_transport import RpcServer
+from wagtailkeel_transport import UdpEndpoint
+from wagtailkeel_transport import clock
+from wagtailkeel_transport.methods import DUMP
+from wagtailkeel_transport.methods import PULL
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskStatus
+
+    from wagtailkeel.settings import HandshakeBalancerSettings
+    from wagtailkeel.settings import Settings
+    from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_state.configuration import Configuration
+
+Address = tuple[str, int]
+
+OWNER_INTERVAL_S = 0.2
+
+
+class HandshakeBalancer:
+    """Owns the sockets of one entry instance."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        section: HandshakeBalancerSettings,
+        packet_format: PacketFormat,
+        read_seeds: Callable[[], list[str]] | None,
+    ) -> None:
+        self.metrics = Metrics()
+        self.store = ConfigurationStore()
+        self._instance = settings.instance
+        self._section = section
+        self._balancer_id = f"balancer@{settings.instance.id}"
+        self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
+        self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
+        self._rpc_client = RpcClient(settings.instance.own_host)
+        self._loads = PeerLoads()
+        self._router = BalancerRouter(
+            packet_format, self._endpoint.send, self._reply, self.metrics.counters
+        )
+        self._is_stopping = False
+        self.store.subscribe(self._on_configuration)
+        self._link = NodeLink(
+            self._balancer_id,
+            AddressBook.from_settings(settings, self.store, read_seeds),
+            self.store,
+            self._endpoint,
+            self._rpc_client,
+            self._build_announcement,
+            lambda heartbeat: heartbeat,
+            lambda boot_id: None,
+            PlacementLease(),
+            self.metrics,
+            draw_boot_id(),
+        )
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        packet_format: PacketFormat,
+        read_seeds: Callable[[], list[str]] | None = None,
+    ) -> HandshakeBalancer:
+        """Build the role; sockets are bound here."""
+        assert settings.handshake_balancer is not None, "the caller checks for the section"
+        return cls(settings, settings.handshake_balancer, packet_format, read_seeds)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the fabric should hand packets to this balancer."""
+        is_routing = self._router.routing.version > 0 and self._router.owners.has_owners
+        return self._link.is_joined.is_set() and is_routing and not self._is_stopping
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        await server.start(self._instance.own_host, self._section.rpc_port)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._endpoint.receive_from, self._on_datagram)
+                tasks.start_soon(self._fabric.receive, self._router.on_packet)
+                tasks.start_soon(self._refresh_owners_forever)
+                tasks.start_soon(self._link.run)
+                task_status.started()
+        finally:
+            self._fabric.close()
+            self._endpoint.close()
+            self._rpc_client.close()
+            with anyio.CancelScope(shield=True):
+                await server.close()
+
+    async def stop(self) -> None:
+        """Say no at the ready endpoint, and serve until the fabric has noticed."""
+        self._is_stopping = True
+        await anyio.sleep(self._section.stop_delay_s)
+
+    def _build_announcement(self, boot_id: int) -> AnnounceRequest:
+        return AnnounceRequest(
+            balancer=BalancerMember(
+                self._balancer_id,
+                self._instance.data_centre,
+                self._instance.host,
+                self._section.port,
+                self._section.rpc_port,
+                boot_id,
+            )
+        )
+
+    def _reply(self, packet: bytes, caller_host: str) -> None:
+        self._fabric.send(packet, (caller_host, self._section.caller_port))
+
+    # Configuration and owners
+
+    def _on_configuration(self, config: Configuration) -> None:
+        self._router.apply_routing(config.routing)
+        self._refresh_owners()
+
+    async def _refresh_owners_forever(self) -> None:
+        while True:
+            self._refresh_owners()
+            await anyio.sleep(OWNER_INTERVAL_S)
+
+    def _refresh_owners(self) -> None:
+        """Owners are the live agents of the own data centre; without any, all others."""
+        now = clock.seconds()
+        members = self.store.configuration.servers_by_id.values()
+        near = {(m.host, m.port) for m in members if m.data_centre == self._instance.data_centre}
+        alive = [address for address in near if self._loads.is_fresh(address, now)]
+        everywhere = [(m.host, m.port) for m in members]
+        if self._router.owners.update(alive or list(near) or everywhere):
+            self.metrics.counters["owner_changes"] += 1
+            logger.info("{} agents keep the directory", len(alive or near or everywhere))
+
+    # Messages
+
+    def _on_datagram(self, datagram: bytes, source: Address) -> None:
+        message = decode_datagram(datagram)
+        if isinstance(message, Malformed):
+            self.metrics.counters[f"dropped_{message.value}"] += 1
+            return
+        self._on_message(message, source)
+
+    @singledispatchmethod
+    def _on_message(self, message: Datagram, source: Address) -> None:
+        self.metrics.counters["dropped_unexpected_message"] += 1
+
+    @_on_message.register
+    def _(self, message: HeartbeatAck, source: Address) -> None:
+        self._link.on_ack(message)
+
+    @_on_message.register
+    def _(self, message: VersionHint, source: Address) -> None:
+        self._link.note_version(message.sender, message.version)
+
+    @_on_message.register
+    def _(self, message: ServerLoad, source: Address) -> None:
+        self._loads.on_load(source, self._instance.data_centre, message, clock.seconds())
+        if message.is_leaving:
+            self._refresh_owners()
+
+    async def _answer_pull(self, request: PullRequest) -> PullReply:
+        return self.store.answer_pull(request.since)
+
+    async def _dump(self, request: DumpRequest) -> DumpReply:
+        return build_dump(
+            {
+                "role": "balancer",
+                "instance": self._balancer_id,
+                "data_centre": self._instance.data_centre,
+                "boot_id": self._link.boot_id,
+                "version": self.store.version,
+                "routing_version": self._router.routing.version,
+                "is_ready": self.is_ready,
+                "control_silent_s": clock.seconds() - self._link.acknowledged_at,
+                "send_failures": self._endpoint.send_failures,
+                "metrics": self.metrics.dump(),
+            }
+        )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -8,6 +8,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from wagtailkeel_transport import clock
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -20,7 +22,7 @@
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
         self._responses = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-        self._started_at = time.monotonic()
+        self._started_at = clock.seconds()
         self._started_wall_s = time.time()
 
     def record_response(self, response_s: float) -> None:
@@ -40,7 +42,7 @@
             "responses": self._responses.get_total_count(),
             "response_ms": percentiles,
             "started_at": self._started_wall_s,
-            "uptime_s": time.monotonic() - self._started_at,
+            "uptime_s": clock.seconds() - self._started_at,
             "cpu_s": usage.ru_utime + usage.ru_stime,
             "max_rss_kb": usage.ru_maxrss,
         }
--- a/packages/wagtailkeel/src/wagtailkeel/settings/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/__init__.py
@@ -7,6 +7,10 @@
 from wagtailkeel.settings.model import BalancerSettings
 from wagtailkeel.settings.model import ControlInstanceSettings
 from wagtailkeel.settings.model import ControlSettings
+from wagtailkeel.settings.model import DataCentreSettings
+from wagtailkeel.settings.model import DiscoverySettings
+from wagtailkeel.settings.model import HandshakeAgentSettings
+from wagtailkeel.settings.model import HandshakeBalancerSettings
 from wagtailkeel.settings.model import InstanceSettings
 from wagtailkeel.settings.model import Settings
 
@@ -15,6 +19,10 @@
     "BalancerSettings",
     "ControlInstanceSettings",
     "ControlSettings",
+    "DataCentreSettings",
+    "DiscoverySettings",
+    "HandshakeAgentSettings",
+    "HandshakeBalancerSettings",
     "InstanceSettings",
     "Settings",
     "load_settings",
--- a/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
@@ -58,7 +58,9 @@
         raise SettingsError(
             path, "", "names no role; expected a section balancer, agents or control"
         )
-    if settings.control is not None:
+    if settings.discovery is None and not settings.control_instances:
+        raise SettingsError(path, "control_instances", "expected an entry or a section discovery")
+    if settings.control is not None and settings.discovery is None:
         ids = {found.id for found in settings.control_instances}
         if settings.instance.id not in ids:
             raise SettingsError(
@@ -74,6 +76,8 @@
         hosts.append(("instance.bind_host", settings.instance.bind_host))
     for number, found in enumerate(settings.control_instances):
         hosts.append((f"control_instances[{number}].host", found.host))
+    for number, seed in enumerate(settings.discovery.seeds if settings.discovery else []):
+        hosts.append((f"discovery.seeds[{number}]", seed))
     for number, agent in enumerate(settings.agents):
         hosts.append((f"agents[{number}].server_host", agent.server_host))
         hosts.append((f"agents[{number}].caller_gateway_host", agent.caller_gateway_host))
