--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -11,6 +11,8 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination import events
+from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.flow_pointers import FlowPointers
 from wagtailkeel_coordination.handshake.flow_search import FlowSearches
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
@@ -18,6 +20,7 @@
 from wagtailkeel_coordination.handshake.routing_table import RoutingTable
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import choose_server
+from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
 from wagtailkeel_protocol import packet_format as marks
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -30,8 +33,10 @@
     from random import Random
 
     from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
     from wagtailkeel_coordination.handshake.outbox import RelayOutbox
+    from wagtailkeel_coordination.handshake.server_choice import PeerLoad
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
     from wagtailkeel_protocol.packet_format import PacketFormat
@@ -57,6 +62,7 @@
         outbox: RelayOutbox,
         random: Random,
         counters: Counters,
+        event_sink: EventSink,
         record_response: Callable[[float], None],
         now: float,
     ) -> None:
@@ -74,6 +80,7 @@
         self._outbox = outbox
         self._random = random
         self._counters = counters
+        self._emit = event_sink.emit
         self._own_tag = relay.service_tag(gate.service)
         self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
         self._forgetful_until = now + FORGETFUL_S
@@ -207,22 +214,34 @@
         tag = relay.service_tag(service)
         own_load = self.build_load(self._now)
         self.loads.on_load(self.own_address, self._data_centre, own_load, self._now)
+        candidates = self.loads.candidates(tag, self._now)
         while len(tried) < PLACEMENT_ATTEMPTS:
-            peer = choose_server(
-                self.loads.candidates(tag, self._now), self._data_centre, tried, self._random
-            )
+            peer = choose_server(candidates, self._data_centre, tried, self._random)
             if peer is None:
                 break
+            self._note_placement(peer, key, len(candidates))
             self.pointers.point(key, peer.address, self._now).tried = tried
             if peer.address != self.own_address:
                 self.loads.note_opening(peer.address)
                 self._relay(peer.address, RelayKind.PLACE, frame, tag, frame.body)
                 return
-            if self._admit(service):
+            if self._admit(service, key):
                 self._open(frame.body, key, self.own_address)
                 return
             tried.add(self.own_address)
-        self._refuse(frame.body, key)
+        self._refuse(frame.body, key, len(tried), len(candidates))
+
+    def _note_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
+        self._emit(
+            events.OpeningPlaced(
+                flow_id(key),
+                peer.address[0],
+                self.routing.version,
+                candidates,
+                round(expected_wait_ms(peer, self._data_centre), 1),
+                round((self._now - peer.heard_at) * 1_000, 1),
+            )
+        )
 
     def _resolve_service(self, frame: RelayFrame, key: bytes) -> str | None:
         """Return the service of an opening by the newer of the sender's and the own routing."""
@@ -231,9 +250,13 @@
             return destinations.choose(key) if destinations else None
         return self._services_by_tag.get(frame.service_tag)
 
-    def _refuse(self, packet: bytes, key: bytes) -> None:
+    def _refuse(self, packet: bytes, key: bytes, tried: int, candidates: int) -> None:
         """No server takes the opening: none has seen it, and the caller learns so at once."""
         self._counters["openings_refused"] += 1
+        reason = "all_tried" if candidates else "no_server_accepts"
+        self._emit(
+            events.OpeningRefused(flow_id(key), reason, tried, candidates, self.routing.version)
+        )
         self.pointers.remove(key)
         self._reset(packet, key)
 
@@ -259,6 +282,9 @@
         self._search(frame, head.key, exclude=source)
 
     def _search(self, frame: RelayFrame, key: bytes, exclude: Address | None) -> None:
+        if key not in self.searches.by_key:
+            reason = "not_in_directory" if exclude is None else "returned_by_server"
+            self._emit(events.SearchStarted(flow_id(key), reason, len(self.peers)))
         asked = set(self.peers)
         if self._is_forgetful:
             asked.add(self.own_address)
@@ -272,6 +298,8 @@
                 self._send(address, RelayKind.SEARCH, frame, frame.body)
 
     def _on_found(self, key: bytes, source: Address) -> None:
+        if key in self.searches.by_key:
+            self._end_search(key, "found", source[0], 0)
         queued = self.searches.on_found(key)
         self.pointers.point(key, source, self._now)
         for packet in queued:
@@ -283,22 +311,32 @@
     def _on_not_found(self, key: bytes, source: Address) -> None:
         if self.searches.on_not_found(key, source):
             self._counters["flows_found_nowhere"] += 1
+            self._end_search(key, "nowhere", "", 0)
+
+    def _end_search(self, key: bytes, outcome: str, server_agent: str, silent: int) -> None:
+        self._emit(events.SearchEnded(flow_id(key), outcome, server_agent, silent))
 
     # The part of the agent beside the flow's server
 
     def _on_place(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
         service = self._resolve_service(frame, head.key)
-        if service is not None and self._admit(service):
+        if service is not None and self._admit(service, head.key):
             self._open(frame.body, head.key, source)
         else:
             self._send(source, RelayKind.REJECTED, frame, frame.body)
 
-    def _admit(self, service: str) -> bool:
+    def _admit(self, service: str, key: bytes) -> bool:
         reason = self.gate.admit(service, self._now)
         if reason is not None:
             self._counters[f"rejected_{reason.value}"] += 1
+            self._note_rejection(key, reason.value)
         return reason is None
 
+    def _note_rejection(self, key: bytes, reason: str) -> None:
+        self._emit(
+            events.OpeningRejected(flow_id(key), reason, self.gate.service, self.routing.version)
+        )
+
     def _open(self, packet: bytes, key: bytes, owner: Address) -> None:
         self._counters["flows_opened"] += 1
         self.held.open(key, owner, self._now)
@@ -349,6 +387,7 @@
     def _adopt(self, key: bytes) -> HeldFlow:
         """The server speaks on a flow that this agent has forgotten."""
         self._counters["flows_adopted"] += 1
+        self._emit(events.FlowAdopted(flow_id(key)))
         requester = self.probes.remove(key)
         flow = self.held.open(key, requester or self.own_address, self._now)
         if requester is not None:
@@ -364,6 +403,10 @@
         if flow is None or (head.is_opening and flow.has_reply):
             return
         self.held.remove(flow)
+        if head.is_opening:
+            self._note_rejection(head.key, "server_full")
+        else:
+            self._emit(events.FlowReturned(flow_id(head.key)))
         kind = RelayKind.REJECTED if head.is_opening else RelayKind.RETURNED
         frame = RelayFrame(kind, 0, 0, relay.NO_SERVICE, packet)
         if head.is_opening:
@@ -384,7 +427,9 @@
                 # The server has not returned the packet, so it has the flow.
                 self.held.open(key, requester, now)
                 self._answer(requester, RelayKind.FOUND, key)
-        self._counters["searches_expired"] += self.searches.expire(now)
+        for key, silent in self.searches.expire(now):
+            self._counters["searches_expired"] += 1
+            self._end_search(key, "expired", "", silent)
         self.held.sweep(now)
         self.pointers.sweep(now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination import events
+from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.owner_map import OwnerMap
 from wagtailkeel_coordination.handshake.routing_table import RoutingTable
 from wagtailkeel_protocol import relay
@@ -14,6 +16,7 @@
     from collections.abc import Callable
 
     from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_protocol.packet_format import PacketHead
     from wagtailkeel_state.routing import RoutingDocument
@@ -30,6 +33,7 @@
         send: Callable[[bytes, Address], None],
         reply: Callable[[bytes, str], None],
         counters: Counters,
+        event_sink: EventSink,
     ) -> None:
         self.routing = RoutingTable()
         self.owners = OwnerMap()
@@ -37,6 +41,7 @@
         self._send = send
         self._reply = reply
         self._counters = counters
+        self._emit = event_sink.emit
         self._tags_by_service: dict[str, int] = {}
 
     def apply_routing(self, document: RoutingDocument) -> None:
@@ -69,6 +74,14 @@
     def _on_unknown_route(self, packet: bytes, head: PacketHead) -> None:
         """A first copy is dropped, since a new route may be on its way here; others refused."""
         self._counters["openings_without_route"] += 1
+        self._emit(
+            events.RouteMissing(
+                flow_id(head.key),
+                self._format.endpoint_of(head.key).hex(),
+                self.routing.version,
+                head.attempt > 0,
+            )
+        )
         if not head.attempt:
             return
         refusal = self._format.build_refusal(packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -69,9 +69,7 @@
         del self.by_key[key]
         return True
 
-    def expire(self, now: float) -> int:
-        """Forget searches that not all agents have answered; return how many."""
+    def expire(self, now: float) -> list[tuple[bytes, int]]:
+        """Forget searches that not all agents have answered; return how many were silent by key."""
         late = [k for k, s in self.by_key.items() if now - s.started_at > EXPIRES_AFTER_S]
-        for key in late:
-            del self.by_key[key]
-        return len(late)
+        return [(key, len(self.by_key.pop(key).silent)) for key in late]
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -9,12 +9,15 @@
 import anyio
 from loguru import logger
 
+from wagtailkeel_coordination import events
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from anyio.abc import TaskStatus
 
     from wagtailkeel.settings import Settings
+    from wagtailkeel_coordination.events import EventSink
 
 
 class Role(Protocol):
@@ -30,9 +33,15 @@
 class Daemon:
     """Starts all roles, waits for a signal, stops them gracefully."""
 
-    def __init__(self, roles: list[Role], on_reload: Callable[[], None] | None = None) -> None:
+    def __init__(
+        self,
+        roles: list[Role],
+        event_sink: EventSink | None = None,
+        read_seeds: Callable[[], list[str]] | None = None,
+    ) -> None:
         self._roles = roles
-        self._on_reload = on_reload
+        self._event_sink = event_sink
+        self._read_seeds = read_seeds
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
@@ -62,6 +71,7 @@
                     if number == signal.SIGHUP:
                         self._reload()
                         continue
+                    self._emit(events.ProcessStopping(signal.Signals(number).name))
                     logger.info("stopping on {}", signal.Signals(number).name)
                     break
                 await self._stop_roles()
@@ -69,14 +79,20 @@
         logger.info("stopped")
 
     def _reload(self) -> None:
+        """Seeds are read again when a peer is not reachable; nothing else may change."""
         logger.info("the settings have changed")
-        if self._on_reload is not None:
-            self._on_reload()
+        if self._read_seeds is not None:
+            self._emit(events.SettingsReloaded(self._read_seeds()))
+
+    def _emit(self, event: events.Event) -> None:
+        if self._event_sink is not None:
+            self._event_sink.emit(event)
 
     async def _start_roles(self, tasks: anyio.abc.TaskGroup) -> None:
         for role in self._roles:
             await tasks.start(role.run)
         logger.info("ready with {} roles", len(self._roles))
+        self._emit(events.ProcessStarted([type(role).__name__ for role in self._roles]))
 
     async def _stop_roles(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -19,6 +19,7 @@
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel.settings import ControlInstanceSettings
+from wagtailkeel_coordination import events
 from wagtailkeel_coordination.address_assignment import assign_addresses
 from wagtailkeel_coordination.membership import is_current
 from wagtailkeel_coordination.raft import RaftLog
@@ -87,6 +88,7 @@
 
     from wagtailkeel.settings import ControlSettings
     from wagtailkeel.settings import Settings
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.raft_messages import RaftMessage
     from wagtailkeel_state.commands import AnyCommand
     from wagtailkeel_state.commands import LogEntry
@@ -113,8 +115,12 @@
         settings: Settings,
         section: ControlSettings,
         read_seeds: Callable[[], list[str]] | None = None,
+        event_sink: EventSink | None = None,
     ) -> None:
         self.metrics = Metrics()
+        self._event_sink = event_sink
+        self._known_leader = ""
+        self._known_voters: list[str] = []
         self._settings = settings
         self._section = section
         self._instance_id = settings.instance.id
@@ -137,11 +143,14 @@
 
     @classmethod
     def from_settings(
-        cls, settings: Settings, read_seeds: Callable[[], list[str]] | None = None
+        cls,
+        settings: Settings,
+        read_seeds: Callable[[], list[str]] | None = None,
+        event_sink: EventSink | None = None,
     ) -> Control:
         """Build the role; the data folder is locked and read here."""
         assert settings.control is not None, "the caller checks for the section"
-        return cls(settings, settings.control, read_seeds)
+        return cls(settings, settings.control, read_seeds, event_sink)
 
     @staticmethod
     def _find_own(settings: Settings) -> ControlInstanceSettings:
@@ -346,11 +355,26 @@
         while True:
             self._raft.tick(clock.seconds())
             if self._raft.has_failed and self._disk.last_error:
-                logger.error("stepped down for good: {}", self._disk.last_error)
+                logger.error("stepped down while the disk fails: {}", self._disk.last_error)
+                self._emit(events.StorageFailed(self._disk.last_error))
                 self._disk.last_error = ""
+            self._note_changes()
             self._send_hints()
             await anyio.sleep(TICK_INTERVAL_S)
 
+    def _emit(self, event: events.Event) -> None:
+        if self._event_sink is not None:
+            self._event_sink.emit(event)
+
+    def _note_changes(self) -> None:
+        if self._raft.leader_id != self._known_leader:
+            self._known_leader = self._raft.leader_id
+            self._emit(events.LeaderChanged(self._known_leader, self._raft.term))
+        voters = sorted(self._raft.voters_by_id)
+        if voters != self._known_voters:
+            self._known_voters = voters
+            self._emit(events.VotersChanged(voters))
+
     def _send_hints(self) -> None:
         version, now = self._store.version, clock.seconds()
         if version == self._hinted_version or not self._raft.is_leader:
@@ -506,7 +530,7 @@
                 if answer is None or answer.status is AnswerStatus.UNKNOWN:
                     break
                 if answer.is_accepted:
-                    logger.info("routing version {} is committed", document.version)
+                    self._emit(events.RoutingCommitted(document.version, answer.index))
                     return answer
         return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from loguru import logger
 
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
@@ -17,6 +16,7 @@
 from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_protocol import relay
@@ -47,6 +47,7 @@
 
     from wagtailkeel.settings import HandshakeAgentSettings
     from wagtailkeel.settings import Settings
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_state.configuration import Configuration
@@ -70,6 +71,7 @@
         settings: Settings,
         section: HandshakeAgentSettings,
         packet_format: PacketFormat,
+        event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None,
     ) -> None:
         self.metrics = Metrics()
@@ -83,6 +85,7 @@
         self._rpc_client = RpcClient(host)
         self._data_centres_by_peer: dict[Address, str] = {}
         self._seen_at_by_peer: dict[Address, float] = {}
+        self._emit = event_sink.emit
         self._last_load: ServerLoad | None = None
         self._load_sent_at = float("-inf")
         self.router = AgentRouter(
@@ -93,6 +96,7 @@
             UdpRelayOutbox(section, self._endpoint, self._server_endpoint),
             Random(),
             self.metrics.counters,
+            event_sink,
             self.metrics.record_response,
             clock.seconds(),
         )
@@ -109,6 +113,7 @@
             PlacementLease(),
             self.metrics,
             draw_boot_id(),
+            event_sink,
         )
 
     @classmethod
@@ -116,11 +121,12 @@
         cls,
         settings: Settings,
         packet_format: PacketFormat,
+        event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> HandshakeAgent:
         """Build the role; sockets are bound here."""
         assert settings.handshake_agent is not None, "the caller checks for the section"
-        return cls(settings, settings.handshake_agent, packet_format, read_seeds)
+        return cls(settings, settings.handshake_agent, packet_format, event_sink, read_seeds)
 
     @property
     def is_ready(self) -> bool:
@@ -160,7 +166,16 @@
             return False
         load = self.router.build_load(now)
         if self._last_load is None or self._last_load.accepts != load.accepts:
-            logger.info("server {} accepts openings: {}", report.server_id, load.accepts)
+            self._emit(
+                events.ServerChanged(
+                    report.server_id,
+                    report.sequence,
+                    report.started_at_ms,
+                    load.accepts,
+                    report.is_draining,
+                    report.cold_for_s,
+                )
+            )
             self._send_load(load)
         return True
 
@@ -182,8 +197,10 @@
 
     def _on_configuration(self, config: Configuration) -> None:
         now = clock.seconds()
+        if config.routing.version > self.router.routing.version:
+            self._emit(events.RoutingAdopted(config.routing.version, config.index))
         self.router.apply_routing(config.routing)
-        self.router.gate.set_in_service(config.is_in_service(self._instance.data_centre), now)
+        self._follow_data_centre(config, now)
         for member in config.servers_by_id.values():
             address = (member.host, member.port)
             self._data_centres_by_peer[address] = member.data_centre
@@ -194,6 +211,14 @@
                 del self._data_centres_by_peer[address]
         self.router.set_peers(frozenset(self._seen_at_by_peer))
 
+    def _follow_data_centre(self, config: Configuration, now: float) -> None:
+        name = self._instance.data_centre
+        is_in_service = config.is_in_service(name)
+        if is_in_service != self.router.gate.is_in_service:
+            self._emit(events.DataCentreChanged(name, is_in_service, config.index))
+            self.router.gate.set_in_service(is_in_service, now)
+            self._send_load(self.router.build_load(now))
+
     # Packets and messages
 
     def _on_datagram(self, datagram: bytes, source: Address) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from loguru import logger
 
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
@@ -15,6 +14,7 @@
 from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_protocol.codec import decode_datagram
@@ -43,6 +43,7 @@
 
     from wagtailkeel.settings import HandshakeBalancerSettings
     from wagtailkeel.settings import Settings
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_state.configuration import Configuration
 
@@ -59,6 +60,7 @@
         settings: Settings,
         section: HandshakeBalancerSettings,
         packet_format: PacketFormat,
+        event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None,
     ) -> None:
         self.metrics = Metrics()
@@ -71,8 +73,9 @@
         self._rpc_client = RpcClient(settings.instance.own_host)
         self._loads = PeerLoads()
         self._router = BalancerRouter(
-            packet_format, self._endpoint.send, self._reply, self.metrics.counters
+            packet_format, self._endpoint.send, self._reply, self.metrics.counters, event_sink
         )
+        self._emit = event_sink.emit
         self._is_stopping = False
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
@@ -87,6 +90,7 @@
             PlacementLease(),
             self.metrics,
             draw_boot_id(),
+            event_sink,
         )
 
     @classmethod
@@ -94,11 +98,12 @@
         cls,
         settings: Settings,
         packet_format: PacketFormat,
+        event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> HandshakeBalancer:
         """Build the role; sockets are bound here."""
         assert settings.handshake_balancer is not None, "the caller checks for the section"
-        return cls(settings, settings.handshake_balancer, packet_format, read_seeds)
+        return cls(settings, settings.handshake_balancer, packet_format, event_sink, read_seeds)
 
     @property
     def is_ready(self) -> bool:
@@ -147,6 +152,8 @@
     # Configuration and owners
 
     def _on_configuration(self, config: Configuration) -> None:
+        if config.routing.version > self._router.routing.version:
+            self._emit(events.RoutingAdopted(config.routing.version, config.index))
         self._router.apply_routing(config.routing)
         self._refresh_owners()
 
@@ -162,9 +169,10 @@
         near = {(m.host, m.port) for m in members if m.data_centre == self._instance.data_centre}
         alive = [address for address in near if self._loads.is_fresh(address, now)]
         everywhere = [(m.host, m.port) for m in members]
-        if self._router.owners.update(alive or list(near) or everywhere):
+        owners = alive or list(near) or everywhere
+        if self._router.owners.update(owners):
             self.metrics.counters["owner_changes"] += 1
-            logger.info("{} agents keep the directory", len(alive or near or everywhere))
+            self._emit(events.OwnersChanged(sorted(host for host, _ in owners)))
 
     # Messages
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -9,6 +9,7 @@
 import anyio
 from loguru import logger
 
+from wagtailkeel_coordination import events
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.messages import AnnounceReply
 from wagtailkeel_protocol.messages import AnnounceRequest
@@ -26,6 +27,7 @@
     from wagtailkeel.roles.address_book import AddressBook
     from wagtailkeel.roles.configuration_store import ConfigurationStore
     from wagtailkeel.roles.metrics import Metrics
+    from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_coordination.lease import PlacementLease
     from wagtailkeel_transport import RpcClient
     from wagtailkeel_transport import UdpEndpoint
@@ -61,6 +63,7 @@
         lease: PlacementLease,
         metrics: Metrics,
         boot_id: int,
+        event_sink: EventSink | None = None,
     ) -> None:
         self.boot_id = boot_id
         self.leader_id = address_book.control_ids[0]
@@ -76,6 +79,8 @@
         self._on_rejoin = on_rejoin
         self._lease = lease
         self._metrics = metrics
+        self._event_sink = event_sink
+        self._lost_at = float("inf")
         self._joined_at = float("inf")
         self._random = Random()
         self._versions_by_source: dict[str, int] = {}
@@ -116,6 +121,7 @@
                 self.note_version(control_id, reply.index)
                 await anyio.sleep(VERSION_POLL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
+            self._emit(events.NodeJoined(self.boot_id, reply.index))
             self.is_joined.set()
             return
 
@@ -153,7 +159,15 @@
         self._metrics.counters["control_bytes_sent"] += len(datagram)
         self._endpoint.send(datagram, address)
 
+    def _emit(self, event: events.Event) -> None:
+        if self._event_sink is not None:
+            self._event_sink.emit(event)
+
     def _try_next_control(self, now: float) -> None:
+        if self._lost_at == float("inf"):
+            self._lost_at = self.acknowledged_at
+            silent_s = round(now - self.acknowledged_at, 1)
+            self._emit(events.ControlLost(self.leader_id, silent_s))
         ids = self._address_book.control_ids
         position = ids.index(self.leader_id) if self.leader_id in ids else -1
         self.leader_id = ids[(position + 1) % len(ids)]
@@ -169,6 +183,10 @@
             return
         self.leader_id = message.leader_id
         self.acknowledged_at = clock.seconds()
+        if self._lost_at < float("inf"):
+            silent_s = round(self.acknowledged_at - self._lost_at, 1)
+            self._emit(events.ControlFound(self.leader_id, silent_s))
+            self._lost_at = float("inf")
         if message.is_member:
             if message.lease_s > 0 and message.boot_id == self.boot_id:
                 self._lease.renew(message.sent_at, message.lease_s)
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wagtailkeel_coordination.events import Event
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake import ServerGate
@@ -133,6 +134,7 @@
             self,
             Random(self.address[0]),
             self.counters,
+            self._network,
             lambda response_s: None,
             self._network.now,
         )
@@ -188,6 +190,7 @@
     def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
         self.now = 100.0
         self.replies: list[FakePacket] = []
+        self.events: list[Event] = []
         self.cold_starts_per_s = cold_starts_per_s
         self._events: deque[object] = deque()
         self.nodes: dict[Address, FakeNode] = {}
@@ -202,12 +205,16 @@
                 msgspec.msgpack.decode(packet, type=FakePacket)
             ),
             self.counters,
+            self,
         )
         for node in self.nodes.values():
             node.report()
         self.apply_routing(self.document(1))
         self.spread()
 
+    def emit(self, event: Event) -> None:
+        self.events.append(event)
+
     def document(self, version: int, *, has_desk: bool = True, weight: int = 1) -> RoutingDocument:
         routes = [
             Route("198.18.0.1", 444, (WeightedService(DESK, 1), WeightedService(ARCHIVE, weight)))
