--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -51,7 +51,10 @@
 
 
 class AgentRouter:
-    """Routing decisions of one agent; time and randomness come from outside."""
+    """Routing decisions of one agent; time and randomness come from outside.
+
+    ``knows_all_agents`` tells whether the peers that were set are all that may hold flows.
+    """
 
     def __init__(
         self,
@@ -64,6 +67,7 @@
         counters: Counters,
         event_sink: EventSink,
         record_response: Callable[[float], None],
+        knows_all_agents: Callable[[], bool],
         now: float,
     ) -> None:
         self.own_address = own_address
@@ -81,6 +85,7 @@
         self._random = random
         self._counters = counters
         self._emit = event_sink.emit
+        self._knows_all_agents = knows_all_agents
         self._own_tag = relay.service_tag(gate.service)
         self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
         self._forgetful_until = now + FORGETFUL_S
@@ -130,6 +135,7 @@
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
             self.gate.is_leaving,
+            self.gate.is_paced(now),
         )
 
     # Frames
@@ -229,6 +235,11 @@
                 self._open(frame.body, key, self.own_address)
                 return
             tried.add(self.own_address)
+        if self.loads.has_paced(tag, self._now):
+            # The caller's next copy finds room, sooner than a new attempt would.
+            self._counters["openings_paced"] += 1
+            self.pointers.remove(key)
+            return
         self._refuse(frame.body, key, len(tried), len(candidates))
 
     def _note_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
@@ -309,9 +320,17 @@
                 self._relay_packet(source, RelayKind.DELIVER, packet)
 
     def _on_not_found(self, key: bytes, source: Address) -> None:
-        if self.searches.on_not_found(key, source):
-            self._counters["flows_found_nowhere"] += 1
-            self._end_search(key, "nowhere", "", 0)
+        packet = self.searches.on_not_found(key, source)
+        if packet is None:
+            return
+        self._counters["flows_found_nowhere"] += 1
+        self._end_search(key, "nowhere", "", 0)
+        head = self._format.parse_inbound(packet)
+        is_request = not isinstance(head, Malformed) and head.payload_bytes > 0
+        if is_request and self._knows_all_agents():
+            # Every agent has said no: the flow ended with its server.
+            self._emit(events.FlowReset(flow_id(key), "held_nowhere"))
+            self._reset(packet, key)
 
     def _end_search(self, key: bytes, outcome: str, server_agent: str, silent: int) -> None:
         self._emit(events.SearchEnded(flow_id(key), outcome, server_agent, silent))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -24,6 +24,7 @@
 class Search(msgspec.Struct):
     """One search; ``queued`` are packets to deliver once the flow is found."""
 
+    packet: bytes
     started_at: float
     asked_at: float
     silent: set[Address]
@@ -44,7 +45,7 @@
         if search is None:
             if len(self.by_key) >= SEARCH_LIMIT:
                 return []
-            self.by_key[key] = Search(now, now, set(asked), [])
+            self.by_key[key] = Search(packet, now, now, set(asked), [])
             return list(self.by_key[key].silent)
         if now - search.asked_at >= REPEAT_AFTER_S:
             search.asked_at = now
@@ -58,16 +59,16 @@
         search = self.by_key.pop(key, None)
         return search.queued if search else []
 
-    def on_not_found(self, key: bytes, source: Address) -> bool:
-        """Note a "no"; return whether it was the last answer missing."""
+    def on_not_found(self, key: bytes, source: Address) -> bytes | None:
+        """Note a "no"; return the packet of the search if it was the last answer missing."""
         search = self.by_key.get(key)
         if search is None:
-            return False
+            return None
         search.silent.discard(source)
         if search.silent:
-            return False
+            return None
         del self.by_key[key]
-        return True
+        return search.packet
 
     def expire(self, now: float) -> list[tuple[bytes, int]]:
         """Forget searches that not all agents have answered; return how many were silent by key."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -79,6 +79,15 @@
             and now - peer.heard_at <= REPORT_LIMIT_S
         ]
 
+    def has_paced(self, service_tag: int, now: float) -> bool:
+        """Tell whether a server of the service will take openings again within a second."""
+        return any(
+            peer.load.service_tag == service_tag
+            and peer.load.is_paced
+            and now - peer.heard_at <= REPORT_LIMIT_S
+            for peer in self.by_address.values()
+        )
+
 
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
     """Return the time that a new flow's first request would take, and a share of later load."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-COLD_WINDOW_S = 1.0
+COLD_WINDOW_S = 1.05
+"""Any span of one second counts; the rest covers the way to the server."""
 WARM_RETURN_CHECK_S = 2.0
 """After its data centre returns a server counts as cold until a newer report says otherwise."""
 
@@ -39,6 +40,17 @@
         return self.started_at_ms, self.sequence
 
 
+class ColdLimit(msgspec.Struct, frozen=True):
+    """How many openings a second a cold server takes: ``factor`` times its rate, and ``slack``."""
+
+    factor: float = 1.0
+    slack: float = 0.0
+
+    def openings(self, starts_per_s: float) -> int:
+        """Return the limit for a server that says it bears ``starts_per_s``; at least 1."""
+        return max(1, int(starts_per_s * self.factor + self.slack))
+
+
 class GateReason(Enum):
     """Why an opening was not let through."""
 
@@ -53,7 +65,7 @@
 class ServerGate:
     """The state of the own server as far as openings are concerned; times in seconds."""
 
-    def __init__(self, service: str, report_limit_s: float) -> None:
+    def __init__(self, service: str, report_limit_s: float, cold_limit: ColdLimit) -> None:
         self.service = service
         self.report: ServerReport | None = None
         self.heard_at = float("-inf")
@@ -61,6 +73,7 @@
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
         self._report_limit_s = report_limit_s
+        self._cold_limit = cold_limit
         self._cold_until = float("-inf")
         self._returned_at = float("-inf")
         self._openings: deque[float] = deque()
@@ -98,6 +111,10 @@
         """Tell whether peers should offer openings."""
         return self._find_reason(now) is None
 
+    def is_paced(self, now: float) -> bool:
+        """Tell whether openings are held up only because the server is cold: room comes soon."""
+        return self._find_reason(now) is GateReason.COLD
+
     def admit(self, service: str, now: float) -> GateReason | None:
         """Count an opening in and return None, or return why it may not pass."""
         if service != self.service:
@@ -123,4 +140,4 @@
     def _has_cold_room(self, now: float) -> bool:
         while self._openings and now - self._openings[0] > COLD_WINDOW_S:
             self._openings.popleft()
-        return len(self._openings) < max(1.0, self.cold_starts_per_s)
+        return len(self._openings) < self._cold_limit.openings(self.cold_starts_per_s)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -18,6 +18,7 @@
 from wagtailkeel_coordination import PlacementLease
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import AgentRouter
+from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.codec import decode_datagram
@@ -59,6 +60,7 @@
 QUIET_LOAD_INTERVAL_S = 0.5
 PEER_MEMORY_S = 60.0
 """A removed agent may still hold flows that it serves behind a cut."""
+MEMBERS_AGE_LIMIT_S = 1.0
 LEAVING_NOTICES = 3
 LEAVING_NOTICE_INTERVAL_S = 0.05
 
@@ -86,18 +88,24 @@
         self._data_centres_by_peer: dict[Address, str] = {}
         self._seen_at_by_peer: dict[Address, float] = {}
         self._emit = event_sink.emit
+        self._known_removal_index = -1
         self._last_load: ServerLoad | None = None
         self._load_sent_at = float("-inf")
         self.router = AgentRouter(
             (settings.instance.host, section.port),
             settings.instance.data_centre,
             packet_format,
-            ServerGate(section.service, section.report_limit_s),
+            ServerGate(
+                section.service,
+                section.report_limit_s,
+                ColdLimit(section.cold_factor, section.cold_slack),
+            ),
             UdpRelayOutbox(section, self._endpoint, self._server_endpoint),
             Random(),
             self.metrics.counters,
             event_sink,
             self.metrics.record_response,
+            self._knows_all_agents,
             clock.seconds(),
         )
         self.store.subscribe(self._on_configuration)
@@ -205,12 +213,22 @@
             address = (member.host, member.port)
             self._data_centres_by_peer[address] = member.data_centre
             self._seen_at_by_peer[address] = now
+        for former in config.former_members_by_id.values():
+            if former.removed_index > self._known_removal_index:
+                # Removed when or after this process last looked: it may still serve flows.
+                self._known_removal_index = former.removed_index
+                self._seen_at_by_peer.setdefault((former.host, former.port), now)
         for address, seen_at in list(self._seen_at_by_peer.items()):
             if now - seen_at > PEER_MEMORY_S:
                 del self._seen_at_by_peer[address]
-                del self._data_centres_by_peer[address]
+                self._data_centres_by_peer.pop(address, None)
         self.router.set_peers(frozenset(self._seen_at_by_peer))
 
+    def _knows_all_agents(self) -> bool:
+        """Tell whether control has confirmed the version, and so the members, just now."""
+        silent_s = clock.seconds() - self._link.acknowledged_at
+        return silent_s < MEMBERS_AGE_LIMIT_S and not self._link.has_news
+
     def _follow_data_centre(self, config: Configuration, now: float) -> None:
         name = self._instance.data_centre
         is_in_service = config.is_in_service(name)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -87,6 +87,11 @@
         self._has_news = anyio.Event()
         self._must_rejoin = anyio.Event()
 
+    @property
+    def has_news(self) -> bool:
+        """Tell whether a newer version than the own one is known to exist."""
+        return bool(self._versions_by_source)
+
     async def run(self) -> None:
         """Join, then keep the membership and the version up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -11,6 +11,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -108,7 +109,9 @@
     """The agent role for packet formats whose handshake settles a flow's server.
 
     The server takes packets at ``server_host`` and ``server_port`` and sends its own to
-    ``server_side_port``. It counts as gone once it has not reported for ``report_limit_s``.
+    ``server_side_port``. It counts as gone once it has not reported for ``report_limit_s``. While
+    cold it takes ``cold_factor`` times the rate that its service's policy gives, and
+    ``cold_slack`` more openings a second.
     """
 
     service: Name
@@ -119,6 +122,8 @@
     server_port: Port
     caller_port: Port
     report_limit_s: PositiveFloat = 3.0
+    cold_factor: PositiveFloat = 1.0
+    cold_slack: NonNegativeFloat = 0.0
 
 
 class DataCentreSettings(_Section):
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -11,6 +11,7 @@
 from wagtailkeel_coordination.events import Event
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import BalancerRouter
+from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake import ServerReport
 from wagtailkeel_protocol import packet_format as marks
@@ -130,12 +131,13 @@
             self.address,
             DATA_CENTRE,
             FakeFormat(),
-            ServerGate(self.service, REPORT_LIMIT_S),
+            ServerGate(self.service, REPORT_LIMIT_S, ColdLimit()),
             self,
             Random(self.address[0]),
             self.counters,
             self._network,
             lambda response_s: None,
+            lambda: self._network.are_members_known,
             self._network.now,
         )
 
@@ -191,6 +193,7 @@
         self.now = 100.0
         self.replies: list[FakePacket] = []
         self.events: list[Event] = []
+        self.are_members_known = True
         self.cold_starts_per_s = cold_starts_per_s
         self._events: deque[object] = deque()
         self.nodes: dict[Address, FakeNode] = {}
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -80,11 +80,27 @@
         self.assertEqual(self.network.open("late"), "")
         self.assertEqual(self.network.resets, 1)
 
-    def test_flow_of_a_dead_server_is_found_nowhere(self) -> None:
+    def test_flow_of_a_dead_server_is_reset_once_every_agent_has_said_no(self) -> None:
         name, server = next(iter(self.servers.items()))
         node = next(n for n in self.network.nodes.values() if n.server.name == server)
         node.server.open.clear()
         self.assertEqual(self.network.request(name, server), "")
+        self.assertEqual(self.network.resets, 1)
+
+    def test_no_reset_while_an_agent_is_silent_or_members_may_be_missing(self) -> None:
+        name, server = next(iter(self.servers.items()))
+        node = next(n for n in self.network.nodes.values() if n.server.name == server)
+        node.server.open.clear()
+        other = next(n for n in self.network.nodes.values() if n is not node)
+        table = [(False, True), (True, False)]
+        for is_up, are_known in table:
+            with self.subTest(is_up=is_up, are_known=are_known):
+                other.is_up = is_up
+                self.network.are_members_known = are_known
+                self.network.balancer.owners.update([node.address])
+                self.assertEqual(self.network.request(name, server), "")
+                self.assertEqual(self.network.resets, 0)
+                self.network.pass_time(3.0)
 
 
 class OpeningsTest(unittest.TestCase):
