--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -397,12 +397,24 @@
         if head.marks & marks.BOUNCED:
             self._on_bounce(self._format.restore_bounced(packet), head, flow)
             return
-        if flow is None and not head.marks & marks.RESETS:
+        if flow is None and head.marks & marks.RESETS:
+            self._on_unknown_reset(packet, head)
+            return
+        if flow is None:
             flow = self._adopt(head.key)
         if flow is not None:
             self.held.on_outbound(flow, head, now)
         self._outbox.reply(packet, self._format.caller_host(head.key))
 
+    def _on_unknown_reset(self, packet: bytes, head: PacketHead) -> None:
+        """A reset that answers a probe means that the flow is elsewhere; the caller must not see it."""
+        requester = self.probes.remove(head.key)
+        if requester is None:
+            self._outbox.reply(packet, self._format.caller_host(head.key))
+            return
+        self._counters["probes_reset"] += 1
+        self._answer(requester, RelayKind.NOT_FOUND, head.key)
+
     def _adopt(self, key: bytes) -> HeldFlow:
         """The server speaks on a flow that this agent has forgotten."""
         self._counters["flows_adopted"] += 1
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -82,6 +82,7 @@
         self.received: Counter[bytes] = Counter()
         self.openings: list[bytes] = []
         self.is_full = False
+        self.resets_unknown = False
 
     def take(self, packet: bytes) -> bytes | None:
         found = msgspec.msgpack.decode(packet, type=FakePacket)
@@ -90,6 +91,8 @@
         if found.key in self.half_open and found.server == self.name:
             self.half_open.discard(found.key)
             self.open.add(found.key)
+        if found.key not in self.open and self.resets_unknown:
+            return msgspec.msgpack.encode(FakePacket(found.key, marks.RESETS, self.name))
         if found.key not in self.open:
             return msgspec.msgpack.encode(_bounced(found))
         self.received[found.key] += 1
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -59,6 +59,15 @@
         self.network.spread()
         self.check()
 
+    def test_servers_that_reset_what_they_do_not_hold(self) -> None:
+        """Seen with a server that was just starting: its agent asked it for a flow elsewhere."""
+        for node in self.network.nodes.values():
+            node.server.resets_unknown = True
+            node.restart()
+            node.router.apply_routing(self.network.document(1))
+        self.network.spread()
+        self.check()
+
     def test_route_is_removed_for_new_flows_only(self) -> None:
         self.network.apply_routing(self.network.document(2, has_desk=False))
         self.check()
