--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
@@ -1,13 +1,21 @@
-"""Decisions: state machines without sockets, clocks, files or randomness of their own."""
+"""Decisions: state machines without sockets, clocks, files or randomness of their own.
+
+Names are loaded when they are first used: a thin instance imports only what its role needs.
+"""
 
 from __future__ import annotations
 
-from wagtailkeel_coordination.agent_identity import AgentIdentity
-from wagtailkeel_coordination.bucket_authority import BucketAuthority
-from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
-from wagtailkeel_coordination.errors import CoordinationError
-from wagtailkeel_coordination.flow_router import FlowRouter
-from wagtailkeel_coordination.lease import PlacementLease
+from importlib import import_module
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.agent_identity import AgentIdentity
+    from wagtailkeel_coordination.bucket_authority import BucketAuthority
+    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.errors import CoordinationError
+    from wagtailkeel_coordination.flow_router import FlowRouter
+    from wagtailkeel_coordination.lease import PlacementLease
 
 __all__ = [
     "AgentIdentity",
@@ -17,3 +25,19 @@
     "FlowRouter",
     "PlacementLease",
 ]
+
+_MODULES_BY_NAME = {
+    "AgentIdentity": "agent_identity",
+    "BucketAuthority": "bucket_authority",
+    "ConcurrencyLimiter": "concurrency_limiter",
+    "CoordinationError": "errors",
+    "FlowRouter": "flow_router",
+    "PlacementLease": "lease",
+}
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULES_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
