--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -283,6 +283,7 @@
             return
         tried = pointer.tried if pointer is not None else set()
         tried.add(source)
+        self.loads.note_rejection(source)
         if head.key not in self.held.by_key:
             self._place(frame, head.key, tried)
 
@@ -407,7 +408,7 @@
         self._outbox.reply(packet, self._format.caller_host(head.key))
 
     def _on_unknown_reset(self, packet: bytes, head: PacketHead) -> None:
-        """A reset that answers a probe means that the flow is elsewhere; the caller must not see it."""
+        """A reset that answers a probe says that the flow is elsewhere: the caller is spared it."""
         requester = self.probes.remove(head.key)
         if requester is None:
             self._outbox.reply(packet, self._format.caller_host(head.key))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -38,6 +38,7 @@
     load: ServerLoad
     heard_at: float
     sent_since: int = 0
+    has_rejected: bool = False
 
 
 class PeerLoads:
@@ -56,6 +57,12 @@
         if peer is not None:
             peer.sent_since += 1
 
+    def note_rejection(self, address: Address) -> None:
+        """Offer no more openings to an agent until its next report."""
+        peer = self.by_address.get(address)
+        if peer is not None:
+            peer.has_rejected = True
+
     def retain(self, addresses: Collection[Address]) -> None:
         """Forget agents that are no members."""
         for address in [a for a in self.by_address if a not in addresses]:
@@ -75,6 +82,7 @@
             for peer in self.by_address.values()
             if peer.load.service_tag == service_tag
             and peer.load.accepts
+            and not peer.has_rejected
             and not peer.load.is_leaving
             and now - peer.heard_at <= REPORT_LIMIT_S
         ]
@@ -83,7 +91,7 @@
         """Tell whether a server of the service will take openings again within a second."""
         return any(
             peer.load.service_tag == service_tag
-            and peer.load.is_paced
+            and (peer.load.is_paced or (peer.load.is_cold and peer.has_rejected))
             and now - peer.heard_at <= REPORT_LIMIT_S
             for peer in self.by_address.values()
         )
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -220,6 +220,13 @@
     boot_id: int
 
 
+class LeaveRequest(msgspec.Struct):
+    """An agent is about to stop for good: its server has ended."""
+
+    server_id: str
+    boot_id: int
+
+
 class PullRequest(msgspec.Struct):
     """Ask for what was committed after ``since``."""
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -106,10 +106,14 @@
 
 
 class RemoveServer(Command):
-    """Remove one incarnation of a server's agent; any other incarnation stays."""
+    """Remove one incarnation of a server's agent; any other incarnation stays.
+
+    ``has_ended`` says that the server has ended too: no flow of its is left anywhere.
+    """
 
     server_id: str
     boot_id: int
+    has_ended: bool = False
 
 
 class JoinBalancer(Command):
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -290,7 +290,10 @@
     member = config.servers_by_id.get(command.server_id)
     if member is None or member.boot_id != command.boot_id:
         return f"server {command.server_id} with boot id {command.boot_id} is not a member"
-    _retain_former_member(config, command.server_id, entry.index)
+    if command.has_ended:
+        config.former_members_by_id.pop(command.server_id, None)
+    else:
+        _retain_former_member(config, command.server_id, entry.index)
     del config.servers_by_id[command.server_id]
     service = config.services_by_name.get(member.service)
     if service is not None:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -12,6 +12,9 @@
 STOP_AGENT: RpcMethod[messages.StopRequest, messages.AnnounceReply] = RpcMethod(
     "StopAgent", messages.StopRequest, messages.AnnounceReply
 )
+LEAVE: RpcMethod[messages.LeaveRequest, messages.AnnounceReply] = RpcMethod(
+    "Leave", messages.LeaveRequest, messages.AnnounceReply
+)
 PULL: RpcMethod[messages.PullRequest, messages.PullReply] = RpcMethod(
     "Pull", messages.PullRequest, messages.PullReply
 )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -41,6 +41,7 @@
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import LeaveRequest
 from wagtailkeel_protocol.messages import PullReply
 from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import StatusReply
@@ -52,6 +53,7 @@
 from wagtailkeel_state.commands import CommandAnswer
 from wagtailkeel_state.commands import JoinBalancer
 from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import ReplaceRouting
 from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.commands import StopAgent
@@ -75,6 +77,7 @@
 from wagtailkeel_transport.methods import DISCOVER
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import FORMATION
+from wagtailkeel_transport.methods import LEAVE
 from wagtailkeel_transport.methods import PULL
 from wagtailkeel_transport.methods import RAFT
 from wagtailkeel_transport.methods import STATUS
@@ -197,6 +200,7 @@
             {
                 ANNOUNCE: self._announce,
                 STOP_AGENT: self._stop_agent,
+                LEAVE: self._leave,
                 COMMAND: self._command,
                 PULL: self._answer_pull,
                 STATUS: self._status,
@@ -491,6 +495,10 @@
         command = StopAgent(server_id=request.server_id, boot_id=request.boot_id)
         return await self._join(command, f"stop/{request.server_id}/{request.boot_id}")
 
+    async def _leave(self, request: LeaveRequest) -> AnnounceReply:
+        command = RemoveServer(server_id=request.server_id, boot_id=request.boot_id, has_ended=True)
+        return await self._join(command, f"leave/{request.server_id}/{request.boot_id}")
+
     async def _join(self, command: AnyCommand, command_id: str) -> AnnounceReply:
         answer = await self._propose(CommandRequest(command, command_id, "node"))
         if answer is None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -61,6 +61,7 @@
 PEER_MEMORY_S = 60.0
 """A removed agent may still hold flows that it serves behind a cut."""
 MEMBERS_AGE_LIMIT_S = 1.0
+LEAVE_LIMIT_S = 1.5
 LEAVING_NOTICES = 3
 LEAVING_NOTICE_INTERVAL_S = 0.05
 
@@ -163,6 +164,10 @@
     async def stop(self) -> None:
         """Tell all others that this agent keeps no directory entries from now on."""
         self.router.gate.is_leaving = True
+        report = self.router.gate.report
+        if report is not None and report.has_left:
+            with anyio.move_on_after(LEAVE_LIMIT_S):
+                await self._link.leave()
         for _ in range(LEAVING_NOTICES):
             self._send_load(self.router.build_load(clock.seconds()))
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
@@ -213,17 +218,23 @@
             address = (member.host, member.port)
             self._data_centres_by_peer[address] = member.data_centre
             self._seen_at_by_peer[address] = now
-        for former in config.former_members_by_id.values():
-            if former.removed_index > self._known_removal_index:
-                # Removed when or after this process last looked: it may still serve flows.
-                self._known_removal_index = former.removed_index
-                self._seen_at_by_peer.setdefault((former.host, former.port), now)
+        self._remember_removed(config, now)
+        former = {(m.host, m.port) for m in config.former_members_by_id.values()}
         for address, seen_at in list(self._seen_at_by_peer.items()):
-            if now - seen_at > PEER_MEMORY_S:
+            has_ended = seen_at < now and address not in former
+            if has_ended or now - seen_at > PEER_MEMORY_S:
                 del self._seen_at_by_peer[address]
                 self._data_centres_by_peer.pop(address, None)
         self.router.set_peers(frozenset(self._seen_at_by_peer))
 
+    def _remember_removed(self, config: Configuration, now: float) -> None:
+        """A member removed since this process last looked may still serve flows."""
+        known_index = self._known_removal_index
+        for member in config.former_members_by_id.values():
+            if member.removed_index > known_index:
+                self._known_removal_index = max(self._known_removal_index, member.removed_index)
+                self._seen_at_by_peer.setdefault((member.host, member.port), now)
+
     def _knows_all_agents(self) -> bool:
         """Tell whether control has confirmed the version, and so the members, just now."""
         silent_s = clock.seconds() - self._link.acknowledged_at
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -15,10 +15,12 @@
 from wagtailkeel_protocol.messages import AnnounceRequest
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
+from wagtailkeel_protocol.messages import LeaveRequest
 from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import clock
 from wagtailkeel_transport.methods import ANNOUNCE
+from wagtailkeel_transport.methods import LEAVE
 from wagtailkeel_transport.methods import PULL
 
 if TYPE_CHECKING:
@@ -36,6 +38,7 @@
 ACK_SILENCE_LIMIT_S = 1.5
 ANNOUNCE_RETRY_S = 0.3
 ANNOUNCE_TIMEOUT_S = 3.0
+LEAVE_TIMEOUT_S = 0.5
 PULL_TIMEOUT_S = 2.0
 PULL_RETRY_S = 0.2
 VERSION_POLL_S = 0.02
@@ -141,6 +144,22 @@
             self._metrics.counters["announce_failures"] += 1
             return None
 
+    async def leave(self) -> None:
+        """Tell control that the server has ended; control removes a silent agent anyway."""
+        request = LeaveRequest(self._instance_id, self.boot_id)
+        asked = [self.leader_id, *self._address_book.control_ids]
+        for control_id in dict.fromkeys(asked):
+            address = self._address_book.rpc_address(control_id)
+            if address is None:
+                continue
+            try:
+                reply = await self._rpc_client.call(address, LEAVE, request, LEAVE_TIMEOUT_S)
+            except RpcError:
+                self._metrics.counters["leave_failures"] += 1
+                continue
+            if reply.is_joined:
+                return
+
     async def _beat_forever(self) -> None:
         while True:
             if self._is_announced:
