--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -88,6 +88,7 @@
         self._knows_all_agents = knows_all_agents
         self._own_tag = relay.service_tag(gate.service)
         self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
+        self._started_at = now
         self._forgetful_until = now + FORGETFUL_S
         self._now = now
 
@@ -321,15 +322,25 @@
                 self._relay_packet(source, RelayKind.DELIVER, packet)
 
     def _on_not_found(self, key: bytes, source: Address) -> None:
-        packet = self.searches.on_not_found(key, source)
-        if packet is None:
+        if self.searches.on_not_found(key, source):
+            self._conclude(key)
+
+    def _conclude(self, key: bytes) -> None:
+        """End a search that all deny, once it is certain that all were asked."""
+        if not self._knows_all_agents():
+            return
+        packet = self.searches.by_key[key].packet
+        fresh = self.searches.ask_more(key, self.peers, self._now)
+        for address in fresh:
+            self._relay_packet(address, RelayKind.SEARCH, packet)
+        if fresh:
             return
+        self.searches.end(key)
         self._counters["flows_found_nowhere"] += 1
         self._end_search(key, "nowhere", "", 0)
         head = self._format.parse_inbound(packet)
-        is_request = not isinstance(head, Malformed) and head.payload_bytes > 0
-        if is_request and self._knows_all_agents():
-            # Every agent has said no: the flow ended with its server.
+        if not isinstance(head, Malformed) and head.payload_bytes:
+            # The flow ended with its server: the caller need not wait for its deadline.
             self._emit(events.FlowReset(flow_id(key), "held_nowhere"))
             self._reset(packet, key)
 
@@ -455,16 +466,23 @@
         """Settle probes that met silence, and forget what is over."""
         self._now = now
         for key, requester in self.probes.take_silent(now):
-            if self.gate.is_heard(now):
-                # The server has not returned the packet, so it has the flow.
-                self.held.open(key, requester, now)
-                self._answer(requester, RelayKind.FOUND, key)
+            self._on_silent_probe(key, requester)
+        for key in self.searches.denied:
+            self._conclude(key)
         for key, silent in self.searches.expire(now):
             self._counters["searches_expired"] += 1
             self._end_search(key, "expired", "", silent)
         self.held.sweep(now)
         self.pointers.sweep(now)
 
+    def _on_silent_probe(self, key: bytes, requester: Address) -> None:
+        """A live server that does not return a packet has its flow; one that has gone has none."""
+        if self.gate.is_heard(self._now):
+            self.held.open(key, requester, self._now)
+            self._answer(requester, RelayKind.FOUND, key)
+        elif self.gate.has_gone(self._now, self._started_at):
+            self._answer(requester, RelayKind.NOT_FOUND, key)
+
     # Sending
 
     def _answer(self, requester: Address, kind: RelayKind, key: bytes) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -22,11 +22,12 @@
 
 
 class Search(msgspec.Struct):
-    """One search; ``queued`` are packets to deliver once the flow is found."""
+    """One search: the agents asked, those of them that are silent, and packets that wait."""
 
     packet: bytes
     started_at: float
     asked_at: float
+    asked: set[Address]
     silent: set[Address]
     queued: list[bytes]
 
@@ -45,7 +46,7 @@
         if search is None:
             if len(self.by_key) >= SEARCH_LIMIT:
                 return []
-            self.by_key[key] = Search(packet, now, now, set(asked), [])
+            self.by_key[key] = Search(packet, now, now, set(asked), set(asked), [])
             return list(self.by_key[key].silent)
         if now - search.asked_at >= REPEAT_AFTER_S:
             search.asked_at = now
@@ -59,16 +60,31 @@
         search = self.by_key.pop(key, None)
         return search.queued if search else []
 
-    def on_not_found(self, key: bytes, source: Address) -> bytes | None:
-        """Note a "no"; return the packet of the search if it was the last answer missing."""
+    def on_not_found(self, key: bytes, source: Address) -> bool:
+        """Note a "no"; return whether it was the last answer missing."""
         search = self.by_key.get(key)
         if search is None:
-            return None
+            return False
         search.silent.discard(source)
-        if search.silent:
-            return None
-        del self.by_key[key]
-        return search.packet
+        return not search.silent
+
+    def ask_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
+        """Return the agents that the search has not asked yet, and note that it asks them now."""
+        search = self.by_key[key]
+        fresh = [address for address in peers if address not in search.asked]
+        search.asked.update(fresh)
+        search.silent.update(fresh)
+        search.asked_at = now
+        return fresh
+
+    @property
+    def denied(self) -> list[bytes]:
+        """Keys of the searches that every agent asked has denied."""
+        return [key for key, search in self.by_key.items() if not search.silent]
+
+    def end(self, key: bytes) -> bytes:
+        """Forget a search; return the packet that it was for."""
+        return self.by_key.pop(key).packet
 
     def expire(self, now: float) -> list[tuple[bytes, int]]:
         """Forget searches that not all agents have answered; return how many were silent by key."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -100,6 +100,12 @@
         """Tell whether the server has spoken recently; its address may be another's by now."""
         return self.report is not None and now - self.heard_at <= self._report_limit_s
 
+    def has_gone(self, now: float, watched_since: float) -> bool:
+        """Tell whether the server has left, or has been silent for too long to be alive."""
+        if self.report is not None and self.report.has_left:
+            return True
+        return now - max(self.heard_at, watched_since) > self._report_limit_s
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow, or may have turned so while it was out of service."""
         is_unchecked = self.heard_at < self._returned_at
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -93,7 +93,7 @@
     @property
     def has_news(self) -> bool:
         """Tell whether a newer version than the own one is known to exist."""
-        return bool(self._versions_by_source)
+        return any(version > self._store.version for version in self._versions_by_source.values())
 
     async def run(self) -> None:
         """Join, then keep the membership and the version up to date until cancelled."""
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -125,6 +125,7 @@
         self.server = FakeServer(address[0])
         self.counters: Counter[str] = Counter()
         self.is_up = True
+        self.has_server = True
         self.reports = 0
         self._network = network
         self.router = self._build_router()
@@ -144,11 +145,13 @@
             self._network.now,
         )
 
-    def restart(self) -> None:
-        """Start the agent anew; the server goes on."""
+    def restart(self, *, has_server: bool = True) -> None:
+        """Start the agent anew; the server goes on, or is no longer there."""
         self.router = self._build_router()
         self.is_up = True
-        self.report()
+        self.has_server = has_server
+        if has_server:
+            self.report()
 
     def report(self, *, is_draining: bool = False, cold_for_s: float = 0.0) -> None:
         self.reports += 1
@@ -165,6 +168,8 @@
         self.router.on_report(report, self._network.now)
 
     def deliver(self, packet: bytes) -> None:
+        if not self.has_server:
+            return
         answer = self.server.take(packet)
         if answer is not None:
             self._network.schedule(lambda: self._on_server_packet(answer))
@@ -259,6 +264,8 @@
         self.now += seconds
         for node in self.nodes.values():
             report = node.router.gate.report
+            if not node.has_server:
+                continue
             node.report(is_draining=report is not None and report.is_draining)
         self.spread_loads()
         for node in self.nodes.values():
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -111,6 +111,38 @@
                 self.assertEqual(self.network.resets, 0)
                 self.network.pass_time(3.0)
 
+    def test_reset_waits_until_all_members_are_known_and_asked(self) -> None:
+        """Seen after all power was lost: nodes joined while the searches were under way."""
+        name, server = next(iter(self.servers.items()))
+        nodes = list(self.network.nodes.values())
+        owner = next(n for n in nodes if n.server.name != server)
+        self.network.balancer.owners.update([owner.address])
+        owner.router.held.clear()
+        owner.router.pointers.by_key.clear()
+        holder = next(n for n in nodes if n.server.name == server)
+        owner.router.set_peers(frozenset(n.address for n in nodes) - {holder.address})
+        self.network.are_members_known = False
+        self.assertEqual(self.network.request(name, server), "")
+        self.assertEqual(self.network.resets, 0)
+        owner.router.set_peers(frozenset(n.address for n in nodes))
+        self.network.are_members_known = True
+        self.network.pass_time(0.05)
+        self.assertEqual([answer.server for answer in self.network.replies], [server])
+
+    def test_an_agent_whose_server_has_gone_denies_flows(self) -> None:
+        """Seen after all power was lost: agents of servers that had left kept searches open."""
+        name, server = next(iter(self.servers.items()))
+        holder = next(n for n in self.network.nodes.values() if n.server.name == server)
+        holder.restart(has_server=False)
+        holder.router.apply_routing(self.network.document(1))
+        other = next(n for n in self.network.nodes.values() if n is not holder)
+        other.router.pointers.by_key.clear()
+        self.network.balancer.owners.update([other.address])
+        self.network.pass_time(3.0)
+        self.assertEqual(self.network.request(name, server), "")
+        self.network.pass_time(0.1)
+        self.assertEqual(self.network.resets, 1)
+
 
 class OpeningsTest(unittest.TestCase):
     def test_copy_of_an_opening_reaches_the_same_server(self) -> None:
