--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -88,7 +88,6 @@
         self._knows_all_agents = knows_all_agents
         self._own_tag = relay.service_tag(gate.service)
         self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
-        self._started_at = now
         self._forgetful_until = now + FORGETFUL_S
         self._now = now
 
@@ -480,7 +479,7 @@
         if self.gate.is_heard(self._now):
             self.held.open(key, requester, self._now)
             self._answer(requester, RelayKind.FOUND, key)
-        elif self.gate.has_gone(self._now, self._started_at):
+        elif self.gate.has_gone(self._now):
             self._answer(requester, RelayKind.NOT_FOUND, key)
 
     # Sending
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -25,7 +25,10 @@
 
 
 class BalancerRouter:
-    """Holds nothing about any flow."""
+    """Holds nothing about any flow.
+
+    ``is_routing_current`` tells whether control has confirmed the own version just now.
+    """
 
     def __init__(
         self,
@@ -34,6 +37,7 @@
         reply: Callable[[bytes, str], None],
         counters: Counters,
         event_sink: EventSink,
+        is_routing_current: Callable[[], bool],
     ) -> None:
         self.routing = RoutingTable()
         self.owners = OwnerMap()
@@ -42,6 +46,7 @@
         self._reply = reply
         self._counters = counters
         self._emit = event_sink.emit
+        self._is_routing_current = is_routing_current
         self._tags_by_service: dict[str, int] = {}
 
     def apply_routing(self, document: RoutingDocument) -> None:
@@ -72,17 +77,21 @@
         self._send(frame, owner)
 
     def _on_unknown_route(self, packet: bytes, head: PacketHead) -> None:
-        """A first copy is dropped, since a new route may be on its way here; others refused."""
+        """A first copy is dropped, since a new route may be on its way here.
+
+        Later ones are refused, unless this balancer may have missed a change.
+        """
+        is_refused = head.attempt > 0 and self._is_routing_current()
         self._counters["openings_without_route"] += 1
         self._emit(
             events.RouteMissing(
                 flow_id(head.key),
                 self._format.endpoint_of(head.key).hex(),
                 self.routing.version,
-                head.attempt > 0,
+                is_refused,
             )
         )
-        if not head.attempt:
+        if not is_refused:
             return
         refusal = self._format.build_refusal(packet)
         if refusal is not None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -65,13 +65,16 @@
 class ServerGate:
     """The state of the own server as far as openings are concerned; times in seconds."""
 
-    def __init__(self, service: str, report_limit_s: float, cold_limit: ColdLimit) -> None:
+    def __init__(
+        self, service: str, report_limit_s: float, cold_limit: ColdLimit, now: float
+    ) -> None:
         self.service = service
         self.report: ServerReport | None = None
         self.heard_at = float("-inf")
         self.is_in_service = True
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
+        self._watched_since = now
         self._report_limit_s = report_limit_s
         self._cold_limit = cold_limit
         self._cold_until = float("-inf")
@@ -100,11 +103,11 @@
         """Tell whether the server has spoken recently; its address may be another's by now."""
         return self.report is not None and now - self.heard_at <= self._report_limit_s
 
-    def has_gone(self, now: float, watched_since: float) -> bool:
+    def has_gone(self, now: float) -> bool:
         """Tell whether the server has left, or has been silent for too long to be alive."""
         if self.report is not None and self.report.has_left:
             return True
-        return now - max(self.heard_at, watched_since) > self._report_limit_s
+        return now - max(self.heard_at, self._watched_since) > self._report_limit_s
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow, or may have turned so while it was out of service."""
@@ -118,8 +121,13 @@
         return self._find_reason(now) is None
 
     def is_paced(self, now: float) -> bool:
-        """Tell whether openings are held up only because the server is cold: room comes soon."""
-        return self._find_reason(now) is GateReason.COLD
+        """Tell whether openings are held up for a moment only.
+
+        The server is cold and will have room, or its agent has started before its first report.
+        """
+        reason = self._find_reason(now)
+        is_young = self.report is None and now - self._watched_since <= self._report_limit_s
+        return reason is GateReason.COLD or (reason is GateReason.UNHEARD and is_young)
 
     def admit(self, service: str, now: float) -> GateReason | None:
         """Count an opening in and return None, or return why it may not pass."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -100,6 +100,7 @@
                 section.service,
                 section.report_limit_s,
                 ColdLimit(section.cold_factor, section.cold_slack),
+                clock.seconds(),
             ),
             UdpRelayOutbox(section, self._endpoint, self._server_endpoint),
             Random(),
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -50,6 +50,7 @@
 Address = tuple[str, int]
 
 OWNER_INTERVAL_S = 0.2
+ROUTING_AGE_LIMIT_S = 1.5
 
 
 class HandshakeBalancer:
@@ -73,7 +74,12 @@
         self._rpc_client = RpcClient(settings.instance.own_host)
         self._loads = PeerLoads()
         self._router = BalancerRouter(
-            packet_format, self._endpoint.send, self._reply, self.metrics.counters, event_sink
+            packet_format,
+            self._endpoint.send,
+            self._reply,
+            self.metrics.counters,
+            event_sink,
+            self._is_routing_current,
         )
         self._emit = event_sink.emit
         self._is_stopping = False
@@ -134,6 +140,11 @@
         self._is_stopping = True
         await anyio.sleep(self._section.stop_delay_s)
 
+    def _is_routing_current(self) -> bool:
+        silent_s = clock.seconds() - self._link.acknowledged_at
+        is_confirmed = silent_s < ROUTING_AGE_LIMIT_S and not self._link.has_news
+        return self._router.routing.version > 0 and is_confirmed
+
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
         return AnnounceRequest(
             balancer=BalancerMember(
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -135,7 +135,7 @@
             self.address,
             DATA_CENTRE,
             FakeFormat(),
-            ServerGate(self.service, REPORT_LIMIT_S, ColdLimit()),
+            ServerGate(self.service, REPORT_LIMIT_S, ColdLimit(), self._network.now),
             self,
             Random(self.address[0]),
             self.counters,
@@ -217,6 +217,7 @@
             ),
             self.counters,
             self,
+            lambda: self.are_members_known,
         )
         for node in self.nodes.values():
             node.report()
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -220,6 +220,25 @@
         network.open("caller", endpoint, attempt=1)
         self.assertEqual(network.resets, 1)
 
+    def test_no_refusal_for_a_missing_route_while_changes_may_be_missing(self) -> None:
+        """Seen after all power was lost: a balancer without a document refused all openings."""
+        network = FakeNetwork([DESK])
+        network.are_members_known = False
+        for attempt in range(3):
+            network.open("caller", b"\xc6\x12\x00\x63\x01\xbb", attempt)
+            self.assertEqual(network.resets, 0)
+
+    def test_no_refusal_before_the_first_report_of_a_server(self) -> None:
+        """Seen after all power was lost: servers report up to a second after their agents start."""
+        network = FakeNetwork([DESK] * 2)
+        for node in network.nodes.values():
+            node.restart(has_server=False)
+            node.router.apply_routing(network.document(1))
+        network.spread()
+        self.assertEqual((network.open("caller"), network.resets), ("", 0))
+        network.pass_time(3.0)
+        self.assertEqual((network.open("caller", attempt=1), network.resets), ("", 1))
+
 
 class RandomChangesTest(unittest.TestCase):
     """Owners, agents and drains change at random; no flow of a live server moves or is reset."""
