Give up flows of servers and instances that have died

Callers go on sending on a flow that nobody answers; after a crash each such flow lost a request every time. An agent counts its server's silence while it runs itself; a former member that stays silent for 0.5 s no longer keeps a search open. A flow behind a cut that only control does not see goes on, and a suspended agent takes no server for dead.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -78,6 +78,7 @@
         self.loads = PeerLoads()
         self.routing = RoutingTable()
         self.peers: frozenset[Address] = frozenset()
+        self.former: frozenset[Address] = frozenset()
         self.probes = MemoryProbes()
         self._data_centre = data_centre
         self._format = packet_format
@@ -104,10 +105,11 @@
         self.held.idle_limit_s = document.idle_limit_s
         self.pointers.idle_limit_s = document.idle_limit_s
 
-    def set_peers(self, addresses: frozenset[Address]) -> None:
+    def set_peers(self, members: frozenset[Address], former: frozenset[Address]) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
-        self.peers = addresses - {self.own_address}
-        self.loads.retain(addresses)
+        self.former = former - members
+        self.peers = (members | former) - {self.own_address}
+        self.loads.retain(members)
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Take in what the own server says; return whether it counts."""
@@ -157,6 +159,10 @@
             self._counters[f"dropped_{head.value}"] += 1
             return
         flow = self.held.by_key.get(head.key)
+        if flow is not None and self.gate.has_gone:
+            # Its server does not answer any more, and nobody else will on its behalf.
+            self.held.remove(flow)
+            flow = None
         if flow is not None and frame.kind not in (RelayKind.REJECTED, RelayKind.RETURNED):
             self._deliver_held(flow, frame, head, source)
             return
@@ -201,6 +207,9 @@
         elif pointer is not None:
             kind = RelayKind.PLACE if head.is_opening else RelayKind.DELIVER
             self._send(pointer.target, kind, frame, frame.body)
+            if pointer.target in self.former:
+                # Control does not hear the agent: it may have died with the flow's server.
+                self._search(frame, head.key, exclude=None)
         elif head.is_opening:
             self._place(frame, head.key, set())
         elif head.marks & marks.RESETS:
@@ -335,6 +344,7 @@
         if fresh:
             return
         self.searches.end(key)
+        self.pointers.remove(key)
         self._counters["flows_found_nowhere"] += 1
         self._end_search(key, "nowhere", "", 0)
         head = self._format.parse_inbound(packet)
@@ -400,6 +410,7 @@
     def on_server_packet(self, packet: bytes, now: float) -> None:
         """Send a server's packet to its caller, or deal with one that it returned."""
         self._now = now
+        self.gate.note_packet()
         head = self._format.parse_outbound(packet)
         if isinstance(head, Malformed):
             self._counters[f"dropped_reply_{head.value}"] += 1
@@ -466,8 +477,9 @@
         self._now = now
         for key, requester in self.probes.take_silent(now):
             self._on_silent_probe(key, requester)
-        for key in self.searches.denied:
+        for key in self.searches.find_denied(self.former, now):
             self._conclude(key)
+        self.gate.watch(now)
         for key, silent in self.searches.expire(now):
             self._counters["searches_expired"] += 1
             self._end_search(key, "expired", "", silent)
@@ -479,7 +491,7 @@
         if self.gate.is_heard(self._now):
             self.held.open(key, requester, self._now)
             self._answer(requester, RelayKind.FOUND, key)
-        elif self.gate.has_gone(self._now):
+        elif self.gate.has_gone:
             self._answer(requester, RelayKind.NOT_FOUND, key)
 
     # Sending
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -11,11 +11,13 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
 
 Address = tuple[str, int]
 
 REPEAT_AFTER_S = 0.1
+FORMER_SILENCE_S = 0.5
 EXPIRES_AFTER_S = 2.0
 QUEUE_LIMIT_PACKETS = 16
 SEARCH_LIMIT = 20_000
@@ -77,10 +79,12 @@
         search.asked_at = now
         return fresh
 
-    @property
-    def denied(self) -> list[bytes]:
-        """Keys of the searches that every agent asked has denied."""
-        return [key for key, search in self.by_key.items() if not search.silent]
+    def find_denied(self, former: Collection[Address], now: float) -> list[bytes]:
+        """Return the keys of searches that all agents asked have denied.
+
+        A former member that stays silent counts as dead: control has not heard it either.
+        """
+        return [key for key, search in self.by_key.items() if _is_denied(search, former, now)]
 
     def end(self, key: bytes) -> bytes:
         """Forget a search; return the packet that it was for."""
@@ -90,3 +94,11 @@
         """Forget searches that not all agents have answered; return how many were silent by key."""
         late = [k for k, s in self.by_key.items() if now - s.started_at > EXPIRES_AFTER_S]
         return [(key, len(self.by_key.pop(key).silent)) for key in late]
+
+
+def _is_denied(search: Search, former: Collection[Address], now: float) -> bool:
+    if not search.silent:
+        return True
+    if now - search.started_at < FORMER_SILENCE_S:
+        return False
+    return all(address in former for address in search.silent)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -14,6 +14,7 @@
 
 COLD_WINDOW_S = 1.05
 """Any span of one second counts; the rest covers the way to the server."""
+WATCH_STEP_LIMIT_S = 0.2
 WARM_RETURN_CHECK_S = 2.0
 """After its data centre returns a server counts as cold until a newer report says otherwise."""
 
@@ -75,6 +76,8 @@
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
         self._watched_since = now
+        self._watched_at = now
+        self._silence_s = 0.0
         self._report_limit_s = report_limit_s
         self._cold_limit = cold_limit
         self._cold_until = float("-inf")
@@ -90,6 +93,7 @@
             return False
         self.report = report
         self.heard_at = now
+        self._silence_s = 0.0
         self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
         return True
 
@@ -103,11 +107,20 @@
         """Tell whether the server has spoken recently; its address may be another's by now."""
         return self.report is not None and now - self.heard_at <= self._report_limit_s
 
-    def has_gone(self, now: float) -> bool:
+    def note_packet(self) -> None:
+        """A server that sends packets is alive."""
+        self._silence_s = 0.0
+
+    def watch(self, now: float) -> None:
+        """Count the server's silence; time in which this agent itself stood still is left out."""
+        self._silence_s += min(now - self._watched_at, WATCH_STEP_LIMIT_S)
+        self._watched_at = now
+
+    @property
+    def has_gone(self) -> bool:
         """Tell whether the server has left, or has been silent for too long to be alive."""
-        if self.report is not None and self.report.has_left:
-            return True
-        return now - max(self.heard_at, self._watched_since) > self._report_limit_s
+        has_left = self.report is not None and self.report.has_left
+        return has_left or self._silence_s > self._report_limit_s
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow, or may have turned so while it was out of service."""
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -202,6 +202,7 @@
         self.replies: list[FakePacket] = []
         self.events: list[Event] = []
         self.are_members_known = True
+        self.removed: set[Address] = set()
         self.cold_starts_per_s = cold_starts_per_s
         self._events: deque[object] = deque()
         self.nodes: dict[Address, FakeNode] = {}
@@ -255,11 +256,17 @@
     def spread_loads(self) -> None:
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
-            node.router.set_peers(frozenset(self.nodes))
+            members = frozenset(self.nodes) - self.removed
+            node.router.set_peers(members, frozenset(self.removed))
             for other in up:
                 load = other.router.build_load(self.now)
                 node.router.loads.on_load(other.address, DATA_CENTRE, load, self.now)
 
+    def remove(self, node: FakeNode) -> None:
+        """Let control remove a member that it does not hear."""
+        self.removed.add(node.address)
+        self.spread_loads()
+
     def pass_time(self, seconds: float) -> None:
         """Let all servers report and all agents tell their load meanwhile."""
         self.now += seconds
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -120,11 +120,11 @@
         owner.router.held.clear()
         owner.router.pointers.by_key.clear()
         holder = next(n for n in nodes if n.server.name == server)
-        owner.router.set_peers(frozenset(n.address for n in nodes) - {holder.address})
+        owner.router.set_peers(frozenset(n.address for n in nodes) - {holder.address}, frozenset())
         self.network.are_members_known = False
         self.assertEqual(self.network.request(name, server), "")
         self.assertEqual(self.network.resets, 0)
-        owner.router.set_peers(frozenset(n.address for n in nodes))
+        owner.router.set_peers(frozenset(n.address for n in nodes), frozenset())
         self.network.are_members_known = True
         self.network.pass_time(0.05)
         self.assertEqual([answer.server for answer in self.network.replies], [server])
@@ -138,11 +138,57 @@
         other = next(n for n in self.network.nodes.values() if n is not holder)
         other.router.pointers.by_key.clear()
         self.network.balancer.owners.update([other.address])
-        self.network.pass_time(3.0)
+        for _ in range(20):
+            self.network.pass_time(0.15)
         self.assertEqual(self.network.request(name, server), "")
         self.network.pass_time(0.1)
         self.assertEqual(self.network.resets, 1)
 
+    def test_flow_of_a_dead_instance_is_reset_once_control_has_removed_it(self) -> None:
+        """Seen after a crash: callers went on sending on flows that no one would answer."""
+        name, server = next(iter(self.servers.items()))
+        holder = next(n for n in self.network.nodes.values() if n.server.name == server)
+        owner = next(n for n in self.network.nodes.values() if n is not holder)
+        self.network.balancer.owners.update([owner.address])
+        holder.is_up = False
+        self.assertEqual(self.network.request(name, server), "")
+        self.network.pass_time(1.0)
+        self.assertEqual(self.network.resets, 0)
+        self.network.remove(holder)
+        resets = 0
+        for _ in range(3):
+            self.network.request(name, server)
+            self.network.pass_time(0.6)
+            resets += self.network.resets
+        self.assertGreater(resets, 0)
+
+    def test_flow_of_an_instance_that_only_control_does_not_hear_goes_on(self) -> None:
+        self.network.remove(next(iter(self.network.nodes.values())))
+        self.check()
+
+    def test_flow_of_a_silent_server_is_given_up(self) -> None:
+        name, server = next(iter(self.servers.items()))
+        holder = next(n for n in self.network.nodes.values() if n.server.name == server)
+        holder.has_server = False
+        for _ in range(20):
+            self.network.pass_time(0.15)
+        resets = 0
+        for _ in range(3):
+            self.network.request(name, server)
+            resets += self.network.resets
+            self.network.pass_time(0.1)
+            resets += self.network.resets
+        self.assertGreater(resets, 0)
+
+    def test_a_suspended_agent_does_not_take_its_server_for_dead(self) -> None:
+        for node in self.network.nodes.values():
+            node.has_server = False
+        self.network.pass_time(30.0)
+        for node in self.network.nodes.values():
+            node.has_server = True
+        self.network.spread()
+        self.check()
+
 
 class OpeningsTest(unittest.TestCase):
     def test_copy_of_an_opening_reaches_the_same_server(self) -> None:
