--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from random import Random
 
     from wagtailkeel_coordination.counters import Counters
@@ -79,6 +80,7 @@
         self.routing = RoutingTable()
         self.peers: frozenset[Address] = frozenset()
         self.former: frozenset[Address] = frozenset()
+        self._members_by_tag: dict[int, list[Address]] = {}
         self.probes = MemoryProbes()
         self._data_centre = data_centre
         self._format = packet_format
@@ -105,11 +107,18 @@
         self.held.idle_limit_s = document.idle_limit_s
         self.pointers.idle_limit_s = document.idle_limit_s
 
-    def set_peers(self, members: frozenset[Address], former: frozenset[Address]) -> None:
+    def set_peers(
+        self, services_by_member: Mapping[Address, str], former: frozenset[Address]
+    ) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
+        members = frozenset(services_by_member)
         self.former = former - members
         self.peers = (members | former) - {self.own_address}
         self.loads.retain(members)
+        self._members_by_tag = {}
+        for address, service in services_by_member.items():
+            tag = relay.service_tag(service)
+            self._members_by_tag.setdefault(tag, []).append(address)
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Take in what the own server says; return whether it counts."""
@@ -244,13 +253,18 @@
                 self._open(frame.body, key, self.own_address)
                 return
             tried.add(self.own_address)
-        if self.loads.has_paced(tag, self._now):
+        if self.loads.has_paced(tag, self._now) or not self._hears_all_members(tag):
             # The caller's next copy finds room, sooner than a new attempt would.
             self._counters["openings_paced"] += 1
             self.pointers.remove(key)
             return
         self._refuse(frame.body, key, len(tried), len(candidates))
 
+    def _hears_all_members(self, tag: int) -> bool:
+        """Tell whether no server of a service can be unknown to be ready."""
+        members = self._members_by_tag.get(tag, [])
+        return all(a == self.own_address or self._is_reachable(a) for a in members)
+
     def _note_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
         self._emit(
             events.OpeningPlaced(
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -226,7 +226,7 @@
             if has_ended or now - seen_at > PEER_MEMORY_S:
                 del self._seen_at_by_peer[address]
                 self._data_centres_by_peer.pop(address, None)
-        members = frozenset((m.host, m.port) for m in config.servers_by_id.values())
+        members = {(m.host, m.port): m.service for m in config.servers_by_id.values()}
         self.router.set_peers(members, frozenset(self._seen_at_by_peer))
 
     def _remember_removed(self, config: Configuration, now: float) -> None:
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -256,7 +256,11 @@
     def spread_loads(self) -> None:
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
-            members = frozenset(self.nodes) - self.removed
+            members = {
+                address: other.service
+                for address, other in self.nodes.items()
+                if address not in self.removed
+            }
             node.router.set_peers(members, frozenset(self.removed))
             for other in up:
                 load = other.router.build_load(self.now)
