--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -120,11 +120,12 @@
         owner.router.held.clear()
         owner.router.pointers.by_key.clear()
         holder = next(n for n in nodes if n.server.name == server)
-        owner.router.set_peers(frozenset(n.address for n in nodes) - {holder.address}, frozenset())
+        others = {n.address: n.service for n in nodes if n is not holder}
+        owner.router.set_peers(others, frozenset())
         self.network.are_members_known = False
         self.assertEqual(self.network.request(name, server), "")
         self.assertEqual(self.network.resets, 0)
-        owner.router.set_peers(frozenset(n.address for n in nodes), frozenset())
+        owner.router.set_peers({n.address: n.service for n in nodes}, frozenset())
         self.network.are_members_known = True
         self.network.pass_time(0.05)
         self.assertEqual([answer.server for answer in self.network.replies], [server])
@@ -285,6 +286,16 @@
         network.pass_time(3.0)
         self.assertEqual((network.open("caller", attempt=1), network.resets), ("", 1))
 
+    def test_no_refusal_while_a_member_has_not_told_its_load(self) -> None:
+        """Seen after all power was lost: an owner that had heard no other agent refused."""
+        network = FakeNetwork([ARCHIVE, DESK])
+        archive, desk = network.nodes.values()
+        archive.router.loads.by_address.clear()
+        network.balancer.owners.update([archive.address])
+        self.assertEqual((network.open("caller"), network.resets), ("", 0))
+        network.spread_loads()
+        self.assertEqual(network.open("caller", attempt=1), desk.server.name)
+
 
 class RandomChangesTest(unittest.TestCase):
     """Owners, agents and drains change at random; no flow of a live server moves or is reset."""
