--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -522,9 +522,12 @@
             self._on_foreign_identity(reply, progress, now)
             return
         progress.acknowledged_sent_at = progress.sent_at
+        refused_index = progress.next_index
         self._learn_match(reply, progress)
         self._advance_commit()
-        if progress.next_index <= self.log.last_index:
+        # A follower whose disk fails refuses the same entries again and again: it can wait.
+        has_moved = reply.is_matched or progress.next_index != refused_index
+        if has_moved and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
     def _learn_match(self, reply: AppendReply, progress: PeerProgress) -> None:
--- /dev/null
+++ b/tests/coordination/test_raft_members.py
@@ -0,0 +1,184 @@
+"""Voters that join one by one, are replaced for good, and disks that fail for a time."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from tests.coordination.test_raft import FakeDisk
+from wagtailkeel_coordination.raft import RaftNode
+from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
+from wagtailkeel_coordination.raft.raft_node import VOTER_SILENCE_S
+from wagtailkeel_protocol.raft_messages import RaftMessage
+from wagtailkeel_state import CommandAnswer
+from wagtailkeel_state import LogEntry
+from wagtailkeel_state import apply_entry
+from wagtailkeel_state.commands import DefineDataCentre
+
+FOUNDERS = ("a", "b", "c")
+VOTER_LIMIT = 5
+STEP_S = 0.05
+MESSAGES_PER_STEP = 500
+
+
+class Member:
+    """One instance and its disk."""
+
+    def __init__(self, cluster: Cluster, name: str, identity: str) -> None:
+        self.name = name
+        self.disk = FakeDisk(identity)
+        self.config, log = self.disk.load()
+        self._cluster = cluster
+        self.node = RaftNode(
+            name,
+            identity,
+            [],
+            self.disk.vote,
+            log,
+            self.config,
+            self.disk,
+            lambda peer, message: cluster.send(name, peer, message),
+            self.apply,
+            lambda config: setattr(self, "config", config),
+            Random(name),
+            cluster.now,
+            VOTER_LIMIT,
+        )
+
+    def apply(self, entry: LogEntry) -> CommandAnswer:
+        return apply_entry(self.config, entry)
+
+
+class Cluster:
+    """Delivers every message in order, except to and from those that are cut off."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.cut: set[str] = set()
+        self._messages: list[tuple[str, str, RaftMessage]] = []
+        self.members = {name: Member(self, name, f"{name}0") for name in FOUNDERS}
+        for member in self.members.values():
+            member.node.form({name: f"{name}0" for name in FOUNDERS})
+
+    def send(self, sender: str, receiver: str, message: RaftMessage) -> None:
+        self._messages.append((sender, receiver, message))
+
+    def add(self, name: str, identity: str) -> None:
+        """Start an instance with an empty disk; it asks the leader to follow the log."""
+        self.members[name] = Member(self, name, identity)
+        self.leader.node.learn_instance(name, self.now)
+
+    @property
+    def leader(self) -> Member:
+        leaders = [m for m in self.members.values() if m.node.is_leader and m.name not in self.cut]
+        return max(leaders, key=lambda member: member.node.term)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            for member in self.members.values():
+                member.node.tick(self.now)
+                member.node.admit_learners(self.now)
+            self._deliver()
+
+    def _deliver(self) -> None:
+        for _ in range(MESSAGES_PER_STEP):
+            if not self._messages:
+                return
+            sender, receiver, message = self._messages.pop(0)
+            if {sender, receiver} & self.cut or receiver not in self.members:
+                continue
+            reply = self.members[receiver].node.on_request(message, self.now)
+            self.members[sender].node.on_reply(reply, self.now)
+        raise AssertionError("messages without end: a refused request is sent again at once")
+
+
+class RaftMembersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = Cluster()
+        self.cluster.run(3.0)
+        for name in ("d", "e"):
+            self.cluster.add(name, f"{name}0")
+        self.cluster.run(3.0)
+
+    def voters(self) -> set[str]:
+        return set(self.cluster.leader.node.voters_by_id)
+
+    def test_three_founders_become_five_voters(self) -> None:
+        self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
+
+    def test_a_sixth_instance_stands_by(self) -> None:
+        self.cluster.add("f", "f0")
+        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
+
+    def test_a_voter_that_is_gone_is_replaced_once_another_stands_by(self) -> None:
+        gone = next(name for name in "abcde" if name != self.cluster.leader.name)
+        self.cluster.cut.add(gone)
+        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        self.assertIn(gone, self.voters())
+        self.cluster.add("f", "f0")
+        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        self.assertEqual(self.voters(), set("abcdef") - {gone})
+
+    def test_a_short_silence_costs_no_vote(self) -> None:
+        self.cluster.add("f", "f0")
+        silent = next(name for name in "abcde" if name != self.cluster.leader.name)
+        self.cluster.cut.add(silent)
+        self.cluster.run(VOTER_SILENCE_S / 2)
+        self.cluster.cut.clear()
+        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
+
+    def test_a_wiped_voter_returns_under_its_new_identity(self) -> None:
+        wiped = next(name for name in "abcde" if name != self.cluster.leader.name)
+        self.cluster.add(wiped, "fresh")
+        self.assertFalse(self.cluster.members[wiped].node.is_voter)
+        self.cluster.run(5.0)
+        self.assertEqual(self.cluster.leader.node.voters_by_id[wiped], "fresh")
+        self.assertEqual(len(self.voters()), 5)
+
+    def test_a_read_is_confirmed_by_a_quorum_after_it_was_asked(self) -> None:
+        leader = self.cluster.leader
+        asked_at = self.cluster.now
+        self.assertFalse(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+        self.cluster.run(0.5)
+        self.assertTrue(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+
+    def test_a_leader_that_was_suspended_confirms_nothing(self) -> None:
+        """Others have elected a leader meanwhile, which the suspended one does not know yet."""
+        leader = self.cluster.leader
+        self.cluster.cut.add(leader.name)
+        asked_at = self.cluster.now
+        for name, member in self.cluster.members.items():
+            if name != leader.name:
+                member.node.tick(self.cluster.now + 5.0)
+        self.cluster.now += 5.0
+        self.assertFalse(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+
+    def test_a_disk_that_fails_for_a_time_costs_the_vote_for_that_time(self) -> None:
+        follower = next(m for m in self.cluster.members.values() if not m.node.is_leader)
+        follower.disk.is_broken = True
+        self.cluster.leader.node.propose(DefineDataCentre(name="x", region="home"), "x")
+        self.cluster.run(2.0)
+        self.assertTrue(follower.node.has_failed)
+        self.assertNotIn("x", follower.config.answers_by_command_id)
+        follower.disk.is_broken = False
+        self.cluster.run(2 * STORAGE_RETRY_S + 2.0)
+        self.assertFalse(follower.node.has_failed)
+        self.assertIn("x", follower.config.answers_by_command_id)
+
+    def test_a_leader_whose_disk_fails_gives_way(self) -> None:
+        leader = self.cluster.leader
+        leader.disk.is_broken = True
+        leader.node.propose(DefineDataCentre(name="x", region="home"), "x")
+        self.cluster.run(3.0)
+        self.assertNotEqual(self.cluster.leader.name, leader.name)
+        self.cluster.leader.node.propose(DefineDataCentre(name="y", region="home"), "y")
+        self.cluster.run(1.0)
+        self.assertIn("y", self.cluster.leader.config.answers_by_command_id)
+
+
+if __name__ == "__main__":
+    unittest.main()
