--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -12,8 +12,13 @@
 
 
 def flow_id(key: bytes) -> str:
-    """Return the id of a flow in events: 16 hexadecimal digits of its key's XXH3."""
-    return f"{xxhash.xxh3_64_intdigest(key):016x}"
+    """Return the id of a flow in events: 16 hexadecimal digits.
+
+    It is the XXH3 of the caller's address, the route's address, the caller's port and the route's
+    port, in network byte order; a protocol number behind them does not count.
+    """
+    addresses_and_ports = key[: len(key) & ~1]
+    return f"{xxhash.xxh3_64_intdigest(addresses_and_ports):016x}"
 
 
 class Event(msgspec.Struct, tag_field="event"):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -54,7 +54,7 @@
 class AgentRouter:
     """Routing decisions of one agent; time and randomness come from outside.
 
-    ``knows_all_agents`` tells whether the peers that were set are all that may hold flows.
+    ``are_members_confirmed`` tells whether control has confirmed the members since a moment.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
         counters: Counters,
         event_sink: EventSink,
         record_response: Callable[[float], None],
-        knows_all_agents: Callable[[], bool],
+        are_members_confirmed: Callable[[float], bool],
         now: float,
     ) -> None:
         self.own_address = own_address
@@ -88,7 +88,7 @@
         self._random = random
         self._counters = counters
         self._emit = event_sink.emit
-        self._knows_all_agents = knows_all_agents
+        self._are_members_confirmed = are_members_confirmed
         self._own_tag = relay.service_tag(gate.service)
         self._services_by_tag: dict[int, str] = {self._own_tag: gate.service}
         self._forgetful_until = now + FORGETFUL_S
@@ -238,7 +238,8 @@
         tag = relay.service_tag(service)
         own_load = self.build_load(self._now)
         self.loads.on_load(self.own_address, self._data_centre, own_load, self._now)
-        candidates = self.loads.candidates(tag, self._now)
+        members = self._members_by_tag.get(tag, [])
+        candidates = self.loads.candidates(members, self._now)
         while len(tried) < PLACEMENT_ATTEMPTS:
             peer = choose_server(candidates, self._data_centre, tried, self._random)
             if peer is None:
@@ -348,10 +349,14 @@
             self._conclude(key)
 
     def _conclude(self, key: bytes) -> None:
-        """End a search that all deny, once it is certain that all were asked."""
-        if not self._knows_all_agents():
+        """End a search that all deny, once it is certain that all were asked.
+
+        A server gets openings only as a member, so whoever has the flow was one before the search.
+        """
+        search = self.searches.by_key[key]
+        if not self._are_members_confirmed(search.started_at):
             return
-        packet = self.searches.by_key[key].packet
+        packet = search.packet
         fresh = self.searches.ask_more(key, self.peers, self._now)
         for address in fresh:
             self._relay_packet(address, RelayKind.SEARCH, packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -75,12 +75,13 @@
             return False
         return now - peer.heard_at <= REPORT_LIMIT_S
 
-    def candidates(self, service_tag: int, now: float) -> list[PeerLoad]:
-        """Return the agents whose servers take openings of a service."""
+    def candidates(self, members: Iterable[Address], now: float) -> list[PeerLoad]:
+        """Return those of a service's agents whose servers take openings."""
+        known = (self.by_address.get(address) for address in members)
         return [
             peer
-            for peer in self.by_address.values()
-            if peer.load.service_tag == service_tag
+            for peer in known
+            if peer is not None
             and peer.load.accepts
             and not peer.has_rejected
             and not peer.load.is_leaving
--- a/packages/wagtailkeel/src/wagtailkeel/console/application.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/application.py
@@ -10,6 +10,7 @@
 from wagtailkeel.console.commands.booking import booking
 from wagtailkeel.console.commands.data_centre import data_centre
 from wagtailkeel.console.commands.dump import dump
+from wagtailkeel.console.commands.explain import explain
 from wagtailkeel.console.commands.server import server
 from wagtailkeel.console.commands.servers import servers
 from wagtailkeel.console.commands.service import service
@@ -71,5 +72,15 @@
     return [(found.host, found.rpc_port) for found in loaded.control_instances]
 
 
-for command in (booking, data_centre, dump, server, servers, service, status, traffic_class):
+for command in (
+    booking,
+    data_centre,
+    dump,
+    explain,
+    server,
+    servers,
+    service,
+    status,
+    traffic_class,
+):
     main.add_command(command)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -0,0 +1,49 @@
+"""``wagtailkeel explain``."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import click
+
+from wagtailkeel.console.exit_codes import ExitCode
+from wagtailkeel.errors import FlowNameError
+from wagtailkeel.flow_explanation import explain_flow
+from wagtailkeel.flow_explanation import parse_flow_name
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from typing import BinaryIO
+
+
+@click.command()
+@click.argument("flow")
+@click.argument("logs", nargs=-1, type=click.File("rb"))
+def explain(flow: str, logs: tuple[BinaryIO, ...]) -> None:
+    """Say from the LOGS of all processes, or standard input, what became of FLOW.
+
+    FLOW is an id from a log line, or "caller:port>route:port". Example:
+
+    wagtailkeel explain "100.64.0.7:40001>198.18.0.1:443" balancer.log agent-*.log
+    """
+    try:
+        flow_id = parse_flow_name(flow)
+    except FlowNameError as error:
+        click.echo(f"error: {error}", err=True)
+        raise SystemExit(ExitCode.USAGE) from error
+    explanation = explain_flow(flow_id, _read(logs))
+    for line in explanation.lines:
+        details = " ".join(f"{name}={value}" for name, value in line.fields.items())
+        click.echo(f"{line.at:.3f} {line.node} {line.event} {details}")
+    click.echo(f"flow {flow_id}: {explanation.cause}")
+    if explanation.unreadable or explanation.foreign:
+        counts = f"{explanation.unreadable} unreadable and {explanation.foreign} other lines"
+        click.echo(f"left aside: {counts}", err=True)
+    if not explanation.lines:
+        raise SystemExit(ExitCode.FAILURE)
+
+
+def _read(logs: tuple[BinaryIO, ...]) -> Iterator[bytes]:
+    for log in logs or (sys.stdin.buffer,):
+        yield from log
--- a/packages/wagtailkeel/src/wagtailkeel/errors.py
+++ b/packages/wagtailkeel/src/wagtailkeel/errors.py
@@ -17,3 +17,13 @@
 
 class ControlUnreachableError(WagtailkeelError):
     """No control instance answered."""
+
+
+class FlowNameError(WagtailkeelError):
+    """A flow is named in a way that can't be read."""
+
+    def __init__(self, name: str, detail: str) -> None:
+        super().__init__(
+            f"{name!r} names no flow: {detail}; expected 16 hexadecimal digits or "
+            "caller:port>route:port"
+        )
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -0,0 +1,135 @@
+"""Putting the log lines of all processes about one flow in order, and saying what ended it."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from wagtailkeel.errors import FlowNameError
+from wagtailkeel_coordination.events import EVENTS_BY_NAME
+from wagtailkeel_coordination.events import flow_id
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FLOW_ID_DIGITS = 16
+
+_OPENING_EVENTS = ("route_missing", "opening_placed", "opening_rejected", "opening_refused")
+_CAUSES_BY_EVENT = {
+    "opening_refused": "the opening was refused: {reason}; {tried} servers were tried",
+    "flow_reset": "the caller was told that nobody has the flow: {reason}",
+    "route_missing": "the balancer has no route for it in version {routing_version}",
+    "search_ended": "the flow was searched for: {outcome}, {silent} agents did not answer",
+    "opening_rejected": "a server did not take the opening: {reason}",
+    "flow_returned": "a server returned a packet of the flow: it does not hold it",
+}
+_FINAL_EVENTS = ("opening_refused", "flow_reset")
+
+
+class LogLine(msgspec.Struct):
+    """One line about a flow; ``position`` is its place among the lines read."""
+
+    at: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+    position: int
+
+    @property
+    def order(self) -> tuple[bool, int, float, int]:
+        """Openings come first, then by routing version: clocks of two nodes may disagree."""
+        is_later = self.event not in _OPENING_EVENTS
+        version = int(self.fields.get("routing_version", 0))
+        return is_later, 0 if is_later else version, self.at, self.position
+
+
+class FlowExplanation(msgspec.Struct):
+    """What the logs say of a flow; lines that could not be used are counted."""
+
+    flow: str
+    lines: list[LogLine]
+    unreadable: int
+    foreign: int
+
+    @property
+    def cause(self) -> str:
+        """What ended the flow, or the last that is known of it."""
+        if not self.lines:
+            return "the logs do not name the flow"
+        final = [line for line in self.lines if line.event in _FINAL_EVENTS]
+        last = (final or self.lines)[-1]
+        template = _CAUSES_BY_EVENT.get(last.event)
+        if template is None:
+            return f"no decision ended it; the last is {last.event} on {last.node}"
+        try:
+            return f"{template.format(**last.fields)} (on {last.node})"
+        except KeyError as error:
+            return f"{last.event} on {last.node}, without {error}"
+
+
+def explain_flow(flow: str, lines: Iterable[str | bytes]) -> FlowExplanation:
+    """Collect what is said of a flow; cut and foreign lines are counted, never an error."""
+    found: list[LogLine] = []
+    unreadable = foreign = 0
+    for position, text in enumerate(lines):
+        fields = _decode(text)
+        if fields is None:
+            unreadable += 1
+        elif fields.get("event") not in EVENTS_BY_NAME:
+            foreign += 1
+        elif fields.get("flow") == flow:
+            line = _to_line(fields, position)
+            if line is None:
+                unreadable += 1
+            else:
+                found.append(line)
+    return FlowExplanation(flow, sorted(found, key=lambda line: line.order), unreadable, foreign)
+
+
+def _decode(text: str | bytes) -> dict[str, Any] | None:
+    data = text.encode() if isinstance(text, str) else text
+    # A collector may have put its own words in front of the object.
+    start = data.find(b"{")
+    if start < 0:
+        return None
+    try:
+        return msgspec.json.decode(data[start:], type=dict[str, Any])
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
+def _to_line(fields: dict[str, Any], position: int) -> LogLine | None:
+    at, node, version = fields.get("at"), fields.get("node"), fields.get("routing_version", 0)
+    if not isinstance(at, (int, float)) or not isinstance(node, str):
+        return None
+    if not isinstance(version, int):
+        return None
+    rest = {k: v for k, v in fields.items() if k not in ("at", "node", "event", "flow")}
+    return LogLine(float(at), node, str(fields["event"]), rest, position)
+
+
+def parse_flow_name(name: str) -> str:
+    """Return the flow id of "caller:port>route:port", or of an id as it is."""
+    if len(name) == FLOW_ID_DIGITS and all(digit in "0123456789abcdef" for digit in name):
+        return name
+    caller, separator, route = name.partition(">")
+    try:
+        if not separator:
+            raise ValueError("it has no '>'")
+        caller_address, caller_port = _parse_end(caller)
+        route_address, route_port = _parse_end(route)
+    except ValueError as error:
+        raise FlowNameError(name, str(error)) from error
+    return flow_id(caller_address + route_address + caller_port + route_port)
+
+
+def _parse_end(text: str) -> tuple[bytes, bytes]:
+    host, _, port = text.rpartition(":")
+    number = int(port)
+    if not 0 < number <= 65_535:
+        raise ValueError(f"{number} is no port")
+    return ipaddress.ip_address(host).packed, struct.pack("!H", number)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -60,7 +60,6 @@
 QUIET_LOAD_INTERVAL_S = 0.5
 PEER_MEMORY_S = 60.0
 """A removed agent may still hold flows that it serves behind a cut."""
-MEMBERS_AGE_LIMIT_S = 1.0
 LEAVE_LIMIT_S = 1.5
 LEAVING_NOTICES = 3
 LEAVING_NOTICE_INTERVAL_S = 0.05
@@ -107,7 +106,7 @@
             self.metrics.counters,
             event_sink,
             self.metrics.record_response,
-            self._knows_all_agents,
+            self._link_confirms_members,
             clock.seconds(),
         )
         self.store.subscribe(self._on_configuration)
@@ -237,10 +236,8 @@
                 self._known_removal_index = max(self._known_removal_index, member.removed_index)
                 self._seen_at_by_peer.setdefault((member.host, member.port), now)
 
-    def _knows_all_agents(self) -> bool:
-        """Tell whether control has confirmed the version, and so the members, just now."""
-        silent_s = clock.seconds() - self._link.acknowledged_at
-        return silent_s < MEMBERS_AGE_LIMIT_S and not self._link.has_news
+    def _link_confirms_members(self, since: float) -> bool:
+        return self._link.is_version_confirmed(since)
 
     def _follow_data_centre(self, config: Configuration, now: float) -> None:
         name = self._instance.data_centre
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -42,6 +42,7 @@
 PULL_TIMEOUT_S = 2.0
 PULL_RETRY_S = 0.2
 VERSION_POLL_S = 0.02
+CONFIRMATION_INTERVAL_S = 0.05
 BOOT_ID_BITS = 53
 
 
@@ -84,6 +85,8 @@
         self._metrics = metrics
         self._event_sink = event_sink
         self._lost_at = float("inf")
+        self._confirmed_from = float("-inf")
+        self._asked_at = float("-inf")
         self._joined_at = float("inf")
         self._random = Random()
         self._versions_by_source: dict[str, int] = {}
@@ -95,6 +98,16 @@
         """Tell whether a newer version than the own one is known to exist."""
         return any(version > self._store.version for version in self._versions_by_source.values())
 
+    def is_version_confirmed(self, since: float) -> bool:
+        """Tell whether the leader has confirmed the own version since a moment; else ask it."""
+        if self._confirmed_from >= since and not self.has_news:
+            return True
+        now = clock.seconds()
+        if self._is_announced and now - self._asked_at >= CONFIRMATION_INTERVAL_S:
+            self._asked_at = now
+            self._send_heartbeat()
+        return False
+
     async def run(self) -> None:
         """Join, then keep the membership and the version up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -207,6 +220,7 @@
             return
         self.leader_id = message.leader_id
         self.acknowledged_at = clock.seconds()
+        self._confirmed_from = max(self._confirmed_from, message.sent_at)
         if self._lost_at < float("inf"):
             silent_s = round(self.acknowledged_at - self._lost_at, 1)
             self._emit(events.ControlFound(self.leader_id, silent_s))
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -141,7 +141,7 @@
             self.counters,
             self._network,
             lambda response_s: None,
-            lambda: self._network.are_members_known,
+            lambda since: self._network.are_members_known,
             self._network.now,
         )
 
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -296,6 +296,17 @@
         network.spread_loads()
         self.assertEqual(network.open("caller", attempt=1), desk.server.name)
 
+    def test_only_members_get_openings(self) -> None:
+        """Seen while control had no leader: a flow on a server that no other owner knew of."""
+        network = FakeNetwork([DESK] * 2)
+        first, second = network.nodes.values()
+        for node in (first, second):
+            node.router.set_peers({first.address: DESK}, frozenset())
+            load = second.router.build_load(network.now)
+            node.router.loads.on_load(second.address, "east", load, network.now)
+        for name in FLOWS:
+            self.assertEqual(network.open(name), first.server.name)
+
 
 class RandomChangesTest(unittest.TestCase):
     """Owners, agents and drains change at random; no flow of a live server moves or is reset."""
