Test the adapter with real processes; drop a pointer to an agent that denies the flow

The processes test found an owner that went on delivering to an agent which had forgotten the flow and whose server was dead; test_a_pointer_to_an_agent_that_denies_the_flow_is_dropped failed first.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -345,6 +345,10 @@
                 self._relay_packet(source, RelayKind.DELIVER, packet)
 
     def _on_not_found(self, key: bytes, source: Address) -> None:
+        pointer = self.pointers.by_key.get(key)
+        if key not in self.searches.by_key and pointer is not None and pointer.target == source:
+            # A delivery, not a search, has met an agent without the flow: the next packet searches.
+            self.pointers.remove(key)
         if self.searches.on_not_found(key, source):
             self._conclude(key)
 
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -181,6 +181,25 @@
             resets += self.network.resets
         self.assertGreater(resets, 0)
 
+    def test_a_pointer_to_an_agent_that_denies_the_flow_is_dropped(self) -> None:
+        """Seen with real processes: the agent forgot the flow and its server did not answer."""
+        name, server = next(iter(self.servers.items()))
+        holder = next(n for n in self.network.nodes.values() if n.server.name == server)
+        owner = next(n for n in self.network.nodes.values() if n is not holder)
+        self.network.balancer.owners.update([owner.address])
+        self.assertEqual(self.network.request(name, server), server)
+        holder.restart(has_server=False)
+        holder.router.apply_routing(self.network.document(1))
+        for _ in range(20):
+            self.network.pass_time(0.15)
+        resets = 0
+        for _ in range(4):
+            self.network.request(name, server)
+            resets += self.network.resets
+            self.network.pass_time(0.1)
+            resets += self.network.resets
+        self.assertGreater(resets, 0)
+
     def test_a_suspended_agent_does_not_take_its_server_for_dead(self) -> None:
         for node in self.network.nodes.values():
             node.has_server = False
