--- a/platform/wagtailkeel_platform/http_server.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/http_server.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server on h11, for the platform's calls."""
+"""A small HTTP/1.1 server on h11."""
 
 from __future__ import annotations
 
@@ -12,12 +12,14 @@
 import msgspec
 from loguru import logger
 
+from wagtailkeel_transport.errors import BindError
+
 if TYPE_CHECKING:
+    from collections import Counter
+
     from anyio.abc import SocketStream
     from anyio.abc import TaskStatus
 
-    from wagtailkeel.roles.metrics import Metrics
-
 MAX_BODY_BYTES = 1_048_576
 READ_BYTES = 65_536
 IDLE_LIMIT_S = 30.0
@@ -31,6 +33,7 @@
     status: HTTPStatus
     body: bytes = b"{}"
     location: str = ""
+    content_type: str = JSON_TYPE
 
     @classmethod
     def error(cls, status: HTTPStatus, reason: str) -> Response:
@@ -45,15 +48,18 @@
 class HttpServer:
     """Serves one address; a role of the daemon."""
 
-    def __init__(self, address: tuple[str, int], handle: Handler, metrics: Metrics) -> None:
+    def __init__(self, address: tuple[str, int], handle: Handler, counters: Counter[str]) -> None:
         self._address = address
         self._handle = handle
-        self._metrics = metrics
+        self._counters = counters
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
         host, port = self._address
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        try:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        except OSError as error:
+            raise BindError(host, port, error) from error
         task_status.started()
         await listener.serve(self._serve)
 
@@ -67,10 +73,10 @@
                 while await self._serve_request(stream, connection):
                     connection.start_next_cycle()
             except h11.RemoteProtocolError as error:
-                self._metrics.counters["http_malformed"] += 1
+                self._counters["http_malformed"] += 1
                 await self._reply_malformed(stream, connection, error)
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
-                self._metrics.counters["http_connections_lost"] += 1
+                self._counters["http_connections_lost"] += 1
 
     async def _serve_request(self, stream: SocketStream, connection: h11.Connection) -> bool:
         """Answer one request; return whether another may follow on the connection."""
@@ -86,7 +92,7 @@
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_BODY_BYTES:
-                    self._metrics.counters["http_too_large"] += 1
+                    self._counters["http_too_large"] += 1
                     return False
             elif isinstance(event, h11.EndOfMessage):
                 break
@@ -104,7 +110,7 @@
         except Exception:
             # One bad call must not end the server's task.
             logger.exception("{} {} failed", method, target)
-            self._metrics.counters["http_failures"] += 1
+            self._counters["http_failures"] += 1
             return Response.error(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
 
     async def _reply_malformed(
@@ -116,7 +122,7 @@
         try:
             await _send(stream, connection, response)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
-            self._metrics.counters["http_connections_lost"] += 1
+            self._counters["http_connections_lost"] += 1
 
 
 async def _receive(stream: SocketStream, connection: h11.Connection) -> bool:
@@ -130,7 +136,7 @@
 
 
 async def _send(stream: SocketStream, connection: h11.Connection, response: Response) -> None:
-    headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(response.body)))]
+    headers = [("Content-Type", response.content_type), ("Content-Length", str(len(response.body)))]
     if response.location:
         headers.append(("Location", response.location))
     head = h11.Response(status_code=response.status, reason=response.status.phrase, headers=headers)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -22,14 +22,25 @@
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
         self._responses = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        self.response_sum_s = 0.0
         self._started_at = clock.seconds()
         self._started_wall_s = time.time()
 
     def record_response(self, response_s: float) -> None:
         """Record one response time."""
+        self.response_sum_s += response_s
         value = min(max(int(response_s * 1e6), LOWEST_US), HIGHEST_US)
         self._responses.record_value(value)
 
+    @property
+    def response_count(self) -> int:
+        """The number of response times recorded."""
+        return int(self._responses.get_total_count())
+
+    def response_percentile_s(self, percentile: float) -> float:
+        """Return a percentile of the response times, in seconds."""
+        return float(self._responses.get_value_at_percentile(percentile)) / 1e6
+
     def dump(self) -> dict[str, object]:
         """Return all values, for the dump of the process."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
@@ -0,0 +1,86 @@
+"""Serves a process's counters and response times as text, for collectors."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from wagtailkeel_transport.errors import BindError
+from wagtailkeel_transport.http_server import HttpServer
+from wagtailkeel_transport.http_server import Response
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from anyio.abc import TaskStatus
+    from prometheus_client.core import Metric
+
+    from wagtailkeel.roles.metrics import Metrics
+    from wagtailkeel.settings import InstanceSettings
+    from wagtailkeel.settings import MetricsSettings
+
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+COUNTER_NAME = "wagtailkeel_events"
+RESPONSE_NAME = "wagtailkeel_response_seconds"
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+
+class MetricsServer:
+    """Answers GET on the path of the settings; without its port the process goes on."""
+
+    def __init__(self, host: str, section: MetricsSettings, metrics: Metrics) -> None:
+        self._path = section.path
+        self._metrics = metrics
+        self._server = HttpServer((host, section.port), self._answer, metrics.counters)
+
+    @classmethod
+    def from_settings(
+        cls, instance: InstanceSettings, section: MetricsSettings, metrics: Metrics
+    ) -> MetricsServer:
+        """Build the role; its socket is bound when it runs."""
+        return cls(instance.own_host, section, metrics)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        try:
+            await self._server.run(task_status=task_status)
+        except BindError as error:
+            logger.warning("no metrics are served: {}", error)
+            task_status.started()
+
+    async def stop(self) -> None:
+        """Metrics are served until the process ends."""
+
+    async def _answer(self, method: str, path: str, body: bytes) -> Response:
+        if (method, path) != ("GET", self._path):
+            return Response.error(HTTPStatus.NOT_FOUND, f"no call {method} {path}")
+        return Response(HTTPStatus.OK, build_text(self._metrics), content_type=TEXT_TYPE)
+
+
+def build_text(metrics: Metrics) -> bytes:
+    """Return the metrics in the text format of Prometheus."""
+    # Imported at the first request: most processes start often and are asked seldom.
+    from prometheus_client.core import CounterMetricFamily
+    from prometheus_client.core import SummaryMetricFamily
+    from prometheus_client.exposition import generate_latest
+    from prometheus_client.registry import CollectorRegistry
+
+    class Collector:
+        def collect(self) -> Iterator[Metric]:
+            counter = CounterMetricFamily(COUNTER_NAME, "Events by name", labels=["name"])
+            for name, value in sorted(metrics.counters.items()):
+                counter.add_metric([name], value)
+            yield counter
+            summary = SummaryMetricFamily(RESPONSE_NAME, "Time to the first byte of an answer")
+            count = metrics.response_count
+            summary.add_metric([], count_value=count, sum_value=metrics.response_sum_s)
+            for quantile in QUANTILES:
+                quantile_s = metrics.response_percentile_s(quantile * 100)
+                summary.add_sample(RESPONSE_NAME, {"quantile": str(quantile)}, quantile_s)
+            yield summary
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(Collector())
+    return bytes(generate_latest(registry))
--- a/packages/wagtailkeel/src/wagtailkeel/settings/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/__init__.py
@@ -12,6 +12,7 @@
 from wagtailkeel.settings.model import HandshakeAgentSettings
 from wagtailkeel.settings.model import HandshakeBalancerSettings
 from wagtailkeel.settings.model import InstanceSettings
+from wagtailkeel.settings.model import MetricsSettings
 from wagtailkeel.settings.model import Settings
 
 __all__ = [
@@ -24,6 +25,7 @@
     "HandshakeAgentSettings",
     "HandshakeBalancerSettings",
     "InstanceSettings",
+    "MetricsSettings",
     "Settings",
     "load_settings",
 ]
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -62,6 +62,13 @@
     voters: PositiveInt = 5
 
 
+class MetricsSettings(_Section):
+    """Where the process serves its metrics as text."""
+
+    port: Port
+    path: str = "/metrics"
+
+
 class BalancerSettings(_Section):
     """The balancer role; the fabric hands packets to ``fabric_port``.
 
@@ -147,6 +154,7 @@
     instance: InstanceSettings
     control_instances: list[ControlInstanceSettings] = []
     discovery: DiscoverySettings | None = None
+    metrics: MetricsSettings | None = None
     balancer: BalancerSettings | None = None
     agents: list[AgentSettings] = []
     handshake_balancer: HandshakeBalancerSettings | None = None
