--- /dev/null
+++ b/tests/wagtailkeel/test_operations_page.py
@@ -0,0 +1,48 @@
+"""The page for on-call engineers names every event, reason and counter that the code has."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from wagtailkeel_coordination import events
+from wagtailkeel_coordination.handshake.server_gate import GateReason
+from wagtailkeel_protocol import Malformed
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+FOLDERS = (
+    "packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake",
+    "packages/wagtailkeel/src/wagtailkeel/roles/handshake",
+    "packages/wagtailkeel/src/wagtailkeel/roles/control",
+    "packages/wagtailkeel-transport/src",
+    "platform",
+)
+FILES = ("packages/wagtailkeel/src/wagtailkeel/roles/node_link.py",)
+_COUNTER = re.compile(r'counters\["([a-z_]+)"\]')
+
+
+class OperationsPageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.named = set(re.findall(r"`([a-z_]+)`", PAGE.read_text()))
+
+    def test_events(self) -> None:
+        self.assertLessEqual(set(events.EVENTS_BY_NAME), self.named)
+
+    def test_reasons_of_the_gate(self) -> None:
+        names = {reason.value for reason in GateReason}
+        self.assertLessEqual(names, self.named)
+        self.assertLessEqual({f"rejected_{name}" for name in names}, self.named)
+
+    def test_counters(self) -> None:
+        files = [path for folder in FOLDERS for path in (ROOT / folder).rglob("*.py")]
+        files += [ROOT / name for name in FILES]
+        counters = {name for path in files for name in _COUNTER.findall(path.read_text())}
+        self.assertGreater(len(counters), 30)
+        self.assertLessEqual(counters, self.named)
+        self.assertLessEqual({f"dropped_{fault.value}" for fault in Malformed}, self.named)
+
+
+if __name__ == "__main__":
+    unittest.main()
