--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -447,8 +447,7 @@
             return
         if flow is None:
             flow = self._adopt(head.key)
-        if flow is not None:
-            self.held.on_outbound(flow, head, now)
+        self.held.on_outbound(flow, head, now)
         self._outbox.reply(packet, self._format.caller_host(head.key))
 
     def _on_unknown_reset(self, packet: bytes, head: PacketHead) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -47,7 +47,6 @@
         self.idle_limit_s = 60.0
         self.slots = 1
         self.service_s = 0.0
-        self.response_s = 0.0
         self._awaiting_by_key: dict[bytes, HeldFlow] = {}
         self._record_response = record_response
         self._swept_at = float("-inf")
@@ -101,7 +100,6 @@
     def _learn_answer(self, flow: HeldFlow, now: float) -> None:
         response_s = now - flow.awaiting_since
         self._record_response(response_s)
-        self.response_s = _smooth(self.response_s, response_s)
         if flow.is_alone:
             self.service_s = _smooth(self.service_s, response_s)
         self._forget_debt(flow)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -270,17 +270,6 @@
     leader_id: str = ""
 
 
-class DiscoverRequest(msgspec.Struct):
-    """Ask a control instance for all that it knows."""
-
-
-class DiscoverReply(msgspec.Struct):
-    """Ids of the voters, and the leader where one is known."""
-
-    control_ids: list[str]
-    leader_id: str = ""
-
-
 class DumpRequest(msgspec.Struct):
     """Ask a process for its state."""
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.flow_key import endpoint_of
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.packet_builder import build_reset
 
@@ -81,7 +82,7 @@
 
     def endpoint_of(self, key: bytes) -> bytes:
         """Return the destination address and port."""
-        return key[4:8] + key[10:12] if len(key) == 13 else key[16:32] + key[34:36]
+        return endpoint_of(key)[:-1]
 
     def caller_host(self, key: bytes) -> str:
         """Return the source address."""
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -30,9 +30,6 @@
 CONTROL_JOIN: RpcMethod[messages.ControlJoinRequest, messages.ControlJoinReply] = RpcMethod(
     "ControlJoin", messages.ControlJoinRequest, messages.ControlJoinReply
 )
-DISCOVER: RpcMethod[messages.DiscoverRequest, messages.DiscoverReply] = RpcMethod(
-    "Discover", messages.DiscoverRequest, messages.DiscoverReply
-)
 FORMATION: RpcMethod[raft_messages.FormationRequest, raft_messages.FormationReply] = RpcMethod(
     "Formation", raft_messages.FormationRequest, raft_messages.FormationReply
 )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -35,8 +35,6 @@
 from wagtailkeel_protocol.messages import CommandRequest
 from wagtailkeel_protocol.messages import ControlJoinReply
 from wagtailkeel_protocol.messages import ControlJoinRequest
-from wagtailkeel_protocol.messages import DiscoverReply
-from wagtailkeel_protocol.messages import DiscoverRequest
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import Heartbeat
@@ -74,7 +72,6 @@
 from wagtailkeel_transport.methods import ANNOUNCE
 from wagtailkeel_transport.methods import COMMAND
 from wagtailkeel_transport.methods import CONTROL_JOIN
-from wagtailkeel_transport.methods import DISCOVER
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import FORMATION
 from wagtailkeel_transport.methods import LEAVE
@@ -207,7 +204,6 @@
                 DUMP: self._dump,
                 FORMATION: self._answer_formation,
                 CONTROL_JOIN: self._note_learner,
-                DISCOVER: self._discover,
                 RAFT: self._on_raft_request,
             }
         )
@@ -278,9 +274,6 @@
         self._raft.learn_instance(request.instance_id, clock.seconds())
         return ControlJoinReply(True, self._instance_id)
 
-    async def _discover(self, request: DiscoverRequest) -> DiscoverReply:
-        return DiscoverReply(sorted(self._raft.voters_by_id), self._raft.leader_id)
-
     async def _form(self) -> None:
         while not self._raft.voters_by_id:
             replies = await self._ask_formation()
