Give the node's link defaults, and one sink for processes that write no events

Three of four roles passed the same placeholders for a lease, a heartbeat and a rejoin; three classes each asked whether there is an event sink. Two tests share the loop that counts resets; their assertions stay. Behaviour is the same.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -42,6 +42,16 @@
         """Write an event, or count it as left out."""
 
 
+class UnloggedEvents:
+    """The event sink of a process that writes no events."""
+
+    def emit(self, event: Event) -> None:
+        """Drop the event."""
+
+
+UNLOGGED = UnloggedEvents()
+
+
 # Flows
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -36,11 +36,11 @@
     def __init__(
         self,
         roles: list[Role],
-        event_sink: EventSink | None = None,
+        event_sink: EventSink = events.UNLOGGED,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> None:
         self._roles = roles
-        self._event_sink = event_sink
+        self._emit = event_sink.emit
         self._read_seeds = read_seeds
 
     @classmethod
@@ -84,10 +84,6 @@
         if self._read_seeds is not None:
             self._emit(events.SettingsReloaded(self._read_seeds()))
 
-    def _emit(self, event: events.Event) -> None:
-        if self._event_sink is not None:
-            self._event_sink.emit(event)
-
     async def _start_roles(self, tasks: anyio.abc.TaskGroup) -> None:
         for role in self._roles:
             await tasks.start(role.run)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -115,11 +115,11 @@
             self._endpoint,
             self._rpc_client,
             self._build_announcement,
-            self._build_heartbeat,
-            self._router.rejoin,
-            self._lease,
             self.metrics,
-            boot_id,
+            build_heartbeat=self._build_heartbeat,
+            on_rejoin=self._router.rejoin,
+            lease=self._lease,
+            boot_id=boot_id,
         )
 
     @classmethod
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -12,14 +12,12 @@
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
-from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel.roles.service_route import BUCKET_BYTES
 from wagtailkeel.roles.service_route import PREFIX_IPV4
 from wagtailkeel.roles.service_route import PREFIX_IPV6
 from wagtailkeel.roles.service_route import ServiceRoute
 from wagtailkeel.roles.table_builder import TableBuilder
-from wagtailkeel_coordination.lease import PlacementLease
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.flow_key import IPV4_KEY_BYTES
 from wagtailkeel_protocol.flow_key import endpoint_key
@@ -78,11 +76,7 @@
             self._endpoint,
             self._rpc_client,
             self._build_announcement,
-            lambda heartbeat: heartbeat,
-            lambda boot_id: None,
-            PlacementLease(),
             self.metrics,
-            draw_boot_id(),
         )
 
     @classmethod
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -115,10 +115,10 @@
         settings: Settings,
         section: ControlSettings,
         read_seeds: Callable[[], list[str]] | None = None,
-        event_sink: EventSink | None = None,
+        event_sink: EventSink = events.UNLOGGED,
     ) -> None:
         self.metrics = Metrics()
-        self._event_sink = event_sink
+        self._emit = event_sink.emit
         self._known_leader = ""
         self._known_voters: list[str] = []
         self._settings = settings
@@ -146,7 +146,7 @@
         cls,
         settings: Settings,
         read_seeds: Callable[[], list[str]] | None = None,
-        event_sink: EventSink | None = None,
+        event_sink: EventSink = events.UNLOGGED,
     ) -> Control:
         """Build the role; the data folder is locked and read here."""
         assert settings.control is not None, "the caller checks for the section"
@@ -359,10 +359,6 @@
             self._send_hints()
             await anyio.sleep(TICK_INTERVAL_S)
 
-    def _emit(self, event: events.Event) -> None:
-        if self._event_sink is not None:
-            self._event_sink.emit(event)
-
     def _note_changes(self) -> None:
         if self._raft.leader_id != self._known_leader:
             self._known_leader = self._raft.leader_id
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -13,9 +13,7 @@
 from wagtailkeel.roles.handshake.relay_outbox import UdpRelayOutbox
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
-from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
-from wagtailkeel_coordination import PlacementLease
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
@@ -117,12 +115,8 @@
             self._endpoint,
             self._rpc_client,
             self._build_announcement,
-            lambda heartbeat: heartbeat,
-            lambda boot_id: None,
-            PlacementLease(),
             self.metrics,
-            draw_boot_id(),
-            event_sink,
+            event_sink=event_sink,
         )
 
     @classmethod
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -11,9 +11,7 @@
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
-from wagtailkeel.roles.node_link import draw_boot_id
 from wagtailkeel.roles.process_dump import build_dump
-from wagtailkeel_coordination import PlacementLease
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
@@ -91,12 +89,8 @@
             self._endpoint,
             self._rpc_client,
             self._build_announcement,
-            lambda heartbeat: heartbeat,
-            lambda boot_id: None,
-            PlacementLease(),
             self.metrics,
-            draw_boot_id(),
-            event_sink,
+            event_sink=event_sink,
         )
 
     @classmethod
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from wagtailkeel_coordination import events
+from wagtailkeel_coordination.lease import PlacementLease
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.messages import AnnounceReply
 from wagtailkeel_protocol.messages import AnnounceRequest
@@ -30,7 +31,6 @@
     from wagtailkeel.roles.configuration_store import ConfigurationStore
     from wagtailkeel.roles.metrics import Metrics
     from wagtailkeel_coordination.events import EventSink
-    from wagtailkeel_coordination.lease import PlacementLease
     from wagtailkeel_transport import RpcClient
     from wagtailkeel_transport import UdpEndpoint
 
@@ -62,14 +62,15 @@
         endpoint: UdpEndpoint,
         rpc_client: RpcClient,
         build_announcement: Callable[[int], AnnounceRequest],
-        build_heartbeat: Callable[[Heartbeat], Heartbeat],
-        on_rejoin: Callable[[int], None],
-        lease: PlacementLease,
         metrics: Metrics,
-        boot_id: int,
-        event_sink: EventSink | None = None,
+        *,
+        build_heartbeat: Callable[[Heartbeat], Heartbeat] | None = None,
+        on_rejoin: Callable[[int], None] | None = None,
+        lease: PlacementLease | None = None,
+        boot_id: int | None = None,
+        event_sink: EventSink = events.UNLOGGED,
     ) -> None:
-        self.boot_id = boot_id
+        self.boot_id = draw_boot_id() if boot_id is None else boot_id
         self.leader_id = address_book.control_ids[0]
         self.acknowledged_at = clock.seconds()
         self.is_joined = anyio.Event()
@@ -81,9 +82,9 @@
         self._build_announcement = build_announcement
         self._build_heartbeat = build_heartbeat
         self._on_rejoin = on_rejoin
-        self._lease = lease
+        self._lease = lease or PlacementLease()
         self._metrics = metrics
-        self._event_sink = event_sink
+        self._emit = event_sink.emit
         self._lost_at = float("inf")
         self._confirmed_from = float("-inf")
         self._asked_at = float("-inf")
@@ -192,14 +193,12 @@
         if address is None:
             return
         heartbeat = Heartbeat(self._instance_id, self.boot_id, self._store.version, sent_at=now)
-        datagram = encode_datagram(self._build_heartbeat(heartbeat))
+        if self._build_heartbeat is not None:
+            heartbeat = self._build_heartbeat(heartbeat)
+        datagram = encode_datagram(heartbeat)
         self._metrics.counters["control_bytes_sent"] += len(datagram)
         self._endpoint.send(datagram, address)
 
-    def _emit(self, event: events.Event) -> None:
-        if self._event_sink is not None:
-            self._event_sink.emit(event)
-
     def _try_next_control(self, now: float) -> None:
         if self._lost_at == float("inf"):
             self._lost_at = self.acknowledged_at
@@ -239,7 +238,8 @@
             self.boot_id = draw_boot_id()
             self._metrics.counters["rejoins"] += 1
             logger.warning("control has removed this incarnation; joining as {}", self.boot_id)
-            self._on_rejoin(self.boot_id)
+            if self._on_rejoin is not None:
+                self._on_rejoin(self.boot_id)
             await self._join()
 
     def _follow_hint(self, leader_id: str) -> None:
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -34,6 +34,16 @@
                 self.network.pass_time(0.1)
             self.assertEqual(answer, server)
 
+    def count_resets(self, name: str, server: str, rounds: int) -> int:
+        """Send requests on a flow and return how many resets come back."""
+        resets = 0
+        for _ in range(rounds):
+            self.network.request(name, server)
+            resets += self.network.resets
+            self.network.pass_time(0.1)
+            resets += self.network.resets
+        return resets
+
     def test_each_owner_leaves_and_returns(self) -> None:
         for node in self.network.nodes.values():
             self.network.balancer.owners.update(
@@ -173,13 +183,7 @@
         holder.has_server = False
         for _ in range(20):
             self.network.pass_time(0.15)
-        resets = 0
-        for _ in range(3):
-            self.network.request(name, server)
-            resets += self.network.resets
-            self.network.pass_time(0.1)
-            resets += self.network.resets
-        self.assertGreater(resets, 0)
+        self.assertGreater(self.count_resets(name, server, rounds=3), 0)
 
     def test_a_pointer_to_an_agent_that_denies_the_flow_is_dropped(self) -> None:
         """Seen with real processes: the agent forgot the flow and its server did not answer."""
@@ -192,13 +196,7 @@
         holder.router.apply_routing(self.network.document(1))
         for _ in range(20):
             self.network.pass_time(0.15)
-        resets = 0
-        for _ in range(4):
-            self.network.request(name, server)
-            resets += self.network.resets
-            self.network.pass_time(0.1)
-            resets += self.network.resets
-        self.assertGreater(resets, 0)
+        self.assertGreater(self.count_resets(name, server, rounds=4), 0)
 
     def test_a_suspended_agent_does_not_take_its_server_for_dead(self) -> None:
         for node in self.network.nodes.values():
