--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,5 @@
     rm -rf "target/deps/$package"
 done
 cp -R packages/*/src/wagtailkeel* target/deps/
+# The checkout is read-only when the roles run: compile here, not at each start.
+python3 -m compileall -q target/deps/wagtailkeel* platform
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -177,6 +177,10 @@
 
     def _on_forward(self, frame: RelayFrame, head: PacketHead) -> None:
         pointer = self.pointers.find(head.key, self._now)
+        if pointer is not None and pointer.target == self.own_address:
+            # The flow was here and is no longer held.
+            self.pointers.remove(head.key)
+            pointer = None
         if pointer is not None and head.is_opening and not self._is_reachable(pointer.target):
             # The first copy may have gone to an agent that has died: another server takes this.
             pointer.tried.add(pointer.target)
@@ -209,9 +213,9 @@
             )
             if peer is None:
                 break
+            self.pointers.point(key, peer.address, self._now).tried = tried
             if peer.address != self.own_address:
                 self.loads.note_opening(peer.address)
-                self.pointers.point(key, peer.address, self._now).tried = tried
                 self._relay(peer.address, RelayKind.PLACE, frame, tag, frame.body)
                 return
             if self._admit(service):
@@ -269,8 +273,7 @@
 
     def _on_found(self, key: bytes, source: Address) -> None:
         queued = self.searches.on_found(key)
-        if source != self.own_address:
-            self.pointers.point(key, source, self._now)
+        self.pointers.point(key, source, self._now)
         for packet in queued:
             if source == self.own_address:
                 self._outbox.deliver(packet)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -11,18 +11,18 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-import numpy as np
 import xxhash
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import numpy as np
     from numpy.typing import NDArray
 
 POSITION_TYPE = "H"
-_GOLDEN_RATIO = np.uint64(0x9E3779B97F4A7C15)
-_MIX_1 = np.uint64(0xBF58476D1CE4E5B9)
-_MIX_2 = np.uint64(0x94D049BB133111EB)
+_GOLDEN_RATIO = 0x9E3779B97F4A7C15
+_MIX_1 = 0xBF58476D1CE4E5B9
+_MIX_2 = 0x94D049BB133111EB
 
 
 class OwnerTable(msgspec.Struct):
@@ -53,7 +53,7 @@
         server_ids = _select(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
-        owners = np.argmax(_pair_hashes(server_ids, buckets), axis=1).tolist()
+        owners = _pair_hashes(server_ids, buckets).argmax(axis=1).tolist()
         return cls(epoch, tuple(server_ids), array(POSITION_TYPE, owners))
 
     @classmethod
@@ -100,21 +100,24 @@
 
 
 def _pair_hashes(server_ids: list[str], buckets: int) -> NDArray[np.uint64]:
+    # Most roles build no table, and numpy takes long to import on a thin instance.
+    import numpy as np
+
     seeds = np.array(
         [xxhash.xxh3_64_intdigest(key.encode()) for key in server_ids], dtype=np.uint64
     )
     with np.errstate(over="ignore"):
-        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * _GOLDEN_RATIO
+        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(_GOLDEN_RATIO)
         mixed = positions[:, None] ^ seeds[None, :]
-        mixed = (mixed ^ (mixed >> np.uint64(30))) * _MIX_1
-        mixed = (mixed ^ (mixed >> np.uint64(27))) * _MIX_2
+        mixed = (mixed ^ (mixed >> np.uint64(30))) * np.uint64(_MIX_1)
+        mixed = (mixed ^ (mixed >> np.uint64(27))) * np.uint64(_MIX_2)
     result: NDArray[np.uint64] = mixed ^ (mixed >> np.uint64(31))
     return result
 
 
 def _assign(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
     buckets, servers = hashes.shape
-    order = np.argsort(~hashes.ravel(), kind="stable").tolist()
+    order = (~hashes.ravel()).argsort(kind="stable").tolist()
     owners = [-1] * buckets
     room = list(quotas)
     unassigned = buckets
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -9,10 +9,6 @@
 import anyio
 from loguru import logger
 
-from wagtailkeel.roles import Agent
-from wagtailkeel.roles import Balancer
-from wagtailkeel.roles import Control
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -43,9 +39,16 @@
         """Build the roles in the order in which they depend on one another."""
         roles: list[Role] = []
         if settings.control is not None:
+            from wagtailkeel.roles.control import Control
+
             roles.append(Control.from_settings(settings))
-        roles.extend(Agent.from_settings(settings, section) for section in settings.agents)
+        if settings.agents:
+            from wagtailkeel.roles.agent import Agent
+
+            roles.extend(Agent.from_settings(settings, section) for section in settings.agents)
         if settings.balancer is not None:
+            from wagtailkeel.roles.balancer import Balancer
+
             roles.append(Balancer.from_settings(settings))
         return cls(roles)
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/__init__.py
@@ -1,9 +1,6 @@
-"""Roles of the daemon: tasks that own sockets and state."""
+"""Roles of the daemon: tasks that own sockets and state.
 
-from __future__ import annotations
-
-from wagtailkeel.roles.agent import Agent
-from wagtailkeel.roles.balancer import Balancer
-from wagtailkeel.roles.control import Control
+Each role is imported from its own module, so that a process loads only what it runs.
+"""
 
-__all__ = ["Agent", "Balancer", "Control"]
+from __future__ import annotations
--- /dev/null
+++ b/tests/coordination/handshake/fake_network.py
@@ -0,0 +1,303 @@
+"""Agents and balancers on a network in memory, with servers that hold flows and return packets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import deque
+from random import Random
+
+import msgspec
+
+from wagtailkeel_coordination.handshake import AgentRouter
+from wagtailkeel_coordination.handshake import BalancerRouter
+from wagtailkeel_coordination.handshake import ServerGate
+from wagtailkeel_coordination.handshake import ServerReport
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.packet_format import PacketHead
+from wagtailkeel_state.routing import Route
+from wagtailkeel_state.routing import RoutingDocument
+from wagtailkeel_state.routing import ServicePolicy
+from wagtailkeel_state.routing import WeightedService
+
+Address = tuple[str, int]
+
+DATA_CENTRE = "east"
+DESK = "desk"
+ARCHIVE = "archive"
+DESK_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbb"
+SPLIT_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbc"
+REPORT_LIMIT_S = 2.0
+MAX_EVENTS = 20_000
+
+
+class FakePacket(msgspec.Struct, array_like=True):
+    """A packet: its flow, its marks, the server that it acknowledges, and its data."""
+
+    key: bytes
+    marks: int
+    server: str = ""
+    data: int = 0
+    attempt: int = 0
+
+
+class FakeFormat:
+    """Implements PacketFormat on MessagePack."""
+
+    def parse_inbound(self, packet: bytes) -> PacketHead | Malformed:
+        try:
+            found = msgspec.msgpack.decode(packet, type=FakePacket)
+        except msgspec.MsgspecError:
+            return Malformed.UNDECODABLE
+        return PacketHead(found.key, found.marks, found.data, found.attempt)
+
+    parse_outbound = parse_inbound
+
+    def restore_bounced(self, packet: bytes) -> bytes:
+        found = msgspec.msgpack.decode(packet, type=FakePacket)
+        found.marks &= ~marks.BOUNCED
+        return msgspec.msgpack.encode(found)
+
+    def build_refusal(self, packet: bytes) -> bytes | None:
+        found = msgspec.msgpack.decode(packet, type=FakePacket)
+        return msgspec.msgpack.encode(FakePacket(found.key, marks.RESETS))
+
+    def endpoint_of(self, key: bytes) -> bytes:
+        return key[-6:]
+
+    def caller_host(self, key: bytes) -> str:
+        return key[:-6].decode()
+
+
+class FakeServer:
+    """Holds flows; returns openings when it is full and all packets of flows it does not hold."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.half_open: set[bytes] = set()
+        self.open: set[bytes] = set()
+        self.received: Counter[bytes] = Counter()
+        self.openings: list[bytes] = []
+        self.is_full = False
+
+    def take(self, packet: bytes) -> bytes | None:
+        found = msgspec.msgpack.decode(packet, type=FakePacket)
+        if found.marks & marks.OPENING:
+            return self._take_opening(found)
+        if found.key in self.half_open and found.server == self.name:
+            self.half_open.discard(found.key)
+            self.open.add(found.key)
+        if found.key not in self.open:
+            return msgspec.msgpack.encode(_bounced(found))
+        self.received[found.key] += 1
+        if not found.data:
+            return None
+        return msgspec.msgpack.encode(FakePacket(found.key, marks.ACKNOWLEDGES, self.name, 1))
+
+    def _take_opening(self, found: FakePacket) -> bytes:
+        if self.is_full and found.key not in self.half_open:
+            return msgspec.msgpack.encode(_bounced(found))
+        self.openings.append(found.key)
+        if found.key not in self.open:
+            self.half_open.add(found.key)
+        answer = FakePacket(found.key, marks.OPENING | marks.ACKNOWLEDGES, self.name)
+        return msgspec.msgpack.encode(answer)
+
+
+def _bounced(found: FakePacket) -> FakePacket:
+    return FakePacket(
+        found.key, found.marks | marks.BOUNCED, found.server, found.data, found.attempt
+    )
+
+
+class FakeNode:
+    """One agent with its server; implements the relay outbox."""
+
+    def __init__(self, network: FakeNetwork, address: Address, service: str) -> None:
+        self.address = address
+        self.service = service
+        self.server = FakeServer(address[0])
+        self.counters: Counter[str] = Counter()
+        self.is_up = True
+        self.reports = 0
+        self._network = network
+        self.router = self._build_router()
+
+    def _build_router(self) -> AgentRouter:
+        return AgentRouter(
+            self.address,
+            DATA_CENTRE,
+            FakeFormat(),
+            ServerGate(self.service, REPORT_LIMIT_S),
+            self,
+            Random(self.address[0]),
+            self.counters,
+            lambda response_s: None,
+            self._network.now,
+        )
+
+    def restart(self) -> None:
+        """Start the agent anew; the server goes on."""
+        self.router = self._build_router()
+        self.is_up = True
+        self.report()
+
+    def report(self, *, is_draining: bool = False, cold_for_s: float = 0.0) -> None:
+        self.reports += 1
+        report = ServerReport(
+            f"server-{self.address[0]}",
+            self.service,
+            1,
+            self.reports,
+            1,
+            is_draining,
+            False,
+            cold_for_s,
+        )
+        self.router.on_report(report, self._network.now)
+
+    def deliver(self, packet: bytes) -> None:
+        answer = self.server.take(packet)
+        if answer is not None:
+            self._network.schedule(lambda: self._on_server_packet(answer))
+
+    def _on_server_packet(self, packet: bytes) -> None:
+        if self.is_up:
+            self.router.on_server_packet(packet, self._network.now)
+
+    def reply(self, packet: bytes, caller_host: str) -> None:
+        self._network.replies.append(msgspec.msgpack.decode(packet, type=FakePacket))
+
+    def relay(
+        self,
+        address: Address,
+        kind: relay.RelayKind,
+        hops: int,
+        routing_version: int,
+        service_tag: int,
+        body: bytes,
+    ) -> None:
+        frame = relay.encode_relay(kind, hops, routing_version, service_tag, body)
+        self._network.send(frame, address, self.address)
+
+
+class FakeNetwork:
+    """Delivers in order unless ``drop`` says otherwise; time moves only by :meth:`pass_time`."""
+
+    def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
+        self.now = 100.0
+        self.replies: list[FakePacket] = []
+        self.cold_starts_per_s = cold_starts_per_s
+        self._events: deque[object] = deque()
+        self.nodes: dict[Address, FakeNode] = {}
+        for number, service in enumerate(services):
+            address = (f"10.0.0.{number + 1}", 7_001)
+            self.nodes[address] = FakeNode(self, address, service)
+        self.counters: Counter[str] = Counter()
+        self.balancer = BalancerRouter(
+            FakeFormat(),
+            lambda frame, address: self.send(frame, address, ("10.0.9.9", 7_001)),
+            lambda packet, host: self.replies.append(
+                msgspec.msgpack.decode(packet, type=FakePacket)
+            ),
+            self.counters,
+        )
+        for node in self.nodes.values():
+            node.report()
+        self.apply_routing(self.document(1))
+        self.spread()
+
+    def document(self, version: int, *, has_desk: bool = True, weight: int = 1) -> RoutingDocument:
+        routes = [
+            Route("198.18.0.1", 444, (WeightedService(DESK, 1), WeightedService(ARCHIVE, weight)))
+        ]
+        if has_desk:
+            routes.append(Route("198.18.0.1", 443, (WeightedService(DESK, 1),)))
+        policies = [ServicePolicy(name, self.cold_starts_per_s) for name in (DESK, ARCHIVE)]
+        return RoutingDocument(
+            version,
+            {route.place: route for route in routes},
+            {policy.name: policy for policy in policies},
+            60.0,
+        )
+
+    def apply_routing(self, document: RoutingDocument) -> None:
+        self.balancer_document = document
+        self.balancer.apply_routing(document)
+        for node in self.nodes.values():
+            node.router.apply_routing(document)
+
+    def spread(self) -> None:
+        """Let all that are up know one another's load, and the balancer the owners."""
+        self.spread_loads()
+        self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
+
+    def spread_loads(self) -> None:
+        up = [node for node in self.nodes.values() if node.is_up]
+        for node in self.nodes.values():
+            node.router.set_peers(frozenset(self.nodes))
+            for other in up:
+                load = other.router.build_load(self.now)
+                node.router.loads.on_load(other.address, DATA_CENTRE, load, self.now)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let all servers report and all agents tell their load meanwhile."""
+        self.now += seconds
+        for node in self.nodes.values():
+            report = node.router.gate.report
+            node.report(is_draining=report is not None and report.is_draining)
+        self.spread_loads()
+        for node in self.nodes.values():
+            if node.is_up:
+                node.router.tick(self.now)
+        self.run()
+
+    def schedule(self, event: object) -> None:
+        self._events.append(event)
+
+    def send(self, frame: bytes, address: Address, source: Address) -> None:
+        self.schedule(lambda: self._receive(frame, address, source))
+
+    def _receive(self, frame: bytes, address: Address, source: Address) -> None:
+        node = self.nodes.get(address)
+        if node is None or not node.is_up:
+            return
+        found = relay.decode_relay(frame)
+        assert not isinstance(found, Malformed)
+        node.router.on_frame(found, source, self.now)
+
+    def run(self) -> None:
+        for _ in range(MAX_EVENTS):
+            if not self._events:
+                return
+            event = self._events.popleft()
+            assert callable(event)
+            event()
+        raise AssertionError("packets go round in circles")
+
+    # The caller's side
+
+    def packet(self, packet: FakePacket) -> list[FakePacket]:
+        """Send one packet of a caller and return what comes back."""
+        self.replies.clear()
+        self.balancer.on_packet(msgspec.msgpack.encode(packet))
+        self.run()
+        return list(self.replies)
+
+    def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
+        """Open a flow; return the server's name, or "" where it was refused or dropped."""
+        key = name.encode() + endpoint
+        answers = self.packet(FakePacket(key, marks.OPENING, attempt=attempt))
+        return answers[0].server if answers else ""
+
+    def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
+        """Send data on a flow; return the name of the server that answers, "" without one."""
+        key = name.encode() + endpoint
+        answers = self.packet(FakePacket(key, marks.ACKNOWLEDGES, server, 1))
+        answers = [answer for answer in answers if not answer.marks & marks.RESETS]
+        return answers[0].server if answers else ""
+
+    @property
+    def resets(self) -> int:
+        return sum(bool(answer.marks & marks.RESETS) for answer in self.replies)
--- /dev/null
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -0,0 +1,224 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from tests.coordination.handshake.fake_network import ARCHIVE
+from tests.coordination.handshake.fake_network import DESK
+from tests.coordination.handshake.fake_network import SPLIT_ENDPOINT
+from tests.coordination.handshake.fake_network import FakeNetwork
+from tests.coordination.handshake.fake_network import FakePacket
+from wagtailkeel_protocol import packet_format as marks
+
+FLOWS = [f"caller-{number}" for number in range(40)]
+
+
+class OpenFlowsTest(unittest.TestCase):
+    """A flow stays on its server, whatever happens to owners, agents and routes."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork([DESK] * 4)
+        self.servers = {name: self.network.open(name) for name in FLOWS}
+        for name, server in self.servers.items():
+            self.assertEqual(self.network.request(name, server), server)
+
+    def check(self) -> None:
+        for name, server in self.servers.items():
+            for _ in range(2):
+                answer = self.network.request(name, server)
+                self.assertEqual(self.network.resets, 0)
+                self.network.pass_time(0.1)
+            self.assertEqual(answer, server)
+
+    def test_each_owner_leaves_and_returns(self) -> None:
+        for node in self.network.nodes.values():
+            self.network.balancer.owners.update(
+                [a for a in self.network.nodes if a != node.address]
+            )
+            self.check()
+            self.network.balancer.owners.update(list(self.network.nodes))
+            self.check()
+
+    def test_each_agent_restarts(self) -> None:
+        for node in self.network.nodes.values():
+            node.is_up = False
+            self.network.spread()
+            node.restart()
+            node.router.apply_routing(self.network.document(1))
+            self.network.spread()
+            self.check()
+
+    def test_all_agents_restart_at_once(self) -> None:
+        for node in self.network.nodes.values():
+            node.restart()
+            node.router.apply_routing(self.network.document(1))
+        self.network.spread()
+        self.check()
+
+    def test_route_is_removed_for_new_flows_only(self) -> None:
+        self.network.apply_routing(self.network.document(2, has_desk=False))
+        self.check()
+        self.assertEqual(self.network.open("late"), "")
+
+    def test_servers_drain(self) -> None:
+        for node in list(self.network.nodes.values())[:3]:
+            node.report(is_draining=True)
+        self.network.spread()
+        self.check()
+        last = list(self.network.nodes.values())[3]
+        self.assertEqual(self.network.open("late"), last.server.name)
+
+    def test_data_centre_leaves(self) -> None:
+        for node in self.network.nodes.values():
+            node.router.gate.set_in_service(False, self.network.now)
+        self.network.spread()
+        self.check()
+        self.assertEqual(self.network.open("late"), "")
+        self.assertEqual(self.network.resets, 1)
+
+    def test_flow_of_a_dead_server_is_found_nowhere(self) -> None:
+        name, server = next(iter(self.servers.items()))
+        node = next(n for n in self.network.nodes.values() if n.server.name == server)
+        node.server.open.clear()
+        self.assertEqual(self.network.request(name, server), "")
+
+
+class OpeningsTest(unittest.TestCase):
+    def test_copy_of_an_opening_reaches_the_same_server(self) -> None:
+        network = FakeNetwork([DESK] * 4)
+        for name in FLOWS:
+            first = network.open(name)
+            self.assertEqual(network.open(name, attempt=1), first)
+
+    def test_two_servers_with_one_opening(self) -> None:
+        """A copy placed by another owner: data goes to the server that the caller acknowledges."""
+        network = FakeNetwork([DESK] * 4)
+        addresses = list(network.nodes)
+        for name in FLOWS:
+            network.balancer.owners.update(addresses[:1])
+            first = network.open(name)
+            network.balancer.owners.update(addresses[1:2])
+            second = network.open(name, attempt=1)
+            for chosen in (first, second):
+                if chosen == first:
+                    continue
+                network.request(name, chosen)
+                network.pass_time(0.2)
+                self.assertEqual(network.request(name, chosen), chosen)
+
+    def test_full_servers_are_passed_over(self) -> None:
+        network = FakeNetwork([DESK] * 4)
+        nodes = list(network.nodes.values())
+        for node in nodes[:3]:
+            node.server.is_full = True
+        for name in FLOWS:
+            self.assertEqual(network.open(name), nodes[3].server.name)
+
+    def test_refusal_when_all_are_full(self) -> None:
+        network = FakeNetwork([DESK] * 3)
+        for node in network.nodes.values():
+            node.server.is_full = True
+        self.assertEqual(network.open("caller"), "")
+        self.assertEqual(network.resets, 1)
+        self.assertEqual(sum(len(n.server.half_open) for n in network.nodes.values()), 0)
+
+    def test_service_of_a_split_is_kept(self) -> None:
+        network = FakeNetwork([DESK, DESK, ARCHIVE, ARCHIVE])
+        names = {n.server.name: n.service for n in network.nodes.values()}
+        services = {name: names[network.open(name, SPLIT_ENDPOINT)] for name in FLOWS}
+        self.assertEqual(set(services.values()), {DESK, ARCHIVE})
+
+    def test_an_opening_by_an_older_version_follows_the_newer_one(self) -> None:
+        network = FakeNetwork([DESK] * 3)
+        for node in network.nodes.values():
+            node.router.apply_routing(network.document(2, has_desk=False))
+        self.assertEqual(network.open("caller"), "")
+        self.assertEqual(sum(len(n.server.openings) for n in network.nodes.values()), 0)
+
+    def test_a_server_that_is_not_heard_gets_nothing(self) -> None:
+        network = FakeNetwork([DESK] * 3)
+        network.now += 60.0
+        network.spread()
+        self.assertEqual(network.open("caller"), "")
+        self.assertEqual(sum(len(n.server.openings) for n in network.nodes.values()), 0)
+
+    def test_a_cold_server_gets_no_more_than_it_bears(self) -> None:
+        network = FakeNetwork([DESK], cold_starts_per_s=3.0)
+        node = next(iter(network.nodes.values()))
+        node.report(cold_for_s=5.0)
+        network.spread()
+        for name in FLOWS:
+            network.open(name)
+        self.assertEqual(len(node.server.openings), 3)
+
+    def test_an_unknown_route_is_refused_from_the_second_copy_on(self) -> None:
+        network = FakeNetwork([DESK])
+        endpoint = b"\xc6\x12\x00\x63\x01\xbb"
+        network.open("caller", endpoint)
+        self.assertEqual(network.resets, 0)
+        network.open("caller", endpoint, attempt=1)
+        self.assertEqual(network.resets, 1)
+
+
+class RandomChangesTest(unittest.TestCase):
+    """Owners, agents and drains change at random; no flow of a live server moves or is reset."""
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_flows_stay(self, seed: int) -> None:
+        random = Random(seed)
+        network = FakeNetwork([DESK, DESK, DESK, ARCHIVE, ARCHIVE])
+        servers: dict[str, str] = {}
+        for step in range(60):
+            self._change(network, random)
+            name = f"caller-{step}"
+            server = network.open(name)
+            if server:
+                servers[name] = server
+                network.request(name, server)
+            for known in random.sample(sorted(servers), min(4, len(servers))):
+                self._check(network, known, servers[known])
+
+    def _change(self, network: FakeNetwork, random: Random) -> None:
+        node = random.choice(list(network.nodes.values()))
+        choice = random.randrange(4)
+        if choice == 0:
+            node.restart()
+            node.router.apply_routing(network.balancer_document)
+        elif choice == 1:
+            network.balancer.owners.update(random.sample(list(network.nodes), 3))
+        elif choice == 2:
+            node.report(is_draining=random.random() < 0.5)
+        network.pass_time(random.choice([0.01, 0.3]))
+        if choice != 1:
+            network.spread()
+
+    def _check(self, network: FakeNetwork, name: str, server: str) -> None:
+        for _ in range(3):
+            answer = network.request(name, server)
+            self.assertEqual(network.resets, 0)
+            if answer:
+                break
+            network.pass_time(0.2)
+        self.assertEqual(answer, server)
+
+
+class MalformedTest(unittest.TestCase):
+    def test_foreign_bytes_are_counted(self) -> None:
+        network = FakeNetwork([DESK])
+        for packet in (b"", b"\x00", b"\xff" * 40):
+            network.balancer.on_packet(packet)
+        self.assertEqual(network.counters["dropped_undecodable"], 3)
+
+    def test_reset_of_an_unknown_flow_is_dropped(self) -> None:
+        network = FakeNetwork([DESK] * 2)
+        answers = network.packet(FakePacket(b"x" + b"\xc6\x12\x00\x01\x01\xbb", marks.RESETS))
+        self.assertEqual(answers, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,50 @@
+"""Nothing outside the adapter's folder knows a name of the platform."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+SOURCES = ("packages", "bench")
+PLATFORM_NAMES = (
+    "wagtailkeel_platform",
+    "WAGTAILKEEL_SETTINGS",
+    "/-/",
+    "path-prefix",
+    "traffic-split",
+    "warmup-per-s",
+    "warmup-left-ms",
+    "idle-timeout-ms",
+    "seed-nodes",
+    "bind-addrs",
+    "datagram-addr",
+    "internal-port-range",
+    "control_plane",
+    "in-tolerance",
+    "fleetbench",
+)
+_ANY_NAME = re.compile("|".join(re.escape(name) for name in PLATFORM_NAMES))
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_no_platform_name_outside_the_adapter(self) -> None:
+        files = [path for folder in SOURCES for path in (ROOT / folder).rglob("*.py")]
+        self.assertTrue(files)
+        found = {
+            str(path.relative_to(ROOT)): names
+            for path in files
+            if (names := _ANY_NAME.findall(path.read_text()))
+        }
+        self.assertEqual(found, {})
+
+    def test_the_check_finds_names(self) -> None:
+        self.assertTrue(_ANY_NAME.search("POST /-/config/replace"))
+
+    def test_the_folder_can_not_hide_the_standard_library(self) -> None:
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_packet_format.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import struct
+import unittest
+
+from tests.protocol import test_packet_formats
+from tests.protocol.test_packet_formats import FormatCase
+from wagtailkeel_platform import packet_format as platform
+from wagtailkeel_platform.packet_format import PlatformPacketFormat
+from wagtailkeel_protocol import Malformed
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol.packet_format import PacketHead
+
+OPENING = bytes.fromhex("a1b2c3d50100000000001122334400000000 0000c6120001644000079c4101bb")
+REFUSAL = bytes.fromhex("0000000008000000000000000000000000000000 64400007c612000101bb9c41")
+KEY = OPENING[24:28] + OPENING[20:24] + OPENING[28:32]
+
+
+def build(flags: int, *, is_reply: bool = False, ack: int = 0, data: bytes = b"") -> bytes:
+    """Return a packet of the example's flow."""
+    caller, route = OPENING[24:28], OPENING[20:24]
+    caller_port, route_port = OPENING[28:30], OPENING[30:32]
+    ends = caller + route + route_port + caller_port
+    if not is_reply:
+        ends = route + caller + caller_port + route_port
+    return struct.pack("!IBBIIIH", 1, flags, 0, 0, 7, ack, len(data)) + ends + data
+
+
+class PlatformPacketFormatTest(test_packet_formats.PacketFormatTest):
+    cases = [
+        FormatCase(
+            PlatformPacketFormat(),
+            KEY,
+            OPENING,
+            build(platform.ACK, ack=3, data=b"data"),
+            build(platform.ACK | platform.FIN),
+            build(platform.ACK, is_reply=True, data=b"answer"),
+            build(platform.RST, is_reply=True),
+        )
+    ]
+
+    def setUp(self) -> None:
+        self.format = PlatformPacketFormat()
+
+    def test_published_examples(self) -> None:
+        head = self.format.parse_inbound(OPENING)
+        assert isinstance(head, PacketHead)
+        self.assertTrue(head.is_opening)
+        self.assertEqual(self.format.build_refusal(OPENING), REFUSAL)
+
+    def test_refusal_of_data_has_the_number_that_the_caller_expects(self) -> None:
+        refusal = self.format.build_refusal(build(platform.ACK, ack=77, data=b"x"))
+        assert refusal is not None
+        self.assertEqual(struct.unpack_from("!I", refusal, 10)[0], 77)
+
+    def test_no_reset_answers_a_reset(self) -> None:
+        self.assertIsNone(self.format.build_refusal(build(platform.RST)))
+
+    def test_copies_of_an_opening_are_counted(self) -> None:
+        for copies in (0, 1, 2):
+            head = self.format.parse_inbound(build(platform.SYN, ack=copies))
+            assert isinstance(head, PacketHead)
+            self.assertEqual(head.attempt, copies)
+
+    def test_bounced_packet_is_restored(self) -> None:
+        packet = build(platform.ACK, data=b"abc")
+        bounced = bytearray(packet)
+        bounced[4] |= platform.BOUNCED
+        head = self.format.parse_outbound(bytes(bounced))
+        assert isinstance(head, PacketHead)
+        self.assertEqual(head.key, KEY)
+        self.assertTrue(head.marks & marks.BOUNCED)
+        self.assertEqual(self.format.restore_bounced(bytes(bounced)), packet)
+
+    def test_lengths_that_lie(self) -> None:
+        whole = build(platform.ACK, data=b"abcd")
+        table = [
+            (b"", Malformed.TRUNCATED),
+            (whole[:31], Malformed.TRUNCATED),
+            (whole[:-1], Malformed.TRUNCATED),
+            (whole + b"x", Malformed.OVERSIZED),
+            (build(platform.ACK, data=bytes(1_201)), Malformed.OVERSIZED),
+        ]
+        for packet, expected in table:
+            with self.subTest(size=len(packet)):
+                self.assertIs(self.format.parse_inbound(packet), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_routing_body.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wagtailkeel_platform.errors import InvalidBodyError
+from wagtailkeel_platform.routing_body import decode_routing
+from wagtailkeel_platform.routing_body import encode_routing
+from wagtailkeel_state.routing import RoutingDocument
+from wagtailkeel_state.routing import find_document_fault
+
+BODY: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "path-prefix": "/8443/",
+            "type": "idempotent",
+            "timeout-ms": 500,
+            "target-latency-ms": 100,
+            "priority": 2,
+            "traffic-split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            "attempts": 2,
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.2",
+            "path-prefix": "/8443/",
+            "type": "download",
+            "timeout-ms": 3000,
+            "service": "b",
+            "attempts": 2,
+        },
+    ],
+    "services": [
+        {"name": "a", "health-path": "/healthz", "warmup-s": 2.0, "warmup-per-s": 4.5},
+        {"name": "b", "health-path": "/healthz"},
+    ],
+    "limits": {"max-body-bytes": 262144, "idle-timeout-ms": 15000},
+}
+
+
+def changed(*path: Any, value: Any) -> dict[str, Any]:
+    """Return the example with one value replaced; ``None`` removes it."""
+    body = json.loads(json.dumps(BODY))
+    target = body
+    for step in path[:-1]:
+        target = target[step]
+    if value is None:
+        del target[path[-1]]
+    else:
+        target[path[-1]] = value
+    return dict(body)
+
+
+INVALID: dict[str, dict[str, Any] | bytes] = {
+    "cut_short": json.dumps(BODY)[:-9].encode(),
+    "empty": b"",
+    "a list": b"[]",
+    "unknown_service": changed("routes", 1, "service", value="c"),
+    "unknown service in a split": changed("routes", 0, "traffic-split", 0, "service", value="c"),
+    "same_place": changed("routes", 1, "host", value="198.18.0.1"),
+    "no_weight": changed("routes", 0, "traffic-split", 0, "weight", value=None),
+    "weights of 0": changed("routes", 0, "traffic-split", value=[{"service": "a", "weight": 0}]),
+    "no_timeout": changed("routes", 0, "timeout-ms", value=0),
+    "timeout missing": changed("routes", 0, "timeout-ms", value=None),
+    "timeout as text": changed("routes", 0, "timeout-ms", value="500"),
+    "no service": changed("routes", 1, "service", value=None),
+    "no version": changed("version", value=None),
+    "version 0": changed("version", value=0),
+    "version as text": changed("version", value="7"),
+    "no routes": changed("routes", value=None),
+    "port": changed("routes", 0, "path-prefix", value="/x/"),
+    "address": changed("routes", 0, "host", value="example"),
+}
+
+
+def read(body: dict[str, Any] | bytes) -> RoutingDocument:
+    return decode_routing(body if isinstance(body, bytes) else json.dumps(body).encode())
+
+
+class RoutingBodyTest(unittest.TestCase):
+    def test_reads_what_routing_needs(self) -> None:
+        document = read(BODY)
+        self.assertEqual(document.version, 7)
+        self.assertEqual(list(document.routes_by_place), ["198.18.0.1:8443", "198.18.0.2:8443"])
+        split = document.routes_by_place["198.18.0.1:8443"].destinations
+        self.assertEqual([(d.service, d.weight) for d in split], [("a", 90), ("b", 10)])
+        self.assertEqual(document.policies_by_service["a"].cold_starts_per_s, 4.5)
+        self.assertIsNone(find_document_fault(document))
+
+    def test_reads_back_what_was_sent(self) -> None:
+        body = changed("later", value={"x": [1, 2]})
+        self.assertEqual(json.loads(encode_routing(read(body))), body)
+
+    def test_invalid_bodies(self) -> None:
+        for name, body in INVALID.items():
+            with self.subTest(name):
+                try:
+                    fault = find_document_fault(read(body))
+                except InvalidBodyError as error:
+                    fault = str(error)
+                self.assertTrue(fault)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_mutated_bodies(self, data: st.DataObject) -> None:
+        text = bytearray(json.dumps(BODY).encode())
+        for _ in range(data.draw(st.integers(1, 4))):
+            text[data.draw(st.integers(0, len(text) - 1))] = data.draw(st.integers(0, 255))
+        try:
+            find_document_fault(read(bytes(text)))
+        except InvalidBodyError as error:
+            self.assertTrue(str(error))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/protocol/test_packet_formats.py
@@ -0,0 +1,123 @@
+"""One table for the formats of the product; the adapter's test adds its own to it."""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+import unittest
+from typing import ClassVar
+
+import msgspec
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wagtailkeel_protocol import Malformed
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_protocol.packet_format import IpPacketFormat
+from wagtailkeel_protocol.packet_format import PacketFormat
+from wagtailkeel_protocol.packet_format import PacketHead
+
+CALLER = "100.64.0.7"
+CALLER_PORT = 40_001
+ROUTE = "198.18.0.1"
+ROUTE_PORT = 443
+
+
+class FormatCase(msgspec.Struct):
+    """A format and packets of one flow in it."""
+
+    packet_format: PacketFormat
+    key: bytes
+    opening: bytes
+    data: bytes
+    finish: bytes
+    answer: bytes
+    reset: bytes
+
+
+def ip_case() -> FormatCase:
+    """Return TCP in IPv4."""
+    key = (
+        ipaddress.ip_address(CALLER).packed
+        + ipaddress.ip_address(ROUTE).packed
+        + struct.pack("!HHB", CALLER_PORT, ROUTE_PORT, ip.TCP)
+    )
+    back = ip.reverse_key(key)
+    return FormatCase(
+        IpPacketFormat(),
+        key,
+        build_tcp(key, 1, 0, ip.SYN),
+        build_tcp(key, 2, 9, ip.ACK, b"data"),
+        build_tcp(key, 6, 9, ip.ACK | ip.FIN),
+        build_tcp(back, 9, 6, ip.ACK, b"answer"),
+        build_tcp(back, 9, 6, ip.RST),
+    )
+
+
+class PacketFormatTest(unittest.TestCase):
+    """What every format must do; the adapter's test replaces ``cases`` by its own."""
+
+    cases: ClassVar[list[FormatCase]] = [ip_case()]
+
+    def test_marks(self) -> None:
+        for case in self.cases:
+            found = case.packet_format
+            table = [
+                (found.parse_inbound(case.opening), marks.OPENING, 0, True),
+                (found.parse_inbound(case.data), marks.ACKNOWLEDGES, 4, False),
+                (found.parse_inbound(case.finish), marks.ACKNOWLEDGES | marks.FINISHES, 0, False),
+                (found.parse_outbound(case.answer), marks.ACKNOWLEDGES, 6, False),
+                (found.parse_outbound(case.reset), marks.RESETS, 0, False),
+            ]
+            for head, expected, size, is_opening in table:
+                with self.subTest(packet_format=type(found).__name__, marks=expected):
+                    assert isinstance(head, PacketHead)
+                    self.assertEqual(head.key, case.key)
+                    self.assertEqual(head.marks, expected)
+                    self.assertEqual(head.payload_bytes, size)
+                    self.assertEqual(head.is_opening, is_opening)
+
+    def test_endpoint_and_caller(self) -> None:
+        for case in self.cases:
+            with self.subTest(packet_format=type(case.packet_format).__name__):
+                endpoint = ipaddress.ip_address(ROUTE).packed + struct.pack("!H", ROUTE_PORT)
+                self.assertEqual(case.packet_format.endpoint_of(case.key), endpoint)
+                self.assertEqual(case.packet_format.caller_host(case.key), CALLER)
+
+    def test_refusal_comes_from_the_route(self) -> None:
+        for case in self.cases:
+            for packet in (case.opening, case.data):
+                with self.subTest(packet_format=type(case.packet_format).__name__):
+                    refusal = case.packet_format.build_refusal(packet)
+                    assert refusal is not None
+                    head = case.packet_format.parse_outbound(refusal)
+                    assert isinstance(head, PacketHead)
+                    self.assertEqual(head.key, case.key)
+                    self.assertTrue(head.marks & marks.RESETS)
+
+    def test_cut_and_mutated_packets(self) -> None:
+        for case in self.cases:
+            with self.subTest(packet_format=type(case.packet_format).__name__):
+                _check_mutations(self, case)
+
+
+def _check_mutations(test: unittest.TestCase, case: FormatCase) -> None:
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.data())
+    def check(data: st.DataObject) -> None:
+        packet = bytearray(data.draw(st.sampled_from([case.opening, case.data])))
+        for _ in range(data.draw(st.integers(0, 4))):
+            position = data.draw(st.integers(0, len(packet) - 1))
+            packet[position] ^= 1 << data.draw(st.integers(0, 7))
+        cut = bytes(packet[: data.draw(st.integers(0, len(packet)))])
+        for parse in (case.packet_format.parse_inbound, case.packet_format.parse_outbound):
+            test.assertIsInstance(parse(cut), (PacketHead, Malformed))
+
+    check()
+
+
+if __name__ == "__main__":
+    unittest.main()
