Elect at once where all voters have restarted

Cause: after a loss of all power a restarted voter gives no vote for 0.5 s, since it may have acknowledged a leader that still counts on its read lease.

Ruled out: shorter election timeouts (they shorten the lease, too); a single round of questions (a voter may answer, lead, be heard by another that restarts and answers last); random candidates (two of them complete their rounds in the same step and split the votes again and again: found by the random histories with equal random numbers, so only the newest log campaigns).

Change: RestartRounds asks all voters twice whether their processes have met a leader; the vote request names the voter's process. The random histories restart all voters now and then, and hold that no two leaders have a read lease.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -16,9 +16,12 @@
 import msgspec
 
 from wagtailkeel_coordination.raft.progress import PeerProgress
+from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
 from wagtailkeel_coordination.raft.storage import StorageFaultError
 from wagtailkeel_protocol.raft_messages import AppendReply
 from wagtailkeel_protocol.raft_messages import AppendRequest
+from wagtailkeel_protocol.raft_messages import RestartReply
+from wagtailkeel_protocol.raft_messages import RestartRequest
 from wagtailkeel_protocol.raft_messages import SnapshotRequest
 from wagtailkeel_protocol.raft_messages import VoteReply
 from wagtailkeel_protocol.raft_messages import VoteRequest
@@ -104,6 +107,7 @@
         self._random = random
         self._votes: set[str] = set()
         self._is_pre_vote = False
+        self._restart_rounds = RestartRounds(instance_id, random, now)
         # A restarted voter may have heard a leader that still counts on its read lease.
         self._heard_leader_at = now
         self._election_at = now + self._draw_timeout()
@@ -237,8 +241,12 @@
             return
         if self.is_leader:
             self._lead(now)
-        elif self.is_voter and now >= self._election_at:
-            self._start_election(now, is_pre_vote=True)
+        elif not self.is_voter:
+            return
+        elif now >= self._election_at:
+            self._start_pre_vote(now)
+        elif self._restart_rounds.is_due(now):
+            self._ask_restarted(self._restart_rounds.begin(now), now)
 
     def _lead(self, now: float) -> None:
         if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
@@ -279,28 +287,50 @@
 
     # Elections
 
-    def _start_election(self, now: float, *, is_pre_vote: bool) -> None:
+    @property
+    def _other_voters(self) -> list[str]:
+        return [voter for voter in self._voters_by_id if voter != self._instance_id]
+
+    def _ask_restarted(self, round_: int, now: float) -> None:
+        """Ask whether all voters have restarted; a single voter knows."""
+        if not self._other_voters:
+            self._campaign(now, {})
+        for voter in self._other_voters:
+            request = RestartRequest(self._instance_id, round_, self._restart_rounds.process)
+            self._send(voter, request)
+
+    def _start_pre_vote(self, now: float) -> None:
+        self._become_candidate(now, is_pre_vote=True)
+        self._request_votes(self.term + 1, {})
+        self._count_votes(now)
+
+    def _campaign(self, now: float, processes_by_voter: dict[str, int]) -> None:
+        """Ask for votes in a new term; processes are those that vouch for it, if any."""
+        self._become_candidate(now, is_pre_vote=False)
+        if not self._save_vote(self.term + 1, self._instance_id):
+            return
+        self._request_votes(self.term, processes_by_voter)
+        self._count_votes(now)
+
+    def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
         self._election_at = now + self._draw_timeout()
         self._is_pre_vote = is_pre_vote
         self.leader_id = ""
         self.role = RaftRole.CANDIDATE
-        if not is_pre_vote:
-            if not self._save_vote(self.term + 1, self._instance_id):
-                return
         self._votes = {self._instance_id}
-        term = self.term + 1 if is_pre_vote else self.term
-        request = VoteRequest(
-            term,
-            self._instance_id,
-            self.log.last_index,
-            self.log.last_term,
-            is_pre_vote,
-            self._identity,
-        )
-        for voter in self._voters_by_id:
-            if voter != self._instance_id:
-                self._send(voter, request)
-        self._count_votes(now)
+
+    def _request_votes(self, term: int, processes_by_voter: dict[str, int]) -> None:
+        for voter in self._other_voters:
+            request = VoteRequest(
+                term,
+                self._instance_id,
+                self.log.last_index,
+                self.log.last_term,
+                self._is_pre_vote,
+                self._identity,
+                processes_by_voter.get(voter, 0),
+            )
+            self._send(voter, request)
 
     def _save_vote(self, term: int, voted_for: str) -> bool:
         try:
@@ -315,8 +345,9 @@
         if len(self._votes) < self._quorum:
             return
         if self._is_pre_vote:
-            self._start_election(now, is_pre_vote=False)
+            self._campaign(now, {})
             return
+        self._restart_rounds.has_met_leader = True
         self.role = RaftRole.LEADER
         self.leader_id = self._instance_id
         self.progress_by_id = {}
@@ -334,7 +365,7 @@
         self._election_at = now + self._draw_timeout()
 
     @singledispatchmethod
-    def on_request(self, request: object, now: float) -> VoteReply | AppendReply:
+    def on_request(self, request: object, now: float) -> VoteReply | AppendReply | RestartReply:
         """Answer a request of a peer."""
         raise TypeError(f"no rule for {type(request).__name__}")
 
@@ -355,8 +386,7 @@
             return False
         if self._voters_by_id.get(request.candidate_id) != request.candidate_identity:
             return False
-        has_leader = self.is_leader or now - self._heard_leader_at < ELECTION_TIMEOUT_MIN_S
-        if has_leader or request.term < self.term:
+        if self._may_have_leader(request, now) or request.term < self.term:
             return False
         if request.is_pre_vote and request.term == self.term:
             return False
@@ -365,6 +395,27 @@
         own = (self.log.last_term, self.log.last_index)
         return (request.last_term, request.last_index) >= own
 
+    def _may_have_leader(self, request: VoteRequest, now: float) -> bool:
+        if self.is_leader:
+            return True
+        if now - self._heard_leader_at >= ELECTION_TIMEOUT_MIN_S:
+            return False
+        return not self._restart_rounds.is_vouched(request.voter_process)
+
+    @on_request.register
+    def _(self, request: RestartRequest, now: float) -> RestartReply:
+        rounds = self._restart_rounds
+        rounds.note_process(request.process, now)
+        return RestartReply(
+            self._instance_id,
+            request.round,
+            rounds.process,
+            not rounds.has_met_leader,
+            self.log.last_index,
+            self.log.last_term,
+            list(self._voters_by_id),
+        )
+
     # Replication
 
     def _replicate(self, peer: str, now: float) -> None:
@@ -423,6 +474,7 @@
             if self.has_failed:
                 return False
         self.leader_id = leader_id
+        self._restart_rounds.has_met_leader = True
         self._heard_leader_at = now
         self._election_at = now + self._draw_timeout()
         return True
@@ -504,6 +556,18 @@
             self._votes.add(reply.voter_id)
             self._count_votes(now)
 
+    @on_reply.register
+    def _(self, reply: RestartReply, now: float) -> None:
+        rounds = self._restart_rounds
+        if not rounds.on_reply(reply, self._voters_by_id) or self.has_failed or not self.is_voter:
+            return
+        if not rounds.has_newest_log(self.log.last_term, self.log.last_index):
+            return
+        if not rounds.is_second:
+            self._ask_restarted(rounds.begin_second(), now)
+        elif rounds.processes_by_voter:
+            self._campaign(now, rounds.processes_by_voter)
+
     @on_reply.register
     def _(self, reply: AppendReply, now: float) -> None:
         if reply.term > self.term:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
@@ -8,7 +8,11 @@
 
 
 class VoteRequest(msgspec.Struct, tag=True):
-    """Candidate to voter; with ``is_pre_vote`` nothing is promised."""
+    """Candidate to voter; with ``is_pre_vote`` nothing is promised.
+
+    ``voter_process`` is not 0 where the candidate knows that no lease of a leader can be alive: it
+    names the process of the voter that said so (see ``RestartReply``).
+    """
 
     term: int
     candidate_id: str
@@ -16,6 +20,7 @@
     last_term: int
     is_pre_vote: bool
     candidate_identity: str = ""
+    voter_process: int = 0
 
 
 class VoteReply(msgspec.Struct, tag=True):
@@ -62,7 +67,41 @@
     round: int
 
 
-RaftMessage = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest
+class RestartRequest(msgspec.Struct, tag=True):
+    """A voter that has just started asks another whether it has met a leader since its start.
+
+    ``process`` names the asking process, not its instance.
+    """
+
+    candidate_id: str
+    round: int
+    process: int
+
+
+class RestartReply(msgspec.Struct, tag=True):
+    """Answer to a ``RestartRequest``, with the end of the own log.
+
+    ``is_leaderless`` says that this process has neither led nor heard a leader.
+    """
+
+    voter_id: str
+    round: int
+    process: int
+    is_leaderless: bool
+    last_index: int
+    last_term: int
+    voter_ids: list[str]
+
+
+RaftMessage = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | RestartRequest
+    | RestartReply
+)
 
 
 class FormationRequest(msgspec.Struct):
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -14,6 +14,8 @@
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_coordination.raft.raft_node import ELECTION_TIMEOUT_MIN_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
+from wagtailkeel_protocol.raft_messages import RestartReply
+from wagtailkeel_protocol.raft_messages import RestartRequest
 from wagtailkeel_protocol.raft_messages import VoteReply
 from wagtailkeel_protocol.raft_messages import VoteRequest
 from wagtailkeel_state import CommandAnswer
@@ -140,6 +142,7 @@
             (15, self.tick),
             (6, self.propose),
             (1, self.restart),
+            (0.5, self.restart_all),
             (1, self.toggle_cut),
             (0.3, self.wipe),
         ]
@@ -149,6 +152,8 @@
             if control.node.is_leader:
                 known = self.leaders_by_term.setdefault(control.node.term, control.name)
                 assert known == control.name, "two leaders in one term"
+        leases = [c.name for c in self.controls.values() if c.node.has_read_lease(self.now)]
+        assert len(leases) <= 1, f"{leases} would all answer reads"
 
     def deliver_request(self, *, in_order: bool = False) -> None:
         if not self.requests:
@@ -198,6 +203,10 @@
         name = self.random.choice(VOTERS)
         self.controls[name] = FakeControl(self, name, self.controls[name].disk)
 
+    def restart_all(self) -> None:
+        for name, control in list(self.controls.items()):
+            self.controls[name] = FakeControl(self, name, control.disk)
+
     def wipe(self) -> None:
         """Lose one disk, only while both others are full members that hold all commits."""
         name = self.random.choice(VOTERS)
@@ -286,6 +295,36 @@
             assert isinstance(reply, VoteReply)
             self.assertEqual(reply.is_granted, is_granted)
 
+    def test_all_voters_restarted_elect_within_the_shortest_timeout(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle()
+        for restarted, is_early in ((VOTERS, True), (VOTERS[:2], False)):
+            with self.subTest(restarted=restarted):
+                leader = next(c for c in cluster.controls.values() if c.node.is_leader)
+                names = [leader.name, *(n for n in VOTERS if n != leader.name)][: len(restarted)]
+                for name in names:
+                    cluster.controls[name] = FakeControl(cluster, name, cluster.controls[name].disk)
+                cluster.settle(0.15)
+                leaders = [c.name for c in cluster.controls.values() if c.node.is_leader]
+                self.assertEqual(len(leaders), int(is_early))
+                cluster.settle()
+
+    def test_a_voter_that_met_a_leader_is_not_vouched_for(self) -> None:
+        cluster = FakeRaftCluster(Random(1))
+        cluster.settle(0.1)
+        leader = next(c for c in cluster.controls.values() if c.node.is_leader)
+        voter, candidate = (c for c in cluster.controls.values() if c is not leader)
+        probe = RestartRequest(candidate.name, 1, 7)
+        reply = voter.node.on_request(probe, cluster.now)
+        assert isinstance(reply, RestartReply)
+        self.assertFalse(reply.is_leaderless)
+        request = VoteRequest(
+            leader.node.term + 1, candidate.name, 9, 9, False, f"{candidate.name}0", reply.process
+        )
+        vote = voter.node.on_request(request, cluster.now)
+        assert isinstance(vote, VoteReply)
+        self.assertFalse(vote.is_granted)
+
     def test_cut_off_leader_serves_no_reads(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
