Give up connections that do not open; join as soon as an election ends

Change: a connection that does not open within 0.25 s is given up and the next instance is asked; control keeps a node that wants to join waiting until it knows a leader; a node pulls the version of its own join at once instead of with the next round of pulls.

The test with a full queue of connections hangs for the length of the call without the change.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -30,6 +30,8 @@
 Reply = TypeVar("Reply")
 
 CALL_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 0.25
+"""An instance without power loses the opening packet, which the kernel repeats after 1 s only."""
 
 _CALL_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 SERVICE_PATH = "/wagtailkeel.Node/"
@@ -156,7 +158,8 @@
         )
         # A task of its own: when a connection is lost, the library cancels the calling task and
         # leaves its count of cancellations raised, which would end the caller's next timeout.
-        task = asyncio.create_task(unary(request))
+        task: asyncio.Task[Reply | None]
+        task = asyncio.create_task(_invoke(channel, unary, request))
         try:
             await asyncio.wait({task}, timeout=timeout_s)
         finally:
@@ -188,6 +191,11 @@
             self._drop(address, channel)
 
 
+async def _invoke(channel: Channel, unary: UnaryUnaryMethod[Any, Any], request: Any) -> Any:
+    await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
+    return await unary(request)
+
+
 def _forget_outcome(task: asyncio.Task[Any]) -> None:
     """Mark the outcome of an abandoned call as seen, so that it is not reported as lost."""
     if not task.cancelled():
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -102,6 +102,8 @@
 COMMIT_TIMEOUT_S = 5.0
 COMMIT_POLL_S = 0.2
 LEARNER_RETRY_S = 0.5
+LEADER_WAIT_S = 1.0
+"""How long a node that wants to join waits here for an election to end."""
 READ_TIMEOUT_S = 0.9
 READ_POLL_S = 0.01
 ROUTING_ATTEMPTS = 3
@@ -120,6 +122,7 @@
         self.metrics = Metrics()
         self._emit = event_sink.emit
         self._known_leader = ""
+        self._leader_changed = anyio.Event()
         self._known_voters: list[str] = []
         self._settings = settings
         self._section = section
@@ -333,9 +336,12 @@
             self.metrics.counters["raft_failures"] += 1
             return
         self._raft.on_reply(reply, clock.seconds())
+        self._note_changes()
 
     async def _on_raft_request(self, request: RaftMessage) -> RaftMessage:
-        return self._raft.on_request(request, clock.seconds())
+        reply = self._raft.on_request(request, clock.seconds())
+        self._note_changes()
+        return reply
 
     def _apply(self, entry: LogEntry) -> CommandAnswer:
         self._store.retain(entry)
@@ -362,6 +368,8 @@
     def _note_changes(self) -> None:
         if self._raft.leader_id != self._known_leader:
             self._known_leader = self._raft.leader_id
+            self._leader_changed.set()
+            self._leader_changed = anyio.Event()
             self._emit(events.LeaderChanged(self._known_leader, self._raft.term))
         voters = sorted(self._raft.voters_by_id)
         if voters != self._known_voters:
@@ -489,6 +497,7 @@
         return await self._join(command, f"leave/{request.server_id}/{request.boot_id}")
 
     async def _join(self, command: AnyCommand, command_id: str) -> AnnounceReply:
+        await self._wait_for_leader()
         answer = await self._propose(CommandRequest(command, command_id, "node"))
         if answer is None:
             return AnnounceReply(False, leader_id=self._raft.leader_id)
@@ -496,6 +505,12 @@
             return AnnounceReply(False, answer.index, self._raft.leader_id, answer.reason)
         return AnnounceReply(True, answer.index, self._instance_id)
 
+    async def _wait_for_leader(self) -> None:
+        """Wait for the end of an election, so that nodes join right after it."""
+        with anyio.move_on_after(LEADER_WAIT_S):
+            while not self._raft.leader_id:
+                await self._leader_changed.wait()
+
     # Routing documents and data centres, as whole states rather than commands
 
     @property
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -138,10 +138,10 @@
             self.leader_id = control_id
             self._joined_at = clock.seconds()
             while self._store.version < reply.index:
-                # A node serves only with a version at least as new as its own join. Noted again
-                # and again, since a pull that fails forgets its source.
-                self.note_version(control_id, reply.index)
-                await anyio.sleep(VERSION_POLL_S)
+                # A node serves only with a version at least as new as its own join.
+                if not await self._pull_from(control_id):
+                    self.note_version(control_id, reply.index)
+                    await anyio.sleep(VERSION_POLL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
             self._emit(events.NodeJoined(self.boot_id, reply.index))
             self.is_joined.set()
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -15,6 +15,7 @@
 from wagtailkeel_transport.methods import PULL
 
 HOST = "127.0.0.1"
+GENEROUS_S = 20.0
 
 
 def free_port() -> int:
@@ -59,6 +60,18 @@
         self.assertEqual(await self.call(0), PullReply())
         await server.close()
 
+    async def test_a_connection_that_does_not_open_is_given_up_before_the_call(self) -> None:
+        with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
+            listener.bind((HOST, self.port))
+            listener.listen(0)
+            for filler in (first, second):
+                # The queue of new connections is full: opening packets are dropped from here on.
+                filler.setblocking(False)
+                filler.connect_ex((HOST, self.port))
+            async with asyncio.timeout(GENEROUS_S):
+                with self.assertRaises(RpcError):
+                    await self.call(0, timeout_s=2 * GENEROUS_S)
+
     async def test_lost_connection_leaves_the_caller_uncancelled(self) -> None:
         async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read(1)
