Turn openings away where requests would wait for more than 0.4 of their target

Change: an agent lets an opening through only while a request would start within 0.4 of the route's target, by its own count of requests in flight and of new flows, and the measured service time. Otherwise it comes back as BUSY and the owner tries the next server; when none has room the caller is told at once. An opening that only cold servers could take is refused at once, too: their room comes later than most callers can use it. A copy of an opening is refused only by an owner that had the first.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -17,6 +17,7 @@
 from wagtailkeel_coordination.handshake.flow_search import FlowSearches
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
 from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
+from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_coordination.handshake.routing_table import RoutingTable
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import choose_server
@@ -38,6 +39,7 @@
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
     from wagtailkeel_coordination.handshake.outbox import RelayOutbox
     from wagtailkeel_coordination.handshake.server_choice import PeerLoad
+    from wagtailkeel_coordination.handshake.server_choice import ServerChoice
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
     from wagtailkeel_protocol.packet_format import PacketFormat
@@ -47,6 +49,8 @@
 Address = tuple[str, int]
 
 PLACEMENT_ATTEMPTS = 4
+SERVER_BUSY = "server_busy"
+_RETURNS = (RelayKind.REJECTED, RelayKind.RETURNED, RelayKind.BUSY)
 FORGETFUL_S = 60.0
 """A restarted agent may lack flows that its server has for as long as a flow may last."""
 
@@ -70,6 +74,7 @@
         record_response: Callable[[float], None],
         are_members_confirmed: Callable[[float], bool],
         now: float,
+        choose: ServerChoice = choose_server,
     ) -> None:
         self.own_address = own_address
         self.gate = gate
@@ -86,6 +91,7 @@
         self._format = packet_format
         self._outbox = outbox
         self._random = random
+        self._choose = choose
         self._counters = counters
         self._emit = event_sink.emit
         self._are_members_confirmed = are_members_confirmed
@@ -146,7 +152,7 @@
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
             self.gate.is_leaving,
-            self.gate.is_paced(now),
+            self.gate.is_unheard(now),
         )
 
     # Frames
@@ -172,7 +178,7 @@
             # Its server does not answer any more, and nobody else will on its behalf.
             self.held.remove(flow)
             flow = None
-        if flow is not None and frame.kind not in (RelayKind.REJECTED, RelayKind.RETURNED):
+        if flow is not None and frame.kind not in _RETURNS:
             self._deliver_held(flow, frame, head, source)
             return
         self._route(frame, head, source)
@@ -196,7 +202,7 @@
             self._on_unknown(frame, head, source, RelayKind.RETURNED, frame.body)
         elif kind is RelayKind.SEARCH:
             self._on_unknown(frame, head, source, RelayKind.NOT_FOUND, head.key)
-        elif kind is RelayKind.REJECTED:
+        elif kind in (RelayKind.REJECTED, RelayKind.BUSY):
             self._on_rejected(frame, head, source)
         else:
             self._on_returned(frame, head, source)
@@ -212,7 +218,7 @@
         if pointer is not None and head.is_opening and not self._is_reachable(pointer.target):
             # The first copy may have gone to an agent that has died: another server takes this.
             pointer.tried.add(pointer.target)
-            self._place(frame, head.key, pointer.tried)
+            self._place(frame, head, pointer.tried)
         elif pointer is not None:
             kind = RelayKind.PLACE if head.is_opening else RelayKind.DELIVER
             self._send(pointer.target, kind, frame, frame.body)
@@ -220,7 +226,7 @@
                 # Control does not hear the agent: it may have died with the flow's server.
                 self._search(frame, head.key, exclude=None)
         elif head.is_opening:
-            self._place(frame, head.key, set())
+            self._place(frame, head, set())
         elif head.marks & marks.RESETS:
             self._counters["dropped_unknown_reset"] += 1
         else:
@@ -229,37 +235,45 @@
     def _is_reachable(self, address: Address) -> bool:
         return self.loads.is_fresh(address, self._now)
 
-    def _place(self, frame: RelayFrame, key: bytes, tried: set[Address]) -> None:
+    def _place(self, frame: RelayFrame, head: PacketHead, tried: set[Address]) -> None:
         """Choose a server for an opening that no server has."""
+        key = head.key
         service = self._resolve_service(frame, key)
         if service is None:
             self._counters["dropped_route_changed"] += 1
             return
         tag = relay.service_tag(service)
+        has_all_copies = self.pointers.has_all_copies(key, head.attempt)
         own_load = self.build_load(self._now)
         self.loads.on_load(self.own_address, self._data_centre, own_load, self._now)
         members = self._members_by_tag.get(tag, [])
         candidates = self.loads.candidates(members, self._now)
         while len(tried) < PLACEMENT_ATTEMPTS:
-            peer = choose_server(candidates, self._data_centre, tried, self._random)
+            peer = self._choose(candidates, self._data_centre, tried, self._random)
             if peer is None:
                 break
             self._note_placement(peer, key, len(candidates))
-            self.pointers.point(key, peer.address, self._now).tried = tried
+            pointer = self.pointers.point(key, peer.address, self._now)
+            pointer.tried = tried
+            pointer.has_all_copies = has_all_copies
             if peer.address != self.own_address:
                 self.loads.note_opening(peer.address)
                 self._relay(peer.address, RelayKind.PLACE, frame, tag, frame.body)
                 return
-            if self._admit(service, key):
+            if self._has_room(key) and self._admit(service, key):
                 self._open(frame.body, key, self.own_address)
                 return
             tried.add(self.own_address)
-        if self.loads.has_paced(tag, self._now) or not self._hears_all_members(tag):
-            # The caller's next copy finds room, sooner than a new attempt would.
-            self._counters["openings_paced"] += 1
-            self.pointers.remove(key)
-            return
-        self._refuse(frame.body, key, len(tried), len(candidates))
+        self.pointers.remove(key)
+        self.pointers.note_unplaced(key, self._now)
+        if self.loads.has_unheard(tag, self._now) or not self._hears_all_members(tag):
+            # A server may have room: the caller's next copy finds it.
+            self._counters["openings_deferred"] += 1
+        elif has_all_copies:
+            self._refuse(frame.body, key, len(tried), len(candidates))
+        else:
+            # Another owner may have placed an earlier copy: its flow may be open by now.
+            self._counters["dropped_copy_of_opening"] += 1
 
     def _hears_all_members(self, tag: int) -> bool:
         """Tell whether no server of a service can be unknown to be ready."""
@@ -292,7 +306,6 @@
         self._emit(
             events.OpeningRefused(flow_id(key), reason, tried, candidates, self.routing.version)
         )
-        self.pointers.remove(key)
         self._reset(packet, key)
 
     def _reset(self, packet: bytes, key: bytes) -> None:
@@ -307,9 +320,10 @@
             return
         tried = pointer.tried if pointer is not None else set()
         tried.add(source)
-        self.loads.note_rejection(source)
+        if frame.kind is RelayKind.REJECTED:
+            self.loads.note_rejection(source)
         if head.key not in self.held.by_key:
-            self._place(frame, head.key, tried)
+            self._place(frame, head, tried)
 
     def _on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
         pointer = self.pointers.by_key.get(head.key)
@@ -383,11 +397,26 @@
 
     def _on_place(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
         service = self._resolve_service(frame, head.key)
-        if service is not None and self._admit(service, head.key):
+        if not self._has_room(head.key):
+            self._send(source, RelayKind.BUSY, frame, frame.body)
+        elif service is not None and self._admit(service, head.key):
             self._open(frame.body, head.key, source)
         else:
             self._send(source, RelayKind.REJECTED, frame, frame.body)
 
+    def _has_room(self, key: bytes) -> bool:
+        """Tell whether a request on a new flow would be answered within its route's target."""
+        is_free = has_room(
+            self.held.count_expected(self._now),
+            self.held.slots,
+            self.held.service_s,
+            self.routing.target_s(self._format.endpoint_of(key)),
+        )
+        if not is_free:
+            self._counters[f"rejected_{SERVER_BUSY}"] += 1
+            self._note_rejection(key, SERVER_BUSY)
+        return is_free
+
     def _admit(self, service: str, key: bytes) -> bool:
         reason = self.gate.admit(service, self._now)
         if reason is not None:
@@ -402,7 +431,7 @@
 
     def _open(self, packet: bytes, key: bytes, owner: Address) -> None:
         self._counters["flows_opened"] += 1
-        self.held.open(key, owner, self._now)
+        self.held.expect_request(self.held.open(key, owner, self._now), self._now)
         self._outbox.deliver(packet)
 
     @property
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -7,14 +7,20 @@
 Address = tuple[str, int]
 
 SWEEP_INTERVAL_S = 1.0
+UNPLACED_MEMORY_S = 5.0
+"""Copies of an opening come for no longer than this."""
 
 
 class FlowPointer(msgspec.Struct):
-    """A flow's agent; ``tried`` are agents that returned its opening. Times in seconds."""
+    """A flow's agent; ``tried`` are agents that returned its opening. Times in seconds.
+
+    ``has_all_copies`` says that no other owner can have placed a copy of the opening.
+    """
 
     target: Address
     last_seen_at: float
     tried: set[Address]
+    has_all_copies: bool = False
 
 
 class FlowPointers:
@@ -23,8 +29,19 @@
     def __init__(self) -> None:
         self.by_key: dict[bytes, FlowPointer] = {}
         self.idle_limit_s = 60.0
+        self._unplaced_at_by_key: dict[bytes, float] = {}
         self._swept_at = float("-inf")
 
+    def note_unplaced(self, key: bytes, now: float) -> None:
+        """Remember that this owner has had a copy of an opening, and no server took it."""
+        self._unplaced_at_by_key[key] = now
+
+    def has_all_copies(self, key: bytes, attempt: int) -> bool:
+        """Tell whether no other owner can have placed the copy before this one."""
+        pointer = self.by_key.get(key)
+        is_known = pointer is not None and pointer.has_all_copies
+        return attempt == 0 or is_known or key in self._unplaced_at_by_key
+
     def find(self, key: bytes, now: float) -> FlowPointer | None:
         """Return a pointer and note its use."""
         pointer = self.by_key.get(key)
@@ -54,3 +71,6 @@
         limit_s = self.idle_limit_s
         for key in [k for k, p in self.by_key.items() if now - p.last_seen_at > limit_s]:
             del self.by_key[key]
+        unplaced = self._unplaced_at_by_key
+        for key in [k for k, at in unplaced.items() if now - at > UNPLACED_MEMORY_S]:
+            del unplaced[key]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -20,6 +20,8 @@
 ANSWER_LIMIT_S = 5.0
 SWEEP_INTERVAL_S = 1.0
 SMOOTHING = 0.1
+FIRST_REQUEST_LIMIT_S = 0.1
+"""A new flow counts as a request on its way for so long: the caller's answer to the server's."""
 
 
 class HeldFlow(msgspec.Struct):
@@ -48,6 +50,7 @@
         self.slots = 1
         self.service_s = 0.0
         self._awaiting_by_key: dict[bytes, HeldFlow] = {}
+        self._opened_at_by_key: dict[bytes, float] = {}
         self._record_response = record_response
         self._swept_at = float("-inf")
 
@@ -56,21 +59,35 @@
         """The number of flows that the server owes an answer."""
         return len(self._awaiting_by_key)
 
+    def count_expected(self, now: float) -> int:
+        """Return the number of requests in flight and of new flows whose first is on its way."""
+        for key, opened_at in list(self._opened_at_by_key.items()):
+            if now - opened_at <= FIRST_REQUEST_LIMIT_S:
+                break
+            del self._opened_at_by_key[key]
+        return self.in_flight + len(self._opened_at_by_key)
+
     def open(self, key: bytes, owner: Address, now: float) -> HeldFlow:
         """Start to account for a flow."""
         flow = HeldFlow(key, owner, now)
         self.by_key[key] = flow
         return flow
 
+    def expect_request(self, flow: HeldFlow, now: float) -> None:
+        """Count a flow whose opening is being delivered as a request on its way."""
+        self._opened_at_by_key[flow.key] = now
+
     def remove(self, flow: HeldFlow) -> None:
         """Forget a flow."""
         self.by_key.pop(flow.key, None)
         self._awaiting_by_key.pop(flow.key, None)
+        self._opened_at_by_key.pop(flow.key, None)
 
     def clear(self) -> None:
         """Forget all flows: the server has started anew."""
         self.by_key.clear()
         self._awaiting_by_key.clear()
+        self._opened_at_by_key.clear()
 
     def on_inbound(self, flow: HeldFlow, head: PacketHead, now: float) -> None:
         """Account for a packet that is about to be delivered."""
@@ -79,6 +96,7 @@
             flow.awaiting_since = now
             flow.is_alone = len(self._awaiting_by_key) < self.slots
             self._awaiting_by_key[flow.key] = flow
+            self._opened_at_by_key.pop(flow.key, None)
         if head.marks & (marks.FINISHES | marks.RESETS):
             self._note_close(flow, head, _CALLER_FINISHED, now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -19,17 +19,19 @@
 
 
 class Destinations(msgspec.Struct, frozen=True):
-    """The services of a route and the running sums of their weights."""
+    """The services of a route and the running sums of their weights; its target in seconds."""
 
     services: tuple[str, ...]
     bounds: tuple[int, ...]
+    target_s: float = 0.0
 
     @classmethod
     def from_route(cls, route: Route) -> Destinations:
         """Leave out services without weight."""
         weighted = [found for found in route.destinations if found.weight > 0]
         bounds = accumulate(found.weight for found in weighted)
-        return cls(tuple(found.service for found in weighted), tuple(bounds))
+        services = tuple(found.service for found in weighted)
+        return cls(services, tuple(bounds), route.target_s)
 
     def choose(self, key: bytes) -> str:
         """Return the service of a flow; the same for every copy of its opening."""
@@ -65,6 +67,11 @@
         """Return where new flows to an endpoint go, or None where there is no route."""
         return self._by_endpoint.get(endpoint)
 
+    def target_s(self, endpoint: bytes) -> float:
+        """Return the response time that a route's requests should keep; 0 where none is set."""
+        destinations = self._by_endpoint.get(endpoint)
+        return destinations.target_s if destinations else 0.0
+
 
 def endpoint_of_route(route: Route) -> bytes:
     """Return a route's address and port as packets have them."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
@@ -88,16 +89,29 @@
             and now - peer.heard_at <= REPORT_LIMIT_S
         ]
 
-    def has_paced(self, service_tag: int, now: float) -> bool:
-        """Tell whether a server of the service will take openings again within a second."""
+    def has_unheard(self, service_tag: int, now: float) -> bool:
+        """Tell whether a server of the service may be ready, and its agent does not know yet."""
         return any(
             peer.load.service_tag == service_tag
-            and (peer.load.is_paced or (peer.load.is_cold and peer.has_rejected))
+            and peer.load.is_unheard
             and now - peer.heard_at <= REPORT_LIMIT_S
             for peer in self.by_address.values()
         )
 
 
+class ServerChoice(Protocol):
+    """A way to choose a server for a new flow."""
+
+    def __call__(
+        self,
+        candidates: Iterable[PeerLoad],
+        data_centre: str,
+        tried: Collection[Address],
+        random: Random,
+    ) -> PeerLoad | None:
+        """Return a candidate that was not tried, or None where all were."""
+
+
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
     """Return the time that a new flow's first request would take, and a share of later load."""
     load = peer.load
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -133,14 +133,10 @@
         """Tell whether peers should offer openings."""
         return self._find_reason(now) is None
 
-    def is_paced(self, now: float) -> bool:
-        """Tell whether openings are held up for a moment only.
-
-        The server is cold and will have room, or its agent has started before its first report.
-        """
-        reason = self._find_reason(now)
+    def is_unheard(self, now: float) -> bool:
+        """Tell whether the agent is as young as the first report of its server may be."""
         is_young = self.report is None and now - self._watched_since <= self._report_limit_s
-        return reason is GateReason.COLD or (reason is GateReason.UNHEARD and is_young)
+        return is_young and self._find_reason(now) is GateReason.UNHEARD
 
     def admit(self, service: str, now: float) -> GateReason | None:
         """Count an opening in and return None, or return why it may not pass."""
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -167,8 +167,8 @@
     """Agent to agents and to the balancers of its data centre: what its server bears now.
 
     ``service_ms`` is the time that the server takes for one request, without waiting.
-    ``is_leaving`` says that the agent is about to stop, ``is_paced`` that the server takes no
-    opening just now, but will within a second.
+    ``is_leaving`` says that the agent is about to stop, ``is_unheard`` that it is so young that
+    the first report of its server may be on its way.
     """
 
     service_tag: int
@@ -179,7 +179,7 @@
     service_ms: float
     is_cold: bool = False
     is_leaving: bool = False
-    is_paced: bool = False
+    is_unheard: bool = False
 
 
 AnyDatagram = (
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
@@ -42,6 +42,8 @@
     """Agent to owner: an opening comes back, no server has it."""
     RETURNED = KIND_BASE + 7
     """Agent to owner: a later packet comes back, its flow is not here."""
+    BUSY = KIND_BASE + 8
+    """Agent to owner: an opening comes back, requests of the server wait for too long."""
 
 
 class RelayFrame(msgspec.Struct):
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -20,12 +20,14 @@
     """Where new flows to one address and port go.
 
     ``source`` is the route as the operator wrote it, returned unchanged when it is read back.
+    ``target_s`` is the response time in seconds that its requests should keep; 0 where none is set.
     """
 
     address: str
     port: int
     destinations: tuple[WeightedService, ...]
     source: bytes = b""
+    target_s: float = 0.0
 
     @property
     def place(self) -> str:
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -228,12 +228,14 @@
     def emit(self, event: Event) -> None:
         self.events.append(event)
 
-    def document(self, version: int, *, has_desk: bool = True, weight: int = 1) -> RoutingDocument:
+    def document(
+        self, version: int, *, has_desk: bool = True, weight: int = 1, target_s: float = 0.0
+    ) -> RoutingDocument:
         routes = [
             Route("198.18.0.1", 444, (WeightedService(DESK, 1), WeightedService(ARCHIVE, weight)))
         ]
         if has_desk:
-            routes.append(Route("198.18.0.1", 443, (WeightedService(DESK, 1),)))
+            routes.append(Route("198.18.0.1", 443, (WeightedService(DESK, 1),), target_s=target_s))
         policies = [ServicePolicy(name, self.cold_starts_per_s) for name in (DESK, ARCHIVE)]
         return RoutingDocument(
             version,
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -247,6 +247,36 @@
         self.assertEqual(network.resets, 1)
         self.assertEqual(sum(len(n.server.half_open) for n in network.nodes.values()), 0)
 
+    def test_busy_servers_get_no_openings_and_the_caller_learns_at_once(self) -> None:
+        """Seen after an outage: a route had moved to a small service, whose queues stayed full."""
+        network = FakeNetwork([DESK] * 2)
+        network.apply_routing(network.document(2, target_s=0.1))
+        for node in network.nodes.values():
+            node.router.held.service_s = 0.02
+        # Two requests may wait for 0.04 s at each server, beside the one that it works on.
+        servers = [network.open(name) for name in FLOWS[:6]]
+        self.assertNotIn("", servers)
+        self.assertEqual((network.open("late"), network.resets), ("", 1))
+        network.request(FLOWS[0], servers[0])
+        self.assertEqual(network.open("next"), servers[0], "an answer makes room")
+
+    def test_without_a_target_or_a_measured_answer_nothing_is_limited(self) -> None:
+        for target_s, service_s in ((0.0, 0.02), (0.1, 0.0)):
+            with self.subTest(target_s=target_s, service_s=service_s):
+                network = FakeNetwork([DESK])
+                network.apply_routing(network.document(2, target_s=target_s))
+                next(iter(network.nodes.values())).router.held.service_s = service_s
+                self.assertNotIn("", [network.open(name) for name in FLOWS])
+
+    def test_a_later_copy_is_refused_only_where_the_first_was(self) -> None:
+        """Another owner may have placed the first copy: its flow may be open by now."""
+        network = FakeNetwork([DESK] * 2)
+        for node in network.nodes.values():
+            node.server.is_full = True
+        self.assertEqual((network.open("copy", attempt=1), network.resets), ("", 0))
+        self.assertEqual((network.open("copy", attempt=2), network.resets), ("", 1))
+        self.assertEqual((network.open("first"), network.resets), ("", 1))
+
     def test_service_of_a_split_is_kept(self) -> None:
         network = FakeNetwork([DESK, DESK, ARCHIVE, ARCHIVE])
         names = {n.server.name: n.service for n in network.nodes.values()}
@@ -275,6 +305,8 @@
         for name in FLOWS:
             network.open(name)
         self.assertEqual(len(node.server.openings), 3)
+        self.assertEqual(network.open("late"), "")
+        self.assertEqual(network.resets, 1, "room comes later than the caller can use it")
 
     def test_an_unknown_route_is_refused_from_the_second_copy_on(self) -> None:
         network = FakeNetwork([DESK])
