--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -10,6 +10,10 @@
 
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
+from wagtailkeel_bench.load_model import LOADS_BY_NAME
+from wagtailkeel_bench.load_model import POLICIES_BY_NAME
+from wagtailkeel_bench.load_model import format_table
+from wagtailkeel_bench.load_model import play
 from wagtailkeel_bench.measurements.forward import measure_forward
 from wagtailkeel_bench.measurements.slopes import measure_slopes
 from wagtailkeel_bench.measurements.table_build import measure_table_build
@@ -70,5 +74,28 @@
     raise SystemExit(1 if result["expectations_failed"] else 0)
 
 
+@main.command(name="load-model")
+@click.argument("load", type=click.Choice(sorted(LOADS_BY_NAME)))
+@click.option("--seed", type=int, default=1)
+@click.option("--servers", type=click.IntRange(min=1), help="Servers, instead of the load's own.")
+@click.option("--rate", type=click.FloatRange(min=0.1), help="Requests a second.")
+@click.option("--plot/--no-plot", default=True)
+def load_model_command(
+    load: str, seed: int, servers: int | None, rate: float | None, plot: bool
+) -> None:
+    """Play LOAD against the routing decisions in virtual time, one line a policy."""
+    chosen = LOADS_BY_NAME[load]
+    if servers is not None:
+        chosen = msgspec.structs.replace(chosen, speeds=(1.0,) * servers)
+    if rate is not None:
+        chosen = msgspec.structs.replace(chosen, rate=rate)
+    results = {name: play(chosen, policy, seed) for name, policy in POLICIES_BY_NAME.items()}
+    click.echo(f"{load}: {chosen.summary}")
+    click.echo(format_table(results))
+    if plot:
+        for name, found in results.items():
+            click.echo("\n".join(["", f"answered in time, {name}", *found.plot()]))
+
+
 if __name__ == "__main__":
     main()
