Import HTTP, metrics and the data folder only where and when a role needs them

Change: the data folder and the log are a package of their own (wagtailkeel_transport.storage), which only control imports; HTTP servers and the metrics server are late roles, built once the roles before them run; the histogram is made at the first answer.

test_a_refused_opening_is_explained sent only a second copy of each opening, which no caller does; since an owner refuses a copy only where it had the first, the test now sends the first.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/data_folder.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
@@ -11,8 +11,8 @@
 from wagtailkeel_transport.errors import DataFolderLockedError
 from wagtailkeel_transport.errors import DataFolderMissingError
 from wagtailkeel_transport.errors import StorageError
-from wagtailkeel_transport.record_file import encode_record
-from wagtailkeel_transport.record_file import read_record
+from wagtailkeel_transport.storage.record_file import encode_record
+from wagtailkeel_transport.storage.record_file import read_record
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -17,13 +17,13 @@
 from wagtailkeel_state.durable import Snapshot
 from wagtailkeel_state.durable import Vote
 from wagtailkeel_transport.errors import StorageError
-from wagtailkeel_transport.record_file import encode_record
-from wagtailkeel_transport.record_file import read_records
+from wagtailkeel_transport.storage.record_file import encode_record
+from wagtailkeel_transport.storage.record_file import read_records
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtailkeel_transport.data_folder import DataFolder
+    from wagtailkeel_transport.storage.data_folder import DataFolder
 
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -30,6 +30,30 @@
         """Pass on what others need, before the role is cancelled."""
 
 
+class LateRole:
+    """A role that is built, and its modules imported, only once the roles before it run."""
+
+    def __init__(self, name: str, build: Callable[[], Role]) -> None:
+        self.name = name
+        self._build = build
+        self._role: Role | None = None
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Build the role and serve until cancelled."""
+        self._role = self._build()
+        await self._role.run(task_status=task_status)
+
+    async def stop(self) -> None:
+        """Stop the role, where it was built."""
+        if self._role is not None:
+            await self._role.stop()
+
+
+def name_of(role: Role) -> str:
+    """Return a role's name for logs."""
+    return role.name if isinstance(role, LateRole) else type(role).__name__
+
+
 class Daemon:
     """Starts all roles, waits for a signal, stops them gracefully."""
 
@@ -88,7 +112,7 @@
         for role in self._roles:
             await tasks.start(role.run)
         logger.info("ready with {} roles", len(self._roles))
-        self._emit(events.ProcessStarted([type(role).__name__ for role in self._roles]))
+        self._emit(events.ProcessStarted([name_of(role) for role in self._roles]))
 
     async def _stop_roles(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -62,8 +62,6 @@
 from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.routing import compute_change
 from wagtailkeel_state.routing import find_document_fault
-from wagtailkeel_transport import DataFolder
-from wagtailkeel_transport import LogStore
 from wagtailkeel_transport import RpcClient
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import RpcServer
@@ -79,6 +77,8 @@
 from wagtailkeel_transport.methods import RAFT
 from wagtailkeel_transport.methods import STATUS
 from wagtailkeel_transport.methods import STOP_AGENT
+from wagtailkeel_transport.storage import DataFolder
+from wagtailkeel_transport.storage import LogStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
@@ -11,7 +11,7 @@
     from wagtailkeel_state.commands import LogEntry
     from wagtailkeel_state.durable import Snapshot
     from wagtailkeel_state.durable import Vote
-    from wagtailkeel_transport import LogStore
+    from wagtailkeel_transport.storage import LogStore
 
 
 class RaftDisk:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -5,11 +5,14 @@
 import resource
 import time
 from collections import Counter
-
-from hdrh.histogram import HdrHistogram
+from functools import cached_property
+from typing import TYPE_CHECKING
 
 from wagtailkeel_transport import clock
 
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
@@ -21,11 +24,17 @@
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
-        self._responses = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
         self.response_sum_s = 0.0
         self._started_at = clock.seconds()
         self._started_wall_s = time.time()
 
+    @cached_property
+    def _responses(self) -> HdrHistogram:
+        # Imported at the first answer: a balancer measures none.
+        from hdrh.histogram import HdrHistogram
+
+        return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
     def record_response(self, response_s: float) -> None:
         """Record one response time."""
         self.response_sum_s += response_s
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -86,7 +86,7 @@
 
         def find_refused() -> int:
             port = next(ports)
-            answer = self.site.exchange(build(packets.SYN, ("127.31.9.1", port), ack=1))
+            answer = self.site.exchange(build(packets.SYN, ("127.31.9.1", port)))
             return port if answer is not None and answer[4] & packets.RST else 0
 
         return int(wait_until(find_refused, "a refusal"))
--- a/tests/transport/test_log_store.py
+++ b/tests/transport/storage/test_log_store.py
@@ -13,12 +13,12 @@
 from wagtailkeel_state.durable import Snapshot
 from wagtailkeel_state.durable import Vote
 from wagtailkeel_transport import DamagedFileError
-from wagtailkeel_transport import DataFolder
 from wagtailkeel_transport import DataFolderLockedError
 from wagtailkeel_transport import DataFolderMissingError
-from wagtailkeel_transport import LogStore
 from wagtailkeel_transport import StorageError
-from wagtailkeel_transport.record_file import HEADER
+from wagtailkeel_transport.storage import DataFolder
+from wagtailkeel_transport.storage import LogStore
+from wagtailkeel_transport.storage.record_file import HEADER
 
 BATCHES = 12
 
