--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -0,0 +1,295 @@
+"""The directory owner's part of an agent: it places openings and knows where flows are.
+
+Its pointers are a cache of what the agents hold; a search rebuilds them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination import events
+from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.flow_pointers import FlowPointers
+from wagtailkeel_coordination.handshake.flow_search import FlowSearches
+from wagtailkeel_coordination.handshake.server_choice import PeerLoads
+from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.relay import RelayKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from random import Random
+
+    from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
+    from wagtailkeel_coordination.handshake.router_context import RouterContext
+    from wagtailkeel_coordination.handshake.server_choice import PeerLoad
+    from wagtailkeel_coordination.handshake.server_choice import ServerChoice
+    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.relay import RelayFrame
+
+Address = tuple[str, int]
+
+PLACEMENT_ATTEMPTS = 4
+
+
+class DirectoryOwner:
+    """Keeps the directory entries of some flows.
+
+    ``are_members_confirmed`` tells whether control has confirmed the members since a moment.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        holder: FlowHolder,
+        data_centre: str,
+        random: Random,
+        choose: ServerChoice,
+        are_members_confirmed: Callable[[float], bool],
+    ) -> None:
+        self.pointers = FlowPointers()
+        self.searches = FlowSearches()
+        self.loads = PeerLoads()
+        self.peers: frozenset[Address] = frozenset()
+        self.former: frozenset[Address] = frozenset()
+        self._members_by_tag: dict[int, list[Address]] = {}
+        self._context = context
+        self._holder = holder
+        self._data_centre = data_centre
+        self._random = random
+        self._choose = choose
+        self._are_members_confirmed = are_members_confirmed
+
+    def set_peers(
+        self, services_by_member: Mapping[Address, str], former: frozenset[Address]
+    ) -> None:
+        """Set the agents that may hold flows: the members and those removed recently."""
+        members = frozenset(services_by_member)
+        self.former = former - members
+        self.peers = (members | former) - {self._context.own_address}
+        self.loads.retain(members)
+        self._members_by_tag = {}
+        for address, service in services_by_member.items():
+            tag = relay.service_tag(service)
+            self._members_by_tag.setdefault(tag, []).append(address)
+
+    # Frames
+
+    def on_forward(self, frame: RelayFrame, head: PacketHead) -> None:
+        """Hand a balancer's packet on, place it, or search for its flow."""
+        pointer = self.pointers.find(head.key, self._context.now)
+        if pointer is not None and pointer.target == self._context.own_address:
+            # The flow was here and is no longer held.
+            self.pointers.remove(head.key)
+            pointer = None
+        if pointer is not None and head.is_opening and not self._is_reachable(pointer.target):
+            # The first copy may have gone to an agent that has died: another server takes this.
+            pointer.tried.add(pointer.target)
+            self._place(frame, head, pointer.tried)
+        elif pointer is not None:
+            kind = RelayKind.PLACE if head.is_opening else RelayKind.DELIVER
+            self._context.send(pointer.target, kind, frame, frame.body)
+            if pointer.target in self.former:
+                # Control does not hear the agent: it may have died with the flow's server.
+                self._search(frame, head.key, exclude=None)
+        elif head.is_opening:
+            self._place(frame, head, set())
+        elif head.marks & marks.RESETS:
+            self._context.counters["dropped_unknown_reset"] += 1
+        else:
+            self._search(frame, head.key, exclude=None)
+
+    def _is_reachable(self, address: Address) -> bool:
+        return self.loads.is_fresh(address, self._context.now)
+
+    # Openings
+
+    def _place(self, frame: RelayFrame, head: PacketHead, tried: set[Address]) -> None:
+        """Choose a server for an opening that no server has."""
+        key = head.key
+        service = self._context.resolve_service(frame, key)
+        if service is None:
+            self._context.counters["dropped_route_changed"] += 1
+            return
+        has_all_copies = self.pointers.has_all_copies(key, head.attempt)
+        candidates = self._find_candidates(service)
+        while len(tried) < PLACEMENT_ATTEMPTS:
+            peer = self._choose(candidates, self._data_centre, tried, self._random)
+            if peer is None:
+                break
+            self._note_placement(peer, key, len(candidates))
+            pointer = self.pointers.point(key, peer.address, self._context.now)
+            pointer.tried = tried
+            pointer.has_all_copies = has_all_copies
+            if self._offer(frame, key, service, peer.address):
+                return
+            tried.add(peer.address)
+        self._on_unplaced(frame, key, service, len(tried), len(candidates), has_all_copies)
+
+    def _find_candidates(self, service: str) -> list[PeerLoad]:
+        now = self._context.now
+        own_load = self._holder.build_load(now)
+        self.loads.on_load(self._context.own_address, self._data_centre, own_load, now)
+        members = self._members_by_tag.get(relay.service_tag(service), [])
+        return self.loads.candidates(members, now)
+
+    def _offer(self, frame: RelayFrame, key: bytes, service: str, address: Address) -> bool:
+        """Pass an opening to an agent; return False where the own one does not take it."""
+        if address != self._context.own_address:
+            self.loads.note_opening(address)
+            tag = relay.service_tag(service)
+            self._context.relay(address, RelayKind.PLACE, frame, tag, frame.body)
+            return True
+        if not self._holder.has_room(key) or not self._holder.admit(service, key):
+            return False
+        self._holder.open(frame.body, key, address)
+        return True
+
+    def _on_unplaced(
+        self,
+        frame: RelayFrame,
+        key: bytes,
+        service: str,
+        tried: int,
+        candidates: int,
+        has_all_copies: bool,
+    ) -> None:
+        """No server has taken an opening: refuse it, unless one may, or may have."""
+        tag = relay.service_tag(service)
+        self.pointers.remove(key)
+        self.pointers.note_unplaced(key, self._context.now)
+        if self.loads.has_unheard(tag, self._context.now) or not self._hears_all_members(tag):
+            # A server may have room: the caller's next copy finds it.
+            self._context.counters["openings_deferred"] += 1
+        elif has_all_copies:
+            self._refuse(frame.body, key, tried, candidates)
+        else:
+            # Another owner may have placed an earlier copy: its flow may be open by now.
+            self._context.counters["dropped_copy_of_opening"] += 1
+
+    def _hears_all_members(self, tag: int) -> bool:
+        """Tell whether no server of a service can be unknown to be ready."""
+        members = self._members_by_tag.get(tag, [])
+        return all(a == self._context.own_address or self._is_reachable(a) for a in members)
+
+    def _note_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
+        self._context.emit(
+            events.OpeningPlaced(
+                flow_id(key),
+                peer.address[0],
+                self._context.routing.version,
+                candidates,
+                round(expected_wait_ms(peer, self._data_centre), 1),
+                round((self._context.now - peer.heard_at) * 1_000, 1),
+            )
+        )
+
+    def _refuse(self, packet: bytes, key: bytes, tried: int, candidates: int) -> None:
+        """No server takes the opening: none has seen it, and the caller learns so at once."""
+        self._context.counters["openings_refused"] += 1
+        reason = "all_tried" if candidates else "no_server_accepts"
+        self._context.emit(
+            events.OpeningRefused(
+                flow_id(key), reason, tried, candidates, self._context.routing.version
+            )
+        )
+        self._context.reset(packet, key)
+
+    def on_rejected(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        """Offer an opening that came back to another server."""
+        pointer = self.pointers.by_key.get(head.key)
+        if pointer is not None and pointer.target != source:
+            self._context.counters["dropped_late_rejection"] += 1
+            return
+        tried = pointer.tried if pointer is not None else set()
+        tried.add(source)
+        if frame.kind is RelayKind.REJECTED:
+            self.loads.note_rejection(source)
+        if head.key not in self._holder.held.by_key:
+            self._place(frame, head, tried)
+
+    # Searches
+
+    def on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        """Search for a flow that its supposed server does not hold."""
+        pointer = self.pointers.by_key.get(head.key)
+        if pointer is not None and pointer.target == source:
+            self.pointers.remove(head.key)
+        self._search(frame, head.key, exclude=source)
+
+    def _search(self, frame: RelayFrame, key: bytes, exclude: Address | None) -> None:
+        if key not in self.searches.by_key:
+            reason = "not_in_directory" if exclude is None else "returned_by_server"
+            self._context.emit(events.SearchStarted(flow_id(key), reason, len(self.peers)))
+        asked = set(self.peers)
+        if self._holder.is_forgetful:
+            asked.add(self._context.own_address)
+        if exclude is not None:
+            asked.discard(exclude)
+        for address in self.searches.begin(key, frame.body, asked, self._context.now):
+            self._context.counters["search_requests"] += 1
+            if address == self._context.own_address:
+                self._holder.probe(key, frame.body, self._context.own_address)
+            else:
+                self._context.send(address, RelayKind.SEARCH, frame, frame.body)
+
+    def on_found(self, key: bytes, source: Address) -> None:
+        """End a search: the agent at ``source`` has the flow."""
+        if key in self.searches.by_key:
+            self._end_search(key, "found", source[0], 0)
+        queued = self.searches.on_found(key)
+        self.pointers.point(key, source, self._context.now)
+        for packet in queued:
+            if source == self._context.own_address:
+                self._context.outbox.deliver(packet)
+            else:
+                self._context.relay_packet(source, RelayKind.DELIVER, packet)
+
+    def on_not_found(self, key: bytes, source: Address) -> None:
+        """Note that the agent at ``source`` does not have the flow."""
+        pointer = self.pointers.by_key.get(key)
+        if key not in self.searches.by_key and pointer is not None and pointer.target == source:
+            # A delivery, not a search, has met an agent without the flow: the next packet searches.
+            self.pointers.remove(key)
+        if self.searches.on_not_found(key, source):
+            self._conclude(key)
+
+    def _conclude(self, key: bytes) -> None:
+        """End a search that all deny, once it is certain that all were asked.
+
+        A server gets openings only as a member, so whoever has the flow was one before the search.
+        """
+        search = self.searches.by_key[key]
+        if not self._are_members_confirmed(search.started_at):
+            return
+        packet = search.packet
+        fresh = self.searches.ask_more(key, self.peers, self._context.now)
+        for address in fresh:
+            self._context.relay_packet(address, RelayKind.SEARCH, packet)
+        if fresh:
+            return
+        self.searches.end(key)
+        self.pointers.remove(key)
+        self._context.counters["flows_found_nowhere"] += 1
+        self._end_search(key, "nowhere", "", 0)
+        head = self._context.packet_format.parse_inbound(packet)
+        if not isinstance(head, Malformed) and head.payload_bytes:
+            # The flow ended with its server: the caller need not wait for its deadline.
+            self._context.emit(events.FlowReset(flow_id(key), "held_nowhere"))
+            self._context.reset(packet, key)
+
+    def _end_search(self, key: bytes, outcome: str, server_agent: str, silent: int) -> None:
+        self._context.emit(events.SearchEnded(flow_id(key), outcome, server_agent, silent))
+
+    def tick(self) -> None:
+        """End searches that are settled or too old, and forget unused pointers."""
+        now = self._context.now
+        for key in self.searches.find_denied(self.former, now):
+            self._conclude(key)
+        for key, silent in self.searches.expire(now):
+            self._context.counters["searches_expired"] += 1
+            self._end_search(key, "expired", "", silent)
+        self.pointers.sweep(now)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -0,0 +1,277 @@
+"""The part of an agent beside its server: the flows that the server holds are the ground truth."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from wagtailkeel_coordination import events
+from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.held_flows import HeldFlows
+from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
+from wagtailkeel_coordination.handshake.queue_limit import has_room
+from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.malformed import Malformed
+from wagtailkeel_protocol.messages import ServerLoad
+from wagtailkeel_protocol.relay import RelayFrame
+from wagtailkeel_protocol.relay import RelayKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.handshake.held_flows import HeldFlow
+    from wagtailkeel_coordination.handshake.router_context import RouterContext
+    from wagtailkeel_coordination.handshake.server_gate import ServerGate
+    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_protocol.packet_format import PacketHead
+
+Address = tuple[str, int]
+
+FORGETFUL_S = 60.0
+"""A restarted agent may lack flows that its server has for as long as a flow may last."""
+SERVER_BUSY = "server_busy"
+
+
+class OwnerSide(Protocol):
+    """What a holder tells the directory owner in its own process."""
+
+    def on_rejected(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        """An opening comes back."""
+
+    def on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        """A later packet comes back."""
+
+    def on_found(self, key: bytes, source: Address) -> None:
+        """The flow is at ``source``."""
+
+    def on_not_found(self, key: bytes, source: Address) -> None:
+        """The flow is not at ``source``."""
+
+
+class FlowHolder:
+    """Delivers packets to the own server, and takes its packets and reports."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        gate: ServerGate,
+        record_response: Callable[[float], None],
+    ) -> None:
+        self.gate = gate
+        self.held = HeldFlows(record_response)
+        self.probes = MemoryProbes()
+        self._context = context
+        self._forgetful_until = context.now + FORGETFUL_S
+        self._owner: OwnerSide
+
+    def connect(self, owner: OwnerSide) -> None:
+        """Set the directory owner of the same process."""
+        self._owner = owner
+
+    # The server's reports
+
+    def on_report(self, report: ServerReport, now: float) -> bool:
+        """Take in what the own server says; return whether it counts."""
+        known = self.gate.report
+        if not self.gate.on_report(report, now):
+            return False
+        self.held.slots = report.slots
+        if known is not None and known.started_at_ms != report.started_at_ms:
+            self._context.counters["server_incarnations"] += 1
+            self.held.clear()
+            self.held.service_s = 0.0
+        if known is None and report.sequence <= 1:
+            # The server is as young as this agent: there is nothing to have forgotten.
+            self._forgetful_until = now
+        return True
+
+    def build_load(self, now: float) -> ServerLoad:
+        """Return what peers need to know of the own server."""
+        return ServerLoad(
+            self._context.own_tag,
+            self.gate.accepts(now),
+            self.held.in_flight,
+            len(self.held.by_key),
+            self.held.slots,
+            self.held.service_s * 1_000,
+            self.gate.is_cold(now),
+            self.gate.is_leaving,
+            self.gate.is_unheard(now),
+        )
+
+    # Packets for the own server
+
+    def deliver_held(
+        self, flow: HeldFlow, frame: RelayFrame, head: PacketHead, source: Address
+    ) -> None:
+        """Deliver a packet of a flow that the server holds."""
+        flow.owner = self._context.own_address if frame.kind is RelayKind.FORWARD else source
+        if frame.kind is RelayKind.SEARCH:
+            self._context.send(source, RelayKind.FOUND, frame, head.key)
+        self.held.on_inbound(flow, head, self._context.now)
+        self._context.outbox.deliver(frame.body)
+
+    def on_place(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+        """Deliver an opening that an owner has placed here, or send it back."""
+        service = self._context.resolve_service(frame, head.key)
+        if not self.has_room(head.key):
+            self._context.send(source, RelayKind.BUSY, frame, frame.body)
+        elif service is not None and self.admit(service, head.key):
+            self.open(frame.body, head.key, source)
+        else:
+            self._context.send(source, RelayKind.REJECTED, frame, frame.body)
+
+    def has_room(self, key: bytes) -> bool:
+        """Tell whether a request on a new flow would be answered within its route's target."""
+        is_free = has_room(
+            self.held.count_expected(self._context.now),
+            self.held.slots,
+            self.held.service_s,
+            self._context.routing.target_s(self._context.packet_format.endpoint_of(key)),
+        )
+        if not is_free:
+            self._context.counters[f"rejected_{SERVER_BUSY}"] += 1
+            self._note_rejection(key, SERVER_BUSY)
+        return is_free
+
+    def admit(self, service: str, key: bytes) -> bool:
+        """Tell whether the gate lets an opening of a service through, and count it in."""
+        reason = self.gate.admit(service, self._context.now)
+        if reason is not None:
+            self._context.counters[f"rejected_{reason.value}"] += 1
+            self._note_rejection(key, reason.value)
+        return reason is None
+
+    def _note_rejection(self, key: bytes, reason: str) -> None:
+        self._context.emit(
+            events.OpeningRejected(
+                flow_id(key), reason, self.gate.service, self._context.routing.version
+            )
+        )
+
+    def open(self, packet: bytes, key: bytes, owner: Address) -> None:
+        """Deliver an opening that was let through."""
+        self._context.counters["flows_opened"] += 1
+        self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
+        self._context.outbox.deliver(packet)
+
+    @property
+    def is_forgetful(self) -> bool:
+        """Tell whether the server may hold flows that this agent does not know."""
+        return self._context.now < self._forgetful_until
+
+    def on_unknown(
+        self,
+        frame: RelayFrame,
+        head: PacketHead,
+        source: Address,
+        answer: RelayKind,
+        body: bytes,
+    ) -> None:
+        """Answer for a flow that is not known here, asking the server where it may be."""
+        if not self.is_forgetful or head.is_opening:
+            self._context.send(source, answer, frame, body)
+            return
+        self.probe(head.key, frame.body, source)
+
+    def probe(self, key: bytes, packet: bytes, requester: Address) -> None:
+        """Ask the own server for a flow that this agent may have forgotten."""
+        self._context.counters["memory_probes"] += 1
+        self.probes.add(key, requester, self._context.now)
+        self._context.outbox.deliver(packet)
+
+    # Packets from the own server
+
+    def on_server_packet(self, packet: bytes) -> None:
+        """Send a server's packet to its caller, or deal with one that it returned."""
+        self.gate.note_packet()
+        head = self._context.packet_format.parse_outbound(packet)
+        if isinstance(head, Malformed):
+            self._context.counters[f"dropped_reply_{head.value}"] += 1
+            return
+        flow = self.held.by_key.get(head.key)
+        if head.marks & marks.BOUNCED:
+            self._on_bounce(self._context.packet_format.restore_bounced(packet), head, flow)
+            return
+        if flow is None and head.marks & marks.RESETS:
+            self._on_unknown_reset(packet, head)
+            return
+        if flow is None:
+            flow = self._adopt(head.key)
+        self.held.on_outbound(flow, head, self._context.now)
+        self._context.outbox.reply(packet, self._context.packet_format.caller_host(head.key))
+
+    def _on_unknown_reset(self, packet: bytes, head: PacketHead) -> None:
+        """A reset that answers a probe says that the flow is elsewhere: the caller is spared it."""
+        requester = self.probes.remove(head.key)
+        if requester is None:
+            self._context.outbox.reply(packet, self._context.packet_format.caller_host(head.key))
+            return
+        self._context.counters["probes_reset"] += 1
+        self._answer(requester, RelayKind.NOT_FOUND, head.key)
+
+    def _adopt(self, key: bytes) -> HeldFlow:
+        """The server speaks on a flow that this agent has forgotten."""
+        self._context.counters["flows_adopted"] += 1
+        self._context.emit(events.FlowAdopted(flow_id(key)))
+        requester = self.probes.remove(key)
+        flow = self.held.open(key, requester or self._context.own_address, self._context.now)
+        if requester is not None:
+            self._answer(requester, RelayKind.FOUND, key)
+        return flow
+
+    def _on_bounce(self, packet: bytes, head: PacketHead, flow: HeldFlow | None) -> None:
+        self._context.counters["bounces"] += 1
+        requester = self.probes.remove(head.key)
+        if requester is not None:
+            self._answer(requester, RelayKind.NOT_FOUND, head.key)
+            return
+        if flow is None or (head.is_opening and flow.has_reply):
+            return
+        self.held.remove(flow)
+        if head.is_opening:
+            self._note_rejection(head.key, "server_full")
+        else:
+            self._context.emit(events.FlowReturned(flow_id(head.key)))
+        kind = RelayKind.REJECTED if head.is_opening else RelayKind.RETURNED
+        frame = RelayFrame(kind, 0, 0, relay.NO_SERVICE, packet)
+        if head.is_opening:
+            frame.routing_version = self._context.routing.version
+            frame.service_tag = self._context.own_tag
+        if flow.owner != self._context.own_address:
+            self._context.send(flow.owner, kind, frame, packet)
+        else:
+            self._pass_to_own_owner(frame, head)
+
+    def _pass_to_own_owner(self, frame: RelayFrame, head: PacketHead) -> None:
+        if frame.kind is RelayKind.REJECTED:
+            self._owner.on_rejected(frame, head, self._context.own_address)
+        else:
+            self._owner.on_returned(frame, head, self._context.own_address)
+
+    def _answer(self, requester: Address, kind: RelayKind, key: bytes) -> None:
+        if requester != self._context.own_address:
+            self._context.outbox.relay(requester, kind, 0, 0, relay.NO_SERVICE, key)
+        elif kind is RelayKind.FOUND:
+            self._owner.on_found(key, requester)
+        else:
+            self._owner.on_not_found(key, requester)
+
+    # Timers
+
+    def tick(self) -> None:
+        """Settle probes that met silence, and forget flows that are over."""
+        now = self._context.now
+        for key, requester in self.probes.take_silent(now):
+            self._on_silent_probe(key, requester)
+        self.gate.watch(now)
+        self.held.sweep(now)
+
+    def _on_silent_probe(self, key: bytes, requester: Address) -> None:
+        """A live server that does not return a packet has its flow; one that has gone has none."""
+        if self.gate.is_heard(self._context.now):
+            self.held.open(key, requester, self._context.now)
+            self._answer(requester, RelayKind.FOUND, key)
+        elif self.gate.has_gone:
+            self._answer(requester, RelayKind.NOT_FOUND, key)
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
@@ -0,0 +1,70 @@
+"""What both parts of an agent's router share: the packet format, the routing, and ways to send."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.handshake.routing_table import RoutingTable
+from wagtailkeel_protocol import relay
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.events import EventSink
+    from wagtailkeel_coordination.handshake.outbox import RelayOutbox
+    from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_protocol.relay import RelayFrame
+    from wagtailkeel_protocol.relay import RelayKind
+
+Address = tuple[str, int]
+
+
+class RouterContext:
+    """State of one agent that belongs to neither part; ``now`` is the time of the last event."""
+
+    def __init__(
+        self,
+        own_address: Address,
+        service: str,
+        packet_format: PacketFormat,
+        outbox: RelayOutbox,
+        counters: Counters,
+        event_sink: EventSink,
+        now: float,
+    ) -> None:
+        self.own_address = own_address
+        self.own_tag = relay.service_tag(service)
+        self.services_by_tag: dict[int, str] = {self.own_tag: service}
+        self.packet_format = packet_format
+        self.outbox = outbox
+        self.counters = counters
+        self.emit = event_sink.emit
+        self.routing = RoutingTable()
+        self.now = now
+
+    def resolve_service(self, frame: RelayFrame, key: bytes) -> str | None:
+        """Return the service of an opening by the newer of the sender's and the own routing."""
+        if self.routing.version > frame.routing_version:
+            destinations = self.routing.find(self.packet_format.endpoint_of(key))
+            return destinations.choose(key) if destinations else None
+        return self.services_by_tag.get(frame.service_tag)
+
+    def reset(self, packet: bytes, key: bytes) -> None:
+        """Tell a packet's caller that its flow is not open."""
+        refusal = self.packet_format.build_refusal(packet)
+        if refusal is not None:
+            self.outbox.reply(refusal, self.packet_format.caller_host(key))
+
+    def send(self, address: Address, kind: RelayKind, frame: RelayFrame, body: bytes) -> None:
+        """Send a body on behalf of a frame's flow."""
+        self.relay(address, kind, frame, frame.service_tag, body)
+
+    def relay(
+        self, address: Address, kind: RelayKind, frame: RelayFrame, tag: int, body: bytes
+    ) -> None:
+        """Send a body with the newer of the frame's and the own routing version."""
+        version = max(frame.routing_version, self.routing.version if tag else 0)
+        self.outbox.relay(address, kind, frame.hops + 1, version, tag, body)
+
+    def relay_packet(self, address: Address, kind: RelayKind, packet: bytes) -> None:
+        """Send a packet that no frame brought."""
+        self.outbox.relay(address, kind, 1, 0, relay.NO_SERVICE, packet)
