Let a start that a peer rejects wait for room like any other

The counters show 36 placements rejected by peers that had filled up since their last report; a start that came back was refused at once where the own server was full, while a start that had not travelled may wait 0.2 s.

Ruled out: cold servers (server_falls and overloads are 0, refusals come at any time), the drain itself (0 broken, 0 false refusals).

Change: a rejected start joins the queue of its authority. The test has all servers full and peers that do not know it: refused before.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -115,9 +115,15 @@
             context.reset_caller(frame.packet)
         elif self.can_start_here(traffic_class):
             context.open_and_deliver(frame, key, traffic_class)
-        else:
+        elif self._starts.contains(key):
+            return
+        elif not self._starts.add(self._as_fresh(frame), key, traffic_class, context.now):
             self._refuse(frame, key)
 
+    def _as_fresh(self, frame: DataFrame) -> DataFrame:
+        """Return the frame of a start that came back, without the way that it has gone."""
+        return DataFrame(frame.packet, frame.bucket, self._context.epoch)
+
     def refuse_again(self, frame: DataFrame) -> None:
         """Answer another packet of a refused flow as the first one."""
         self._context.counters["starts_refused_again"] += 1
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -97,6 +97,28 @@
             self.cluster.settle(0.1)
         self.assertEqual(len(self.cluster.servers_of(key)), 1)
 
+    def test_a_start_that_a_peer_rejects_waits_for_room(self) -> None:
+        """Seen on the bench: starts were refused while their service had room a moment later."""
+        key = flow_key(7, is_tcp=False)
+        nodes = self.cluster.nodes_by_id
+        for node in nodes.values():
+            node.router.limiter.limit = 1.0
+        self.cluster.gossip()
+        for node in nodes.values():
+            # All are full by now, and no peer knows of the others yet.
+            node.router.limiter.in_flight = 1
+        self.cluster.inject("a", build_udp(key, b"report"))
+        while self.cluster.in_flight:
+            self.cluster.deliver(0)
+        self.assertEqual(self.cluster.refused, set())
+        self.assertEqual(self.cluster.servers_of(key), [])
+        for node in nodes.values():
+            node.router.limiter.in_flight = 0
+        self.cluster.advance(0.05)
+        self.cluster.settle(0.1)
+        self.assertEqual(len(self.cluster.servers_of(key)), 1)
+        self.assertEqual(self.cluster.refused, set())
+
     def test_drained_server_gets_no_new_flow(self) -> None:
         self.cluster.log(DrainServer(server_id="b"))
         self.cluster.settle(1.0)
