--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/__init__.py
@@ -4,7 +4,7 @@
 
 from wagtailkeel_coordination.raft.raft_log import RaftLog
 from wagtailkeel_coordination.raft.raft_node import RaftNode
-from wagtailkeel_coordination.raft.raft_node import RaftRole
+from wagtailkeel_coordination.raft.role import RaftRole
 from wagtailkeel_coordination.raft.storage import RaftStorage
 from wagtailkeel_coordination.raft.storage import StorageFaultError
 
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -0,0 +1,208 @@
+"""Elections: when an instance asks for votes, and when it gives its own.
+
+Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote (Ongaro's thesis, section 9.6). A voter
+that has heard a leader recently gives no vote, since the leader may count on its read lease.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
+from wagtailkeel_coordination.raft.role import RaftRole
+from wagtailkeel_protocol.raft_messages import RestartReply
+from wagtailkeel_protocol.raft_messages import RestartRequest
+from wagtailkeel_protocol.raft_messages import VoteReply
+from wagtailkeel_protocol.raft_messages import VoteRequest
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from wagtailkeel_coordination.raft.raft_node import RaftNode
+
+ELECTION_TIMEOUT_MIN_S = 0.5
+ELECTION_TIMEOUT_MAX_S = 1.0
+
+
+class Elections:
+    """The votes of one instance; times in seconds."""
+
+    def __init__(self, node: RaftNode, random: Random, now: float) -> None:
+        self._node = node
+        self._random = random
+        self._votes: set[str] = set()
+        self._is_pre_vote = False
+        self._restart_rounds = RestartRounds(node.instance_id, random, now)
+        # A restarted voter may have heard a leader that still counts on its read lease.
+        self._heard_leader_at = now
+        self._election_at = now + self._draw_timeout()
+
+    def _draw_timeout(self) -> float:
+        return self._random.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
+
+    def tick(self, now: float) -> None:
+        """Ask for votes where no leader has been heard for long enough."""
+        if now >= self._election_at:
+            self._start_pre_vote(now)
+        elif self._restart_rounds.is_due(now):
+            self._ask_restarted(self._restart_rounds.begin(now), now)
+
+    def on_leader_heard(self, now: float) -> None:
+        """Note that a leader is alive."""
+        self._restart_rounds.has_met_leader = True
+        self.restart_wait(now)
+
+    def restart_wait(self, now: float) -> None:
+        """Wait as if a leader had just been heard."""
+        self._heard_leader_at = now
+        self.postpone(now)
+
+    def postpone(self, now: float) -> None:
+        """Give others the time of one election."""
+        self._election_at = now + self._draw_timeout()
+
+    # Asking for votes
+
+    @property
+    def _other_voters(self) -> list[str]:
+        return [voter for voter in self._node.voters_by_id if voter != self._node.instance_id]
+
+    def _start_pre_vote(self, now: float) -> None:
+        self._become_candidate(now, is_pre_vote=True)
+        self._request_votes(self._node.term + 1, {})
+        self._count_votes(now)
+
+    def _campaign(self, now: float, processes_by_voter: dict[str, int]) -> None:
+        """Ask for votes in a new term; processes are those that vouch for it, if any."""
+        self._become_candidate(now, is_pre_vote=False)
+        if not self._node.save_vote(self._node.term + 1, self._node.instance_id):
+            return
+        self._request_votes(self._node.term, processes_by_voter)
+        self._count_votes(now)
+
+    def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
+        self.postpone(now)
+        self._is_pre_vote = is_pre_vote
+        self._node.leader_id = ""
+        self._node.role = RaftRole.CANDIDATE
+        self._votes = {self._node.instance_id}
+
+    def _request_votes(self, term: int, processes_by_voter: dict[str, int]) -> None:
+        for voter in self._other_voters:
+            request = VoteRequest(
+                term,
+                self._node.instance_id,
+                self._node.log.last_index,
+                self._node.log.last_term,
+                self._is_pre_vote,
+                self._node.identity,
+                processes_by_voter.get(voter, 0),
+            )
+            self._node.send(voter, request)
+
+    def _count_votes(self, now: float) -> None:
+        if len(self._votes) < self._node.quorum:
+            return
+        if self._is_pre_vote:
+            self._campaign(now, {})
+            return
+        self._restart_rounds.has_met_leader = True
+        self._node.become_leader(now)
+
+    def on_vote_reply(self, reply: VoteReply, now: float) -> None:
+        """Count a vote."""
+        if reply.term > self._node.term:
+            self._node.step_down(reply.term, now)
+            return
+        if self._node.role is not RaftRole.CANDIDATE or reply.is_pre_vote != self._is_pre_vote:
+            return
+        if not reply.is_pre_vote and reply.term != self._node.term:
+            return
+        is_voter = self._node.voters_by_id.get(reply.voter_id) == reply.voter_identity
+        if reply.is_granted and is_voter:
+            self._votes.add(reply.voter_id)
+            self._count_votes(now)
+
+    # Giving votes
+
+    def answer_vote(self, request: VoteRequest, now: float) -> VoteReply:
+        """Give or refuse the own vote; a vote that is given is durable."""
+        is_granted = not self._node.has_failed and self._grants(request, now)
+        if is_granted and not request.is_pre_vote:
+            if request.term > self._node.term:
+                self._node.step_down(request.term, now)
+            is_granted = not self._node.has_failed and self._node.save_vote(
+                request.term, request.candidate_id
+            )
+            self.postpone(now)
+        return VoteReply(
+            self._node.term,
+            self._node.instance_id,
+            is_granted,
+            request.is_pre_vote,
+            self._node.identity,
+        )
+
+    def _grants(self, request: VoteRequest, now: float) -> bool:
+        if not self._node.is_voter:
+            return False
+        if self._node.voters_by_id.get(request.candidate_id) != request.candidate_identity:
+            return False
+        if self._may_have_leader(request, now) or request.term < self._node.term:
+            return False
+        if request.is_pre_vote and request.term == self._node.term:
+            return False
+        if request.term == self._node.term and self._node.voted_for not in (
+            "",
+            request.candidate_id,
+        ):
+            return False
+        own = (self._node.log.last_term, self._node.log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def _may_have_leader(self, request: VoteRequest, now: float) -> bool:
+        if self._node.is_leader:
+            return True
+        if now - self._heard_leader_at >= ELECTION_TIMEOUT_MIN_S:
+            return False
+        return not self._restart_rounds.is_vouched(request.voter_process)
+
+    # Restarts of all voters
+
+    def _ask_restarted(self, round_: int, now: float) -> None:
+        """Ask whether all voters have restarted; a single voter knows."""
+        if not self._other_voters:
+            self._campaign(now, {})
+        for voter in self._other_voters:
+            request = RestartRequest(self._node.instance_id, round_, self._restart_rounds.process)
+            self._node.send(voter, request)
+
+    def answer_restart(self, request: RestartRequest, now: float) -> RestartReply:
+        """Say whether this process has met a leader."""
+        rounds = self._restart_rounds
+        rounds.note_process(request.process, now)
+        return RestartReply(
+            self._node.instance_id,
+            request.round,
+            rounds.process,
+            not rounds.has_met_leader,
+            self._node.log.last_index,
+            self._node.log.last_term,
+            list(self._node.voters_by_id),
+        )
+
+    def on_restart_reply(self, reply: RestartReply, now: float) -> None:
+        """Campaign once both rounds have shown that no lease can be alive."""
+        rounds = self._restart_rounds
+        if (
+            not rounds.on_reply(reply, self._node.voters_by_id)
+            or self._node.has_failed
+            or not self._node.is_voter
+        ):
+            return
+        if not rounds.has_newest_log(self._node.log.last_term, self._node.log.last_index):
+            return
+        if not rounds.is_second:
+            self._ask_restarted(rounds.begin_second(), now)
+        elif rounds.processes_by_voter:
+            self._campaign(now, rounds.processes_by_voter)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -9,14 +9,19 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from wagtailkeel_coordination.raft.elections import ELECTION_TIMEOUT_MAX_S
+from wagtailkeel_coordination.raft.elections import ELECTION_TIMEOUT_MIN_S
+from wagtailkeel_coordination.raft.elections import Elections
+from wagtailkeel_coordination.raft.learners import REPLY_TIMEOUT_S
+from wagtailkeel_coordination.raft.learners import UNLIMITED_VOTERS
+from wagtailkeel_coordination.raft.learners import Learners
 from wagtailkeel_coordination.raft.progress import PeerProgress
-from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
+from wagtailkeel_coordination.raft.role import RaftRole
 from wagtailkeel_coordination.raft.storage import StorageFaultError
 from wagtailkeel_protocol.raft_messages import AppendReply
 from wagtailkeel_protocol.raft_messages import AppendRequest
@@ -44,26 +49,11 @@
     from wagtailkeel_state.commands import CommandAnswer
 
 HEARTBEAT_INTERVAL_S = 0.15
-ELECTION_TIMEOUT_MIN_S = 0.5
-ELECTION_TIMEOUT_MAX_S = 1.0
 LEASE_DRIFT_MARGIN_S = 0.1
-REPLY_TIMEOUT_S = 1.0
 ENTRIES_PER_APPEND = 200
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
 RETAINED_ENTRIES = 500
 STORAGE_RETRY_S = 0.5
-VOTER_SILENCE_S = 4.0
-"""A voter silent for longer is replaced where a caught-up instance without a vote stands by."""
-LEARNER_SILENCE_S = 30.0
-UNLIMITED_VOTERS = 1_000
-
-
-class RaftRole(str, Enum):
-    """Role of an instance in its term."""
-
-    FOLLOWER = "follower"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
 
 
 class RaftNode:
@@ -93,24 +83,16 @@
         self.configuration = configuration
         self.has_failed = False
         self.progress_by_id: dict[str, PeerProgress] = {}
-        self.learner_identities_by_id: dict[str, str] = {}
-        self._instance_id = instance_id
-        self._identity = identity
-        self._instance_ids = set(instance_ids)
-        self._voter_limit = voter_limit
+        self.instance_id = instance_id
+        self.identity = identity
+        self.learners = Learners(self, instance_ids, voter_limit)
         self._retry_storage_at = float("inf")
-        self._voted_for = vote.voted_for
+        self.voted_for = vote.voted_for
         self._storage = storage
-        self._send = send
+        self.send = send
         self._apply = apply
         self._replace = replace
-        self._random = random
-        self._votes: set[str] = set()
-        self._is_pre_vote = False
-        self._restart_rounds = RestartRounds(instance_id, random, now)
-        # A restarted voter may have heard a leader that still counts on its read lease.
-        self._heard_leader_at = now
-        self._election_at = now + self._draw_timeout()
+        self._elections = Elections(self, random, now)
         self._voters_by_id = self._find_voters()
 
     # Reading
@@ -123,7 +105,7 @@
     @property
     def is_voter(self) -> bool:
         """Tell whether this data folder may vote."""
-        return self._voters_by_id.get(self._instance_id) == self._identity
+        return self._voters_by_id.get(self.instance_id) == self.identity
 
     @property
     def is_leader(self) -> bool:
@@ -148,16 +130,18 @@
 
     def _quorum_sent_at(self, now: float) -> float:
         times = [
-            now if voter == self._instance_id else self._progress_of(voter).acknowledged_sent_at
+            now if voter == self.instance_id else self.progress_of(voter).acknowledged_sent_at
             for voter in self._voters_by_id
         ]
-        return sorted(times, reverse=True)[self._quorum - 1]
+        return sorted(times, reverse=True)[self.quorum - 1]
 
     @property
-    def _quorum(self) -> int:
+    def quorum(self) -> int:
+        """The number of voters that decide."""
         return len(self._voters_by_id) // 2 + 1
 
-    def _progress_of(self, peer: str) -> PeerProgress:
+    def progress_of(self, peer: str) -> PeerProgress:
+        """Return what this leader knows of another instance's log."""
         if peer not in self.progress_by_id:
             self.progress_by_id[peer] = PeerProgress(self.log.last_index + 1)
         return self.progress_by_id[peer]
@@ -212,10 +196,9 @@
         if now < self._retry_storage_at:
             return
         self.has_failed = False
-        if not self._save_vote(self.term, self._voted_for):
+        if not self.save_vote(self.term, self.voted_for):
             return
-        self._heard_leader_at = now
-        self._election_at = now + self._draw_timeout()
+        self._elections.restart_wait(now)
 
     def _find_voters(self) -> dict[str, str]:
         for index in range(self.log.last_index, self.configuration.index, -1):
@@ -241,185 +224,70 @@
             return
         if self.is_leader:
             self._lead(now)
-        elif not self.is_voter:
-            return
-        elif now >= self._election_at:
-            self._start_pre_vote(now)
-        elif self._restart_rounds.is_due(now):
-            self._ask_restarted(self._restart_rounds.begin(now), now)
+        elif self.is_voter:
+            self._elections.tick(now)
 
     def _lead(self, now: float) -> None:
         if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
-            self._step_down(self.term, now)
+            self.step_down(self.term, now)
             return
-        self._forget_silent_learners(now)
+        self.learners.forget_silent(now)
         for peer in self._replication_targets():
             self._replicate(peer, now)
 
     def _replication_targets(self) -> list[str]:
         """All other instances: those without a vote follow the log as learners."""
-        targets = set(self._voters_by_id) | set(self._instance_ids)
-        return sorted(targets - {self._instance_id})
-
-    def learn_instance(self, instance_id: str, now: float) -> None:
-        """Replicate to an instance without a vote from now on."""
-        if instance_id not in self._instance_ids:
-            self._instance_ids.add(instance_id)
-            self._progress_of(instance_id).acknowledged_sent_at = now
-
-    def _forget_silent_learners(self, now: float) -> None:
-        for instance_id in self._instance_ids - set(self._voters_by_id) - {self._instance_id}:
-            if now - self._progress_of(instance_id).acknowledged_sent_at > LEARNER_SILENCE_S:
-                self._instance_ids.discard(instance_id)
-                self.learner_identities_by_id.pop(instance_id, None)
-                del self.progress_by_id[instance_id]
+        targets = set(self._voters_by_id) | set(self.learners.instance_ids)
+        return sorted(targets - {self.instance_id})
 
     def flush(self, now: float) -> None:
         """Send new entries at once instead of at the next heartbeat."""
         if not self.is_leader:
             return
         for peer in self._replication_targets():
-            if self._progress_of(peer).next_index <= self.log.last_index:
+            if self.progress_of(peer).next_index <= self.log.last_index:
                 self._replicate(peer, now)
 
-    def _draw_timeout(self) -> float:
-        return self._random.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
-
     # Elections
 
-    @property
-    def _other_voters(self) -> list[str]:
-        return [voter for voter in self._voters_by_id if voter != self._instance_id]
-
-    def _ask_restarted(self, round_: int, now: float) -> None:
-        """Ask whether all voters have restarted; a single voter knows."""
-        if not self._other_voters:
-            self._campaign(now, {})
-        for voter in self._other_voters:
-            request = RestartRequest(self._instance_id, round_, self._restart_rounds.process)
-            self._send(voter, request)
-
-    def _start_pre_vote(self, now: float) -> None:
-        self._become_candidate(now, is_pre_vote=True)
-        self._request_votes(self.term + 1, {})
-        self._count_votes(now)
-
-    def _campaign(self, now: float, processes_by_voter: dict[str, int]) -> None:
-        """Ask for votes in a new term; processes are those that vouch for it, if any."""
-        self._become_candidate(now, is_pre_vote=False)
-        if not self._save_vote(self.term + 1, self._instance_id):
-            return
-        self._request_votes(self.term, processes_by_voter)
-        self._count_votes(now)
-
-    def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
-        self._election_at = now + self._draw_timeout()
-        self._is_pre_vote = is_pre_vote
-        self.leader_id = ""
-        self.role = RaftRole.CANDIDATE
-        self._votes = {self._instance_id}
-
-    def _request_votes(self, term: int, processes_by_voter: dict[str, int]) -> None:
-        for voter in self._other_voters:
-            request = VoteRequest(
-                term,
-                self._instance_id,
-                self.log.last_index,
-                self.log.last_term,
-                self._is_pre_vote,
-                self._identity,
-                processes_by_voter.get(voter, 0),
-            )
-            self._send(voter, request)
+    def become_leader(self, now: float) -> None:
+        """Lead the present term."""
+        self.role = RaftRole.LEADER
+        self.leader_id = self.instance_id
+        self.progress_by_id = {}
+        for peer in self._replication_targets():
+            # The quorum that voted counts as heard, so that check-quorum gives it time to answer.
+            self.progress_of(peer).acknowledged_sent_at = now
+        self.propose(Noop())
+        self.flush(now)
 
-    def _save_vote(self, term: int, voted_for: str) -> bool:
+    def save_vote(self, term: int, voted_for: str) -> bool:
+        """Make a term and a vote durable; return False where the disk fails."""
         try:
             self._storage.save_vote(Vote(term, voted_for))
         except StorageFaultError:
             self._fail()
             return False
-        self.term, self._voted_for = term, voted_for
+        self.term, self.voted_for = term, voted_for
         return True
 
-    def _count_votes(self, now: float) -> None:
-        if len(self._votes) < self._quorum:
-            return
-        if self._is_pre_vote:
-            self._campaign(now, {})
-            return
-        self._restart_rounds.has_met_leader = True
-        self.role = RaftRole.LEADER
-        self.leader_id = self._instance_id
-        self.progress_by_id = {}
-        for peer in self._replication_targets():
-            # The quorum that voted counts as heard, so that check-quorum gives it time to answer.
-            self._progress_of(peer).acknowledged_sent_at = now
-        self.propose(Noop())
-        self.flush(now)
-
-    def _step_down(self, term: int, now: float) -> None:
-        if term > self.term and not self._save_vote(term, ""):
+    def step_down(self, term: int, now: float) -> None:
+        """Follow, in a term that is at least the own one."""
+        if term > self.term and not self.save_vote(term, ""):
             return
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
-        self._election_at = now + self._draw_timeout()
+        self._elections.postpone(now)
 
     @singledispatchmethod
     def on_request(self, request: object, now: float) -> VoteReply | AppendReply | RestartReply:
         """Answer a request of a peer."""
         raise TypeError(f"no rule for {type(request).__name__}")
 
-    @on_request.register
-    def _(self, request: VoteRequest, now: float) -> VoteReply:
-        is_granted = not self.has_failed and self._grants(request, now)
-        if is_granted and not request.is_pre_vote:
-            if request.term > self.term:
-                self._step_down(request.term, now)
-            is_granted = not self.has_failed and self._save_vote(request.term, request.candidate_id)
-            self._election_at = now + self._draw_timeout()
-        return VoteReply(
-            self.term, self._instance_id, is_granted, request.is_pre_vote, self._identity
-        )
-
-    def _grants(self, request: VoteRequest, now: float) -> bool:
-        if not self.is_voter:
-            return False
-        if self._voters_by_id.get(request.candidate_id) != request.candidate_identity:
-            return False
-        if self._may_have_leader(request, now) or request.term < self.term:
-            return False
-        if request.is_pre_vote and request.term == self.term:
-            return False
-        if request.term == self.term and self._voted_for not in ("", request.candidate_id):
-            return False
-        own = (self.log.last_term, self.log.last_index)
-        return (request.last_term, request.last_index) >= own
-
-    def _may_have_leader(self, request: VoteRequest, now: float) -> bool:
-        if self.is_leader:
-            return True
-        if now - self._heard_leader_at >= ELECTION_TIMEOUT_MIN_S:
-            return False
-        return not self._restart_rounds.is_vouched(request.voter_process)
-
-    @on_request.register
-    def _(self, request: RestartRequest, now: float) -> RestartReply:
-        rounds = self._restart_rounds
-        rounds.note_process(request.process, now)
-        return RestartReply(
-            self._instance_id,
-            request.round,
-            rounds.process,
-            not rounds.has_met_leader,
-            self.log.last_index,
-            self.log.last_term,
-            list(self._voters_by_id),
-        )
-
     # Replication
 
     def _replicate(self, peer: str, now: float) -> None:
-        progress = self._progress_of(peer)
+        progress = self.progress_of(peer)
         if progress.is_busy and now - progress.sent_at < REPLY_TIMEOUT_S:
             return
         has_news = progress.next_index <= self.log.last_index
@@ -431,13 +299,13 @@
         previous_index = progress.next_index - 1
         previous_term = self.log.term_at(previous_index)
         if previous_term is None:
-            self._send(peer, self._snapshot_request(progress))
+            self.send(peer, self._snapshot_request(progress))
             return
-        self._send(
+        self.send(
             peer,
             AppendRequest(
                 self.term,
-                self._instance_id,
+                self.instance_id,
                 previous_index,
                 previous_term,
                 self.log.entries_after(previous_index, ENTRIES_PER_APPEND),
@@ -450,9 +318,17 @@
         config = self.configuration
         body = msgspec.msgpack.encode(config)
         return SnapshotRequest(
-            self.term, self._instance_id, body, config.index, config.term, progress.round
+            self.term, self.instance_id, body, config.index, config.term, progress.round
         )
 
+    @on_request.register
+    def _(self, request: VoteRequest, now: float) -> VoteReply:
+        return self._elections.answer_vote(request, now)
+
+    @on_request.register
+    def _(self, request: RestartRequest, now: float) -> RestartReply:
+        return self._elections.answer_restart(request, now)
+
     @on_request.register
     def _(self, request: AppendRequest, now: float) -> AppendReply:
         if self.has_failed or request.term < self.term:
@@ -470,18 +346,16 @@
 
     def _follow(self, leader_id: str, term: int, now: float) -> bool:
         if term > self.term or self.role is not RaftRole.FOLLOWER:
-            self._step_down(term, now)
+            self.step_down(term, now)
             if self.has_failed:
                 return False
         self.leader_id = leader_id
-        self._restart_rounds.has_met_leader = True
-        self._heard_leader_at = now
-        self._election_at = now + self._draw_timeout()
+        self._elections.on_leader_heard(now)
         return True
 
     def _append_reply(self, is_matched: bool, match_index: int, round_: int) -> AppendReply:
         return AppendReply(
-            self.term, self._instance_id, is_matched, match_index, round_, self._identity
+            self.term, self.instance_id, is_matched, match_index, round_, self.identity
         )
 
     def _store(self, request: AppendRequest) -> bool:
@@ -544,44 +418,26 @@
 
     @on_reply.register
     def _(self, reply: VoteReply, now: float) -> None:
-        if reply.term > self.term:
-            self._step_down(reply.term, now)
-            return
-        if self.role is not RaftRole.CANDIDATE or reply.is_pre_vote != self._is_pre_vote:
-            return
-        if not reply.is_pre_vote and reply.term != self.term:
-            return
-        is_voter = self._voters_by_id.get(reply.voter_id) == reply.voter_identity
-        if reply.is_granted and is_voter:
-            self._votes.add(reply.voter_id)
-            self._count_votes(now)
+        self._elections.on_vote_reply(reply, now)
 
     @on_reply.register
     def _(self, reply: RestartReply, now: float) -> None:
-        rounds = self._restart_rounds
-        if not rounds.on_reply(reply, self._voters_by_id) or self.has_failed or not self.is_voter:
-            return
-        if not rounds.has_newest_log(self.log.last_term, self.log.last_index):
-            return
-        if not rounds.is_second:
-            self._ask_restarted(rounds.begin_second(), now)
-        elif rounds.processes_by_voter:
-            self._campaign(now, rounds.processes_by_voter)
+        self._elections.on_restart_reply(reply, now)
 
     @on_reply.register
     def _(self, reply: AppendReply, now: float) -> None:
         if reply.term > self.term:
-            self._step_down(reply.term, now)
+            self.step_down(reply.term, now)
             return
         if not self.is_leader or reply.term != self.term:
             return
-        progress = self._progress_of(reply.follower_id)
+        progress = self.progress_of(reply.follower_id)
         if reply.round != progress.round:
             return
         progress.is_busy = False
         voter_identity = self._voters_by_id.get(reply.follower_id)
         if voter_identity is None:
-            self.learner_identities_by_id[reply.follower_id] = reply.follower_identity
+            self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         elif voter_identity != reply.follower_identity:
             self._on_foreign_identity(reply, progress, now)
             return
@@ -605,7 +461,7 @@
 
     def _on_foreign_identity(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
         """An instance with another data folder than its voter's: replicate, but don't count."""
-        self.learner_identities_by_id[reply.follower_id] = reply.follower_identity
+        self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
             progress.next_index = reply.match_index + 1
         else:
@@ -618,52 +474,6 @@
             self.propose(SetControlMembers(identities_by_id=voters))
             self.flush(now)
 
-    def admit_learners(self, now: float) -> None:
-        """Make a caught-up learner a voter, one at a time, in the place of a silent one if full."""
-        if not self.is_leader or self.is_member_change_pending:
-            return
-        if self.log.term_at(self.commit_index) != self.term:
-            return
-        if len(self._voters_by_id) >= self._voter_limit:
-            self._replace_silent_voter(now)
-            return
-        for learner, identity in list(self.learner_identities_by_id.items()):
-            if self._voters_by_id.get(learner) == identity:
-                del self.learner_identities_by_id[learner]
-                continue
-            if learner in self._voters_by_id:
-                continue  # Its former identity leaves the voters first.
-            if self._can_stand_in(learner, now):
-                voters = {**self._voters_by_id, learner: identity}
-                self.propose(SetControlMembers(identities_by_id=voters))
-                self.flush(now)
-                return
-
-    def _replace_silent_voter(self, now: float) -> None:
-        """Remove a voter that is silent for long, if another instance can take its place."""
-        if not any(self._can_stand_in(learner, now) for learner in self.learner_identities_by_id):
-            return
-        silent = [
-            voter
-            for voter in self._voters_by_id
-            if voter != self._instance_id
-            and now - self._progress_of(voter).acknowledged_sent_at > VOTER_SILENCE_S
-        ]
-        if not silent:
-            return
-        longest = min(silent, key=lambda v: self._progress_of(v).acknowledged_sent_at)
-        voters = {key: value for key, value in self._voters_by_id.items() if key != longest}
-        self._instance_ids.add(longest)
-        self.propose(SetControlMembers(identities_by_id=voters))
-        self.flush(now)
-
-    def _can_stand_in(self, learner: str, now: float) -> bool:
-        if learner in self._voters_by_id:
-            return False
-        progress = self._progress_of(learner)
-        is_heard = now - progress.acknowledged_sent_at < REPLY_TIMEOUT_S
-        return is_heard and progress.match_index >= self.commit_index
-
     # Commit
 
     def _advance_commit(self) -> None:
@@ -672,14 +482,14 @@
         matches = [
             (
                 self.log.last_index
-                if voter == self._instance_id
-                else self._progress_of(voter).match_index
+                if voter == self.instance_id
+                else self.progress_of(voter).match_index
             )
             for voter in self._voters_by_id
         ]
         if not matches:
             return
-        index = sorted(matches, reverse=True)[self._quorum - 1]
+        index = sorted(matches, reverse=True)[self.quorum - 1]
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self._commit_to(index)
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -25,7 +25,7 @@
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft.formation import decide_formation
-from wagtailkeel_coordination.raft.raft_node import UNLIMITED_VOTERS
+from wagtailkeel_coordination.raft.learners import UNLIMITED_VOTERS
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
@@ -274,7 +274,7 @@
     async def _note_learner(self, request: ControlJoinRequest) -> ControlJoinReply:
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
-        self._raft.learn_instance(request.instance_id, clock.seconds())
+        self._raft.learners.learn(request.instance_id, clock.seconds())
         return ControlJoinReply(True, self._instance_id)
 
     async def _form(self) -> None:
@@ -440,7 +440,7 @@
             if self._raft.commit_index == self._raft.log.last_index:
                 for command in self._duties.find_due(self._store.configuration, now, time.time()):
                     self._propose_duty(command)
-            self._raft.admit_learners(now)
+            self._raft.learners.admit(now)
 
     # Messages of nodes
 
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -12,7 +12,7 @@
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft import StorageFaultError
-from wagtailkeel_coordination.raft.raft_node import ELECTION_TIMEOUT_MIN_S
+from wagtailkeel_coordination.raft.elections import ELECTION_TIMEOUT_MIN_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_protocol.raft_messages import RestartReply
 from wagtailkeel_protocol.raft_messages import RestartRequest
@@ -189,7 +189,7 @@
         self.now += self.random.uniform(0.01, 0.5)
         for control in self.controls.values():
             control.node.tick(self.now)
-            control.node.admit_learners(self.now)
+            control.node.learners.admit(self.now)
 
     def propose(self) -> None:
         for control in self.controls.values():
@@ -233,7 +233,7 @@
             self.now += 0.05
             for control in self.controls.values():
                 control.node.tick(self.now)
-                control.node.admit_learners(self.now)
+                control.node.learners.admit(self.now)
             while self.requests or self.replies:
                 self.deliver_request(in_order=True)
                 self.deliver_reply(in_order=True)
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -7,8 +7,8 @@
 
 from tests.coordination.test_raft import FakeDisk
 from wagtailkeel_coordination.raft import RaftNode
+from wagtailkeel_coordination.raft.learners import VOTER_SILENCE_S
 from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
-from wagtailkeel_coordination.raft.raft_node import VOTER_SILENCE_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_state import CommandAnswer
 from wagtailkeel_state import LogEntry
@@ -66,7 +66,7 @@
     def add(self, name: str, identity: str) -> None:
         """Start an instance with an empty disk; it asks the leader to follow the log."""
         self.members[name] = Member(self, name, identity)
-        self.leader.node.learn_instance(name, self.now)
+        self.leader.node.learners.learn(name, self.now)
 
     @property
     def leader(self) -> Member:
@@ -79,7 +79,7 @@
             self.now += STEP_S
             for member in self.members.values():
                 member.node.tick(self.now)
-                member.node.admit_learners(self.now)
+                member.node.learners.admit(self.now)
             self._deliver()
 
     def _deliver(self) -> None:
