Balancers of a data centre stop one after the other

With two of Boston's three away fewer than half were ready, and the fabric used all three again: 31 of 415 requests failed between 16 and 18 s, by then on flows of live servers whose packets went to a balancer that was down.

Change: a balancer tells the others of its data centre when a planned stop begins and when it is ready; one that is asked to stop serves on for up to 3.0 s (`stop_wait_limit_s`) while another is away, and 0.6 s after its return. Also: a leader's view of a follower's log and the voters of a log are methods of these; control's formation and the state that operators replace are classes of their own.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_state.commands import SetControlMembers
+
 if TYPE_CHECKING:
     from wagtailkeel_state.commands import LogEntry
 
@@ -43,6 +45,14 @@
         start = index - self.base_index
         return self._entries[start : start + limit]
 
+    def find_voters(self, after: int) -> dict[str, str] | None:
+        """Return the voters of the newest entry that sets them, None where none after ``after``."""
+        for index in range(self.last_index, after, -1):
+            command = self.entry_at(index).command
+            if isinstance(command, SetControlMembers):
+                return dict(command.identities_by_id)
+        return None
+
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries at the end."""
         self._entries.extend(entries)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -201,19 +201,13 @@
         self._elections.restart_wait(now)
 
     def _find_voters(self) -> dict[str, str]:
-        for index in range(self.log.last_index, self.configuration.index, -1):
-            command = self.log.entry_at(index).command
-            if isinstance(command, SetControlMembers):
-                return dict(command.identities_by_id)
-        return dict(self.configuration.control_identities_by_id)
+        voters = self.log.find_voters(after=self.configuration.index)
+        return dict(self.configuration.control_identities_by_id) if voters is None else voters
 
     @property
     def is_member_change_pending(self) -> bool:
         """Tell whether a change of voters is in the log but not committed."""
-        return any(
-            isinstance(self.log.entry_at(index).command, SetControlMembers)
-            for index in range(self.commit_index + 1, self.log.last_index + 1)
-        )
+        return self.log.find_voters(after=self.commit_index) is not None
 
     # Timers
 
@@ -443,29 +437,20 @@
             return
         progress.acknowledged_sent_at = progress.sent_at
         refused_index = progress.next_index
-        self._learn_match(reply, progress)
+        progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
         self._advance_commit()
         # A follower whose disk fails refuses the same entries again and again: it can wait.
         has_moved = reply.is_matched or progress.next_index != refused_index
         if has_moved and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
-    def _learn_match(self, reply: AppendReply, progress: PeerProgress) -> None:
-        if reply.is_matched:
-            progress.match_index = max(progress.match_index, reply.match_index)
-            progress.next_index = progress.match_index + 1
-            return
-        progress.next_index = max(1, min(reply.match_index, progress.next_index - 1) + 1)
-        if progress.next_index <= self.log.base_index:
-            progress.next_index = self.log.base_index
-
     def _on_foreign_identity(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
         """An instance with another data folder than its voter's: replicate, but don't count."""
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
             progress.next_index = reply.match_index + 1
         else:
-            self._learn_match(reply, progress)
+            progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
         progress.match_index = 0
         is_caught_up = reply.is_matched and reply.match_index >= self.commit_index
         if is_caught_up and not self.is_member_change_pending:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -182,6 +182,12 @@
     is_unheard: bool = False
 
 
+class BalancerState(Datagram, tag=12):
+    """Balancer to the others of its data centre: a planned stop begins, or it has become ready."""
+
+    is_stopping: bool
+
+
 AnyDatagram = (
     Heartbeat
     | HeartbeatAck
@@ -194,6 +200,7 @@
     | FlowTransfer
     | FlowTransferAck
     | ServerLoad
+    | BalancerState
 )
 
 
--- /dev/null
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -0,0 +1,138 @@
+"""How a control instance comes to belong to a cluster: as a founder, or by following its log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from wagtailkeel_coordination.raft.formation import decide_formation
+from wagtailkeel_protocol.messages import ControlJoinReply
+from wagtailkeel_protocol.messages import ControlJoinRequest
+from wagtailkeel_protocol.raft_messages import FormationReply
+from wagtailkeel_protocol.raft_messages import FormationRequest
+from wagtailkeel_transport import RpcError
+from wagtailkeel_transport import clock
+from wagtailkeel_transport.methods import CONTROL_JOIN
+from wagtailkeel_transport.methods import FORMATION
+
+if TYPE_CHECKING:
+    from wagtailkeel.roles.address_book import AddressBook
+    from wagtailkeel.settings import DiscoverySettings
+    from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.raft import RaftNode
+    from wagtailkeel_transport import RpcClient
+
+FORMATION_RETRY_S = 0.2
+FORMATION_TIMEOUT_S = 1.0
+LEARNER_RETRY_S = 0.5
+
+
+class ClusterFormation:
+    """Asks other control instances on behalf of one; without discovery the settings name all."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        identity: str,
+        discovery: DiscoverySettings | None,
+        raft: RaftNode,
+        address_book: AddressBook,
+        rpc_client: RpcClient,
+        counters: Counters,
+    ) -> None:
+        self._instance_id = instance_id
+        self._identity = identity
+        self._discovery = discovery
+        self._raft = raft
+        self._address_book = address_book
+        self._rpc_client = rpc_client
+        self._counters = counters
+
+    @property
+    def may_form(self) -> bool:
+        """Tell whether this instance may be one of the first voters."""
+        discovery = self._discovery
+        if discovery is None:
+            return True
+        return discovery.may_form and self._instance_id in self._address_book.seeds
+
+    async def follow_forever(self) -> None:
+        """Ask to follow the log while this data folder has no vote."""
+        while True:
+            if not self._raft.is_voter:
+                await self._ask_to_follow()
+            await anyio.sleep(LEARNER_RETRY_S)
+
+    async def _ask_to_follow(self) -> None:
+        request = ControlJoinRequest(self._instance_id, self._identity)
+        asked: set[str] = {self._instance_id}
+        to_ask = [id_ for id_ in self._address_book.control_ids if id_ not in asked]
+        while to_ask:
+            control_id = to_ask.pop(0)
+            address = self._address_book.rpc_address(control_id)
+            if control_id in asked or address is None:
+                continue
+            asked.add(control_id)
+            try:
+                reply = await self._rpc_client.call(
+                    address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
+                )
+            except RpcError:
+                self._counters["control_join_failures"] += 1
+                continue
+            if reply.is_noted:
+                return
+            if reply.leader_id:
+                to_ask.insert(0, reply.leader_id)
+        self._address_book.reload_seeds()
+
+    async def note_learner(self, request: ControlJoinRequest) -> ControlJoinReply:
+        """Replicate to an instance that asks for it; a follower names the leader."""
+        if not self._raft.is_leader:
+            return ControlJoinReply(False, self._raft.leader_id)
+        self._raft.learners.learn(request.instance_id, clock.seconds())
+        return ControlJoinReply(True, self._instance_id)
+
+    async def form(self) -> None:
+        """Write the first entry of a new cluster once all founders have answered."""
+        while not self._raft.voters_by_id:
+            replies = await self._ask_formation()
+            expected = self._founder_ids
+            voters = decide_formation(self._instance_id, self._identity, expected, replies)
+            if voters is not None and not self._raft.voters_by_id:
+                self._raft.form(voters)
+                logger.info("formed a cluster of {}", ", ".join(sorted(voters)))
+                return
+            await anyio.sleep(FORMATION_RETRY_S)
+
+    @property
+    def _founder_ids(self) -> list[str]:
+        if self._discovery is not None:
+            return self._address_book.seeds
+        return self._address_book.control_ids
+
+    async def _ask_formation(self) -> list[FormationReply]:
+        replies: list[FormationReply] = []
+
+        async def ask(control_id: str) -> None:
+            address = self._address_book.rpc_address(control_id)
+            assert address is not None, "control instances are in the settings"
+            request = FormationRequest(self._instance_id, self._identity)
+            try:
+                replies.append(
+                    await self._rpc_client.call(address, FORMATION, request, FORMATION_TIMEOUT_S)
+                )
+            except RpcError:
+                self._counters["formation_failures"] += 1
+
+        async with anyio.create_task_group() as tasks:
+            for control_id in self._founder_ids:
+                if control_id != self._instance_id:
+                    tasks.start_soon(ask, control_id)
+        return replies
+
+    async def answer(self, request: FormationRequest) -> FormationReply:
+        """Say whether this instance belongs to a cluster."""
+        return FormationReply(self._instance_id, self._identity, dict(self._raft.voters_by_id))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -12,8 +12,10 @@
 
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
+from wagtailkeel.roles.control.cluster_formation import ClusterFormation
 from wagtailkeel.roles.control.leader_duties import LeaderDuties
 from wagtailkeel.roles.control.node_statuses import list_nodes
+from wagtailkeel.roles.control.operator_state import OperatorState
 from wagtailkeel.roles.control.pending_proposals import PendingProposals
 from wagtailkeel.roles.control.raft_disk import RaftDisk
 from wagtailkeel.roles.metrics import Metrics
@@ -24,7 +26,6 @@
 from wagtailkeel_coordination.membership import is_current
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
-from wagtailkeel_coordination.raft.formation import decide_formation
 from wagtailkeel_coordination.raft.learners import UNLIMITED_VOTERS
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
@@ -33,8 +34,6 @@
 from wagtailkeel_protocol.messages import AnnounceRequest
 from wagtailkeel_protocol.messages import CommandReply
 from wagtailkeel_protocol.messages import CommandRequest
-from wagtailkeel_protocol.messages import ControlJoinReply
-from wagtailkeel_protocol.messages import ControlJoinRequest
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import Heartbeat
@@ -46,22 +45,14 @@
 from wagtailkeel_protocol.messages import StatusRequest
 from wagtailkeel_protocol.messages import StopRequest
 from wagtailkeel_protocol.messages import VersionHint
-from wagtailkeel_protocol.raft_messages import FormationReply
-from wagtailkeel_protocol.raft_messages import FormationRequest
 from wagtailkeel_state.commands import CommandAnswer
 from wagtailkeel_state.commands import JoinBalancer
 from wagtailkeel_state.commands import JoinServer
 from wagtailkeel_state.commands import RemoveServer
-from wagtailkeel_state.commands import ReplaceRouting
-from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.commands import StopAgent
 from wagtailkeel_state.configuration import Configuration
 from wagtailkeel_state.configuration_machine import apply_entry
 from wagtailkeel_state.enums import AnswerStatus
-from wagtailkeel_state.enums import DataCentreState
-from wagtailkeel_state.routing import RoutingDocument
-from wagtailkeel_state.routing import compute_change
-from wagtailkeel_state.routing import find_document_fault
 from wagtailkeel_transport import RpcClient
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import RpcServer
@@ -96,17 +87,11 @@
 TICK_INTERVAL_S = 0.05
 DUTY_INTERVAL_S = 0.25
 HINT_INTERVAL_S = 0.1
-FORMATION_RETRY_S = 0.2
-FORMATION_TIMEOUT_S = 1.0
 RAFT_CALL_TIMEOUT_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
 COMMIT_POLL_S = 0.2
-LEARNER_RETRY_S = 0.5
 LEADER_WAIT_S = 1.0
 """How long a node that wants to join waits here for an election to end."""
-READ_TIMEOUT_S = 0.9
-READ_POLL_S = 0.01
-ROUTING_ATTEMPTS = 3
 
 
 class Control:
@@ -138,7 +123,16 @@
         self._pending = PendingProposals()
         self._raft = self._build_raft()
         self._duties = LeaderDuties.from_settings(section, self.metrics, clock.seconds())
-        self._routing_lock = anyio.Lock()
+        self._formation = ClusterFormation(
+            self._instance_id,
+            self._folder.identity,
+            settings.discovery,
+            self._raft,
+            self._address_book,
+            self._rpc_client,
+            self.metrics.counters,
+        )
+        self.operator_state = OperatorState(self._raft, self._store, self._propose, event_sink)
         self._led_term = 0
         self._hinted_version = 0
         self._hinted_at = float("-inf")
@@ -205,8 +199,8 @@
                 PULL: self._answer_pull,
                 STATUS: self._status,
                 DUMP: self._dump,
-                FORMATION: self._answer_formation,
-                CONTROL_JOIN: self._note_learner,
+                FORMATION: self._formation.answer,
+                CONTROL_JOIN: self._formation.note_learner,
                 RAFT: self._on_raft_request,
             }
         )
@@ -219,9 +213,9 @@
                 tasks.start_soon(self._tick_forever)
                 tasks.start_soon(self._lead_forever)
                 if self._settings.discovery is not None:
-                    tasks.start_soon(self._join_as_learner)
-                if self._may_form:
-                    await self._form()
+                    tasks.start_soon(self._formation.follow_forever)
+                if self._formation.may_form:
+                    await self._formation.form()
         finally:
             self._endpoint.close()
             self._rpc_client.close()
@@ -232,93 +226,6 @@
     async def stop(self) -> None:
         """All that was answered is durable already."""
 
-    # Forming the cluster
-
-    @property
-    def _may_form(self) -> bool:
-        discovery = self._settings.discovery
-        if discovery is None:
-            return True
-        return discovery.may_form and self._instance_id in self._address_book.seeds
-
-    async def _join_as_learner(self) -> None:
-        """Ask to follow the log while this data folder has no vote."""
-        while True:
-            if not self._raft.is_voter:
-                await self._ask_to_follow()
-            await anyio.sleep(LEARNER_RETRY_S)
-
-    async def _ask_to_follow(self) -> None:
-        request = ControlJoinRequest(self._instance_id, self._folder.identity)
-        asked: set[str] = {self._instance_id}
-        to_ask = [id_ for id_ in self._address_book.control_ids if id_ not in asked]
-        while to_ask:
-            control_id = to_ask.pop(0)
-            address = self._address_book.rpc_address(control_id)
-            if control_id in asked or address is None:
-                continue
-            asked.add(control_id)
-            try:
-                reply = await self._rpc_client.call(
-                    address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
-                )
-            except RpcError:
-                self.metrics.counters["control_join_failures"] += 1
-                continue
-            if reply.is_noted:
-                return
-            if reply.leader_id:
-                to_ask.insert(0, reply.leader_id)
-        self._address_book.reload_seeds()
-
-    async def _note_learner(self, request: ControlJoinRequest) -> ControlJoinReply:
-        if not self._raft.is_leader:
-            return ControlJoinReply(False, self._raft.leader_id)
-        self._raft.learners.learn(request.instance_id, clock.seconds())
-        return ControlJoinReply(True, self._instance_id)
-
-    async def _form(self) -> None:
-        while not self._raft.voters_by_id:
-            replies = await self._ask_formation()
-            expected = self._founder_ids
-            voters = decide_formation(self._instance_id, self._folder.identity, expected, replies)
-            if voters is not None and not self._raft.voters_by_id:
-                self._raft.form(voters)
-                logger.info("formed a cluster of {}", ", ".join(sorted(voters)))
-                return
-            await anyio.sleep(FORMATION_RETRY_S)
-
-    @property
-    def _founder_ids(self) -> list[str]:
-        if self._settings.discovery is not None:
-            return self._address_book.seeds
-        return self._address_book.control_ids
-
-    async def _ask_formation(self) -> list[FormationReply]:
-        replies: list[FormationReply] = []
-
-        async def ask(control_id: str) -> None:
-            address = self._address_book.rpc_address(control_id)
-            assert address is not None, "control instances are in the settings"
-            request = FormationRequest(self._instance_id, self._folder.identity)
-            try:
-                replies.append(
-                    await self._rpc_client.call(address, FORMATION, request, FORMATION_TIMEOUT_S)
-                )
-            except RpcError:
-                self.metrics.counters["formation_failures"] += 1
-
-        async with anyio.create_task_group() as tasks:
-            for control_id in self._founder_ids:
-                if control_id != self._instance_id:
-                    tasks.start_soon(ask, control_id)
-        return replies
-
-    async def _answer_formation(self, request: FormationRequest) -> FormationReply:
-        return FormationReply(
-            self._instance_id, self._folder.identity, dict(self._raft.voters_by_id)
-        )
-
     # Consensus
 
     def _send_raft(self, peer: str, message: RaftMessage) -> None:
@@ -511,7 +418,7 @@
             while not self._raft.leader_id:
                 await self._leader_changed.wait()
 
-    # Routing documents and data centres, as whole states rather than commands
+    # What operators' interfaces ask
 
     @property
     def leader_id(self) -> str:
@@ -523,60 +430,6 @@
         """Tell whether this instance believes that it leads."""
         return self._raft.is_leader
 
-    async def replace_routing(self, document: RoutingDocument, author: str) -> CommandAnswer:
-        """Put a document in force, or confirm that a newer one is.
-
-        The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
-        same document may then be sent again, here or elsewhere.
-        """
-        fault = find_document_fault(document)
-        if fault is not None:
-            return CommandAnswer(AnswerStatus.REJECTED, fault)
-        async with self._routing_lock:
-            for _ in range(ROUTING_ATTEMPTS):
-                known = self._store.configuration.routing
-                if document.version <= known.version:
-                    return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
-                command = ReplaceRouting(change=compute_change(known, document))
-                answer = await self._propose(CommandRequest(command, "", author))
-                if answer is None or answer.status is AnswerStatus.UNKNOWN:
-                    break
-                if answer.is_accepted:
-                    self._emit(events.RoutingCommitted(document.version, answer.index))
-                    return answer
-        return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
-
-    async def read_routing(self) -> RoutingDocument | None:
-        """Return the newest document, or None where a quorum does not confirm that it is."""
-        if not await self._confirm_read():
-            return None
-        return self._store.configuration.routing
-
-    async def set_data_centre_state(
-        self, name: str, state: DataCentreState, author: str
-    ) -> CommandAnswer:
-        """Take a data centre out or back; one that is in the state already is confirmed."""
-        async with self._routing_lock:
-            if not await self._confirm_read():
-                return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
-            found = self._store.configuration.data_centres_by_name.get(name)
-            if found is not None and found.state is state:
-                return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
-            command = SetDataCentreState(name=name, state=state, may_be_last=True)
-            answer = await self._propose(CommandRequest(command, "", author))
-        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance does not lead")
-
-    async def _confirm_read(self) -> bool:
-        asked_at = clock.seconds()
-        while self._raft.is_leader:
-            now = clock.seconds()
-            if self._raft.is_read_confirmed(asked_at, now):
-                return True
-            if now - asked_at > READ_TIMEOUT_S:
-                return False
-            await anyio.sleep(READ_POLL_S)
-        return False
-
     # Operators
 
     async def _command(self, request: CommandRequest) -> CommandReply:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -15,9 +15,12 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
+from wagtailkeel_coordination.handshake.stop_turns import StopTurns
 from wagtailkeel_protocol.codec import decode_datagram
+from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.messages import AnnounceRequest
+from wagtailkeel_protocol.messages import BalancerState
 from wagtailkeel_protocol.messages import Datagram
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
@@ -49,6 +52,7 @@
 
 OWNER_INTERVAL_S = 0.2
 ROUTING_AGE_LIMIT_S = 1.5
+TURN_POLL_S = 0.1
 
 
 class HandshakeBalancer:
@@ -81,6 +85,8 @@
         )
         self._emit = event_sink.emit
         self._is_stopping = False
+        self._was_ready = False
+        self._turns = StopTurns(section.stop_wait_limit_s)
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             self._balancer_id,
@@ -130,8 +136,12 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Say no at the ready endpoint, and serve until the fabric has noticed."""
+        """Wait for the turn, say no when asked whether ready, and serve until that is noticed."""
+        asked_at = clock.seconds()
+        while not self._turns.may_stop(asked_at, clock.seconds()):
+            await anyio.sleep(TURN_POLL_S)
         self._is_stopping = True
+        self._tell_state(is_stopping=True)
         await anyio.sleep(self._section.stop_delay_s)
 
     def _is_routing_current(self) -> bool:
@@ -165,8 +175,19 @@
     async def _refresh_owners_forever(self) -> None:
         while True:
             self._refresh_owners()
+            if self.is_ready and not self._was_ready:
+                self._tell_state(is_stopping=False)
+            self._was_ready = self.is_ready
             await anyio.sleep(OWNER_INTERVAL_S)
 
+    def _tell_state(self, *, is_stopping: bool) -> None:
+        """Tell the other balancers of the data centre."""
+        datagram = encode_datagram(BalancerState(is_stopping))
+        for balancer in self.store.configuration.balancers_by_id.values():
+            is_near = balancer.data_centre == self._instance.data_centre
+            if is_near and balancer.instance_id != self._balancer_id:
+                self._endpoint.send(datagram, (balancer.host, balancer.port))
+
     def _refresh_owners(self) -> None:
         """Owners are the live agents of the own data centre; without any, all others."""
         now = clock.seconds()
@@ -206,6 +227,14 @@
         if message.is_leaving:
             self._refresh_owners()
 
+    @_on_message.register
+    def _(self, message: BalancerState, source: Address) -> None:
+        now = clock.seconds()
+        if message.is_stopping:
+            self._turns.on_stop(source, now)
+        else:
+            self._turns.on_ready(source, now)
+
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request.since)
 
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -101,8 +101,9 @@
 class HandshakeBalancerSettings(_Section):
     """The balancer role for packet formats whose handshake settles a flow's server.
 
-    ``caller_port`` is where callers take packets. A planned stop goes on serving for
-    ``stop_delay_s`` after the ready endpoint has said no.
+    ``caller_port`` is where callers take packets. A planned stop waits for up to
+    ``stop_wait_limit_s`` while another balancer of the data centre is away, and goes on serving
+    for ``stop_delay_s`` after the ready endpoint has said no.
     """
 
     port: Port
@@ -110,6 +111,7 @@
     fabric_port: Port
     caller_port: Port
     stop_delay_s: PositiveFloat = 1.4
+    stop_wait_limit_s: PositiveFloat = 3.0
 
 
 class HandshakeAgentSettings(_Section):
