--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 SOURCES := $(addsuffix /src,$(filter-out platform,$(PACKAGES))) platform tests
 SEED ?= 1
 SCENARIO ?= steady-marshals
+LOAD ?= surge
 
-.PHONY: run test lint bench format
+.PHONY: run test lint bench load-model format
 
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -24,6 +25,9 @@
 bench: $(VENV)/.installed
 	$(PYTHON) -m wagtailkeel_bench scenario $(SCENARIO) --seed $(SEED)
 
+load-model: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench load-model $(LOAD) --seed $(SEED)
+
 lint: $(VENV)/.installed
 	$(VENV)/bin/black --check --quiet $(SOURCES)
 	$(VENV)/bin/ruff check --quiet $(SOURCES)
