A voter whose disk has failed is not vouched for in an election without delay

Cause: found by reading. A voter answers heartbeats while its disk fails, and the leader counts these answers on its lease, but the voter does not follow. After the disk's return it would have said that it had met no leader.

Change: a disk that works again counts as a leader heard. The test fails without it.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -48,12 +48,8 @@
             self._ask_restarted(self._restart_rounds.begin(now), now)
 
     def on_leader_heard(self, now: float) -> None:
-        """Note that a leader is alive."""
+        """Note that a leader is alive, or may be."""
         self._restart_rounds.has_met_leader = True
-        self.restart_wait(now)
-
-    def restart_wait(self, now: float) -> None:
-        """Wait as if a leader had just been heard."""
         self._heard_leader_at = now
         self.postpone(now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -198,7 +198,8 @@
         self.has_failed = False
         if not self.save_vote(self.term, self.voted_for):
             return
-        self._elections.restart_wait(now)
+        # While the disk failed, a leader may have counted the answers to its heartbeats.
+        self._elections.on_leader_heard(now)
 
     def _find_voters(self) -> dict[str, str]:
         voters = self.log.find_voters(after=self.configuration.index)
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -13,6 +13,7 @@
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_coordination.raft.elections import ELECTION_TIMEOUT_MIN_S
+from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_protocol.raft_messages import RestartReply
 from wagtailkeel_protocol.raft_messages import RestartRequest
@@ -325,6 +326,24 @@
         assert isinstance(vote, VoteReply)
         self.assertFalse(vote.is_granted)
 
+    def test_a_voter_whose_disk_failed_is_not_vouched_for(self) -> None:
+        """While its disk fails it answers heartbeats without following: a lease may count on it."""
+        cluster = FakeRaftCluster(Random(1))
+        voter, candidate = cluster.controls["a"], cluster.controls["b"]
+        for disk_fails, is_leaderless in ((False, True), (True, False)):
+            with self.subTest(disk_fails=disk_fails):
+                voter.disk.is_broken = disk_fails
+                self.assertIs(voter.node.save_vote(0, ""), not disk_fails)
+                voter.disk.is_broken = False
+                for _ in range(2):
+                    voter.node.tick(cluster.now)
+                    cluster.now += STORAGE_RETRY_S / 2
+                voter.node.tick(cluster.now)
+                self.assertFalse(voter.node.has_failed)
+                reply = voter.node.on_request(RestartRequest(candidate.name, 1, 7), cluster.now)
+                assert isinstance(reply, RestartReply)
+                self.assertIs(reply.is_leaderless, is_leaderless)
+
     def test_cut_off_leader_serves_no_reads(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
