Say once what a placement, a rejection and a readiness check say twice

Found by reading the whole change. The service's tag was hashed three times for each opening and six values travelled side by side: an opening being placed is one value now. Rejections by the gate and by the queue limit are counted in one place. Counting expected requests no longer copies all new flows, and a balancer asks once a round whether it is ready.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.flow_pointers import FlowPointers
@@ -35,6 +37,16 @@
 PLACEMENT_ATTEMPTS = 4
 
 
+class _Opening(msgspec.Struct):
+    """An opening that is being placed; ``tag`` names ``service`` in frames."""
+
+    frame: RelayFrame
+    key: bytes
+    service: str
+    tag: int
+    has_all_copies: bool
+
+
 class DirectoryOwner:
     """Keeps the directory entries of some flows.
 
@@ -115,7 +127,8 @@
             self._context.counters["dropped_route_changed"] += 1
             return
         has_all_copies = self.pointers.has_all_copies(key, head.attempt)
-        candidates = self._find_candidates(service)
+        opening = _Opening(frame, key, service, relay.service_tag(service), has_all_copies)
+        candidates = self._find_candidates(opening)
         while len(tried) < PLACEMENT_ATTEMPTS:
             peer = self._choose(candidates, self._data_centre, tried, self._random)
             if peer is None:
@@ -124,48 +137,39 @@
             pointer = self.pointers.point(key, peer.address, self._context.now)
             pointer.tried = tried
             pointer.has_all_copies = has_all_copies
-            if self._offer(frame, key, service, peer.address):
+            if self._offer(opening, peer.address):
                 return
             tried.add(peer.address)
-        self._on_unplaced(frame, key, service, len(tried), len(candidates), has_all_copies)
+        self._on_unplaced(opening, len(tried), len(candidates))
 
-    def _find_candidates(self, service: str) -> list[PeerLoad]:
+    def _find_candidates(self, opening: _Opening) -> list[PeerLoad]:
         now = self._context.now
         own_load = self._holder.build_load(now)
         self.loads.on_load(self._context.own_address, self._data_centre, own_load, now)
-        members = self._members_by_tag.get(relay.service_tag(service), [])
-        return self.loads.candidates(members, now)
+        return self.loads.candidates(self._members_by_tag.get(opening.tag, []), now)
 
-    def _offer(self, frame: RelayFrame, key: bytes, service: str, address: Address) -> bool:
+    def _offer(self, opening: _Opening, address: Address) -> bool:
         """Pass an opening to an agent; return False where the own one does not take it."""
+        frame, key = opening.frame, opening.key
         if address != self._context.own_address:
             self.loads.note_opening(address)
-            tag = relay.service_tag(service)
-            self._context.relay(address, RelayKind.PLACE, frame, tag, frame.body)
+            self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
             return True
-        if not self._holder.has_room(key) or not self._holder.admit(service, key):
+        if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
             return False
         self._holder.open(frame.body, key, address)
         return True
 
-    def _on_unplaced(
-        self,
-        frame: RelayFrame,
-        key: bytes,
-        service: str,
-        tried: int,
-        candidates: int,
-        has_all_copies: bool,
-    ) -> None:
+    def _on_unplaced(self, opening: _Opening, tried: int, candidates: int) -> None:
         """No server has taken an opening: refuse it, unless one may, or may have."""
-        tag = relay.service_tag(service)
+        key, now = opening.key, self._context.now
         self.pointers.remove(key)
-        self.pointers.note_unplaced(key, self._context.now)
-        if self.loads.has_unheard(tag, self._context.now) or not self._hears_all_members(tag):
+        self.pointers.note_unplaced(key, now)
+        if self.loads.has_unheard(opening.tag, now) or not self._hears_all_members(opening.tag):
             # A server may have room: the caller's next copy finds it.
             self._context.counters["openings_deferred"] += 1
-        elif has_all_copies:
-            self._refuse(frame.body, key, tried, candidates)
+        elif opening.has_all_copies:
+            self._refuse(opening.frame.body, key, tried, candidates)
         else:
             # Another owner may have placed an earlier copy: its flow may be open by now.
             self._context.counters["dropped_copy_of_opening"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -131,18 +131,20 @@
             self._context.routing.target_s(self._context.packet_format.endpoint_of(key)),
         )
         if not is_free:
-            self._context.counters[f"rejected_{SERVER_BUSY}"] += 1
-            self._note_rejection(key, SERVER_BUSY)
+            self._count_rejection(key, SERVER_BUSY)
         return is_free
 
     def admit(self, service: str, key: bytes) -> bool:
         """Tell whether the gate lets an opening of a service through, and count it in."""
         reason = self.gate.admit(service, self._context.now)
         if reason is not None:
-            self._context.counters[f"rejected_{reason.value}"] += 1
-            self._note_rejection(key, reason.value)
+            self._count_rejection(key, reason.value)
         return reason is None
 
+    def _count_rejection(self, key: bytes, reason: str) -> None:
+        self._context.counters[f"rejected_{reason}"] += 1
+        self._note_rejection(key, reason)
+
     def _note_rejection(self, key: bytes, reason: str) -> None:
         self._context.emit(
             events.OpeningRejected(
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -61,11 +61,10 @@
 
     def count_expected(self, now: float) -> int:
         """Return the number of requests in flight and of new flows whose first is on its way."""
-        for key, opened_at in list(self._opened_at_by_key.items()):
-            if now - opened_at <= FIRST_REQUEST_LIMIT_S:
-                break
-            del self._opened_at_by_key[key]
-        return self.in_flight + len(self._opened_at_by_key)
+        opened = self._opened_at_by_key
+        while opened and now - opened[oldest := next(iter(opened))] > FIRST_REQUEST_LIMIT_S:
+            del opened[oldest]
+        return self.in_flight + len(opened)
 
     def open(self, key: bytes, owner: Address, now: float) -> HeldFlow:
         """Start to account for a flow."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -175,9 +175,10 @@
     async def _refresh_owners_forever(self) -> None:
         while True:
             self._refresh_owners()
-            if self.is_ready and not self._was_ready:
+            is_ready = self.is_ready
+            if is_ready and not self._was_ready:
                 self._tell_state(is_stopping=False)
-            self._was_ready = self.is_ready
+            self._was_ready = is_ready
             await anyio.sleep(OWNER_INTERVAL_S)
 
     def _tell_state(self, *, is_stopping: bool) -> None:
