--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt setuptools
 	$(PYTHON) -m pip install --quiet --constraint constraints.txt --no-build-isolation \
-		$(foreach package,$(PACKAGES),--editable $(package)) black hypothesis mypy ruff
+		$(foreach package,$(PACKAGES),--editable $(package)) black hypothesis mypy rope ruff
 	touch $@
 
 run: $(VENV)/.installed
