--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
@@ -48,22 +48,22 @@
         """Epoch of the newest owner table."""
         return self.authority.table.epoch if self.authority.table else 0
 
-    def forward(self, server_id: str, frame: DataFrame, marks: int) -> None:
+    def forward(self, server_id: str, frame: DataFrame, flags: int) -> None:
         """Send a frame on to another agent."""
         self.counters["packets_forwarded"] += 1
         self.packets.forward(
             server_id,
             DataFrame(
-                frame.packet, frame.bucket, self.epoch, marks, frame.hops + 1, frame.token_epoch
+                frame.packet, frame.bucket, self.epoch, flags, frame.hops + 1, frame.token_epoch
             ),
         )
 
     def forward_to_successor(self, frame: DataFrame) -> None:
         """Send a frame towards its bucket's authority: to whom the token went, else the owner."""
         successor = self.authority.successors_by_bucket.get(frame.bucket)
-        kept = frame.marks & gue.MARK_REJECTED
+        kept = frame.flags & gue.FLAG_REJECTED
         if successor is not None:
-            self.forward(successor, frame, kept | gue.MARK_GRANTED)
+            self.forward(successor, frame, kept | gue.FLAG_GRANTED)
             return
         owner = self.authority.table.owner_of(frame.bucket) if self.authority.table else None
         if owner is None or owner == self.view.own_id:
@@ -85,7 +85,7 @@
         # The index of the join names this incarnation: another one's rejection doesn't count.
         joined_index = self.view.joined_index
         rejected = DataFrame(
-            frame.packet, frame.bucket, 0, gue.MARK_REJECTED, frame.hops, joined_index
+            frame.packet, frame.bucket, 0, gue.FLAG_REJECTED, frame.hops, joined_index
         )
         self.forward_to_successor(rejected)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -162,7 +162,7 @@
             self._counters[f"dropped_{key.value}"] += 1
             return
         flow = self.directory.local_flows_by_key.get(key)
-        if flow is None or frame.marks & gue.MARK_REJECTED:
+        if flow is None or frame.flags & gue.FLAG_REJECTED:
             self._route(frame, key)
             return
         if self.view.is_out_of_service:
@@ -192,7 +192,7 @@
         if hash_flow(key) % self.view.bucket_count != frame.bucket:
             self._counters["dropped_wrong_bucket"] += 1
             return
-        if frame.marks & gue.MARK_DELIVER:
+        if frame.flags & gue.FLAG_DELIVER:
             self._on_delivery(frame, key, traffic_class)
         elif self.authority.is_authority(frame.bucket):
             self._decide(frame, key, traffic_class)
@@ -205,10 +205,10 @@
             self._context.forward_to_successor(frame)
             return
         remote = self.directory.find_remote(frame.bucket, key)
-        if remote is not None and not frame.marks & gue.MARK_REJECTED:
+        if remote is not None and not frame.flags & gue.FLAG_REJECTED:
             self._send_to_remote(frame, key, remote)
             return
-        if claim.holder_id and not frame.marks & gue.MARK_GRANTED:
+        if claim.holder_id and not frame.flags & gue.FLAG_GRANTED:
             self._context.forward(claim.holder_id, frame, 0)
             return
         is_known_to_nobody = not claim.pending_ids and not is_start(frame.packet, key)
@@ -225,14 +225,14 @@
         former_members = self.view.recently_removed(self._context.now)
         for server_id in former_members:
             self._counters["packets_to_former_member"] += 1
-            self._context.forward(server_id, frame, gue.MARK_DELIVER)
+            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
         return bool(former_members)
 
     # Decisions of the authority
 
     def _decide(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
         remote = self.directory.find_remote(frame.bucket, key)
-        if frame.marks & gue.MARK_REJECTED:
+        if frame.flags & gue.FLAG_REJECTED:
             self._placement.on_rejection(frame, key, traffic_class, remote)
         elif remote is not None:
             self._send_to_remote(frame, key, remote)
@@ -261,7 +261,7 @@
             return
         if key[-1] == ip.TCP and ip.tcp_flags(frame.packet) & (ip.FIN | ip.RST):
             remote.is_closing = True
-        self._context.forward(remote.server_id, frame, gue.MARK_DELIVER)
+        self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
     def _on_absent_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Go on sending to a former member for a while: control's silence may be all it has.
@@ -270,7 +270,7 @@
         """
         if server_id in self.view.recently_removed(self._context.now):
             self._counters["packets_to_former_member"] += 1
-            self._context.forward(server_id, frame, gue.MARK_DELIVER)
+            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
             return
         self.directory.remove_remote(frame.bucket, key)
         self._context.reset_caller(frame.packet)
@@ -294,7 +294,7 @@
             self._counters["deliveries_stale"] += 1
         elif self._rejected.contains(key, self._context.now):
             self._context.return_rejected(frame)
-        elif frame.marks & gue.MARK_NEW:
+        elif frame.flags & gue.FLAG_NEW:
             self._on_remote_placement(frame, key, traffic_class)
         elif starts:
             self._context.open_and_deliver(frame, key, traffic_class)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -31,7 +31,7 @@
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
     from wagtailkeel_protocol.messages import ServerLoad
     from wagtailkeel_protocol.packet_format import PacketFormat
-    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_protocol.relay import RelayFrame
     from wagtailkeel_state.routing import RoutingDocument
 
@@ -122,34 +122,34 @@
         if frame.hops > relay.MAX_HOPS:
             self._context.counters["dropped_hop_limit"] += 1
             return
-        head = self._context.packet_format.parse_inbound(frame.body)
-        if isinstance(head, Malformed):
-            self._context.counters[f"dropped_{head.value}"] += 1
+        header = self._context.packet_format.parse_inbound(frame.body)
+        if isinstance(header, Malformed):
+            self._context.counters[f"dropped_{header.value}"] += 1
             return
-        flow = self.held.by_key.get(head.key)
+        flow = self.held.by_key.get(header.key)
         if flow is not None and self.gate.has_gone:
             # Its server does not answer any more, and nobody else will on its behalf.
             self.held.remove(flow)
             flow = None
         if flow is not None and frame.kind not in _RETURNS:
-            self.holder.deliver_held(flow, frame, head, source)
+            self.holder.deliver_held(flow, frame, header, source)
             return
-        self._route(frame, head, source)
+        self._route(frame, header, source)
 
-    def _route(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def _route(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         kind = frame.kind
         if kind is RelayKind.FORWARD:
-            self.owner.on_forward(frame, head)
+            self.owner.on_forward(frame, header)
         elif kind is RelayKind.PLACE:
-            self.holder.on_place(frame, head, source)
+            self.holder.on_place(frame, header, source)
         elif kind is RelayKind.DELIVER:
-            self.holder.on_unknown(frame, head, source, RelayKind.RETURNED, frame.body)
+            self.holder.on_unknown(frame, header, source, RelayKind.RETURNED, frame.body)
         elif kind is RelayKind.SEARCH:
-            self.holder.on_unknown(frame, head, source, RelayKind.NOT_FOUND, head.key)
+            self.holder.on_unknown(frame, header, source, RelayKind.NOT_FOUND, header.key)
         elif kind in (RelayKind.REJECTED, RelayKind.BUSY):
-            self.owner.on_rejected(frame, head, source)
+            self.owner.on_rejected(frame, header, source)
         else:
-            self.owner.on_returned(frame, head, source)
+            self.owner.on_returned(frame, header, source)
 
     def on_server_packet(self, packet: bytes, now: float) -> None:
         """Send a server's packet to its caller, or deal with one that it returned."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -18,7 +18,7 @@
     from wagtailkeel_coordination.counters import Counters
     from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.packet_format import PacketFormat
-    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_state.routing import RoutingDocument
 
 Address = tuple[str, int]
@@ -57,18 +57,18 @@
 
     def on_packet(self, packet: bytes) -> None:
         """Hand a caller's packet on."""
-        head = self._format.parse_inbound(packet)
-        if isinstance(head, Malformed):
-            self._counters[f"dropped_{head.value}"] += 1
+        header = self._format.parse_inbound(packet)
+        if isinstance(header, Malformed):
+            self._counters[f"dropped_{header.value}"] += 1
             return
         tag = relay.NO_SERVICE
-        if head.is_opening:
-            destinations = self.routing.find(self._format.endpoint_of(head.key))
+        if header.is_opening:
+            destinations = self.routing.find(self._format.endpoint_of(header.key))
             if destinations is None:
-                self._on_unknown_route(packet, head)
+                self._on_unknown_route(packet, header)
                 return
-            tag = self._tags_by_service[destinations.choose(head.key)]
-        owner = self.owners.owner_of(head.key)
+            tag = self._tags_by_service[destinations.choose(header.key)]
+        owner = self.owners.owner_of(header.key)
         if owner is None:
             self._counters["dropped_no_agent"] += 1
             return
@@ -76,17 +76,17 @@
         frame = relay.encode_relay(RelayKind.FORWARD, 0, self.routing.version, tag, packet)
         self._send(frame, owner)
 
-    def _on_unknown_route(self, packet: bytes, head: PacketHead) -> None:
+    def _on_unknown_route(self, packet: bytes, header: PacketHeader) -> None:
         """A first copy is dropped, since a new route may be on its way here.
 
         Later ones are refused, unless this balancer may have missed a change.
         """
-        is_refused = head.attempt > 0 and self._is_routing_current()
+        is_refused = header.attempt > 0 and self._is_routing_current()
         self._counters["openings_without_route"] += 1
         self._emit(
             events.RouteMissing(
-                flow_id(head.key),
-                self._format.endpoint_of(head.key).hex(),
+                flow_id(header.key),
+                self._format.endpoint_of(header.key).hex(),
                 self.routing.version,
                 is_refused,
             )
@@ -95,4 +95,4 @@
             return
         refusal = self._format.build_refusal(packet)
         if refusal is not None:
-            self._reply(refusal, self._format.caller_host(head.key))
+            self._reply(refusal, self._format.caller_host(header.key))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -15,7 +15,7 @@
 from wagtailkeel_coordination.handshake.flow_search import FlowSearches
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.relay import RelayKind
@@ -29,7 +29,7 @@
     from wagtailkeel_coordination.handshake.router_context import RouterContext
     from wagtailkeel_coordination.handshake.server_choice import PeerLoad
     from wagtailkeel_coordination.handshake.server_choice import ServerChoice
-    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_protocol.relay import RelayFrame
 
 Address = tuple[str, int]
@@ -90,43 +90,43 @@
 
     # Frames
 
-    def on_forward(self, frame: RelayFrame, head: PacketHead) -> None:
+    def on_forward(self, frame: RelayFrame, header: PacketHeader) -> None:
         """Hand a balancer's packet on, place it, or search for its flow."""
-        pointer = self.pointers.find(head.key, self._context.now)
+        pointer = self.pointers.find(header.key, self._context.now)
         if pointer is not None and pointer.target == self._context.own_address:
             # The flow was here and is no longer held.
-            self.pointers.remove(head.key)
+            self.pointers.remove(header.key)
             pointer = None
-        if pointer is not None and head.is_opening and not self._is_reachable(pointer.target):
+        if pointer is not None and header.is_opening and not self._is_reachable(pointer.target):
             # The first copy may have gone to an agent that has died: another server takes this.
             pointer.tried.add(pointer.target)
-            self._place(frame, head, pointer.tried)
+            self._place(frame, header, pointer.tried)
         elif pointer is not None:
-            kind = RelayKind.PLACE if head.is_opening else RelayKind.DELIVER
+            kind = RelayKind.PLACE if header.is_opening else RelayKind.DELIVER
             self._context.send(pointer.target, kind, frame, frame.body)
             if pointer.target in self.former:
                 # Control does not hear the agent: it may have died with the flow's server.
-                self._search(frame, head.key, exclude=None)
-        elif head.is_opening:
-            self._place(frame, head, set())
-        elif head.marks & marks.RESETS:
+                self._search(frame, header.key, exclude=None)
+        elif header.is_opening:
+            self._place(frame, header, set())
+        elif header.flags & packet_flags.RESET:
             self._context.counters["dropped_unknown_reset"] += 1
         else:
-            self._search(frame, head.key, exclude=None)
+            self._search(frame, header.key, exclude=None)
 
     def _is_reachable(self, address: Address) -> bool:
         return self.loads.is_fresh(address, self._context.now)
 
     # Openings
 
-    def _place(self, frame: RelayFrame, head: PacketHead, tried: set[Address]) -> None:
+    def _place(self, frame: RelayFrame, header: PacketHeader, tried: set[Address]) -> None:
         """Choose a server for an opening that no server has."""
-        key = head.key
+        key = header.key
         service = self._context.resolve_service(frame, key)
         if service is None:
             self._context.counters["dropped_route_changed"] += 1
             return
-        has_all_copies = self.pointers.has_all_copies(key, head.attempt)
+        has_all_copies = self.pointers.has_all_copies(key, header.attempt)
         opening = _Opening(frame, key, service, relay.service_tag(service), has_all_copies)
         candidates = self._find_candidates(opening)
         while len(tried) < PLACEMENT_ATTEMPTS:
@@ -202,9 +202,9 @@
         )
         self._context.reset(packet, key)
 
-    def on_rejected(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Offer an opening that came back to another server."""
-        pointer = self.pointers.by_key.get(head.key)
+        pointer = self.pointers.by_key.get(header.key)
         if pointer is not None and pointer.target != source:
             self._context.counters["dropped_late_rejection"] += 1
             return
@@ -212,17 +212,17 @@
         tried.add(source)
         if frame.kind is RelayKind.REJECTED:
             self.loads.note_rejection(source)
-        if head.key not in self._holder.held.by_key:
-            self._place(frame, head, tried)
+        if header.key not in self._holder.held.by_key:
+            self._place(frame, header, tried)
 
     # Searches
 
-    def on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Search for a flow that its supposed server does not hold."""
-        pointer = self.pointers.by_key.get(head.key)
+        pointer = self.pointers.by_key.get(header.key)
         if pointer is not None and pointer.target == source:
-            self.pointers.remove(head.key)
-        self._search(frame, head.key, exclude=source)
+            self.pointers.remove(header.key)
+        self._search(frame, header.key, exclude=source)
 
     def _search(self, frame: RelayFrame, key: bytes, exclude: Address | None) -> None:
         if key not in self.searches.by_key:
@@ -279,8 +279,8 @@
         self.pointers.remove(key)
         self._context.counters["flows_found_nowhere"] += 1
         self._end_search(key, "nowhere", "", 0)
-        head = self._context.packet_format.parse_inbound(packet)
-        if not isinstance(head, Malformed) and head.payload_bytes:
+        header = self._context.packet_format.parse_inbound(packet)
+        if not isinstance(header, Malformed) and header.payload_bytes:
             # The flow ended with its server: the caller need not wait for its deadline.
             self._context.emit(events.FlowReset(flow_id(key), "held_nowhere"))
             self._context.reset(packet, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -10,7 +10,7 @@
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
 from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
 from wagtailkeel_coordination.handshake.queue_limit import has_room
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.messages import ServerLoad
@@ -24,7 +24,7 @@
     from wagtailkeel_coordination.handshake.router_context import RouterContext
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
-    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.packet_format import PacketHeader
 
 Address = tuple[str, int]
 
@@ -36,10 +36,10 @@
 class OwnerSide(Protocol):
     """What a holder tells the directory owner in its own process."""
 
-    def on_rejected(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """An opening comes back."""
 
-    def on_returned(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """A later packet comes back."""
 
     def on_found(self, key: bytes, source: Address) -> None:
@@ -103,22 +103,22 @@
     # Packets for the own server
 
     def deliver_held(
-        self, flow: HeldFlow, frame: RelayFrame, head: PacketHead, source: Address
+        self, flow: HeldFlow, frame: RelayFrame, header: PacketHeader, source: Address
     ) -> None:
         """Deliver a packet of a flow that the server holds."""
         flow.owner = self._context.own_address if frame.kind is RelayKind.FORWARD else source
         if frame.kind is RelayKind.SEARCH:
-            self._context.send(source, RelayKind.FOUND, frame, head.key)
-        self.held.on_inbound(flow, head, self._context.now)
+            self._context.send(source, RelayKind.FOUND, frame, header.key)
+        self.held.on_inbound(flow, header, self._context.now)
         self._context.outbox.deliver(frame.body)
 
-    def on_place(self, frame: RelayFrame, head: PacketHead, source: Address) -> None:
+    def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Deliver an opening that an owner has placed here, or send it back."""
-        service = self._context.resolve_service(frame, head.key)
-        if not self.has_room(head.key):
+        service = self._context.resolve_service(frame, header.key)
+        if not self.has_room(header.key):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
-        elif service is not None and self.admit(service, head.key):
-            self.open(frame.body, head.key, source)
+        elif service is not None and self.admit(service, header.key):
+            self.open(frame.body, header.key, source)
         else:
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
@@ -166,16 +166,16 @@
     def on_unknown(
         self,
         frame: RelayFrame,
-        head: PacketHead,
+        header: PacketHeader,
         source: Address,
         answer: RelayKind,
         body: bytes,
     ) -> None:
         """Answer for a flow that is not known here, asking the server where it may be."""
-        if not self.is_forgetful or head.is_opening:
+        if not self.is_forgetful or header.is_opening:
             self._context.send(source, answer, frame, body)
             return
-        self.probe(head.key, frame.body, source)
+        self.probe(header.key, frame.body, source)
 
     def probe(self, key: bytes, packet: bytes, requester: Address) -> None:
         """Ask the own server for a flow that this agent may have forgotten."""
@@ -188,30 +188,30 @@
     def on_server_packet(self, packet: bytes) -> None:
         """Send a server's packet to its caller, or deal with one that it returned."""
         self.gate.note_packet()
-        head = self._context.packet_format.parse_outbound(packet)
-        if isinstance(head, Malformed):
-            self._context.counters[f"dropped_reply_{head.value}"] += 1
+        header = self._context.packet_format.parse_outbound(packet)
+        if isinstance(header, Malformed):
+            self._context.counters[f"dropped_reply_{header.value}"] += 1
             return
-        flow = self.held.by_key.get(head.key)
-        if head.marks & marks.BOUNCED:
-            self._on_bounce(self._context.packet_format.restore_bounced(packet), head, flow)
+        flow = self.held.by_key.get(header.key)
+        if header.flags & packet_flags.BOUNCED:
+            self._on_bounce(self._context.packet_format.restore_bounced(packet), header, flow)
             return
-        if flow is None and head.marks & marks.RESETS:
-            self._on_unknown_reset(packet, head)
+        if flow is None and header.flags & packet_flags.RESET:
+            self._on_unknown_reset(packet, header)
             return
         if flow is None:
-            flow = self._adopt(head.key)
-        self.held.on_outbound(flow, head, self._context.now)
-        self._context.outbox.reply(packet, self._context.packet_format.caller_host(head.key))
+            flow = self._adopt(header.key)
+        self.held.on_outbound(flow, header, self._context.now)
+        self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
 
-    def _on_unknown_reset(self, packet: bytes, head: PacketHead) -> None:
+    def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
         """A reset that answers a probe says that the flow is elsewhere: the caller is spared it."""
-        requester = self.probes.remove(head.key)
+        requester = self.probes.remove(header.key)
         if requester is None:
-            self._context.outbox.reply(packet, self._context.packet_format.caller_host(head.key))
+            self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
             return
         self._context.counters["probes_reset"] += 1
-        self._answer(requester, RelayKind.NOT_FOUND, head.key)
+        self._answer(requester, RelayKind.NOT_FOUND, header.key)
 
     def _adopt(self, key: bytes) -> HeldFlow:
         """The server speaks on a flow that this agent has forgotten."""
@@ -223,34 +223,34 @@
             self._answer(requester, RelayKind.FOUND, key)
         return flow
 
-    def _on_bounce(self, packet: bytes, head: PacketHead, flow: HeldFlow | None) -> None:
+    def _on_bounce(self, packet: bytes, header: PacketHeader, flow: HeldFlow | None) -> None:
         self._context.counters["bounces"] += 1
-        requester = self.probes.remove(head.key)
+        requester = self.probes.remove(header.key)
         if requester is not None:
-            self._answer(requester, RelayKind.NOT_FOUND, head.key)
+            self._answer(requester, RelayKind.NOT_FOUND, header.key)
             return
-        if flow is None or (head.is_opening and flow.has_reply):
+        if flow is None or (header.is_opening and flow.has_reply):
             return
         self.held.remove(flow)
-        if head.is_opening:
-            self._note_rejection(head.key, "server_full")
+        if header.is_opening:
+            self._note_rejection(header.key, "server_full")
         else:
-            self._context.emit(events.FlowReturned(flow_id(head.key)))
-        kind = RelayKind.REJECTED if head.is_opening else RelayKind.RETURNED
+            self._context.emit(events.FlowReturned(flow_id(header.key)))
+        kind = RelayKind.REJECTED if header.is_opening else RelayKind.RETURNED
         frame = RelayFrame(kind, 0, 0, relay.NO_SERVICE, packet)
-        if head.is_opening:
+        if header.is_opening:
             frame.routing_version = self._context.routing.version
             frame.service_tag = self._context.own_tag
         if flow.owner != self._context.own_address:
             self._context.send(flow.owner, kind, frame, packet)
         else:
-            self._pass_to_own_owner(frame, head)
+            self._pass_to_own_owner(frame, header)
 
-    def _pass_to_own_owner(self, frame: RelayFrame, head: PacketHead) -> None:
+    def _pass_to_own_owner(self, frame: RelayFrame, header: PacketHeader) -> None:
         if frame.kind is RelayKind.REJECTED:
-            self._owner.on_rejected(frame, head, self._context.own_address)
+            self._owner.on_rejected(frame, header, self._context.own_address)
         else:
-            self._owner.on_returned(frame, head, self._context.own_address)
+            self._owner.on_returned(frame, header, self._context.own_address)
 
     def _answer(self, requester: Address, kind: RelayKind, key: bytes) -> None:
         if requester != self._context.own_address:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtailkeel_protocol.packet_format import PacketHead
+    from wagtailkeel_protocol.packet_format import PacketHeader
 
 Address = tuple[str, int]
 
@@ -88,29 +88,29 @@
         self._awaiting_by_key.clear()
         self._opened_at_by_key.clear()
 
-    def on_inbound(self, flow: HeldFlow, head: PacketHead, now: float) -> None:
+    def on_inbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
         """Account for a packet that is about to be delivered."""
         flow.last_seen_at = now
-        if head.payload_bytes and not flow.awaiting_since:
+        if header.payload_bytes and not flow.awaiting_since:
             flow.awaiting_since = now
             flow.is_alone = len(self._awaiting_by_key) < self.slots
             self._awaiting_by_key[flow.key] = flow
             self._opened_at_by_key.pop(flow.key, None)
-        if head.marks & (marks.FINISHES | marks.RESETS):
-            self._note_close(flow, head, _CALLER_FINISHED, now)
+        if header.flags & (packet_flags.FIN | packet_flags.RESET):
+            self._note_close(flow, header, _CALLER_FINISHED, now)
 
-    def on_outbound(self, flow: HeldFlow, head: PacketHead, now: float) -> None:
+    def on_outbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
         """Account for a packet of the server."""
         flow.last_seen_at = now
         flow.has_reply = True
-        if head.payload_bytes and flow.awaiting_since:
+        if header.payload_bytes and flow.awaiting_since:
             self._learn_answer(flow, now)
-        if head.marks & (marks.FINISHES | marks.RESETS):
-            self._note_close(flow, head, _SERVER_FINISHED, now)
+        if header.flags & (packet_flags.FIN | packet_flags.RESET):
+            self._note_close(flow, header, _SERVER_FINISHED, now)
 
-    def _note_close(self, flow: HeldFlow, head: PacketHead, end: int, now: float) -> None:
+    def _note_close(self, flow: HeldFlow, header: PacketHeader, end: int, now: float) -> None:
         flow.closes |= end
-        if head.marks & marks.RESETS or flow.closes == _CALLER_FINISHED | _SERVER_FINISHED:
+        if header.flags & packet_flags.RESET or flow.closes == _CALLER_FINISHED | _SERVER_FINISHED:
             flow.closed_at = flow.closed_at or now
             self._forget_debt(flow)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -182,11 +182,11 @@
         self._peers.count_placement(peer)
         context.counters["starts_redirected"] += 1
         token = context.authority.tokens_by_bucket[frame.bucket]
-        marks = gue.MARK_DELIVER | gue.MARK_NEW
+        flags = gue.FLAG_DELIVER | gue.FLAG_NEW
         context.packets.forward(
             peer,
             DataFrame(
-                frame.packet, frame.bucket, context.epoch, marks, frame.hops + 1, token.epoch
+                frame.packet, frame.bucket, context.epoch, flags, frame.hops + 1, token.epoch
             ),
         )
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
@@ -88,4 +88,4 @@
             return
         candidate = pending.candidates.pop(0)
         context.directory.add_remote(pending.frame.bucket, key, candidate, context.now)
-        context.forward(candidate, pending.frame, gue.MARK_DELIVER)
+        context.forward(candidate, pending.frame, gue.FLAG_DELIVER)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -18,10 +18,10 @@
 CONTROL_PREFIX = b"\x20\x00\x00\x00"
 HEADER_BYTES = 20
 BUCKET_OFFSET = 6
-MARK_DELIVER = 0x01
-MARK_NEW = 0x02
-MARK_REJECTED = 0x04
-MARK_GRANTED = 0x08
+FLAG_DELIVER = 0x01
+FLAG_NEW = 0x02
+FLAG_REJECTED = 0x04
+FLAG_GRANTED = 0x08
 MAX_HOPS = 4
 
 _PRIVATE_WORDS = 4
@@ -36,17 +36,17 @@
     packet: bytes
     bucket: int
     epoch: int
-    marks: int = 0
+    flags: int = 0
     hops: int = 0
     token_epoch: int = 0
 
 
 def encode_header(
-    bucket: int, epoch: int, marks: int = 0, hops: int = 0, token_epoch: int = 0, version: int = 4
+    bucket: int, epoch: int, flags: int = 0, hops: int = 0, token_epoch: int = 0, version: int = 4
 ) -> bytes:
     """Return the 20 bytes that go before an IP packet."""
     protocol = _PROTOCOL_IPV4 if version == 4 else _PROTOCOL_IPV6
-    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, marks, hops, bucket, token_epoch, epoch)
+    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, flags, hops, bucket, token_epoch, epoch)
 
 
 def header_prefix(version: int) -> bytes:
@@ -63,7 +63,7 @@
     """Return a whole datagram."""
     version = frame.packet[0] >> 4
     header = encode_header(
-        frame.bucket, frame.epoch, frame.marks, frame.hops, frame.token_epoch, version
+        frame.bucket, frame.epoch, frame.flags, frame.hops, frame.token_epoch, version
     )
     return header + frame.packet
 
@@ -72,18 +72,18 @@
     """Read a variant 0 data datagram."""
     if len(datagram) < HEADER_BYTES + 28:
         return Malformed.TRUNCATED
-    first, protocol, _, marks, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
+    first, protocol, _, flags, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
     if first != _PRIVATE_WORDS:
         return Malformed.WRONG_VERSION
     if protocol not in (_PROTOCOL_IPV4, _PROTOCOL_IPV6):
         return Malformed.FOREIGN
-    return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, marks, hops, token_epoch)
+    return DataFrame(datagram[HEADER_BYTES:], bucket, epoch, flags, hops, token_epoch)
 
 
-def peek_marks_and_hops(datagram: bytes) -> tuple[int, int]:
+def peek_flags_and_hops(datagram: bytes) -> tuple[int, int]:
     """Return marks and hops of a data datagram; anything else counts as rejected."""
     if len(datagram) < HEADER_BYTES or datagram[0] != _PRIVATE_WORDS:
-        return MARK_REJECTED, 0
+        return FLAG_REJECTED, 0
     return datagram[4], datagram[5]
 
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -12,13 +12,13 @@
 from wagtailkeel_protocol.packet_builder import build_reset
 
 OPENING = 0x01
-ACKNOWLEDGES = 0x02
-FINISHES = 0x04
-RESETS = 0x08
+ACK = 0x02
+FIN = 0x04
+RESET = 0x08
 BOUNCED = 0x10
 
 
-class PacketHead(msgspec.Struct):
+class PacketHeader(msgspec.Struct):
     """The parts of a packet that routing decides by.
 
     ``key`` names the flow, caller first, whichever way the packet travels. ``marks`` are the
@@ -27,23 +27,23 @@
     """
 
     key: bytes
-    marks: int
+    flags: int
     payload_bytes: int
     attempt: int = 0
 
     @property
     def is_opening(self) -> bool:
         """Tell whether the packet asks for a new flow."""
-        return self.marks & (OPENING | ACKNOWLEDGES) == OPENING
+        return self.flags & (OPENING | ACK) == OPENING
 
 
 class PacketFormat(Protocol):
     """Reads and builds the packets of callers and servers."""
 
-    def parse_inbound(self, packet: bytes) -> PacketHead | Malformed:
+    def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that travels from a caller to a server."""
 
-    def parse_outbound(self, packet: bytes) -> PacketHead | Malformed:
+    def parse_outbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that a server has sent, or returned because it can't use it."""
 
     def restore_bounced(self, packet: bytes) -> bytes:
@@ -62,12 +62,12 @@
 class IpPacketFormat:
     """TCP in IPv4 or IPv6; a server's RST is the only "no" that TCP has, so none is bounced."""
 
-    def parse_inbound(self, packet: bytes) -> PacketHead | Malformed:
+    def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that travels from a caller to a server."""
         key = ip.parse_flow_key(packet)
         return key if isinstance(key, Malformed) else _head(packet, key)
 
-    def parse_outbound(self, packet: bytes) -> PacketHead | Malformed:
+    def parse_outbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that a server has sent."""
         key = ip.parse_flow_key(packet)
         return key if isinstance(key, Malformed) else _head(packet, ip.reverse_key(key))
@@ -89,17 +89,17 @@
         return ip.source_host(key)
 
 
-def _head(packet: bytes, key: bytes) -> PacketHead | Malformed:
+def _head(packet: bytes, key: bytes) -> PacketHeader | Malformed:
     if key[-1] != ip.TCP:
         return Malformed.FOREIGN
-    flags = ip.tcp_flags(packet)
-    marks = 0
-    if flags & ip.SYN:
-        marks |= OPENING
-    if flags & ip.ACK:
-        marks |= ACKNOWLEDGES
-    if flags & ip.FIN:
-        marks |= FINISHES
-    if flags & ip.RST:
-        marks |= RESETS
-    return PacketHead(key, marks, len(ip.payload_of(packet)))
+    tcp_flags = ip.tcp_flags(packet)
+    flags = 0
+    if tcp_flags & ip.SYN:
+        flags |= OPENING
+    if tcp_flags & ip.ACK:
+        flags |= ACK
+    if tcp_flags & ip.FIN:
+        flags |= FIN
+    if tcp_flags & ip.RST:
+        flags |= RESET
+    return PacketHeader(key, flags, len(ip.payload_of(packet)))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -16,7 +16,7 @@
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
-from wagtailkeel.roles.node_link import draw_boot_id
+from wagtailkeel.roles.node_link import generate_boot_id
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel.roles.table_builder import TableBuilder
 from wagtailkeel_coordination import AgentIdentity
@@ -69,7 +69,7 @@
         self.store = ConfigurationStore()
         self._instance = settings.instance
         self._section = section
-        host = settings.instance.own_host
+        host = settings.instance.listen_host
         self._endpoint = UdpEndpoint(host, section.port)
         self._server_endpoint = UdpEndpoint(host, section.server_side_port)
         self._rpc_client = RpcClient(host)
@@ -83,7 +83,7 @@
             self._server_endpoint,
             self.metrics.counters,
         )
-        boot_id = draw_boot_id()
+        boot_id = generate_boot_id()
         self._router = FlowRouter(
             AgentIdentity(
                 section.server_id,
@@ -130,7 +130,7 @@
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
         server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
-        await server.start(self._instance.own_host, self._section.rpc_port)
+        await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._refresh_forever)
@@ -169,7 +169,7 @@
                 except RpcError:
                     continue
                 if reply.is_joined:
-                    self._link.note_version(control_id, reply.index)
+                    self._link.record_peer_version(control_id, reply.index)
                     return
             await anyio.sleep(STOP_POLL_INTERVAL_S)
 
@@ -204,8 +204,8 @@
             self._on_control(datagram)
             return
         # Most packets belong to flows of the own server: they need no frame.
-        marks, hops = gue.peek_marks_and_hops(datagram)
-        if not marks & gue.MARK_REJECTED and not self._instance.stateless:
+        flags, hops = gue.peek_flags_and_hops(datagram)
+        if not flags & gue.FLAG_REJECTED and not self._instance.stateless:
             packet = datagram[gue.HEADER_BYTES :]
             if self._router.deliver_known(packet, hops, clock.seconds()):
                 return
@@ -237,11 +237,11 @@
 
     @_on_message.register
     def _(self, message: VersionHint) -> None:
-        self._link.note_version(message.sender, message.version)
+        self._link.record_peer_version(message.sender, message.version)
 
     @_on_message.register
     def _(self, message: Gossip) -> None:
-        self._link.note_version(message.sender, message.version)
+        self._link.record_peer_version(message.sender, message.version)
         if message.version < self.store.version:
             self._outbox.send(
                 message.sender, VersionHint(self._section.server_id, self.store.version)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -57,9 +57,9 @@
         self._instance = settings.instance
         self._section = section
         self._balancer_id = settings.balancer_id
-        self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
-        self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
-        self._rpc_client = RpcClient(settings.instance.own_host)
+        self._endpoint = UdpEndpoint(settings.instance.listen_host, section.port)
+        self._fabric = UdpEndpoint(settings.instance.listen_host, section.fabric_port)
+        self._rpc_client = RpcClient(settings.instance.listen_host)
         self._routes_by_endpoint: dict[bytes, ServiceRoute] = {}
         self._route_versions_by_service: dict[str, tuple[int, int, int]] = {}
         self._tables = TableBuilder(
@@ -88,7 +88,7 @@
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
         server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
-        await server.start(self._instance.own_host, self._section.rpc_port)
+        await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._endpoint.receive, self._on_datagram)
@@ -198,7 +198,7 @@
 
     @_on_message.register
     def _(self, message: VersionHint) -> None:
-        self._link.note_version(message.sender, message.version)
+        self._link.record_peer_version(message.sender, message.version)
 
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request.since)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -113,8 +113,8 @@
         self._section = section
         self._instance_id = settings.instance.id
         self._own = self._find_own(settings)
-        self._endpoint = UdpEndpoint(settings.instance.own_host, self._own.port)
-        self._rpc_client = RpcClient(settings.instance.own_host)
+        self._endpoint = UdpEndpoint(settings.instance.listen_host, self._own.port)
+        self._rpc_client = RpcClient(settings.instance.listen_host)
         self._folder = DataFolder(Path(section.data_folder))
         self._disk = RaftDisk(self._open_log())
         self._store = ConfigurationStore()
@@ -204,7 +204,7 @@
                 RAFT: self._on_raft_request,
             }
         )
-        await server.start(self._settings.instance.own_host, self._own.rpc_port)
+        await server.start(self._settings.instance.listen_host, self._own.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -79,7 +79,7 @@
         self._instance = settings.instance
         self._section = section
         self._agent_id = f"{section.service}@{settings.instance.id}"
-        host = settings.instance.own_host
+        host = settings.instance.listen_host
         self._endpoint = UdpEndpoint(host, section.port)
         self._server_endpoint = UdpEndpoint(host, section.server_side_port)
         self._rpc_client = RpcClient(host)
@@ -139,7 +139,7 @@
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
         server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
-        await server.start(self._instance.own_host, self._section.rpc_port)
+        await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._endpoint.receive_from, self._on_datagram)
@@ -270,7 +270,7 @@
 
     @_on_message.register
     def _(self, message: VersionHint, source: Address) -> None:
-        self._link.note_version(message.sender, message.version)
+        self._link.record_peer_version(message.sender, message.version)
 
     @_on_message.register
     def _(self, message: ServerLoad, source: Address) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -71,9 +71,9 @@
         self._instance = settings.instance
         self._section = section
         self._balancer_id = f"balancer@{settings.instance.id}"
-        self._endpoint = UdpEndpoint(settings.instance.own_host, section.port)
-        self._fabric = UdpEndpoint(settings.instance.own_host, section.fabric_port)
-        self._rpc_client = RpcClient(settings.instance.own_host)
+        self._endpoint = UdpEndpoint(settings.instance.listen_host, section.port)
+        self._fabric = UdpEndpoint(settings.instance.listen_host, section.fabric_port)
+        self._rpc_client = RpcClient(settings.instance.listen_host)
         self._loads = PeerLoads()
         self._router = BalancerRouter(
             packet_format,
@@ -120,7 +120,7 @@
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
         server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
-        await server.start(self._instance.own_host, self._section.rpc_port)
+        await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._endpoint.receive_from, self._on_datagram)
@@ -146,7 +146,7 @@
 
     def _is_routing_current(self) -> bool:
         silent_s = clock.seconds() - self._link.acknowledged_at
-        is_confirmed = silent_s < ROUTING_AGE_LIMIT_S and not self._link.has_news
+        is_confirmed = silent_s < ROUTING_AGE_LIMIT_S and not self._link.has_newer_version
         return self._router.routing.version > 0 and is_confirmed
 
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
@@ -220,7 +220,7 @@
 
     @_on_message.register
     def _(self, message: VersionHint, source: Address) -> None:
-        self._link.note_version(message.sender, message.version)
+        self._link.record_peer_version(message.sender, message.version)
 
     @_on_message.register
     def _(self, message: ServerLoad, source: Address) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
@@ -40,7 +40,7 @@
         cls, instance: InstanceSettings, section: MetricsSettings, metrics: Metrics
     ) -> MetricsServer:
         """Build the role; its socket is bound when it runs."""
-        return cls(instance.own_host, section, metrics)
+        return cls(instance.listen_host, section, metrics)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -46,7 +46,7 @@
 BOOT_ID_BITS = 53
 
 
-def draw_boot_id() -> int:
+def generate_boot_id() -> int:
     """Return a number that names an incarnation of a node."""
     return secrets.randbits(BOOT_ID_BITS)
 
@@ -70,7 +70,7 @@
         boot_id: int | None = None,
         event_sink: EventSink = events.UNLOGGED,
     ) -> None:
-        self.boot_id = draw_boot_id() if boot_id is None else boot_id
+        self.boot_id = generate_boot_id() if boot_id is None else boot_id
         self.leader_id = address_book.control_ids[0]
         self.acknowledged_at = clock.seconds()
         self.is_joined = anyio.Event()
@@ -91,17 +91,17 @@
         self._joined_at = float("inf")
         self._random = Random()
         self._versions_by_source: dict[str, int] = {}
-        self._has_news = anyio.Event()
+        self._newer_version_known = anyio.Event()
         self._must_rejoin = anyio.Event()
 
     @property
-    def has_news(self) -> bool:
+    def has_newer_version(self) -> bool:
         """Tell whether a newer version than the own one is known to exist."""
         return any(version > self._store.version for version in self._versions_by_source.values())
 
     def is_version_confirmed(self, since: float) -> bool:
         """Tell whether the leader has confirmed the own version since a moment; else ask it."""
-        if self._confirmed_from >= since and not self.has_news:
+        if self._confirmed_from >= since and not self.has_newer_version:
             return True
         now = clock.seconds()
         if self._is_announced and now - self._asked_at >= CONFIRMATION_INTERVAL_S:
@@ -140,7 +140,7 @@
             while self._store.version < reply.index:
                 # A node serves only with a version at least as new as its own join.
                 if not await self._pull_from(control_id):
-                    self.note_version(control_id, reply.index)
+                    self.record_peer_version(control_id, reply.index)
                     await anyio.sleep(VERSION_POLL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
             self._emit(events.NodeJoined(self.boot_id, reply.index))
@@ -213,7 +213,7 @@
 
     def on_ack(self, message: HeartbeatAck) -> None:
         """Handle the answer to a heartbeat."""
-        self.note_version(message.sender, message.version)
+        self.record_peer_version(message.sender, message.version)
         if message.leader_id != message.sender:
             self._follow_hint(message.leader_id)
             return
@@ -235,7 +235,7 @@
             await self._must_rejoin.wait()
             self._joined_at = float("inf")
             self._must_rejoin = anyio.Event()
-            self.boot_id = draw_boot_id()
+            self.boot_id = generate_boot_id()
             self._metrics.counters["rejoins"] += 1
             logger.warning("control has removed this incarnation; joining as {}", self.boot_id)
             if self._on_rejoin is not None:
@@ -252,23 +252,23 @@
         self.acknowledged_at = clock.seconds() - ACK_SILENCE_LIMIT_S + 2 * HEARTBEAT_INTERVAL_S
         self._send_heartbeat()
 
-    def note_version(self, source: str, version: int) -> None:
+    def record_peer_version(self, source: str, version: int) -> None:
         """Remember that ``source`` has a version; pull it when it is newer than the own one."""
         if version > self._store.version:
             self._versions_by_source[source] = version
-            self._has_news.set()
+            self._newer_version_known.set()
 
     async def _pull_forever(self) -> None:
         while True:
-            await self._has_news.wait()
-            self._has_news = anyio.Event()
+            await self._newer_version_known.wait()
+            self._newer_version_known = anyio.Event()
             for source, version in list(self._versions_by_source.items()):
                 if version <= self._store.version or not await self._pull_near(source):
                     del self._versions_by_source[source]
             if self._versions_by_source:
                 # Changes that come close together are pulled together.
                 await anyio.sleep(PULL_RETRY_S)
-                self._has_news.set()
+                self._newer_version_known.set()
 
     async def _pull_near(self, source: str) -> bool:
         """Pull from any control instance rather than all from the leader; else from the source."""
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -33,7 +33,7 @@
     stateless: bool = False
 
     @property
-    def own_host(self) -> str:
+    def listen_host(self) -> str:
         """The address that sockets are bound to."""
         return self.bind_host or self.host
 
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -14,10 +14,10 @@
 from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake import ServerReport
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
-from wagtailkeel_protocol.packet_format import PacketHead
+from wagtailkeel_protocol.packet_format import PacketHeader
 from wagtailkeel_state.routing import Route
 from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.routing import ServicePolicy
@@ -38,7 +38,7 @@
     """A packet: its flow, its marks, the server that it acknowledges, and its data."""
 
     key: bytes
-    marks: int
+    flags: int
     server: str = ""
     data: int = 0
     attempt: int = 0
@@ -47,23 +47,23 @@
 class FakeFormat:
     """Implements PacketFormat on MessagePack."""
 
-    def parse_inbound(self, packet: bytes) -> PacketHead | Malformed:
+    def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         try:
             found = msgspec.msgpack.decode(packet, type=FakePacket)
         except msgspec.MsgspecError:
             return Malformed.UNDECODABLE
-        return PacketHead(found.key, found.marks, found.data, found.attempt)
+        return PacketHeader(found.key, found.flags, found.data, found.attempt)
 
     parse_outbound = parse_inbound
 
     def restore_bounced(self, packet: bytes) -> bytes:
         found = msgspec.msgpack.decode(packet, type=FakePacket)
-        found.marks &= ~marks.BOUNCED
+        found.flags &= ~packet_flags.BOUNCED
         return msgspec.msgpack.encode(found)
 
     def build_refusal(self, packet: bytes) -> bytes | None:
         found = msgspec.msgpack.decode(packet, type=FakePacket)
-        return msgspec.msgpack.encode(FakePacket(found.key, marks.RESETS))
+        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET))
 
     def endpoint_of(self, key: bytes) -> bytes:
         return key[-6:]
@@ -86,19 +86,19 @@
 
     def take(self, packet: bytes) -> bytes | None:
         found = msgspec.msgpack.decode(packet, type=FakePacket)
-        if found.marks & marks.OPENING:
+        if found.flags & packet_flags.OPENING:
             return self._take_opening(found)
         if found.key in self.half_open and found.server == self.name:
             self.half_open.discard(found.key)
             self.open.add(found.key)
         if found.key not in self.open and self.resets_unknown:
-            return msgspec.msgpack.encode(FakePacket(found.key, marks.RESETS, self.name))
+            return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET, self.name))
         if found.key not in self.open:
             return msgspec.msgpack.encode(_bounced(found))
         self.received[found.key] += 1
         if not found.data:
             return None
-        return msgspec.msgpack.encode(FakePacket(found.key, marks.ACKNOWLEDGES, self.name, 1))
+        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.ACK, self.name, 1))
 
     def _take_opening(self, found: FakePacket) -> bytes:
         if self.is_full and found.key not in self.half_open:
@@ -106,13 +106,13 @@
         self.openings.append(found.key)
         if found.key not in self.open:
             self.half_open.add(found.key)
-        answer = FakePacket(found.key, marks.OPENING | marks.ACKNOWLEDGES, self.name)
+        answer = FakePacket(found.key, packet_flags.OPENING | packet_flags.ACK, self.name)
         return msgspec.msgpack.encode(answer)
 
 
 def _bounced(found: FakePacket) -> FakePacket:
     return FakePacket(
-        found.key, found.marks | marks.BOUNCED, found.server, found.data, found.attempt
+        found.key, found.flags | packet_flags.BOUNCED, found.server, found.data, found.attempt
     )
 
 
@@ -322,16 +322,16 @@
     def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
         """Open a flow; return the server's name, or "" where it was refused or dropped."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, marks.OPENING, attempt=attempt))
+        answers = self.packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
         return answers[0].server if answers else ""
 
     def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
         """Send data on a flow; return the name of the server that answers, "" without one."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, marks.ACKNOWLEDGES, server, 1))
-        answers = [answer for answer in answers if not answer.marks & marks.RESETS]
+        answers = self.packet(FakePacket(key, packet_flags.ACK, server, 1))
+        answers = [answer for answer in answers if not answer.flags & packet_flags.RESET]
         return answers[0].server if answers else ""
 
     @property
     def resets(self) -> int:
-        return sum(bool(answer.marks & marks.RESETS) for answer in self.replies)
+        return sum(bool(answer.flags & packet_flags.RESET) for answer in self.replies)
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -12,7 +12,7 @@
 from tests.coordination.handshake.fake_network import SPLIT_ENDPOINT
 from tests.coordination.handshake.fake_network import FakeNetwork
 from tests.coordination.handshake.fake_network import FakePacket
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 
 FLOWS = [f"caller-{number}" for number in range(40)]
 
@@ -409,7 +409,7 @@
 
     def test_reset_of_an_unknown_flow_is_dropped(self) -> None:
         network = FakeNetwork([DESK] * 2)
-        answers = network.packet(FakePacket(b"x" + b"\xc6\x12\x00\x01\x01\xbb", marks.RESETS))
+        answers = network.packet(FakePacket(b"x" + b"\xc6\x12\x00\x01\x01\xbb", packet_flags.RESET))
         self.assertEqual(answers, [])
 
 
--- a/tests/platform/test_packet_format.py
+++ b/tests/platform/test_packet_format.py
@@ -8,8 +8,8 @@
 from wagtailkeel_platform import packet_format as platform
 from wagtailkeel_platform.packet_format import PlatformPacketFormat
 from wagtailkeel_protocol import Malformed
-from wagtailkeel_protocol import packet_format as marks
-from wagtailkeel_protocol.packet_format import PacketHead
+from wagtailkeel_protocol import packet_format as packet_flags
+from wagtailkeel_protocol.packet_format import PacketHeader
 
 OPENING = bytes.fromhex("a1b2c3d50100000000001122334400000000 0000c6120001644000079c4101bb")
 REFUSAL = bytes.fromhex("0000000008000000000000000000000000000000 64400007c612000101bb9c41")
@@ -43,9 +43,9 @@
         self.format = PlatformPacketFormat()
 
     def test_published_examples(self) -> None:
-        head = self.format.parse_inbound(OPENING)
-        assert isinstance(head, PacketHead)
-        self.assertTrue(head.is_opening)
+        header = self.format.parse_inbound(OPENING)
+        assert isinstance(header, PacketHeader)
+        self.assertTrue(header.is_opening)
         self.assertEqual(self.format.build_refusal(OPENING), REFUSAL)
 
     def test_refusal_of_data_has_the_number_that_the_caller_expects(self) -> None:
@@ -58,18 +58,18 @@
 
     def test_copies_of_an_opening_are_counted(self) -> None:
         for copies in (0, 1, 2):
-            head = self.format.parse_inbound(build(platform.SYN, ack=copies))
-            assert isinstance(head, PacketHead)
-            self.assertEqual(head.attempt, copies)
+            header = self.format.parse_inbound(build(platform.SYN, ack=copies))
+            assert isinstance(header, PacketHeader)
+            self.assertEqual(header.attempt, copies)
 
     def test_bounced_packet_is_restored(self) -> None:
         packet = build(platform.ACK, data=b"abc")
         bounced = bytearray(packet)
         bounced[4] |= platform.BOUNCED
-        head = self.format.parse_outbound(bytes(bounced))
-        assert isinstance(head, PacketHead)
-        self.assertEqual(head.key, KEY)
-        self.assertTrue(head.marks & marks.BOUNCED)
+        header = self.format.parse_outbound(bytes(bounced))
+        assert isinstance(header, PacketHeader)
+        self.assertEqual(header.key, KEY)
+        self.assertTrue(header.flags & packet_flags.BOUNCED)
         self.assertEqual(self.format.restore_bounced(bytes(bounced)), packet)
 
     def test_lengths_that_lie(self) -> None:
--- a/tests/protocol/test_packet_formats.py
+++ b/tests/protocol/test_packet_formats.py
@@ -14,11 +14,11 @@
 
 from wagtailkeel_protocol import Malformed
 from wagtailkeel_protocol import packet as ip
-from wagtailkeel_protocol import packet_format as marks
+from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_format import IpPacketFormat
 from wagtailkeel_protocol.packet_format import PacketFormat
-from wagtailkeel_protocol.packet_format import PacketHead
+from wagtailkeel_protocol.packet_format import PacketHeader
 
 CALLER = "100.64.0.7"
 CALLER_PORT = 40_001
@@ -66,19 +66,19 @@
         for case in self.cases:
             found = case.packet_format
             table = [
-                (found.parse_inbound(case.opening), marks.OPENING, 0, True),
-                (found.parse_inbound(case.data), marks.ACKNOWLEDGES, 4, False),
-                (found.parse_inbound(case.finish), marks.ACKNOWLEDGES | marks.FINISHES, 0, False),
-                (found.parse_outbound(case.answer), marks.ACKNOWLEDGES, 6, False),
-                (found.parse_outbound(case.reset), marks.RESETS, 0, False),
+                (found.parse_inbound(case.opening), packet_flags.OPENING, 0, True),
+                (found.parse_inbound(case.data), packet_flags.ACK, 4, False),
+                (found.parse_inbound(case.finish), packet_flags.ACK | packet_flags.FIN, 0, False),
+                (found.parse_outbound(case.answer), packet_flags.ACK, 6, False),
+                (found.parse_outbound(case.reset), packet_flags.RESET, 0, False),
             ]
-            for head, expected, size, is_opening in table:
-                with self.subTest(packet_format=type(found).__name__, marks=expected):
-                    assert isinstance(head, PacketHead)
-                    self.assertEqual(head.key, case.key)
-                    self.assertEqual(head.marks, expected)
-                    self.assertEqual(head.payload_bytes, size)
-                    self.assertEqual(head.is_opening, is_opening)
+            for header, expected, size, is_opening in table:
+                with self.subTest(packet_format=type(found).__name__, flags=expected):
+                    assert isinstance(header, PacketHeader)
+                    self.assertEqual(header.key, case.key)
+                    self.assertEqual(header.flags, expected)
+                    self.assertEqual(header.payload_bytes, size)
+                    self.assertEqual(header.is_opening, is_opening)
 
     def test_endpoint_and_caller(self) -> None:
         for case in self.cases:
@@ -93,10 +93,10 @@
                 with self.subTest(packet_format=type(case.packet_format).__name__):
                     refusal = case.packet_format.build_refusal(packet)
                     assert refusal is not None
-                    head = case.packet_format.parse_outbound(refusal)
-                    assert isinstance(head, PacketHead)
-                    self.assertEqual(head.key, case.key)
-                    self.assertTrue(head.marks & marks.RESETS)
+                    header = case.packet_format.parse_outbound(refusal)
+                    assert isinstance(header, PacketHeader)
+                    self.assertEqual(header.key, case.key)
+                    self.assertTrue(header.flags & packet_flags.RESET)
 
     def test_cut_and_mutated_packets(self) -> None:
         for case in self.cases:
@@ -114,7 +114,7 @@
             packet[position] ^= 1 << data.draw(st.integers(0, 7))
         cut = bytes(packet[: data.draw(st.integers(0, len(packet)))])
         for parse in (case.packet_format.parse_inbound, case.packet_format.parse_outbound):
-            test.assertIsInstance(parse(cut), (PacketHead, Malformed))
+            test.assertIsInstance(parse(cut), (PacketHeader, Malformed))
 
     check()
 
--- a/tests/protocol/test_packets.py
+++ b/tests/protocol/test_packets.py
@@ -107,7 +107,7 @@
 class FrameTest(unittest.TestCase):
     def test_round_trip(self) -> None:
         for key in KEYS:
-            frame = DataFrame(build(key), 1_023, 2**40, gue.MARK_NEW, 3, 2**31)
+            frame = DataFrame(build(key), 1_023, 2**40, gue.FLAG_NEW, 3, 2**31)
             self.assertEqual(gue.decode_frame(gue.encode_frame(frame)), frame)
 
     def test_header_parts(self) -> None:
