Name headers, lengths and checksums for what they hold

Names such as _parse_uncommon, _length_fault, _head, codes and a local header that held a length did not say what they are. Renamed to the field's terms in the packet parser, the packet builder, GUE and relay frames. Identifiers only; no behaviour changes.

make lint is clean; tests/protocol: 14 passed.

--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -24,7 +24,7 @@
 FLAG_GRANTED = 0x08
 MAX_HOPS = 4
 
-_PRIVATE_WORDS = 4
+_DATA_FIRST_BYTE = 4
 _HEADER = struct.Struct("!BBHBBHIQ")
 _PROTOCOL_IPV4 = 4
 _PROTOCOL_IPV6 = 41
@@ -46,7 +46,7 @@
 ) -> bytes:
     """Return the 20 bytes that go before an IP packet."""
     protocol = _PROTOCOL_IPV4 if version == 4 else _PROTOCOL_IPV6
-    return _HEADER.pack(_PRIVATE_WORDS, protocol, 0, flags, hops, bucket, token_epoch, epoch)
+    return _HEADER.pack(_DATA_FIRST_BYTE, protocol, 0, flags, hops, bucket, token_epoch, epoch)
 
 
 def header_prefix(version: int) -> bytes:
@@ -72,8 +72,8 @@
     """Read a variant 0 data datagram."""
     if len(datagram) < HEADER_BYTES + 28:
         return Malformed.TRUNCATED
-    first, protocol, _, flags, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
-    if first != _PRIVATE_WORDS:
+    first_byte, protocol, _, flags, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
+    if first_byte != _DATA_FIRST_BYTE:
         return Malformed.WRONG_VERSION
     if protocol not in (_PROTOCOL_IPV4, _PROTOCOL_IPV6):
         return Malformed.FOREIGN
@@ -82,7 +82,7 @@
 
 def peek_flags_and_hops(datagram: bytes) -> tuple[int, int]:
     """Return marks and hops of a data datagram; anything else counts as rejected."""
-    if len(datagram) < HEADER_BYTES or datagram[0] != _PRIVATE_WORDS:
+    if len(datagram) < HEADER_BYTES or datagram[0] != _DATA_FIRST_BYTE:
         return FLAG_REJECTED, 0
     return datagram[4], datagram[5]
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -26,7 +26,7 @@
 _TCP_HEADER_BYTES = 20
 _UDP_HEADER_BYTES = 8
 _FRAGMENT_MASK = 0x3FFF
-_IPV4_START = struct.Struct("!BxHxxHxB").unpack_from
+_unpack_ipv4_fields = struct.Struct("!BxHxxHxB").unpack_from
 
 
 def parse_flow_key(packet: bytes) -> bytes | Malformed:
@@ -34,13 +34,13 @@
     size = len(packet)
     if size < 28:
         return Malformed.TRUNCATED
-    version, total, fragment, protocol = _IPV4_START(packet)
+    version, total, fragment, protocol = _unpack_ipv4_fields(packet)
     if version != 0x45:
-        return _parse_uncommon(packet)
+        return _parse_slow_path(packet)
     if fragment & _FRAGMENT_MASK:
         return Malformed.FRAGMENTED
     if total != size:
-        return _length_fault(total, size)
+        return _length_error(total, size)
     if protocol == TCP:
         return packet[12:24] + b"\x06" if size >= 40 else Malformed.TRUNCATED
     if protocol == UDP:
@@ -48,26 +48,26 @@
     return Malformed.FOREIGN
 
 
-def _parse_uncommon(packet: bytes) -> bytes | Malformed:
+def _parse_slow_path(packet: bytes) -> bytes | Malformed:
     version = packet[0] >> 4
     if version == 6:
         return _parse_ipv6(packet)
     if version != 4:
         return Malformed.WRONG_VERSION
     # Header options are legal but rare; a key is read behind them.
-    header = (packet[0] & 0x0F) * 4
-    if header < _IPV4_HEADER_BYTES or len(packet) < header + _UDP_HEADER_BYTES:
+    header_bytes = (packet[0] & 0x0F) * 4
+    if header_bytes < _IPV4_HEADER_BYTES or len(packet) < header_bytes + _UDP_HEADER_BYTES:
         return Malformed.TRUNCATED
     if (packet[6] << 8 | packet[7]) & _FRAGMENT_MASK:
         return Malformed.FRAGMENTED
     total = packet[2] << 8 | packet[3]
     if total != len(packet):
-        return _length_fault(total, len(packet))
+        return _length_error(total, len(packet))
     if packet[9] not in (TCP, UDP):
         return Malformed.FOREIGN
-    if packet[9] == TCP and len(packet) < header + _TCP_HEADER_BYTES:
+    if packet[9] == TCP and len(packet) < header_bytes + _TCP_HEADER_BYTES:
         return Malformed.TRUNCATED
-    return packet[12:20] + packet[header : header + 4] + packet[9:10]
+    return packet[12:20] + packet[header_bytes : header_bytes + 4] + packet[9:10]
 
 
 def _parse_ipv6(packet: bytes) -> bytes | Malformed:
@@ -75,7 +75,7 @@
         return Malformed.TRUNCATED
     total = _IPV6_HEADER_BYTES + (packet[4] << 8 | packet[5])
     if total != len(packet):
-        return _length_fault(total, len(packet))
+        return _length_error(total, len(packet))
     if packet[6] == 44:
         return Malformed.FRAGMENTED
     if packet[6] not in (TCP, UDP):
@@ -85,8 +85,8 @@
     return packet[8:44] + packet[6:7]
 
 
-def _length_fault(announced: int, found: int) -> Malformed:
-    return Malformed.TRUNCATED if announced > found else Malformed.OVERSIZED
+def _length_error(declared: int, actual: int) -> Malformed:
+    return Malformed.TRUNCATED if declared > actual else Malformed.OVERSIZED
 
 
 def reverse_key(key: bytes) -> bytes:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
@@ -52,38 +52,38 @@
 
 
 def build_tcp(
-    key: bytes, sequence: int, acknowledged: int, flags: int, payload: bytes = b""
+    key: bytes, sequence: int, acknowledgement: int, flags: int, payload: bytes = b""
 ) -> bytes:
     """Return a TCP packet that travels along ``key``."""
-    source, destination, ports = _split(key)
+    source, destination, ports = _split_key(key)
     header = ports + struct.pack(
-        "!IIBBHHH", sequence & 0xFFFFFFFF, acknowledged & 0xFFFFFFFF, 0x50, flags, 0xFFFF, 0, 0
+        "!IIBBHHH", sequence & 0xFFFFFFFF, acknowledgement & 0xFFFFFFFF, 0x50, flags, 0xFFFF, 0, 0
     )
     segment = header + payload
-    total = _pseudo_checksum(source, destination, ip.TCP, segment)
-    segment = segment[:16] + struct.pack("!H", total) + segment[18:]
+    tcp_checksum = _pseudo_header_checksum(source, destination, ip.TCP, segment)
+    segment = segment[:16] + struct.pack("!H", tcp_checksum) + segment[18:]
     return build_ip(source, destination, ip.TCP, segment)
 
 
 def build_udp(key: bytes, payload: bytes) -> bytes:
     """Return a UDP packet that travels along ``key``."""
-    source, destination, ports = _split(key)
+    source, destination, ports = _split_key(key)
     segment = ports + struct.pack("!HH", 8 + len(payload), 0) + payload
-    total = _pseudo_checksum(source, destination, ip.UDP, segment) or 0xFFFF
-    segment = segment[:6] + struct.pack("!H", total) + segment[8:]
+    udp_checksum = _pseudo_header_checksum(source, destination, ip.UDP, segment) or 0xFFFF
+    segment = segment[:6] + struct.pack("!H", udp_checksum) + segment[8:]
     return build_ip(source, destination, ip.UDP, segment)
 
 
 def build_reset(packet: bytes) -> bytes:
     """Return the RST that answers a caller's TCP packet, as if the server had sent it."""
     offset = ip.transport_offset(packet)
-    sequence, acknowledged = struct.unpack_from("!II", packet, offset + 4)
+    sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     flags = packet[offset + 13]
     parsed = ip.parse_flow_key(packet)
     assert isinstance(parsed, bytes), "only a parsed packet is answered"
     key = ip.reverse_key(parsed)
     if flags & ip.ACK:
-        return build_tcp(key, acknowledged, 0, ip.RST)
+        return build_tcp(key, acknowledgement, 0, ip.RST)
     length = len(ip.payload_of(packet)) + bool(flags & ip.SYN) + bool(flags & ip.FIN)
     return build_tcp(key, 0, sequence + length, ip.RST | ip.ACK)
 
@@ -91,19 +91,19 @@
 def build_abort(packet: bytes) -> bytes:
     """Return an RST that follows a server's TCP packet in its own direction."""
     offset = ip.transport_offset(packet)
-    sequence, acknowledged = struct.unpack_from("!II", packet, offset + 4)
+    sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     parsed = ip.parse_flow_key(packet)
     assert isinstance(parsed, bytes), "only a parsed packet is followed by a reset"
-    return build_tcp(parsed, sequence, acknowledged, ip.RST | ip.ACK)
+    return build_tcp(parsed, sequence, acknowledgement, ip.RST | ip.ACK)
 
 
 def build_probe(packet: bytes) -> bytes:
     """Return a keep-alive probe along a caller's packet; a live peer answers ACK, else RST."""
     offset = ip.transport_offset(packet)
-    sequence, acknowledged = struct.unpack_from("!II", packet, offset + 4)
+    sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     parsed = ip.parse_flow_key(packet)
     assert isinstance(parsed, bytes), "only a parsed packet is probed"
-    return build_tcp(parsed, sequence - 1, acknowledged, ip.ACK)
+    return build_tcp(parsed, sequence - 1, acknowledgement, ip.ACK)
 
 
 def build_unreachable(packet: bytes) -> bytes:
@@ -113,14 +113,14 @@
     server = packet[16:20] if is_ipv4 else packet[24:40]
     quoted = packet[:QUOTED_BYTES]
     if is_ipv4:
-        codes = (ICMP_UNREACHABLE, ICMP_ADMINISTRATIVELY_PROHIBITED)
-        body = struct.pack("!BBHI", *codes, 0, 0) + quoted
+        type_and_code = (ICMP_UNREACHABLE, ICMP_ADMINISTRATIVELY_PROHIBITED)
+        body = struct.pack("!BBHI", *type_and_code, 0, 0) + quoted
         body = body[:2] + struct.pack("!H", checksum(body)) + body[4:]
         return build_ip(server, caller, ip.ICMP, body)
-    codes = (ICMPV6_UNREACHABLE, ICMPV6_ADMINISTRATIVELY_PROHIBITED)
-    body = struct.pack("!BBHI", *codes, 0, 0) + quoted
-    total = _pseudo_checksum(server, caller, ip.ICMPV6, body)
-    body = body[:2] + struct.pack("!H", total) + body[4:]
+    type_and_code = (ICMPV6_UNREACHABLE, ICMPV6_ADMINISTRATIVELY_PROHIBITED)
+    body = struct.pack("!BBHI", *type_and_code, 0, 0) + quoted
+    icmp_checksum = _pseudo_header_checksum(server, caller, ip.ICMPV6, body)
+    body = body[:2] + struct.pack("!H", icmp_checksum) + body[4:]
     return build_ip(server, caller, ip.ICMPV6, body)
 
 
@@ -130,11 +130,13 @@
     return build_reset(packet) if protocol == ip.TCP else build_unreachable(packet)
 
 
-def _split(key: bytes) -> tuple[bytes, bytes, bytes]:
+def _split_key(key: bytes) -> tuple[bytes, bytes, bytes]:
     size = 4 if len(key) == 13 else 16
     return key[:size], key[size : 2 * size], key[2 * size : 2 * size + 4]
 
 
-def _pseudo_checksum(source: bytes, destination: bytes, protocol: int, segment: bytes) -> int:
-    pseudo = source + destination + struct.pack("!II", len(segment), protocol)
-    return checksum(pseudo + segment)
+def _pseudo_header_checksum(
+    source: bytes, destination: bytes, protocol: int, segment: bytes
+) -> int:
+    pseudo_header = source + destination + struct.pack("!II", len(segment), protocol)
+    return checksum(pseudo_header + segment)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -65,12 +65,12 @@
     def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that travels from a caller to a server."""
         key = ip.parse_flow_key(packet)
-        return key if isinstance(key, Malformed) else _head(packet, key)
+        return key if isinstance(key, Malformed) else _parse_header(packet, key)
 
     def parse_outbound(self, packet: bytes) -> PacketHeader | Malformed:
         """Read a packet that a server has sent."""
         key = ip.parse_flow_key(packet)
-        return key if isinstance(key, Malformed) else _head(packet, ip.reverse_key(key))
+        return key if isinstance(key, Malformed) else _parse_header(packet, ip.reverse_key(key))
 
     def restore_bounced(self, packet: bytes) -> bytes:
         """Return the packet: nothing in it is marked."""
@@ -89,7 +89,7 @@
         return ip.source_host(key)
 
 
-def _head(packet: bytes, key: bytes) -> PacketHeader | Malformed:
+def _parse_header(packet: bytes, key: bytes) -> PacketHeader | Malformed:
     if key[-1] != ip.TCP:
         return Malformed.FOREIGN
     tcp_flags = ip.tcp_flags(packet)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
@@ -56,7 +56,7 @@
     body: bytes
 
 
-_KINDS = {int(kind): kind for kind in RelayKind}
+_KINDS_BY_NUMBER = {int(kind): kind for kind in RelayKind}
 
 
 def encode_relay(
@@ -76,7 +76,7 @@
     if len(datagram) < HEADER_BYTES:
         return Malformed.TRUNCATED
     kind_number, hops, version, tag = _HEADER.unpack_from(datagram)
-    kind = _KINDS.get(kind_number)
+    kind = _KINDS_BY_NUMBER.get(kind_number)
     if kind is None:
         return Malformed.FOREIGN
     return RelayFrame(kind, hops, version, tag, datagram[HEADER_BYTES:])
