Say in the wire formats who sends what to whom

Docstrings and assertions of wagtailkeel-protocol spoke in the project's own figures ("whom to ask", "marks", "the flow is yours"). Each message now says who sends it and what its fields mean, each parser what it returns; the flags of data frames are explained, and the IPv6 fragment header's number is named. Texts only; no behaviour changes.

--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/__init__.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/__init__.py
@@ -1,4 +1,4 @@
-"""Wire formats: packet headers, encapsulation, messages and their codec."""
+"""Wire formats: packet headers, encapsulation, messages and their encoding."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/codec.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/codec.py
@@ -13,12 +13,12 @@
 
 
 def encode_datagram(message: AnyDatagram) -> bytes:
-    """Return a control datagram with its GUE prefix."""
+    """Encode a message as a control datagram, with the GUE prefix."""
     return gue.CONTROL_PREFIX + _encoder.encode(message)
 
 
 def decode_datagram(datagram: bytes) -> AnyDatagram | Malformed:
-    """Read a control datagram."""
+    """Decode a control datagram, or return why it is malformed."""
     if datagram[:4] != gue.CONTROL_PREFIX:
         return Malformed.WRONG_VERSION
     try:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/flow_key.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/flow_key.py
@@ -1,4 +1,4 @@
-"""Flow keys: the addresses, ports and protocol of a flow, caller first, as bytes.
+"""Flow keys: the addresses, ports and protocol of a flow as bytes, the caller's first.
 
 An IPv4 key has 13 bytes, an IPv6 key 37: source address, destination address, source port,
 destination port, protocol number.
@@ -12,30 +12,30 @@
 import xxhash
 
 FlowKey = bytes
-"""Alias for annotations."""
+"""Type alias for annotations."""
 
 IPV4_KEY_BYTES = 13
 
 
 def hash_flow(key: FlowKey) -> int:
-    """Return the 64-bit XXH3 of a key; it selects the bucket."""
+    """Return the 64-bit XXH3 hash of a key, which selects the flow's bucket."""
     return xxhash.xxh3_64_intdigest(key)
 
 
 def endpoint_key(address: str, port: int, protocol: int) -> bytes:
-    """Return the part of a key that names a class: destination address, port and protocol."""
+    """Return the part of a key that identifies a class: destination address, port, protocol."""
     return ipaddress.ip_address(address).packed + struct.pack("!HB", port, protocol)
 
 
 def endpoint_of(key: FlowKey) -> bytes:
-    """Return the class's part of a key."""
+    """Return the part of a key that identifies its traffic class."""
     if len(key) == IPV4_KEY_BYTES:
         return key[4:8] + key[10:]
     return key[16:32] + key[34:]
 
 
 def describe_flow(key: FlowKey) -> str:
-    """Return a key as text, for dumps and logs."""
+    """Format a key as text for dumps and logs."""
     size = 4 if len(key) == IPV4_KEY_BYTES else 16
     source = ipaddress.ip_address(key[:size])
     destination = ipaddress.ip_address(key[size : 2 * size])
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -1,10 +1,10 @@
 """Generic UDP Encapsulation (draft-ietf-intarea-gue), variants 0 and 1.
 
-Variant 1 carries an IP packet with no header of its own. Variant 0 is used between our own
-processes: 4 bytes of header, then 16 bytes of private data, then the IP packet; with the control
-bit set, a MessagePack datagram follows the 4 bytes instead.
+Variant 1 carries an IP packet without a GUE header. Variant 0 is used between wagtailkeel
+processes: a header of 4 bytes, 16 bytes of private data and the IP packet; if the control bit is
+set, a MessagePack message follows the 4 bytes instead.
 
-Private data: marks (1 byte), hops (1), bucket (2), token epoch (4), table epoch (8).
+Private data: flags (1 byte), hops (1), bucket (2), token epoch (4), table epoch (8).
 """
 
 from __future__ import annotations
@@ -19,12 +19,17 @@
 HEADER_BYTES = 20
 BUCKET_OFFSET = 6
 FLAG_DELIVER = 0x01
+"""The receiving agent delivers the packet to its own server."""
 FLAG_NEW = 0x02
+"""The packet opens a flow that was placed on the receiving agent's server."""
 FLAG_REJECTED = 0x04
+"""An agent returned the packet: its server does not have, or accept, the flow."""
 FLAG_GRANTED = 0x08
+"""The sender has granted the bucket's token to the receiver."""
 MAX_HOPS = 4
 
 _DATA_FIRST_BYTE = 4
+"""Variant 0, control bit unset, header length of 4 words (the private data)."""
 _HEADER = struct.Struct("!BBHBBHIQ")
 _PROTOCOL_IPV4 = 4
 _PROTOCOL_IPV6 = 41
@@ -44,23 +49,23 @@
 def encode_header(
     bucket: int, epoch: int, flags: int = 0, hops: int = 0, token_epoch: int = 0, version: int = 4
 ) -> bytes:
-    """Return the 20 bytes that go before an IP packet."""
+    """Return the 20 bytes of header and private data that precede an IP packet."""
     protocol = _PROTOCOL_IPV4 if version == 4 else _PROTOCOL_IPV6
     return _HEADER.pack(_DATA_FIRST_BYTE, protocol, 0, flags, hops, bucket, token_epoch, epoch)
 
 
 def header_prefix(version: int) -> bytes:
-    """Return the 6 bytes of a header before the bucket, without marks and hops."""
+    """Return the 6 bytes that precede the bucket in a header, with flags and hops of 0."""
     return encode_header(0, 0, version=version)[:BUCKET_OFFSET]
 
 
 def header_suffix(epoch: int) -> bytes:
-    """Return the 12 bytes of a header behind the bucket."""
+    """Return the 12 bytes that follow the bucket in a header, with a token epoch of 0."""
     return encode_header(0, epoch)[BUCKET_OFFSET + 2 :]
 
 
 def encode_frame(frame: DataFrame) -> bytes:
-    """Return a whole datagram."""
+    """Encode a frame as a variant 0 data datagram."""
     version = frame.packet[0] >> 4
     header = encode_header(
         frame.bucket, frame.epoch, frame.flags, frame.hops, frame.token_epoch, version
@@ -69,7 +74,7 @@
 
 
 def decode_frame(datagram: bytes) -> DataFrame | Malformed:
-    """Read a variant 0 data datagram."""
+    """Decode a variant 0 data datagram, or return why it is malformed."""
     if len(datagram) < HEADER_BYTES + 28:
         return Malformed.TRUNCATED
     first_byte, protocol, _, flags, hops, bucket, token_epoch, epoch = _HEADER.unpack_from(datagram)
@@ -81,12 +86,12 @@
 
 
 def peek_flags_and_hops(datagram: bytes) -> tuple[int, int]:
-    """Return marks and hops of a data datagram; anything else counts as rejected."""
+    """Return the flags and hops of a data datagram; any other datagram counts as rejected."""
     if len(datagram) < HEADER_BYTES or datagram[0] != _DATA_FIRST_BYTE:
         return FLAG_REJECTED, 0
     return datagram[4], datagram[5]
 
 
 def is_control(datagram: bytes) -> bool:
-    """Tell whether a datagram carries a control message."""
+    """Return whether a datagram carries a control message."""
     return datagram[:1] == b"\x20"
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/malformed.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/malformed.py
@@ -1,4 +1,4 @@
-"""Why a packet was not accepted: sentinel values, counted by name."""
+"""Reasons for dropping a packet, returned instead of a parsed result and counted by value."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class Malformed(Enum):
-    """Reason for which a packet is dropped at the edge."""
+    """Reason why a received packet is dropped before it is routed."""
 
     TRUNCATED = "truncated"
     OVERSIZED = "oversized"
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -1,6 +1,6 @@
-"""Datagrams and RPC bodies between our own processes.
+"""Datagrams and RPC messages between wagtailkeel processes.
 
-Datagrams are small, may be lost, doubled or late, and name their sender by id.
+Datagrams are small and may be lost, duplicated or delayed. ``sender`` is the sender's id.
 """
 
 from __future__ import annotations
@@ -18,11 +18,11 @@
 
 
 class Datagram(msgspec.Struct, array_like=True):
-    """Base of all datagrams."""
+    """Base class of all datagrams."""
 
 
 class Heartbeat(Datagram, tag=1):
-    """Node to control: still alive, and at this version; agents add what they measured."""
+    """Sent by a node to control: it is running, with this version; agents add measurements."""
 
     sender: str
     boot_id: int
@@ -34,9 +34,9 @@
 
 
 class HeartbeatAck(Datagram, tag=2):
-    """Control to node; ``lease_s`` is 0 where no lease is granted.
+    """Sent by control in reply to a heartbeat; ``lease_s`` is 0 if no lease is granted.
 
-    The lease counts from ``sent_at``, the node's own time of the heartbeat that it answers.
+    The lease starts at ``sent_at``, the node's own time at which it sent that heartbeat.
     """
 
     sender: str
@@ -49,14 +49,14 @@
 
 
 class VersionHint(Datagram, tag=3):
-    """Any node to any other: a newer version exists here."""
+    """Sent by any node to any other: the sender has a newer configuration version."""
 
     sender: str
     version: int
 
 
 class Load(msgspec.Struct, array_like=True):
-    """What an agent tells its peers of its server's load."""
+    """Load of an agent's backend server, as reported to the agent's peers."""
 
     in_flight: int
     limit: int
@@ -66,7 +66,7 @@
 
 
 class Gossip(Datagram, tag=4):
-    """Agent to agents of its service."""
+    """Sent by an agent to the other agents of its service."""
 
     sender: str
     boot_id: int
@@ -75,7 +75,7 @@
 
 
 class Claim(Datagram, tag=5):
-    """New owner to member: are these buckets' tokens yours, and which of their flows?"""
+    """Sent by a new owner to a member: asks which of these buckets' tokens and flows it has."""
 
     sender: str
     boot_id: int
@@ -84,7 +84,7 @@
 
 
 class BucketAnswer(msgspec.Struct, array_like=True):
-    """One bucket's answer to a claim, one part of ``parts``; the flows are the member's own."""
+    """Answer to a claim for one bucket, one of ``parts``; flows of the member's own server."""
 
     bucket: int
     is_holder: bool
@@ -94,7 +94,10 @@
 
 
 class ClaimAnswer(Datagram, tag=6):
-    """Member to claimant; with ``has_lost_memory`` it may have flows that it does not know."""
+    """Sent by a member to the claimant.
+
+    ``has_lost_memory``: the member lost its state, so its server may have flows not listed here.
+    """
 
     sender: str
     boot_id: int
@@ -104,9 +107,10 @@
 
 
 class BucketGrant(msgspec.Struct, array_like=True):
-    """A bucket's token and directory entries; ``epoch`` is of the table that moved it.
+    """A bucket's token and directory entries; ``epoch`` is that of the table that moved it.
 
-    For ``uncertain_s`` seconds an unknown flow may have reached a server that nobody speaks for.
+    For ``uncertain_s`` seconds, a flow without an entry may have reached a server for which no
+    live agent is responsible.
     """
 
     bucket: int
@@ -117,7 +121,7 @@
 
 
 class Grant(Datagram, tag=7):
-    """Holder to one incarnation of the next owner: the tokens of some buckets."""
+    """Sent by the holder to one incarnation of the next owner: the tokens of some buckets."""
 
     sender: str
     recipient_boot_id: int
@@ -125,26 +129,29 @@
 
 
 class BucketReceipt(msgspec.Struct, array_like=True, frozen=True):
-    """Names one grant of one bucket."""
+    """Identifies one grant of one bucket."""
 
     bucket: int
     generation: Generation
 
 
 class GrantAck(Datagram, tag=8):
-    """Next owner to holder: these grants arrived (taken or refused as stale)."""
+    """Sent by the next owner to the holder: grants were received (accepted or refused as stale)."""
 
     sender: str
     receipts: list[BucketReceipt]
 
     @classmethod
     def from_grant(cls, sender: str, bucket: int, generation: Generation) -> GrantAck:
-        """Acknowledge the grant of one bucket."""
+        """Return the acknowledgement of the grant of one bucket."""
         return cls(sender, [BucketReceipt(bucket, generation)])
 
 
 class FlowTransfer(Datagram, tag=9):
-    """Holder to the next owner: entries sent ahead of a grant too large for one datagram."""
+    """Sent by the holder to the next owner: entries of a grant too large for one datagram.
+
+    The parts precede the grant.
+    """
 
     sender: str
     recipient_boot_id: int
@@ -155,7 +162,7 @@
 
 
 class FlowTransferAck(Datagram, tag=10):
-    """Next owner to holder."""
+    """Sent by the next owner to the holder: one part of a flow transfer was received."""
 
     sender: str
     bucket: int
@@ -164,11 +171,11 @@
 
 
 class ServerLoad(Datagram, tag=11):
-    """Agent to agents and to the balancers of its data centre: what its server bears now.
+    """Sent by an agent to agents and to its data centre's balancers: load of its server.
 
-    ``service_ms`` is the time that the server takes for one request, without waiting.
-    ``is_leaving`` says that the agent is about to stop, ``is_unheard`` that it is so young that
-    the first report of its server may be on its way.
+    ``service_ms`` is the time that the server takes for one request, excluding waiting time.
+    ``is_leaving``: the agent is about to stop. ``is_unheard``: the agent started so recently
+    that the first report of its server may still be on its way.
     """
 
     service_tag: int
@@ -183,7 +190,7 @@
 
 
 class BalancerState(Datagram, tag=12):
-    """Balancer to the others of its data centre: a planned stop begins, or it has become ready."""
+    """Sent by a balancer to its data centre's others: it begins a planned stop, or is ready."""
 
     is_stopping: bool
 
@@ -205,14 +212,14 @@
 
 
 class AnnounceRequest(msgspec.Struct):
-    """A node joins: exactly one of the members is set."""
+    """Sent by a node that joins: exactly one of the members is set."""
 
     server: ServerMember | None = None
     balancer: BalancerMember | None = None
 
 
 class AnnounceReply(msgspec.Struct):
-    """Whether the join is committed; otherwise whom to ask."""
+    """Whether the request is committed; if not, ``leader_id`` is the instance to ask instead."""
 
     is_joined: bool
     index: int = 0
@@ -221,34 +228,34 @@
 
 
 class StopRequest(msgspec.Struct):
-    """An agent is about to stop as planned."""
+    """Sent by an agent that is about to stop as planned."""
 
     server_id: str
     boot_id: int
 
 
 class LeaveRequest(msgspec.Struct):
-    """An agent is about to stop for good: its server has ended."""
+    """Sent by an agent that is about to stop for good because its server has ended."""
 
     server_id: str
     boot_id: int
 
 
 class PullRequest(msgspec.Struct):
-    """Ask for what was committed after ``since``."""
+    """Requests the log entries committed after index ``since``."""
 
     since: int
 
 
 class PullReply(msgspec.Struct):
-    """Entries after ``since``, or the whole configuration where they are not retained."""
+    """Entries after ``since``, or the whole configuration if they are no longer retained."""
 
     entries: list[LogEntry] = []
     snapshot: Configuration | None = None
 
 
 class CommandRequest(msgspec.Struct):
-    """A command by an operator or by control itself."""
+    """A command sent by an operator or by control itself."""
 
     command: AnyCommand
     command_id: str
@@ -257,42 +264,45 @@
 
 
 class CommandReply(msgspec.Struct):
-    """The answer, or the leader to ask instead."""
+    """The answer to the command, or the leader to send it to instead."""
 
     answer: CommandAnswer | None = None
     leader_id: str = ""
 
 
 class ControlJoinRequest(msgspec.Struct):
-    """A control instance without a vote asks to follow the log."""
+    """Sent by a control instance without a vote that asks to follow the log."""
 
     instance_id: str
     identity: str
 
 
 class ControlJoinReply(msgspec.Struct):
-    """Whether the asked instance leads and has noted the other; otherwise whom to ask."""
+    """Whether the queried instance is the leader and has registered the other as a learner.
+
+    If not, ``leader_id`` is the instance to ask instead.
+    """
 
     is_noted: bool
     leader_id: str = ""
 
 
 class DumpRequest(msgspec.Struct):
-    """Ask a process for its state."""
+    """Requests the state of a process."""
 
 
 class DumpReply(msgspec.Struct):
-    """A process's state as JSON text."""
+    """The state of a process as JSON text."""
 
     body: bytes
 
 
 class StatusRequest(msgspec.Struct):
-    """Ask control for the whole picture."""
+    """Requests from control the status of all nodes and the configuration."""
 
 
 class NodeStatus(msgspec.Struct):
-    """What control last heard of a node."""
+    """The last state of a node that was reported to control, ``age_s`` seconds ago."""
 
     instance_id: str
     role: str
@@ -305,7 +315,7 @@
 
 
 class StatusReply(msgspec.Struct):
-    """Committed version and every node's own version."""
+    """The committed version and configuration, and the version that every node has."""
 
     version: int
     leader_id: str
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -1,4 +1,4 @@
-"""Reading IPv4 and IPv6 packets that carry TCP or UDP.
+"""Parsing of IPv4 and IPv6 packets that carry TCP or UDP.
 
 Sources: RFC 791, RFC 8200, RFC 9293, RFC 768.
 """
@@ -30,7 +30,7 @@
 
 
 def parse_flow_key(packet: bytes) -> bytes | Malformed:
-    """Return the key of a packet that travels from caller to server, or why there is none."""
+    """Return the flow key of a packet from caller to server, or why the packet is malformed."""
     size = len(packet)
     if size < 28:
         return Malformed.TRUNCATED
@@ -54,7 +54,7 @@
         return _parse_ipv6(packet)
     if version != 4:
         return Malformed.WRONG_VERSION
-    # Header options are legal but rare; a key is read behind them.
+    # IPv4 header options are valid but rare; the ports follow them.
     header_bytes = (packet[0] & 0x0F) * 4
     if header_bytes < _IPV4_HEADER_BYTES or len(packet) < header_bytes + _UDP_HEADER_BYTES:
         return Malformed.TRUNCATED
@@ -76,6 +76,7 @@
     total = _IPV6_HEADER_BYTES + (packet[4] << 8 | packet[5])
     if total != len(packet):
         return _length_error(total, len(packet))
+    # Next header 44 is the fragment header.
     if packet[6] == 44:
         return Malformed.FRAGMENTED
     if packet[6] not in (TCP, UDP):
@@ -90,19 +91,19 @@
 
 
 def reverse_key(key: bytes) -> bytes:
-    """Swap the two ends of a key: a reply's key becomes its flow's key."""
+    """Swap source and destination of a key: the key of a reply becomes that of its flow."""
     if len(key) == 13:
         return key[4:8] + key[:4] + key[10:12] + key[8:10] + key[12:]
     return key[16:32] + key[:16] + key[34:36] + key[32:34] + key[36:]
 
 
 def source_host(key: bytes) -> str:
-    """Return the caller's address of a key as text."""
+    """Return the source address of a key as text."""
     return str(ipaddress.ip_address(key[:4] if len(key) == 13 else key[:16]))
 
 
 def transport_offset(packet: bytes) -> int:
-    """Return where the TCP or UDP header starts; the packet has been parsed before."""
+    """Return the offset of the TCP or UDP header of a packet that has been parsed before."""
     return (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else _IPV6_HEADER_BYTES
 
 
@@ -112,7 +113,7 @@
 
 
 def payload_of(packet: bytes) -> bytes:
-    """Return what follows the TCP or UDP header."""
+    """Return the bytes after the TCP or UDP header."""
     offset = transport_offset(packet)
     protocol = packet[9] if packet[0] >> 4 == 4 else packet[6]
     if protocol == UDP:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
@@ -1,4 +1,4 @@
-"""Building IP packets: TCP resets and probes, ICMP refusals, and what the bench sends.
+"""Building of IP packets: TCP resets and probes, ICMP errors, and the bench's packets.
 
 Sources: RFC 1071 (checksum), RFC 792 and RFC 4443 (ICMP), RFC 9293 section 3.10.7 (resets).
 """
@@ -27,7 +27,7 @@
 
 
 def build_ip(source: bytes, destination: bytes, protocol: int, segment: bytes) -> bytes:
-    """Return an IPv4 or IPv6 packet, by the length of the packed addresses."""
+    """Return an IPv4 or IPv6 packet, depending on the length of the packed addresses."""
     if len(source) == 16:
         return (
             struct.pack("!IHBB", 0x60000000, len(segment), protocol, HOP_LIMIT)
@@ -54,7 +54,7 @@
 def build_tcp(
     key: bytes, sequence: int, acknowledgement: int, flags: int, payload: bytes = b""
 ) -> bytes:
-    """Return a TCP packet that travels along ``key``."""
+    """Return a TCP packet from the source to the destination of ``key``."""
     source, destination, ports = _split_key(key)
     header = ports + struct.pack(
         "!IIBBHHH", sequence & 0xFFFFFFFF, acknowledgement & 0xFFFFFFFF, 0x50, flags, 0xFFFF, 0, 0
@@ -66,7 +66,7 @@
 
 
 def build_udp(key: bytes, payload: bytes) -> bytes:
-    """Return a UDP packet that travels along ``key``."""
+    """Return a UDP packet from the source to the destination of ``key``."""
     source, destination, ports = _split_key(key)
     segment = ports + struct.pack("!HH", 8 + len(payload), 0) + payload
     udp_checksum = _pseudo_header_checksum(source, destination, ip.UDP, segment) or 0xFFFF
@@ -75,12 +75,12 @@
 
 
 def build_reset(packet: bytes) -> bytes:
-    """Return the RST that answers a caller's TCP packet, as if the server had sent it."""
+    """Return the RST that answers a caller's TCP packet, with the server as its source."""
     offset = ip.transport_offset(packet)
     sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     flags = packet[offset + 13]
     parsed = ip.parse_flow_key(packet)
-    assert isinstance(parsed, bytes), "only a parsed packet is answered"
+    assert isinstance(parsed, bytes), "a packet to answer with RST must parse"
     key = ip.reverse_key(parsed)
     if flags & ip.ACK:
         return build_tcp(key, acknowledgement, 0, ip.RST)
@@ -89,25 +89,25 @@
 
 
 def build_abort(packet: bytes) -> bytes:
-    """Return an RST that follows a server's TCP packet in its own direction."""
+    """Return an RST that follows a server's TCP packet in the same direction."""
     offset = ip.transport_offset(packet)
     sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     parsed = ip.parse_flow_key(packet)
-    assert isinstance(parsed, bytes), "only a parsed packet is followed by a reset"
+    assert isinstance(parsed, bytes), "a packet to follow with RST must parse"
     return build_tcp(parsed, sequence, acknowledgement, ip.RST | ip.ACK)
 
 
 def build_probe(packet: bytes) -> bytes:
-    """Return a keep-alive probe along a caller's packet; a live peer answers ACK, else RST."""
+    """Return a keep-alive probe to the server; it answers ACK if it has the flow, else RST."""
     offset = ip.transport_offset(packet)
     sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     parsed = ip.parse_flow_key(packet)
-    assert isinstance(parsed, bytes), "only a parsed packet is probed"
+    assert isinstance(parsed, bytes), "a packet to build a probe from must parse"
     return build_tcp(parsed, sequence - 1, acknowledgement, ip.ACK)
 
 
 def build_unreachable(packet: bytes) -> bytes:
-    """Return the ICMP error "administratively prohibited" that answers a caller's packet."""
+    """Return the ICMP error "administratively prohibited" for a caller's packet."""
     is_ipv4 = packet[0] >> 4 == 4
     caller = packet[12:16] if is_ipv4 else packet[8:24]
     server = packet[16:20] if is_ipv4 else packet[24:40]
@@ -125,7 +125,7 @@
 
 
 def build_refusal(packet: bytes) -> bytes:
-    """Return the refusal of a caller's packet: RST for TCP, an ICMP error for UDP."""
+    """Return the packet that refuses a caller's packet: RST for TCP, an ICMP error for UDP."""
     protocol = packet[9] if packet[0] >> 4 == 4 else packet[6]
     return build_reset(packet) if protocol == ip.TCP else build_unreachable(packet)
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -1,4 +1,4 @@
-"""What the handshake router needs of a packet format, and its implementation for TCP in IP."""
+"""The packet format interface of the handshake router, and its implementation for TCP over IP."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 
 
 class PacketHeader(msgspec.Struct):
-    """The parts of a packet that routing decides by.
+    """The header fields of a packet that routing depends on.
 
-    ``key`` names the flow, caller first, whichever way the packet travels. ``marks`` are the
-    constants of this module. ``payload_bytes`` counts application data. ``attempt`` is 0 for the
-    first copy of an opening packet, where the format tells copies apart.
+    ``key`` identifies the flow, caller first, in both directions. ``flags`` is a set of this
+    module's constants. ``payload_bytes`` counts application data. ``attempt`` is 0 for the first
+    transmission of an opening, and in formats that do not distinguish retransmissions.
     """
 
     key: bytes
@@ -33,51 +33,51 @@
 
     @property
     def is_opening(self) -> bool:
-        """Tell whether the packet asks for a new flow."""
+        """Return whether the packet requests a new flow."""
         return self.flags & (OPENING | ACK) == OPENING
 
 
 class PacketFormat(Protocol):
-    """Reads and builds the packets of callers and servers."""
+    """Parses and builds the packets of callers and servers."""
 
     def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
-        """Read a packet that travels from a caller to a server."""
+        """Parse a packet sent from a caller to a server."""
 
     def parse_outbound(self, packet: bytes) -> PacketHeader | Malformed:
-        """Read a packet that a server has sent, or returned because it can't use it."""
+        """Parse a packet that a server sent, or returned (bounced) because it can't use it."""
 
     def restore_bounced(self, packet: bytes) -> bytes:
-        """Return a bounced packet as its caller wrote it."""
+        """Return a bounced packet as its caller sent it."""
 
     def build_refusal(self, packet: bytes) -> bytes | None:
-        """Return the reset that answers a caller's packet; None where resets answer nothing."""
+        """Return the reset that refuses a caller's packet, or None if the packet is a reset."""
 
     def endpoint_of(self, key: bytes) -> bytes:
-        """Return the part of a flow's key that names its route: address and port."""
+        """Return the part of a flow key that identifies its route: address and port."""
 
     def caller_host(self, key: bytes) -> str:
-        """Return the caller's address."""
+        """Return the caller's address of a flow key."""
 
 
 class IpPacketFormat:
-    """TCP in IPv4 or IPv6; a server's RST is the only "no" that TCP has, so none is bounced."""
+    """TCP over IPv4 or IPv6; TCP servers can refuse a packet only by RST, so none is bounced."""
 
     def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
-        """Read a packet that travels from a caller to a server."""
+        """Parse a packet sent from a caller to a server."""
         key = ip.parse_flow_key(packet)
         return key if isinstance(key, Malformed) else _parse_header(packet, key)
 
     def parse_outbound(self, packet: bytes) -> PacketHeader | Malformed:
-        """Read a packet that a server has sent."""
+        """Parse a packet that a server sent."""
         key = ip.parse_flow_key(packet)
         return key if isinstance(key, Malformed) else _parse_header(packet, ip.reverse_key(key))
 
     def restore_bounced(self, packet: bytes) -> bytes:
-        """Return the packet: nothing in it is marked."""
+        """Return the packet unchanged: the format has no flag for bounced packets."""
         return packet
 
     def build_refusal(self, packet: bytes) -> bytes | None:
-        """Return an RST for a TCP packet that is none itself."""
+        """Return an RST, or None if the packet is an RST."""
         return None if ip.tcp_flags(packet) & ip.RST else build_reset(packet)
 
     def endpoint_of(self, key: bytes) -> bytes:
@@ -85,7 +85,7 @@
         return endpoint_of(key)[:-1]
 
     def caller_host(self, key: bytes) -> str:
-        """Return the source address."""
+        """Return the source address of the key."""
         return ip.source_host(key)
 
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
@@ -1,4 +1,4 @@
-"""RPC bodies between control instances."""
+"""RPC messages between control instances."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 
 class VoteRequest(msgspec.Struct, tag=True):
-    """Candidate to voter; with ``is_pre_vote`` nothing is promised.
+    """Sent by a candidate to a voter; with ``is_pre_vote`` the voter promises nothing.
 
-    ``voter_process`` is not 0 where the candidate knows that no lease of a leader can be alive: it
-    names the process of the voter that said so (see ``RestartReply``).
+    ``voter_process`` is not 0 if the candidate knows that no leader's lease can still be valid: it
+    identifies the process of the voter that reported so (see ``RestartReply``).
     """
 
     term: int
@@ -24,7 +24,7 @@
 
 
 class VoteReply(msgspec.Struct, tag=True):
-    """Voter to candidate."""
+    """Sent by a voter to the candidate."""
 
     term: int
     voter_id: str
@@ -34,7 +34,7 @@
 
 
 class AppendRequest(msgspec.Struct, tag=True):
-    """Leader to follower: entries after ``previous_index``, or none as a heartbeat."""
+    """Sent by the leader to a follower: entries after ``previous_index``; none as a heartbeat."""
 
     term: int
     leader_id: str
@@ -46,7 +46,10 @@
 
 
 class AppendReply(msgspec.Struct, tag=True):
-    """Follower to leader; ``match_index`` is durable, or a hint to step back to on a refusal."""
+    """Sent by a follower to the leader.
+
+    ``match_index`` is durable; on a refusal it is the index to which the leader may step back.
+    """
 
     term: int
     follower_id: str
@@ -57,7 +60,7 @@
 
 
 class SnapshotRequest(msgspec.Struct, tag=True):
-    """Leader to follower: a whole configuration."""
+    """Sent by the leader to a follower: a whole configuration."""
 
     term: int
     leader_id: str
@@ -68,9 +71,10 @@
 
 
 class RestartRequest(msgspec.Struct, tag=True):
-    """A voter that has just started asks another whether it has met a leader since its start.
+    """Sent by a voter that has just started to another voter.
 
-    ``process`` names the asking process, not its instance.
+    It asks whether that voter has had contact with a leader since its own start. ``process``
+    identifies the querying process, not its instance.
     """
 
     candidate_id: str
@@ -79,9 +83,9 @@
 
 
 class RestartReply(msgspec.Struct, tag=True):
-    """Answer to a ``RestartRequest``, with the end of the own log.
+    """Reply to a ``RestartRequest``, with the last index and term of the voter's own log.
 
-    ``is_leaderless`` says that this process has neither led nor heard a leader.
+    ``is_leaderless``: this process has neither led nor had contact with a leader.
     """
 
     voter_id: str
@@ -105,14 +109,17 @@
 
 
 class FormationRequest(msgspec.Struct):
-    """Ask a control instance whether it already belongs to a formed cluster."""
+    """Asks a control instance whether it already belongs to a formed cluster."""
 
     instance_id: str
     identity: str
 
 
 class FormationReply(msgspec.Struct):
-    """``voters_by_id`` is empty in an instance that belongs to no cluster yet."""
+    """Reply to a ``FormationRequest``.
+
+    ``voters_by_id`` is empty if the instance does not belong to a cluster yet.
+    """
 
     instance_id: str
     identity: str
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
@@ -1,8 +1,8 @@
 """Frames that carry a flow's packets between balancers and agents.
 
-Header, big-endian: kind (1 byte), hops (1), routing version (4), service tag (4). The packet, or
-for FOUND and NOT_FOUND the flow's key, follows. The first byte differs from that of a control
-datagram, so that both arrive on one port.
+Header, big-endian: kind (1 byte), hops (1), routing version (4), service tag (4). The packet
+follows, or the flow key for FOUND and NOT_FOUND. The first byte differs from that of a control
+datagram, so that one port can receive both.
 """
 
 from __future__ import annotations
@@ -24,30 +24,30 @@
 
 
 class RelayKind(IntEnum):
-    """What the receiver is asked to do."""
+    """What the sender asks of the receiver or reports to it."""
 
     FORWARD = KIND_BASE
-    """Balancer to directory owner: find the flow's server, or place an opening."""
+    """Balancer to directory owner: forward to the flow's server, or place an opening."""
     PLACE = KIND_BASE + 1
-    """Owner to agent: take this opening, or return it."""
+    """Owner to agent: accept this opening, or return it."""
     DELIVER = KIND_BASE + 2
-    """Owner to agent: the flow is yours; return the packet if it is not."""
+    """Owner to agent: deliver the packet, or return it if the agent does not have the flow."""
     SEARCH = KIND_BASE + 3
-    """Owner to every agent: deliver the packet if the flow is yours, and say which it is."""
+    """Owner to every agent: report whether the agent has the flow, and if so deliver the packet."""
     FOUND = KIND_BASE + 4
-    """Agent to owner: the flow of this key is here."""
+    """Agent to owner: the agent has the flow of this key."""
     NOT_FOUND = KIND_BASE + 5
-    """Agent to owner: the flow of this key is not here."""
+    """Agent to owner: the agent does not have the flow of this key."""
     REJECTED = KIND_BASE + 6
-    """Agent to owner: an opening comes back, no server has it."""
+    """Agent to owner: returns an opening that no server has."""
     RETURNED = KIND_BASE + 7
-    """Agent to owner: a later packet comes back, its flow is not here."""
+    """Agent to owner: returns a later packet, whose flow the agent does not have."""
     BUSY = KIND_BASE + 8
-    """Agent to owner: an opening comes back, requests of the server wait for too long."""
+    """Agent to owner: returns an opening because requests wait too long at the agent's server."""
 
 
 class RelayFrame(msgspec.Struct):
-    """A frame that has been read; ``body`` is a packet or a flow's key."""
+    """A decoded frame; ``body`` is a packet or a flow key."""
 
     kind: RelayKind
     hops: int
@@ -62,17 +62,17 @@
 def encode_relay(
     kind: int, hops: int, routing_version: int, service_tag: int, body: bytes
 ) -> bytes:
-    """Return a frame."""
+    """Encode a frame."""
     return _HEADER.pack(kind, hops, routing_version & 0xFFFFFFFF, service_tag) + body
 
 
 def is_relay(datagram: bytes) -> bool:
-    """Tell a frame from a control datagram by its first byte."""
+    """Return whether the first byte is that of a frame rather than of a control datagram."""
     return bool(datagram) and datagram[0] & 0xF0 == KIND_BASE
 
 
 def decode_relay(datagram: bytes) -> RelayFrame | Malformed:
-    """Read a frame."""
+    """Decode a frame, or return why it is malformed."""
     if len(datagram) < HEADER_BYTES:
         return Malformed.TRUNCATED
     kind_number, hops, version, tag = _HEADER.unpack_from(datagram)
@@ -83,5 +83,5 @@
 
 
 def service_tag(service: str) -> int:
-    """Return the number that names a service in frames; 0 is kept for none."""
+    """Return the number that identifies a service in frames; 0 is reserved for no service."""
     return xxhash.xxh32_intdigest(service.encode()) or 1
