Name timeouts, handlers and channels of the transport by the field's terms

IDLE_LIMIT_S bounds a wait, _drop closes a channel, _forget_outcome retrieves a task's exception, and where held a call's target; _serve, head, unary, cut_bytes and _override were as vague. Renamed; cut_bytes is also read by the control role and a test. Identifiers only; no behaviour changes.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/http_server.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/http_server.py
@@ -22,7 +22,7 @@
 
 MAX_BODY_BYTES = 1_048_576
 READ_BYTES = 65_536
-IDLE_LIMIT_S = 30.0
+IDLE_TIMEOUT_S = 30.0
 """A connection that says nothing for so long is closed: its peer may be gone."""
 JSON_TYPE = "application/json"
 
@@ -48,9 +48,9 @@
 class HttpServer:
     """Serves one address; a role of the daemon."""
 
-    def __init__(self, address: tuple[str, int], handle: Handler, counters: Counter[str]) -> None:
+    def __init__(self, address: tuple[str, int], handler: Handler, counters: Counter[str]) -> None:
         self._address = address
-        self._handle = handle
+        self._handler = handler
         self._counters = counters
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -61,12 +61,12 @@
         except OSError as error:
             raise BindError(host, port, error) from error
         task_status.started()
-        await listener.serve(self._serve)
+        await listener.serve(self._serve_connection)
 
     async def stop(self) -> None:
         """Calls are answered until the process ends."""
 
-    async def _serve(self, stream: SocketStream) -> None:
+    async def _serve_connection(self, stream: SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         async with stream:
             try:
@@ -99,14 +99,14 @@
             else:
                 return False
         assert request is not None, "h11 gives the request before its end"
-        response = await self._answer(request, bytes(body))
+        response = await self._handle_request(request, bytes(body))
         await _send(stream, connection, response)
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
-    async def _answer(self, request: h11.Request, body: bytes) -> Response:
+    async def _handle_request(self, request: h11.Request, body: bytes) -> Response:
         method, target = request.method.decode("ascii"), request.target.decode("ascii", "replace")
         try:
-            return await self._handle(method, target.partition("?")[0], body)
+            return await self._handler(method, target.partition("?")[0], body)
         except Exception:
             # One bad call must not end the server's task.
             logger.exception("{} {} failed", method, target)
@@ -126,7 +126,7 @@
 
 
 async def _receive(stream: SocketStream, connection: h11.Connection) -> bool:
-    with anyio.move_on_after(IDLE_LIMIT_S):
+    with anyio.move_on_after(IDLE_TIMEOUT_S):
         try:
             connection.receive_data(await stream.receive(READ_BYTES))
         except anyio.EndOfStream:
@@ -139,7 +139,9 @@
     headers = [("Content-Type", response.content_type), ("Content-Length", str(len(response.body)))]
     if response.location:
         headers.append(("Location", response.location))
-    head = h11.Response(status_code=response.status, reason=response.status.phrase, headers=headers)
-    parts = [connection.send(head), connection.send(h11.Data(data=response.body))]
-    parts.append(connection.send(h11.EndOfMessage()))
-    await stream.send(b"".join(part for part in parts if part))
+    response_head = h11.Response(
+        status_code=response.status, reason=response.status.phrase, headers=headers
+    )
+    chunks = [connection.send(response_head), connection.send(h11.Data(data=response.body))]
+    chunks.append(connection.send(h11.EndOfMessage()))
+    await stream.send(b"".join(chunk for chunk in chunks if chunk))
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -80,22 +80,25 @@
     def __mapping__(self) -> dict[str, Handler]:
         return {
             method.path: Handler(
-                _serve(handle), Cardinality.UNARY_UNARY, method.request_type, method.reply_type
+                _adapt_handler(handler),
+                Cardinality.UNARY_UNARY,
+                method.request_type,
+                method.reply_type,
             )
-            for method, handle in self._handlers.items()
+            for method, handler in self._handlers.items()
         }
 
 
-def _serve(
-    handle: Callable[[Any], Awaitable[Any]],
+def _adapt_handler(
+    handler: Callable[[Any], Awaitable[Any]],
 ) -> Callable[[Stream[Any, Any]], Awaitable[None]]:
-    async def serve(stream: Stream[Any, Any]) -> None:
+    async def handle_stream(stream: Stream[Any, Any]) -> None:
         request = await stream.recv_message()
         if request is None:
             return
-        await stream.send_message(await handle(request))
+        await stream.send_message(await handler(request))
 
-    return serve
+    return handle_stream
 
 
 class RpcServer:
@@ -153,33 +156,33 @@
         if channel is None:
             channel = _BoundChannel(*address, self._source_host)
             self._channels_by_address[address] = channel
-        unary: UnaryUnaryMethod[Request, Reply] = UnaryUnaryMethod(
+        grpc_method: UnaryUnaryMethod[Request, Reply] = UnaryUnaryMethod(
             channel, method.path, method.request_type, method.reply_type
         )
         # A task of its own: when a connection is lost, the library cancels the calling task and
         # leaves its count of cancellations raised, which would end the caller's next timeout.
         task: asyncio.Task[Reply | None]
-        task = asyncio.create_task(_invoke(channel, unary, request))
+        task = asyncio.create_task(_connect_and_call(channel, grpc_method, request))
         try:
             await asyncio.wait({task}, timeout=timeout_s)
         finally:
-            is_answered = task.done()
+            is_done = task.done()
             task.cancel()
-            task.add_done_callback(_forget_outcome)
-        where = f"{method.name} at {address[0]}:{address[1]}"
-        if not is_answered:
-            self._drop(address, channel)
-            raise RpcError(f"{where}: no answer within {timeout_s:g} s")
+            task.add_done_callback(_retrieve_exception)
+        target = f"{method.name} at {address[0]}:{address[1]}"
+        if not is_done:
+            self._close_channel(address, channel)
+            raise RpcError(f"{target}: no answer within {timeout_s:g} s")
         try:
             reply = task.result()
         except (*_CALL_ERRORS, asyncio.CancelledError) as error:
-            self._drop(address, channel)
-            raise RpcError(f"{where}: {error!r}") from error
+            self._close_channel(address, channel)
+            raise RpcError(f"{target}: {error!r}") from error
         if reply is None:
-            raise RpcError(f"{where}: empty answer")
+            raise RpcError(f"{target}: empty answer")
         return reply
 
-    def _drop(self, address: tuple[str, int], channel: Channel) -> None:
+    def _close_channel(self, address: tuple[str, int], channel: Channel) -> None:
         """Close a connection that may have gone silent; the next call opens another."""
         if self._channels_by_address.get(address) is channel:
             del self._channels_by_address[address]
@@ -188,15 +191,17 @@
     def close(self) -> None:
         """Close all connections."""
         for address, channel in list(self._channels_by_address.items()):
-            self._drop(address, channel)
+            self._close_channel(address, channel)
 
 
-async def _invoke(channel: Channel, unary: UnaryUnaryMethod[Any, Any], request: Any) -> Any:
+async def _connect_and_call(
+    channel: Channel, grpc_method: UnaryUnaryMethod[Any, Any], request: Any
+) -> Any:
     await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
-    return await unary(request)
+    return await grpc_method(request)
 
 
-def _forget_outcome(task: asyncio.Task[Any]) -> None:
+def _retrieve_exception(task: asyncio.Task[Any]) -> None:
     """Mark the outcome of an abandoned call as seen, so that it is not reported as lost."""
     if not task.cancelled():
         task.exception()
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
@@ -29,18 +29,18 @@
         if not path.is_dir():
             raise DataFolderMissingError(path)
         self.path = path
-        self._lock = os.open(path / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+        self._lock_descriptor = os.open(path / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            os.close(self._lock)
+            os.close(self._lock_descriptor)
             raise DataFolderLockedError(path) from error
-        self._remove_temporaries()
+        self._remove_temporary_files()
         self.identity = self._load_identity()
 
     def close(self) -> None:
         """Release the lock."""
-        os.close(self._lock)
+        os.close(self._lock_descriptor)
 
     def replace(self, name: str, payload: bytes) -> None:
         """Replace a file as a whole: write, sync, rename, sync the folder."""
@@ -73,14 +73,14 @@
         finally:
             os.close(descriptor)
 
-    def _remove_temporaries(self) -> None:
+    def _remove_temporary_files(self) -> None:
         for leftover in self.path.glob("*" + TEMPORARY_SUFFIX):
             leftover.unlink()
 
     def _load_identity(self) -> str:
-        known = self.load(IDENTITY_FILE)
-        if known is not None:
-            return known.decode()
+        stored = self.load(IDENTITY_FILE)
+        if stored is not None:
+            return stored.decode()
         identity = uuid.uuid4().hex
         self.replace(IDENTITY_FILE, identity.encode())
         return identity
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -49,7 +49,7 @@
         self._sync = sync
         self._segments: list[Segment] = []
         self._last_segment_number = 0
-        self.cut_bytes = 0
+        self.truncated_bytes = 0
         vote = folder.load(VOTE_FILE)
         self.vote = msgspec.msgpack.decode(vote, type=Vote) if vote else Vote()
         snapshot = folder.load(SNAPSHOT_FILE)
@@ -119,9 +119,9 @@
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot, then remove segments that are no longer needed."""
         self._folder.replace(SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot.configuration))
-        oldest_needed = snapshot.index - RETAINED_ENTRIES
+        oldest_needed_index = snapshot.index - RETAINED_ENTRIES
         try:
-            while len(self._segments) > 1 and self._segments[0].last_index < oldest_needed:
+            while len(self._segments) > 1 and self._segments[0].last_index < oldest_needed_index:
                 self._segments.pop(0).path.unlink()
             self._folder.sync()
         except OSError as error:
@@ -132,23 +132,23 @@
         paths = sorted(self._folder.path.glob(SEGMENT_PREFIX + "*"))
         for path in paths:
             for batch in self._load_segment(path, is_last=path == paths[-1]):
-                entries = _override(entries, batch)
+                entries = _merge_batch(entries, batch)
         return entries
 
     def _load_segment(self, path: Path, *, is_last: bool) -> list[list[LogEntry]]:
         payloads, end = read_records(path, is_last_file=is_last)
-        self._cut_tail(path, end)
+        self._truncate_tail(path, end)
         batches = [msgspec.msgpack.decode(body, type=list[LogEntry]) for body in payloads]
         last_index = max((batch[-1].index for batch in batches), default=0)
         self._segments.append(Segment(path, last_index, end, len(batches)))
         self._last_segment_number = int(path.name.removeprefix(SEGMENT_PREFIX))
         return batches
 
-    def _cut_tail(self, path: Path, end: int) -> None:
+    def _truncate_tail(self, path: Path, end: int) -> None:
         size = path.stat().st_size
         if size == end:
             return
-        self.cut_bytes += size - end
+        self.truncated_bytes += size - end
         descriptor = os.open(path, os.O_WRONLY)
         try:
             os.ftruncate(descriptor, end)
@@ -157,7 +157,7 @@
             os.close(descriptor)
 
 
-def _override(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
+def _merge_batch(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
     """Append a batch: it replaces what it overlaps; behind a gap only the batch is left."""
     first_index = batch[0].index
     if not entries or first_index > entries[-1].index + 1 or first_index <= entries[0].index:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -36,8 +36,8 @@
     @property
     def port(self) -> int:
         """The bound port."""
-        bound: int = self._socket.getsockname()[1]
-        return bound
+        port: int = self._socket.getsockname()[1]
+        return port
 
     def send(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Send without waiting; a datagram that can't be sent is counted and lost."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -162,9 +162,10 @@
 
     def _open_log(self) -> LogStore:
         self._log_store = LogStore(self._folder)
-        if self._log_store.cut_bytes:
+        if self._log_store.truncated_bytes:
             logger.warning(
-                "cut {} bytes of an unfinished write from the log's end", self._log_store.cut_bytes
+                "cut {} bytes of an unfinished write from the log's end",
+                self._log_store.truncated_bytes,
             )
         return self._log_store
 
--- a/tests/transport/storage/test_log_store.py
+++ b/tests/transport/storage/test_log_store.py
@@ -133,7 +133,7 @@
                 self.segment().write_bytes(data[:size])
                 found = self.reopen()
                 self.assertEqual([e.index for e in found.entries], [1])
-                self.assertEqual(found.cut_bytes, size - whole)
+                self.assertEqual(found.truncated_bytes, size - whole)
                 self.segment().write_bytes(data)
 
     def test_damage_before_the_tail_stops_the_start(self) -> None:
