Say in the transport what is sent, stored and timed out, and why

Docstrings and comments of wagtailkeel-transport used figures ("gone silent", "one bad call", "a task of its own") and left the subject out. They now name the clock, the connection, the record or the task that is meant; every reason is kept. The error for a locked data folder says which process to stop. Texts only; no behaviour changes.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/__init__.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/__init__.py
@@ -1,4 +1,4 @@
-"""Sockets, calls between processes and the disk."""
+"""Sockets, RPC between processes, the HTTP server and disk storage."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/clock.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/clock.py
@@ -1,4 +1,4 @@
-"""The clock of leases, ages and timeouts."""
+"""The clock for leases, ages and timeouts."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 
 
 def seconds() -> float:
-    """Return seconds of a steady clock that goes on while the instance is suspended.
+    """Return the seconds of a monotonic clock that advances while the instance is suspended.
 
-    Source: CLOCK_BOOTTIME, clock_gettime(2). On the monotonic clock a suspended holder would take
-    its lease for longer than its grantor does.
+    It is CLOCK_BOOTTIME, see clock_gettime(2). CLOCK_MONOTONIC stops during a suspension, so a
+    suspended holder would consider its lease valid for longer than the grantor does.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/errors.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/errors.py
@@ -9,29 +9,31 @@
 
 
 class TransportError(Exception):
-    """Base of all errors of this layer."""
+    """Base class of all errors of the transport layer."""
 
 
 class BindError(TransportError):
-    """A socket can't be bound."""
+    """A socket can't be bound to its address."""
 
     def __init__(self, host: str, port: int, cause: OSError) -> None:
         super().__init__(f"can't bind {host}:{port}: {cause.strerror}; choose another port")
 
 
 class RpcError(TransportError):
-    """A call to another process failed; whether it took effect there is not known."""
+    """A call to another process failed; the call may or may not have taken effect there."""
 
 
 class StorageError(TransportError):
-    """A write or sync failed; nothing after it may be taken as durable."""
+    """A write or sync failed; nothing written after it may be treated as durable."""
 
 
 class DataFolderLockedError(TransportError):
-    """Another process uses the data folder."""
+    """Another process holds the lock of the data folder."""
 
     def __init__(self, folder: Path) -> None:
-        super().__init__(f"data folder {folder} is in use by another process; stop that one first")
+        super().__init__(
+            f"data folder {folder} is in use by another process; stop that process first"
+        )
 
 
 class DataFolderMissingError(TransportError):
@@ -42,7 +44,7 @@
 
 
 class DamagedFileError(TransportError):
-    """A file is damaged where a crash can't have damaged it."""
+    """A file is damaged at a place that a crash can't have damaged."""
 
     def __init__(self, path: Path, offset: int, detail: str) -> None:
         super().__init__(
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/http_server.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/http_server.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server on h11."""
+"""A small HTTP/1.1 server based on h11."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 MAX_BODY_BYTES = 1_048_576
 READ_BYTES = 65_536
 IDLE_TIMEOUT_S = 30.0
-"""A connection that says nothing for so long is closed: its peer may be gone."""
+"""A connection without data for this long is closed, since its peer may have disappeared."""
 JSON_TYPE = "application/json"
 
 
 class Response(msgspec.Struct):
-    """A response; ``location`` names another instance to ask."""
+    """A response; ``location`` (the Location header) identifies another instance to query."""
 
     status: HTTPStatus
     body: bytes = b"{}"
@@ -37,16 +37,16 @@
 
     @classmethod
     def error(cls, status: HTTPStatus, reason: str) -> Response:
-        """Return a response that says what was wrong."""
+        """Return a response whose JSON body gives the reason of the error."""
         return cls(status, msgspec.json.encode({"error": reason}))
 
 
 Handler = Callable[[str, str, bytes], Awaitable[Response]]
-"""Takes method, path and body."""
+"""Called with method, path and body."""
 
 
 class HttpServer:
-    """Serves one address; a role of the daemon."""
+    """Serves HTTP on one address, as a role of the daemon."""
 
     def __init__(self, address: tuple[str, int], handler: Handler, counters: Counter[str]) -> None:
         self._address = address
@@ -64,7 +64,7 @@
         await listener.serve(self._serve_connection)
 
     async def stop(self) -> None:
-        """Calls are answered until the process ends."""
+        """Do nothing: requests are answered until the process ends."""
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
@@ -79,7 +79,7 @@
                 self._counters["http_connections_lost"] += 1
 
     async def _serve_request(self, stream: SocketStream, connection: h11.Connection) -> bool:
-        """Answer one request; return whether another may follow on the connection."""
+        """Answer one request; return whether the connection can carry another."""
         request: h11.Request | None = None
         body = bytearray()
         while True:
@@ -98,7 +98,7 @@
                 break
             else:
                 return False
-        assert request is not None, "h11 gives the request before its end"
+        assert request is not None, "h11 returns the request event before the end of the message"
         response = await self._handle_request(request, bytes(body))
         await _send(stream, connection, response)
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
@@ -108,7 +108,7 @@
         try:
             return await self._handler(method, target.partition("?")[0], body)
         except Exception:
-            # One bad call must not end the server's task.
+            # A failing handler must not end the server's task.
             logger.exception("{} {} failed", method, target)
             self._counters["http_failures"] += 1
             return Response.error(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -1,4 +1,4 @@
-"""The methods that our processes offer one another and the operators' command line."""
+"""The RPC methods between wagtailkeel processes and for the operators' command line."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -1,4 +1,4 @@
-"""Calls between processes: gRPC framing with a MessagePack codec."""
+"""RPC between processes: gRPC framing with a MessagePack codec."""
 
 from __future__ import annotations
 
@@ -31,23 +31,23 @@
 
 CALL_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 0.25
-"""An instance without power loses the opening packet, which the kernel repeats after 1 s only."""
+"""A powered-off instance does not answer the SYN, which the kernel repeats only after 1 s."""
 
 _CALL_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError)
 SERVICE_PATH = "/wagtailkeel.Node/"
 
 
 class MessagePackCodec(CodecBase):
-    """Encodes message structs with msgspec."""
+    """Encodes and decodes message structs with msgspec."""
 
     __content_subtype__ = "msgpack"
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Return the body of a message."""
+        """Encode a message."""
         return msgspec.msgpack.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Read a body; one that does not decode ends the call with INVALID_ARGUMENT."""
+        """Decode a message; if that fails, the call ends with INVALID_ARGUMENT."""
         try:
             return msgspec.msgpack.decode(data, type=message_type)
         except msgspec.MsgspecError as error:
@@ -55,7 +55,7 @@
 
 
 class RpcMethod(Generic[Request, Reply]):
-    """A method's name and the types of its request and reply."""
+    """The name of an RPC method and the types of its request and reply."""
 
     __slots__ = ("name", "reply_type", "request_type")
 
@@ -66,7 +66,7 @@
 
     @property
     def path(self) -> str:
-        """The path of the method in gRPC."""
+        """The gRPC path of the method."""
         return SERVICE_PATH + self.name
 
 
@@ -102,13 +102,13 @@
 
 
 class RpcServer:
-    """Serves the methods of one role."""
+    """Serves the RPC methods of one role."""
 
     def __init__(self, handlers: RpcHandlers) -> None:
         self._server = Server([_Service(handlers)], codec=MessagePackCodec())
 
     async def start(self, host: str, port: int) -> None:
-        """Bind and listen."""
+        """Bind to an address and listen."""
         try:
             await self._server.start(host, port)
         except OSError as error:
@@ -121,7 +121,7 @@
 
 
 class _BoundChannel(Channel):
-    """A channel whose connections come from the instance's own address."""
+    """A channel whose connections use the instance's own address as their source."""
 
     def __init__(self, host: str, port: int, source_host: str) -> None:
         super().__init__(host, port, codec=MessagePackCodec())
@@ -138,7 +138,7 @@
 
 
 class RpcClient:
-    """Calls other processes; one connection each, opened when needed."""
+    """Calls other processes over one connection each, opened on the first call."""
 
     def __init__(self, source_host: str = "") -> None:
         self._source_host = source_host
@@ -151,7 +151,7 @@
         request: Request,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Reply:
-        """Call a method; raise RpcError when there is no answer in time."""
+        """Call a method; raise RpcError if the call fails or no answer arrives in time."""
         channel = self._channels_by_address.get(address)
         if channel is None:
             channel = _BoundChannel(*address, self._source_host)
@@ -159,8 +159,8 @@
         grpc_method: UnaryUnaryMethod[Request, Reply] = UnaryUnaryMethod(
             channel, method.path, method.request_type, method.reply_type
         )
-        # A task of its own: when a connection is lost, the library cancels the calling task and
-        # leaves its count of cancellations raised, which would end the caller's next timeout.
+        # The call runs in a separate task: when a connection is lost, grpclib cancels the calling
+        # task without resetting its cancellation count, which would end the caller's next timeout.
         task: asyncio.Task[Reply | None]
         task = asyncio.create_task(_connect_and_call(channel, grpc_method, request))
         try:
@@ -183,7 +183,7 @@
         return reply
 
     def _close_channel(self, address: tuple[str, int], channel: Channel) -> None:
-        """Close a connection that may have gone silent; the next call opens another."""
+        """Close a connection that may no longer work; the next call opens a new one."""
         if self._channels_by_address.get(address) is channel:
             del self._channels_by_address[address]
         channel.close()
@@ -202,6 +202,6 @@
 
 
 def _retrieve_exception(task: asyncio.Task[Any]) -> None:
-    """Mark the outcome of an abandoned call as seen, so that it is not reported as lost."""
+    """Retrieve an abandoned call's exception, so that asyncio does not log it as unretrieved."""
     if not task.cancelled():
         task.exception()
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/__init__.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/__init__.py
@@ -1,4 +1,4 @@
-"""The data folder of a control instance; other roles have no disk and don't import this."""
+"""Storage in the data folder of a control instance; roles without a disk don't import it."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
@@ -1,4 +1,4 @@
-"""The data folder of a control instance: its lock, its identity and files replaced as a whole."""
+"""The data folder of a control instance: its lock, identity and atomically replaced files."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class DataFolder:
-    """A locked folder; the lock is held until :meth:`close`."""
+    """A data folder, locked until :meth:`close`."""
 
     def __init__(self, path: Path) -> None:
         if not path.is_dir():
@@ -43,7 +43,7 @@
         os.close(self._lock_descriptor)
 
     def replace(self, name: str, payload: bytes) -> None:
-        """Replace a file as a whole: write, sync, rename, sync the folder."""
+        """Replace a file atomically: write a temporary file, sync, rename, sync the folder."""
         temporary = self.path / (name + TEMPORARY_SUFFIX)
         try:
             with temporary.open("wb") as file:
@@ -56,7 +56,7 @@
             raise StorageError(f"can't write {self.path / name}: {error}") from error
 
     def load(self, name: str) -> bytes | None:
-        """Return the content of a file written by :meth:`replace`, or None without one."""
+        """Return the payload of a file written by :meth:`replace`, or None if it does not exist."""
         path = self.path / name
         if not path.exists():
             return None
@@ -66,7 +66,7 @@
         return payload
 
     def sync(self) -> None:
-        """Make renames, creations and removals of files durable."""
+        """Sync the folder, which makes renames, creations and removals of files durable."""
         descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -1,7 +1,7 @@
 """The durable log: segments of checksummed records, a vote, and snapshots.
 
-A record holds the entries of one write, so that a torn write damages one record only. A record
-that overlaps earlier ones overrides them: the log is never changed in place.
+A record holds the entries of one write, so that a torn write damages only one record. Entries of a
+record replace earlier entries with the same or a higher index; nothing is overwritten in place.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 
 
 class Segment(msgspec.Struct):
-    """A file of records in the order in which they were written."""
+    """A file of records, in the order in which they were written."""
 
     path: Path
     last_index: int
@@ -42,7 +42,7 @@
 
 
 class LogStore:
-    """The log on a data folder; ``sync`` can be replaced to make it fail."""
+    """The log in a data folder; tests replace ``sync`` to make it fail."""
 
     def __init__(self, folder: DataFolder, sync: Callable[[int], None] = os.fsync) -> None:
         self._folder = folder
@@ -60,20 +60,20 @@
 
     @property
     def entries(self) -> list[LogEntry]:
-        """The entries that follow the snapshot, as found on disk at the start."""
+        """The entries after the snapshot, as found on disk at the start."""
         base = self.configuration.index
         entries = [entry for entry in self._loaded_entries if entry.index > base]
         if entries and entries[0].index != base + 1:
-            # An installed snapshot is ahead of all entries; the rest is of an older log.
+            # An installed snapshot is newer than the log; entries after a gap are outdated.
             return []
         return entries
 
     def save_vote(self, vote: Vote) -> None:
-        """Replace the vote durably."""
+        """Replace the stored vote durably."""
         self._folder.replace(VOTE_FILE, msgspec.msgpack.encode(vote))
 
     def append(self, entries: list[LogEntry]) -> None:
-        """Write entries as one record and sync it."""
+        """Write entries as one record and sync it to disk."""
         if not entries:
             return
         record = encode_record(msgspec.msgpack.encode(entries))
@@ -111,13 +111,13 @@
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all after it.
 
-        Nothing is written: the next record starts at ``index`` and overrides what it overlaps.
-        Until then a restart finds entries again that no quorum has, which consensus allows; a
+        Nothing is written: the next record starts at ``index`` and replaces the entries from there.
+        A restart before that loads entries again that no quorum has, which consensus allows; a
         write in place could lose earlier entries of the same record.
         """
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the snapshot, then remove segments that are no longer needed."""
+        """Replace the snapshot, then remove the segments that are no longer needed."""
         self._folder.replace(SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot.configuration))
         oldest_needed_index = snapshot.index - RETAINED_ENTRIES
         try:
@@ -158,7 +158,7 @@
 
 
 def _merge_batch(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
-    """Append a batch: it replaces what it overlaps; behind a gap only the batch is left."""
+    """Append a batch; it replaces entries from its first index on, or all after a gap."""
     first_index = batch[0].index
     if not entries or first_index > entries[-1].index + 1 or first_index <= entries[0].index:
         return list(batch)
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/record_file.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/record_file.py
@@ -17,12 +17,12 @@
 
 
 def encode_record(payload: bytes) -> bytes:
-    """Return a whole record."""
+    """Encode a payload as a record."""
     return HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
 
 
 def read_record(data: bytes, offset: int) -> bytes | None:
-    """Return the payload of the record at ``offset``, or None where there is no whole one."""
+    """Return the payload of the record at ``offset``, or None if there is no intact record."""
     if offset + HEADER.size > len(data):
         return None
     length, checksum = HEADER.unpack_from(data, offset)
@@ -34,10 +34,10 @@
 
 
 def read_records(path: Path, *, is_last_file: bool) -> tuple[list[bytes], int]:
-    """Return all payloads and the offset behind the last whole record.
+    """Return all payloads and the offset after the last intact record.
 
     A crash leaves at most one partial record, at the end of the last file, since each write is
-    synced before the next. Damage anywhere else raises DamagedFileError.
+    synced before the next one. Damage anywhere else raises DamagedFileError.
     """
     data = path.read_bytes()
     payloads: list[bytes] = []
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -1,4 +1,4 @@
-"""A UDP socket read in batches by one task."""
+"""A UDP socket that one task reads in batches."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class UdpEndpoint:
-    """Owns a bound socket; received datagrams go to one callback, in order."""
+    """Owns a bound UDP socket and passes received datagrams to one callback, in order."""
 
     def __init__(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -35,19 +35,19 @@
 
     @property
     def port(self) -> int:
-        """The bound port."""
+        """The port that the socket is bound to."""
         port: int = self._socket.getsockname()[1]
         return port
 
     def send(self, datagram: bytes, address: tuple[str, int]) -> None:
-        """Send without waiting; a datagram that can't be sent is counted and lost."""
+        """Send without blocking; a datagram that can't be sent is counted and dropped."""
         try:
             self._sendto(datagram, address)
         except OSError:
             self.send_failures += 1
 
     async def receive(self, on_datagram: Callable[[bytes], None]) -> None:
-        """Pass on datagrams until cancelled."""
+        """Pass received datagrams to ``on_datagram`` until cancelled."""
         receive = self._socket.recv
         while True:
             await anyio.wait_readable(self._socket)
@@ -55,12 +55,12 @@
                 try:
                     datagram = receive(MAX_DATAGRAM_BYTES)
                 except OSError:
-                    # Nothing more to read, or an ICMP error of an earlier send.
+                    # No datagram is left, or an earlier send caused an ICMP error.
                     break
                 on_datagram(datagram)
 
     async def receive_from(self, on_datagram: Callable[[bytes, tuple[str, int]], None]) -> None:
-        """Pass on datagrams with their sender's address until cancelled."""
+        """Pass datagrams and their sender's address to ``on_datagram`` until cancelled."""
         receive = self._socket.recvfrom
         while True:
             await anyio.wait_readable(self._socket)
@@ -68,7 +68,7 @@
                 try:
                     datagram, address = receive(MAX_DATAGRAM_BYTES)
                 except OSError:
-                    # Nothing more to read, or an ICMP error of an earlier send.
+                    # No datagram is left, or an earlier send caused an ICMP error.
                     break
                 on_datagram(datagram, address)
 
