--- a/tests/protocol/test_packet_formats.py
+++ b/tests/protocol/test_packet_formats.py
@@ -34,42 +34,42 @@
     opening: bytes
     data: bytes
     finish: bytes
-    answer: bytes
+    reply: bytes
     reset: bytes
 
 
-def ip_case() -> FormatCase:
+def make_ip_case() -> FormatCase:
     """Return TCP in IPv4."""
     key = (
         ipaddress.ip_address(CALLER).packed
         + ipaddress.ip_address(ROUTE).packed
         + struct.pack("!HHB", CALLER_PORT, ROUTE_PORT, ip.TCP)
     )
-    back = ip.reverse_key(key)
+    reply_key = ip.reverse_key(key)
     return FormatCase(
         IpPacketFormat(),
         key,
         build_tcp(key, 1, 0, ip.SYN),
         build_tcp(key, 2, 9, ip.ACK, b"data"),
         build_tcp(key, 6, 9, ip.ACK | ip.FIN),
-        build_tcp(back, 9, 6, ip.ACK, b"answer"),
-        build_tcp(back, 9, 6, ip.RST),
+        build_tcp(reply_key, 9, 6, ip.ACK, b"answer"),
+        build_tcp(reply_key, 9, 6, ip.RST),
     )
 
 
 class PacketFormatTest(unittest.TestCase):
     """What every format must do; the adapter's test replaces ``cases`` by its own."""
 
-    cases: ClassVar[list[FormatCase]] = [ip_case()]
+    cases: ClassVar[list[FormatCase]] = [make_ip_case()]
 
-    def test_marks(self) -> None:
+    def test_flags_key_and_payload_size(self) -> None:
         for case in self.cases:
             found = case.packet_format
             table = [
                 (found.parse_inbound(case.opening), packet_flags.OPENING, 0, True),
                 (found.parse_inbound(case.data), packet_flags.ACK, 4, False),
                 (found.parse_inbound(case.finish), packet_flags.ACK | packet_flags.FIN, 0, False),
-                (found.parse_outbound(case.answer), packet_flags.ACK, 6, False),
+                (found.parse_outbound(case.reply), packet_flags.ACK, 6, False),
                 (found.parse_outbound(case.reset), packet_flags.RESET, 0, False),
             ]
             for header, expected, size, is_opening in table:
@@ -80,14 +80,14 @@
                     self.assertEqual(header.payload_bytes, size)
                     self.assertEqual(header.is_opening, is_opening)
 
-    def test_endpoint_and_caller(self) -> None:
+    def test_endpoint_and_caller_host(self) -> None:
         for case in self.cases:
             with self.subTest(packet_format=type(case.packet_format).__name__):
                 endpoint = ipaddress.ip_address(ROUTE).packed + struct.pack("!H", ROUTE_PORT)
                 self.assertEqual(case.packet_format.endpoint_of(case.key), endpoint)
                 self.assertEqual(case.packet_format.caller_host(case.key), CALLER)
 
-    def test_refusal_comes_from_the_route(self) -> None:
+    def test_refusal_is_a_reset_of_the_flow(self) -> None:
         for case in self.cases:
             for packet in (case.opening, case.data):
                 with self.subTest(packet_format=type(case.packet_format).__name__):
@@ -98,13 +98,13 @@
                     self.assertEqual(header.key, case.key)
                     self.assertTrue(header.flags & packet_flags.RESET)
 
-    def test_cut_and_mutated_packets(self) -> None:
+    def test_truncated_and_corrupted_packets_do_not_raise(self) -> None:
         for case in self.cases:
             with self.subTest(packet_format=type(case.packet_format).__name__):
-                _check_mutations(self, case)
+                _check_corrupted_packets(self, case)
 
 
-def _check_mutations(test: unittest.TestCase, case: FormatCase) -> None:
+def _check_corrupted_packets(test: unittest.TestCase, case: FormatCase) -> None:
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.data())
     def check(data: st.DataObject) -> None:
--- a/tests/protocol/test_packets.py
+++ b/tests/protocol/test_packets.py
@@ -42,7 +42,7 @@
 
 
 class PacketTest(unittest.TestCase):
-    def test_key_of_a_built_packet(self) -> None:
+    def test_flow_key_of_built_packets(self) -> None:
         for key in KEYS:
             with self.subTest(describe_flow(key)):
                 packet = build(key)
@@ -52,7 +52,7 @@
                 address = "10.90.0.1" if len(key) == 13 else "2001:db8::2"
                 self.assertEqual(endpoint_of(key), endpoint_key(address, 20_000, key[-1]))
 
-    def test_bad_packets_have_a_cause(self) -> None:
+    def test_malformed_packets_are_classified(self) -> None:
         udp = build(KEYS[1])
         table = {
             "empty": (b"", Malformed.TRUNCATED),
@@ -85,7 +85,7 @@
         icmp = build_refusal(build(KEYS[1]))
         self.assertEqual(checksum(icmp[20:]), 0)
 
-    def test_resets(self) -> None:
+    def test_reset_sequence_numbers(self) -> None:
         table = [(ip.SYN, ip.RST | ip.ACK, 0, 5 + 4 + 1), (ip.ACK, ip.RST, 9, 0)]
         for key in (KEYS[0], KEYS[2]):
             for flags, expected, sequence, acknowledged in table:
@@ -97,7 +97,7 @@
                     self.assertEqual(ip.tcp_flags(reset), expected)
                     self.assertEqual(found, (sequence, acknowledged))
 
-    def test_refusals_by_protocol(self) -> None:
+    def test_refusal_protocol_matches_the_flow(self) -> None:
         for key, protocol in zip(KEYS, (ip.TCP, ip.ICMP, ip.TCP, ip.ICMPV6), strict=True):
             refusal = build_refusal(build(key))
             found = refusal[9] if len(key) == 13 else refusal[6]
@@ -105,18 +105,18 @@
 
 
 class FrameTest(unittest.TestCase):
-    def test_round_trip(self) -> None:
+    def test_frame_round_trip(self) -> None:
         for key in KEYS:
             frame = DataFrame(build(key), 1_023, 2**40, gue.FLAG_NEW, 3, 2**31)
             self.assertEqual(gue.decode_frame(gue.encode_frame(frame)), frame)
 
-    def test_header_parts(self) -> None:
+    def test_header_prefix_and_suffix_form_the_header(self) -> None:
         for version in (4, 6):
             whole = gue.encode_header(77, 2**40, version=version)
             parts = gue.header_prefix(version) + (77).to_bytes(2, "big") + gue.header_suffix(2**40)
             self.assertEqual(parts, whole)
 
-    def test_bad_frames_have_a_cause(self) -> None:
+    def test_malformed_frames_are_classified(self) -> None:
         whole = gue.encode_frame(DataFrame(build(KEYS[0]), 1, 1))
         table = [
             (whole[:30], Malformed.TRUNCATED),
@@ -126,7 +126,7 @@
         for data, cause in table:
             self.assertIs(gue.decode_frame(data), cause)
 
-    def test_datagrams(self) -> None:
+    def test_datagram_round_trip_and_malformed_datagrams(self) -> None:
         hint = VersionHint("control-1", 7)
         data = encode_datagram(hint)
         self.assertEqual(decode_datagram(data), hint)
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -15,7 +15,7 @@
 from wagtailkeel_transport.methods import PULL
 
 HOST = "127.0.0.1"
-GENEROUS_S = 20.0
+TEST_TIMEOUT_S = 20.0
 
 
 def free_port() -> int:
@@ -46,12 +46,12 @@
     async def call(self, since: int, timeout_s: float = 5.0) -> PullReply:
         return await self.client.call((HOST, self.port), PULL, PullRequest(since), timeout_s)
 
-    async def test_call(self) -> None:
+    async def test_call_returns_the_reply(self) -> None:
         server = await self.start_server()
         self.assertEqual(await self.call(0), PullReply())
         await server.close()
 
-    async def test_no_server_and_no_answer_are_errors(self) -> None:
+    async def test_missing_server_and_timeout_raise_rpc_error(self) -> None:
         with self.assertRaises(RpcError):
             await self.call(0)
         server = await self.start_server()
@@ -60,7 +60,7 @@
         self.assertEqual(await self.call(0), PullReply())
         await server.close()
 
-    async def test_a_connection_that_does_not_open_is_given_up_before_the_call(self) -> None:
+    async def test_connect_timeout_ends_before_the_call_timeout(self) -> None:
         with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
             listener.bind((HOST, self.port))
             listener.listen(0)
@@ -68,17 +68,19 @@
                 # The queue of new connections is full: opening packets are dropped from here on.
                 filler.setblocking(False)
                 filler.connect_ex((HOST, self.port))
-            async with asyncio.timeout(GENEROUS_S):
+            async with asyncio.timeout(TEST_TIMEOUT_S):
                 with self.assertRaises(RpcError):
-                    await self.call(0, timeout_s=2 * GENEROUS_S)
+                    await self.call(0, timeout_s=2 * TEST_TIMEOUT_S)
 
-    async def test_lost_connection_leaves_the_caller_uncancelled(self) -> None:
-        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_lost_connection_does_not_cancel_the_caller(self) -> None:
+        async def abort_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
             await reader.read(1)
             await asyncio.sleep(0.05)
             writer.transport.abort()
 
-        server = await asyncio.start_server(hang_up, HOST, self.port)
+        server = await asyncio.start_server(abort_connection, HOST, self.port)
         self.assertEqual(await self.lose_connection(), 0)
         server.close()
 
