Merge the wording of protocol and transport

Cause: docstrings named neither sender nor receiver, and names such as MARK_NEW, cut_bytes or hang_up were our own.

--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -1,4 +1,4 @@
-"""Reading IPv4 and IPv6 packets that carry TCP or UDP.
+"""Parsing of IPv4 and IPv6 packets that carry TCP or UDP.
 
 Sources: RFC 791, RFC 8200, RFC 9293, RFC 768.
 """
@@ -26,21 +26,21 @@
 _TCP_HEADER_BYTES = 20
 _UDP_HEADER_BYTES = 8
 _FRAGMENT_MASK = 0x3FFF
-_IPV4_START = struct.Struct("!BxHxxHxB").unpack_from
+_unpack_ipv4_fields = struct.Struct("!BxHxxHxB").unpack_from
 
 
 def parse_flow_key(packet: bytes) -> bytes | Malformed:
-    """Return the key of a packet that travels from caller to server, or why there is none."""
+    """Return the flow key of a packet from caller to server, or why the packet is malformed."""
     size = len(packet)
     if size < 28:
         return Malformed.TRUNCATED
-    version, total, fragment, protocol = _IPV4_START(packet)
+    version, total, fragment, protocol = _unpack_ipv4_fields(packet)
     if version != 0x45:
-        return _parse_uncommon(packet)
+        return _parse_slow_path(packet)
     if fragment & _FRAGMENT_MASK:
         return Malformed.FRAGMENTED
     if total != size:
-        return _length_fault(total, size)
+        return _length_error(total, size)
     if protocol == TCP:
         return packet[12:24] + b"\x06" if size >= 40 else Malformed.TRUNCATED
     if protocol == UDP:
@@ -48,26 +48,26 @@
     return Malformed.FOREIGN
 
 
-def _parse_uncommon(packet: bytes) -> bytes | Malformed:
+def _parse_slow_path(packet: bytes) -> bytes | Malformed:
     version = packet[0] >> 4
     if version == 6:
         return _parse_ipv6(packet)
     if version != 4:
         return Malformed.WRONG_VERSION
-    # Header options are legal but rare; a key is read behind them.
-    header = (packet[0] & 0x0F) * 4
-    if header < _IPV4_HEADER_BYTES or len(packet) < header + _UDP_HEADER_BYTES:
+    # IPv4 header options are valid but rare; the ports follow them.
+    header_bytes = (packet[0] & 0x0F) * 4
+    if header_bytes < _IPV4_HEADER_BYTES or len(packet) < header_bytes + _UDP_HEADER_BYTES:
         return Malformed.TRUNCATED
     if (packet[6] << 8 | packet[7]) & _FRAGMENT_MASK:
         return Malformed.FRAGMENTED
     total = packet[2] << 8 | packet[3]
     if total != len(packet):
-        return _length_fault(total, len(packet))
+        return _length_error(total, len(packet))
     if packet[9] not in (TCP, UDP):
         return Malformed.FOREIGN
-    if packet[9] == TCP and len(packet) < header + _TCP_HEADER_BYTES:
+    if packet[9] == TCP and len(packet) < header_bytes + _TCP_HEADER_BYTES:
         return Malformed.TRUNCATED
-    return packet[12:20] + packet[header : header + 4] + packet[9:10]
+    return packet[12:20] + packet[header_bytes : header_bytes + 4] + packet[9:10]
 
 
 def _parse_ipv6(packet: bytes) -> bytes | Malformed:
@@ -75,7 +75,8 @@
         return Malformed.TRUNCATED
     total = _IPV6_HEADER_BYTES + (packet[4] << 8 | packet[5])
     if total != len(packet):
-        return _length_fault(total, len(packet))
+        return _length_error(total, len(packet))
+    # Next header 44 is the fragment header.
     if packet[6] == 44:
         return Malformed.FRAGMENTED
     if packet[6] not in (TCP, UDP):
@@ -85,24 +86,24 @@
     return packet[8:44] + packet[6:7]
 
 
-def _length_fault(announced: int, found: int) -> Malformed:
-    return Malformed.TRUNCATED if announced > found else Malformed.OVERSIZED
+def _length_error(declared: int, actual: int) -> Malformed:
+    return Malformed.TRUNCATED if declared > actual else Malformed.OVERSIZED
 
 
 def reverse_key(key: bytes) -> bytes:
-    """Swap the two ends of a key: a reply's key becomes its flow's key."""
+    """Swap source and destination of a key: the key of a reply becomes that of its flow."""
     if len(key) == 13:
         return key[4:8] + key[:4] + key[10:12] + key[8:10] + key[12:]
     return key[16:32] + key[:16] + key[34:36] + key[32:34] + key[36:]
 
 
 def source_host(key: bytes) -> str:
-    """Return the caller's address of a key as text."""
+    """Return the source address of a key as text."""
     return str(ipaddress.ip_address(key[:4] if len(key) == 13 else key[:16]))
 
 
 def transport_offset(packet: bytes) -> int:
-    """Return where the TCP or UDP header starts; the packet has been parsed before."""
+    """Return the offset of the TCP or UDP header of a packet that has been parsed before."""
     return (packet[0] & 0x0F) * 4 if packet[0] >> 4 == 4 else _IPV6_HEADER_BYTES
 
 
@@ -112,7 +113,7 @@
 
 
 def payload_of(packet: bytes) -> bytes:
-    """Return what follows the TCP or UDP header."""
+    """Return the bytes after the TCP or UDP header."""
     offset = transport_offset(packet)
     protocol = packet[9] if packet[0] >> 4 == 4 else packet[6]
     if protocol == UDP:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
@@ -1,4 +1,4 @@
-"""The data folder of a control instance: its lock, its identity and files replaced as a whole."""
+"""The data folder of a control instance: its lock, identity and atomically replaced files."""
 
 from __future__ import annotations
 
@@ -23,27 +23,27 @@
 
 
 class DataFolder:
-    """A locked folder; the lock is held until :meth:`close`."""
+    """A data folder, locked until :meth:`close`."""
 
     def __init__(self, path: Path) -> None:
         if not path.is_dir():
             raise DataFolderMissingError(path)
         self.path = path
-        self._lock = os.open(path / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+        self._lock_descriptor = os.open(path / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._lock_descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
-            os.close(self._lock)
+            os.close(self._lock_descriptor)
             raise DataFolderLockedError(path) from error
-        self._remove_temporaries()
+        self._remove_temporary_files()
         self.identity = self._load_identity()
 
     def close(self) -> None:
         """Release the lock."""
-        os.close(self._lock)
+        os.close(self._lock_descriptor)
 
     def replace(self, name: str, payload: bytes) -> None:
-        """Replace a file as a whole: write, sync, rename, sync the folder."""
+        """Replace a file atomically: write a temporary file, sync, rename, sync the folder."""
         temporary = self.path / (name + TEMPORARY_SUFFIX)
         try:
             with temporary.open("wb") as file:
@@ -56,7 +56,7 @@
             raise StorageError(f"can't write {self.path / name}: {error}") from error
 
     def load(self, name: str) -> bytes | None:
-        """Return the content of a file written by :meth:`replace`, or None without one."""
+        """Return the payload of a file written by :meth:`replace`, or None if it does not exist."""
         path = self.path / name
         if not path.exists():
             return None
@@ -66,21 +66,21 @@
         return payload
 
     def sync(self) -> None:
-        """Make renames, creations and removals of files durable."""
+        """Sync the folder, which makes renames, creations and removals of files durable."""
         descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
 
-    def _remove_temporaries(self) -> None:
+    def _remove_temporary_files(self) -> None:
         for leftover in self.path.glob("*" + TEMPORARY_SUFFIX):
             leftover.unlink()
 
     def _load_identity(self) -> str:
-        known = self.load(IDENTITY_FILE)
-        if known is not None:
-            return known.decode()
+        stored = self.load(IDENTITY_FILE)
+        if stored is not None:
+            return stored.decode()
         identity = uuid.uuid4().hex
         self.replace(IDENTITY_FILE, identity.encode())
         return identity
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -1,7 +1,7 @@
 """The durable log: segments of checksummed records, a vote, and snapshots.
 
-A record holds the entries of one write, so that a torn write damages one record only. A record
-that overlaps earlier ones overrides them: the log is never changed in place.
+A record holds the entries of one write, so that a torn write damages only one record. Entries of a
+record replace earlier entries with the same or a higher index; nothing is overwritten in place.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 
 
 class Segment(msgspec.Struct):
-    """A file of records in the order in which they were written."""
+    """A file of records, in the order in which they were written."""
 
     path: Path
     last_index: int
@@ -42,14 +42,14 @@
 
 
 class LogStore:
-    """The log on a data folder; ``sync`` can be replaced to make it fail."""
+    """The log in a data folder; tests replace ``sync`` to make it fail."""
 
     def __init__(self, folder: DataFolder, sync: Callable[[int], None] = os.fsync) -> None:
         self._folder = folder
         self._sync = sync
         self._segments: list[Segment] = []
         self._last_segment_number = 0
-        self.cut_bytes = 0
+        self.truncated_bytes = 0
         vote = folder.load(VOTE_FILE)
         self.vote = msgspec.msgpack.decode(vote, type=Vote) if vote else Vote()
         snapshot = folder.load(SNAPSHOT_FILE)
@@ -60,20 +60,20 @@
 
     @property
     def entries(self) -> list[LogEntry]:
-        """The entries that follow the snapshot, as found on disk at the start."""
+        """The entries after the snapshot, as found on disk at the start."""
         base = self.configuration.index
         entries = [entry for entry in self._loaded_entries if entry.index > base]
         if entries and entries[0].index != base + 1:
-            # An installed snapshot is ahead of all entries; the rest is of an older log.
+            # An installed snapshot is newer than the log; entries after a gap are outdated.
             return []
         return entries
 
     def save_vote(self, vote: Vote) -> None:
-        """Replace the vote durably."""
+        """Replace the stored vote durably."""
         self._folder.replace(VOTE_FILE, msgspec.msgpack.encode(vote))
 
     def append(self, entries: list[LogEntry]) -> None:
-        """Write entries as one record and sync it."""
+        """Write entries as one record and sync it to disk."""
         if not entries:
             return
         record = encode_record(msgspec.msgpack.encode(entries))
@@ -111,17 +111,17 @@
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all after it.
 
-        Nothing is written: the next record starts at ``index`` and overrides what it overlaps.
-        Until then a restart finds entries again that no quorum has, which consensus allows; a
+        Nothing is written: the next record starts at ``index`` and replaces the entries from there.
+        A restart before that loads entries again that no quorum has, which consensus allows; a
         write in place could lose earlier entries of the same record.
         """
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the snapshot, then remove segments that are no longer needed."""
+        """Replace the snapshot, then remove the segments that are no longer needed."""
         self._folder.replace(SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot.configuration))
-        oldest_needed = snapshot.index - RETAINED_ENTRIES
+        oldest_needed_index = snapshot.index - RETAINED_ENTRIES
         try:
-            while len(self._segments) > 1 and self._segments[0].last_index < oldest_needed:
+            while len(self._segments) > 1 and self._segments[0].last_index < oldest_needed_index:
                 self._segments.pop(0).path.unlink()
             self._folder.sync()
         except OSError as error:
@@ -132,23 +132,23 @@
         paths = sorted(self._folder.path.glob(SEGMENT_PREFIX + "*"))
         for path in paths:
             for batch in self._load_segment(path, is_last=path == paths[-1]):
-                entries = _override(entries, batch)
+                entries = _merge_batch(entries, batch)
         return entries
 
     def _load_segment(self, path: Path, *, is_last: bool) -> list[list[LogEntry]]:
         payloads, end = read_records(path, is_last_file=is_last)
-        self._cut_tail(path, end)
+        self._truncate_tail(path, end)
         batches = [msgspec.msgpack.decode(body, type=list[LogEntry]) for body in payloads]
         last_index = max((batch[-1].index for batch in batches), default=0)
         self._segments.append(Segment(path, last_index, end, len(batches)))
         self._last_segment_number = int(path.name.removeprefix(SEGMENT_PREFIX))
         return batches
 
-    def _cut_tail(self, path: Path, end: int) -> None:
+    def _truncate_tail(self, path: Path, end: int) -> None:
         size = path.stat().st_size
         if size == end:
             return
-        self.cut_bytes += size - end
+        self.truncated_bytes += size - end
         descriptor = os.open(path, os.O_WRONLY)
         try:
             os.ftruncate(descriptor, end)
@@ -157,8 +157,8 @@
             os.close(descriptor)
 
 
-def _override(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
-    """Append a batch: it replaces what it overlaps; behind a gap only the batch is left."""
+def _merge_batch(entries: list[LogEntry], batch: list[LogEntry]) -> list[LogEntry]:
+    """Append a batch; it replaces entries from its first index on, or all after a gap."""
     first_index = batch[0].index
     if not entries or first_index > entries[-1].index + 1 or first_index <= entries[0].index:
         return list(batch)
