Names of the token protocol, flow routing and placement

Names such as asks_from, on_token, _hold, forgetful_since_by_id, deliver_known, can_pass_on and _must_stay_here did not say what they hold or do. Renamed to due_at, replay_frames, _accept_token, incomplete_since_by_id, deliver_if_local, has_tokens_to_grant and _must_start_locally, and their neighbours alike; RETRY_HORIZON_S is CALLER_RETRY_WINDOW_S, and LIMIT_S of a wait is TIMEOUT_S. The attribute for lost records is has_incomplete_flow_table; the wire field and the key of the dump stay has_lost_memory. Identifiers only; no behaviour changes.

--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -149,7 +149,7 @@
             assert router.view.config is not None, "the table has been built"
             found = router.view.config.services_by_name["desk"].classes_by_name["feed"]
             for key in self._flows:
-                router.local.open(key, hash_flow(key) % BUCKETS, found, time.monotonic())
+                router.local_flows.open(key, hash_flow(key) % BUCKETS, found, time.monotonic())
             tasks.start_soon(agent._tick_forever)
             tasks.start_soon(agent._endpoint.receive, self._handle)
 
--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -129,7 +129,7 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     for key in keys:
-        router.local.open(bytes(key), hash_flow(key) % 1_024, traffic_class, 0.0)
+        router.local_flows.open(bytes(key), hash_flow(key) % 1_024, traffic_class, 0.0)
     held = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     random = Random(1)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/admission_queue.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/admission_queue.py
@@ -10,7 +10,7 @@
 from wagtailkeel_state.traffic_class import TrafficClass
 
 QUEUE_LIMIT_STARTS = 128
-QUEUE_LIMIT_S = 0.2
+QUEUE_TIMEOUT_S = 0.2
 
 
 class QueuedStart(msgspec.Struct):
@@ -33,7 +33,7 @@
         return len(self._starts)
 
     @property
-    def first(self) -> QueuedStart:
+    def oldest(self) -> QueuedStart:
         """The oldest start."""
         return self._starts[0]
 
@@ -45,7 +45,7 @@
         """Queue a start; False when the queue is full."""
         if len(self._starts) >= QUEUE_LIMIT_STARTS:
             return False
-        self._starts.append(QueuedStart(frame, key, traffic_class, now + QUEUE_LIMIT_S))
+        self._starts.append(QueuedStart(frame, key, traffic_class, now + QUEUE_TIMEOUT_S))
         self._keys.add(key)
         return True
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -49,7 +49,7 @@
 CLAIM_DELAY_S = 0.3
 CLAIM_RETRY_S = 0.3
 GRANT_RETRY_S = 0.2
-RETRY_HORIZON_S = 10.0
+CALLER_RETRY_WINDOW_S = 10.0
 BUCKETS_PER_CLAIM = 256
 GRANTS_PER_DATAGRAM = 60
 DATAGRAMS_PER_TICK = 16
@@ -65,32 +65,32 @@
         directory: FlowDirectory,
         outbox: DatagramOutbox,
         counters: Counters,
-        on_token: Callable[[list[DataFrame]], None],
+        replay_frames: Callable[[list[DataFrame]], None],
     ) -> None:
         self.tokens_by_bucket: dict[int, Generation] = {}
         self.claims_by_bucket: dict[int, BucketClaim] = {}
         self.outgoing_by_bucket: dict[int, OutgoingGrant] = {}
         self.successors_by_bucket: dict[int, str] = {}
         self.uncertain_until_by_bucket: dict[int, float] = {}
-        self.forgetful_since_by_id: dict[str, float] = {}
-        self.has_lost_memory = False
+        self.incomplete_since_by_id: dict[str, float] = {}
+        self.has_incomplete_flow_table = False
         self.table: OwnerTable | None = None
         self._own_id = own_id
         self._boot_id = boot_id
         self._directory = directory
         self._outbox = outbox
         self._counters = counters
-        self._on_token = on_token
+        self._replay_frames = replay_frames
         self._boot_ids_by_member: dict[str, int] = {}
         self._received_epochs_by_bucket: dict[int, int] = {}
-        self._floors_by_bucket: dict[int, Generation] = {}
+        self._min_generations_by_bucket: dict[int, Generation] = {}
         self._promised_epochs_by_bucket: dict[int, int] = {}
         self._takeover_not_before = float("-inf")
         self._uncertain_until = float("-inf")
-        self._asked_at = float("-inf")
+        self._claims_sent_at = float("-inf")
 
     @property
-    def can_pass_on(self) -> bool:
+    def has_tokens_to_grant(self) -> bool:
         """Tell whether there are tokens left that another server may take."""
         has_successors = self.table is not None and self.table.has_owners
         return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
@@ -105,7 +105,9 @@
         True within the retry horizon after a takeover that followed the loss of a member, and
         while a member other than this one has lost its memory.
         """
-        if any(now - since < RETRY_HORIZON_S for since in self.forgetful_since_by_id.values()):
+        if any(
+            now - since < CALLER_RETRY_WINDOW_S for since in self.incomplete_since_by_id.values()
+        ):
             return True
         return now < self.uncertain_until_by_bucket.get(bucket, now)
 
@@ -119,36 +121,36 @@
         """Adopt a newer table; of ``removed_ids`` an incarnation left the member list since."""
         previous = self.table
         self.table = table
-        changed = {
+        changed_ids = {
             member
             for member, boot_id in self._boot_ids_by_member.items()
             if boot_ids_by_member.get(member) != boot_id
         }
         self._boot_ids_by_member = dict(boot_ids_by_member)
         if self._boot_ids_by_member.get(self._own_id) != self._boot_id:
-            self._forget_tokens()
+            self._discard_tokens()
         if removed_ids:
             lease_end = now + LEASE_S + LEASE_MARGIN_S
             self._takeover_not_before = max(self._takeover_not_before, lease_end)
         if removed_ids - {self._own_id}:
             # What this agent's own former incarnation placed here reaches the same server again.
-            self._uncertain_until = now + RETRY_HORIZON_S
-        self._forget_members(changed)
-        self._restart_claims(table, previous, changed, now)
-        self._grant_lost_buckets(table)
-
-    def _forget_members(self, changed: set[str]) -> None:
-        for member in changed:
-            self.forgetful_since_by_id.pop(member, None)
+            self._uncertain_until = now + CALLER_RETRY_WINDOW_S
+        self._discard_members(changed_ids)
+        self._restart_claims(table, previous, changed_ids, now)
+        self._grant_reassigned_buckets(table)
+
+    def _discard_members(self, changed_ids: set[str]) -> None:
+        for member in changed_ids:
+            self.incomplete_since_by_id.pop(member, None)
         for bucket, outgoing in list(self.outgoing_by_bucket.items()):
-            if outgoing.successor_id in changed:
+            if outgoing.successor_id in changed_ids:
                 del self.outgoing_by_bucket[bucket]
         for bucket, successor in list(self.successors_by_bucket.items()):
-            if successor in changed:
+            if successor in changed_ids:
                 del self.successors_by_bucket[bucket]
 
     def _restart_claims(
-        self, table: OwnerTable, previous: OwnerTable | None, changed: set[str], now: float
+        self, table: OwnerTable, previous: OwnerTable | None, changed_ids: set[str], now: float
     ) -> None:
         earlier_claims = self.claims_by_bucket
         self.claims_by_bucket = {}
@@ -161,11 +163,11 @@
             holder = previous.owner_of(bucket) if previous else None
             if earlier is not None:
                 holder = earlier.holder_id
-            is_reachable = bool(holder) and holder != self._own_id and holder not in changed
+            is_reachable = bool(holder) and holder != self._own_id and holder not in changed_ids
             claim = BucketClaim(
                 bucket,
                 table.epoch,
-                self._asks_from(earlier, is_reachable, now),
+                self._claim_due_at(earlier, is_reachable, now),
                 self._other_members(),
                 holder_id=holder if holder and is_reachable else "",
                 queue=earlier.queue if earlier else [],
@@ -173,17 +175,17 @@
             self.claims_by_bucket[bucket] = claim
 
     @staticmethod
-    def _asks_from(earlier: BucketClaim | None, is_reachable: bool, now: float) -> float:
+    def _claim_due_at(earlier: BucketClaim | None, is_reachable: bool, now: float) -> float:
         """A reachable holder grants by itself; repeated changes don't put the claim off."""
         if not is_reachable:
             return now
         due = now + CLAIM_DELAY_S
-        return min(due, earlier.asks_from) if earlier is not None else due
+        return min(due, earlier.due_at) if earlier is not None else due
 
     def _other_members(self) -> set[str]:
         return {member for member in self._boot_ids_by_member if member != self._own_id}
 
-    def _grant_lost_buckets(self, table: OwnerTable) -> None:
+    def _grant_reassigned_buckets(self, table: OwnerTable) -> None:
         for bucket in list(self.tokens_by_bucket):
             if table.owner_of(bucket) == self._own_id:
                 self.outgoing_by_bucket.pop(bucket, None)
@@ -199,9 +201,9 @@
     def start_incarnation(self, boot_id: int) -> None:
         """Drop all tokens, when control no longer counts the incarnation before as a member."""
         self._boot_id = boot_id
-        self._forget_tokens()
+        self._discard_tokens()
 
-    def _forget_tokens(self) -> None:
+    def _discard_tokens(self) -> None:
         self.tokens_by_bucket.clear()
         self.claims_by_bucket.clear()
         self.outgoing_by_bucket.clear()
@@ -216,17 +218,17 @@
     # Claims
 
     def _send_claims(self, now: float) -> None:
-        if not self.claims_by_bucket or now - self._asked_at < CLAIM_RETRY_S:
+        if not self.claims_by_bucket or now - self._claims_sent_at < CLAIM_RETRY_S:
             return
         due_by_member: dict[str, list[int]] = {}
         for claim in self.claims_by_bucket.values():
-            if now < claim.asks_from:
+            if now < claim.due_at:
                 continue
             for member in sorted(claim.pending_ids):
                 due_by_member.setdefault(member, []).append(claim.bucket)
         if not due_by_member:
             return
-        self._asked_at = now
+        self._claims_sent_at = now
         for member, buckets in due_by_member.items():
             for start in range(0, len(buckets), BUCKETS_PER_CLAIM):
                 self._send_claim(member, buckets[start : start + BUCKETS_PER_CLAIM])
@@ -239,15 +241,15 @@
     def _take_over(self, now: float) -> None:
         if now < self._takeover_not_before:
             return
-        ready = [claim for claim in self.claims_by_bucket.values() if not claim.pending_ids]
-        for claim in ready:
+        ready_claims = [claim for claim in self.claims_by_bucket.values() if not claim.pending_ids]
+        for claim in ready_claims:
             generation = Generation(claim.epoch, 0)
             if self.is_stale(claim.bucket, generation):
                 continue
             self._counters["takeovers"] += 1
             if now < self._uncertain_until:
                 self.uncertain_until_by_bucket[claim.bucket] = self._uncertain_until
-            self._hold(claim.bucket, generation, claim.epoch, now)
+            self._accept_token(claim.bucket, generation, claim.epoch, now)
 
     def on_claim(self, message: Claim, now: float) -> None:
         """Answer a claim: grant what is held, promise to refuse older grants of the rest."""
@@ -261,7 +263,11 @@
             self._outbox.send(
                 message.sender,
                 ClaimAnswer(
-                    self._own_id, self._boot_id, message.epoch, batch, self.has_lost_memory
+                    self._own_id,
+                    self._boot_id,
+                    message.epoch,
+                    batch,
+                    self.has_incomplete_flow_table,
                 ),
             )
         self._send_grants(now)
@@ -277,7 +283,7 @@
             # A newer token has been seen here: the claimant has an old table and must not go on.
             self._counters["claims_outdated"] += 1
             return []
-        self._raise_floor(bucket, denied)
+        self._raise_min_generation(bucket, denied)
         promised = self._promised_epochs_by_bucket.get(bucket, 0)
         self._promised_epochs_by_bucket[bucket] = max(promised, message.epoch)
         flows = self._directory.local_records([bucket], self._own_id)
@@ -295,7 +301,7 @@
             self._counters["messages_of_old_incarnation"] += 1
             return
         if message.has_lost_memory:
-            self.forgetful_since_by_id.setdefault(message.sender, now)
+            self.incomplete_since_by_id.setdefault(message.sender, now)
         for answer in message.answers:
             claim = self.claims_by_bucket.get(answer.bucket)
             if claim is None or claim.epoch != message.epoch:
@@ -309,31 +315,33 @@
             claim.record_denial(message.sender, answer)
             if not claim.pending_ids and claim.queue:
                 # Flows that members know are known from here on, though the token may wait.
-                self._on_token(claim.take_queue(now))
+                self._replay_frames(claim.drain_queue(now))
 
     # Tokens
 
     def is_stale(self, bucket: int, generation: Generation) -> bool:
         """Tell whether a generation is older than what was seen or promised for the bucket."""
-        floor = self._floors_by_bucket.get(bucket)
-        return floor is not None and generation < floor
+        minimum = self._min_generations_by_bucket.get(bucket)
+        return minimum is not None and generation < minimum
 
     def is_placement_stale(self, bucket: int, token_epoch: int) -> bool:
         """Tell whether a placement was made under a token older than a promise given here."""
         return token_epoch < self._promised_epochs_by_bucket.get(bucket, 0)
 
-    def _raise_floor(self, bucket: int, floor: Generation) -> None:
-        self._floors_by_bucket[bucket] = max(self._floors_by_bucket.get(bucket, floor), floor)
+    def _raise_min_generation(self, bucket: int, minimum: Generation) -> None:
+        self._min_generations_by_bucket[bucket] = max(
+            self._min_generations_by_bucket.get(bucket, minimum), minimum
+        )
 
-    def _hold(self, bucket: int, generation: Generation, epoch: int, now: float) -> None:
+    def _accept_token(self, bucket: int, generation: Generation, epoch: int, now: float) -> None:
         self.tokens_by_bucket[bucket] = generation
         self._received_epochs_by_bucket[bucket] = epoch
         self.outgoing_by_bucket.pop(bucket, None)
         self.successors_by_bucket.pop(bucket, None)
-        self._raise_floor(bucket, generation.successor)
+        self._raise_min_generation(bucket, generation.successor)
         claim = self.claims_by_bucket.pop(bucket, None)
         if claim is not None and claim.queue:
-            self._on_token(claim.take_queue(now))
+            self._replay_frames(claim.drain_queue(now))
         if self.table is None or self.table.epoch < epoch:
             # The sender knew a newer table; passing on by the older one would send it back.
             return
@@ -343,7 +351,7 @@
 
     def _start_grant(self, bucket: int, successor: str, boot_id: int, epoch: int) -> None:
         outgoing = self.outgoing_by_bucket.get(bucket)
-        if outgoing is not None and outgoing.is_for(successor, boot_id, epoch):
+        if outgoing is not None and outgoing.is_addressed_to(successor, boot_id, epoch):
             return
         token = self.tokens_by_bucket[bucket]
         # Members that promised at the epoch of the grant must accept what it leads to.
@@ -362,12 +370,12 @@
                 continue
             if not outgoing.is_released:
                 records = self._directory.records_of(outgoing.bucket, self._own_id)
-                rest = outgoing.add_parts(records)
+                remaining = outgoing.split_unsent(records)
                 if outgoing.parts_by_number:
                     budget -= self._send_parts(outgoing)
                     outgoing.last_sent_at = now
                     continue
-                self._release(outgoing, rest)
+                self._release(outgoing, remaining)
             outgoing.last_sent_at = now
             successor = (outgoing.successor_id, outgoing.successor_boot_id)
             batch = batches.setdefault(successor, [])
@@ -405,7 +413,7 @@
         """From here on the token is on its way: this agent no longer is the authority."""
         outgoing.final_records = records
         outgoing.is_released = True
-        self._raise_floor(outgoing.bucket, outgoing.generation.successor)
+        self._raise_min_generation(outgoing.bucket, outgoing.generation.successor)
         outgoing.uncertain_until = self.uncertain_until_by_bucket.pop(outgoing.bucket, 0.0)
         del self.tokens_by_bucket[outgoing.bucket]
         self.successors_by_bucket[outgoing.bucket] = outgoing.successor_id
@@ -430,7 +438,7 @@
             if grant.uncertain_s > 0:
                 self.uncertain_until_by_bucket[grant.bucket] = now + grant.uncertain_s
             self._directory.install(grant.bucket, grant.flows, now)
-            self._hold(grant.bucket, grant.generation, grant.epoch, now)
+            self._accept_token(grant.bucket, grant.generation, grant.epoch, now)
         self._outbox.send(message.sender, GrantAck(self._own_id, receipts))
 
     def on_grant_ack(self, message: GrantAck) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
@@ -12,7 +12,7 @@
     from wagtailkeel_protocol.messages import BucketAnswer
 
 QUEUE_LIMIT_PACKETS = 64
-QUEUE_LIMIT_S = 2.0
+QUEUE_TIMEOUT_S = 2.0
 
 
 class QueuedFrame(msgspec.Struct):
@@ -27,7 +27,7 @@
 
     bucket: int
     epoch: int
-    asks_from: float
+    due_at: float
     pending_ids: set[str]
     holder_id: str = ""
     parts_by_member: dict[str, set[int]] = {}
@@ -47,8 +47,8 @@
         self.queue.append(QueuedFrame(frame, now))
         return True
 
-    def take_queue(self, now: float) -> list[DataFrame]:
+    def drain_queue(self, now: float) -> list[DataFrame]:
         """Return the frames that are not too old to be of use."""
-        frames = [q.frame for q in self.queue if now - q.queued_at <= QUEUE_LIMIT_S]
+        frames = [q.frame for q in self.queue if now - q.queued_at <= QUEUE_TIMEOUT_S]
         self.queue.clear()
         return frames
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
@@ -23,13 +23,13 @@
 class FlowContext:
     """State of one agent; ``now`` is the time of the event that is being handled."""
 
-    __slots__ = ("authority", "counters", "directory", "local", "now", "packets", "view")
+    __slots__ = ("authority", "counters", "directory", "local_flows", "now", "packets", "view")
 
     def __init__(
         self,
         view: AgentView,
         directory: FlowDirectory,
-        local: LocalFlows,
+        local_flows: LocalFlows,
         authority: BucketAuthority,
         packets: PacketOutbox,
         counters: Counters,
@@ -37,7 +37,7 @@
     ) -> None:
         self.view = view
         self.directory = directory
-        self.local = local
+        self.local_flows = local_flows
         self.authority = authority
         self.packets = packets
         self.counters = counters
@@ -61,20 +61,20 @@
     def forward_to_successor(self, frame: DataFrame) -> None:
         """Send a frame towards its bucket's authority: to whom the token went, else the owner."""
         successor = self.authority.successors_by_bucket.get(frame.bucket)
-        kept = frame.flags & gue.FLAG_REJECTED
+        kept_flags = frame.flags & gue.FLAG_REJECTED
         if successor is not None:
-            self.forward(successor, frame, kept | gue.FLAG_GRANTED)
+            self.forward(successor, frame, kept_flags | gue.FLAG_GRANTED)
             return
         owner = self.authority.table.owner_of(frame.bucket) if self.authority.table else None
         if owner is None or owner == self.view.own_id:
             self.counters["dropped_no_owner"] += 1
             return
-        self.forward(owner, frame, kept)
+        self.forward(owner, frame, kept_flags)
 
     def open_and_deliver(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
         """Start to account for a flow on the own server and deliver its packet."""
-        flow = self.local.open(key, frame.bucket, traffic_class, self.now)
-        self.local.on_inbound(flow, frame.packet, self.now)
+        flow = self.local_flows.open(key, frame.bucket, traffic_class, self.now)
+        self.local_flows.on_inbound(flow, frame.packet, self.now)
 
     def return_rejected(self, frame: DataFrame) -> None:
         """Tell the authority that the own server does not have, or take, the flow."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -68,7 +68,7 @@
         self.directory = FlowDirectory()
         self.limiter = ConcurrencyLimiter(identity.slots)
         self.peers = PeerView(random, self.view.is_placeable)
-        self.local = LocalFlows(
+        self.local_flows = LocalFlows(
             self.directory, self.limiter, identity.slots, packets, counters, record_response
         )
         self.authority = BucketAuthority(
@@ -80,16 +80,16 @@
             self._replay,
         )
         self._context = FlowContext(
-            self.view, self.directory, self.local, self.authority, packets, counters, now
+            self.view, self.directory, self.local_flows, self.authority, packets, counters, now
         )
         self._placement = Placement(
-            self._context, self.limiter, self.peers, lease, self._pass_to_authority
+            self._context, self.limiter, self.peers, lease, self._forward_to_authority
         )
         self._recovery = FlowRecovery(self._context)
         self._packets = packets
         self._lease = lease
         self._counters = counters
-        self._rejected = RejectedStarts()
+        self._rejected_starts = RejectedStarts()
         self._probe = RoundTripProbe()
         self._sweeper = RemoteFlowSweeper(self.directory)
         self._was_placeable = False
@@ -108,7 +108,7 @@
         self._context.now = now
         self.view.update(config, now)
         if self.view.had_other_incarnation():
-            self.authority.has_lost_memory = True
+            self.authority.has_incomplete_flow_table = True
         self._restart_limiter()
         known_epoch = self.authority.table.epoch if self.authority.table else -1
         if table is not None and table.epoch > known_epoch:
@@ -141,7 +141,7 @@
 
     # Packets from balancers and agents
 
-    def deliver_known(self, packet: bytes, hops: int, now: float) -> bool:
+    def deliver_if_local(self, packet: bytes, hops: int, now: float) -> bool:
         """Deliver a packet of a flow of the own server; False for any other: see on_frame."""
         flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
         if flow is None or self.view.is_out_of_service:
@@ -152,7 +152,7 @@
     def _deliver(self, flow: LocalFlow, packet: bytes, hops: int, now: float) -> None:
         if hops:
             self._counters[f"delivered_after_{hops}_hops"] += 1
-        self.local.on_inbound(flow, packet, now)
+        self.local_flows.on_inbound(flow, packet, now)
 
     def on_frame(self, frame: DataFrame, now: float) -> None:
         """Route one packet that travels from a caller to a server."""
@@ -166,19 +166,19 @@
             self._route(frame, key)
             return
         if self.view.is_out_of_service:
-            self._give_up(flow)
+            self._end_out_of_service_flow(flow)
             self._context.reset_caller(frame.packet)
             return
         self._deliver(flow, frame.packet, frame.hops, now)
 
-    def _give_up(self, flow: LocalFlow) -> None:
+    def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
         """End a flow of a data centre that is out of service.
 
         It is remembered for a while: its next owner must not start it elsewhere.
         """
         self._counters["flows_given_up"] += 1
         if flow.key[-1] == ip.TCP:
-            self.local.end(flow)
+            self.local_flows.end(flow)
 
     def _route(self, frame: DataFrame, key: bytes) -> None:
         if frame.hops > gue.MAX_HOPS:
@@ -195,11 +195,11 @@
         if frame.flags & gue.FLAG_DELIVER:
             self._on_delivery(frame, key, traffic_class)
         elif self.authority.is_authority(frame.bucket):
-            self._decide(frame, key, traffic_class)
+            self._route_as_authority(frame, key, traffic_class)
         else:
-            self._pass_to_authority(frame, key)
+            self._forward_to_authority(frame, key)
 
-    def _pass_to_authority(self, frame: DataFrame, key: bytes) -> None:
+    def _forward_to_authority(self, frame: DataFrame, key: bytes) -> None:
         claim = self.authority.claims_by_bucket.get(frame.bucket)
         if claim is None:
             self._context.forward_to_successor(frame)
@@ -211,15 +211,15 @@
         if claim.holder_id and not frame.flags & gue.FLAG_GRANTED:
             self._context.forward(claim.holder_id, frame, 0)
             return
-        is_known_to_nobody = not claim.pending_ids and not is_start(frame.packet, key)
-        if is_known_to_nobody and self._ask_before_takeover(frame, key):
+        is_unknown_to_members = not claim.pending_ids and not is_start(frame.packet, key)
+        if is_unknown_to_members and self._query_before_takeover(frame, key):
             return
         if not claim.enqueue(frame, self._context.now):
             self._counters["dropped_claim_queue_full"] += 1
 
-    def _ask_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
+    def _query_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
         """A takeover waits for leases; a flow that no member knows need not wait with it."""
-        if self.authority.has_lost_memory:
+        if self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [])
             return True
         former_members = self.view.recently_removed(self._context.now)
@@ -230,7 +230,9 @@
 
     # Decisions of the authority
 
-    def _decide(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
+    def _route_as_authority(
+        self, frame: DataFrame, key: bytes, traffic_class: TrafficClass
+    ) -> None:
         remote = self.directory.find_remote(frame.bucket, key)
         if frame.flags & gue.FLAG_REJECTED:
             self._placement.on_rejection(frame, key, traffic_class, remote)
@@ -239,7 +241,7 @@
         elif is_start(frame.packet, key):
             self._placement.place(frame, key, traffic_class)
         else:
-            candidates = sorted(self.authority.forgetful_since_by_id)
+            candidates = sorted(self.authority.incomplete_since_by_id)
             candidates += self.view.recently_removed(self._context.now)
             self._recovery.start(frame, key, candidates)
 
@@ -249,11 +251,11 @@
             self._placement.refuse_again(frame)
             return
         if remote.server_id == self.view.own_id:
-            self._adopt(frame, key)
+            self._adopt_flow(frame, key)
             return
         member = self.view.find_member(remote.server_id)
         if member is None:
-            self._on_absent_server(frame, key, remote.server_id)
+            self._on_removed_server(frame, key, remote.server_id)
             return
         if self.view.config is not None and not self.view.config.is_in_service(member.data_centre):
             self._counters["flows_given_up"] += 1
@@ -263,7 +265,7 @@
             remote.is_closing = True
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
-    def _on_absent_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+    def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Go on sending to a former member for a while: control's silence may be all it has.
 
         A dead one does not answer; its callers get RST once nobody may have the flow any more.
@@ -275,7 +277,7 @@
         self.directory.remove_remote(frame.bucket, key)
         self._context.reset_caller(frame.packet)
 
-    def _adopt(self, frame: DataFrame, key: bytes) -> None:
+    def _adopt_flow(self, frame: DataFrame, key: bytes) -> None:
         """The records say that the own server has the flow, but this incarnation forgot it."""
         traffic_class = self.view.find_class(key)
         if traffic_class is not None:
@@ -288,17 +290,17 @@
         if self.view.is_out_of_service:
             self._context.reset_caller(frame.packet)
             return
-        starts = is_start(frame.packet, key)
-        if starts and frame.epoch < self.view.joined_index:
+        is_first_packet = is_start(frame.packet, key)
+        if is_first_packet and frame.epoch < self.view.joined_index:
             # Sent to an earlier incarnation, which may have rejected it.
             self._counters["deliveries_stale"] += 1
-        elif self._rejected.contains(key, self._context.now):
+        elif self._rejected_starts.contains(key, self._context.now):
             self._context.return_rejected(frame)
         elif frame.flags & gue.FLAG_NEW:
             self._on_remote_placement(frame, key, traffic_class)
-        elif starts:
+        elif is_first_packet:
             self._context.open_and_deliver(frame, key, traffic_class)
-        elif self.authority.has_lost_memory:
+        elif self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [], is_for_authority=True)
         else:
             self._context.return_rejected(frame)
@@ -309,10 +311,10 @@
         if self.authority.is_placement_stale(frame.bucket, frame.token_epoch):
             self._counters["placements_stale"] += 1
             return
-        if self._placement.can_start_here(traffic_class):
+        if self._placement.can_start_locally(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return
-        self._rejected.add(key, self._context.now)
+        self._rejected_starts.add(key, self._context.now)
         self._context.return_rejected(frame)
 
     # Packets from the own server
@@ -336,13 +338,13 @@
         if flow is None:
             self._on_unknown_reply(packet, key)
             return
-        self.local.on_outbound(flow, packet, now)
+        self.local_flows.on_outbound(flow, packet, now)
         self._packets.reply(packet)
-        self._placement.drain()
+        self._placement.process_queue()
 
     def _abort_reply(self, flow: LocalFlow | None, packet: bytes, parsed: bytes) -> None:
         if flow is not None:
-            self._give_up(flow)
+            self._end_out_of_service_flow(flow)
         if parsed[-1] == ip.TCP and not ip.tcp_flags(packet) & ip.RST:
             self._packets.reply(build_abort(packet))
 
@@ -355,12 +357,12 @@
         if traffic_class is None:
             self._counters["dropped_reply_unknown_class"] += 1
             return
-        if key[-1] != ip.TCP or self.authority.has_lost_memory:
+        if key[-1] != ip.TCP or self.authority.has_incomplete_flow_table:
             self._counters["flows_adopted"] += 1
             bucket = hash_flow(key) % self.view.bucket_count
             now = self._context.now
-            flow = self.local.open(key, bucket, traffic_class, now)
-            self.local.on_outbound(flow, packet, now)
+            flow = self.local_flows.open(key, bucket, traffic_class, now)
+            self.local_flows.on_outbound(flow, packet, now)
         # Otherwise the flow was closed here, and its last packets still go out.
         self._packets.reply(packet)
 
@@ -406,12 +408,12 @@
         self._context.now = now
         self.view.refresh(now)
         self.authority.tick(now)
-        self.local.tick(now)
-        self._placement.drain()
+        self.local_flows.tick(now)
+        self._placement.process_queue()
         self._send_probe(now)
         self._sweeper.tick(self.view.classes_by_endpoint, now)
         self._recovery.expire(now)
-        self._rejected.expire(now)
+        self._rejected_starts.expire(now)
 
     def _send_probe(self, now: float) -> None:
         if self.view.is_out_of_service or not self.view.own_endpoint:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -27,7 +27,7 @@
     is_released: bool = False
     last_sent_at: float = float("-inf")
 
-    def is_for(self, successor_id: str, boot_id: int, epoch: int) -> bool:
+    def is_addressed_to(self, successor_id: str, boot_id: int, epoch: int) -> bool:
         """Tell whether this grant already moves the token as a table of ``epoch`` asks."""
         is_same = self.successor_id == successor_id and self.successor_boot_id == boot_id
         return is_same and self.epoch >= epoch
@@ -39,12 +39,12 @@
             self.bucket, self.generation, self.epoch, self.final_records, round(uncertain_s, 3)
         )
 
-    def add_parts(self, records: list[FlowRecord]) -> list[FlowRecord]:
+    def split_unsent(self, records: list[FlowRecord]) -> list[FlowRecord]:
         """Split what was not sent yet into parts; return the rest that fits beside the token."""
-        fresh = [record for record in records if record.key not in self.sent_keys]
-        while len(fresh) > RECORDS_PER_DATAGRAM:
-            part, fresh = fresh[:RECORDS_PER_DATAGRAM], fresh[RECORDS_PER_DATAGRAM:]
+        unsent = [record for record in records if record.key not in self.sent_keys]
+        while len(unsent) > RECORDS_PER_DATAGRAM:
+            part, unsent = unsent[:RECORDS_PER_DATAGRAM], unsent[RECORDS_PER_DATAGRAM:]
             self.parts_by_number[self.next_part] = part
             self.next_part += 1
             self.sent_keys.update(record.key for record in part)
-        return fresh
+        return unsent
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination.admission_queue import AdmissionQueue
-from wagtailkeel_coordination.bucket_authority import RETRY_HORIZON_S
+from wagtailkeel_coordination.bucket_authority import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.flow_context import is_start
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.gue import DataFrame
@@ -34,14 +34,14 @@
         limiter: ConcurrencyLimiter,
         peers: PeerView,
         lease: PlacementLease,
-        pass_to_authority: Callable[[DataFrame, bytes], None],
+        forward_to_authority: Callable[[DataFrame, bytes], None],
     ) -> None:
         self._context = context
         self._limiter = limiter
         self._peers = peers
         self._lease = lease
-        self._pass_to_authority = pass_to_authority
-        self._starts = AdmissionQueue()
+        self._forward_to_authority = forward_to_authority
+        self._queue = AdmissionQueue()
         self._started_at = context.now
 
     @property
@@ -51,51 +51,51 @@
         return Load(
             self._limiter.in_flight,
             int(self._limiter.limit) if view.is_placeable(view.own_id) else 0,
-            self._context.local.held_count,
+            self._context.local_flows.held_count,
             view.share,
             self._limiter.is_cold,
         )
 
     def place(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
         """Start a flow now or soon, refuse it, or leave it unanswered where it may have run."""
-        if not self._may_place(frame.bucket, traffic_class) or self._starts.contains(key):
+        if not self._may_place(frame.bucket, traffic_class) or self._queue.contains(key):
             return
         if self._start_now(frame, key, traffic_class):
             return
-        if self._must_stay_here(traffic_class):
+        if self._must_start_locally(traffic_class):
             # The former incarnation may have placed the flow on the own server.
             self._context.counters["starts_dropped_uncertain"] += 1
-        elif not self._starts.add(frame, key, traffic_class, self._context.now):
+        elif not self._queue.add(frame, key, traffic_class, self._context.now):
             self._refuse(frame, key)
 
-    def drain(self) -> None:
+    def process_queue(self) -> None:
         """Start what waits, oldest first; refuse what has waited too long."""
         context = self._context
-        while len(self._starts):
-            start = self._starts.first
+        while len(self._queue):
+            start = self._queue.oldest
             if not context.authority.is_authority(start.frame.bucket):
-                self._starts.pop()
-                self._pass_to_authority(start.frame, start.key)
-            elif self._settle(start):
-                self._starts.pop()
+                self._queue.pop()
+                self._forward_to_authority(start.frame, start.key)
+            elif self._try_queued_start(start):
+                self._queue.pop()
             elif context.now >= start.expires_at:
-                self._starts.pop()
+                self._queue.pop()
                 self._refuse(start.frame, start.key)
             else:
                 return
 
-    def _settle(self, start: QueuedStart) -> bool:
+    def _try_queued_start(self, start: QueuedStart) -> bool:
         """Start what waits, or let it go unanswered; False while there is no room."""
         if not self._may_place(start.frame.bucket, start.traffic_class):
             return True
         return self._start_now(start.frame, start.key, start.traffic_class)
 
-    def can_start_here(self, traffic_class: TrafficClass) -> bool:
+    def can_start_locally(self, traffic_class: TrafficClass) -> bool:
         """Tell whether the own server has room for a flow of a class."""
         view = self._context.view
         if not view.is_placeable(view.own_id) or not self._limiter.allows_start():
             return False
-        held_count = self._context.local.held_count
+        held_count = self._context.local_flows.held_count
         return not traffic_class.is_held or held_count < traffic_class.target.limit
 
     def on_rejection(
@@ -107,20 +107,20 @@
     ) -> None:
         """A peer did not take a flow that was placed there."""
         context = self._context
-        if remote is None or not self._is_rejected_by(frame, remote):
+        if remote is None or not self._is_from_current_incarnation(frame, remote):
             context.counters["rejections_ignored"] += 1
             return
         context.directory.remove_remote(frame.bucket, key)
         if not is_start(frame.packet, key):
             context.reset_caller(frame.packet)
-        elif self.can_start_here(traffic_class):
+        elif self.can_start_locally(traffic_class):
             context.open_and_deliver(frame, key, traffic_class)
-        elif self._starts.contains(key):
+        elif self._queue.contains(key):
             return
-        elif not self._starts.add(self._as_fresh(frame), key, traffic_class, context.now):
+        elif not self._queue.add(self._as_new_frame(frame), key, traffic_class, context.now):
             self._refuse(frame, key)
 
-    def _as_fresh(self, frame: DataFrame) -> DataFrame:
+    def _as_new_frame(self, frame: DataFrame) -> DataFrame:
         """Return the frame of a start that came back, without the way that it has gone."""
         return DataFrame(frame.packet, frame.bucket, self._context.epoch)
 
@@ -141,32 +141,32 @@
             return False
         return True
 
-    def _must_stay_here(self, traffic_class: TrafficClass) -> bool:
+    def _must_start_locally(self, traffic_class: TrafficClass) -> bool:
         """A former incarnation's starts may still be sent again: they were on the own server."""
-        is_forgetful = self._context.authority.has_lost_memory
-        is_recent = self._context.now - self._started_at < RETRY_HORIZON_S
-        return is_forgetful and is_recent and not traffic_class.is_idempotent
+        is_table_incomplete = self._context.authority.has_incomplete_flow_table
+        is_within_retry_window = self._context.now - self._started_at < CALLER_RETRY_WINDOW_S
+        return is_table_incomplete and is_within_retry_window and not traffic_class.is_idempotent
 
     def _start_now(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> bool:
         """Start a flow where there is room; False when there is none."""
-        if self._prefers_own_server(traffic_class):
+        if self._prefers_local_server(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return True
-        if self._must_stay_here(traffic_class):
+        if self._must_start_locally(traffic_class):
             return False
         peer = self._choose_peer(traffic_class)
         if peer is not None:
             self._place_remotely(frame, key, peer)
             return True
-        if self.can_start_here(traffic_class):
+        if self.can_start_locally(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return True
         return False
 
-    def _prefers_own_server(self, traffic_class: TrafficClass) -> bool:
-        if not self.can_start_here(traffic_class):
+    def _prefers_local_server(self, traffic_class: TrafficClass) -> bool:
+        if not self.can_start_locally(traffic_class):
             return False
-        if not traffic_class.is_held or self._must_stay_here(traffic_class):
+        if not traffic_class.is_held or self._must_start_locally(traffic_class):
             return True
         return self._peers.is_least_held(self.load, self._context.now)
 
@@ -197,7 +197,7 @@
         context.counters["starts_refused"] += 1
         context.packets.reply(build_refusal(frame.packet))
 
-    def _is_rejected_by(self, frame: DataFrame, remote: RemoteFlow) -> bool:
+    def _is_from_current_incarnation(self, frame: DataFrame, remote: RemoteFlow) -> bool:
         """Tell whether the rejection comes from the incarnation that the pointer names now."""
         member = self._context.view.find_member(remote.server_id)
         return member is not None and member.joined_index == frame.token_epoch
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from wagtailkeel_coordination.flow_context import FlowContext
 
-RECOVERY_LIMIT_S = 5.0
+RECOVERY_TIMEOUT_S = 5.0
 
 
 class PendingRecovery(msgspec.Struct):
@@ -51,8 +51,8 @@
             context.counters["dropped_unknown_flow"] += 1
             return
         pending = PendingRecovery(frame, context.now, candidates, is_for_authority)
-        if not context.authority.has_lost_memory or context.view.is_out_of_service:
-            self._ask_next(pending, key)
+        if not context.authority.has_incomplete_flow_table or context.view.is_out_of_service:
+            self._query_next(pending, key)
             return
         self._pending_by_key[key] = pending
         context.counters["recoveries_started"] += 1
@@ -62,7 +62,7 @@
         """The own server does not have the connection: swallow its RST and go on."""
         pending = self._pending_by_key.pop(key, None)
         if pending is not None:
-            self._ask_next(pending, key)
+            self._query_next(pending, key)
 
     def on_answer(self, key: bytes) -> None:
         """The own server has the connection."""
@@ -71,10 +71,10 @@
     def expire(self, now: float) -> None:
         """Forget recoveries without an answer; the caller's next packet starts another."""
         for key, pending in list(self._pending_by_key.items()):
-            if now - pending.started_at > RECOVERY_LIMIT_S:
+            if now - pending.started_at > RECOVERY_TIMEOUT_S:
                 del self._pending_by_key[key]
 
-    def _ask_next(self, pending: PendingRecovery, key: bytes) -> None:
+    def _query_next(self, pending: PendingRecovery, key: bytes) -> None:
         context = self._context
         if pending.is_for_authority:
             context.return_rejected(pending.frame)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -153,7 +153,7 @@
         self._is_stopping = True
         with anyio.move_on_after(self._section.stop_limit_s):
             await self._announce_stop()
-            while self._router.authority.can_pass_on:
+            while self._router.authority.has_tokens_to_grant:
                 await anyio.sleep(STOP_POLL_INTERVAL_S)
         logger.info("passed on all but {} buckets", len(self._router.authority.tokens_by_bucket))
 
@@ -207,7 +207,7 @@
         flags, hops = gue.peek_flags_and_hops(datagram)
         if not flags & gue.FLAG_REJECTED and not self._instance.stateless:
             packet = datagram[gue.HEADER_BYTES :]
-            if self._router.deliver_known(packet, hops, clock.seconds()):
+            if self._router.deliver_if_local(packet, hops, clock.seconds()):
                 return
         frame = gue.decode_frame(datagram)
         if isinstance(frame, Malformed):
@@ -324,18 +324,18 @@
                 "table_epoch": authority.table.epoch if authority.table else 0,
                 "control_silent_s": now - self._link.acknowledged_at,
                 "has_lease": self._lease.is_valid(now),
-                "has_lost_memory": authority.has_lost_memory,
+                "has_lost_memory": authority.has_incomplete_flow_table,
                 "buckets_held": len(authority.tokens_by_bucket),
                 "buckets_claimed": len(authority.claims_by_bucket),
                 "grants_outgoing": len(authority.outgoing_by_bucket),
                 "local_flows": len(router.directory.local_flows_by_key),
-                "held_flows": router.local.held_count,
+                "held_flows": router.local_flows.held_count,
                 "local_flows_sample": [
                     describe_flow(key)
                     for key in islice(router.directory.local_flows_by_key, FLOWS_IN_DUMP)
                 ],
                 "remote_flows": router.directory.remote_flow_count,
-                "awaiting": router.local.awaiting_count,
+                "awaiting": router.local_flows.awaiting_count,
                 "limit": router.limiter.limit,
                 "in_flight": router.limiter.in_flight,
                 "is_cold": router.limiter.is_cold,
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from wagtailkeel_coordination import BucketAuthority
+from wagtailkeel_coordination.bucket_authority import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.bucket_authority import CLAIM_DELAY_S
-from wagtailkeel_coordination.bucket_authority import RETRY_HORIZON_S
 from wagtailkeel_coordination.lease import LEASE_MARGIN_S
 from wagtailkeel_coordination.lease import LEASE_S
 from wagtailkeel_protocol.messages import AnyDatagram
@@ -95,7 +95,7 @@
                 self.assertTrue(self.authority.is_authority(BUCKET))
                 found = self.authority.is_uncertain(BUCKET, LEASE_WAIT_S)
                 self.assertEqual(found, is_uncertain)
-                self.assertFalse(self.authority.is_uncertain(BUCKET, RETRY_HORIZON_S))
+                self.assertFalse(self.authority.is_uncertain(BUCKET, CALLER_RETRY_WINDOW_S))
 
     def test_denial_promises_to_refuse_older_grants(self) -> None:
         for claimed, granted, is_taken in ((7, 6, False), (7, 7, True), (6, 7, True)):
