Texts of the token protocol, flow routing and placement

The comments spoke in figures ("control's silence", "the own server", "swallow its RST") and left open who does what. Reworded in plain terms, with every reason, number and source kept; the callback of the authority now has a sentence.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/admission_queue.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/admission_queue.py
@@ -1,4 +1,4 @@
-"""Starts that wait a moment for room, before they are refused."""
+"""Queue of flow starts that wait for room on a server before they are refused."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class QueuedStart(msgspec.Struct):
-    """A flow's first packet and the time at which it is refused."""
+    """A flow's first packet; the flow is refused at ``expires_at``."""
 
     frame: DataFrame
     key: bytes
@@ -23,7 +23,7 @@
 
 
 class AdmissionQueue:
-    """First in, first out; no packet of a queued flow has reached a server."""
+    """First-in, first-out queue; no packet of a queued flow has reached a server."""
 
     def __init__(self) -> None:
         self._starts: deque[QueuedStart] = deque()
@@ -34,15 +34,15 @@
 
     @property
     def oldest(self) -> QueuedStart:
-        """The oldest start."""
+        """The start that was queued first."""
         return self._starts[0]
 
     def contains(self, key: bytes) -> bool:
-        """Tell whether a start of the flow waits already."""
+        """Return whether a start of the flow is queued."""
         return key in self._keys
 
     def add(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass, now: float) -> bool:
-        """Queue a start; False when the queue is full."""
+        """Queue a start; return False if the queue is full."""
         if len(self._starts) >= QUEUE_LIMIT_STARTS:
             return False
         self._starts.append(QueuedStart(frame, key, traffic_class, now + QUEUE_TIMEOUT_S))
@@ -50,7 +50,7 @@
         return True
 
     def pop(self) -> QueuedStart:
-        """Take the oldest start."""
+        """Remove the oldest start and return it."""
         start = self._starts.popleft()
         self._keys.discard(start.key)
         return start
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -1,17 +1,18 @@
-"""Which buckets this agent is the authority of, and how tokens move.
+"""Token protocol of one agent: which buckets it is the authority of, and how tokens move.
 
-A token is created by a takeover or passed on by a grant. At most one agent that may place flows
-of classes that are not idempotent holds a bucket's token, because
+The agent that holds a bucket's token is the bucket's authority. A token is created by a takeover
+and passed on by a grant. At most one agent that may place flows of non-idempotent classes holds a
+bucket's token, because
 
-* an answer "no" to a claim at epoch e is a promise to refuse all grants of generations below
-  (e, 0), as in the prepare phase of Paxos (Lamport, 1998), and is given only where no newer
-  generation has been seen;
-* a takeover waits, beside all answers, until every lease older than the last removal of a member
-  has run out;
+* a member that denies holding the token, in answer to a claim at epoch e, promises to refuse all
+  grants of generations below (e, 0), as in the prepare phase of Paxos (Lamport, 1998). It denies
+  only if it has seen no newer generation;
+* a takeover waits for the answers of all other members, and until every lease granted before the
+  last removal of a member has expired;
 * a new incarnation of an agent starts without tokens.
 
-Entries are copied before the token moves, as memory pages are in pre-copy migration (Clark et al.,
-2005): the holder stays the authority until the successor has all but the last few entries.
+Flow records are copied before the token moves, as memory pages are in pre-copy migration (Clark
+et al., 2005): the holder stays the authority until the successor has all but the last few records.
 """
 
 from __future__ import annotations
@@ -56,7 +57,10 @@
 
 
 class BucketAuthority:
-    """Tokens, claims, grants and promises of one agent for one service."""
+    """Tokens, claims, grants and promises of one agent for one service.
+
+    ``replay_frames`` is called with the frames that were queued while a claim was in progress.
+    """
 
     def __init__(
         self,
@@ -91,19 +95,19 @@
 
     @property
     def has_tokens_to_grant(self) -> bool:
-        """Tell whether there are tokens left that another server may take."""
+        """Return whether tokens are left, or being granted, that another server can take over."""
         has_successors = self.table is not None and self.table.has_owners
         return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
 
     def is_authority(self, bucket: int) -> bool:
-        """Tell whether this agent holds the bucket's token."""
+        """Return whether this agent holds the bucket's token."""
         return bucket in self.tokens_by_bucket
 
     def is_uncertain(self, bucket: int, now: float) -> bool:
-        """Tell whether an unknown flow may have reached a server whose agent is gone or forgot.
+        """Return whether an unknown flow may already run on a server whose records are missing.
 
-        True within the retry horizon after a takeover that followed the loss of a member, and
-        while a member other than this one has lost its memory.
+        True for ``CALLER_RETRY_WINDOW_S`` after a takeover that followed the removal of a member,
+        and after another member reported an incomplete flow table.
         """
         if any(
             now - since < CALLER_RETRY_WINDOW_S for since in self.incomplete_since_by_id.values()
@@ -118,7 +122,10 @@
         removed_ids: set[str],
         now: float,
     ) -> None:
-        """Adopt a newer table; of ``removed_ids`` an incarnation left the member list since."""
+        """Apply a newer owner table.
+
+        ``removed_ids`` are the servers with an incarnation removed since the previous table.
+        """
         previous = self.table
         self.table = table
         changed_ids = {
@@ -133,7 +140,8 @@
             lease_end = now + LEASE_S + LEASE_MARGIN_S
             self._takeover_not_before = max(self._takeover_not_before, lease_end)
         if removed_ids - {self._own_id}:
-            # What this agent's own former incarnation placed here reaches the same server again.
+            # Retransmissions of flows that this agent's own former incarnation placed on the local
+            # backend server reach the same server again, so its own removal causes no uncertainty.
             self._uncertain_until = now + CALLER_RETRY_WINDOW_S
         self._discard_members(changed_ids)
         self._restart_claims(table, previous, changed_ids, now)
@@ -176,7 +184,10 @@
 
     @staticmethod
     def _claim_due_at(earlier: BucketClaim | None, is_reachable: bool, now: float) -> float:
-        """A reachable holder grants by itself; repeated changes don't put the claim off."""
+        """Return when to send a claim: delayed if the holder is reachable, since it grants unasked.
+
+        Further table changes don't postpone a claim that is already scheduled.
+        """
         if not is_reachable:
             return now
         due = now + CLAIM_DELAY_S
@@ -199,7 +210,7 @@
             self._start_grant(bucket, owner, boot_id, table.epoch)
 
     def start_incarnation(self, boot_id: int) -> None:
-        """Drop all tokens, when control no longer counts the incarnation before as a member."""
+        """Discard all tokens, after control removed the previous incarnation from the members."""
         self._boot_id = boot_id
         self._discard_tokens()
 
@@ -210,7 +221,7 @@
         self.successors_by_bucket.clear()
 
     def tick(self, now: float) -> None:
-        """Send what is due again and take over what all others have denied holding."""
+        """Send claims and grants that are due; take over buckets that all others denied holding."""
         self._send_claims(now)
         self._take_over(now)
         self._send_grants(now)
@@ -252,7 +263,7 @@
             self._accept_token(claim.bucket, generation, claim.epoch, now)
 
     def on_claim(self, message: Claim, now: float) -> None:
-        """Answer a claim: grant what is held, promise to refuse older grants of the rest."""
+        """Answer a claim: grant buckets held here, promise to refuse older grants of the others."""
         if self._boot_ids_by_member.get(message.sender, message.boot_id) != message.boot_id:
             self._counters["messages_of_old_incarnation"] += 1
             return
@@ -280,7 +291,7 @@
             return split_answer(bucket, True, [])
         denied = Generation(message.epoch, 0)
         if self.is_stale(bucket, denied):
-            # A newer token has been seen here: the claimant has an old table and must not go on.
+            # A newer token was seen here: the claimant has an old table and must not take over.
             self._counters["claims_outdated"] += 1
             return []
         self._raise_min_generation(bucket, denied)
@@ -290,13 +301,16 @@
         return split_answer(bucket, False, flows)
 
     def _is_entitled(self, message: Claim, bucket: int) -> bool:
-        """A claim under a newer table proves ownership; one under an older table does not."""
+        """Return whether the claimant owns the bucket.
+
+        A claim under a newer table than this agent's proves ownership, one under an older does not.
+        """
         if self.table is None or message.epoch > self.table.epoch:
             return True
         return message.epoch == self.table.epoch and message.sender == self.table.owner_of(bucket)
 
     def on_claim_answer(self, message: ClaimAnswer, now: float) -> None:
-        """Count the answers; flows on the member's server become pointers at once."""
+        """Record the answers; flows on the member's server become pointers at once."""
         if self._boot_ids_by_member.get(message.sender) != message.boot_id:
             self._counters["messages_of_old_incarnation"] += 1
             return
@@ -314,18 +328,18 @@
             self._directory.install(answer.bucket, answer.flows, now)
             claim.record_denial(message.sender, answer)
             if not claim.pending_ids and claim.queue:
-                # Flows that members know are known from here on, though the token may wait.
+                # All members' flows are now known, though the takeover may still wait for leases.
                 self._replay_frames(claim.drain_queue(now))
 
     # Tokens
 
     def is_stale(self, bucket: int, generation: Generation) -> bool:
-        """Tell whether a generation is older than what was seen or promised for the bucket."""
+        """Return whether a generation is older than what was seen or promised for the bucket."""
         minimum = self._min_generations_by_bucket.get(bucket)
         return minimum is not None and generation < minimum
 
     def is_placement_stale(self, bucket: int, token_epoch: int) -> bool:
-        """Tell whether a placement was made under a token older than a promise given here."""
+        """Return whether a placement was made under a token older than a promise of this agent."""
         return token_epoch < self._promised_epochs_by_bucket.get(bucket, 0)
 
     def _raise_min_generation(self, bucket: int, minimum: Generation) -> None:
@@ -343,7 +357,7 @@
         if claim is not None and claim.queue:
             self._replay_frames(claim.drain_queue(now))
         if self.table is None or self.table.epoch < epoch:
-            # The sender knew a newer table; passing on by the older one would send it back.
+            # The sender knew a newer table; granting by the older one would send the token back.
             return
         self._grant_to_owner(bucket, self.table)
 
@@ -354,7 +368,7 @@
         if outgoing is not None and outgoing.is_addressed_to(successor, boot_id, epoch):
             return
         token = self.tokens_by_bucket[bucket]
-        # Members that promised at the epoch of the grant must accept what it leads to.
+        # The new generation must not be below what members promised at the epoch of the grant.
         generation = Generation(max(token.epoch, epoch), token.counter + 1)
         self.outgoing_by_bucket[bucket] = OutgoingGrant(
             bucket, successor, boot_id, generation, epoch
@@ -410,7 +424,7 @@
         return len(outgoing.parts_by_number)
 
     def _release(self, outgoing: OutgoingGrant, records: list[FlowRecord]) -> None:
-        """From here on the token is on its way: this agent no longer is the authority."""
+        """Give up the token, to be sent with ``records``: this agent is no longer the authority."""
         outgoing.final_records = records
         outgoing.is_released = True
         self._raise_min_generation(outgoing.bucket, outgoing.generation.successor)
@@ -421,9 +435,9 @@
         self._counters["grants_released"] += 1
 
     def on_grant(self, message: Grant, now: float) -> None:
-        """Take the tokens that are newer than any seen, refuse the others, acknowledge all.
+        """Accept the tokens that are newer than any seen, refuse the others, acknowledge all.
 
-        A grant to an earlier incarnation is ignored: what that one promised is not known here.
+        A grant to an earlier incarnation is ignored: this one doesn't know its promises.
         """
         if message.recipient_boot_id != self._boot_id:
             self._counters["messages_of_old_incarnation"] += 1
@@ -442,7 +456,7 @@
         self._outbox.send(message.sender, GrantAck(self._own_id, receipts))
 
     def on_grant_ack(self, message: GrantAck) -> None:
-        """Stop sending what has arrived."""
+        """Stop resending grants that the successor has acknowledged."""
         for receipt in message.receipts:
             outgoing = self.outgoing_by_bucket.get(receipt.bucket)
             if outgoing is None or outgoing.successor_id != message.sender:
@@ -451,7 +465,7 @@
                 del self.outgoing_by_bucket[receipt.bucket]
 
     def on_flow_transfer(self, message: FlowTransfer, now: float) -> None:
-        """Store entries that are sent ahead of a grant."""
+        """Store flow records that are sent ahead of a grant."""
         if message.recipient_boot_id != self._boot_id:
             self._counters["messages_of_old_incarnation"] += 1
             return
@@ -463,7 +477,7 @@
         )
 
     def on_flow_transfer_ack(self, message: FlowTransferAck, now: float) -> None:
-        """Send the token once all parts have arrived."""
+        """Grant the token once the successor has acknowledged all parts."""
         outgoing = self.outgoing_by_bucket.get(message.bucket)
         if outgoing is None or outgoing.generation != message.generation:
             return
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
@@ -1,4 +1,4 @@
-"""A claim in progress: one bucket that this agent owns by the table but has no token for."""
+"""A claim in progress: this agent owns a bucket by the owner table but lacks its token."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 class QueuedFrame(msgspec.Struct):
-    """A frame that waits for the token, and since when."""
+    """A frame that waits for the bucket's token since ``queued_at``."""
 
     frame: DataFrame
     queued_at: float
 
 
 class BucketClaim(msgspec.Struct):
-    """What is known so far; the members in ``pending_ids`` have not denied holding the token."""
+    """State of one claim; the members in ``pending_ids`` have not yet denied holding the token."""
 
     bucket: int
     epoch: int
@@ -34,21 +34,21 @@
     queue: list[QueuedFrame] = []
 
     def record_denial(self, member_id: str, answer: BucketAnswer) -> None:
-        """Count a part of a member's "no"; the whole counts once all parts are here."""
+        """Record a part of a member's denial, which counts once all its parts have arrived."""
         parts = self.parts_by_member.setdefault(member_id, set())
         parts.add(answer.part)
         if len(parts) >= answer.parts:
             self.pending_ids.discard(member_id)
 
     def enqueue(self, frame: DataFrame, now: float) -> bool:
-        """Keep a frame until the token arrives; False when the queue is full."""
+        """Queue a frame until the token arrives; return False if the queue is full."""
         if len(self.queue) >= QUEUE_LIMIT_PACKETS:
             return False
         self.queue.append(QueuedFrame(frame, now))
         return True
 
     def drain_queue(self, now: float) -> list[DataFrame]:
-        """Return the frames that are not too old to be of use."""
+        """Empty the queue and return the frames that waited at most ``QUEUE_TIMEOUT_S``."""
         frames = [q.frame for q in self.queue if now - q.queued_at <= QUEUE_TIMEOUT_S]
         self.queue.clear()
         return frames
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/claim_answers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/claim_answers.py
@@ -1,4 +1,4 @@
-"""Packing a member's answers to a claim into datagrams."""
+"""Packs a member's answers to a claim into datagrams."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def split_answer(bucket: int, is_holder: bool, flows: list[FlowRecord]) -> list[BucketAnswer]:
-    """Split one bucket's answer into parts that fit a datagram each."""
+    """Split one bucket's answer into parts that each fit into a datagram."""
     size = RECORDS_PER_DATAGRAM
     chunks = [flows[start : start + size] for start in range(0, len(flows), size)] or [[]]
     return [
@@ -27,7 +27,7 @@
 
 
 def pack_answers(answers: Iterable[BucketAnswer]) -> Iterator[list[BucketAnswer]]:
-    """Yield lists of answers, each small enough for one datagram."""
+    """Yield batches of answers, each small enough for one datagram."""
     batch: list[BucketAnswer] = []
     records = 0
     for answer in answers:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
@@ -1,4 +1,4 @@
-"""What the parts of an agent's routing share."""
+"""State and actions that the parts of an agent's routing share."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class FlowContext:
-    """State of one agent; ``now`` is the time of the event that is being handled."""
+    """Shared state of one agent; ``now`` is the time of the event being handled."""
 
     __slots__ = ("authority", "counters", "directory", "local_flows", "now", "packets", "view")
 
@@ -45,11 +45,11 @@
 
     @property
     def epoch(self) -> int:
-        """Epoch of the newest owner table."""
+        """Epoch of the newest owner table; 0 before the first one."""
         return self.authority.table.epoch if self.authority.table else 0
 
     def forward(self, server_id: str, frame: DataFrame, flags: int) -> None:
-        """Send a frame on to another agent."""
+        """Forward a frame to another agent."""
         self.counters["packets_forwarded"] += 1
         self.packets.forward(
             server_id,
@@ -59,7 +59,10 @@
         )
 
     def forward_to_successor(self, frame: DataFrame) -> None:
-        """Send a frame towards its bucket's authority: to whom the token went, else the owner."""
+        """Forward a frame towards its bucket's authority.
+
+        The recipient is the agent that the token was granted to, otherwise the bucket's owner.
+        """
         successor = self.authority.successors_by_bucket.get(frame.bucket)
         kept_flags = frame.flags & gue.FLAG_REJECTED
         if successor is not None:
@@ -72,17 +75,17 @@
         self.forward(owner, frame, kept_flags)
 
     def open_and_deliver(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
-        """Start to account for a flow on the own server and deliver its packet."""
+        """Start tracking a flow on the local backend server and deliver its packet."""
         flow = self.local_flows.open(key, frame.bucket, traffic_class, self.now)
         self.local_flows.on_inbound(flow, frame.packet, self.now)
 
     def return_rejected(self, frame: DataFrame) -> None:
-        """Tell the authority that the own server does not have, or take, the flow."""
+        """Return a frame to the authority: the local backend server lacks, or rejects, the flow."""
         self.counters["placements_rejected"] += 1
         if self.authority.is_authority(frame.bucket):
             self.reset_caller(frame.packet)
             return
-        # The index of the join names this incarnation: another one's rejection doesn't count.
+        # The join index identifies this incarnation; the authority ignores rejections of others.
         joined_index = self.view.joined_index
         rejected = DataFrame(
             frame.packet, frame.bucket, 0, gue.FLAG_REJECTED, frame.hops, joined_index
@@ -100,7 +103,7 @@
 
 
 def is_start(packet: bytes, key: bytes) -> bool:
-    """Tell whether a packet may open a flow: any UDP packet, or a SYN."""
+    """Return whether a packet may start a flow: any UDP packet, or a SYN."""
     if key[-1] != ip.TCP:
         return True
     return ip.tcp_flags(packet) & (ip.SYN | ip.ACK) == ip.SYN
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -1,4 +1,4 @@
-"""What an agent does with each packet: deliver, forward, place, refuse or recover its flow."""
+"""Routing of each packet of an agent: deliver, forward, place, refuse or recover its flow."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 
 
 class FlowRouter:
-    """Routing decisions of one agent; it owns the directory and all that hangs on it."""
+    """Routing decisions of one agent; owns the flow directory and the parts that use it."""
 
     def __init__(
         self,
@@ -96,7 +96,7 @@
 
     @property
     def load(self) -> Load:
-        """What peers need to know of the own server."""
+        """The load of the local backend server, as reported to peers."""
         return self._placement.load
 
     # Configuration
@@ -104,7 +104,7 @@
     def apply_configuration(
         self, config: Configuration, table: OwnerTable | None, now: float
     ) -> None:
-        """Adopt a newer configuration; ``table`` is its owner table, built by the caller."""
+        """Apply a newer configuration; ``table`` is its owner table, built by the caller."""
         self._context.now = now
         self.view.update(config, now)
         if self.view.had_other_incarnation():
@@ -115,7 +115,7 @@
             self._apply_table(table, known_epoch, now)
 
     def _restart_limiter(self) -> None:
-        """A server that is placed on again may have turned cold meanwhile."""
+        """Restart slow start when the server is placeable again: it may have become cold."""
         is_placeable = self.view.is_placeable(self.view.own_id)
         if is_placeable and not self._was_placeable:
             self.limiter.restart()
@@ -127,13 +127,13 @@
         self.authority.apply_table(table, boot_ids, self.view.removed_since(known_epoch), now)
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
-        """End all service, or take it up again, where the settings ask so for an isolated node."""
+        """Stop or resume all service, if the settings require that an isolated node stops."""
         self.view.set_isolated(is_isolated, now)
 
     def rejoin(self, boot_id: int) -> None:
-        """Start as a new incarnation: control has removed the one before.
+        """Start as a new incarnation, after control removed the previous one.
 
-        Tokens are gone; the flows on the own server are as real as before.
+        Tokens are discarded; the flows on the local backend server still exist and are kept.
         """
         self.view.add_incarnation(boot_id)
         self._lease.revoke()
@@ -142,7 +142,10 @@
     # Packets from balancers and agents
 
     def deliver_if_local(self, packet: bytes, hops: int, now: float) -> bool:
-        """Deliver a packet of a flow of the own server; False for any other: see on_frame."""
+        """Deliver a packet of a flow of the local backend server; return False for any other.
+
+        The caller passes any other packet to ``on_frame``.
+        """
         flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
         if flow is None or self.view.is_out_of_service:
             return False
@@ -172,9 +175,9 @@
         self._deliver(flow, frame.packet, frame.hops, now)
 
     def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
-        """End a flow of a data centre that is out of service.
+        """End a flow because the data centre is out of service.
 
-        It is remembered for a while: its next owner must not start it elsewhere.
+        A record of the flow is kept for a while: its next owner must not start it elsewhere.
         """
         self._counters["flows_given_up"] += 1
         if flow.key[-1] == ip.TCP:
@@ -186,7 +189,7 @@
             return
         traffic_class = self.view.find_class(key)
         if traffic_class is None:
-            # Of another service, or of a class that is not known here yet.
+            # A packet of another service, or of a class that this agent doesn't know yet.
             self._counters["dropped_unknown_class"] += 1
             return
         if hash_flow(key) % self.view.bucket_count != frame.bucket:
@@ -218,7 +221,10 @@
             self._counters["dropped_claim_queue_full"] += 1
 
     def _query_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
-        """A takeover waits for leases; a flow that no member knows need not wait with it."""
+        """Look for a flow that no member knows without waiting for the takeover and its leases.
+
+        Return whether the packet was handled in this way.
+        """
         if self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [])
             return True
@@ -266,9 +272,9 @@
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
     def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
-        """Go on sending to a former member for a while: control's silence may be all it has.
+        """Keep forwarding to a removed member for a while: it may only be out of reach of control.
 
-        A dead one does not answer; its callers get RST once nobody may have the flow any more.
+        A member that is down does not answer; callers get RST once no server can have the flow.
         """
         if server_id in self.view.recently_removed(self._context.now):
             self._counters["packets_to_former_member"] += 1
@@ -278,13 +284,13 @@
         self._context.reset_caller(frame.packet)
 
     def _adopt_flow(self, frame: DataFrame, key: bytes) -> None:
-        """The records say that the own server has the flow, but this incarnation forgot it."""
+        """Open a flow that the records place on the local server, but this incarnation lacks."""
         traffic_class = self.view.find_class(key)
         if traffic_class is not None:
             self._counters["flows_adopted"] += 1
             self._context.open_and_deliver(frame, key, traffic_class)
 
-    # Delivery to the own server, as another authority asks
+    # Delivery to the local backend server, requested by another authority
 
     def _on_delivery(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
         if self.view.is_out_of_service:
@@ -292,7 +298,7 @@
             return
         is_first_packet = is_start(frame.packet, key)
         if is_first_packet and frame.epoch < self.view.joined_index:
-            # Sent to an earlier incarnation, which may have rejected it.
+            # Sent to an earlier incarnation, which may have rejected the flow.
             self._counters["deliveries_stale"] += 1
         elif self._rejected_starts.contains(key, self._context.now):
             self._context.return_rejected(frame)
@@ -317,10 +323,10 @@
         self._rejected_starts.add(key, self._context.now)
         self._context.return_rejected(frame)
 
-    # Packets from the own server
+    # Packets from the local backend server
 
     def on_server_packet(self, packet: bytes, now: float) -> None:
-        """Send a reply of the own server to its caller."""
+        """Send a reply of the local backend server to its caller."""
         self._context.now = now
         parsed = ip.parse_flow_key(packet)
         if isinstance(parsed, Malformed):
@@ -363,7 +369,7 @@
             now = self._context.now
             flow = self.local_flows.open(key, bucket, traffic_class, now)
             self.local_flows.on_outbound(flow, packet, now)
-        # Otherwise the flow was closed here, and its last packets still go out.
+        # An unknown TCP flow otherwise was closed here, and its last packets are still sent.
         self._packets.reply(packet)
 
     # Messages and timers
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -1,4 +1,4 @@
-"""A grant in progress: entries flow first, the token goes with the last of them."""
+"""A grant in progress: flow records are sent first, the token with the last of them."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class OutgoingGrant(msgspec.Struct):
-    """Until ``is_released`` the sender stays the authority of the bucket."""
+    """State of one grant; the sender stays the bucket's authority until ``is_released``."""
 
     bucket: int
     successor_id: str
@@ -28,19 +28,19 @@
     last_sent_at: float = float("-inf")
 
     def is_addressed_to(self, successor_id: str, boot_id: int, epoch: int) -> bool:
-        """Tell whether this grant already moves the token as a table of ``epoch`` asks."""
+        """Return whether the grant is to that incarnation, by a table of ``epoch`` or newer."""
         is_same = self.successor_id == successor_id and self.successor_boot_id == boot_id
         return is_same and self.epoch >= epoch
 
     def build_message(self, now: float) -> BucketGrant:
-        """Return the token as it is sent."""
+        """Return the part of a Grant message that passes on the token."""
         uncertain_s = max(0.0, self.uncertain_until - now)
         return BucketGrant(
             self.bucket, self.generation, self.epoch, self.final_records, round(uncertain_s, 3)
         )
 
     def split_unsent(self, records: list[FlowRecord]) -> list[FlowRecord]:
-        """Split what was not sent yet into parts; return the rest that fits beside the token."""
+        """Split records not sent yet into parts; return the rest, which is sent with the token."""
         unsent = [record for record in records if record.key not in self.sent_keys]
         while len(unsent) > RECORDS_PER_DATAGRAM:
             part, unsent = unsent[:RECORDS_PER_DATAGRAM], unsent[RECORDS_PER_DATAGRAM:]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -1,4 +1,4 @@
-"""Where an authority starts new flows: here, on a peer, a moment later, or nowhere."""
+"""Placement of new flows by an authority: locally, on a peer, after a short wait, or refused."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class Placement:
-    """Decides for flows that are new in a bucket whose token this agent holds."""
+    """Places new flows of the buckets whose token this agent holds."""
 
     def __init__(
         self,
@@ -46,7 +46,7 @@
 
     @property
     def load(self) -> Load:
-        """What peers need to know of the own server."""
+        """The load of the local backend server, as reported to peers."""
         view = self._context.view
         return Load(
             self._limiter.in_flight,
@@ -57,19 +57,19 @@
         )
 
     def place(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
-        """Start a flow now or soon, refuse it, or leave it unanswered where it may have run."""
+        """Start a flow, queue it or refuse it; drop its packet if the flow may already have run."""
         if not self._may_place(frame.bucket, traffic_class) or self._queue.contains(key):
             return
         if self._start_now(frame, key, traffic_class):
             return
         if self._must_start_locally(traffic_class):
-            # The former incarnation may have placed the flow on the own server.
+            # The former incarnation may have placed the flow on the local backend server.
             self._context.counters["starts_dropped_uncertain"] += 1
         elif not self._queue.add(frame, key, traffic_class, self._context.now):
             self._refuse(frame, key)
 
     def process_queue(self) -> None:
-        """Start what waits, oldest first; refuse what has waited too long."""
+        """Start queued flows, oldest first; refuse those that have waited too long."""
         context = self._context
         while len(self._queue):
             start = self._queue.oldest
@@ -85,13 +85,13 @@
                 return
 
     def _try_queued_start(self, start: QueuedStart) -> bool:
-        """Start what waits, or let it go unanswered; False while there is no room."""
+        """Start a queued flow, or drop it if it may not be placed; False if there is no room."""
         if not self._may_place(start.frame.bucket, start.traffic_class):
             return True
         return self._start_now(start.frame, start.key, start.traffic_class)
 
     def can_start_locally(self, traffic_class: TrafficClass) -> bool:
-        """Tell whether the own server has room for a flow of a class."""
+        """Return whether the local backend server has room for a flow of a class."""
         view = self._context.view
         if not view.is_placeable(view.own_id) or not self._limiter.allows_start():
             return False
@@ -105,7 +105,7 @@
         traffic_class: TrafficClass,
         remote: RemoteFlow | None,
     ) -> None:
-        """A peer did not take a flow that was placed there."""
+        """Handle a peer's rejection of a flow: reset, start, queue or refuse the flow."""
         context = self._context
         if remote is None or not self._is_from_current_incarnation(frame, remote):
             context.counters["rejections_ignored"] += 1
@@ -121,11 +121,11 @@
             self._refuse(frame, key)
 
     def _as_new_frame(self, frame: DataFrame) -> DataFrame:
-        """Return the frame of a start that came back, without the way that it has gone."""
+        """Return a rejected start as a new frame: without flags, hops and token epoch."""
         return DataFrame(frame.packet, frame.bucket, self._context.epoch)
 
     def refuse_again(self, frame: DataFrame) -> None:
-        """Answer another packet of a refused flow as the first one."""
+        """Answer another packet of a refused flow with the same refusal as the first one."""
         self._context.counters["starts_refused_again"] += 1
         self._context.packets.reply(build_refusal(frame.packet))
 
@@ -142,13 +142,17 @@
         return True
 
     def _must_start_locally(self, traffic_class: TrafficClass) -> bool:
-        """A former incarnation's starts may still be sent again: they were on the own server."""
+        """Return whether a start may only be placed locally.
+
+        Callers may still retransmit starts that a former incarnation placed on the local backend
+        server, so these have to reach the same server again.
+        """
         is_table_incomplete = self._context.authority.has_incomplete_flow_table
         is_within_retry_window = self._context.now - self._started_at < CALLER_RETRY_WINDOW_S
         return is_table_incomplete and is_within_retry_window and not traffic_class.is_idempotent
 
     def _start_now(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> bool:
-        """Start a flow where there is room; False when there is none."""
+        """Start a flow on a server that has room; return False if there is none."""
         if self._prefers_local_server(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return True
@@ -191,13 +195,16 @@
         )
 
     def _refuse(self, frame: DataFrame, key: bytes) -> None:
-        """No packet of the flow has reached a server, and none will while this is remembered."""
+        """Refuse a flow of which no packet has reached a server.
+
+        None will reach a server while the refusal is on record.
+        """
         context = self._context
         context.directory.add_remote(frame.bucket, key, REFUSED, context.now)
         context.counters["starts_refused"] += 1
         context.packets.reply(build_refusal(frame.packet))
 
     def _is_from_current_incarnation(self, frame: DataFrame, remote: RemoteFlow) -> bool:
-        """Tell whether the rejection comes from the incarnation that the pointer names now."""
+        """Return whether the current incarnation of the pointer's server sent the rejection."""
         member = self._context.view.find_member(remote.server_id)
         return member is not None and member.joined_index == frame.token_epoch
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
@@ -1,8 +1,8 @@
-"""Recovery of flows that nobody remembers, by asking the servers.
+"""Recovery of flows that no agent has a record of, by querying the backend servers.
 
-A packet from the middle of an unknown TCP connection is delivered to the own server: an answer
-other than RST proves that the connection lives there. An RST is swallowed and the next candidate
-is asked; the caller gets an RST only when all have said no.
+A packet from the middle of an unknown TCP connection is delivered to the local backend server: an
+answer other than RST proves that the server has the connection. An RST is not sent to the caller;
+the next candidate is queried instead, and the caller gets an RST only when none has the connection.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class PendingRecovery(msgspec.Struct):
-    """A flow whose server is being asked; ``candidates`` are the agents to ask next."""
+    """A flow being recovered; ``candidates`` are the agents to query next."""
 
     frame: DataFrame
     started_at: float
@@ -31,7 +31,7 @@
 
 
 class FlowRecovery:
-    """Recoveries in progress by flow key."""
+    """Recoveries in progress, by flow key."""
 
     def __init__(self, context: FlowContext) -> None:
         self._context = context
@@ -45,7 +45,10 @@
         *,
         is_for_authority: bool = False,
     ) -> None:
-        """Ask the own server first, where this incarnation may have forgotten the flow."""
+        """Start a recovery.
+
+        The local backend server is queried first, if this incarnation may lack some of its flows.
+        """
         context = self._context
         if key[-1] != ip.TCP or ip.tcp_flags(frame.packet) & ip.RST:
             context.counters["dropped_unknown_flow"] += 1
@@ -59,17 +62,17 @@
         context.packets.deliver(frame.packet)
 
     def on_reset(self, key: bytes) -> None:
-        """The own server does not have the connection: swallow its RST and go on."""
+        """Query the next candidate: by its RST, the local backend server lacks the connection."""
         pending = self._pending_by_key.pop(key, None)
         if pending is not None:
             self._query_next(pending, key)
 
     def on_answer(self, key: bytes) -> None:
-        """The own server has the connection."""
+        """End a recovery: the local backend server has the connection."""
         self._pending_by_key.pop(key, None)
 
     def expire(self, now: float) -> None:
-        """Forget recoveries without an answer; the caller's next packet starts another."""
+        """Discard recoveries without an answer; the caller's next packet starts another."""
         for key, pending in list(self._pending_by_key.items()):
             if now - pending.started_at > RECOVERY_TIMEOUT_S:
                 del self._pending_by_key[key]
