Names of local flows, membership, load, service times and shares

Names such as _forget_debt, _is_silent, heard_at, PAUSE_LIMIT_S, COLD_STEP, is_least_held and CAPACITY_UNITS_PER_SLOT_S were figurative or vague. Renamed to _clear_awaiting, _has_timed_out, received_at, MAX_CHECK_GAP_S, COLD_STEP_FACTOR, has_at_most_mean_held_ratio and CAPACITY_PERIOD_S, and their neighbours alike; a time span for which a record is kept ends in RETENTION_S. REMOVAL_SILENCE_S is REMOVAL_TIMEOUT_S everywhere. Identifiers only, and one entry of __slots__ that follows its attribute; no behaviour changes.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -14,8 +14,8 @@
     from wagtailkeel_state.server_member import ServerMember
     from wagtailkeel_state.traffic_class import TrafficClass
 
-NEVER_JOINED = 2**31
-ABSENCE_LIMIT_S = 30.0
+NOT_JOINED_INDEX = 2**31
+REMOVED_MEMBER_RETENTION_S = 30.0
 
 
 class AgentView:
@@ -29,7 +29,7 @@
         self.is_out_of_service = False
         self._identity = identity
         self._boot_ids = {identity.boot_id}
-        self._absent_since_by_id: dict[str, float] = {}
+        self._removed_since_by_id: dict[str, float] = {}
         self._draining_since = float("inf")
         self._is_isolated = False
 
@@ -48,7 +48,7 @@
         """Log index at which this incarnation joined; beyond all indexes while it has not."""
         own = self.own_member
         if own is None or own.boot_id not in self._boot_ids:
-            return NEVER_JOINED
+            return NOT_JOINED_INDEX
         return own.joined_index
 
     @property
@@ -63,35 +63,37 @@
         self.classes_by_endpoint = index_classes(service) if service else {}
         self.own_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
-        self._note_absences(now)
+        self._record_removed_members(now)
         self.refresh(now)
 
-    def _note_absences(self, now: float) -> None:
+    def _record_removed_members(self, now: float) -> None:
         assert self.config is not None, "called with a configuration"
         members = self.config.servers_by_id
-        absent = {
+        removed_ids = {
             former.server_id
             for former in self.config.former_members_by_id.values()
             if former.service == self._identity.service and former.server_id not in members
         }
-        self._absent_since_by_id = {
-            server_id: self._absent_since_by_id.get(server_id, now) for server_id in absent
+        self._removed_since_by_id = {
+            server_id: self._removed_since_by_id.get(server_id, now) for server_id in removed_ids
         }
 
-    def recently_removed(self, now: float) -> list[str]:
+    def recently_removed_ids(self, now: float) -> list[str]:
         """Return former members that may still serve their flows, without control hearing them."""
         return [
             server_id
-            for server_id, since in sorted(self._absent_since_by_id.items())
-            if now - since <= ABSENCE_LIMIT_S
+            for server_id, since in sorted(self._removed_since_by_id.items())
+            if now - since <= REMOVED_MEMBER_RETENTION_S
         ]
 
     def refresh(self, now: float) -> None:
         """Decide anew whether the own server takes traffic; a drain ends by the clock."""
         if self.config is None:
             return
-        is_in = self.config.is_in_service(self._identity.data_centre)
-        self.is_out_of_service = not is_in or self._is_isolated or self._is_drain_over(now)
+        is_data_centre_in_service = self.config.is_in_service(self._identity.data_centre)
+        self.is_out_of_service = (
+            not is_data_centre_in_service or self._is_isolated or self._has_drain_expired(now)
+        )
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
         """End all service, or take it up again, where the settings ask so for an isolated node."""
@@ -137,7 +139,7 @@
             if self.config.region_of(member.data_centre) in regions
         }
 
-    def removed_since(self, epoch: int) -> set[str]:
+    def ids_removed_since(self, epoch: int) -> set[str]:
         """Return the servers of the own service of which an incarnation left after an epoch."""
         if self.config is None:
             return set()
@@ -147,7 +149,7 @@
             if former.service == self._identity.service and former.removed_index > epoch
         }
 
-    def _is_drain_over(self, now: float) -> bool:
+    def _has_drain_expired(self, now: float) -> bool:
         own = self.own_member
         if own is None or own.state is not ServerState.DRAINING:
             self._draining_since = float("inf")
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -20,8 +20,8 @@
 DECREASE_FACTOR = 0.8
 DECREASE_INTERVAL_S = 0.2
 QUEUE_FACTOR = 4
-CAPACITY_UNITS_PER_SLOT_S = 1_000
-RESPONSE_FLOOR_S = 0.001
+CAPACITY_PERIOD_S = 1_000
+MIN_RESPONSE_S = 0.001
 
 
 class ConcurrencyLimiter:
@@ -49,7 +49,7 @@
         service_s = self._times.mean_service_s
         if service_s <= 0.0:
             return 0
-        return round(self._slots * CAPACITY_UNITS_PER_SLOT_S / service_s)
+        return round(self._slots * CAPACITY_PERIOD_S / service_s)
 
     @property
     def times(self) -> ServiceTimes:
@@ -73,9 +73,9 @@
     ) -> None:
         """Learn from one answer; ``was_queued`` tells that it began behind others."""
         self.in_flight = max(0, self.in_flight - 1)
-        response_s = max(response_s, RESPONSE_FLOOR_S)
+        response_s = max(response_s, MIN_RESPONSE_S)
         if not was_queued:
-            self._learn(class_name, response_s, target, now)
+            self._record_response_time(class_name, response_s, target, now)
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
@@ -85,14 +85,16 @@
 
     def on_round_trip(self, round_trip_s: float) -> None:
         """Learn the time that a packet takes to the server and back, without any work."""
-        self._times.learn_round_trip(round_trip_s)
+        self._times.add_round_trip(round_trip_s)
 
-    def _learn(self, class_name: str, response_s: float, target: Target, now: float) -> None:
+    def _record_response_time(
+        self, class_name: str, response_s: float, target: Target, now: float
+    ) -> None:
         # Held flows cost their server little; what they answer says nothing of its speed.
         has_work = target.kind is TargetKind.RESPONSE_TIME
-        is_step = self._times.learn(class_name, response_s, self.is_cold, has_work, now)
+        is_step = self._times.add_response(class_name, response_s, self.is_cold, has_work, now)
         if is_step and not self.is_cold:
-            self._turn_cold()
+            self._mark_cold()
         elif self.limit >= self._slots and self._times.is_near_baseline(class_name, response_s):
             self.is_cold = False
 
@@ -101,12 +103,12 @@
         self.is_cold = True
         self.limit = INITIAL_LIMIT
         self._answers_at_limit = 0
-        self._times.forget_streaks()
+        self._times.reset_slow_streaks()
 
-    def on_silence(self) -> None:
+    def on_unresponsive(self) -> None:
         """Treat a server that owes answers and sends none as cold."""
         if not self.is_cold:
-            self._turn_cold()
+            self._mark_cold()
 
     def _increase(self) -> None:
         self._answers_at_limit += 1
@@ -123,11 +125,11 @@
 
     def _acceptable_response_s(self, class_name: str, target: Target) -> float:
         queue_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
-        queue_s = max(queue_s, RESPONSE_FLOOR_S * QUEUE_FACTOR)
+        queue_s = max(queue_s, MIN_RESPONSE_S * QUEUE_FACTOR)
         if target.kind is TargetKind.RESPONSE_TIME:
             return min(target.limit / 1_000, queue_s)
         return queue_s
 
-    def _turn_cold(self) -> None:
+    def _mark_cold(self) -> None:
         self.cold_events += 1
         self.restart()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -124,7 +124,7 @@
     def _apply_table(self, table: OwnerTable, known_epoch: int, now: float) -> None:
         boot_ids = self.view.boot_ids_by_member()
         self.peers.retain(boot_ids)
-        self.authority.apply_table(table, boot_ids, self.view.removed_since(known_epoch), now)
+        self.authority.apply_table(table, boot_ids, self.view.ids_removed_since(known_epoch), now)
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
         """Stop or resume all service, if the settings require that an isolated node stops."""
@@ -181,7 +181,7 @@
         """
         self._counters["flows_given_up"] += 1
         if flow.key[-1] == ip.TCP:
-            self.local_flows.end(flow)
+            self.local_flows.mark_closed(flow)
 
     def _route(self, frame: DataFrame, key: bytes) -> None:
         if frame.hops > gue.MAX_HOPS:
@@ -228,7 +228,7 @@
         if self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [])
             return True
-        former_members = self.view.recently_removed(self._context.now)
+        former_members = self.view.recently_removed_ids(self._context.now)
         for server_id in former_members:
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
@@ -248,7 +248,7 @@
             self._placement.place(frame, key, traffic_class)
         else:
             candidates = sorted(self.authority.incomplete_since_by_id)
-            candidates += self.view.recently_removed(self._context.now)
+            candidates += self.view.recently_removed_ids(self._context.now)
             self._recovery.start(frame, key, candidates)
 
     def _send_to_remote(self, frame: DataFrame, key: bytes, remote: RemoteFlow) -> None:
@@ -276,7 +276,7 @@
 
         A member that is down does not answer; callers get RST once no server can have the flow.
         """
-        if server_id in self.view.recently_removed(self._context.now):
+        if server_id in self.view.recently_removed_ids(self._context.now):
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
             return
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/lease.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/lease.py
@@ -8,7 +8,7 @@
 
 LEASE_S = 2.0
 LEASE_MARGIN_S = 0.5
-REMOVAL_SILENCE_S = LEASE_S + LEASE_MARGIN_S
+REMOVAL_TIMEOUT_S = LEASE_S + LEASE_MARGIN_S
 
 
 class PlacementLease:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -19,13 +19,13 @@
     from wagtailkeel_state.flow_directory import FlowDirectory
     from wagtailkeel_state.traffic_class import TrafficClass
 
-ANSWER_LIMIT_S = 10.0
-SILENCE_LIMIT_S = 3.0
-SILENCE_PACKETS = 2
+ANSWER_TIMEOUT_S = 10.0
+PROBE_DELAY_S = 3.0
+MIN_UNANSWERED_PACKETS = 2
 PROBE_INTERVAL_S = 1.0
-PROBE_LIMIT = 3
-SERVER_ALIVE_S = 2.0
-CLOSED_LINGER_S = 10.0
+MAX_PROBES = 3
+SERVER_ALIVE_WINDOW_S = 2.0
+CLOSED_RETENTION_S = 10.0
 SWEEP_INTERVAL_S = 5.0
 SWEEP_FLOWS_PER_TICK = 2_000
 
@@ -52,7 +52,7 @@
         self._counters = counters
         self._record_response = record_response
         self._awaiting_by_key: dict[bytes, LocalFlow] = {}
-        self._probes_by_key: dict[bytes, int] = {}
+        self._probe_counts_by_key: dict[bytes, int] = {}
         self._last_answer_at = float("-inf")
         self._sweep_keys: list[bytes] = []
         self._swept_at = float("-inf")
@@ -72,14 +72,14 @@
 
     def close(self, flow: LocalFlow) -> None:
         """Forget a flow."""
-        self._settle(flow)
+        self._abandon_answer(flow)
         self._directory.remove_local(flow)
         self.held_count -= flow.traffic_class.is_held
         self._counters["flows_closed"] += 1
 
-    def end(self, flow: LocalFlow) -> None:
+    def mark_closed(self, flow: LocalFlow) -> None:
         """Treat a TCP flow as closed by both ends; it lingers against late packets."""
-        self._settle(flow)
+        self._abandon_answer(flow)
         flow.has_inbound_fin = flow.has_outbound_fin = True
 
     def on_inbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
@@ -124,7 +124,7 @@
         self._last_answer_at = now
         if flow.traffic_class.protocol is FlowProtocol.UDP:
             if flow.awaiting_since > 0.0:
-                self._learn_answer(flow, now)
+                self._record_answer(flow, now)
             return
         offset = ip.transport_offset(packet)
         flags = packet[offset + 13]
@@ -136,66 +136,66 @@
         if flow.awaiting_since <= 0.0:
             return
         if flags & ip.SYN:
-            self._settle(flow)
+            self._abandon_answer(flow)
         elif len(packet) > offset + (packet[offset + 12] >> 4) * 4:
-            self._learn_answer(flow, now)
+            self._record_answer(flow, now)
 
-    def _learn_answer(self, flow: LocalFlow, now: float) -> None:
+    def _record_answer(self, flow: LocalFlow, now: float) -> None:
         response_s = now - flow.awaiting_since
         traffic_class = flow.traffic_class
-        self._forget_debt(flow)
+        self._clear_awaiting(flow)
         self._limiter.on_answer(
             traffic_class.name, response_s, traffic_class.target, flow.is_queued_start, now
         )
         self._record_response(response_s)
 
-    def _settle(self, flow: LocalFlow) -> None:
+    def _abandon_answer(self, flow: LocalFlow) -> None:
         if not flow.is_awaiting:
             return
-        self._forget_debt(flow)
+        self._clear_awaiting(flow)
         self._limiter.on_abandon()
 
-    def _forget_debt(self, flow: LocalFlow) -> None:
+    def _clear_awaiting(self, flow: LocalFlow) -> None:
         flow.awaiting_since = 0.0
         flow.unanswered_packets = 0
         flow.last_packet = b""
         self._awaiting_by_key.pop(flow.key, None)
-        self._probes_by_key.pop(flow.key, None)
+        self._probe_counts_by_key.pop(flow.key, None)
 
     def tick(self, now: float) -> None:
         """Probe silent flows, give up overdue answers, forget what is over."""
         for flow in list(self._awaiting_by_key.values()):
-            self._check_silence(flow, now)
+            self._check_unanswered(flow, now)
         self._sweep(now)
 
-    def _check_silence(self, flow: LocalFlow, now: float) -> None:
+    def _check_unanswered(self, flow: LocalFlow, now: float) -> None:
         waited_s = now - flow.awaiting_since
-        if waited_s < SILENCE_LIMIT_S:
+        if waited_s < PROBE_DELAY_S:
             return
-        is_server_alive = now - self._last_answer_at < SERVER_ALIVE_S
-        is_flow_silent = flow.last_outbound_at < flow.awaiting_since
-        if not is_server_alive and is_flow_silent:
-            self._limiter.on_silence()
+        is_server_alive = now - self._last_answer_at < SERVER_ALIVE_WINDOW_S
+        is_flow_unanswered = flow.last_outbound_at < flow.awaiting_since
+        if not is_server_alive and is_flow_unanswered:
+            self._limiter.on_unresponsive()
         is_tcp = flow.traffic_class.protocol is FlowProtocol.TCP
-        is_repeated = flow.unanswered_packets >= SILENCE_PACKETS
-        if is_tcp and is_flow_silent and is_server_alive and is_repeated:
+        is_repeated = flow.unanswered_packets >= MIN_UNANSWERED_PACKETS
+        if is_tcp and is_flow_unanswered and is_server_alive and is_repeated:
             self._probe(flow, now)
             return
-        if waited_s > ANSWER_LIMIT_S:
+        if waited_s > ANSWER_TIMEOUT_S:
             self._counters["answers_overdue"] += 1
-            self._settle(flow)
+            self._abandon_answer(flow)
 
     def _probe(self, flow: LocalFlow, now: float) -> None:
         if now - flow.probed_at < PROBE_INTERVAL_S:
             return
-        probes = self._probes_by_key.get(flow.key, 0)
-        if probes >= PROBE_LIMIT:
+        probes = self._probe_counts_by_key.get(flow.key, 0)
+        if probes >= MAX_PROBES:
             self._counters["silent_flows_reset"] += 1
             self._outbox.reply(build_reset(flow.last_packet))
             self.close(flow)
             return
         flow.probed_at = now
-        self._probes_by_key[flow.key] = probes + 1
+        self._probe_counts_by_key[flow.key] = probes + 1
         self._counters["silence_probes"] += 1
         self._outbox.deliver(build_probe(flow.last_packet))
 
@@ -208,11 +208,11 @@
         keys = self._sweep_keys
         for _ in range(min(SWEEP_FLOWS_PER_TICK, len(keys))):
             flow = self._directory.local_flows_by_key.get(keys.pop())
-            if flow is not None and self._is_over(flow, now):
+            if flow is not None and self._is_expired(flow, now):
                 self.close(flow)
 
-    def _is_over(self, flow: LocalFlow, now: float) -> bool:
+    def _is_expired(self, flow: LocalFlow, now: float) -> bool:
         idle_s = now - max(flow.last_inbound_at, flow.last_outbound_at)
         if flow.is_closed:
-            return idle_s > CLOSED_LINGER_S
+            return idle_s > CLOSED_RETENTION_S
         return idle_s > flow.traffic_class.idle_limit_s
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from wagtailkeel_coordination.lease import LEASE_S
-from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
+from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_state.commands import RemoveBalancer
 from wagtailkeel_state.commands import RemoveServer
@@ -21,17 +21,17 @@
 if TYPE_CHECKING:
     from wagtailkeel_state.configuration import Configuration
 
-PAUSE_LIMIT_S = 1.0
-VERSION_LAG_LIMIT_S = 2.0
-MAX_SILENT_FRACTION = 0.5
-AGENT_STOP_LIMIT_S = 30.0
+MAX_CHECK_GAP_S = 1.0
+MAX_VERSION_LAG_S = 2.0
+MAX_TIMED_OUT_FRACTION = 0.5
+AGENT_STOP_TIMEOUT_S = 30.0
 
 
 class NodeReport(msgspec.Struct):
     """The last heartbeat of a node and when it arrived."""
 
     heartbeat: Heartbeat
-    heard_at: float
+    received_at: float
 
 
 class Membership:
@@ -42,8 +42,8 @@
         self.mass_silence_events = 0
         self._first_seen_by_incarnation: dict[tuple[str, int], float] = {}
         self._epochs_by_service: dict[str, deque[tuple[float, int]]] = {}
-        self._ticked_at = now
-        self._grace_from = now
+        self._checked_at = now
+        self._grace_since = now
 
     def on_heartbeat(self, message: Heartbeat, config: Configuration, now: float) -> float:
         """Record a heartbeat; return the lease to grant in seconds, 0 for none."""
@@ -51,7 +51,7 @@
         if earlier is not None and earlier.heartbeat.boot_id == message.boot_id:
             if message.sent_at < earlier.heartbeat.sent_at:
                 return 0.0
-        if not is_current(message, config):
+        if not is_current_incarnation(message, config):
             return 0.0
         self.reports_by_id[message.sender] = NodeReport(message, now)
         return LEASE_S if self._has_recent_table(message, config, now) else 0.0
@@ -65,27 +65,29 @@
         epochs = self._epochs_by_service.setdefault(member.service, deque())
         if not epochs or epochs[-1][1] != epoch:
             epochs.append((now, epoch))
-        while len(epochs) > 1 and now - epochs[1][0] > VERSION_LAG_LIMIT_S:
+        while len(epochs) > 1 and now - epochs[1][0] > MAX_VERSION_LAG_S:
             epochs.popleft()
-        required = epochs[0][1] if now - epochs[0][0] > VERSION_LAG_LIMIT_S else 0
+        required = epochs[0][1] if now - epochs[0][0] > MAX_VERSION_LAG_S else 0
         return message.version >= required
 
     def find_removals(
         self, config: Configuration, now: float
     ) -> list[RemoveServer | RemoveBalancer]:
         """Return the commands that remove nodes silent for too long."""
-        if now - self._ticked_at > PAUSE_LIMIT_S:
-            self._grace_from = now
-        self._ticked_at = now
+        if now - self._checked_at > MAX_CHECK_GAP_S:
+            self._grace_since = now
+        self._checked_at = now
         boot_ids = _boot_ids(config)
-        self._forget_former_nodes(boot_ids)
-        silent = [key for key, boot_id in boot_ids.items() if self._is_silent(key, boot_id, now)]
-        if len(silent) > 1 and len(silent) > MAX_SILENT_FRACTION * len(boot_ids):
+        self._discard_former_nodes(boot_ids)
+        timed_out = [
+            key for key, boot_id in boot_ids.items() if self._has_timed_out(key, boot_id, now)
+        ]
+        if len(timed_out) > 1 and len(timed_out) > MAX_TIMED_OUT_FRACTION * len(boot_ids):
             self.mass_silence_events += 1
             return []
-        return [_removal(key, boot_ids[key], config) for key in silent]
+        return [_removal_command(key, boot_ids[key], config) for key in timed_out]
 
-    def _forget_former_nodes(self, boot_ids: dict[str, int]) -> None:
+    def _discard_former_nodes(self, boot_ids: dict[str, int]) -> None:
         """Only when there are more entries than members: the check runs several times a second."""
         if len(self.reports_by_id) > len(boot_ids):
             for node_id in set(self.reports_by_id) - set(boot_ids):
@@ -94,21 +96,21 @@
             for incarnation in set(self._first_seen_by_incarnation) - set(boot_ids.items()):
                 del self._first_seen_by_incarnation[incarnation]
 
-    def _is_silent(self, node_id: str, boot_id: int, now: float) -> bool:
+    def _has_timed_out(self, node_id: str, boot_id: int, now: float) -> bool:
         report = self.reports_by_id.get(node_id)
-        heard_at = self._grace_from
+        last_contact_at = self._grace_since
         if report is not None and report.heartbeat.boot_id == boot_id:
-            heard_at = max(heard_at, report.heard_at)
+            last_contact_at = max(last_contact_at, report.received_at)
         else:
             first_seen = self._first_seen_by_incarnation.setdefault((node_id, boot_id), now)
-            heard_at = max(heard_at, first_seen)
-        limit_s = REMOVAL_SILENCE_S
+            last_contact_at = max(last_contact_at, first_seen)
+        timeout_s = REMOVAL_TIMEOUT_S
         if report is not None and report.heartbeat.is_stopping:
-            limit_s = AGENT_STOP_LIMIT_S
-        return now - heard_at > limit_s
+            timeout_s = AGENT_STOP_TIMEOUT_S
+        return now - last_contact_at > timeout_s
 
 
-def is_current(message: Heartbeat, config: Configuration) -> bool:
+def is_current_incarnation(message: Heartbeat, config: Configuration) -> bool:
     """Tell whether the sender's incarnation is a member."""
     member = config.servers_by_id.get(message.sender)
     balancer = config.balancers_by_id.get(message.sender)
@@ -122,7 +124,9 @@
     return boot_ids
 
 
-def _removal(node_id: str, boot_id: int, config: Configuration) -> RemoveServer | RemoveBalancer:
+def _removal_command(
+    node_id: str, boot_id: int, config: Configuration
+) -> RemoveServer | RemoveBalancer:
     if node_id in config.servers_by_id:
         return RemoveServer(server_id=node_id, boot_id=boot_id)
     return RemoveBalancer(instance_id=node_id, boot_id=boot_id)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -13,25 +13,25 @@
     from collections.abc import Collection
     from random import Random
 
-PEER_SILENCE_LIMIT_S = 3.0
+PEER_REPORT_TIMEOUT_S = 3.0
 
 
 class PeerLoad(msgspec.Struct):
     """A peer's last report; ``placed_since`` counts placements made there since then."""
 
     load: Load
-    heard_at: float
-    placed_since: int = 0
+    received_at: float
+    placements_since_report: int = 0
 
     @property
     def headroom(self) -> int:
         """Estimated room for new flows."""
-        return self.load.limit - self.load.in_flight - self.placed_since
+        return self.load.limit - self.load.in_flight - self.placements_since_report
 
     @property
     def held_ratio(self) -> float:
         """Held flows per unit of capacity."""
-        return (self.load.held_flows + self.placed_since) / max(self.load.capacity, 1)
+        return (self.load.held_flows + self.placements_since_report) / max(self.load.capacity, 1)
 
 
 class PeerView:
@@ -53,8 +53,8 @@
 
     def retain(self, server_ids: Collection[str]) -> None:
         """Forget peers that are no members."""
-        for gone in set(self._loads_by_id) - set(server_ids):
-            del self._loads_by_id[gone]
+        for former_id in set(self._loads_by_id) - set(server_ids):
+            del self._loads_by_id[former_id]
 
     def choose_for_request(self, excluded: Collection[str], now: float) -> str | None:
         """Return the one of two random peers with more headroom.
@@ -73,27 +73,27 @@
         ]
         return self._pick(candidates, lambda peer: peer.held_ratio)
 
-    def is_least_held(self, own: Load, now: float) -> bool:
+    def has_at_most_mean_held_ratio(self, own: Load, now: float) -> bool:
         """Tell whether the own server holds no more per unit of capacity than its peers' mean."""
         peers = [peer for _, peer in self._candidates((), now) if peer.headroom > 0]
         capacity = sum(max(peer.load.capacity, 1) for peer in peers)
         if not capacity:
             return True
-        held = sum(peer.load.held_flows + peer.placed_since for peer in peers)
+        held = sum(peer.load.held_flows + peer.placements_since_report for peer in peers)
         return own.held_flows * capacity <= held * max(own.capacity, 1)
 
     def count_placement(self, server_id: str) -> None:
         """Remember a placement until the peer's next report."""
         peer = self._loads_by_id.get(server_id)
         if peer is not None:
-            peer.placed_since += 1
+            peer.placements_since_report += 1
 
     def _candidates(self, excluded: Collection[str], now: float) -> list[tuple[str, PeerLoad]]:
         return [
             (key, peer)
             for key, peer in self._loads_by_id.items()
             if key not in excluded
-            and now - peer.heard_at <= PEER_SILENCE_LIMIT_S
+            and now - peer.received_at <= PEER_REPORT_TIMEOUT_S
             and self._is_placeable(key)
         ]
 
@@ -102,5 +102,5 @@
     ) -> str | None:
         if not candidates:
             return None
-        drawn = self._random.sample(candidates, min(2, len(candidates)))
-        return min(drawn, key=lambda pair: cost(pair[1]))[0]
+        sampled = self._random.sample(candidates, min(2, len(candidates)))
+        return min(sampled, key=lambda pair: cost(pair[1]))[0]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -172,7 +172,7 @@
             return False
         if not traffic_class.is_held or self._must_start_locally(traffic_class):
             return True
-        return self._peers.is_least_held(self.load, self._context.now)
+        return self._peers.has_at_most_mean_held_ratio(self.load, self._context.now)
 
     def _choose_peer(self, traffic_class: TrafficClass) -> str | None:
         excluded = {self._context.view.own_id}
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
@@ -13,8 +13,8 @@
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.traffic_class import TrafficClass
 
-REFUSAL_MEMORY_S = 15.0
-CLOSING_LINGER_S = 30.0
+REFUSAL_RETENTION_S = 15.0
+CLOSING_RETENTION_S = 30.0
 SWEEP_INTERVAL_S = 5.0
 DEFAULT_IDLE_LIMIT_S = 30.0
 
@@ -33,16 +33,16 @@
         self._swept_at = now
         for bucket, flows in list(self._directory.remote_flows_by_bucket.items()):
             for key, flow in list(flows.items()):
-                if now - flow.last_seen_at > _limit_s(key, flow, classes_by_endpoint):
+                if now - flow.last_seen_at > _retention_s(key, flow, classes_by_endpoint):
                     self._directory.remove_remote(bucket, key)
 
 
-def _limit_s(
+def _retention_s(
     key: bytes, flow: RemoteFlow, classes_by_endpoint: Mapping[bytes, TrafficClass]
 ) -> float:
     if flow.is_refused:
-        return REFUSAL_MEMORY_S
+        return REFUSAL_RETENTION_S
     if flow.is_closing:
-        return CLOSING_LINGER_S
-    found = classes_by_endpoint.get(endpoint_of(key))
-    return found.idle_limit_s if found else DEFAULT_IDLE_LIMIT_S
+        return CLOSING_RETENTION_S
+    traffic_class = classes_by_endpoint.get(endpoint_of(key))
+    return traffic_class.idle_limit_s if traffic_class else DEFAULT_IDLE_LIMIT_S
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
@@ -15,15 +15,15 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_SOURCE_IPV4 = ipaddress.ip_address("192.0.2.1").packed
 PROBE_SOURCE_IPV6 = ipaddress.ip_address("2001:db8::1").packed
-FIRST_PORT = 1_024
-PORTS = 64_000
+FIRST_SOURCE_PORT = 1_024
+SOURCE_PORTS = 64_000
 
 
 class RoundTripProbe:
     """One probe at a time; the next one goes out whether or not the last was answered."""
 
     def __init__(self) -> None:
-        self._number = 0
+        self._probe_count = 0
         self._key = b""
         self._sent_at = float("-inf")
 
@@ -31,10 +31,10 @@
         """Return the next probe towards a class's endpoint, or None while none is due."""
         if now - self._sent_at < PROBE_INTERVAL_S:
             return None
-        self._number += 1
+        self._probe_count += 1
         self._sent_at = now
         source = PROBE_SOURCE_IPV4 if len(endpoint) == 7 else PROBE_SOURCE_IPV6
-        port = struct.pack("!H", FIRST_PORT + self._number % PORTS)
+        port = struct.pack("!H", FIRST_SOURCE_PORT + self._probe_count % SOURCE_PORTS)
         address, target_port = endpoint[:-3], endpoint[-3:-1]
         self._key = source + address + port + target_port + bytes([ip.TCP])
         return build_tcp(self._key, 1, 1, ip.ACK)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -10,27 +10,27 @@
 from collections import deque
 from statistics import median
 
-COLD_STEP = 2.5
-WARM_STEP = 1.5
-COLD_SAMPLES = 3
-COLD_SPAN_S = 0.1
-STEP_FLOOR_S = 0.001
+COLD_STEP_FACTOR = 2.5
+WARM_FACTOR = 1.5
+MIN_COLD_SAMPLES = 3
+MIN_COLD_DURATION_S = 0.1
+MIN_STEP_S = 0.001
 WINDOW_SAMPLES = 256
 REFRESH_SAMPLES = 8
 MIN_SAMPLES = 20
-MIN_SERVICE_S = 0.000_1
+MIN_SERVICE_TIME_S = 0.000_1
 FREQUENCY_GAIN = 0.01
 
 
 class MedianWindow:
     """Median of the last samples, computed anew every few samples."""
 
-    __slots__ = ("_fresh", "_samples", "median_s")
+    __slots__ = ("_new_samples", "_samples", "median_s")
 
     def __init__(self) -> None:
         self.median_s = 0.0
         self._samples: deque[float] = deque(maxlen=WINDOW_SAMPLES)
-        self._fresh = 0
+        self._new_samples = 0
 
     def __len__(self) -> int:
         return len(self._samples)
@@ -38,15 +38,15 @@
     def add(self, sample_s: float) -> None:
         """Add a sample."""
         self._samples.append(sample_s)
-        self._fresh += 1
-        if self._fresh >= REFRESH_SAMPLES or len(self._samples) <= REFRESH_SAMPLES:
-            self._fresh = 0
+        self._new_samples += 1
+        if self._new_samples >= REFRESH_SAMPLES or len(self._samples) <= REFRESH_SAMPLES:
+            self._new_samples = 0
             self.median_s = median(self._samples)
 
     def clear(self) -> None:
         """Forget all samples; the median stays until there are new ones."""
         self._samples.clear()
-        self._fresh = 0
+        self._new_samples = 0
 
 
 class ClassTimes:
@@ -77,7 +77,7 @@
         if weight <= 0.0 or max(len(t.window) for t in working) < MIN_SAMPLES:
             return 0.0
         response_s = sum(t.frequency * t.window.median_s for t in working) / weight
-        return max(response_s - self._round_trip.median_s, MIN_SERVICE_S)
+        return max(response_s - self._round_trip.median_s, MIN_SERVICE_TIME_S)
 
     @property
     def round_trip_s(self) -> float:
@@ -96,13 +96,13 @@
 
     def is_near_baseline(self, class_name: str, response_s: float) -> bool:
         """Tell whether an answer came as fast as usual."""
-        return response_s <= self.baseline_s(class_name) * WARM_STEP
+        return response_s <= self.baseline_s(class_name) * WARM_FACTOR
 
-    def learn_round_trip(self, round_trip_s: float) -> None:
+    def add_round_trip(self, round_trip_s: float) -> None:
         """Learn from a probe."""
         self._round_trip.add(round_trip_s)
 
-    def learn(
+    def add_response(
         self, class_name: str, response_s: float, is_cold: bool, has_work: bool, now: float
     ) -> bool:
         """Learn from an answer; return whether the last ones are a step above the baseline.
@@ -113,24 +113,27 @@
         if times is None:
             times = self._times_by_class[class_name] = ClassTimes(has_work=has_work)
         baseline_s = times.window.median_s
-        if is_cold and response_s < baseline_s / WARM_STEP:
+        if is_cold and response_s < baseline_s / WARM_FACTOR:
             # What a server answered while it was colder says nothing of its speed.
             times.window.clear()
-        if baseline_s and response_s > baseline_s * COLD_STEP + STEP_FLOOR_S:
+        if baseline_s and response_s > baseline_s * COLD_STEP_FACTOR + MIN_STEP_S:
             if not times.slow_streak:
                 times.slow_since = now
             times.slow_streak += 1
-            return times.slow_streak >= COLD_SAMPLES and now - times.slow_since >= COLD_SPAN_S
+            return (
+                times.slow_streak >= MIN_COLD_SAMPLES
+                and now - times.slow_since >= MIN_COLD_DURATION_S
+            )
         times.slow_streak = 0
         times.window.add(response_s)
-        self._count(class_name)
+        self._update_frequencies(class_name)
         return False
 
-    def forget_streaks(self) -> None:
+    def reset_slow_streaks(self) -> None:
         """Start to count slow answers anew."""
         for times in self._times_by_class.values():
             times.slow_streak = 0
 
-    def _count(self, class_name: str) -> None:
+    def _update_frequencies(self, class_name: str) -> None:
         for name, times in self._times_by_class.items():
             times.frequency += FREQUENCY_GAIN * ((name == class_name) - times.frequency)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -36,24 +36,24 @@
     }
     if not measured:
         return None
-    target = _normalised(members, measured)
-    current = {m.server_id: float(config.share_of(m.server_id)) for m in members}
-    target_total, current_total = sum(target.values()), sum(current.values())
-    wanted = {key: target[key] / target_total for key in target}
-    present = {key: current[key] / current_total for key in current}
-    if all(abs(wanted[key] - present[key]) <= HYSTERESIS * present[key] for key in wanted):
+    target_weights = _target_weights(members, measured)
+    current_weights = {m.server_id: float(config.share_of(m.server_id)) for m in members}
+    target_total, current_total = sum(target_weights.values()), sum(current_weights.values())
+    target = {key: target_weights[key] / target_total for key in target_weights}
+    current = {key: current_weights[key] / current_total for key in current_weights}
+    if all(abs(target[key] - current[key]) <= HYSTERESIS * current[key] for key in target):
         return None
-    moved = sum(abs(wanted[key] - present[key]) for key in wanted) / 2
-    step = min(1.0, MAX_MOVED_FRACTION / moved)
-    unit = DEFAULT_SHARE * sum(m.slots for m in members)
+    moved_fraction = sum(abs(target[key] - current[key]) for key in target) / 2
+    step = min(1.0, MAX_MOVED_FRACTION / moved_fraction)
+    total_shares = DEFAULT_SHARE * sum(m.slots for m in members)
     shares = {
-        key: max(1, round(unit * (present[key] + step * (wanted[key] - present[key]))))
-        for key in wanted
+        key: max(1, round(total_shares * (current[key] + step * (target[key] - current[key]))))
+        for key in target
     }
     return SetShares(service=service, shares_by_server_id=shares)
 
 
-def _normalised(members: list[ServerMember], measured: Mapping[str, int]) -> dict[str, float]:
+def _target_weights(members: list[ServerMember], measured: Mapping[str, int]) -> dict[str, float]:
     slots_by_id = {m.server_id: m.slots for m in members}
     per_slot = median(measured[key] / slots_by_id[key] for key in measured)
     return {m.server_id: float(measured.get(m.server_id, per_slot * m.slots)) for m in members}
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -23,7 +23,7 @@
 from wagtailkeel.settings import ControlInstanceSettings
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.address_assignment import assign_addresses
-from wagtailkeel_coordination.membership import is_current
+from wagtailkeel_coordination.membership import is_current_incarnation
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft.learners import UNLIMITED_VOTERS
@@ -372,7 +372,7 @@
             config.index,
             lease_s,
             self._instance_id if is_leader else self._raft.leader_id,
-            is_current(message, config),
+            is_current_incarnation(message, config),
             message.sent_at,
             message.boot_id,
         )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
@@ -26,5 +26,5 @@
         if report is not None:
             node.version = report.heartbeat.version
             node.capacity = report.heartbeat.capacity
-            node.age_s = now - report.heard_at
+            node.age_s = now - report.received_at
     return sorted(nodes, key=lambda node: node.instance_id)
--- a/tests/coordination/fake_cluster.py
+++ b/tests/coordination/fake_cluster.py
@@ -11,7 +11,7 @@
 from wagtailkeel_coordination import FlowRouter
 from wagtailkeel_coordination import PlacementLease
 from wagtailkeel_coordination.lease import LEASE_S
-from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
+from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.flow_key import endpoint_key
 from wagtailkeel_protocol.flow_key import hash_flow
@@ -270,7 +270,7 @@
         self.in_flight = [e for e in self.in_flight if self.now - e.sent_at < MAX_DELAY_S]
         for server_id, heard_at in list(self.heard_at_by_id.items()):
             member = self.config.servers_by_id.get(server_id)
-            if member is not None and self.now - heard_at > REMOVAL_SILENCE_S:
+            if member is not None and self.now - heard_at > REMOVAL_TIMEOUT_S:
                 self.log(RemoveServer(server_id=server_id, boot_id=member.boot_id))
         for node in [*self.nodes_by_id.values(), *self.survivors]:
             node.router.tick(self.now)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -5,7 +5,7 @@
 
 from wagtailkeel_coordination import ConcurrencyLimiter
 from wagtailkeel_coordination.concurrency_limiter import QUEUE_FACTOR
-from wagtailkeel_coordination.peer_view import PEER_SILENCE_LIMIT_S
+from wagtailkeel_coordination.peer_view import PEER_REPORT_TIMEOUT_S
 from wagtailkeel_coordination.peer_view import PeerView
 from wagtailkeel_protocol.messages import Load
 from wagtailkeel_state import Target
@@ -88,7 +88,7 @@
         self.assertAlmostEqual(self.limiter.capacity, expected, delta=expected * 0.01)
 
     def test_silence_and_return_make_it_cold(self) -> None:
-        for make_cold in (ConcurrencyLimiter.on_silence, ConcurrencyLimiter.restart):
+        for make_cold in (ConcurrencyLimiter.on_unresponsive, ConcurrencyLimiter.restart):
             with self.subTest(make_cold.__name__):
                 self.setUp()
                 self.warm()
@@ -124,7 +124,7 @@
 
     def test_silent_peer_is_not_chosen(self) -> None:
         self.peers.update("a", self.load(), 0.0)
-        late = PEER_SILENCE_LIMIT_S + 0.1
+        late = PEER_REPORT_TIMEOUT_S + 0.1
         self.assertIsNone(self.peers.choose_for_request((), late))
 
     def test_placements_count_until_the_next_report(self) -> None:
@@ -140,7 +140,7 @@
         self.assertEqual(self.peers.choose_for_held_flow((), 0.0), "fast")
         for held, is_least in ((80, True), (90, False)):
             own = self.load(held=held)
-            self.assertEqual(self.peers.is_least_held(own, 0.0), is_least)
+            self.assertEqual(self.peers.has_at_most_mean_held_ratio(own, 0.0), is_least)
 
 
 if __name__ == "__main__":
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -5,8 +5,8 @@
 from wagtailkeel_coordination.address_assignment import assign_addresses
 from wagtailkeel_coordination.booking_clock import find_due_bookings
 from wagtailkeel_coordination.lease import LEASE_S
-from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
-from wagtailkeel_coordination.membership import VERSION_LAG_LIMIT_S
+from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
+from wagtailkeel_coordination.membership import MAX_VERSION_LAG_S
 from wagtailkeel_coordination.membership import Membership
 from wagtailkeel_coordination.raft.formation import decide_formation
 from wagtailkeel_coordination.shares import MAX_MOVED_FRACTION
@@ -66,10 +66,10 @@
 
     def test_silent_agents_are_removed_after_their_leases(self) -> None:
         table = [
-            (REMOVAL_SILENCE_S, {"a"}, set()),
-            (REMOVAL_SILENCE_S + 1, {"a"}, {"a"}),
-            (REMOVAL_SILENCE_S + 1, {"a", "b"}, {"a", "b"}),
-            (REMOVAL_SILENCE_S + 9, {"a", "b", "c"}, set()),
+            (REMOVAL_TIMEOUT_S, {"a"}, set()),
+            (REMOVAL_TIMEOUT_S + 1, {"a"}, {"a"}),
+            (REMOVAL_TIMEOUT_S + 1, {"a", "b"}, {"a", "b"}),
+            (REMOVAL_TIMEOUT_S + 9, {"a", "b", "c"}, set()),
         ]
         for end, silent, expected in table:
             with self.subTest(end=end, silent=silent):
@@ -91,7 +91,7 @@
     def test_node_that_stays_behind_loses_its_lease(self) -> None:
         epoch = self.config.services_by_name["desk"].table_epoch
         self.assertEqual(self.beat("a", 1.0, version=epoch - 1), LEASE_S)
-        late = 1.0 + VERSION_LAG_LIMIT_S + 0.1
+        late = 1.0 + MAX_VERSION_LAG_S + 0.1
         self.assertEqual(self.beat("a", late, version=epoch - 1), 0.0)
 
     def test_removed_nodes_are_forgotten(self) -> None:
