Texts of local flows, membership, load, service times, events and the small modules

Docstrings such as "what enters, what leaves, what is owed and what is over" or "how much a server can bear" were figurative, and those of the events spoke of beliefs. Reworded in plain terms, with every reason, number and source kept; the event classes, their fields and names stay.

No code changes. make lint is clean; tests/coordination: 111 tests pass.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
@@ -1,6 +1,6 @@
-"""Decisions: state machines without sockets, clocks, files or randomness of their own.
+"""State machines of the roles, without sockets, clocks, files or randomness of their own.
 
-Names are loaded when they are first used: a thin instance imports only what its role needs.
+Names are imported on first use, so that an instance imports only what its role needs.
 """
 
 from __future__ import annotations
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
@@ -1,4 +1,4 @@
-"""Addresses and ports for new services and classes: the leader takes them from the pools."""
+"""Assignment of addresses and ports to new services and classes; done by the leader."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 def assign_addresses(
     command: AnyCommand, config: Configuration, pools: list[AddressPool]
 ) -> AnyCommand:
-    """Return the command with its address or port filled in; empty where the pool is used up."""
+    """Return the command with an address or port from the pools; empty or 0 if none is free."""
     if isinstance(command, CreateBooking):
         change = assign_addresses(command.change, config, pools)
         return msgspec.structs.replace(command, change=change)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_identity.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_identity.py
@@ -1,4 +1,4 @@
-"""Who an agent is."""
+"""Identity of an agent."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class AgentIdentity(msgspec.Struct, frozen=True):
-    """One incarnation of the agent beside one backend server."""
+    """One incarnation of the agent of one backend server."""
 
     server_id: str
     service: str
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -1,4 +1,4 @@
-"""What an agent knows of the configuration and of its own place in it."""
+"""An agent's view of the configuration and of its own membership."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class AgentView:
-    """The newest configuration, as one agent reads it."""
+    """The newest configuration, from the point of view of one agent."""
 
     def __init__(self, identity: AgentIdentity) -> None:
         self.config: Configuration | None = None
@@ -35,17 +35,17 @@
 
     @property
     def own_id(self) -> str:
-        """The own server's id."""
+        """Id of the local backend server."""
         return self._identity.server_id
 
     @property
     def own_member(self) -> ServerMember | None:
-        """The own membership entry, of whatever incarnation."""
+        """Membership entry of the local backend server, of any incarnation."""
         return self.find_member(self.own_id)
 
     @property
     def joined_index(self) -> int:
-        """Log index at which this incarnation joined; beyond all indexes while it has not."""
+        """Log index at which this incarnation joined; above all indexes until it has joined."""
         own = self.own_member
         if own is None or own.boot_id not in self._boot_ids:
             return NOT_JOINED_INDEX
@@ -53,11 +53,11 @@
 
     @property
     def share(self) -> int:
-        """The own server's quota weight."""
+        """Share of the local backend server, a weight."""
         return self.config.share_of(self.own_id) if self.config else 0
 
     def update(self, config: Configuration, now: float) -> None:
-        """Adopt a newer configuration."""
+        """Apply a newer configuration."""
         self.config = config
         service = config.services_by_name.get(self._identity.service)
         self.classes_by_endpoint = index_classes(service) if service else {}
@@ -79,7 +79,7 @@
         }
 
     def recently_removed_ids(self, now: float) -> list[str]:
-        """Return former members that may still serve their flows, without control hearing them."""
+        """Return removed members that may still serve their flows, out of contact with control."""
         return [
             server_id
             for server_id, since in sorted(self._removed_since_by_id.items())
@@ -87,7 +87,7 @@
         ]
 
     def refresh(self, now: float) -> None:
-        """Decide anew whether the own server takes traffic; a drain ends by the clock."""
+        """Update whether the local server is in service; a drain deadline may have passed."""
         if self.config is None:
             return
         is_data_centre_in_service = self.config.is_in_service(self._identity.data_centre)
@@ -96,23 +96,23 @@
         )
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
-        """End all service, or take it up again, where the settings ask so for an isolated node."""
+        """Stop or resume all service, if the settings require that an isolated node stops."""
         self._is_isolated = is_isolated
         self.refresh(now)
 
     def add_incarnation(self, boot_id: int) -> None:
-        """Remember that a boot id is this process's own."""
+        """Record another boot id of this process."""
         self._boot_ids.add(boot_id)
 
     def had_other_incarnation(self) -> bool:
-        """Tell whether the own server had an agent before this process."""
+        """Return whether the local backend server had an agent before this process."""
         if self.config is None:
             return False
         known = (self.own_member, self.config.former_members_by_id.get(self.own_id))
         return any(found is not None and found.boot_id not in self._boot_ids for found in known)
 
     def find_class(self, key: bytes) -> TrafficClass | None:
-        """Return the class of the own service that a flow belongs to."""
+        """Return the class of this agent's service that a flow belongs to."""
         return self.classes_by_endpoint.get(endpoint_of(key))
 
     def find_member(self, server_id: str) -> ServerMember | None:
@@ -120,13 +120,13 @@
         return self.config.servers_by_id.get(server_id) if self.config else None
 
     def is_placeable(self, server_id: str) -> bool:
-        """Tell whether new flows may go to a server."""
+        """Return whether new flows may be placed on a server."""
         return self.config is not None and self.config.is_placeable(server_id)
 
     def boot_ids_by_member(self) -> dict[str, int]:
-        """Return the members of the own service and region, with their incarnations.
+        """Return the boot ids of the members of this agent's service and region.
 
-        Where the own region has no server left, those of the region that serves it belong to them.
+        If the region has no server left, the members of the region that serves it are included.
         """
         if self.config is None:
             return {}
@@ -140,7 +140,7 @@
         }
 
     def ids_removed_since(self, epoch: int) -> set[str]:
-        """Return the servers of the own service of which an incarnation left after an epoch."""
+        """Return the servers of this agent's service with an incarnation removed after an epoch."""
         if self.config is None:
             return set()
         return {
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/booking_clock.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/booking_clock.py
@@ -1,4 +1,4 @@
-"""Which bookings are due: the leader's wall clock decides, the log orders."""
+"""Bookings that are due by the leader's wall clock; the log puts the changes in order."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def find_due_bookings(config: Configuration, wall_s: float) -> list[AdvanceBooking]:
-    """Return the changes of state that are due; ``wall_s`` is seconds since the Unix epoch."""
+    """Return the state changes that are due; ``wall_s`` is in seconds since the Unix epoch."""
     due = []
     for booking in sorted(config.bookings_by_id.values(), key=lambda b: (b.start_s, b.booking_id)):
         state = _due_state(booking.state, booking.start_s, booking.end_s, wall_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -1,9 +1,9 @@
-"""How much a server can bear, from its measured answers.
+"""Adaptive concurrency limit of one server, from its response times.
 
 Source: additive increase, multiplicative decrease (Chiu and Jain, 1989), with a slow start from
-one request whenever the server is cold. A server is cold when its agent starts, after a step of
-its response times, and after silence. Several concurrent requests are only allowed once answers
-have come back at the allowance before, so a cold server is never handed a burst.
+one request whenever the server is cold. A server is cold when its agent starts, after a step up
+of its response times, and after it has stopped answering. The limit grows only after answers at
+the previous limit, so a cold server never receives a burst.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 
 class ConcurrencyLimiter:
-    """A limit on unanswered requests of one server; ``slots`` is its announced parallelism."""
+    """Limits the unanswered requests of one server; ``slots`` is its announced parallelism."""
 
     def __init__(self, slots: int) -> None:
         self.limit = INITIAL_LIMIT
@@ -45,7 +45,7 @@
 
     @property
     def capacity(self) -> int:
-        """Measured requests per 1,000 s with all slots busy; 0 until there is a measurement."""
+        """Estimated requests per 1,000 s with all slots busy; 0 until there are enough answers."""
         service_s = self._times.mean_service_s
         if service_s <= 0.0:
             return 0
@@ -53,25 +53,29 @@
 
     @property
     def times(self) -> ServiceTimes:
-        """What was learned of response times, for dumps."""
+        """Recorded response times, for diagnostic dumps."""
         return self._times
 
     def allows_start(self) -> bool:
-        """Tell whether a new flow may start."""
+        """Return whether a new flow may start."""
         return self.in_flight < int(self.limit)
 
     def on_start(self) -> None:
-        """Count a request that the server has not answered yet."""
+        """Count a new request, which awaits its answer."""
         self.in_flight += 1
 
     def on_abandon(self) -> None:
-        """Count a request that no answer is expected for any more."""
+        """Stop counting a request that no answer is expected for any more."""
         self.in_flight = max(0, self.in_flight - 1)
 
     def on_answer(
         self, class_name: str, response_s: float, target: Target, was_queued: bool, now: float
     ) -> None:
-        """Learn from one answer; ``was_queued`` tells that it began behind others."""
+        """Adapt the limit to one answer.
+
+        With ``was_queued``, the request arrived when all slots were busy, so its response time
+        includes queueing and is not recorded as a service time.
+        """
         self.in_flight = max(0, self.in_flight - 1)
         response_s = max(response_s, MIN_RESPONSE_S)
         if not was_queued:
@@ -79,18 +83,19 @@
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
-        # Answers that cost no work prove little: alone they don't open a cold server.
+        # Answers without processing say little of the server's speed: they raise the limit only up
+        # to the number of slots.
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
     def on_round_trip(self, round_trip_s: float) -> None:
-        """Learn the time that a packet takes to the server and back, without any work."""
+        """Record the round-trip time of a packet that the server answers without processing."""
         self._times.add_round_trip(round_trip_s)
 
     def _record_response_time(
         self, class_name: str, response_s: float, target: Target, now: float
     ) -> None:
-        # Held flows cost their server little; what they answer says nothing of its speed.
+        # Held flows cost their server little; their response times say nothing about its speed.
         has_work = target.kind is TargetKind.RESPONSE_TIME
         is_step = self._times.add_response(class_name, response_s, self.is_cold, has_work, now)
         if is_step and not self.is_cold:
@@ -99,14 +104,14 @@
             self.is_cold = False
 
     def restart(self) -> None:
-        """Start again as for a cold server; what was learned of its speed stays."""
+        """Restart slow start as for a cold server; recorded response times are kept."""
         self.is_cold = True
         self.limit = INITIAL_LIMIT
         self._answers_at_limit = 0
         self._times.reset_slow_streaks()
 
     def on_unresponsive(self) -> None:
-        """Treat a server that owes answers and sends none as cold."""
+        """Treat a server that has stopped answering its requests as cold."""
         if not self.is_cold:
             self._mark_cold()
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/counters.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/counters.py
@@ -1,4 +1,4 @@
-"""Counters by name; every process has one set of them in its dump."""
+"""Counters by name; the diagnostic dump of a process has one set of them."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/errors.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/errors.py
@@ -4,4 +4,4 @@
 
 
 class CoordinationError(Exception):
-    """Base of all errors of this layer."""
+    """Base class of all errors of this layer."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -1,4 +1,4 @@
-"""What a process writes about its decisions: one typed event each, with what decided it.
+"""Structured log events: one typed event for each decision, with the values that decided it.
 
 The events of one flow share ``flow``, which any node derives from the flow's addresses and ports.
 """
@@ -14,15 +14,15 @@
 def flow_id(key: bytes) -> str:
     """Return the id of a flow in events: 16 hexadecimal digits.
 
-    It is the XXH3 of the caller's address, the route's address, the caller's port and the route's
-    port, in network byte order; a protocol number behind them does not count.
+    The id is the XXH3 hash of the caller's address, the route's address, the caller's port and the
+    route's port, in network byte order; a protocol number after them is left out.
     """
     addresses_and_ports = key[: len(key) & ~1]
     return f"{xxhash.xxh3_64_intdigest(addresses_and_ports):016x}"
 
 
 class Event(msgspec.Struct, tag_field="event"):
-    """Base of all events. An essential event is never left out before one that is not."""
+    """Base class of all events; essential events are left out only after all others."""
 
     @classmethod
     def name(cls) -> str:
@@ -31,15 +31,15 @@
 
     @classmethod
     def is_essential(cls) -> bool:
-        """Tell whether refusals, recoveries or beliefs are at stake."""
+        """Return whether the event tells of a refusal, a recovery or a change of a node's state."""
         return True
 
 
 class EventSink(Protocol):
-    """Takes events without waiting."""
+    """Accepts events without blocking."""
 
     def emit(self, event: Event) -> None:
-        """Write an event, or count it as left out."""
+        """Log an event, or count it as left out."""
 
 
 class UnloggedEvents:
@@ -58,7 +58,8 @@
 class OpeningPlaced(Event, tag="opening_placed"):
     """A directory owner chose a server for an opening.
 
-    ``expected_ms`` is the wait that decided, ``load_age_ms`` the age of the report behind it.
+    ``expected_ms`` is the expected wait that decided the choice, ``load_age_ms`` the age of the
+    status report that it was computed from.
     """
 
     flow: str
@@ -70,12 +71,12 @@
 
     @classmethod
     def is_essential(cls) -> bool:
-        """Placements are many and may be left out."""
+        """Return False: placements are frequent and may be left out."""
         return False
 
 
 class OpeningRejected(Event, tag="opening_rejected"):
-    """The agent beside a server did not let an opening through, or its server returned it."""
+    """The agent of a server rejected an opening, or its server returned the opening."""
 
     flow: str
     reason: str
@@ -84,7 +85,7 @@
 
 
 class OpeningRefused(Event, tag="opening_refused"):
-    """No server takes the opening; the caller was told so, and nothing has run."""
+    """No server accepts the opening; the caller was sent a refusal, and no server has run it."""
 
     flow: str
     reason: str
@@ -103,7 +104,7 @@
 
 
 class SearchStarted(Event, tag="search_started"):
-    """An owner does not know where a flow is and asks the agents."""
+    """A directory owner does not know which server has a flow and queries the agents."""
 
     flow: str
     reason: str
@@ -111,7 +112,7 @@
 
 
 class SearchEnded(Event, tag="search_ended"):
-    """A search is over; ``server_agent`` is empty where no agent has the flow."""
+    """A search has ended; ``server_agent`` is empty if no agent has the flow."""
 
     flow: str
     outcome: str
@@ -120,7 +121,7 @@
 
 
 class FlowAdopted(Event, tag="flow_adopted"):
-    """A server speaks on a flow that its restarted agent had forgotten."""
+    """A server sent a packet of a flow that its restarted agent had no record of."""
 
     flow: str
 
@@ -132,24 +133,24 @@
 
 
 class FlowReset(Event, tag="flow_reset"):
-    """The caller was told that nobody has its flow."""
+    """The caller was sent a reset, since no server has its flow."""
 
     flow: str
     reason: str
 
 
-# Beliefs
+# States of nodes
 
 
 class RoutingAdopted(Event, tag="routing_adopted"):
-    """A newer routing document is in force in this process."""
+    """This process has applied a newer routing document."""
 
     routing_version: int
     log_index: int
 
 
 class ServerChanged(Event, tag="server_changed"):
-    """The own server's report changed what this agent believes of it."""
+    """A status report of the local backend server changed its state as seen by this agent."""
 
     server: str
     sequence: int
@@ -160,7 +161,7 @@
 
 
 class DataCentreChanged(Event, tag="data_centre_changed"):
-    """The own data centre was taken out of service or brought back."""
+    """The data centre of this node was taken out of service or put back into service."""
 
     data_centre: str
     is_in_service: bool
@@ -168,34 +169,34 @@
 
 
 class OwnersChanged(Event, tag="owners_changed"):
-    """The agents that keep the directory, as this balancer sees them."""
+    """The agents that own the flow directory have changed, as seen by this balancer."""
 
     owners: list[str]
 
 
 class ControlLost(Event, tag="control_lost"):
-    """Control has not answered a heartbeat for a while."""
+    """Control has not answered a heartbeat for ``silent_s``."""
 
     instance: str
     silent_s: float
 
 
 class ControlFound(Event, tag="control_found"):
-    """Control answers again."""
+    """Control answers heartbeats again, after ``silent_s`` without an answer."""
 
     instance: str
     silent_s: float
 
 
 class NodeJoined(Event, tag="node_joined"):
-    """Control has logged this incarnation of the process."""
+    """Control has committed the join of this incarnation of the process."""
 
     boot_id: int
     log_index: int
 
 
 class LeaderChanged(Event, tag="leader_changed"):
-    """Another control instance leads, or none."""
+    """The leader of control has changed, or there is none."""
 
     leader: str
     term: int
@@ -208,38 +209,38 @@
 
 
 class StorageFailed(Event, tag="storage_failed"):
-    """The disk refused a write; this instance gives up its vote until a write succeeds."""
+    """A write to disk failed; this instance gives up its vote until a write succeeds."""
 
     error: str
 
 
 class RoutingCommitted(Event, tag="routing_committed"):
-    """A quorum holds a newer routing document."""
+    """A newer routing document was committed: a quorum has it."""
 
     routing_version: int
     log_index: int
 
 
 class ProcessStarted(Event, tag="process_started"):
-    """The roles of this process run."""
+    """The roles of this process have started."""
 
     roles: list[str]
 
 
 class ProcessStopping(Event, tag="process_stopping"):
-    """The process was asked to stop."""
+    """The process received a request to stop."""
 
     signal: str
 
 
 class SettingsReloaded(Event, tag="settings_reloaded"):
-    """The settings were read again."""
+    """The settings were reloaded."""
 
     seeds: list[str]
 
 
 class EventsLeftOut(Event, tag="events_left_out"):
-    """Events that were not written since the last such line, by name."""
+    """Numbers of events that were left out since the last event of this type, by event name."""
 
     counts: dict[str, int]
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/lease.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/lease.py
@@ -1,7 +1,7 @@
 """Placement leases.
 
-Source: leases (Gray and Cheriton, 1989). A lease counts from the time at which the holder sent the
-heartbeat that was answered, so that it runs out at the holder before it does at the grantor.
+Source: leases (Gray and Cheriton, 1989). A lease starts at the time when its holder sent the
+heartbeat that was answered, so it expires at the holder before it does at the grantor.
 """
 
 from __future__ import annotations
@@ -20,13 +20,13 @@
         self._expires_at = float("-inf")
 
     def renew(self, heartbeat_sent_at: float, lease_s: float) -> None:
-        """Extend the lease; a late or doubled answer never shortens it."""
+        """Extend the lease; a late or duplicate answer never shortens it."""
         self._expires_at = max(self._expires_at, heartbeat_sent_at + lease_s)
 
     def revoke(self) -> None:
-        """Give the lease up, when control no longer counts this incarnation as a member."""
+        """Give up the lease, after control removed this incarnation from the members."""
         self._expires_at = float("-inf")
 
     def is_valid(self, now: float) -> bool:
-        """Tell whether the lease has not run out."""
+        """Return whether the lease has not expired."""
         return now < self._expires_at
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -1,4 +1,4 @@
-"""The flows on the own server: what enters, what leaves, what is owed and what is over."""
+"""Tracking of the flows on the local backend server: packets, unanswered requests, expiry."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class LocalFlows:
-    """Accounts for every packet of the flows on the own server."""
+    """Tracks every packet of the flows on the local backend server."""
 
     def __init__(
         self,
@@ -59,11 +59,11 @@
 
     @property
     def awaiting_count(self) -> int:
-        """The number of flows that the server owes an answer."""
+        """The number of flows that await an answer of the server."""
         return len(self._awaiting_by_key)
 
     def open(self, key: bytes, bucket: int, traffic_class: TrafficClass, now: float) -> LocalFlow:
-        """Start to account for a flow."""
+        """Start tracking a flow."""
         flow = LocalFlow(key, bucket, traffic_class, now, now)
         self._directory.add_local(flow)
         self.held_count += traffic_class.is_held
@@ -71,19 +71,19 @@
         return flow
 
     def close(self, flow: LocalFlow) -> None:
-        """Forget a flow."""
+        """Stop tracking a flow and remove its record."""
         self._abandon_answer(flow)
         self._directory.remove_local(flow)
         self.held_count -= flow.traffic_class.is_held
         self._counters["flows_closed"] += 1
 
     def mark_closed(self, flow: LocalFlow) -> None:
-        """Treat a TCP flow as closed by both ends; it lingers against late packets."""
+        """Treat a TCP flow as closed by both ends; its record is kept for late packets."""
         self._abandon_answer(flow)
         flow.has_inbound_fin = flow.has_outbound_fin = True
 
     def on_inbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
-        """Account for a packet and deliver it."""
+        """Record a packet to the server and deliver it."""
         flow.last_inbound_at = now
         if flow.traffic_class.protocol is FlowProtocol.UDP:
             self._expect_answer(flow, packet, now)
@@ -119,7 +119,7 @@
         self._awaiting_by_key[flow.key] = flow
 
     def on_outbound(self, flow: LocalFlow, packet: bytes, now: float) -> None:
-        """Account for a packet of the server; the caller of this method sends it on."""
+        """Record a packet of the server; the code that calls this method sends the packet."""
         flow.last_outbound_at = now
         self._last_answer_at = now
         if flow.traffic_class.protocol is FlowProtocol.UDP:
@@ -163,7 +163,7 @@
         self._probe_counts_by_key.pop(flow.key, None)
 
     def tick(self, now: float) -> None:
-        """Probe silent flows, give up overdue answers, forget what is over."""
+        """Probe unanswered flows, give up overdue answers, close expired flows."""
         for flow in list(self._awaiting_by_key.values()):
             self._check_unanswered(flow, now)
         self._sweep(now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -1,8 +1,8 @@
-"""The leader's view of which nodes are alive: leases granted, removals due.
+"""Failure detection by the leader of control: it grants leases and plans removals of nodes.
 
-Control removes a silent agent only after every lease it may hold has run out. A pause of the
-leader itself, or silence of most nodes at once, says more about the leader than about the nodes,
-and removes none of them.
+Control removes an agent that sends no heartbeats only after every lease it may hold has expired.
+If the leader itself paused, or most nodes time out at once, the fault is more likely the leader's
+than the nodes', and none of them is removed.
 """
 
 from __future__ import annotations
@@ -28,14 +28,14 @@
 
 
 class NodeReport(msgspec.Struct):
-    """The last heartbeat of a node and when it arrived."""
+    """The last heartbeat of a node and the time it was received at."""
 
     heartbeat: Heartbeat
     received_at: float
 
 
 class Membership:
-    """Heartbeats by node id; starts empty with each term of a leader."""
+    """Last heartbeats by node id; each term of a leader starts with none."""
 
     def __init__(self, now: float) -> None:
         self.reports_by_id: dict[str, NodeReport] = {}
@@ -57,7 +57,10 @@
         return LEASE_S if self._has_recent_table(message, config, now) else 0.0
 
     def _has_recent_table(self, message: Heartbeat, config: Configuration, now: float) -> bool:
-        """A node far behind gets no lease; frequent changes alone don't cost it the lease."""
+        """Return whether a node's owner table is recent enough for a lease.
+
+        It must not lag more than ``MAX_VERSION_LAG_S``; how many changes it lacks doesn't matter.
+        """
         member = config.servers_by_id.get(message.sender)
         if member is None or member.service not in config.services_by_name:
             return True
@@ -73,7 +76,7 @@
     def find_removals(
         self, config: Configuration, now: float
     ) -> list[RemoveServer | RemoveBalancer]:
-        """Return the commands that remove nodes silent for too long."""
+        """Return the commands that remove nodes which have sent no heartbeat for too long."""
         if now - self._checked_at > MAX_CHECK_GAP_S:
             self._grace_since = now
         self._checked_at = now
@@ -88,7 +91,10 @@
         return [_removal_command(key, boot_ids[key], config) for key in timed_out]
 
     def _discard_former_nodes(self, boot_ids: dict[str, int]) -> None:
-        """Only when there are more entries than members: the check runs several times a second."""
+        """Discard the records of nodes that are no longer members.
+
+        Only done if there are more records than members, since this runs several times a second.
+        """
         if len(self.reports_by_id) > len(boot_ids):
             for node_id in set(self.reports_by_id) - set(boot_ids):
                 del self.reports_by_id[node_id]
@@ -111,7 +117,7 @@
 
 
 def is_current_incarnation(message: Heartbeat, config: Configuration) -> bool:
-    """Tell whether the sender's incarnation is a member."""
+    """Return whether the sender's incarnation is a member."""
     member = config.servers_by_id.get(message.sender)
     balancer = config.balancers_by_id.get(message.sender)
     found = member or balancer
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outbox.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outbox.py
@@ -1,4 +1,4 @@
-"""What the agent's decisions ask the transport to send."""
+"""Interfaces through which the routing of an agent sends packets and messages."""
 
 from __future__ import annotations
 
@@ -11,20 +11,20 @@
 
 
 class DatagramOutbox(Protocol):
-    """Sends control datagrams to instances by id; delivery is not guaranteed."""
+    """Sends datagrams of the control protocol to instances; delivery is not guaranteed."""
 
     def send(self, instance_id: str, message: AnyDatagram) -> None:
-        """Send a message; an unknown instance id is counted and ignored."""
+        """Send a message; one to an unknown instance id is counted and dropped."""
 
 
 class PacketOutbox(Protocol):
     """Sends packets of flows."""
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server."""
+        """Deliver a packet to the local backend server."""
 
     def reply(self, packet: bytes) -> None:
-        """Send a packet towards its caller."""
+        """Send a packet to its caller."""
 
     def forward(self, server_id: str, frame: DataFrame) -> None:
         """Send a frame to another agent."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -1,4 +1,4 @@
-"""What an agent knows of its peers' load, from gossip."""
+"""An agent's view of its peers' load, from gossip, and the choice of a peer for a flow."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class PeerLoad(msgspec.Struct):
-    """A peer's last report; ``placed_since`` counts placements made there since then."""
+    """A peer's last report, with the number of flows placed on the peer since then."""
 
     load: Load
     received_at: float
@@ -35,7 +35,7 @@
 
 
 class PeerView:
-    """Loads by server id, and the choice among peers."""
+    """Loads of the peers by server id; chooses among them."""
 
     def __init__(self, random: Random, is_placeable: Callable[[str], bool]) -> None:
         self._random = random
@@ -44,20 +44,20 @@
 
     @property
     def loads_by_id(self) -> dict[str, PeerLoad]:
-        """Last reports by server id, for dumps."""
+        """Last reports by server id, for diagnostic dumps."""
         return self._loads_by_id
 
     def update(self, server_id: str, load: Load, now: float) -> None:
-        """Record a report."""
+        """Record a peer's load report."""
         self._loads_by_id[server_id] = PeerLoad(load, now)
 
     def retain(self, server_ids: Collection[str]) -> None:
-        """Forget peers that are no members."""
+        """Remove the reports of peers that are not in ``server_ids``."""
         for former_id in set(self._loads_by_id) - set(server_ids):
             del self._loads_by_id[former_id]
 
     def choose_for_request(self, excluded: Collection[str], now: float) -> str | None:
-        """Return the one of two random peers with more headroom.
+        """Return, of two random peers, the one with more headroom.
 
         Source: the power of two choices (Mitzenmacher, 2001).
         """
@@ -67,14 +67,17 @@
         return self._pick(candidates, lambda peer: -peer.headroom)
 
     def choose_for_held_flow(self, excluded: Collection[str], now: float) -> str | None:
-        """Return the one of two random peers with fewer held flows per unit of capacity."""
+        """Return, of two random peers, the one with fewer held flows per unit of capacity."""
         candidates = [
             (key, peer) for key, peer in self._candidates(excluded, now) if peer.headroom > 0
         ]
         return self._pick(candidates, lambda peer: peer.held_ratio)
 
     def has_at_most_mean_held_ratio(self, own: Load, now: float) -> bool:
-        """Tell whether the own server holds no more per unit of capacity than its peers' mean."""
+        """Return whether the local backend server is at or below its peers' mean of held flows.
+
+        Held flows are compared per unit of capacity.
+        """
         peers = [peer for _, peer in self._candidates((), now) if peer.headroom > 0]
         capacity = sum(max(peer.load.capacity, 1) for peer in peers)
         if not capacity:
@@ -83,7 +86,7 @@
         return own.held_flows * capacity <= held * max(own.capacity, 1)
 
     def count_placement(self, server_id: str) -> None:
-        """Remember a placement until the peer's next report."""
+        """Count a placement against the peer's headroom until its next report."""
         peer = self._loads_by_id.get(server_id)
         if peer is not None:
             peer.placements_since_report += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/remote_flows.py
@@ -1,4 +1,4 @@
-"""Expiry of the pointers that an authority keeps for flows on other servers."""
+"""Expiry of the pointers that an authority has for flows on other servers."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 
 class RemoteFlowSweeper:
-    """Forgets pointers whose flows have ended or been idle beyond their class's limit."""
+    """Removes pointers to flows that have ended or exceeded the idle limit of their class."""
 
     def __init__(self, directory: FlowDirectory) -> None:
         self._directory = directory
         self._swept_at = float("-inf")
 
     def tick(self, classes_by_endpoint: Mapping[bytes, TrafficClass], now: float) -> None:
-        """Sweep when due."""
+        """Remove expired pointers every ``SWEEP_INTERVAL_S``."""
         if now - self._swept_at < SWEEP_INTERVAL_S:
             return
         self._swept_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
@@ -1,7 +1,7 @@
-"""Measuring the round trip to the own server without any work.
+"""Measurement of the round-trip time to the local backend server without processing.
 
 A TCP packet of a connection that does not exist is answered with RST by the server's kernel, so
-the time of the answer holds no work of the server's programs.
+the round trip includes no processing by the server's programs.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 class RoundTripProbe:
-    """One probe at a time; the next one goes out whether or not the last was answered."""
+    """Builds one probe at a time; the next one is sent whether or not the last was answered."""
 
     def __init__(self) -> None:
         self._probe_count = 0
@@ -28,7 +28,7 @@
         self._sent_at = float("-inf")
 
     def build(self, endpoint: bytes, now: float) -> bytes | None:
-        """Return the next probe towards a class's endpoint, or None while none is due."""
+        """Return the next probe packet to a class's endpoint, or None if none is due."""
         if now - self._sent_at < PROBE_INTERVAL_S:
             return None
         self._probe_count += 1
@@ -40,7 +40,7 @@
         return build_tcp(self._key, 1, 1, ip.ACK)
 
     def match(self, key: bytes, now: float) -> float | None:
-        """Return the round trip in seconds when a packet answers the probe."""
+        """Return the round-trip time in seconds if a packet answers the probe, else None."""
         if key != self._key:
             return None
         self._key = b""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -1,8 +1,8 @@
 """Response times of one server without queueing, by class.
 
-Medians of recent answers are used, so that single delays in this process do not pass for a slow
-server. The round trip to the server without any work is measured by probes and taken off, since
-it weighs more on a fast server than on a slow one.
+Baselines are medians of recent answers, so that a single delay in this process is not mistaken for
+a slow server. The round-trip time to the server without any work is measured by probes and
+subtracted from response times, since it is a larger part of them on a fast server.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 class MedianWindow:
-    """Median of the last samples, computed anew every few samples."""
+    """Median of the last ``WINDOW_SAMPLES`` samples, updated every ``REFRESH_SAMPLES``."""
 
     __slots__ = ("_new_samples", "_samples", "median_s")
 
@@ -44,13 +44,16 @@
             self.median_s = median(self._samples)
 
     def clear(self) -> None:
-        """Forget all samples; the median stays until there are new ones."""
+        """Discard all samples; the median is kept until there are new ones."""
         self._samples.clear()
         self._new_samples = 0
 
 
 class ClassTimes:
-    """One class: its window, its share of the requests, and recent slow answers."""
+    """Statistics of one class: response times, share of the requests, and consecutive slow answers.
+
+    Classes without ``has_work`` are left out of the mean service time.
+    """
 
     __slots__ = ("frequency", "has_work", "slow_since", "slow_streak", "window")
 
@@ -71,7 +74,7 @@
 
     @property
     def mean_service_s(self) -> float:
-        """Mean time of work per request; 0 until there are enough samples."""
+        """Mean processing time per request; 0 until a class has ``MIN_SAMPLES``."""
         working = [t for t in self._times_by_class.values() if t.has_work]
         weight = sum(t.frequency for t in working)
         if weight <= 0.0 or max(len(t.window) for t in working) < MIN_SAMPLES:
@@ -81,40 +84,41 @@
 
     @property
     def round_trip_s(self) -> float:
-        """Median time to the server and back, without work."""
+        """Median round-trip time to the server, without processing."""
         return self._round_trip.median_s
 
     @property
     def medians_by_class(self) -> dict[str, float]:
-        """Median response times in seconds."""
+        """Median response times in seconds, by class name."""
         return {name: times.window.median_s for name, times in self._times_by_class.items()}
 
     def baseline_s(self, class_name: str) -> float:
-        """Return the median response of a class; infinity before the first answer."""
+        """Return the median response time of a class; infinity before its first answer."""
         times = self._times_by_class.get(class_name)
         return times.window.median_s if times else float("inf")
 
     def is_near_baseline(self, class_name: str, response_s: float) -> bool:
-        """Tell whether an answer came as fast as usual."""
+        """Return whether a response time is within ``WARM_FACTOR`` of the class's baseline."""
         return response_s <= self.baseline_s(class_name) * WARM_FACTOR
 
     def add_round_trip(self, round_trip_s: float) -> None:
-        """Learn from a probe."""
+        """Record the round-trip time of a probe."""
         self._round_trip.add(round_trip_s)
 
     def add_response(
         self, class_name: str, response_s: float, is_cold: bool, has_work: bool, now: float
     ) -> bool:
-        """Learn from an answer; return whether the last ones are a step above the baseline.
+        """Record a response time; return whether the last ones are a step above the baseline.
 
-        The step has to last: one stall of a process delays several answers at once.
+        The step has to last ``MIN_COLD_DURATION_S``: one stall of a process delays several answers
+        at once.
         """
         times = self._times_by_class.get(class_name)
         if times is None:
             times = self._times_by_class[class_name] = ClassTimes(has_work=has_work)
         baseline_s = times.window.median_s
         if is_cold and response_s < baseline_s / WARM_FACTOR:
-            # What a server answered while it was colder says nothing of its speed.
+            # Answers from when the server was colder say nothing about its speed.
             times.window.clear()
         if baseline_s and response_s > baseline_s * COLD_STEP_FACTOR + MIN_STEP_S:
             if not times.slow_streak:
@@ -130,7 +134,7 @@
         return False
 
     def reset_slow_streaks(self) -> None:
-        """Start to count slow answers anew."""
+        """Reset the counts of consecutive slow answers."""
         for times in self._times_by_class.values():
             times.slow_streak = 0
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_view.py
@@ -1,4 +1,4 @@
-"""A service's classes, prepared for the hot path."""
+"""Index of a service's classes for fast lookups by endpoint."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -1,4 +1,4 @@
-"""Shares of buckets from measured capacity."""
+"""Shares of the buckets, planned from the measured capacities of the servers."""
 
 from __future__ import annotations
 
@@ -22,11 +22,11 @@
 def plan_shares(
     config: Configuration, service: str, capacities_by_id: Mapping[str, int]
 ) -> SetShares | None:
-    """Return the shares to log, or None while they are near enough to those in force.
+    """Return the command that sets new shares, or None if the current ones are close enough.
 
-    A server without a measurement counts as the median of the measured ones per slot. Hysteresis
-    keeps small changes of a measurement from moving buckets; the fraction of the buckets that one
-    step moves is bounded.
+    A server without a measured capacity is assumed to have the median capacity per slot of the
+    measured ones. Hysteresis keeps small changes of a measurement from moving buckets; the
+    fraction of the buckets that one command moves is bounded.
     """
     members = config.members_of(service)
     measured = {
