Names of the tests of flow routing, tokens and admission

Names such as survivors, cut_from_control, _toggle_silence, USUAL_S and tests that told what "went on" or "gets nothing" did not say what is checked. Renamed to superseded_nodes, partitioned_from_control, _toggle_partition and BASELINE_S, and each test by the failure that it guards against. No check changes.

--- a/tests/coordination/fake_cluster.py
+++ b/tests/coordination/fake_cluster.py
@@ -142,12 +142,12 @@
         self.in_flight: list[Envelope] = []
         self.servers_by_id = {server_id: FakeServer() for server_id in server_ids}
         self.nodes_by_id: dict[str, FakeNode] = {}
-        self.survivors: list[FakeNode] = []
+        self.superseded_nodes: list[FakeNode] = []
         self.refused: set[bytes] = set()
-        self.cut_from_control: set[str] = set()
+        self.partitioned_from_control: set[str] = set()
         self.resets: Counter[bytes] = Counter()
         self.replies: Counter[bytes] = Counter()
-        self.heard_at_by_id: dict[str, float] = {}
+        self.last_contact_at_by_id: dict[str, float] = {}
         self._boot_id = 0
         for server_id in server_ids:
             self.log(DefineDataCentre(name=data_centre_of(server_id), region="home"))
@@ -186,18 +186,18 @@
         """Commit a command."""
         apply_entry(self.config, LogEntry(self.config.index + 1, 1, command))
 
-    def boot(self, server_id: str, *, survives: bool = False) -> FakeNode:
+    def boot(self, server_id: str, *, keeps_running: bool = False) -> FakeNode:
         """Start an agent's next incarnation; its server lives on.
 
         With ``survives`` the one before goes on without knowing, behind a cut.
         """
         self._boot_id += 1
         earlier = self.nodes_by_id.get(server_id)
-        if earlier is not None and survives:
-            self.survivors.append(earlier)
+        if earlier is not None and keeps_running:
+            self.superseded_nodes.append(earlier)
         node = FakeNode(self, server_id, self._boot_id)
         self.nodes_by_id[server_id] = node
-        self.heard_at_by_id[server_id] = self.now
+        self.last_contact_at_by_id[server_id] = self.now
         data_centre = data_centre_of(server_id)
         member = ServerMember(server_id, SERVICE, data_centre, "127.0.0.1", 1, 2, self._boot_id, 2)
         self.log(JoinServer(member=member))
@@ -255,7 +255,7 @@
         end = self.now + seconds
         while self.now < end:
             for node in self.nodes_by_id.values():
-                if node.server_id in self.cut_from_control:
+                if node.server_id in self.partitioned_from_control:
                     continue
                 self.heartbeat(node)
                 if node.config.index < self.config.index:
@@ -268,11 +268,11 @@
         """Let time pass: timers run, control removes who has been silent."""
         self.now += seconds
         self.in_flight = [e for e in self.in_flight if self.now - e.sent_at < MAX_DELAY_S]
-        for server_id, heard_at in list(self.heard_at_by_id.items()):
+        for server_id, last_contact_at in list(self.last_contact_at_by_id.items()):
             member = self.config.servers_by_id.get(server_id)
-            if member is not None and self.now - heard_at > REMOVAL_TIMEOUT_S:
+            if member is not None and self.now - last_contact_at > REMOVAL_TIMEOUT_S:
                 self.log(RemoveServer(server_id=server_id, boot_id=member.boot_id))
-        for node in [*self.nodes_by_id.values(), *self.survivors]:
+        for node in [*self.nodes_by_id.values(), *self.superseded_nodes]:
             node.router.tick(self.now)
 
     def remove(self, server_id: str) -> None:
@@ -287,7 +287,7 @@
             if self.nodes_by_id.get(node.server_id) is node:
                 self.boot(node.server_id)
             return
-        self.heard_at_by_id[node.server_id] = self.now
+        self.last_contact_at_by_id[node.server_id] = self.now
         if node.config.index >= self.config.services_by_name[SERVICE].table_epoch:
             node.lease.renew(self.now, LEASE_S)
 
@@ -304,6 +304,6 @@
         """Return who may place flows of classes that are not idempotent."""
         return [
             node.server_id
-            for node in [*self.nodes_by_id.values(), *self.survivors]
+            for node in [*self.nodes_by_id.values(), *self.superseded_nodes]
             if node.router.authority.is_authority(bucket) and node.lease.is_valid(self.now)
         ]
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -11,9 +11,9 @@
 from wagtailkeel_state import Target
 
 SLOTS = 2
-USUAL_S = 0.010
-WORK = Target.parse("p99<200ms")
-HELD = Target.parse("held<2000")
+BASELINE_S = 0.010
+REQUEST_TARGET = Target.parse("p99<200ms")
+HELD_TARGET = Target.parse("held<2000")
 
 
 class ConcurrencyLimiterTest(unittest.TestCase):
@@ -21,21 +21,21 @@
         self.limiter = ConcurrencyLimiter(SLOTS)
         self.now = 0.0
 
-    def answer(self, response_s: float, count: int = 1, target: Target = WORK) -> None:
+    def answer(self, response_s: float, count: int = 1, target: Target = REQUEST_TARGET) -> None:
         for _ in range(count):
             self.now += 1.0
             self.limiter.on_start()
             self.limiter.on_answer("class", response_s, target, False, self.now)
 
     def warm(self) -> None:
-        self.answer(USUAL_S, 100)
+        self.answer(BASELINE_S, 100)
         self.assertFalse(self.limiter.is_cold)
 
     def test_cold_server_gets_one_request_then_as_many_as_answers_allow(self) -> None:
         limits = []
         for _ in range(7):
             limits.append(int(self.limiter.limit))
-            self.answer(USUAL_S)
+            self.answer(BASELINE_S)
         self.assertEqual(limits, [1, 2, 2, 3, 3, 3, 4])
 
     def test_limit_stops_growing(self) -> None:
@@ -52,9 +52,9 @@
     def test_slow_answers(self) -> None:
         table = {
             "over the target": (0.25, 1, False),
-            "over four times the usual": (USUAL_S * 4.5, 1, False),
-            "three at two and a half times the usual": (USUAL_S * 2.8, 3, True),
-            "a little slower": (USUAL_S * 1.4, 3, None),
+            "over four times the usual": (BASELINE_S * 4.5, 1, False),
+            "three at two and a half times the usual": (BASELINE_S * 2.8, 3, True),
+            "a little slower": (BASELINE_S * 1.4, 3, None),
         }
         for name, (response_s, count, is_cold) in table.items():
             with self.subTest(name):
@@ -72,22 +72,22 @@
         self.warm()
         for _ in range(10):
             self.limiter.on_start()
-            self.limiter.on_answer("class", USUAL_S * 2.8, WORK, False, self.now)
+            self.limiter.on_answer("class", BASELINE_S * 2.8, REQUEST_TARGET, False, self.now)
         self.assertFalse(self.limiter.is_cold)
 
-    def test_answers_without_work_do_not_open_a_cold_server(self) -> None:
-        self.answer(0.000_5, 200, HELD)
+    def test_held_flow_answers_do_not_warm_a_cold_server(self) -> None:
+        self.answer(0.000_5, 200, HELD_TARGET)
         self.assertLessEqual(self.limiter.limit, SLOTS)
         self.assertEqual(self.limiter.capacity, 0)
 
     def test_capacity_leaves_out_the_round_trip(self) -> None:
         for _ in range(50):
             self.limiter.on_round_trip(0.002)
-        self.answer(USUAL_S + 0.002, 200)
-        expected = SLOTS * 1_000 / USUAL_S
+        self.answer(BASELINE_S + 0.002, 200)
+        expected = SLOTS * 1_000 / BASELINE_S
         self.assertAlmostEqual(self.limiter.capacity, expected, delta=expected * 0.01)
 
-    def test_silence_and_return_make_it_cold(self) -> None:
+    def test_unresponsive_or_restarted_server_is_cold(self) -> None:
         for make_cold in (ConcurrencyLimiter.on_unresponsive, ConcurrencyLimiter.restart):
             with self.subTest(make_cold.__name__):
                 self.setUp()
@@ -122,7 +122,7 @@
                     self.peers.update(key, load, 0.0)
                 self.assertEqual(self.peers.choose_for_request((), 0.0), expected)
 
-    def test_silent_peer_is_not_chosen(self) -> None:
+    def test_peer_without_recent_report_is_not_chosen(self) -> None:
         self.peers.update("a", self.load(), 0.0)
         late = PEER_REPORT_TIMEOUT_S + 0.1
         self.assertIsNone(self.peers.choose_for_request((), late))
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -106,7 +106,7 @@
                 self.grant(Generation(granted, 4))
                 self.assertEqual(self.authority.is_authority(BUCKET), is_taken)
 
-    def test_claim_of_an_old_table_is_not_denied_once_the_token_went_on(self) -> None:
+    def test_claim_of_an_old_table_is_not_denied_after_the_token_was_granted(self) -> None:
         for epoch, denials in ((6, 0), (7, 1)):
             with self.subTest(epoch=epoch):
                 self.setUp()
@@ -116,7 +116,7 @@
                 self.authority.on_claim(Claim("c", 3, epoch, [BUCKET]), 1.0)
                 self.assertEqual(len(self.outbox.of_type(ClaimAnswer)), denials)
 
-    def test_no_takeover_below_an_own_promise(self) -> None:
+    def test_no_takeover_below_a_promised_epoch(self) -> None:
         self.apply(5, "a")
         self.authority.on_claim(Claim("c", 3, 6, [BUCKET]), 0.0)
         for member in ("b", "c"):
@@ -124,7 +124,7 @@
         self.authority.tick(1.0)
         self.assertFalse(self.authority.is_authority(BUCKET))
 
-    def test_doubled_grant_does_nothing_after_the_token_went_on(self) -> None:
+    def test_duplicate_grant_is_refused_after_the_token_was_granted(self) -> None:
         self.hold()
         self.apply(6, "b")
         self.authority.tick(1.0)
@@ -154,7 +154,7 @@
         self.authority.tick(3.0)
         self.assertEqual(len(self.outbox.of_type(Grant)), 2)
 
-    def test_large_bucket_flows_before_its_token(self) -> None:
+    def test_large_bucket_is_transferred_before_its_token(self) -> None:
         self.hold()
         records = [FlowRecord(bytes([n]) * 13, "b") for n in range(70)]
         self.directory.install(BUCKET, records, 0.0)
@@ -172,13 +172,13 @@
         sent = [flow for part in parts for flow in part.flows] + last.grants[0].flows
         self.assertCountEqual(sent, records)
 
-    def test_owner_that_is_no_member_gets_nothing(self) -> None:
+    def test_owner_that_is_no_member_gets_no_grant(self) -> None:
         self.hold()
         self.apply(6, "stranger")
         self.authority.tick(1.0)
         self.assertTrue(self.authority.is_authority(BUCKET))
 
-    def test_removed_incarnation_forgets_its_tokens(self) -> None:
+    def test_removed_incarnation_discards_its_tokens(self) -> None:
         self.hold()
         self.authority.apply_table(OwnerTable.single(6, "b"), {"b": 2, "c": 3}, {"a"}, 0.0)
         self.assertFalse(self.authority.is_authority(BUCKET))
--- a/tests/coordination/test_flow_invariants.py
+++ b/tests/coordination/test_flow_invariants.py
@@ -24,8 +24,8 @@
 SERVERS = ["a", "b", "c", "d"]
 STEPS = 250
 EXAMPLES = 60
-FLOWS = 12
-RESEND_LIMIT_S = 6.0
+MAX_RECENT_FLOWS = 12
+RESEND_WINDOW_S = 6.0
 
 
 class Fuzzer:
@@ -35,13 +35,13 @@
         self.random = random
         self.cluster = FakeCluster(SERVERS)
         self.cluster.settle(4.0)
-        self.silent_ids: set[str] = set()
-        self._born_at_by_key: dict[bytes, float] = {}
+        self.partitioned_ids: set[str] = set()
+        self._opened_at_by_key: dict[bytes, float] = {}
         self._next_flow = 0
-        self.moves = [
+        self.actions = [
             (30, self._deliver),
-            (4, self._lose),
-            (4, self._double),
+            (4, self._drop),
+            (4, self._duplicate),
             (20, self._tick),
             (20, self._send_report),
             (10, self._open_feed),
@@ -49,18 +49,18 @@
             (2, self._change_data_centre),
             (8, self._update),
             (1, self._crash),
-            (1, self._toggle_silence),
+            (1, self._toggle_partition),
         ]
 
     @property
     def keys(self) -> list[bytes]:
         """All flows so far."""
-        return list(self._born_at_by_key)
+        return list(self._opened_at_by_key)
 
     def step(self) -> None:
         """Make one move."""
-        weights = [weight for weight, _ in self.moves]
-        self.random.choices([move for _, move in self.moves], weights)[0]()
+        weights = [weight for weight, _ in self.actions]
+        self.random.choices([action for _, action in self.actions], weights)[0]()
 
     def _any_position(self) -> int | None:
         count = len(self.cluster.in_flight)
@@ -71,44 +71,44 @@
         if position is not None:
             self.cluster.deliver(position)
 
-    def _lose(self) -> None:
+    def _drop(self) -> None:
         position = self._any_position()
         if position is not None:
             self.cluster.in_flight.pop(position)
 
-    def _double(self) -> None:
+    def _duplicate(self) -> None:
         position = self._any_position()
         if position is not None:
             self.cluster.deliver(position, keeps_copy=True)
 
     def _tick(self) -> None:
         for server_id, node in list(self.cluster.nodes_by_id.items()):
-            if server_id not in self.silent_ids:
+            if server_id not in self.partitioned_ids:
                 self.cluster.heartbeat(node)
         if self.random.random() < 0.3:
             self.cluster.gossip()
         self.cluster.advance(self.random.uniform(0.01, 0.4))
 
-    def _draw_key(self, *, is_tcp: bool) -> bytes:
+    def _pick_key(self, *, is_tcp: bool) -> bytes:
         """A new flow, or one that its caller may still be sending again."""
         recent = [
             key
-            for key, born_at in self._born_at_by_key.items()
-            if self.cluster.now - born_at < RESEND_LIMIT_S and (key[-1] == ip.TCP) == is_tcp
+            for key, opened_at in self._opened_at_by_key.items()
+            if self.cluster.now - opened_at < RESEND_WINDOW_S and (key[-1] == ip.TCP) == is_tcp
         ]
-        if len(recent) >= FLOWS or (recent and self.random.random() < 0.7):
+        if len(recent) >= MAX_RECENT_FLOWS or (recent and self.random.random() < 0.7):
             return self.random.choice(recent)
         self._next_flow += 1
         key = flow_key(self._next_flow, is_tcp=is_tcp)
-        self._born_at_by_key[key] = self.cluster.now
+        self._opened_at_by_key[key] = self.cluster.now
         return key
 
     def _send_report(self) -> None:
-        key = self._draw_key(is_tcp=False)
+        key = self._pick_key(is_tcp=False)
         self.cluster.inject(self.random.choice(SERVERS), build_udp(key, b"report"))
 
     def _open_feed(self) -> None:
-        key = self._draw_key(is_tcp=True)
+        key = self._pick_key(is_tcp=True)
         self.cluster.inject(self.random.choice(SERVERS), build_tcp(key, 1, 0, ip.SYN))
 
     def _change_member(self) -> None:
@@ -121,20 +121,20 @@
 
     def _change_data_centre(self) -> None:
         name = data_centre_of(self.random.choice(SERVERS))
-        is_in = self.cluster.config.is_in_service(name)
-        state = DataCentreState.OUT_OF_SERVICE if is_in else DataCentreState.IN_SERVICE
+        was_in_service = self.cluster.config.is_in_service(name)
+        state = DataCentreState.OUT_OF_SERVICE if was_in_service else DataCentreState.IN_SERVICE
         self.cluster.log(SetDataCentreState(name=name, state=state))
 
     def _update(self) -> None:
         server_id = self.random.choice(SERVERS)
-        if server_id not in self.silent_ids:
+        if server_id not in self.partitioned_ids:
             self.cluster.nodes_by_id[server_id].update()
 
     def _crash(self) -> None:
-        self.cluster.boot(self.random.choice(SERVERS), survives=self.random.random() < 0.5)
+        self.cluster.boot(self.random.choice(SERVERS), keeps_running=self.random.random() < 0.5)
 
-    def _toggle_silence(self) -> None:
-        self.silent_ids ^= {self.random.choice(SERVERS)}
+    def _toggle_partition(self) -> None:
+        self.partitioned_ids ^= {self.random.choice(SERVERS)}
 
 
 class FlowInvariantsTest(unittest.TestCase):
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -43,7 +43,7 @@
             self.assertGreaterEqual(self.cluster.replies[key] - before, len(SERVERS))
         self.assertEqual(sum(self.cluster.resets.values()), 0)
 
-    def test_flows_live_through_changes(self) -> None:
+    def test_flows_survive_membership_changes(self) -> None:
         tables = {
             "drain and restore": self.drain_and_restore,
             "many changes": self.change_often,
@@ -75,17 +75,17 @@
             self.cluster.boot(server_id)
             self.cluster.settle(SETTLE_S)
 
-    def test_flows_live_on_an_agent_that_only_control_lost(self) -> None:
+    def test_flows_survive_removal_of_an_agent_that_still_runs(self) -> None:
         self.open_feeds()
-        self.cluster.cut_from_control = {"b"}
+        self.cluster.partitioned_from_control = {"b"}
         self.cluster.remove("b")
         self.cluster.settle(SETTLE_S)
         self.assert_all_answer()
-        self.cluster.cut_from_control = set()
+        self.cluster.partitioned_from_control = set()
         self.cluster.settle(SETTLE_S)
         self.assert_all_answer()
 
-    def test_unknown_connection_is_reset_once_all_have_said_no(self) -> None:
+    def test_unknown_connection_is_reset_when_no_agent_has_it(self) -> None:
         key = flow_key(99, is_tcp=True)
         self.send(key, ip.PSH | ip.ACK, b"ping")
         self.assertEqual(self.cluster.resets[key], 1)
@@ -125,13 +125,13 @@
         self.open_feeds()
         self.assertFalse(self.cluster.servers_by_id["b"].connections)
 
-    def test_report_of_a_data_centre_that_is_out_never_runs_again(self) -> None:
+    def test_request_to_an_out_of_service_data_centre_never_runs_again(self) -> None:
         key = flow_key(7, is_tcp=False)
         self.cluster.inject("a", build_udp(key, b"report"))
         while not self.cluster.servers_of(key):
             self.cluster.deliver(0)
         first = self.cluster.servers_of(key)[0]
-        self.take_out(first)
+        self.take_out_of_service(first)
         while self.cluster.in_flight:
             self.cluster.deliver(0)
         self.cluster.settle(2.0)
@@ -140,16 +140,16 @@
             self.cluster.settle(0.2)
         self.assertEqual(self.cluster.servers_of(key), [first])
 
-    def take_out(self, server_id: str) -> None:
+    def take_out_of_service(self, server_id: str) -> None:
         name = data_centre_of(server_id)
         self.cluster.log(SetDataCentreState(name=name, state=DataCentreState.OUT_OF_SERVICE))
         self.cluster.nodes_by_id[server_id].update()
 
-    def test_data_centre_out_ends_its_flows_and_no_others(self) -> None:
+    def test_out_of_service_data_centre_ends_only_its_own_flows(self) -> None:
         self.open_feeds()
         lost = {key for key in self.feeds if self.cluster.servers_of(key) == ["b"]}
         self.assertTrue(lost)
-        self.take_out("b")
+        self.take_out_of_service("b")
         self.cluster.settle(2.0)
         for key in self.feeds:
             self.send(key, ip.PSH | ip.ACK, b"ping", to="c")
@@ -167,8 +167,8 @@
                 self.send(key, ip.PSH | ip.ACK, b"ping", to="c")
         self.assertEqual(sum(self.cluster.resets.values()), 0)
 
-    def test_data_centre_out_gets_no_new_flow(self) -> None:
-        self.take_out("b")
+    def test_out_of_service_data_centre_gets_no_new_flow(self) -> None:
+        self.take_out_of_service("b")
         self.cluster.settle(2.0)
         self.open_feeds()
         self.assertFalse(self.cluster.servers_by_id["b"].connections)
