Texts of the tests of flow routing, tokens and admission

Docstrings such as "the one before goes on without knowing, behind a cut" left open who does what. Reworded in plain terms; the invariants test now says which failures it guards against, and the event of an ended search what `silent` counts. The functions under @given are the same to the letter, and no check changes.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -112,7 +112,10 @@
 
 
 class SearchEnded(Event, tag="search_ended"):
-    """A search has ended; ``server_agent`` is empty if no agent has the flow."""
+    """A search has ended; ``server_agent`` is empty if no agent was found to have the flow.
+
+    ``silent`` is the number of agents that did not answer.
+    """
 
     flow: str
     outcome: str
--- a/tests/coordination/fake_cluster.py
+++ b/tests/coordination/fake_cluster.py
@@ -1,4 +1,4 @@
-"""Agents' routers under a simulated clock, a lossy network, a log and backend servers."""
+"""Flow routers on a simulated clock, lossy network, replicated log and backend servers."""
 
 from __future__ import annotations
 
@@ -43,19 +43,19 @@
 
 
 def data_centre_of(server_id: str) -> str:
-    """Each server has a data centre of its own; all are of one region."""
+    """Return the data centre of a server: each has its own, all in one region."""
     return f"dc-{server_id}"
 
 
 def flow_key(number: int, *, is_tcp: bool) -> bytes:
-    """Return the key of a caller's flow to the report (UDP) or feed (TCP) class."""
+    """Return the flow key of a caller's flow to the report (UDP) or feed (TCP) class."""
     port, protocol = (FEED_PORT, ip.TCP) if is_tcp else (REPORT_PORT, ip.UDP)
     target = endpoint_key(ADDRESS, port, protocol)
     return bytes([10, 1, 0, 1]) + target[:4] + number.to_bytes(2, "big") + target[4:]
 
 
 class Envelope(msgspec.Struct):
-    """A message or frame on its way to a server's agent."""
+    """A message, frame or server packet in flight to an agent."""
 
     to: str
     body: object
@@ -63,14 +63,14 @@
 
 
 class FakeServer:
-    """Knows its connections, as a kernel would, and answers."""
+    """A backend server that tracks its connections, as a kernel does, and answers packets."""
 
     def __init__(self) -> None:
         self.connections: set[bytes] = set()
         self.starts: Counter[bytes] = Counter()
 
     def answer(self, packet: bytes) -> bytes | None:
-        """Return the reply to a packet."""
+        """Return the reply to a packet; RST for an unknown connection."""
         key = ip.parse_flow_key(packet)
         assert isinstance(key, bytes)
         reverse = ip.reverse_key(key)
@@ -88,7 +88,7 @@
 
 
 class FakeNode:
-    """One agent: its router, its lease, its copy of the configuration, its server."""
+    """One agent: its router, lease and copy of the configuration."""
 
     def __init__(self, cluster: FakeCluster, server_id: str, boot_id: int) -> None:
         self.cluster = cluster
@@ -109,23 +109,23 @@
         )
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server; its reply comes back at once."""
+        """Deliver a packet to the local backend server; its reply is put in flight at once."""
         self.cluster.on_delivery(self, packet)
 
     def reply(self, packet: bytes) -> None:
-        """Record what goes to callers."""
+        """Record a packet to a caller."""
         self.cluster.on_reply(packet)
 
     def forward(self, server_id: str, frame: DataFrame) -> None:
-        """Put a frame on the network."""
+        """Send a frame over the simulated network."""
         self.cluster.in_flight.append(Envelope(server_id, frame, self.cluster.now))
 
     def send(self, instance_id: str, message: AnyDatagram) -> None:
-        """Put a message on the network."""
+        """Send a message over the simulated network."""
         self.cluster.in_flight.append(Envelope(instance_id, message, self.cluster.now))
 
     def update(self) -> None:
-        """Adopt the newest configuration."""
+        """Apply the newest configuration."""
         encoded = msgspec.msgpack.encode(self.cluster.config)
         self.config = msgspec.msgpack.decode(encoded, type=Configuration)
         epoch = self.config.services_by_name[SERVICE].table_epoch
@@ -134,7 +134,7 @@
 
 
 class FakeCluster:
-    """Runs routers against one log; all randomness comes from the caller."""
+    """Runs routers against one replicated log; all randomness comes from the test."""
 
     def __init__(self, server_ids: list[str]) -> None:
         self.now = 1_000.0
@@ -183,13 +183,14 @@
         )
 
     def log(self, command: AnyCommand) -> None:
-        """Commit a command."""
+        """Commit a command to the log."""
         apply_entry(self.config, LogEntry(self.config.index + 1, 1, command))
 
     def boot(self, server_id: str, *, keeps_running: bool = False) -> FakeNode:
-        """Start an agent's next incarnation; its server lives on.
+        """Start an agent's next incarnation; its backend server keeps running.
 
-        With ``survives`` the one before goes on without knowing, behind a cut.
+        With ``keeps_running``, the previous incarnation continues too, behind a network partition
+        and unaware of its successor.
         """
         self._boot_id += 1
         earlier = self.nodes_by_id.get(server_id)
@@ -204,16 +205,16 @@
         node.update()
         return node
 
-    # What servers and callers see
+    # Packets to servers and callers
 
     def on_delivery(self, node: FakeNode, packet: bytes) -> None:
-        """Let the server answer."""
+        """Send the server's answer to a packet to its agent."""
         answer = self.servers_by_id[node.server_id].answer(packet)
         if answer is not None:
             self.in_flight.append(Envelope(node.server_id, answer, self.now))
 
     def on_reply(self, packet: bytes) -> None:
-        """Record a packet to a caller."""
+        """Record a packet to a caller: a refusal, a reset or a reply."""
         if packet[9] == ip.ICMP:
             quoted = packet[28:]
             self.refused.add(quoted[12:24] + quoted[9:10])
@@ -225,20 +226,20 @@
         counts[ip.reverse_key(key)] += 1
 
     def servers_of(self, key: bytes) -> list[str]:
-        """Return the servers that saw a first packet of the flow."""
+        """Return the servers that a first packet of the flow has reached."""
         return [name for name, server in self.servers_by_id.items() if server.starts[key]]
 
-    # Moves
+    # Actions of a test
 
     def inject(self, server_id: str, packet: bytes) -> None:
-        """Let a packet of a caller arrive at an agent, as a balancer with any table would."""
+        """Pass a caller's packet to an agent, as a balancer with any owner table may do."""
         key = ip.parse_flow_key(packet)
         assert isinstance(key, bytes)
         frame = DataFrame(packet, hash_flow(key) % BUCKETS, 0)
         self.nodes_by_id[server_id].router.on_frame(frame, self.now)
 
     def deliver(self, position: int, *, keeps_copy: bool = False) -> None:
-        """Deliver one envelope in flight."""
+        """Deliver one envelope in flight; with ``keeps_copy``, leave a duplicate in flight."""
         envelope = self.in_flight[position] if keeps_copy else self.in_flight.pop(position)
         node = self.nodes_by_id.get(envelope.to)
         if node is None:
@@ -251,7 +252,10 @@
             node.router.on_message(envelope.body, self.now)
 
     def settle(self, seconds: float) -> None:
-        """Let time pass with a perfect network and all nodes up to date."""
+        """Advance the clock with a lossless network and all nodes up to date.
+
+        Nodes in ``partitioned_from_control`` get no configuration and send no heartbeats.
+        """
         end = self.now + seconds
         while self.now < end:
             for node in self.nodes_by_id.values():
@@ -265,7 +269,7 @@
                 self.deliver(0)
 
     def advance(self, seconds: float) -> None:
-        """Let time pass: timers run, control removes who has been silent."""
+        """Advance the clock: run timers, drop old envelopes, remove agents without heartbeats."""
         self.now += seconds
         self.in_flight = [e for e in self.in_flight if self.now - e.sent_at < MAX_DELAY_S]
         for server_id, last_contact_at in list(self.last_contact_at_by_id.items()):
@@ -276,12 +280,12 @@
             node.router.tick(self.now)
 
     def remove(self, server_id: str) -> None:
-        """Control loses sight of an agent, which goes on."""
+        """Remove an agent from the members while it keeps running."""
         boot_id = self.config.servers_by_id[server_id].boot_id
         self.log(RemoveServer(server_id=server_id, boot_id=boot_id))
 
     def heartbeat(self, node: FakeNode) -> None:
-        """A heartbeat that arrives and is answered at once."""
+        """Process a heartbeat at once; a removed agent starts its next incarnation instead."""
         member = self.config.servers_by_id.get(node.server_id)
         if member is None or member.boot_id != node.boot_id:
             if self.nodes_by_id.get(node.server_id) is node:
@@ -292,7 +296,7 @@
             node.lease.renew(self.now, LEASE_S)
 
     def gossip(self) -> None:
-        """Tell every agent the load of all others."""
+        """Send every agent the load of all others."""
         for node in self.nodes_by_id.values():
             for peer in self.nodes_by_id.values():
                 if peer is not node:
@@ -301,7 +305,7 @@
     # Invariants
 
     def placing_authorities(self, bucket: int) -> list[str]:
-        """Return who may place flows of classes that are not idempotent."""
+        """Return the agents that may place a bucket's flows of non-idempotent classes."""
         return [
             node.server_id
             for node in [*self.nodes_by_id.values(), *self.superseded_nodes]
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -51,10 +51,10 @@
 
     def test_slow_answers(self) -> None:
         table = {
-            "over the target": (0.25, 1, False),
-            "over four times the usual": (BASELINE_S * 4.5, 1, False),
-            "three at two and a half times the usual": (BASELINE_S * 2.8, 3, True),
-            "a little slower": (BASELINE_S * 1.4, 3, None),
+            "above the target": (0.25, 1, False),
+            "above four times the baseline": (BASELINE_S * 4.5, 1, False),
+            "three above two and a half times the baseline": (BASELINE_S * 2.8, 3, True),
+            "slightly above the baseline": (BASELINE_S * 1.4, 3, None),
         }
         for name, (response_s, count, is_cold) in table.items():
             with self.subTest(name):
--- a/tests/coordination/test_flow_invariants.py
+++ b/tests/coordination/test_flow_invariants.py
@@ -29,7 +29,7 @@
 
 
 class Fuzzer:
-    """Draws moves: packets, losses, doubles, delays, changes, restarts and silences."""
+    """Runs random actions: packets, losses, duplicates, delays, changes, restarts, partitions."""
 
     def __init__(self, random: Random) -> None:
         self.random = random
@@ -54,11 +54,11 @@
 
     @property
     def keys(self) -> list[bytes]:
-        """All flows so far."""
+        """Keys of all flows so far."""
         return list(self._opened_at_by_key)
 
     def step(self) -> None:
-        """Make one move."""
+        """Run one random action."""
         weights = [weight for weight, _ in self.actions]
         self.random.choices([action for _, action in self.actions], weights)[0]()
 
@@ -90,7 +90,7 @@
         self.cluster.advance(self.random.uniform(0.01, 0.4))
 
     def _pick_key(self, *, is_tcp: bool) -> bytes:
-        """A new flow, or one that its caller may still be sending again."""
+        """Return the key of a new flow, or of one that its caller may still retransmit."""
         recent = [
             key
             for key, opened_at in self._opened_at_by_key.items()
@@ -138,6 +138,11 @@
 
 
 class FlowInvariantsTest(unittest.TestCase):
+    """Random faults must not leave a bucket with two agents that may place its flows.
+
+    A flow must not run on two servers, and a refused flow must not run at all.
+    """
+
     @settings(
         max_examples=EXAMPLES,
         deadline=None,
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -98,14 +98,17 @@
         self.assertEqual(len(self.cluster.servers_of(key)), 1)
 
     def test_a_start_that_a_peer_rejects_waits_for_room(self) -> None:
-        """Seen on the bench: starts were refused while their service had room a moment later."""
+        """A start must not be refused at once when a full peer rejects it: room may come up soon.
+
+        In bench runs, starts were refused although their service had room a moment later.
+        """
         key = flow_key(7, is_tcp=False)
         nodes = self.cluster.nodes_by_id
         for node in nodes.values():
             node.router.limiter.limit = 1.0
         self.cluster.gossip()
         for node in nodes.values():
-            # All are full by now, and no peer knows of the others yet.
+            # All servers are full now, but no agent knows this of its peers yet.
             node.router.limiter.in_flight = 1
         self.cluster.inject("a", build_udp(key, b"report"))
         while self.cluster.in_flight:
--- a/tests/coordination/test_foreign_messages.py
+++ b/tests/coordination/test_foreign_messages.py
@@ -59,7 +59,7 @@
 
 
 class ForeignMessagesTest(unittest.TestCase):
-    """A message that decodes but makes no sense never ends a task."""
+    """A message that decodes but has meaningless values must not end a task by an exception."""
 
     @settings(derandomize=True, deadline=None, max_examples=300)
     @given(st.lists(MESSAGES, max_size=6))
