--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -1,9 +1,9 @@
-"""How much a server can bear, from its measured answers.
+"""Adaptive concurrency limit of one server, from its response times.
 
 Source: additive increase, multiplicative decrease (Chiu and Jain, 1989), with a slow start from
-one request whenever the server is cold. A server is cold when its agent starts, after a step of
-its response times, and after silence. Several concurrent requests are only allowed once answers
-have come back at the allowance before, so a cold server is never handed a burst.
+one request whenever the server is cold. A server is cold when its agent starts, after a step up
+of its response times, and after it has stopped answering. The limit grows only after answers at
+the previous limit, so a cold server never receives a burst.
 """
 
 from __future__ import annotations
@@ -20,12 +20,12 @@
 DECREASE_FACTOR = 0.8
 DECREASE_INTERVAL_S = 0.2
 QUEUE_FACTOR = 4
-CAPACITY_UNITS_PER_SLOT_S = 1_000
-RESPONSE_FLOOR_S = 0.001
+CAPACITY_PERIOD_S = 1_000
+MIN_RESPONSE_S = 0.001
 
 
 class ConcurrencyLimiter:
-    """A limit on unanswered requests of one server; ``slots`` is its announced parallelism."""
+    """Limits the unanswered requests of one server; ``slots`` is its announced parallelism."""
 
     def __init__(self, slots: int) -> None:
         self.limit = INITIAL_LIMIT
@@ -45,68 +45,75 @@
 
     @property
     def capacity(self) -> int:
-        """Measured requests per 1,000 s with all slots busy; 0 until there is a measurement."""
+        """Estimated requests per 1,000 s with all slots busy; 0 until there are enough answers."""
         service_s = self._times.mean_service_s
         if service_s <= 0.0:
             return 0
-        return round(self._slots * CAPACITY_UNITS_PER_SLOT_S / service_s)
+        return round(self._slots * CAPACITY_PERIOD_S / service_s)
 
     @property
     def times(self) -> ServiceTimes:
-        """What was learned of response times, for dumps."""
+        """Recorded response times, for diagnostic dumps."""
         return self._times
 
     def allows_start(self) -> bool:
-        """Tell whether a new flow may start."""
+        """Return whether a new flow may start."""
         return self.in_flight < int(self.limit)
 
     def on_start(self) -> None:
-        """Count a request that the server has not answered yet."""
+        """Count a new request, which awaits its answer."""
         self.in_flight += 1
 
     def on_abandon(self) -> None:
-        """Count a request that no answer is expected for any more."""
+        """Stop counting a request that no answer is expected for any more."""
         self.in_flight = max(0, self.in_flight - 1)
 
     def on_answer(
         self, class_name: str, response_s: float, target: Target, was_queued: bool, now: float
     ) -> None:
-        """Learn from one answer; ``was_queued`` tells that it began behind others."""
+        """Adapt the limit to one answer.
+
+        With ``was_queued``, the request arrived when all slots were busy, so its response time
+        includes queueing and is not recorded as a service time.
+        """
         self.in_flight = max(0, self.in_flight - 1)
-        response_s = max(response_s, RESPONSE_FLOOR_S)
+        response_s = max(response_s, MIN_RESPONSE_S)
         if not was_queued:
-            self._learn(class_name, response_s, target, now)
+            self._record_response_time(class_name, response_s, target, now)
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
-        # Answers that cost no work prove little: alone they don't open a cold server.
+        # Answers without processing say little of the server's speed: they raise the limit only up
+        # to the number of slots.
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
     def on_round_trip(self, round_trip_s: float) -> None:
-        """Learn the time that a packet takes to the server and back, without any work."""
-        self._times.learn_round_trip(round_trip_s)
+        """Record the round-trip time of a packet that the server answers without processing."""
+        self._times.add_round_trip(round_trip_s)
 
-    def _learn(self, class_name: str, response_s: float, target: Target, now: float) -> None:
-        # Held flows cost their server little; what they answer says nothing of its speed.
+    def _record_response_time(
+        self, class_name: str, response_s: float, target: Target, now: float
+    ) -> None:
+        # Held flows cost their server little; their response times say nothing about its speed.
         has_work = target.kind is TargetKind.RESPONSE_TIME
-        is_step = self._times.learn(class_name, response_s, self.is_cold, has_work, now)
+        is_step = self._times.add_response(class_name, response_s, self.is_cold, has_work, now)
         if is_step and not self.is_cold:
-            self._turn_cold()
+            self._mark_cold()
         elif self.limit >= self._slots and self._times.is_near_baseline(class_name, response_s):
             self.is_cold = False
 
     def restart(self) -> None:
-        """Start again as for a cold server; what was learned of its speed stays."""
+        """Restart slow start as for a cold server; recorded response times are kept."""
         self.is_cold = True
         self.limit = INITIAL_LIMIT
         self._answers_at_limit = 0
-        self._times.forget_streaks()
+        self._times.reset_slow_streaks()
 
-    def on_silence(self) -> None:
-        """Treat a server that owes answers and sends none as cold."""
+    def on_unresponsive(self) -> None:
+        """Treat a server that has stopped answering its requests as cold."""
         if not self.is_cold:
-            self._turn_cold()
+            self._mark_cold()
 
     def _increase(self) -> None:
         self._answers_at_limit += 1
@@ -123,11 +130,11 @@
 
     def _acceptable_response_s(self, class_name: str, target: Target) -> float:
         queue_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
-        queue_s = max(queue_s, RESPONSE_FLOOR_S * QUEUE_FACTOR)
+        queue_s = max(queue_s, MIN_RESPONSE_S * QUEUE_FACTOR)
         if target.kind is TargetKind.RESPONSE_TIME:
             return min(target.limit / 1_000, queue_s)
         return queue_s
 
-    def _turn_cold(self) -> None:
+    def _mark_cold(self) -> None:
         self.cold_events += 1
         self.restart()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -1,8 +1,8 @@
-"""The leader's view of which nodes are alive: leases granted, removals due.
+"""Failure detection by the leader of control: it grants leases and plans removals of nodes.
 
-Control removes a silent agent only after every lease it may hold has run out. A pause of the
-leader itself, or silence of most nodes at once, says more about the leader than about the nodes,
-and removes none of them.
+Control removes an agent that sends no heartbeats only after every lease it may hold has expired.
+If the leader itself paused, or most nodes time out at once, the fault is more likely the leader's
+than the nodes', and none of them is removed.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import msgspec
 
 from wagtailkeel_coordination.lease import LEASE_S
-from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
+from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_state.commands import RemoveBalancer
 from wagtailkeel_state.commands import RemoveServer
@@ -21,29 +21,29 @@
 if TYPE_CHECKING:
     from wagtailkeel_state.configuration import Configuration
 
-PAUSE_LIMIT_S = 1.0
-VERSION_LAG_LIMIT_S = 2.0
-MAX_SILENT_FRACTION = 0.5
-AGENT_STOP_LIMIT_S = 30.0
+MAX_CHECK_GAP_S = 1.0
+MAX_VERSION_LAG_S = 2.0
+MAX_TIMED_OUT_FRACTION = 0.5
+AGENT_STOP_TIMEOUT_S = 30.0
 
 
 class NodeReport(msgspec.Struct):
-    """The last heartbeat of a node and when it arrived."""
+    """The last heartbeat of a node and the time it was received at."""
 
     heartbeat: Heartbeat
-    heard_at: float
+    received_at: float
 
 
 class Membership:
-    """Heartbeats by node id; starts empty with each term of a leader."""
+    """Last heartbeats by node id; each term of a leader starts with none."""
 
     def __init__(self, now: float) -> None:
         self.reports_by_id: dict[str, NodeReport] = {}
         self.mass_silence_events = 0
         self._first_seen_by_incarnation: dict[tuple[str, int], float] = {}
         self._epochs_by_service: dict[str, deque[tuple[float, int]]] = {}
-        self._ticked_at = now
-        self._grace_from = now
+        self._checked_at = now
+        self._grace_since = now
 
     def on_heartbeat(self, message: Heartbeat, config: Configuration, now: float) -> float:
         """Record a heartbeat; return the lease to grant in seconds, 0 for none."""
@@ -51,13 +51,16 @@
         if earlier is not None and earlier.heartbeat.boot_id == message.boot_id:
             if message.sent_at < earlier.heartbeat.sent_at:
                 return 0.0
-        if not is_current(message, config):
+        if not is_current_incarnation(message, config):
             return 0.0
         self.reports_by_id[message.sender] = NodeReport(message, now)
         return LEASE_S if self._has_recent_table(message, config, now) else 0.0
 
     def _has_recent_table(self, message: Heartbeat, config: Configuration, now: float) -> bool:
-        """A node far behind gets no lease; frequent changes alone don't cost it the lease."""
+        """Return whether a node's owner table is recent enough for a lease.
+
+        It must not lag more than ``MAX_VERSION_LAG_S``; how many changes it lacks doesn't matter.
+        """
         member = config.servers_by_id.get(message.sender)
         if member is None or member.service not in config.services_by_name:
             return True
@@ -65,28 +68,33 @@
         epochs = self._epochs_by_service.setdefault(member.service, deque())
         if not epochs or epochs[-1][1] != epoch:
             epochs.append((now, epoch))
-        while len(epochs) > 1 and now - epochs[1][0] > VERSION_LAG_LIMIT_S:
+        while len(epochs) > 1 and now - epochs[1][0] > MAX_VERSION_LAG_S:
             epochs.popleft()
-        required = epochs[0][1] if now - epochs[0][0] > VERSION_LAG_LIMIT_S else 0
+        required = epochs[0][1] if now - epochs[0][0] > MAX_VERSION_LAG_S else 0
         return message.version >= required
 
     def find_removals(
         self, config: Configuration, now: float
     ) -> list[RemoveServer | RemoveBalancer]:
-        """Return the commands that remove nodes silent for too long."""
-        if now - self._ticked_at > PAUSE_LIMIT_S:
-            self._grace_from = now
-        self._ticked_at = now
+        """Return the commands that remove nodes which have sent no heartbeat for too long."""
+        if now - self._checked_at > MAX_CHECK_GAP_S:
+            self._grace_since = now
+        self._checked_at = now
         boot_ids = _boot_ids(config)
-        self._forget_former_nodes(boot_ids)
-        silent = [key for key, boot_id in boot_ids.items() if self._is_silent(key, boot_id, now)]
-        if len(silent) > 1 and len(silent) > MAX_SILENT_FRACTION * len(boot_ids):
+        self._discard_former_nodes(boot_ids)
+        timed_out = [
+            key for key, boot_id in boot_ids.items() if self._has_timed_out(key, boot_id, now)
+        ]
+        if len(timed_out) > 1 and len(timed_out) > MAX_TIMED_OUT_FRACTION * len(boot_ids):
             self.mass_silence_events += 1
             return []
-        return [_removal(key, boot_ids[key], config) for key in silent]
+        return [_removal_command(key, boot_ids[key], config) for key in timed_out]
+
+    def _discard_former_nodes(self, boot_ids: dict[str, int]) -> None:
+        """Discard the records of nodes that are no longer members.
 
-    def _forget_former_nodes(self, boot_ids: dict[str, int]) -> None:
-        """Only when there are more entries than members: the check runs several times a second."""
+        Only done if there are more records than members, since this runs several times a second.
+        """
         if len(self.reports_by_id) > len(boot_ids):
             for node_id in set(self.reports_by_id) - set(boot_ids):
                 del self.reports_by_id[node_id]
@@ -94,22 +102,22 @@
             for incarnation in set(self._first_seen_by_incarnation) - set(boot_ids.items()):
                 del self._first_seen_by_incarnation[incarnation]
 
-    def _is_silent(self, node_id: str, boot_id: int, now: float) -> bool:
+    def _has_timed_out(self, node_id: str, boot_id: int, now: float) -> bool:
         report = self.reports_by_id.get(node_id)
-        heard_at = self._grace_from
+        last_contact_at = self._grace_since
         if report is not None and report.heartbeat.boot_id == boot_id:
-            heard_at = max(heard_at, report.heard_at)
+            last_contact_at = max(last_contact_at, report.received_at)
         else:
             first_seen = self._first_seen_by_incarnation.setdefault((node_id, boot_id), now)
-            heard_at = max(heard_at, first_seen)
-        limit_s = REMOVAL_SILENCE_S
+            last_contact_at = max(last_contact_at, first_seen)
+        timeout_s = REMOVAL_TIMEOUT_S
         if report is not None and report.heartbeat.is_stopping:
-            limit_s = AGENT_STOP_LIMIT_S
-        return now - heard_at > limit_s
+            timeout_s = AGENT_STOP_TIMEOUT_S
+        return now - last_contact_at > timeout_s
 
 
-def is_current(message: Heartbeat, config: Configuration) -> bool:
-    """Tell whether the sender's incarnation is a member."""
+def is_current_incarnation(message: Heartbeat, config: Configuration) -> bool:
+    """Return whether the sender's incarnation is a member."""
     member = config.servers_by_id.get(message.sender)
     balancer = config.balancers_by_id.get(message.sender)
     found = member or balancer
@@ -122,7 +130,9 @@
     return boot_ids
 
 
-def _removal(node_id: str, boot_id: int, config: Configuration) -> RemoveServer | RemoveBalancer:
+def _removal_command(
+    node_id: str, boot_id: int, config: Configuration
+) -> RemoveServer | RemoveBalancer:
     if node_id in config.servers_by_id:
         return RemoveServer(server_id=node_id, boot_id=boot_id)
     return RemoveBalancer(instance_id=node_id, boot_id=boot_id)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -1,11 +1,11 @@
-"""Where an authority starts new flows: here, on a peer, a moment later, or nowhere."""
+"""Placement of new flows by an authority: locally, on a peer, after a short wait, or refused."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination.admission_queue import AdmissionQueue
-from wagtailkeel_coordination.bucket_authority import RETRY_HORIZON_S
+from wagtailkeel_coordination.bucket_authority import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.flow_context import is_start
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.gue import DataFrame
@@ -26,7 +26,7 @@
 
 
 class Placement:
-    """Decides for flows that are new in a bucket whose token this agent holds."""
+    """Places new flows of the buckets whose token this agent holds."""
 
     def __init__(
         self,
@@ -34,68 +34,68 @@
         limiter: ConcurrencyLimiter,
         peers: PeerView,
         lease: PlacementLease,
-        pass_to_authority: Callable[[DataFrame, bytes], None],
+        forward_to_authority: Callable[[DataFrame, bytes], None],
     ) -> None:
         self._context = context
         self._limiter = limiter
         self._peers = peers
         self._lease = lease
-        self._pass_to_authority = pass_to_authority
-        self._starts = AdmissionQueue()
+        self._forward_to_authority = forward_to_authority
+        self._queue = AdmissionQueue()
         self._started_at = context.now
 
     @property
     def load(self) -> Load:
-        """What peers need to know of the own server."""
+        """The load of the local backend server, as reported to peers."""
         view = self._context.view
         return Load(
             self._limiter.in_flight,
             int(self._limiter.limit) if view.is_placeable(view.own_id) else 0,
-            self._context.local.held_count,
+            self._context.local_flows.held_count,
             view.share,
             self._limiter.is_cold,
         )
 
     def place(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
-        """Start a flow now or soon, refuse it, or leave it unanswered where it may have run."""
-        if not self._may_place(frame.bucket, traffic_class) or self._starts.contains(key):
+        """Start a flow, queue it or refuse it; drop its packet if the flow may already have run."""
+        if not self._may_place(frame.bucket, traffic_class) or self._queue.contains(key):
             return
         if self._start_now(frame, key, traffic_class):
             return
-        if self._must_stay_here(traffic_class):
-            # The former incarnation may have placed the flow on the own server.
+        if self._must_start_locally(traffic_class):
+            # The former incarnation may have placed the flow on the local backend server.
             self._context.counters["starts_dropped_uncertain"] += 1
-        elif not self._starts.add(frame, key, traffic_class, self._context.now):
+        elif not self._queue.add(frame, key, traffic_class, self._context.now):
             self._refuse(frame, key)
 
-    def drain(self) -> None:
-        """Start what waits, oldest first; refuse what has waited too long."""
+    def process_queue(self) -> None:
+        """Start queued flows, oldest first; refuse those that have waited too long."""
         context = self._context
-        while len(self._starts):
-            start = self._starts.first
+        while len(self._queue):
+            start = self._queue.oldest
             if not context.authority.is_authority(start.frame.bucket):
-                self._starts.pop()
-                self._pass_to_authority(start.frame, start.key)
-            elif self._settle(start):
-                self._starts.pop()
+                self._queue.pop()
+                self._forward_to_authority(start.frame, start.key)
+            elif self._try_queued_start(start):
+                self._queue.pop()
             elif context.now >= start.expires_at:
-                self._starts.pop()
+                self._queue.pop()
                 self._refuse(start.frame, start.key)
             else:
                 return
 
-    def _settle(self, start: QueuedStart) -> bool:
-        """Start what waits, or let it go unanswered; False while there is no room."""
+    def _try_queued_start(self, start: QueuedStart) -> bool:
+        """Start a queued flow, or drop it if it may not be placed; False if there is no room."""
         if not self._may_place(start.frame.bucket, start.traffic_class):
             return True
         return self._start_now(start.frame, start.key, start.traffic_class)
 
-    def can_start_here(self, traffic_class: TrafficClass) -> bool:
-        """Tell whether the own server has room for a flow of a class."""
+    def can_start_locally(self, traffic_class: TrafficClass) -> bool:
+        """Return whether the local backend server has room for a flow of a class."""
         view = self._context.view
         if not view.is_placeable(view.own_id) or not self._limiter.allows_start():
             return False
-        held_count = self._context.local.held_count
+        held_count = self._context.local_flows.held_count
         return not traffic_class.is_held or held_count < traffic_class.target.limit
 
     def on_rejection(
@@ -105,27 +105,27 @@
         traffic_class: TrafficClass,
         remote: RemoteFlow | None,
     ) -> None:
-        """A peer did not take a flow that was placed there."""
+        """Handle a peer's rejection of a flow: reset, start, queue or refuse the flow."""
         context = self._context
-        if remote is None or not self._is_rejected_by(frame, remote):
+        if remote is None or not self._is_from_current_incarnation(frame, remote):
             context.counters["rejections_ignored"] += 1
             return
         context.directory.remove_remote(frame.bucket, key)
         if not is_start(frame.packet, key):
             context.reset_caller(frame.packet)
-        elif self.can_start_here(traffic_class):
+        elif self.can_start_locally(traffic_class):
             context.open_and_deliver(frame, key, traffic_class)
-        elif self._starts.contains(key):
+        elif self._queue.contains(key):
             return
-        elif not self._starts.add(self._as_fresh(frame), key, traffic_class, context.now):
+        elif not self._queue.add(self._as_new_frame(frame), key, traffic_class, context.now):
             self._refuse(frame, key)
 
-    def _as_fresh(self, frame: DataFrame) -> DataFrame:
-        """Return the frame of a start that came back, without the way that it has gone."""
+    def _as_new_frame(self, frame: DataFrame) -> DataFrame:
+        """Return a rejected start as a new frame: without flags, hops and token epoch."""
         return DataFrame(frame.packet, frame.bucket, self._context.epoch)
 
     def refuse_again(self, frame: DataFrame) -> None:
-        """Answer another packet of a refused flow as the first one."""
+        """Answer another packet of a refused flow with the same refusal as the first one."""
         self._context.counters["starts_refused_again"] += 1
         self._context.packets.reply(build_refusal(frame.packet))
 
@@ -141,34 +141,38 @@
             return False
         return True
 
-    def _must_stay_here(self, traffic_class: TrafficClass) -> bool:
-        """A former incarnation's starts may still be sent again: they were on the own server."""
-        is_forgetful = self._context.authority.has_lost_memory
-        is_recent = self._context.now - self._started_at < RETRY_HORIZON_S
-        return is_forgetful and is_recent and not traffic_class.is_idempotent
+    def _must_start_locally(self, traffic_class: TrafficClass) -> bool:
+        """Return whether a start may only be placed locally.
+
+        Callers may still retransmit starts that a former incarnation placed on the local backend
+        server, so these have to reach the same server again.
+        """
+        is_table_incomplete = self._context.authority.has_incomplete_flow_table
+        is_within_retry_window = self._context.now - self._started_at < CALLER_RETRY_WINDOW_S
+        return is_table_incomplete and is_within_retry_window and not traffic_class.is_idempotent
 
     def _start_now(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> bool:
-        """Start a flow where there is room; False when there is none."""
-        if self._prefers_own_server(traffic_class):
+        """Start a flow on a server that has room; return False if there is none."""
+        if self._prefers_local_server(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return True
-        if self._must_stay_here(traffic_class):
+        if self._must_start_locally(traffic_class):
             return False
         peer = self._choose_peer(traffic_class)
         if peer is not None:
             self._place_remotely(frame, key, peer)
             return True
-        if self.can_start_here(traffic_class):
+        if self.can_start_locally(traffic_class):
             self._context.open_and_deliver(frame, key, traffic_class)
             return True
         return False
 
-    def _prefers_own_server(self, traffic_class: TrafficClass) -> bool:
-        if not self.can_start_here(traffic_class):
+    def _prefers_local_server(self, traffic_class: TrafficClass) -> bool:
+        if not self.can_start_locally(traffic_class):
             return False
-        if not traffic_class.is_held or self._must_stay_here(traffic_class):
+        if not traffic_class.is_held or self._must_start_locally(traffic_class):
             return True
-        return self._peers.is_least_held(self.load, self._context.now)
+        return self._peers.has_at_most_mean_held_ratio(self.load, self._context.now)
 
     def _choose_peer(self, traffic_class: TrafficClass) -> str | None:
         excluded = {self._context.view.own_id}
@@ -191,13 +195,16 @@
         )
 
     def _refuse(self, frame: DataFrame, key: bytes) -> None:
-        """No packet of the flow has reached a server, and none will while this is remembered."""
+        """Refuse a flow of which no packet has reached a server.
+
+        None will reach a server while the refusal is on record.
+        """
         context = self._context
         context.directory.add_remote(frame.bucket, key, REFUSED, context.now)
         context.counters["starts_refused"] += 1
         context.packets.reply(build_refusal(frame.packet))
 
-    def _is_rejected_by(self, frame: DataFrame, remote: RemoteFlow) -> bool:
-        """Tell whether the rejection comes from the incarnation that the pointer names now."""
+    def _is_from_current_incarnation(self, frame: DataFrame, remote: RemoteFlow) -> bool:
+        """Return whether the current incarnation of the pointer's server sent the rejection."""
         member = self._context.view.find_member(remote.server_id)
         return member is not None and member.joined_index == frame.token_epoch
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -1,4 +1,4 @@
-"""Shares of buckets from measured capacity."""
+"""Shares of the buckets, planned from the measured capacities of the servers."""
 
 from __future__ import annotations
 
@@ -22,11 +22,11 @@
 def plan_shares(
     config: Configuration, service: str, capacities_by_id: Mapping[str, int]
 ) -> SetShares | None:
-    """Return the shares to log, or None while they are near enough to those in force.
+    """Return the command that sets new shares, or None if the current ones are close enough.
 
-    A server without a measurement counts as the median of the measured ones per slot. Hysteresis
-    keeps small changes of a measurement from moving buckets; the fraction of the buckets that one
-    step moves is bounded.
+    A server without a measured capacity is assumed to have the median capacity per slot of the
+    measured ones. Hysteresis keeps small changes of a measurement from moving buckets; the
+    fraction of the buckets that one command moves is bounded.
     """
     members = config.members_of(service)
     measured = {
@@ -36,24 +36,24 @@
     }
     if not measured:
         return None
-    target = _normalised(members, measured)
-    current = {m.server_id: float(config.share_of(m.server_id)) for m in members}
-    target_total, current_total = sum(target.values()), sum(current.values())
-    wanted = {key: target[key] / target_total for key in target}
-    present = {key: current[key] / current_total for key in current}
-    if all(abs(wanted[key] - present[key]) <= HYSTERESIS * present[key] for key in wanted):
+    target_weights = _target_weights(members, measured)
+    current_weights = {m.server_id: float(config.share_of(m.server_id)) for m in members}
+    target_total, current_total = sum(target_weights.values()), sum(current_weights.values())
+    target = {key: target_weights[key] / target_total for key in target_weights}
+    current = {key: current_weights[key] / current_total for key in current_weights}
+    if all(abs(target[key] - current[key]) <= HYSTERESIS * current[key] for key in target):
         return None
-    moved = sum(abs(wanted[key] - present[key]) for key in wanted) / 2
-    step = min(1.0, MAX_MOVED_FRACTION / moved)
-    unit = DEFAULT_SHARE * sum(m.slots for m in members)
+    moved_fraction = sum(abs(target[key] - current[key]) for key in target) / 2
+    step = min(1.0, MAX_MOVED_FRACTION / moved_fraction)
+    total_shares = DEFAULT_SHARE * sum(m.slots for m in members)
     shares = {
-        key: max(1, round(unit * (present[key] + step * (wanted[key] - present[key]))))
-        for key in wanted
+        key: max(1, round(total_shares * (current[key] + step * (target[key] - current[key]))))
+        for key in target
     }
     return SetShares(service=service, shares_by_server_id=shares)
 
 
-def _normalised(members: list[ServerMember], measured: Mapping[str, int]) -> dict[str, float]:
+def _target_weights(members: list[ServerMember], measured: Mapping[str, int]) -> dict[str, float]:
     slots_by_id = {m.server_id: m.slots for m in members}
     per_slot = median(measured[key] / slots_by_id[key] for key in measured)
     return {m.server_id: float(measured.get(m.server_id, per_slot * m.slots)) for m in members}
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -5,15 +5,15 @@
 
 from wagtailkeel_coordination import ConcurrencyLimiter
 from wagtailkeel_coordination.concurrency_limiter import QUEUE_FACTOR
-from wagtailkeel_coordination.peer_view import PEER_SILENCE_LIMIT_S
+from wagtailkeel_coordination.peer_view import PEER_REPORT_TIMEOUT_S
 from wagtailkeel_coordination.peer_view import PeerView
 from wagtailkeel_protocol.messages import Load
 from wagtailkeel_state import Target
 
 SLOTS = 2
-USUAL_S = 0.010
-WORK = Target.parse("p99<200ms")
-HELD = Target.parse("held<2000")
+BASELINE_S = 0.010
+REQUEST_TARGET = Target.parse("p99<200ms")
+HELD_TARGET = Target.parse("held<2000")
 
 
 class ConcurrencyLimiterTest(unittest.TestCase):
@@ -21,21 +21,21 @@
         self.limiter = ConcurrencyLimiter(SLOTS)
         self.now = 0.0
 
-    def answer(self, response_s: float, count: int = 1, target: Target = WORK) -> None:
+    def answer(self, response_s: float, count: int = 1, target: Target = REQUEST_TARGET) -> None:
         for _ in range(count):
             self.now += 1.0
             self.limiter.on_start()
             self.limiter.on_answer("class", response_s, target, False, self.now)
 
     def warm(self) -> None:
-        self.answer(USUAL_S, 100)
+        self.answer(BASELINE_S, 100)
         self.assertFalse(self.limiter.is_cold)
 
     def test_cold_server_gets_one_request_then_as_many_as_answers_allow(self) -> None:
         limits = []
         for _ in range(7):
             limits.append(int(self.limiter.limit))
-            self.answer(USUAL_S)
+            self.answer(BASELINE_S)
         self.assertEqual(limits, [1, 2, 2, 3, 3, 3, 4])
 
     def test_limit_stops_growing(self) -> None:
@@ -51,10 +51,10 @@
 
     def test_slow_answers(self) -> None:
         table = {
-            "over the target": (0.25, 1, False),
-            "over four times the usual": (USUAL_S * 4.5, 1, False),
-            "three at two and a half times the usual": (USUAL_S * 2.8, 3, True),
-            "a little slower": (USUAL_S * 1.4, 3, None),
+            "above the target": (0.25, 1, False),
+            "above four times the baseline": (BASELINE_S * 4.5, 1, False),
+            "three above two and a half times the baseline": (BASELINE_S * 2.8, 3, True),
+            "slightly above the baseline": (BASELINE_S * 1.4, 3, None),
         }
         for name, (response_s, count, is_cold) in table.items():
             with self.subTest(name):
@@ -72,23 +72,23 @@
         self.warm()
         for _ in range(10):
             self.limiter.on_start()
-            self.limiter.on_answer("class", USUAL_S * 2.8, WORK, False, self.now)
+            self.limiter.on_answer("class", BASELINE_S * 2.8, REQUEST_TARGET, False, self.now)
         self.assertFalse(self.limiter.is_cold)
 
-    def test_answers_without_work_do_not_open_a_cold_server(self) -> None:
-        self.answer(0.000_5, 200, HELD)
+    def test_held_flow_answers_do_not_warm_a_cold_server(self) -> None:
+        self.answer(0.000_5, 200, HELD_TARGET)
         self.assertLessEqual(self.limiter.limit, SLOTS)
         self.assertEqual(self.limiter.capacity, 0)
 
     def test_capacity_leaves_out_the_round_trip(self) -> None:
         for _ in range(50):
             self.limiter.on_round_trip(0.002)
-        self.answer(USUAL_S + 0.002, 200)
-        expected = SLOTS * 1_000 / USUAL_S
+        self.answer(BASELINE_S + 0.002, 200)
+        expected = SLOTS * 1_000 / BASELINE_S
         self.assertAlmostEqual(self.limiter.capacity, expected, delta=expected * 0.01)
 
-    def test_silence_and_return_make_it_cold(self) -> None:
-        for make_cold in (ConcurrencyLimiter.on_silence, ConcurrencyLimiter.restart):
+    def test_unresponsive_or_restarted_server_is_cold(self) -> None:
+        for make_cold in (ConcurrencyLimiter.on_unresponsive, ConcurrencyLimiter.restart):
             with self.subTest(make_cold.__name__):
                 self.setUp()
                 self.warm()
@@ -122,9 +122,9 @@
                     self.peers.update(key, load, 0.0)
                 self.assertEqual(self.peers.choose_for_request((), 0.0), expected)
 
-    def test_silent_peer_is_not_chosen(self) -> None:
+    def test_peer_without_recent_report_is_not_chosen(self) -> None:
         self.peers.update("a", self.load(), 0.0)
-        late = PEER_SILENCE_LIMIT_S + 0.1
+        late = PEER_REPORT_TIMEOUT_S + 0.1
         self.assertIsNone(self.peers.choose_for_request((), late))
 
     def test_placements_count_until_the_next_report(self) -> None:
@@ -140,7 +140,7 @@
         self.assertEqual(self.peers.choose_for_held_flow((), 0.0), "fast")
         for held, is_least in ((80, True), (90, False)):
             own = self.load(held=held)
-            self.assertEqual(self.peers.is_least_held(own, 0.0), is_least)
+            self.assertEqual(self.peers.has_at_most_mean_held_ratio(own, 0.0), is_least)
 
 
 if __name__ == "__main__":
