--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -34,28 +34,28 @@
         self._is_pre_vote = False
         self._restart_rounds = RestartRounds(node.instance_id, random, now)
         # A restarted voter may have heard a leader that still counts on its read lease.
-        self._heard_leader_at = now
-        self._election_at = now + self._draw_timeout()
+        self._leader_contact_at = now
+        self._election_due_at = now + self._pick_timeout_s()
 
-    def _draw_timeout(self) -> float:
+    def _pick_timeout_s(self) -> float:
         return self._random.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
 
     def tick(self, now: float) -> None:
         """Ask for votes where no leader has been heard for long enough."""
-        if now >= self._election_at:
+        if now >= self._election_due_at:
             self._start_pre_vote(now)
-        elif self._restart_rounds.is_due(now):
-            self._ask_restarted(self._restart_rounds.begin(now), now)
+        elif self._restart_rounds.is_round_due(now):
+            self._send_restart_requests(self._restart_rounds.start_first_round(now), now)
 
-    def on_leader_heard(self, now: float) -> None:
+    def on_leader_contact(self, now: float) -> None:
         """Note that a leader is alive, or may be."""
-        self._restart_rounds.has_met_leader = True
-        self._heard_leader_at = now
-        self.postpone(now)
+        self._restart_rounds.has_seen_leader = True
+        self._leader_contact_at = now
+        self.reset_timer(now)
 
-    def postpone(self, now: float) -> None:
+    def reset_timer(self, now: float) -> None:
         """Give others the time of one election."""
-        self._election_at = now + self._draw_timeout()
+        self._election_due_at = now + self._pick_timeout_s()
 
     # Asking for votes
 
@@ -68,22 +68,22 @@
         self._request_votes(self._node.term + 1, {})
         self._count_votes(now)
 
-    def _campaign(self, now: float, processes_by_voter: dict[str, int]) -> None:
+    def _campaign(self, now: float, process_ids_by_voter: dict[str, int]) -> None:
         """Ask for votes in a new term; processes are those that vouch for it, if any."""
         self._become_candidate(now, is_pre_vote=False)
         if not self._node.save_vote(self._node.term + 1, self._node.instance_id):
             return
-        self._request_votes(self._node.term, processes_by_voter)
+        self._request_votes(self._node.term, process_ids_by_voter)
         self._count_votes(now)
 
     def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
-        self.postpone(now)
+        self.reset_timer(now)
         self._is_pre_vote = is_pre_vote
         self._node.leader_id = ""
         self._node.role = RaftRole.CANDIDATE
         self._votes = {self._node.instance_id}
 
-    def _request_votes(self, term: int, processes_by_voter: dict[str, int]) -> None:
+    def _request_votes(self, term: int, process_ids_by_voter: dict[str, int]) -> None:
         for voter in self._other_voters:
             request = VoteRequest(
                 term,
@@ -92,7 +92,7 @@
                 self._node.log.last_term,
                 self._is_pre_vote,
                 self._node.identity,
-                processes_by_voter.get(voter, 0),
+                process_ids_by_voter.get(voter, 0),
             )
             self._node.send(voter, request)
 
@@ -102,7 +102,7 @@
         if self._is_pre_vote:
             self._campaign(now, {})
             return
-        self._restart_rounds.has_met_leader = True
+        self._restart_rounds.has_seen_leader = True
         self._node.become_leader(now)
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
@@ -121,16 +121,16 @@
 
     # Giving votes
 
-    def answer_vote(self, request: VoteRequest, now: float) -> VoteReply:
+    def on_vote_request(self, request: VoteRequest, now: float) -> VoteReply:
         """Give or refuse the own vote; a vote that is given is durable."""
-        is_granted = not self._node.has_failed and self._grants(request, now)
+        is_granted = not self._node.has_storage_failed and self._can_grant_vote(request, now)
         if is_granted and not request.is_pre_vote:
             if request.term > self._node.term:
                 self._node.step_down(request.term, now)
-            is_granted = not self._node.has_failed and self._node.save_vote(
+            is_granted = not self._node.has_storage_failed and self._node.save_vote(
                 request.term, request.candidate_id
             )
-            self.postpone(now)
+            self.reset_timer(now)
         return VoteReply(
             self._node.term,
             self._node.instance_id,
@@ -139,7 +139,7 @@
             self._node.identity,
         )
 
-    def _grants(self, request: VoteRequest, now: float) -> bool:
+    def _can_grant_vote(self, request: VoteRequest, now: float) -> bool:
         if not self._node.is_voter:
             return False
         if self._node.voters_by_id.get(request.candidate_id) != request.candidate_identity:
@@ -153,35 +153,37 @@
             request.candidate_id,
         ):
             return False
-        own = (self._node.log.last_term, self._node.log.last_index)
-        return (request.last_term, request.last_index) >= own
+        own_position = (self._node.log.last_term, self._node.log.last_index)
+        return (request.last_term, request.last_index) >= own_position
 
     def _may_have_leader(self, request: VoteRequest, now: float) -> bool:
         if self._node.is_leader:
             return True
-        if now - self._heard_leader_at >= ELECTION_TIMEOUT_MIN_S:
+        if now - self._leader_contact_at >= ELECTION_TIMEOUT_MIN_S:
             return False
-        return not self._restart_rounds.is_vouched(request.voter_process)
+        return not self._restart_rounds.is_early_vote_safe(request.voter_process)
 
     # Restarts of all voters
 
-    def _ask_restarted(self, round_: int, now: float) -> None:
+    def _send_restart_requests(self, round_number: int, now: float) -> None:
         """Ask whether all voters have restarted; a single voter knows."""
         if not self._other_voters:
             self._campaign(now, {})
         for voter in self._other_voters:
-            request = RestartRequest(self._node.instance_id, round_, self._restart_rounds.process)
+            request = RestartRequest(
+                self._node.instance_id, round_number, self._restart_rounds.process_id
+            )
             self._node.send(voter, request)
 
-    def answer_restart(self, request: RestartRequest, now: float) -> RestartReply:
+    def on_restart_request(self, request: RestartRequest, now: float) -> RestartReply:
         """Say whether this process has met a leader."""
         rounds = self._restart_rounds
-        rounds.note_process(request.process, now)
+        rounds.record_process(request.process, now)
         return RestartReply(
             self._node.instance_id,
             request.round,
-            rounds.process,
-            not rounds.has_met_leader,
+            rounds.process_id,
+            not rounds.has_seen_leader,
             self._node.log.last_index,
             self._node.log.last_term,
             list(self._node.voters_by_id),
@@ -191,14 +193,14 @@
         """Campaign once both rounds have shown that no lease can be alive."""
         rounds = self._restart_rounds
         if (
-            not rounds.on_reply(reply, self._node.voters_by_id)
-            or self._node.has_failed
+            not rounds.record_reply(reply, self._node.voters_by_id)
+            or self._node.has_storage_failed
             or not self._node.is_voter
         ):
             return
         if not rounds.has_newest_log(self._node.log.last_term, self._node.log.last_index):
             return
-        if not rounds.is_second:
-            self._ask_restarted(rounds.begin_second(), now)
-        elif rounds.processes_by_voter:
-            self._campaign(now, rounds.processes_by_voter)
+        if not rounds.is_second_round:
+            self._send_restart_requests(rounds.start_second_round(), now)
+        elif rounds.process_ids_by_voter:
+            self._campaign(now, rounds.process_ids_by_voter)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
@@ -16,14 +16,14 @@
     from collections.abc import Iterable
 
 
-def decide_formation(
-    own_id: str, own_identity: str, expected_ids: Iterable[str], replies: list[FormationReply]
+def find_initial_voters(
+    own_id: str, own_identity: str, founder_ids: Iterable[str], replies: list[FormationReply]
 ) -> dict[str, str] | None:
     """Return the identities of the initial voters by id, or None while they are not known."""
     for reply in replies:
         if reply.voters_by_id:
-            is_named = reply.voters_by_id.get(own_id) == own_identity
-            return reply.voters_by_id if is_named else None
+            is_voter = reply.voters_by_id.get(own_id) == own_identity
+            return reply.voters_by_id if is_voter else None
     identities = {reply.instance_id: reply.identity for reply in replies}
     identities[own_id] = own_identity
-    return identities if set(identities) == set(expected_ids) else None
+    return identities if set(identities) == set(founder_ids) else None
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -12,9 +12,9 @@
     from wagtailkeel_coordination.raft.raft_node import RaftNode
 
 REPLY_TIMEOUT_S = 1.0
-VOTER_SILENCE_S = 4.0
+VOTER_TIMEOUT_S = 4.0
 """A voter silent for longer is replaced where a caught-up instance without a vote stands by."""
-LEARNER_SILENCE_S = 30.0
+LEARNER_TIMEOUT_S = 30.0
 UNLIMITED_VOTERS = 1_000
 
 
@@ -27,30 +27,30 @@
         self._node = node
         self._voter_limit = voter_limit
 
-    def learn(self, instance_id: str, now: float) -> None:
+    def add(self, instance_id: str, now: float) -> None:
         """Replicate to an instance without a vote from now on."""
         if instance_id not in self.instance_ids:
             self.instance_ids.add(instance_id)
             self._node.progress_of(instance_id).acknowledged_sent_at = now
 
-    def forget_silent(self, now: float) -> None:
+    def remove_unresponsive(self, now: float) -> None:
         """Stop to replicate to instances without a vote that do not answer."""
         for instance_id in (
             self.instance_ids - set(self._node.voters_by_id) - {self._node.instance_id}
         ):
-            if now - self._node.progress_of(instance_id).acknowledged_sent_at > LEARNER_SILENCE_S:
+            if now - self._node.progress_of(instance_id).acknowledged_sent_at > LEARNER_TIMEOUT_S:
                 self.instance_ids.discard(instance_id)
                 self.identities_by_id.pop(instance_id, None)
                 del self._node.progress_by_id[instance_id]
 
-    def admit(self, now: float) -> None:
+    def update_voters(self, now: float) -> None:
         """Make a caught-up learner a voter, one at a time, in the place of a silent one if full."""
         if not self._node.is_leader or self._node.is_member_change_pending:
             return
         if self._node.log.term_at(self._node.commit_index) != self._node.term:
             return
         if len(self._node.voters_by_id) >= self._voter_limit:
-            self._replace_silent_voter(now)
+            self._remove_unresponsive_voter(now)
             return
         for learner, identity in list(self.identities_by_id.items()):
             if self._node.voters_by_id.get(learner) == identity:
@@ -58,33 +58,37 @@
                 continue
             if learner in self._node.voters_by_id:
                 continue  # Its former identity leaves the voters first.
-            if self._can_stand_in(learner, now):
+            if self._can_become_voter(learner, now):
                 voters = {**self._node.voters_by_id, learner: identity}
                 self._node.propose(SetControlMembers(identities_by_id=voters))
                 self._node.flush(now)
                 return
 
-    def _replace_silent_voter(self, now: float) -> None:
+    def _remove_unresponsive_voter(self, now: float) -> None:
         """Remove a voter that is silent for long, if another instance can take its place."""
-        if not any(self._can_stand_in(learner, now) for learner in self.identities_by_id):
+        if not any(self._can_become_voter(learner, now) for learner in self.identities_by_id):
             return
-        silent = [
+        unresponsive = [
             voter
             for voter in self._node.voters_by_id
             if voter != self._node.instance_id
-            and now - self._node.progress_of(voter).acknowledged_sent_at > VOTER_SILENCE_S
+            and now - self._node.progress_of(voter).acknowledged_sent_at > VOTER_TIMEOUT_S
         ]
-        if not silent:
+        if not unresponsive:
             return
-        longest = min(silent, key=lambda v: self._node.progress_of(v).acknowledged_sent_at)
-        voters = {key: value for key, value in self._node.voters_by_id.items() if key != longest}
-        self.instance_ids.add(longest)
+        replaced_voter = min(
+            unresponsive, key=lambda v: self._node.progress_of(v).acknowledged_sent_at
+        )
+        voters = {
+            key: value for key, value in self._node.voters_by_id.items() if key != replaced_voter
+        }
+        self.instance_ids.add(replaced_voter)
         self._node.propose(SetControlMembers(identities_by_id=voters))
         self._node.flush(now)
 
-    def _can_stand_in(self, learner: str, now: float) -> bool:
+    def _can_become_voter(self, learner: str, now: float) -> bool:
         if learner in self._node.voters_by_id:
             return False
         progress = self._node.progress_of(learner)
-        is_heard = now - progress.acknowledged_sent_at < REPLY_TIMEOUT_S
-        return is_heard and progress.match_index >= self._node.commit_index
+        is_responsive = now - progress.acknowledged_sent_at < REPLY_TIMEOUT_S
+        return is_responsive and progress.match_index >= self._node.commit_index
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
@@ -13,13 +13,13 @@
     sent_at: float = float("-inf")
     acknowledged_sent_at: float = float("-inf")
     round: int = 0
-    is_busy: bool = False
+    is_request_pending: bool = False
 
-    def learn(self, is_matched: bool, match_index: int, base_index: int) -> None:
+    def update(self, is_matched: bool, match_index: int, base_index: int) -> None:
         """Take in what a peer says of its log; ``base_index`` is the start of the own one."""
         if is_matched:
             self.match_index = max(self.match_index, match_index)
             self.next_index = self.match_index + 1
             return
-        step_back = min(match_index, self.next_index - 1) + 1
-        self.next_index = max(1, step_back, base_index)
+        retry_index = min(match_index, self.next_index - 1) + 1
+        self.next_index = max(1, retry_index, base_index)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -70,7 +70,7 @@
         storage: RaftStorage,
         send: Callable[[str, RaftMessage], None],
         apply: Callable[[LogEntry], CommandAnswer],
-        replace: Callable[[Configuration], None],
+        replace_configuration: Callable[[Configuration], None],
         random: Random,
         now: float,
         voter_limit: int = UNLIMITED_VOTERS,
@@ -81,7 +81,7 @@
         self.log = log
         self.commit_index = configuration.index
         self.configuration = configuration
-        self.has_failed = False
+        self.has_storage_failed = False
         self.progress_by_id: dict[str, PeerProgress] = {}
         self.instance_id = instance_id
         self.identity = identity
@@ -91,7 +91,7 @@
         self._storage = storage
         self.send = send
         self._apply = apply
-        self._replace = replace
+        self._replace_configuration = replace_configuration
         self._elections = Elections(self, random, now)
         self._voters_by_id = self._find_voters()
 
@@ -117,23 +117,23 @@
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
         lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
-        return now < self._quorum_sent_at(now) + lease_s
+        return now < self._quorum_acknowledged_sent_at(now) + lease_s
 
-    def is_read_confirmed(self, asked_at: float, now: float) -> bool:
+    def is_read_confirmed(self, requested_at: float, now: float) -> bool:
         """Tell whether a quorum has answered a request sent after ``asked_at``.
 
         Source: ReadIndex, section 6.4 of the thesis. No clock of another instance is trusted.
         """
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
-        return self._quorum_sent_at(now) >= asked_at
+        return self._quorum_acknowledged_sent_at(now) >= requested_at
 
-    def _quorum_sent_at(self, now: float) -> float:
-        times = [
+    def _quorum_acknowledged_sent_at(self, now: float) -> float:
+        sent_times = [
             now if voter == self.instance_id else self.progress_of(voter).acknowledged_sent_at
             for voter in self._voters_by_id
         ]
-        return sorted(times, reverse=True)[self.quorum - 1]
+        return sorted(sent_times, reverse=True)[self.quorum - 1]
 
     @property
     def quorum(self) -> int:
@@ -161,27 +161,27 @@
         expected_version: int | None = None,
     ) -> int | None:
         """Append a command as leader; return its index, or None when not the leader."""
-        if not self.is_leader or self.has_failed:
+        if not self.is_leader or self.has_storage_failed:
             return None
         index = self.log.last_index + 1
         entry = LogEntry(index, self.term, command, command_id, author, expected_version)
         self._append([entry])
-        self._advance_commit()
-        return None if self.has_failed else index
+        self._advance_commit_index()
+        return None if self.has_storage_failed else index
 
     def _append(self, entries: list[LogEntry]) -> bool:
         try:
             self._storage.append(entries)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.append(entries)
         self._voters_by_id = self._find_voters()
         return True
 
-    def _fail(self) -> None:
+    def _on_storage_failure(self) -> None:
         """An instance whose disk does not sync is no use as a voter; it steps down for now."""
-        self.has_failed = True
+        self.has_storage_failed = True
         self._retry_storage_at = float("-inf")
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
@@ -195,11 +195,11 @@
             self._retry_storage_at = now + STORAGE_RETRY_S
         if now < self._retry_storage_at:
             return
-        self.has_failed = False
+        self.has_storage_failed = False
         if not self.save_vote(self.term, self.voted_for):
             return
         # While the disk failed, a leader may have counted the answers to its heartbeats.
-        self._elections.on_leader_heard(now)
+        self._elections.on_leader_contact(now)
 
     def _find_voters(self) -> dict[str, str]:
         voters = self.log.find_voters(after=self.configuration.index)
@@ -214,19 +214,19 @@
 
     def tick(self, now: float) -> None:
         """Start elections, send heartbeats, and step down without a quorum."""
-        if self.has_failed:
+        if self.has_storage_failed:
             self._retry_storage(now)
             return
         if self.is_leader:
-            self._lead(now)
+            self._tick_as_leader(now)
         elif self.is_voter:
             self._elections.tick(now)
 
-    def _lead(self, now: float) -> None:
-        if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
+    def _tick_as_leader(self, now: float) -> None:
+        if now - self._quorum_acknowledged_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
             self.step_down(self.term, now)
             return
-        self.learners.forget_silent(now)
+        self.learners.remove_unresponsive(now)
         for peer in self._replication_targets():
             self._replicate(peer, now)
 
@@ -261,7 +261,7 @@
         try:
             self._storage.save_vote(Vote(term, voted_for))
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.term, self.voted_for = term, voted_for
         return True
@@ -272,7 +272,7 @@
             return
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
-        self._elections.postpone(now)
+        self._elections.reset_timer(now)
 
     @singledispatchmethod
     def on_request(self, request: object, now: float) -> VoteReply | AppendReply | RestartReply:
@@ -283,12 +283,12 @@
 
     def _replicate(self, peer: str, now: float) -> None:
         progress = self.progress_of(peer)
-        if progress.is_busy and now - progress.sent_at < REPLY_TIMEOUT_S:
+        if progress.is_request_pending and now - progress.sent_at < REPLY_TIMEOUT_S:
             return
-        has_news = progress.next_index <= self.log.last_index
-        if not has_news and now - progress.sent_at < HEARTBEAT_INTERVAL_S:
+        has_new_entries = progress.next_index <= self.log.last_index
+        if not has_new_entries and now - progress.sent_at < HEARTBEAT_INTERVAL_S:
             return
-        progress.is_busy = True
+        progress.is_request_pending = True
         progress.sent_at = now
         progress.round += 1
         previous_index = progress.next_index - 1
@@ -318,52 +318,52 @@
 
     @on_request.register
     def _(self, request: VoteRequest, now: float) -> VoteReply:
-        return self._elections.answer_vote(request, now)
+        return self._elections.on_vote_request(request, now)
 
     @on_request.register
     def _(self, request: RestartRequest, now: float) -> RestartReply:
-        return self._elections.answer_restart(request, now)
+        return self._elections.on_restart_request(request, now)
 
     @on_request.register
     def _(self, request: AppendRequest, now: float) -> AppendReply:
-        if self.has_failed or request.term < self.term:
+        if self.has_storage_failed or request.term < self.term:
             return self._append_reply(False, self.log.last_index, request.round)
-        if not self._follow(request.leader_id, request.term, now):
+        if not self._accept_leader(request.leader_id, request.term, now):
             return self._append_reply(False, self.log.last_index, request.round)
         if self.log.term_at(request.previous_index) != request.previous_term:
             hint = min(self.log.last_index, max(request.previous_index - 1, self.commit_index))
             return self._append_reply(False, hint, request.round)
-        if not self._store(request):
+        if not self._store_entries(request):
             return self._append_reply(False, self.commit_index, request.round)
         match_index = request.previous_index + len(request.entries)
         self._commit_to(min(request.commit_index, match_index))
         return self._append_reply(True, match_index, request.round)
 
-    def _follow(self, leader_id: str, term: int, now: float) -> bool:
+    def _accept_leader(self, leader_id: str, term: int, now: float) -> bool:
         if term > self.term or self.role is not RaftRole.FOLLOWER:
             self.step_down(term, now)
-            if self.has_failed:
+            if self.has_storage_failed:
                 return False
         self.leader_id = leader_id
-        self._elections.on_leader_heard(now)
+        self._elections.on_leader_contact(now)
         return True
 
-    def _append_reply(self, is_matched: bool, match_index: int, round_: int) -> AppendReply:
+    def _append_reply(self, is_matched: bool, match_index: int, round_number: int) -> AppendReply:
         return AppendReply(
-            self.term, self.instance_id, is_matched, match_index, round_, self.identity
+            self.term, self.instance_id, is_matched, match_index, round_number, self.identity
         )
 
-    def _store(self, request: AppendRequest) -> bool:
-        fresh: list[LogEntry] = []
+    def _store_entries(self, request: AppendRequest) -> bool:
+        new_entries: list[LogEntry] = []
         for position, entry in enumerate(request.entries):
-            known = self.log.term_at(entry.index)
-            if known == entry.term or entry.index <= self.log.base_index:
+            known_term = self.log.term_at(entry.index)
+            if known_term == entry.term or entry.index <= self.log.base_index:
                 continue
-            if known is not None and not self._truncate(entry.index):
+            if known_term is not None and not self._truncate(entry.index):
                 return False
-            fresh = request.entries[position:]
+            new_entries = request.entries[position:]
             break
-        return not fresh or self._append(fresh)
+        return not new_entries or self._append(new_entries)
 
     def _truncate(self, index: int) -> bool:
         if index <= self.commit_index:
@@ -371,7 +371,7 @@
         try:
             self._storage.truncate_from(index)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.truncate_from(index)
         self._voters_by_id = self._find_voters()
@@ -379,29 +379,29 @@
 
     @on_request.register
     def _(self, request: SnapshotRequest, now: float) -> AppendReply:
-        if self.has_failed or request.term < self.term:
+        if self.has_storage_failed or request.term < self.term:
             return self._append_reply(False, self.log.last_index, request.round)
-        if not self._follow(request.leader_id, request.term, now):
+        if not self._accept_leader(request.leader_id, request.term, now):
             return self._append_reply(False, self.log.last_index, request.round)
         if request.last_index > self.commit_index:
             configuration = msgspec.msgpack.decode(request.snapshot, type=Configuration)
-            if not self._install(configuration):
+            if not self._install_snapshot(configuration):
                 return self._append_reply(False, self.commit_index, request.round)
         return self._append_reply(True, request.last_index, request.round)
 
-    def _install(self, configuration: Configuration) -> bool:
+    def _install_snapshot(self, configuration: Configuration) -> bool:
         try:
             # In this order: entries that were acknowledged stay durable until the snapshot is.
             self._storage.save_snapshot(Snapshot(configuration))
             self._storage.truncate_from(self.log.base_index + 1)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.reset(configuration.index, configuration.term)
         self.commit_index = configuration.index
         self.configuration = configuration
         self._voters_by_id = self._find_voters()
-        self._replace(configuration)
+        self._replace_configuration(configuration)
         return True
 
     # Replies
@@ -429,29 +429,29 @@
         progress = self.progress_of(reply.follower_id)
         if reply.round != progress.round:
             return
-        progress.is_busy = False
+        progress.is_request_pending = False
         voter_identity = self._voters_by_id.get(reply.follower_id)
         if voter_identity is None:
             self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         elif voter_identity != reply.follower_identity:
-            self._on_foreign_identity(reply, progress, now)
+            self._on_identity_mismatch(reply, progress, now)
             return
         progress.acknowledged_sent_at = progress.sent_at
-        refused_index = progress.next_index
-        progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
-        self._advance_commit()
+        rejected_index = progress.next_index
+        progress.update(reply.is_matched, reply.match_index, self.log.base_index)
+        self._advance_commit_index()
         # A follower whose disk fails refuses the same entries again and again: it can wait.
-        has_moved = reply.is_matched or progress.next_index != refused_index
-        if has_moved and progress.next_index <= self.log.last_index:
+        has_progressed = reply.is_matched or progress.next_index != rejected_index
+        if has_progressed and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
-    def _on_foreign_identity(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
+    def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
         """An instance with another data folder than its voter's: replicate, but don't count."""
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
             progress.next_index = reply.match_index + 1
         else:
-            progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
+            progress.update(reply.is_matched, reply.match_index, self.log.base_index)
         progress.match_index = 0
         is_caught_up = reply.is_matched and reply.match_index >= self.commit_index
         if is_caught_up and not self.is_member_change_pending:
@@ -462,10 +462,10 @@
 
     # Commit
 
-    def _advance_commit(self) -> None:
+    def _advance_commit_index(self) -> None:
         if not self.is_leader:
             return
-        matches = [
+        match_indexes = [
             (
                 self.log.last_index
                 if voter == self.instance_id
@@ -473,9 +473,9 @@
             )
             for voter in self._voters_by_id
         ]
-        if not matches:
+        if not match_indexes:
             return
-        index = sorted(matches, reverse=True)[self.quorum - 1]
+        index = sorted(match_indexes, reverse=True)[self.quorum - 1]
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self._commit_to(index)
 
@@ -491,6 +491,6 @@
         try:
             self._storage.save_snapshot(Snapshot(self.configuration))
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return
         self.log.compact(self.commit_index - RETAINED_ENTRIES)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
@@ -26,80 +26,80 @@
     from random import Random
 
 ROUND_INTERVAL_S = 0.1
-PROCESS_BITS = 53
+PROCESS_ID_BITS = 53
 
 
 class RestartRounds:
     """What one voter knows about the restarts of all others; times in seconds."""
 
     def __init__(self, instance_id: str, random: Random, now: float) -> None:
-        self.process = random.getrandbits(PROCESS_BITS) | 1
-        self.has_met_leader = False
-        self.round = 0
+        self.process_id = random.getrandbits(PROCESS_ID_BITS) | 1
+        self.has_seen_leader = False
+        self.round_number = 0
         self._instance_id = instance_id
-        self._next_at = now
+        self._next_round_at = now
         self._replies_by_voter: dict[str, RestartReply] = {}
-        self._processes_before: dict[str, int] = {}
-        self._known_processes: set[int] = set()
+        self._first_round_process_ids: dict[str, int] = {}
+        self._known_process_ids: set[int] = set()
 
-    def is_due(self, now: float) -> bool:
+    def is_round_due(self, now: float) -> bool:
         """Tell whether to ask all other voters now."""
-        return not self.has_met_leader and now >= self._next_at
+        return not self.has_seen_leader and now >= self._next_round_at
 
-    def note_process(self, process: int, now: float) -> None:
+    def record_process(self, process_id: int, now: float) -> None:
         """Another voter has started: the next pair of rounds may succeed."""
-        if process not in self._known_processes:
-            self._known_processes.add(process)
-            self._next_at = now
+        if process_id not in self._known_process_ids:
+            self._known_process_ids.add(process_id)
+            self._next_round_at = now
 
-    def begin(self, now: float) -> int:
+    def start_first_round(self, now: float) -> int:
         """Start the first round of a pair; return its number."""
-        self._processes_before = {}
-        self._next_at = now + ROUND_INTERVAL_S
-        return self._begin_round()
+        self._first_round_process_ids = {}
+        self._next_round_at = now + ROUND_INTERVAL_S
+        return self._start_round()
 
-    def begin_second(self) -> int:
+    def start_second_round(self) -> int:
         """Start the second round of a pair; return its number."""
-        self._processes_before = self._processes
-        return self._begin_round()
+        self._first_round_process_ids = self._process_ids
+        return self._start_round()
 
-    def _begin_round(self) -> int:
+    def _start_round(self) -> int:
         self._replies_by_voter = {}
-        self.round += 1
-        return self.round
+        self.round_number += 1
+        return self.round_number
 
     @property
-    def _processes(self) -> dict[str, int]:
+    def _process_ids(self) -> dict[str, int]:
         return {voter: reply.process for voter, reply in self._replies_by_voter.items()}
 
     @property
-    def is_second(self) -> bool:
+    def is_second_round(self) -> bool:
         """Tell whether the second round of a pair is under way."""
-        return bool(self._processes_before)
+        return bool(self._first_round_process_ids)
 
     @property
-    def processes_by_voter(self) -> dict[str, int]:
+    def process_ids_by_voter(self) -> dict[str, int]:
         """The processes that both rounds agree on; empty where they do not."""
-        return self._processes if self._processes == self._processes_before else {}
+        return self._process_ids if self._process_ids == self._first_round_process_ids else {}
 
     def has_newest_log(self, last_term: int, last_index: int) -> bool:
         """Tell whether no other voter's log is newer than the own one, by id among equals."""
-        own = (-last_term, -last_index, self._instance_id)
+        own_position = (-last_term, -last_index, self._instance_id)
         replies = self._replies_by_voter.values()
-        return all(own < (-r.last_term, -r.last_index, r.voter_id) for r in replies)
+        return all(own_position < (-r.last_term, -r.last_index, r.voter_id) for r in replies)
 
-    def on_reply(self, reply: RestartReply, voters: Collection[str]) -> bool:
+    def record_reply(self, reply: RestartReply, voters: Collection[str]) -> bool:
         """Take a reply in; return whether all other voters have now answered "no leader".
 
         A voter that knows of voters that are not among ``voters`` makes the round fail.
         """
-        if reply.round != self.round or self.has_met_leader or not reply.is_leaderless:
+        if reply.round != self.round_number or self.has_seen_leader or not reply.is_leaderless:
             return False
         if not set(reply.voter_ids) <= set(voters):
             return False
         self._replies_by_voter[reply.voter_id] = reply
         return set(self._replies_by_voter) >= set(voters) - {self._instance_id}
 
-    def is_vouched(self, voter_process: int) -> bool:
+    def is_early_vote_safe(self, voter_process: int) -> bool:
         """Tell whether a candidate has shown that no lease this voter gave can be alive."""
-        return voter_process == self.process and not self.has_met_leader
+        return voter_process == self.process_id and not self.has_seen_leader
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -7,7 +7,7 @@
 import anyio
 from loguru import logger
 
-from wagtailkeel_coordination.raft.formation import decide_formation
+from wagtailkeel_coordination.raft.formation import find_initial_voters
 from wagtailkeel_protocol.messages import ControlJoinReply
 from wagtailkeel_protocol.messages import ControlJoinRequest
 from wagtailkeel_protocol.raft_messages import FormationReply
@@ -92,7 +92,7 @@
         """Replicate to an instance that asks for it; a follower names the leader."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
-        self._raft.learners.learn(request.instance_id, clock.seconds())
+        self._raft.learners.add(request.instance_id, clock.seconds())
         return ControlJoinReply(True, self._instance_id)
 
     async def form(self) -> None:
@@ -100,7 +100,7 @@
         while not self._raft.voters_by_id:
             replies = await self._ask_formation()
             expected = self._founder_ids
-            voters = decide_formation(self._instance_id, self._identity, expected, replies)
+            voters = find_initial_voters(self._instance_id, self._identity, expected, replies)
             if voters is not None and not self._raft.voters_by_id:
                 self._raft.form(voters)
                 logger.info("formed a cluster of {}", ", ".join(sorted(voters)))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -182,7 +182,7 @@
             self._disk,
             self._send_raft,
             self._apply,
-            self._replace,
+            self._replace_configuration,
             Random(),
             clock.seconds(),
             discovery.voters if discovery else UNLIMITED_VOTERS,
@@ -257,14 +257,14 @@
         self.metrics.counters["entries_applied"] += 1
         return answer
 
-    def _replace(self, configuration: Configuration) -> None:
+    def _replace_configuration(self, configuration: Configuration) -> None:
         self._store.replace(configuration)
         self.metrics.counters["snapshots_installed"] += 1
 
     async def _tick_forever(self) -> None:
         while True:
             self._raft.tick(clock.seconds())
-            if self._raft.has_failed and self._disk.last_error:
+            if self._raft.has_storage_failed and self._disk.last_error:
                 logger.error("stepped down while the disk fails: {}", self._disk.last_error)
                 self._emit(events.StorageFailed(self._disk.last_error))
                 self._disk.last_error = ""
@@ -347,7 +347,7 @@
             if self._raft.commit_index == self._raft.log.last_index:
                 for command in self._duties.find_due(self._store.configuration, now, time.time()):
                     self._propose_duty(command)
-            self._raft.learners.admit(now)
+            self._raft.learners.update_voters(now)
 
     # Messages of nodes
 
@@ -465,7 +465,7 @@
                 "commit_index": raft.commit_index,
                 "last_index": raft.log.last_index,
                 "base_index": raft.log.base_index,
-                "has_failed": raft.has_failed,
+                "has_failed": raft.has_storage_failed,
                 "mass_silence_events": self._duties.membership.mass_silence_events,
                 "metrics": self.metrics.dump(),
             }
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -91,12 +91,12 @@
         return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance does not lead")
 
     async def _confirm_read(self) -> bool:
-        asked_at = clock.seconds()
+        requested_at = clock.seconds()
         while self._raft.is_leader:
             now = clock.seconds()
-            if self._raft.is_read_confirmed(asked_at, now):
+            if self._raft.is_read_confirmed(requested_at, now):
                 return True
-            if now - asked_at > READ_TIMEOUT_S:
+            if now - requested_at > READ_TIMEOUT_S:
                 return False
             await anyio.sleep(READ_POLL_S)
         return False
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -8,7 +8,7 @@
 from wagtailkeel_coordination.lease import REMOVAL_SILENCE_S
 from wagtailkeel_coordination.membership import VERSION_LAG_LIMIT_S
 from wagtailkeel_coordination.membership import Membership
-from wagtailkeel_coordination.raft.formation import decide_formation
+from wagtailkeel_coordination.raft.formation import find_initial_voters
 from wagtailkeel_coordination.shares import MAX_MOVED_FRACTION
 from wagtailkeel_coordination.shares import plan_shares
 from wagtailkeel_protocol.messages import Heartbeat
@@ -190,7 +190,7 @@
         }
         for name, (replies, expected) in table.items():
             with self.subTest(name):
-                self.assertEqual(decide_formation("a", "a1", ids, replies), expected)
+                self.assertEqual(find_initial_voters("a", "a1", ids, replies), expected)
 
 
 if __name__ == "__main__":
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -95,7 +95,7 @@
             disk,
             self.send,
             self.apply,
-            self.replace,
+            self.replace_configuration,
             Random(cluster.random.random()),
             cluster.now,
         )
@@ -107,7 +107,7 @@
         self.cluster.on_apply(entry)
         return apply_entry(self.config, entry)
 
-    def replace(self, config: Configuration) -> None:
+    def replace_configuration(self, config: Configuration) -> None:
         self.config = config
 
 
@@ -120,7 +120,7 @@
         self.requests: list[tuple[str, str, RaftMessage]] = []
         self.replies: list[tuple[str, RaftMessage]] = []
         self.committed: dict[int, LogEntry] = {}
-        self.cut: set[str] = set()
+        self.partitioned: set[str] = set()
         self.accepted: set[str] = set()
         self.leaders_by_term: dict[int, str] = {}
         self.proposals = 0
@@ -136,19 +136,19 @@
             self.accepted.add(entry.command_id)
 
     def step(self) -> None:
-        moves = [
+        actions = [
             (30, self.deliver_request),
             (30, self.deliver_reply),
-            (3, self.lose),
+            (3, self.drop_message),
             (15, self.tick),
             (6, self.propose),
             (1, self.restart),
             (0.5, self.restart_all),
-            (1, self.toggle_cut),
+            (1, self.toggle_partition),
             (0.3, self.wipe),
         ]
-        weights = [weight for weight, _ in moves]
-        self.random.choices([move for _, move in moves], weights)[0]()
+        weights = [weight for weight, _ in actions]
+        self.random.choices([action for _, action in actions], weights)[0]()
         for control in self.controls.values():
             if control.node.is_leader:
                 known = self.leaders_by_term.setdefault(control.node.term, control.name)
@@ -160,10 +160,10 @@
         if not self.requests:
             return
         position = 0 if in_order else self.random.randrange(len(self.requests))
-        keeps = not in_order and self.random.random() < 0.05
-        request = self.requests[position] if keeps else self.requests.pop(position)
+        is_duplicated = not in_order and self.random.random() < 0.05
+        request = self.requests[position] if is_duplicated else self.requests.pop(position)
         sender, receiver, message = request
-        if {sender, receiver} & self.cut:
+        if {sender, receiver} & self.partitioned:
             return
         reply = self.controls[receiver].node.on_request(self.copy(message), self.now)
         self.replies.append((sender, reply))
@@ -173,7 +173,7 @@
             return
         position = 0 if in_order else self.random.randrange(len(self.replies))
         receiver, reply = self.replies.pop(position)
-        if receiver not in self.cut:
+        if receiver not in self.partitioned:
             self.controls[receiver].node.on_reply(self.copy(reply), self.now)
 
     @staticmethod
@@ -181,7 +181,7 @@
         encoded = msgspec.msgpack.encode(message)
         return msgspec.msgpack.decode(encoded, type=RaftMessage)
 
-    def lose(self) -> None:
+    def drop_message(self) -> None:
         for queue in (self.requests, self.replies):
             if queue and self.random.random() < 0.5:
                 queue.pop(self.random.randrange(len(queue)))
@@ -190,7 +190,7 @@
         self.now += self.random.uniform(0.01, 0.5)
         for control in self.controls.values():
             control.node.tick(self.now)
-            control.node.learners.admit(self.now)
+            control.node.learners.update_voters(self.now)
 
     def propose(self) -> None:
         for control in self.controls.values():
@@ -213,28 +213,28 @@
         name = self.random.choice(VOTERS)
         others = [c for n, c in self.controls.items() if n != name]
         newest = max(self.committed, default=0)
-        is_whole = all(
+        is_safe = all(
             other.node.is_voter
             and other.node.log.last_index >= newest
             and len(other.node.voters_by_id) == len(VOTERS)
             for other in others
         )
-        if not is_whole or self.cut:
+        if not is_safe or self.partitioned:
             return
         self.wipes += 1
         self.controls[name] = FakeControl(self, name, FakeDisk(f"{name}{self.wipes}"))
 
-    def toggle_cut(self) -> None:
-        self.cut = set() if self.cut else {self.random.choice(VOTERS)}
+    def toggle_partition(self) -> None:
+        self.partitioned = set() if self.partitioned else {self.random.choice(VOTERS)}
 
     def settle(self, seconds: float = 20.0) -> None:
-        self.cut = set()
+        self.partitioned = set()
         end = self.now + seconds
         while self.now < end:
             self.now += 0.05
             for control in self.controls.values():
                 control.node.tick(self.now)
-                control.node.learners.admit(self.now)
+                control.node.learners.update_voters(self.now)
             while self.requests or self.replies:
                 self.deliver_request(in_order=True)
                 self.deliver_reply(in_order=True)
@@ -270,14 +270,14 @@
         self.assertTrue(cluster.controls["c"].node.is_voter)
         self.assertEqual(cluster.controls["a"].config.control_identities_by_id["c"], "fresh")
 
-    def test_disk_fault_steps_the_leader_down_for_good(self) -> None:
+    def test_leader_steps_down_while_its_disk_fails(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
         leader = next(c for c in cluster.controls.values() if c.node.is_leader)
         leader.disk.is_broken = True
         command = DefineDataCentre(name="x", region="home")
         self.assertIsNone(leader.node.propose(command, command_id="x"))
-        self.assertTrue(leader.node.has_failed)
+        self.assertTrue(leader.node.has_storage_failed)
         cluster.settle()
         others = [c for c in cluster.controls.values() if c is not leader]
         self.assertEqual(sum(c.node.is_leader for c in others), 1)
@@ -310,7 +310,7 @@
                 self.assertEqual(len(leaders), int(is_early))
                 cluster.settle()
 
-    def test_a_voter_that_met_a_leader_is_not_vouched_for(self) -> None:
+    def test_voter_that_has_seen_a_leader_refuses_an_early_vote(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle(0.1)
         leader = next(c for c in cluster.controls.values() if c.node.is_leader)
@@ -326,7 +326,7 @@
         assert isinstance(vote, VoteReply)
         self.assertFalse(vote.is_granted)
 
-    def test_a_voter_whose_disk_failed_is_not_vouched_for(self) -> None:
+    def test_voter_whose_disk_failed_is_not_leaderless(self) -> None:
         """While its disk fails it answers heartbeats without following: a lease may count on it."""
         cluster = FakeRaftCluster(Random(1))
         voter, candidate = cluster.controls["a"], cluster.controls["b"]
@@ -339,12 +339,12 @@
                     voter.node.tick(cluster.now)
                     cluster.now += STORAGE_RETRY_S / 2
                 voter.node.tick(cluster.now)
-                self.assertFalse(voter.node.has_failed)
+                self.assertFalse(voter.node.has_storage_failed)
                 reply = voter.node.on_request(RestartRequest(candidate.name, 1, 7), cluster.now)
                 assert isinstance(reply, RestartReply)
                 self.assertIs(reply.is_leaderless, is_leaderless)
 
-    def test_cut_off_leader_serves_no_reads(self) -> None:
+    def test_partitioned_leader_loses_its_read_lease(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
         leader = next(c for c in cluster.controls.values() if c.node.is_leader)
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -7,7 +7,7 @@
 
 from tests.coordination.test_raft import FakeDisk
 from wagtailkeel_coordination.raft import RaftNode
-from wagtailkeel_coordination.raft.learners import VOTER_SILENCE_S
+from wagtailkeel_coordination.raft.learners import VOTER_TIMEOUT_S
 from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_state import CommandAnswer
@@ -54,7 +54,7 @@
 
     def __init__(self) -> None:
         self.now = 0.0
-        self.cut: set[str] = set()
+        self.partitioned: set[str] = set()
         self._messages: list[tuple[str, str, RaftMessage]] = []
         self.members = {name: Member(self, name, f"{name}0") for name in FOUNDERS}
         for member in self.members.values():
@@ -66,11 +66,13 @@
     def add(self, name: str, identity: str) -> None:
         """Start an instance with an empty disk; it asks the leader to follow the log."""
         self.members[name] = Member(self, name, identity)
-        self.leader.node.learners.learn(name, self.now)
+        self.leader.node.learners.add(name, self.now)
 
     @property
     def leader(self) -> Member:
-        leaders = [m for m in self.members.values() if m.node.is_leader and m.name not in self.cut]
+        leaders = [
+            m for m in self.members.values() if m.node.is_leader and m.name not in self.partitioned
+        ]
         return max(leaders, key=lambda member: member.node.term)
 
     def run(self, seconds: float) -> None:
@@ -79,7 +81,7 @@
             self.now += STEP_S
             for member in self.members.values():
                 member.node.tick(self.now)
-                member.node.learners.admit(self.now)
+                member.node.learners.update_voters(self.now)
             self._deliver()
 
     def _deliver(self) -> None:
@@ -87,7 +89,7 @@
             if not self._messages:
                 return
             sender, receiver, message = self._messages.pop(0)
-            if {sender, receiver} & self.cut or receiver not in self.members:
+            if {sender, receiver} & self.partitioned or receiver not in self.members:
                 continue
             reply = self.members[receiver].node.on_request(message, self.now)
             self.members[sender].node.on_reply(reply, self.now)
@@ -108,30 +110,30 @@
     def test_three_founders_become_five_voters(self) -> None:
         self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
 
-    def test_a_sixth_instance_stands_by(self) -> None:
+    def test_sixth_instance_stays_a_learner(self) -> None:
         self.cluster.add("f", "f0")
-        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        self.cluster.run(VOTER_TIMEOUT_S + 3.0)
         self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
 
-    def test_a_voter_that_is_gone_is_replaced_once_another_stands_by(self) -> None:
-        gone = next(name for name in "abcde" if name != self.cluster.leader.name)
-        self.cluster.cut.add(gone)
-        self.cluster.run(VOTER_SILENCE_S + 3.0)
-        self.assertIn(gone, self.voters())
+    def test_unresponsive_voter_is_replaced_once_a_learner_is_available(self) -> None:
+        unresponsive = next(name for name in "abcde" if name != self.cluster.leader.name)
+        self.cluster.partitioned.add(unresponsive)
+        self.cluster.run(VOTER_TIMEOUT_S + 3.0)
+        self.assertIn(unresponsive, self.voters())
         self.cluster.add("f", "f0")
-        self.cluster.run(VOTER_SILENCE_S + 3.0)
-        self.assertEqual(self.voters(), set("abcdef") - {gone})
+        self.cluster.run(VOTER_TIMEOUT_S + 3.0)
+        self.assertEqual(self.voters(), set("abcdef") - {unresponsive})
 
-    def test_a_short_silence_costs_no_vote(self) -> None:
+    def test_voter_keeps_its_vote_after_a_short_partition(self) -> None:
         self.cluster.add("f", "f0")
-        silent = next(name for name in "abcde" if name != self.cluster.leader.name)
-        self.cluster.cut.add(silent)
-        self.cluster.run(VOTER_SILENCE_S / 2)
-        self.cluster.cut.clear()
-        self.cluster.run(VOTER_SILENCE_S + 3.0)
+        partitioned_voter = next(name for name in "abcde" if name != self.cluster.leader.name)
+        self.cluster.partitioned.add(partitioned_voter)
+        self.cluster.run(VOTER_TIMEOUT_S / 2)
+        self.cluster.partitioned.clear()
+        self.cluster.run(VOTER_TIMEOUT_S + 3.0)
         self.assertEqual(self.voters(), {"a", "b", "c", "d", "e"})
 
-    def test_a_wiped_voter_returns_under_its_new_identity(self) -> None:
+    def test_wiped_voter_returns_under_its_new_identity(self) -> None:
         wiped = next(name for name in "abcde" if name != self.cluster.leader.name)
         self.cluster.add(wiped, "fresh")
         self.assertFalse(self.cluster.members[wiped].node.is_voter)
@@ -139,37 +141,37 @@
         self.assertEqual(self.cluster.leader.node.voters_by_id[wiped], "fresh")
         self.assertEqual(len(self.voters()), 5)
 
-    def test_a_read_is_confirmed_by_a_quorum_after_it_was_asked(self) -> None:
+    def test_read_is_confirmed_by_a_quorum_after_its_request(self) -> None:
         leader = self.cluster.leader
-        asked_at = self.cluster.now
-        self.assertFalse(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+        requested_at = self.cluster.now
+        self.assertFalse(leader.node.is_read_confirmed(requested_at, self.cluster.now))
         self.cluster.run(0.5)
-        self.assertTrue(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+        self.assertTrue(leader.node.is_read_confirmed(requested_at, self.cluster.now))
 
-    def test_a_leader_that_was_suspended_confirms_nothing(self) -> None:
+    def test_suspended_leader_confirms_no_read(self) -> None:
         """Others have elected a leader meanwhile, which the suspended one does not know yet."""
         leader = self.cluster.leader
-        self.cluster.cut.add(leader.name)
-        asked_at = self.cluster.now
+        self.cluster.partitioned.add(leader.name)
+        requested_at = self.cluster.now
         for name, member in self.cluster.members.items():
             if name != leader.name:
                 member.node.tick(self.cluster.now + 5.0)
         self.cluster.now += 5.0
-        self.assertFalse(leader.node.is_read_confirmed(asked_at, self.cluster.now))
+        self.assertFalse(leader.node.is_read_confirmed(requested_at, self.cluster.now))
 
-    def test_a_disk_that_fails_for_a_time_costs_the_vote_for_that_time(self) -> None:
+    def test_follower_catches_up_once_its_disk_works_again(self) -> None:
         follower = next(m for m in self.cluster.members.values() if not m.node.is_leader)
         follower.disk.is_broken = True
         self.cluster.leader.node.propose(DefineDataCentre(name="x", region="home"), "x")
         self.cluster.run(2.0)
-        self.assertTrue(follower.node.has_failed)
+        self.assertTrue(follower.node.has_storage_failed)
         self.assertNotIn("x", follower.config.answers_by_command_id)
         follower.disk.is_broken = False
         self.cluster.run(2 * STORAGE_RETRY_S + 2.0)
-        self.assertFalse(follower.node.has_failed)
+        self.assertFalse(follower.node.has_storage_failed)
         self.assertIn("x", follower.config.answers_by_command_id)
 
-    def test_a_leader_whose_disk_fails_gives_way(self) -> None:
+    def test_leader_whose_disk_fails_is_replaced(self) -> None:
         leader = self.cluster.leader
         leader.disk.is_broken = True
         leader.node.propose(DefineDataCentre(name="x", region="home"), "x")
--- a/tests/coordination/test_restart_rounds.py
+++ b/tests/coordination/test_restart_rounds.py
@@ -10,11 +10,11 @@
 from wagtailkeel_protocol.raft_messages import RestartReply
 
 VOTERS = ("a", "b", "c")
-CLEAR = {"b": 11, "c": 12}
+LEADERLESS_PROCESS_IDS = {"b": 11, "c": 12}
 """Processes of voters that have met no leader, by voter."""
 
 
-def reply(voter: str, round_: int, process: int, **changes: object) -> RestartReply:
+def reply(voter: str, round_number: int, process_id: int, **changes: object) -> RestartReply:
     """Return an answer that speaks for an election, but for the changes."""
     fields: dict[str, object] = {
         "is_leaderless": True,
@@ -23,52 +23,60 @@
         "voter_ids": list(VOTERS),
         **changes,
     }
-    return RestartReply(voter, round_, process, **fields)  # type: ignore[arg-type]
+    return RestartReply(voter, round_number, process_id, **fields)  # type: ignore[arg-type]
 
 
 class RestartRoundsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.rounds = RestartRounds("a", Random(1), now=10.0)
 
-    def play(self, round_: int, processes: dict[str, int], **changes: object) -> bool:
+    def record_replies(
+        self, round_number: int, process_ids: dict[str, int], **changes: object
+    ) -> bool:
         """Take in one round of replies; return whether the last of them completed it."""
         is_complete = False
-        for voter, process in processes.items():
-            is_complete = self.rounds.on_reply(reply(voter, round_, process, **changes), VOTERS)
+        for voter, process_id in process_ids.items():
+            is_complete = self.rounds.record_reply(
+                reply(voter, round_number, process_id, **changes), VOTERS
+            )
         return is_complete
 
     def test_first_round(self) -> None:
         cases: dict[str, tuple[dict[str, int], dict[str, object], bool]] = {
-            "all are clear": (CLEAR, {}, True),
+            "all are clear": (LEADERLESS_PROCESS_IDS, {}, True),
             "one is silent": ({"b": 11}, {}, False),
-            "a voter has met a leader": (CLEAR, {"is_leaderless": False}, False),
-            "a voter knows one more voter": (CLEAR, {"voter_ids": [*VOTERS, "d"]}, False),
-            "a voter has lost its disk": (CLEAR, {"voter_ids": []}, True),
+            "a voter has met a leader": (LEADERLESS_PROCESS_IDS, {"is_leaderless": False}, False),
+            "a voter knows one more voter": (
+                LEADERLESS_PROCESS_IDS,
+                {"voter_ids": [*VOTERS, "d"]},
+                False,
+            ),
+            "a voter has lost its disk": (LEADERLESS_PROCESS_IDS, {"voter_ids": []}, True),
         }
-        for name, (processes, changes, expected) in cases.items():
+        for name, (process_ids, changes, expected) in cases.items():
             with self.subTest(name):
-                number = self.rounds.begin(10.0)
-                self.assertIs(self.play(number, processes, **changes), expected)
+                round_number = self.rounds.start_first_round(10.0)
+                self.assertIs(self.record_replies(round_number, process_ids, **changes), expected)
 
     def test_second_round(self) -> None:
         cases = {
-            "the same processes": (CLEAR, CLEAR),
+            "the same processes": (LEADERLESS_PROCESS_IDS, LEADERLESS_PROCESS_IDS),
             # It may have heard the other's heartbeat and started anew after its answer.
             "one has started anew": ({"b": 11, "c": 13}, {}),
         }
         for name, (second, expected) in cases.items():
             with self.subTest(name):
-                self.play(self.rounds.begin(10.0), CLEAR)
-                self.assertFalse(self.rounds.is_second)
-                number = self.rounds.begin_second()
-                self.assertTrue(self.rounds.is_second)
-                self.assertTrue(self.play(number, second))
-                self.assertEqual(self.rounds.processes_by_voter, expected)
+                self.record_replies(self.rounds.start_first_round(10.0), LEADERLESS_PROCESS_IDS)
+                self.assertFalse(self.rounds.is_second_round)
+                round_number = self.rounds.start_second_round()
+                self.assertTrue(self.rounds.is_second_round)
+                self.assertTrue(self.record_replies(round_number, second))
+                self.assertEqual(self.rounds.process_ids_by_voter, expected)
 
     def test_replies_of_an_earlier_round_do_not_count(self) -> None:
-        number = self.rounds.begin(10.0)
-        self.rounds.begin_second()
-        self.assertFalse(self.play(number, CLEAR))
+        round_number = self.rounds.start_first_round(10.0)
+        self.rounds.start_second_round()
+        self.assertFalse(self.record_replies(round_number, LEADERLESS_PROCESS_IDS))
 
     def test_only_the_newest_log_campaigns(self) -> None:
         cases = {
@@ -79,29 +87,29 @@
         }
         for (last_term, last_index), expected in cases.items():
             with self.subTest(last_term=last_term, last_index=last_index):
-                self.play(self.rounds.begin(10.0), CLEAR)
+                self.record_replies(self.rounds.start_first_round(10.0), LEADERLESS_PROCESS_IDS)
                 self.assertIs(self.rounds.has_newest_log(last_term, last_index), expected)
 
-    def test_when_to_ask(self) -> None:
-        self.assertTrue(self.rounds.is_due(10.0))
-        self.rounds.begin(10.0)
-        self.assertFalse(self.rounds.is_due(10.0))
-        self.assertTrue(self.rounds.is_due(10.0 + ROUND_INTERVAL_S))
-        self.rounds.begin(10.1)
-        self.rounds.note_process(7, 10.11)
-        self.assertTrue(self.rounds.is_due(10.11), "a voter has just started")
-        self.rounds.begin(10.11)
-        self.rounds.note_process(7, 10.12)
-        self.assertFalse(self.rounds.is_due(10.12))
-        self.rounds.has_met_leader = True
-        self.assertFalse(self.rounds.is_due(99.0))
-
-    def test_a_voter_is_vouched_for_until_it_meets_a_leader(self) -> None:
-        self.assertTrue(self.rounds.is_vouched(self.rounds.process))
-        self.assertFalse(self.rounds.is_vouched(0))
-        self.assertFalse(self.rounds.is_vouched(self.rounds.process + 1))
-        self.rounds.has_met_leader = True
-        self.assertFalse(self.rounds.is_vouched(self.rounds.process))
+    def test_when_a_round_is_due(self) -> None:
+        self.assertTrue(self.rounds.is_round_due(10.0))
+        self.rounds.start_first_round(10.0)
+        self.assertFalse(self.rounds.is_round_due(10.0))
+        self.assertTrue(self.rounds.is_round_due(10.0 + ROUND_INTERVAL_S))
+        self.rounds.start_first_round(10.1)
+        self.rounds.record_process(7, 10.11)
+        self.assertTrue(self.rounds.is_round_due(10.11), "a voter has just started")
+        self.rounds.start_first_round(10.11)
+        self.rounds.record_process(7, 10.12)
+        self.assertFalse(self.rounds.is_round_due(10.12))
+        self.rounds.has_seen_leader = True
+        self.assertFalse(self.rounds.is_round_due(99.0))
+
+    def test_early_vote_is_safe_until_a_leader_is_seen(self) -> None:
+        self.assertTrue(self.rounds.is_early_vote_safe(self.rounds.process_id))
+        self.assertFalse(self.rounds.is_early_vote_safe(0))
+        self.assertFalse(self.rounds.is_early_vote_safe(self.rounds.process_id + 1))
+        self.rounds.has_seen_leader = True
+        self.assertFalse(self.rounds.is_early_vote_safe(self.rounds.process_id))
 
 
 if __name__ == "__main__":
