Raft: texts in the terms of the paper

They now say who does what and why, in the terms of the paper and the dissertation; every reason, section number and fault is kept.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -1,7 +1,8 @@
-"""Elections: when an instance asks for votes, and when it gives its own.
+"""Elections: when an instance requests votes, and when it grants its own.
 
-Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote (Ongaro's thesis, section 9.6). A voter
-that has heard a leader recently gives no vote, since the leader may count on its read lease.
+Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote (Ongaro's dissertation, section 9.6). A
+voter that was contacted by a leader recently grants no vote, because the leader may rely on its
+read lease.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 
 
 class Elections:
-    """The votes of one instance; times in seconds."""
+    """Requests, counts and grants votes for one instance; times in seconds."""
 
     def __init__(self, node: RaftNode, random: Random, now: float) -> None:
         self._node = node
@@ -33,7 +34,7 @@
         self._votes: set[str] = set()
         self._is_pre_vote = False
         self._restart_rounds = RestartRounds(node.instance_id, random, now)
-        # A restarted voter may have heard a leader that still counts on its read lease.
+        # This voter may have acknowledged, before a restart, a leader that still has its lease.
         self._leader_contact_at = now
         self._election_due_at = now + self._pick_timeout_s()
 
@@ -41,23 +42,23 @@
         return self._random.uniform(ELECTION_TIMEOUT_MIN_S, ELECTION_TIMEOUT_MAX_S)
 
     def tick(self, now: float) -> None:
-        """Ask for votes where no leader has been heard for long enough."""
+        """Start an election once its timeout has passed, or a restart round once it is due."""
         if now >= self._election_due_at:
             self._start_pre_vote(now)
         elif self._restart_rounds.is_round_due(now):
             self._send_restart_requests(self._restart_rounds.start_first_round(now), now)
 
     def on_leader_contact(self, now: float) -> None:
-        """Note that a leader is alive, or may be."""
+        """Record that a leader is alive, or may be."""
         self._restart_rounds.has_seen_leader = True
         self._leader_contact_at = now
         self.reset_timer(now)
 
     def reset_timer(self, now: float) -> None:
-        """Give others the time of one election."""
+        """Restart the election timer, so that others have time for an election."""
         self._election_due_at = now + self._pick_timeout_s()
 
-    # Asking for votes
+    # Requesting votes
 
     @property
     def _other_voters(self) -> list[str]:
@@ -69,7 +70,11 @@
         self._count_votes(now)
 
     def _campaign(self, now: float, process_ids_by_voter: dict[str, int]) -> None:
-        """Ask for votes in a new term; processes are those that vouch for it, if any."""
+        """Request votes in a new term.
+
+        ``process_ids_by_voter`` identifies the processes whose replies in restart rounds allow an
+        early vote; it is empty in an ordinary election.
+        """
         self._become_candidate(now, is_pre_vote=False)
         if not self._node.save_vote(self._node.term + 1, self._node.instance_id):
             return
@@ -106,7 +111,7 @@
         self._node.become_leader(now)
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
-        """Count a vote."""
+        """Count a granted vote, or step down if the reply is from a newer term."""
         if reply.term > self._node.term:
             self._node.step_down(reply.term, now)
             return
@@ -119,10 +124,10 @@
             self._votes.add(reply.voter_id)
             self._count_votes(now)
 
-    # Giving votes
+    # Granting votes
 
     def on_vote_request(self, request: VoteRequest, now: float) -> VoteReply:
-        """Give or refuse the own vote; a vote that is given is durable."""
+        """Grant or refuse this instance's vote; a vote is durable before it is granted."""
         is_granted = not self._node.has_storage_failed and self._can_grant_vote(request, now)
         if is_granted and not request.is_pre_vote:
             if request.term > self._node.term:
@@ -163,10 +168,10 @@
             return False
         return not self._restart_rounds.is_early_vote_safe(request.voter_process)
 
-    # Restarts of all voters
+    # Early elections after a restart of all voters
 
     def _send_restart_requests(self, round_number: int, now: float) -> None:
-        """Ask whether all voters have restarted; a single voter knows."""
+        """Ask the other voters whether all have restarted; a single voter campaigns at once."""
         if not self._other_voters:
             self._campaign(now, {})
         for voter in self._other_voters:
@@ -176,7 +181,7 @@
             self._node.send(voter, request)
 
     def on_restart_request(self, request: RestartRequest, now: float) -> RestartReply:
-        """Say whether this process has met a leader."""
+        """Reply whether this process has led or seen a leader since it started."""
         rounds = self._restart_rounds
         rounds.record_process(request.process, now)
         return RestartReply(
@@ -190,7 +195,7 @@
         )
 
     def on_restart_reply(self, reply: RestartReply, now: float) -> None:
-        """Campaign once both rounds have shown that no lease can be alive."""
+        """Campaign once both rounds have shown that no read lease can still be valid."""
         rounds = self._restart_rounds
         if (
             not rounds.record_reply(reply, self._node.voters_by_id)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
@@ -1,9 +1,9 @@
-"""Forming a cluster, once.
+"""The one-time formation of a cluster.
 
-An instance with an empty data folder votes only after it has heard from every control instance in
-the settings that none belongs to a cluster, or when a formed instance names this very folder as a
-voter. A wiped instance therefore never votes as its predecessor: it stays without a vote until
-the log admits its new identity.
+An instance with an empty data folder votes only after every control instance in the settings has
+replied that it belongs to no cluster, or when a member of a cluster lists the identity of this
+data folder as a voter. A wiped instance therefore never votes as its predecessor: it has no vote
+until a log entry adds its new identity to the voters.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 def find_initial_voters(
     own_id: str, own_identity: str, founder_ids: Iterable[str], replies: list[FormationReply]
 ) -> dict[str, str] | None:
-    """Return the identities of the initial voters by id, or None while they are not known."""
+    """Return the identities of the initial voters by instance id, or None while unknown."""
     for reply in replies:
         if reply.voters_by_id:
             is_voter = reply.voters_by_id.get(own_id) == own_identity
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -1,4 +1,4 @@
-"""Changes of the voters, one at a time (Ongaro's thesis, section 4.1)."""
+"""Membership changes of one voter at a time (Ongaro's dissertation, section 4.1)."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 
 REPLY_TIMEOUT_S = 1.0
 VOTER_TIMEOUT_S = 4.0
-"""A voter silent for longer is replaced where a caught-up instance without a vote stands by."""
+"""A voter that has not answered for longer is replaced if a caught-up learner is available."""
 LEARNER_TIMEOUT_S = 30.0
 UNLIMITED_VOTERS = 1_000
 
 
 class Learners:
-    """Instances that follow the log without a vote, and how they get one."""
+    """Instances that replicate the log without a vote, and their promotion to voters."""
 
     def __init__(self, node: RaftNode, instance_ids: Iterable[str], voter_limit: int) -> None:
         self.identities_by_id: dict[str, str] = {}
@@ -28,13 +28,13 @@
         self._voter_limit = voter_limit
 
     def add(self, instance_id: str, now: float) -> None:
-        """Replicate to an instance without a vote from now on."""
+        """Start replicating to an instance without a vote."""
         if instance_id not in self.instance_ids:
             self.instance_ids.add(instance_id)
             self._node.progress_of(instance_id).acknowledged_sent_at = now
 
     def remove_unresponsive(self, now: float) -> None:
-        """Stop to replicate to instances without a vote that do not answer."""
+        """Stop replicating to learners that have not answered for LEARNER_TIMEOUT_S."""
         for instance_id in (
             self.instance_ids - set(self._node.voters_by_id) - {self._node.instance_id}
         ):
@@ -44,7 +44,10 @@
                 del self._node.progress_by_id[instance_id]
 
     def update_voters(self, now: float) -> None:
-        """Make a caught-up learner a voter, one at a time, in the place of a silent one if full."""
+        """Make a caught-up learner a voter, one at a time.
+
+        At the voter limit, a voter that has stopped answering is removed first.
+        """
         if not self._node.is_leader or self._node.is_member_change_pending:
             return
         if self._node.log.term_at(self._node.commit_index) != self._node.term:
@@ -57,7 +60,7 @@
                 del self.identities_by_id[learner]
                 continue
             if learner in self._node.voters_by_id:
-                continue  # Its former identity leaves the voters first.
+                continue  # Its former identity has to be removed from the voters first.
             if self._can_become_voter(learner, now):
                 voters = {**self._node.voters_by_id, learner: identity}
                 self._node.propose(SetControlMembers(identities_by_id=voters))
@@ -65,7 +68,7 @@
                 return
 
     def _remove_unresponsive_voter(self, now: float) -> None:
-        """Remove a voter that is silent for long, if another instance can take its place."""
+        """Remove the voter that has not answered for longest, if a learner can replace it."""
         if not any(self._can_become_voter(learner, now) for learner in self.identities_by_id):
             return
         unresponsive = [
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
@@ -1,4 +1,4 @@
-"""What a leader knows of one peer."""
+"""Replication progress of one peer, kept by the leader."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class PeerProgress(msgspec.Struct):
-    """Replication state; times are monotonic seconds of the leader."""
+    """Replication state of one peer; times are monotonic seconds of the leader."""
 
     next_index: int
     match_index: int = 0
@@ -16,7 +16,7 @@
     is_request_pending: bool = False
 
     def update(self, is_matched: bool, match_index: int, base_index: int) -> None:
-        """Take in what a peer says of its log; ``base_index`` is the start of the own one."""
+        """Process a peer's append reply; ``base_index`` is the base of the leader's log."""
         if is_matched:
             self.match_index = max(self.match_index, match_index)
             self.next_index = self.match_index + 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -1,4 +1,4 @@
-"""The log in memory: a snapshot's position and the entries after it."""
+"""The in-memory log: the index and term of a snapshot, and the entries after it."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
         return self._entries[-1].term if self._entries else self.base_term
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an entry, or None where it is not in the log."""
+        """Return the term of an entry, or None if it is not in the log."""
         if index == self.base_index:
             return self.base_term
         if not self.base_index < index <= self.last_index:
@@ -46,7 +46,7 @@
         return self._entries[start : start + limit]
 
     def find_voters(self, after: int) -> dict[str, str] | None:
-        """Return the voters of the newest entry that sets them, None where none after ``after``."""
+        """Return the voters set by the newest entry after ``after``, or None if no entry does."""
         for index in range(self.last_index, after, -1):
             command = self.entry_at(index).command
             if isinstance(command, SetControlMembers):
@@ -62,13 +62,13 @@
         del self._entries[index - self.base_index - 1 :]
 
     def compact(self, index: int) -> None:
-        """Move the base forward to ``index``, within the log."""
+        """Remove the entries up to ``index``, which has to be in the log."""
         term = self.term_at(index)
-        assert term is not None, "compaction stays within the log"
+        assert term is not None, "the compaction index is in the log"
         del self._entries[: index - self.base_index]
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
-        """Start again after a snapshot from elsewhere."""
+        """Replace the whole log by the position of a snapshot from the leader."""
         self._entries.clear()
         self.base_index, self.base_term = index, term
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -1,10 +1,10 @@
 """Consensus among control instances.
 
-Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote and check-quorum (Ongaro's thesis,
+Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote and check-quorum (Ongaro's dissertation,
 sections 9.6 and 6.2), leader leases for reads (section 6.4.1) and membership changes of one
 voter at a time (section 4.1). A voter is an instance id together with the identity of its data
-folder: an instance that lost its folder has another identity and is no voter until the log says
-so.
+folder: an instance that lost its folder has another identity and is no voter until a log entry
+adds that identity to the voters.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
 
 
 class RaftNode:
-    """One instance; calls of ``send`` are requests whose replies come back by ``on_reply``."""
+    """One instance; ``send`` sends a request to a peer, whose reply is passed to ``on_reply``."""
 
     def __init__(
         self,
@@ -95,7 +95,7 @@
         self._elections = Elections(self, random, now)
         self._voters_by_id = self._find_voters()
 
-    # Reading
+    # Voters and reads
 
     @property
     def voters_by_id(self) -> dict[str, str]:
@@ -104,25 +104,25 @@
 
     @property
     def is_voter(self) -> bool:
-        """Tell whether this data folder may vote."""
+        """Return whether the identity of this data folder is a voter."""
         return self._voters_by_id.get(self.instance_id) == self.identity
 
     @property
     def is_leader(self) -> bool:
-        """Tell whether this instance leads its term."""
+        """Return whether this instance is the leader of its term."""
         return self.role is RaftRole.LEADER
 
     def has_read_lease(self, now: float) -> bool:
-        """Tell whether no other leader can have been elected yet, so that reads are current."""
+        """Return whether no other leader can have been elected yet, so that reads are current."""
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
         lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
         return now < self._quorum_acknowledged_sent_at(now) + lease_s
 
     def is_read_confirmed(self, requested_at: float, now: float) -> bool:
-        """Tell whether a quorum has answered a request sent after ``asked_at``.
+        """Return whether a quorum has answered a request sent after ``requested_at``.
 
-        Source: ReadIndex, section 6.4 of the thesis. No clock of another instance is trusted.
+        Source: ReadIndex, section 6.4 of the dissertation. Relies on no clock of another instance.
         """
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
@@ -137,11 +137,11 @@
 
     @property
     def quorum(self) -> int:
-        """The number of voters that decide."""
+        """Number of voters that form a majority."""
         return len(self._voters_by_id) // 2 + 1
 
     def progress_of(self, peer: str) -> PeerProgress:
-        """Return what this leader knows of another instance's log."""
+        """Return the replication progress of another instance."""
         if peer not in self.progress_by_id:
             self.progress_by_id[peer] = PeerProgress(self.log.last_index + 1)
         return self.progress_by_id[peer]
@@ -149,7 +149,7 @@
     # Bootstrap and proposals
 
     def form(self, identities_by_id: dict[str, str]) -> None:
-        """Write the first entry of a new cluster; the same on every initial voter."""
+        """Append the first entry of a new cluster, which is the same on every initial voter."""
         command = SetControlMembers(identities_by_id=identities_by_id)
         self._append([LogEntry(1, 0, command)])
 
@@ -160,7 +160,7 @@
         author: str = "",
         expected_version: int | None = None,
     ) -> int | None:
-        """Append a command as leader; return its index, or None when not the leader."""
+        """Append a command as leader; return its index, or None if not leader or the disk fails."""
         if not self.is_leader or self.has_storage_failed:
             return None
         index = self.log.last_index + 1
@@ -180,16 +180,16 @@
         return True
 
     def _on_storage_failure(self) -> None:
-        """An instance whose disk does not sync is no use as a voter; it steps down for now."""
+        """Step down for now: an instance whose disk does not sync is of no use as a voter."""
         self.has_storage_failed = True
         self._retry_storage_at = float("-inf")
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
 
     def _retry_storage(self, now: float) -> None:
-        """Try the disk again after a while: it may have been full for a time only.
+        """Retry the disk after STORAGE_RETRY_S: it may have been full only temporarily.
 
-        What failed was not added to the log in memory, and the next write takes its place.
+        Entries whose write failed are not in the in-memory log; the next write replaces them.
         """
         if self._retry_storage_at == float("-inf"):
             self._retry_storage_at = now + STORAGE_RETRY_S
@@ -198,7 +198,7 @@
         self.has_storage_failed = False
         if not self.save_vote(self.term, self.voted_for):
             return
-        # While the disk failed, a leader may have counted the answers to its heartbeats.
+        # While the disk failed, a leader may have counted this voter's replies to its heartbeats.
         self._elections.on_leader_contact(now)
 
     def _find_voters(self) -> dict[str, str]:
@@ -207,7 +207,7 @@
 
     @property
     def is_member_change_pending(self) -> bool:
-        """Tell whether a change of voters is in the log but not committed."""
+        """Return whether a change of voters is in the log but not committed."""
         return self.log.find_voters(after=self.commit_index) is not None
 
     # Timers
@@ -231,12 +231,12 @@
             self._replicate(peer, now)
 
     def _replication_targets(self) -> list[str]:
-        """All other instances: those without a vote follow the log as learners."""
+        """Return all other instances; those without a vote replicate the log as learners."""
         targets = set(self._voters_by_id) | set(self.learners.instance_ids)
         return sorted(targets - {self.instance_id})
 
     def flush(self, now: float) -> None:
-        """Send new entries at once instead of at the next heartbeat."""
+        """Send new entries now instead of with the next heartbeat."""
         if not self.is_leader:
             return
         for peer in self._replication_targets():
@@ -246,18 +246,18 @@
     # Elections
 
     def become_leader(self, now: float) -> None:
-        """Lead the present term."""
+        """Become the leader of the current term."""
         self.role = RaftRole.LEADER
         self.leader_id = self.instance_id
         self.progress_by_id = {}
         for peer in self._replication_targets():
-            # The quorum that voted counts as heard, so that check-quorum gives it time to answer.
+            # Peers count as having just answered, so that check-quorum gives them time to do so.
             self.progress_of(peer).acknowledged_sent_at = now
         self.propose(Noop())
         self.flush(now)
 
     def save_vote(self, term: int, voted_for: str) -> bool:
-        """Make a term and a vote durable; return False where the disk fails."""
+        """Save a term and a vote durably; return False if the disk fails."""
         try:
             self._storage.save_vote(Vote(term, voted_for))
         except StorageFaultError:
@@ -267,7 +267,7 @@
         return True
 
     def step_down(self, term: int, now: float) -> None:
-        """Follow, in a term that is at least the own one."""
+        """Become a follower in a term that is not older than the current one."""
         if term > self.term and not self.save_vote(term, ""):
             return
         self.role = RaftRole.FOLLOWER
@@ -276,8 +276,8 @@
 
     @singledispatchmethod
     def on_request(self, request: object, now: float) -> VoteReply | AppendReply | RestartReply:
-        """Answer a request of a peer."""
-        raise TypeError(f"no rule for {type(request).__name__}")
+        """Process a request from a peer and return the reply."""
+        raise TypeError(f"no handler for {type(request).__name__}")
 
     # Replication
 
@@ -391,7 +391,7 @@
 
     def _install_snapshot(self, configuration: Configuration) -> bool:
         try:
-            # In this order: entries that were acknowledged stay durable until the snapshot is.
+            # The snapshot is saved first, so that acknowledged entries stay durable throughout.
             self._storage.save_snapshot(Snapshot(configuration))
             self._storage.truncate_from(self.log.base_index + 1)
         except StorageFaultError:
@@ -408,8 +408,8 @@
 
     @singledispatchmethod
     def on_reply(self, reply: object, now: float) -> None:
-        """Handle the reply to an earlier request."""
-        raise TypeError(f"no rule for {type(reply).__name__}")
+        """Process the reply to an earlier request."""
+        raise TypeError(f"no handler for {type(reply).__name__}")
 
     @on_reply.register
     def _(self, reply: VoteReply, now: float) -> None:
@@ -440,13 +440,17 @@
         rejected_index = progress.next_index
         progress.update(reply.is_matched, reply.match_index, self.log.base_index)
         self._advance_commit_index()
-        # A follower whose disk fails refuses the same entries again and again: it can wait.
+        # A follower whose disk fails rejects the same entries repeatedly: don't resend at once.
         has_progressed = reply.is_matched or progress.next_index != rejected_index
         if has_progressed and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
     def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
-        """An instance with another data folder than its voter's: replicate, but don't count."""
+        """Process the reply of an instance whose data folder is not the one of its voter.
+
+        The log is replicated to the instance, but it doesn't count towards a quorum. Once it has
+        caught up, the voter with the former identity is removed.
+        """
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
             progress.next_index = reply.match_index + 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
@@ -1,18 +1,19 @@
-"""Elections without delay after a restart of all voters.
-
-A voter that has just started may, before, have acknowledged a leader that still counts on its
-read lease, so it grants no vote for the shortest election timeout. Where all voters have
-restarted, that wait protects nobody: a lease is held by the process that led, and it has ended.
-
-A candidate asks every voter in two rounds. It may ask for votes at once when in both rounds all
-have answered from the same processes that these have neither led nor heard a leader. One round
-would not do: a voter could answer, then lead, and another could hear it, restart and answer last.
-With the second round, every answer of it is younger than every process of the first, so that
-whoever led before a voter's start has ended, or would have said so. The vote request names the
-voter's process, and a voter that has met a leader since refuses.
-
-Of the voters, only the one with the newest log campaigns, the least id among equals: all see the
-same answers, and two candidates would split the votes.
+"""Early elections after a restart of all voters.
+
+A voter that has just started may, before its restart, have acknowledged a leader that still
+relies on its read lease, so the voter grants no vote for the shortest election timeout. If all
+voters have restarted, that wait protects nothing: the process that held the lease has ended.
+
+A candidate queries every voter in two rounds. It may request votes at once if, in both rounds,
+the same process of each voter replied that it has neither led nor seen a leader. One round is not
+enough: a voter could reply and then become leader, and another voter could receive its heartbeat,
+restart and reply last. Every reply of the second round is later than the start of every process
+that replied in the first, so a leader from before the start of a voter has either ended or would
+have replied that it leads. The vote request contains the voter's process id, and a voter that has
+seen a leader since refuses its vote.
+
+Only the voter with the newest log campaigns, or the lowest id among equal logs: all voters see
+the same replies, and two candidates would split the votes.
 """
 
 from __future__ import annotations
@@ -30,7 +31,10 @@
 
 
 class RestartRounds:
-    """What one voter knows about the restarts of all others; times in seconds."""
+    """The rounds in which one voter queries the others; times in seconds.
+
+    ``process_id`` is a random number that changes when the instance restarts.
+    """
 
     def __init__(self, instance_id: str, random: Random, now: float) -> None:
         self.process_id = random.getrandbits(PROCESS_ID_BITS) | 1
@@ -43,23 +47,23 @@
         self._known_process_ids: set[int] = set()
 
     def is_round_due(self, now: float) -> bool:
-        """Tell whether to ask all other voters now."""
+        """Return whether to query all other voters now."""
         return not self.has_seen_leader and now >= self._next_round_at
 
     def record_process(self, process_id: int, now: float) -> None:
-        """Another voter has started: the next pair of rounds may succeed."""
+        """Make new rounds due at once if another voter has started, as they may now succeed."""
         if process_id not in self._known_process_ids:
             self._known_process_ids.add(process_id)
             self._next_round_at = now
 
     def start_first_round(self, now: float) -> int:
-        """Start the first round of a pair; return its number."""
+        """Start the first round of a pair and return its number."""
         self._first_round_process_ids = {}
         self._next_round_at = now + ROUND_INTERVAL_S
         return self._start_round()
 
     def start_second_round(self) -> int:
-        """Start the second round of a pair; return its number."""
+        """Start the second round of a pair and return its number."""
         self._first_round_process_ids = self._process_ids
         return self._start_round()
 
@@ -74,24 +78,24 @@
 
     @property
     def is_second_round(self) -> bool:
-        """Tell whether the second round of a pair is under way."""
+        """Return whether the second round of a pair is in progress."""
         return bool(self._first_round_process_ids)
 
     @property
     def process_ids_by_voter(self) -> dict[str, int]:
-        """The processes that both rounds agree on; empty where they do not."""
+        """Process ids of the voters, or empty if the two rounds had different ones."""
         return self._process_ids if self._process_ids == self._first_round_process_ids else {}
 
     def has_newest_log(self, last_term: int, last_index: int) -> bool:
-        """Tell whether no other voter's log is newer than the own one, by id among equals."""
+        """Return whether no other voter has a newer log, or an equal log and a lower id."""
         own_position = (-last_term, -last_index, self._instance_id)
         replies = self._replies_by_voter.values()
         return all(own_position < (-r.last_term, -r.last_index, r.voter_id) for r in replies)
 
     def record_reply(self, reply: RestartReply, voters: Collection[str]) -> bool:
-        """Take a reply in; return whether all other voters have now answered "no leader".
+        """Record a reply; return whether all other voters have now replied "no leader".
 
-        A voter that knows of voters that are not among ``voters`` makes the round fail.
+        A reply that lists voters outside ``voters`` makes the round fail.
         """
         if reply.round != self.round_number or self.has_seen_leader or not reply.is_leaderless:
             return False
@@ -101,5 +105,9 @@
         return set(self._replies_by_voter) >= set(voters) - {self._instance_id}
 
     def is_early_vote_safe(self, voter_process: int) -> bool:
-        """Tell whether a candidate has shown that no lease this voter gave can be alive."""
+        """Return whether a vote can be granted without waiting for the election timeout.
+
+        This is so if the candidate has queried this process and the process has seen no leader
+        since: the rounds have shown that no read lease can rely on this voter.
+        """
         return voter_process == self.process_id and not self.has_seen_leader
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/storage.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/storage.py
@@ -1,4 +1,4 @@
-"""What consensus needs of the disk. Every method returns only when its effect is durable."""
+"""The storage interface of consensus. Every method returns only when its effect is durable."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     """Durable state of one control instance; raises StorageFaultError when the disk fails."""
 
     def save_vote(self, vote: Vote) -> None:
-        """Replace the vote."""
+        """Replace the stored term and vote."""
 
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries at the end of the log."""
@@ -30,4 +30,4 @@
 
 
 class StorageFaultError(CoordinationError):
-    """The disk failed: nothing after it may be answered as durable."""
+    """The disk failed; nothing afterwards may be acknowledged as durable."""
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -33,7 +33,7 @@
 
 
 class FakeDisk:
-    """Durable state in memory; survives a restart of its node unless wiped."""
+    """Durable state in memory; survives a restart of its node unless it is wiped."""
 
     def __init__(self, identity: str) -> None:
         self.identity = identity
@@ -51,7 +51,7 @@
         self.vote = vote
 
     def append(self, entries: list[LogEntry]) -> None:
-        """As the log store does: what is overlapped is overridden, behind a gap all is new."""
+        """Like the log store, replace overlapping entries; after a gap, drop the earlier ones."""
         self._check()
         first = entries[0].index
         kept = [entry for entry in self.entries if entry.index < first]
@@ -60,7 +60,7 @@
         self.entries = kept + entries
 
     def truncate_from(self, index: int) -> None:
-        """Not written: after a restart the entries are there again."""
+        """Don't persist the truncation: the entries are back after a restart."""
         self._check()
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
@@ -78,7 +78,7 @@
 
 
 class FakeControl:
-    """One instance: a node, its disk, and what it has applied."""
+    """One instance: a node, its disk and its applied configuration."""
 
     def __init__(self, cluster: FakeRaftCluster, name: str, disk: FakeDisk) -> None:
         self.cluster = cluster
@@ -112,7 +112,7 @@
 
 
 class FakeRaftCluster:
-    """Requests and replies are lost, doubled and late; nodes restart, are cut off or wiped."""
+    """Loses, duplicates and delays messages; restarts, partitions and wipes nodes."""
 
     def __init__(self, random: Random) -> None:
         self.random = random
@@ -209,7 +209,7 @@
             self.controls[name] = FakeControl(self, name, control.disk)
 
     def wipe(self) -> None:
-        """Lose one disk, only while both others are full members that hold all commits."""
+        """Wipe one disk, only while both other nodes are voters that hold all committed entries."""
         name = self.random.choice(VOTERS)
         others = [c for n, c in self.controls.items() if n != name]
         newest = max(self.committed, default=0)
@@ -327,7 +327,7 @@
         self.assertFalse(vote.is_granted)
 
     def test_voter_whose_disk_failed_is_not_leaderless(self) -> None:
-        """While its disk fails it answers heartbeats without following: a lease may count on it."""
+        """A voter whose disk fails answers heartbeats without following: a lease may rely on it."""
         cluster = FakeRaftCluster(Random(1))
         voter, candidate = cluster.controls["a"], cluster.controls["b"]
         for disk_fails, is_leaderless in ((False, True), (True, False)):
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -1,4 +1,4 @@
-"""Voters that join one by one, are replaced for good, and disks that fail for a time."""
+"""Voters that join one at a time and are replaced, and disks that fail temporarily."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
 
 
 class Cluster:
-    """Delivers every message in order, except to and from those that are cut off."""
+    """Delivers every message in order, except to and from partitioned members."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -64,7 +64,7 @@
         self._messages.append((sender, receiver, message))
 
     def add(self, name: str, identity: str) -> None:
-        """Start an instance with an empty disk; it asks the leader to follow the log."""
+        """Start an instance with an empty disk and add it to the leader's learners."""
         self.members[name] = Member(self, name, identity)
         self.leader.node.learners.add(name, self.now)
 
@@ -93,7 +93,7 @@
                 continue
             reply = self.members[receiver].node.on_request(message, self.now)
             self.members[sender].node.on_reply(reply, self.now)
-        raise AssertionError("messages without end: a refused request is sent again at once")
+        raise AssertionError("messages never end: a rejected request is resent at once")
 
 
 class RaftMembersTest(unittest.TestCase):
@@ -149,7 +149,7 @@
         self.assertTrue(leader.node.is_read_confirmed(requested_at, self.cluster.now))
 
     def test_suspended_leader_confirms_no_read(self) -> None:
-        """Others have elected a leader meanwhile, which the suspended one does not know yet."""
+        """Others may have elected a leader meanwhile, which the suspended one does not know yet."""
         leader = self.cluster.leader
         self.cluster.partitioned.add(leader.name)
         requested_at = self.cluster.now
--- a/tests/coordination/test_restart_rounds.py
+++ b/tests/coordination/test_restart_rounds.py
@@ -1,4 +1,4 @@
-"""Two rounds of questions show that no leader of before a restart can be alive."""
+"""Two rounds of queries show that no leader from before a restart can still be running."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 VOTERS = ("a", "b", "c")
 LEADERLESS_PROCESS_IDS = {"b": 11, "c": 12}
-"""Processes of voters that have met no leader, by voter."""
+"""Process ids, by voter, of processes that have seen no leader."""
 
 
 def reply(voter: str, round_number: int, process_id: int, **changes: object) -> RestartReply:
-    """Return an answer that speaks for an election, but for the changes."""
+    """Return a reply that permits an early election, except for the changed fields."""
     fields: dict[str, object] = {
         "is_leaderless": True,
         "last_index": 5,
@@ -33,7 +33,7 @@
     def record_replies(
         self, round_number: int, process_ids: dict[str, int], **changes: object
     ) -> bool:
-        """Take in one round of replies; return whether the last of them completed it."""
+        """Record the replies of one round; return whether the last of them completed it."""
         is_complete = False
         for voter, process_id in process_ids.items():
             is_complete = self.rounds.record_reply(
@@ -43,15 +43,19 @@
 
     def test_first_round(self) -> None:
         cases: dict[str, tuple[dict[str, int], dict[str, object], bool]] = {
-            "all are clear": (LEADERLESS_PROCESS_IDS, {}, True),
-            "one is silent": ({"b": 11}, {}, False),
-            "a voter has met a leader": (LEADERLESS_PROCESS_IDS, {"is_leaderless": False}, False),
-            "a voter knows one more voter": (
+            "no voter has seen a leader": (LEADERLESS_PROCESS_IDS, {}, True),
+            "one voter has not replied": ({"b": 11}, {}, False),
+            "the voters have seen a leader": (
+                LEADERLESS_PROCESS_IDS,
+                {"is_leaderless": False},
+                False,
+            ),
+            "the voters know one more voter": (
                 LEADERLESS_PROCESS_IDS,
                 {"voter_ids": [*VOTERS, "d"]},
                 False,
             ),
-            "a voter has lost its disk": (LEADERLESS_PROCESS_IDS, {"voter_ids": []}, True),
+            "the voters have lost their disks": (LEADERLESS_PROCESS_IDS, {"voter_ids": []}, True),
         }
         for name, (process_ids, changes, expected) in cases.items():
             with self.subTest(name):
@@ -61,8 +65,8 @@
     def test_second_round(self) -> None:
         cases = {
             "the same processes": (LEADERLESS_PROCESS_IDS, LEADERLESS_PROCESS_IDS),
-            # It may have heard the other's heartbeat and started anew after its answer.
-            "one has started anew": ({"b": 11, "c": 13}, {}),
+            # After its first reply it may have received the other's heartbeat and restarted.
+            "one voter has restarted": ({"b": 11, "c": 13}, {}),
         }
         for name, (second, expected) in cases.items():
             with self.subTest(name):
@@ -80,7 +84,7 @@
 
     def test_only_the_newest_log_campaigns(self) -> None:
         cases = {
-            (2, 5): True,  # Equal logs: the least id.
+            (2, 5): True,  # Equal logs: the lowest id campaigns.
             (2, 4): False,
             (1, 9): False,
             (3, 1): True,
