Control role: names say what is queried, joined and discarded

Names such as follow_forever, note_learner, forget and beat did not say what they do. Renamed to plain terms, with the tests of the leader's duties and of forming a cluster.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -58,23 +58,23 @@
             return True
         return discovery.may_form and self._instance_id in self._address_book.seeds
 
-    async def follow_forever(self) -> None:
+    async def join_as_learner_forever(self) -> None:
         """Ask to follow the log while this data folder has no vote."""
         while True:
             if not self._raft.is_voter:
-                await self._ask_to_follow()
+                await self._join_as_learner()
             await anyio.sleep(LEARNER_RETRY_S)
 
-    async def _ask_to_follow(self) -> None:
+    async def _join_as_learner(self) -> None:
         request = ControlJoinRequest(self._instance_id, self._identity)
-        asked: set[str] = {self._instance_id}
-        to_ask = [id_ for id_ in self._address_book.control_ids if id_ not in asked]
-        while to_ask:
-            control_id = to_ask.pop(0)
+        queried_ids: set[str] = {self._instance_id}
+        pending_ids = [id_ for id_ in self._address_book.control_ids if id_ not in queried_ids]
+        while pending_ids:
+            control_id = pending_ids.pop(0)
             address = self._address_book.rpc_address(control_id)
-            if control_id in asked or address is None:
+            if control_id in queried_ids or address is None:
                 continue
-            asked.add(control_id)
+            queried_ids.add(control_id)
             try:
                 reply = await self._rpc_client.call(
                     address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
@@ -85,10 +85,10 @@
             if reply.is_noted:
                 return
             if reply.leader_id:
-                to_ask.insert(0, reply.leader_id)
+                pending_ids.insert(0, reply.leader_id)
         self._address_book.reload_seeds()
 
-    async def note_learner(self, request: ControlJoinRequest) -> ControlJoinReply:
+    async def on_join_request(self, request: ControlJoinRequest) -> ControlJoinReply:
         """Replicate to an instance that asks for it; a follower names the leader."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
@@ -98,7 +98,7 @@
     async def form(self) -> None:
         """Write the first entry of a new cluster once all founders have answered."""
         while not self._raft.voters_by_id:
-            replies = await self._ask_formation()
+            replies = await self._query_founders()
             expected = self._founder_ids
             voters = find_initial_voters(self._instance_id, self._identity, expected, replies)
             if voters is not None and not self._raft.voters_by_id:
@@ -113,10 +113,10 @@
             return self._address_book.seeds
         return self._address_book.control_ids
 
-    async def _ask_formation(self) -> list[FormationReply]:
+    async def _query_founders(self) -> list[FormationReply]:
         replies: list[FormationReply] = []
 
-        async def ask(control_id: str) -> None:
+        async def query(control_id: str) -> None:
             address = self._address_book.rpc_address(control_id)
             assert address is not None, "control instances are in the settings"
             request = FormationRequest(self._instance_id, self._identity)
@@ -130,9 +130,9 @@
         async with anyio.create_task_group() as tasks:
             for control_id in self._founder_ids:
                 if control_id != self._instance_id:
-                    tasks.start_soon(ask, control_id)
+                    tasks.start_soon(query, control_id)
         return replies
 
-    async def answer(self, request: FormationRequest) -> FormationReply:
+    async def on_formation_request(self, request: FormationRequest) -> FormationReply:
         """Say whether this instance belongs to a cluster."""
         return FormationReply(self._instance_id, self._identity, dict(self._raft.voters_by_id))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -14,7 +14,7 @@
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.control.cluster_formation import ClusterFormation
 from wagtailkeel.roles.control.leader_duties import LeaderDuties
-from wagtailkeel.roles.control.node_statuses import list_nodes
+from wagtailkeel.roles.control.node_statuses import list_node_statuses
 from wagtailkeel.roles.control.operator_state import OperatorState
 from wagtailkeel.roles.control.pending_proposals import PendingProposals
 from wagtailkeel.roles.control.raft_disk import RaftDisk
@@ -86,11 +86,11 @@
 
 TICK_INTERVAL_S = 0.05
 DUTY_INTERVAL_S = 0.25
-HINT_INTERVAL_S = 0.1
+VERSION_HINT_INTERVAL_S = 0.1
 RAFT_CALL_TIMEOUT_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
 COMMIT_POLL_S = 0.2
-LEADER_WAIT_S = 1.0
+LEADER_WAIT_TIMEOUT_S = 1.0
 """How long a node that wants to join waits here for an election to end."""
 
 
@@ -112,8 +112,8 @@
         self._settings = settings
         self._section = section
         self._instance_id = settings.instance.id
-        self._own = self._find_own(settings)
-        self._endpoint = UdpEndpoint(settings.instance.listen_host, self._own.port)
+        self._own_instance = self._find_own_instance(settings)
+        self._endpoint = UdpEndpoint(settings.instance.listen_host, self._own_instance.port)
         self._rpc_client = RpcClient(settings.instance.listen_host)
         self._folder = DataFolder(Path(section.data_folder))
         self._disk = RaftDisk(self._open_log())
@@ -133,7 +133,7 @@
             self.metrics.counters,
         )
         self.operator_state = OperatorState(self._raft, self._store, self._propose, event_sink)
-        self._led_term = 0
+        self._duties_term = 0
         self._hinted_version = 0
         self._hinted_at = float("-inf")
         self._tasks: TaskGroup | None = None
@@ -150,7 +150,7 @@
         return cls(settings, settings.control, read_seeds, event_sink)
 
     @staticmethod
-    def _find_own(settings: Settings) -> ControlInstanceSettings:
+    def _find_own_instance(settings: Settings) -> ControlInstanceSettings:
         own_id = settings.instance.id
         discovery = settings.discovery
         if discovery is not None:
@@ -158,7 +158,11 @@
             return ControlInstanceSettings(
                 id=own_id, host=host, port=discovery.port, rpc_port=discovery.rpc_port
             )
-        return next(found for found in settings.control_instances if found.id == own_id)
+        return next(
+            control_instance
+            for control_instance in settings.control_instances
+            if control_instance.id == own_id
+        )
 
     def _open_log(self) -> LogStore:
         self._log_store = LogStore(self._folder)
@@ -199,21 +203,21 @@
                 PULL: self._answer_pull,
                 STATUS: self._status,
                 DUMP: self._dump,
-                FORMATION: self._formation.answer,
-                CONTROL_JOIN: self._formation.note_learner,
+                FORMATION: self._formation.on_formation_request,
+                CONTROL_JOIN: self._formation.on_join_request,
                 RAFT: self._on_raft_request,
             }
         )
-        await server.start(self._settings.instance.listen_host, self._own.rpc_port)
+        await server.start(self._settings.instance.listen_host, self._own_instance.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._endpoint.receive, self._on_datagram)
                 task_status.started()
                 tasks.start_soon(self._tick_forever)
-                tasks.start_soon(self._lead_forever)
+                tasks.start_soon(self._run_duties_forever)
                 if self._settings.discovery is not None:
-                    tasks.start_soon(self._formation.follow_forever)
+                    tasks.start_soon(self._formation.join_as_learner_forever)
                 if self._formation.may_form:
                     await self._formation.form()
         finally:
@@ -243,11 +247,11 @@
             self.metrics.counters["raft_failures"] += 1
             return
         self._raft.on_reply(reply, clock.seconds())
-        self._note_changes()
+        self._emit_raft_changes()
 
     async def _on_raft_request(self, request: RaftMessage) -> RaftMessage:
         reply = self._raft.on_request(request, clock.seconds())
-        self._note_changes()
+        self._emit_raft_changes()
         return reply
 
     def _apply(self, entry: LogEntry) -> CommandAnswer:
@@ -268,11 +272,11 @@
                 logger.error("stepped down while the disk fails: {}", self._disk.last_error)
                 self._emit(events.StorageFailed(self._disk.last_error))
                 self._disk.last_error = ""
-            self._note_changes()
-            self._send_hints()
+            self._emit_raft_changes()
+            self._send_version_hints()
             await anyio.sleep(TICK_INTERVAL_S)
 
-    def _note_changes(self) -> None:
+    def _emit_raft_changes(self) -> None:
         if self._raft.leader_id != self._known_leader:
             self._known_leader = self._raft.leader_id
             self._leader_changed.set()
@@ -283,11 +287,11 @@
             self._known_voters = voters
             self._emit(events.VotersChanged(voters))
 
-    def _send_hints(self) -> None:
+    def _send_version_hints(self) -> None:
         version, now = self._store.version, clock.seconds()
         if version == self._hinted_version or not self._raft.is_leader:
             return
-        if now - self._hinted_at < HINT_INTERVAL_S:
+        if now - self._hinted_at < VERSION_HINT_INTERVAL_S:
             return
         self._hinted_version, self._hinted_at = version, now
         datagram = encode_datagram(VersionHint(self._instance_id, version))
@@ -302,9 +306,9 @@
         """Return the committed answer; None when not the leader; UNKNOWN when no commit is seen."""
         if not self._raft.is_leader:
             return None
-        earlier = self._store.configuration.answers_by_command_id.get(request.command_id)
-        if earlier is not None and request.command_id:
-            return earlier
+        earlier_answer = self._store.configuration.answers_by_command_id.get(request.command_id)
+        if earlier_answer is not None and request.command_id:
+            return earlier_answer
         command = assign_addresses(request.command, self._store.configuration, self._section.pools)
         index = self._raft.log.last_index + 1
         # A single voter commits within propose, so the waiting entry must be there before.
@@ -313,7 +317,7 @@
             command, request.command_id, request.author, request.expected_version
         )
         if proposed is None:
-            self._pending.forget(index)
+            self._pending.discard(index)
             return None
         self._raft.flush(clock.seconds())
         with anyio.move_on_after(COMMIT_TIMEOUT_S):
@@ -321,7 +325,7 @@
                 with anyio.move_on_after(COMMIT_POLL_S):
                     await pending.done.wait()
                     break
-        self._pending.forget(index)
+        self._pending.discard(index)
         if pending.answer is not None:
             return pending.answer
         return CommandAnswer(
@@ -334,18 +338,20 @@
 
     # Leader's duties
 
-    async def _lead_forever(self) -> None:
+    async def _run_duties_forever(self) -> None:
         while True:
             await anyio.sleep(DUTY_INTERVAL_S)
             now = clock.seconds()
             if not self._raft.has_read_lease(now):
                 continue
-            if self._led_term != self._raft.term:
-                self._led_term = self._raft.term
+            if self._duties_term != self._raft.term:
+                self._duties_term = self._raft.term
                 self._duties.start_term(now)
                 logger.info("leading term {}", self._raft.term)
             if self._raft.commit_index == self._raft.log.last_index:
-                for command in self._duties.find_due(self._store.configuration, now, time.time()):
+                for command in self._duties.find_due_commands(
+                    self._store.configuration, now, time.time()
+                ):
                     self._propose_duty(command)
             self._raft.learners.update_voters(now)
 
@@ -393,17 +399,21 @@
             command_id = f"join/{request.balancer.instance_id}/{request.balancer.boot_id}"
         else:
             return AnnounceReply(False, reason="the announcement names no member")
-        return await self._join(command, command_id)
+        return await self._propose_member_change(command, command_id)
 
     async def _stop_agent(self, request: StopRequest) -> AnnounceReply:
         command = StopAgent(server_id=request.server_id, boot_id=request.boot_id)
-        return await self._join(command, f"stop/{request.server_id}/{request.boot_id}")
+        return await self._propose_member_change(
+            command, f"stop/{request.server_id}/{request.boot_id}"
+        )
 
     async def _leave(self, request: LeaveRequest) -> AnnounceReply:
         command = RemoveServer(server_id=request.server_id, boot_id=request.boot_id, has_ended=True)
-        return await self._join(command, f"leave/{request.server_id}/{request.boot_id}")
+        return await self._propose_member_change(
+            command, f"leave/{request.server_id}/{request.boot_id}"
+        )
 
-    async def _join(self, command: AnyCommand, command_id: str) -> AnnounceReply:
+    async def _propose_member_change(self, command: AnyCommand, command_id: str) -> AnnounceReply:
         await self._wait_for_leader()
         answer = await self._propose(CommandRequest(command, command_id, "node"))
         if answer is None:
@@ -414,7 +424,7 @@
 
     async def _wait_for_leader(self) -> None:
         """Wait for the end of an election, so that nodes join right after it."""
-        with anyio.move_on_after(LEADER_WAIT_S):
+        with anyio.move_on_after(LEADER_WAIT_TIMEOUT_S):
             while not self._raft.leader_id:
                 await self._leader_changed.wait()
 
@@ -445,7 +455,7 @@
             self._store.version,
             self._raft.leader_id,
             self._raft.has_read_lease(now),
-            list_nodes(self._store.configuration, self._duties.membership, now),
+            list_node_statuses(self._store.configuration, self._duties.membership, now),
             self._store.configuration,
         )
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
@@ -34,7 +34,7 @@
         self._data_centres = data_centres
         self._metrics = metrics
         self._shares_planned_at = now
-        self._share_position = 0
+        self._share_service_index = 0
 
     @classmethod
     def from_settings(cls, section: ControlSettings, metrics: Metrics, now: float) -> LeaderDuties:
@@ -45,9 +45,11 @@
         """Forget what an earlier term heard: leases are counted from here."""
         self.membership = Membership(now)
 
-    def find_due(self, config: Configuration, now: float, wall_s: float) -> Iterator[AnyCommand]:
+    def find_due_commands(
+        self, config: Configuration, now: float, wall_s: float
+    ) -> Iterator[AnyCommand]:
         """Yield the commands that are due; ``wall_s`` is seconds since the Unix epoch."""
-        yield from self._find_data_centres(config)
+        yield from self._find_data_centre_changes(config)
         for removal in self.membership.find_removals(config, now):
             logger.warning("removing {}", removal)
             yield removal
@@ -58,7 +60,7 @@
             self._shares_planned_at = now
             yield from self._find_share_changes(config)
 
-    def _find_data_centres(self, config: Configuration) -> Iterator[AnyCommand]:
+    def _find_data_centre_changes(self, config: Configuration) -> Iterator[AnyCommand]:
         for data_centre in self._data_centres:
             known = config.data_centres_by_name.get(data_centre.name)
             if known is None or known.region != data_centre.region:
@@ -76,8 +78,8 @@
             if changes >= SHARE_CHANGES_PER_ROUND:
                 # The next round goes on here: every node has to pull each change.
                 return
-            self._share_position = (self._share_position + 1) % len(services)
-            command = plan_shares(config, services[self._share_position], capacities)
+            self._share_service_index = (self._share_service_index + 1) % len(services)
+            command = plan_shares(config, services[self._share_service_index], capacities)
             if command is not None:
                 changes += 1
                 self._metrics.counters["share_changes"] += 1
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
@@ -11,7 +11,9 @@
     from wagtailkeel_state.configuration import Configuration
 
 
-def list_nodes(config: Configuration, membership: Membership, now: float) -> list[NodeStatus]:
+def list_node_statuses(
+    config: Configuration, membership: Membership, now: float
+) -> list[NodeStatus]:
     """Return all members, sorted by id; one never heard of has version 0."""
     nodes = [
         NodeStatus(m.server_id, "agent", m.data_centre, 0, None, m.state.value, m.service)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -53,15 +53,15 @@
         The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
         same document may then be sent again, here or elsewhere.
         """
-        fault = find_document_fault(document)
-        if fault is not None:
-            return CommandAnswer(AnswerStatus.REJECTED, fault)
+        error = find_document_fault(document)
+        if error is not None:
+            return CommandAnswer(AnswerStatus.REJECTED, error)
         async with self._lock:
             for _ in range(ROUTING_ATTEMPTS):
-                known = self._store.configuration.routing
-                if document.version <= known.version:
+                current = self._store.configuration.routing
+                if document.version <= current.version:
                     return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
-                command = ReplaceRouting(change=compute_change(known, document))
+                command = ReplaceRouting(change=compute_change(current, document))
                 answer = await self._propose(CommandRequest(command, "", author))
                 if answer is None or answer.status is AnswerStatus.UNKNOWN:
                     break
@@ -83,8 +83,8 @@
         async with self._lock:
             if not await self._confirm_read():
                 return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
-            found = self._store.configuration.data_centres_by_name.get(name)
-            if found is not None and found.state is state:
+            data_centre = self._store.configuration.data_centres_by_name.get(name)
+            if data_centre is not None and data_centre.state is state:
                 return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
             command = SetDataCentreState(name=name, state=state, may_be_last=True)
             answer = await self._propose(CommandRequest(command, "", author))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/pending_proposals.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/pending_proposals.py
@@ -41,6 +41,6 @@
             pending.answer = answer
         pending.done.set()
 
-    def forget(self, index: int) -> None:
+    def discard(self, index: int) -> None:
         """Stop waiting."""
         self._pending_by_index.pop(index, None)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
@@ -26,29 +26,29 @@
         try:
             self._store.save_vote(vote)
         except StorageError as error:
-            raise self._fault(error) from error
+            raise self._convert_error(error) from error
 
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries at the end of the log."""
         try:
             self._store.append(entries)
         except StorageError as error:
-            raise self._fault(error) from error
+            raise self._convert_error(error) from error
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all after it."""
         try:
             self._store.truncate_from(index)
         except StorageError as error:
-            raise self._fault(error) from error
+            raise self._convert_error(error) from error
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot and drop entries that are no longer needed."""
         try:
             self._store.save_snapshot(snapshot)
         except StorageError as error:
-            raise self._fault(error) from error
+            raise self._convert_error(error) from error
 
-    def _fault(self, error: StorageError) -> StorageFaultError:
+    def _convert_error(self, error: StorageError) -> StorageFaultError:
         self.last_error = str(error)
         return StorageFaultError(str(error))
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -48,35 +48,37 @@
         self.config = build_configuration()
         self.membership = Membership(0.0)
 
-    def beat(self, server_id: str, now: float, boot_id: int = 7, version: int = 0) -> float:
+    def send_heartbeat(
+        self, server_id: str, now: float, boot_id: int = 7, version: int = 0
+    ) -> float:
         heartbeat = Heartbeat(server_id, boot_id, version or self.config.index, sent_at=now)
         return self.membership.on_heartbeat(heartbeat, self.config, now)
 
-    def run_until(self, end: float, silent: set[str]) -> list[str]:
+    def run_until(self, end: float, unresponsive: set[str]) -> list[str]:
         removed: list[str] = []
         now = 0.0
         while now < end:
             now += 0.25
-            for server_id in set(SERVERS) - silent:
-                self.beat(server_id, now)
+            for server_id in set(SERVERS) - unresponsive:
+                self.send_heartbeat(server_id, now)
             for command in self.membership.find_removals(self.config, now):
                 assert isinstance(command, RemoveServer)
                 removed.append(command.server_id)
         return removed
 
-    def test_silent_agents_are_removed_after_their_leases(self) -> None:
+    def test_unresponsive_agents_are_removed_after_their_leases(self) -> None:
         table = [
             (REMOVAL_SILENCE_S, {"a"}, set()),
             (REMOVAL_SILENCE_S + 1, {"a"}, {"a"}),
             (REMOVAL_SILENCE_S + 1, {"a", "b"}, {"a", "b"}),
             (REMOVAL_SILENCE_S + 9, {"a", "b", "c"}, set()),
         ]
-        for end, silent, expected in table:
-            with self.subTest(end=end, silent=silent):
+        for end, unresponsive, expected in table:
+            with self.subTest(end=end, unresponsive=unresponsive):
                 self.setUp()
-                self.assertEqual(set(self.run_until(end, silent)), expected)
+                self.assertEqual(set(self.run_until(end, unresponsive)), expected)
 
-    def test_pause_of_the_leader_removes_nobody(self) -> None:
+    def test_pause_of_the_leader_removes_no_agent(self) -> None:
         self.run_until(2.0, set())
         self.assertEqual(self.membership.find_removals(self.config, 60.0), [])
 
@@ -86,22 +88,22 @@
         for boot_id, version, expected in table:
             with self.subTest(boot_id=boot_id, version=version):
                 self.setUp()
-                self.assertEqual(self.beat("a", 1.0, boot_id, version), expected)
+                self.assertEqual(self.send_heartbeat("a", 1.0, boot_id, version), expected)
 
-    def test_node_that_stays_behind_loses_its_lease(self) -> None:
+    def test_node_with_an_outdated_version_loses_its_lease(self) -> None:
         epoch = self.config.services_by_name["desk"].table_epoch
-        self.assertEqual(self.beat("a", 1.0, version=epoch - 1), LEASE_S)
+        self.assertEqual(self.send_heartbeat("a", 1.0, version=epoch - 1), LEASE_S)
         late = 1.0 + VERSION_LAG_LIMIT_S + 0.1
-        self.assertEqual(self.beat("a", late, version=epoch - 1), 0.0)
+        self.assertEqual(self.send_heartbeat("a", late, version=epoch - 1), 0.0)
 
-    def test_removed_nodes_are_forgotten(self) -> None:
+    def test_reports_of_removed_nodes_are_discarded(self) -> None:
         self.run_until(1.0, set())
         apply(self.config, RemoveServer(server_id="a", boot_id=7))
         self.membership.find_removals(self.config, 1.25)
         self.assertEqual(set(self.membership.reports_by_id), {"b", "c", "d"})
 
-    def test_late_heartbeat_renews_nothing(self) -> None:
-        self.beat("a", 5.0)
+    def test_late_heartbeat_renews_no_lease(self) -> None:
+        self.send_heartbeat("a", 5.0)
         heartbeat = Heartbeat("a", 7, self.config.index, sent_at=4.0)
         self.assertEqual(self.membership.on_heartbeat(heartbeat, self.config, 6.0), 0.0)
 
@@ -176,15 +178,15 @@
 class FormationTest(unittest.TestCase):
     def test_decisions(self) -> None:
         ids = ["a", "b", "c"]
-        fresh = [FormationReply("b", "b1"), FormationReply("c", "c1")]
+        unformed_replies = [FormationReply("b", "b1"), FormationReply("c", "c1")]
         voters = {"a": "a1", "b": "b1", "c": "c1"}
         table = {
             "nobody answers": ([], None),
-            "one of two answers": (fresh[:1], None),
-            "all are fresh": (fresh, voters),
+            "one of two answers": (unformed_replies[:1], None),
+            "all are fresh": (unformed_replies, voters),
             "formed, and names this folder": ([FormationReply("b", "b1", voters)], voters),
             "formed, and names an earlier one": (
-                [FormationReply("b", "b1", {**voters, "a": "a0"}), fresh[1]],
+                [FormationReply("b", "b1", {**voters, "a": "a0"}), unformed_replies[1]],
                 None,
             ),
         }
