Control role: texts say who does what

Comments, docstrings and log lines of the control role were terse or figurative: 'a follower names the leader', 'leases are counted from here', 'the answer stays empty when another entry took it'. They now say who does what and when. Log lines and messages to operators change likewise; no test matched them.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -1,4 +1,4 @@
-"""How a control instance comes to belong to a cluster: as a founder, or by following its log."""
+"""How a control instance joins a cluster: as a founder, or as a learner of its log."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 class ClusterFormation:
-    """Asks other control instances on behalf of one; without discovery the settings name all."""
+    """Forms or joins a cluster; without discovery, the settings list all control instances."""
 
     def __init__(
         self,
@@ -52,14 +52,14 @@
 
     @property
     def may_form(self) -> bool:
-        """Tell whether this instance may be one of the first voters."""
+        """Return whether this instance may be one of the initial voters."""
         discovery = self._discovery
         if discovery is None:
             return True
         return discovery.may_form and self._instance_id in self._address_book.seeds
 
     async def join_as_learner_forever(self) -> None:
-        """Ask to follow the log while this data folder has no vote."""
+        """Request replication of the log while this data folder has no vote."""
         while True:
             if not self._raft.is_voter:
                 await self._join_as_learner()
@@ -89,21 +89,21 @@
         self._address_book.reload_seeds()
 
     async def on_join_request(self, request: ControlJoinRequest) -> ControlJoinReply:
-        """Replicate to an instance that asks for it; a follower names the leader."""
+        """Start replicating to an instance; a follower replies with the id of the leader."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
         self._raft.learners.add(request.instance_id, clock.seconds())
         return ControlJoinReply(True, self._instance_id)
 
     async def form(self) -> None:
-        """Write the first entry of a new cluster once all founders have answered."""
+        """Append the first entry of a new cluster once all founders have answered."""
         while not self._raft.voters_by_id:
             replies = await self._query_founders()
             expected = self._founder_ids
             voters = find_initial_voters(self._instance_id, self._identity, expected, replies)
             if voters is not None and not self._raft.voters_by_id:
                 self._raft.form(voters)
-                logger.info("formed a cluster of {}", ", ".join(sorted(voters)))
+                logger.info("formed a cluster with the voters {}", ", ".join(sorted(voters)))
                 return
             await anyio.sleep(FORMATION_RETRY_S)
 
@@ -134,5 +134,5 @@
         return replies
 
     async def on_formation_request(self, request: FormationRequest) -> FormationReply:
-        """Say whether this instance belongs to a cluster."""
+        """Reply with the voters of this instance's cluster, none if it belongs to no cluster."""
         return FormationReply(self._instance_id, self._identity, dict(self._raft.voters_by_id))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -91,7 +91,7 @@
 COMMIT_TIMEOUT_S = 5.0
 COMMIT_POLL_S = 0.2
 LEADER_WAIT_TIMEOUT_S = 1.0
-"""How long a node that wants to join waits here for an election to end."""
+"""How long the request of a joining node waits for an election to end."""
 
 
 class Control:
@@ -145,7 +145,7 @@
         read_seeds: Callable[[], list[str]] | None = None,
         event_sink: EventSink = events.UNLOGGED,
     ) -> Control:
-        """Build the role; the data folder is locked and read here."""
+        """Build the role, which locks and reads the data folder."""
         assert settings.control is not None, "the caller checks for the section"
         return cls(settings, settings.control, read_seeds, event_sink)
 
@@ -168,7 +168,8 @@
         self._log_store = LogStore(self._folder)
         if self._log_store.cut_bytes:
             logger.warning(
-                "cut {} bytes of an unfinished write from the log's end", self._log_store.cut_bytes
+                "truncated {} bytes of an incomplete write at the end of the log",
+                self._log_store.cut_bytes,
             )
         return self._log_store
 
@@ -228,7 +229,7 @@
             self._folder.close()
 
     async def stop(self) -> None:
-        """All that was answered is durable already."""
+        """Do nothing: everything that was acknowledged is durable already."""
 
     # Consensus
 
@@ -269,7 +270,7 @@
         while True:
             self._raft.tick(clock.seconds())
             if self._raft.has_storage_failed and self._disk.last_error:
-                logger.error("stepped down while the disk fails: {}", self._disk.last_error)
+                logger.error("stepped down until the disk works again: {}", self._disk.last_error)
                 self._emit(events.StorageFailed(self._disk.last_error))
                 self._disk.last_error = ""
             self._emit_raft_changes()
@@ -303,7 +304,7 @@
                 self.metrics.counters["control_bytes_sent"] += len(datagram)
 
     async def _propose(self, request: CommandRequest) -> CommandAnswer | None:
-        """Return the committed answer; None when not the leader; UNKNOWN when no commit is seen."""
+        """Return the committed answer, None if not the leader, or UNKNOWN if no commit is seen."""
         if not self._raft.is_leader:
             return None
         earlier_answer = self._store.configuration.answers_by_command_id.get(request.command_id)
@@ -311,7 +312,7 @@
             return earlier_answer
         command = assign_addresses(request.command, self._store.configuration, self._section.pools)
         index = self._raft.log.last_index + 1
-        # A single voter commits within propose, so the waiting entry must be there before.
+        # A single voter commits within propose(), so the pending proposal is added before.
         pending = self._pending.add(index, self._raft.term)
         proposed = self._raft.propose(
             command, request.command_id, request.author, request.expected_version
@@ -329,7 +330,8 @@
         if pending.answer is not None:
             return pending.answer
         return CommandAnswer(
-            AnswerStatus.UNKNOWN, "no quorum confirmed the command; send it again with its id"
+            AnswerStatus.UNKNOWN,
+            "no quorum confirmed the command; send it again with the same command id",
         )
 
     def _propose_duty(self, command: AnyCommand) -> None:
@@ -347,7 +349,7 @@
             if self._duties_term != self._raft.term:
                 self._duties_term = self._raft.term
                 self._duties.start_term(now)
-                logger.info("leading term {}", self._raft.term)
+                logger.info("became leader of term {}", self._raft.term)
             if self._raft.commit_index == self._raft.log.last_index:
                 for command in self._duties.find_due_commands(
                     self._store.configuration, now, time.time()
@@ -355,7 +357,7 @@
                     self._propose_duty(command)
             self._raft.learners.update_voters(now)
 
-    # Messages of nodes
+    # Messages from nodes
 
     def _on_datagram(self, datagram: bytes) -> None:
         message = decode_datagram(datagram)
@@ -398,7 +400,7 @@
             command = JoinBalancer(member=request.balancer)
             command_id = f"join/{request.balancer.instance_id}/{request.balancer.boot_id}"
         else:
-            return AnnounceReply(False, reason="the announcement names no member")
+            return AnnounceReply(False, reason="the announcement contains no member")
         return await self._propose_member_change(command, command_id)
 
     async def _stop_agent(self, request: StopRequest) -> AnnounceReply:
@@ -423,21 +425,21 @@
         return AnnounceReply(True, answer.index, self._instance_id)
 
     async def _wait_for_leader(self) -> None:
-        """Wait for the end of an election, so that nodes join right after it."""
+        """Wait for an election to end, so that nodes can join right after it."""
         with anyio.move_on_after(LEADER_WAIT_TIMEOUT_S):
             while not self._raft.leader_id:
                 await self._leader_changed.wait()
 
-    # What operators' interfaces ask
+    # Queries from operator interfaces
 
     @property
     def leader_id(self) -> str:
-        """The leader as this instance knows it; empty while there is none."""
+        """Instance id of the leader known to this instance, or empty if there is none."""
         return self._raft.leader_id
 
     @property
     def is_leader(self) -> bool:
-        """Tell whether this instance believes that it leads."""
+        """Return whether this instance considers itself the leader."""
         return self._raft.is_leader
 
     # Operators
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
@@ -1,4 +1,4 @@
-"""What the leader proposes of its own accord."""
+"""Commands that the leader proposes without a request."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class LeaderDuties:
-    """Data centres of the settings, removals, bookings and shares."""
+    """Finds due commands: data centres of the settings, removals, bookings and shares."""
 
     def __init__(
         self, data_centres: list[DataCentreSettings], metrics: Metrics, now: float
@@ -42,7 +42,7 @@
         return cls(section.data_centres, metrics, now)
 
     def start_term(self, now: float) -> None:
-        """Forget what an earlier term heard: leases are counted from here."""
+        """Discard the heartbeats received in an earlier term: leases are counted from ``now``."""
         self.membership = Membership(now)
 
     def find_due_commands(
@@ -51,10 +51,10 @@
         """Yield the commands that are due; ``wall_s`` is seconds since the Unix epoch."""
         yield from self._find_data_centre_changes(config)
         for removal in self.membership.find_removals(config, now):
-            logger.warning("removing {}", removal)
+            logger.warning("removing a node that has stopped sending heartbeats: {}", removal)
             yield removal
         for advance in find_due_bookings(config, wall_s):
-            logger.info("booking {} is {}", advance.booking_id, advance.state.value)
+            logger.info("booking {} changes to {}", advance.booking_id, advance.state.value)
             yield advance
         if now - self._shares_planned_at >= SHARE_INTERVAL_S:
             self._shares_planned_at = now
@@ -76,7 +76,7 @@
         changes = 0
         for _ in range(len(services)):
             if changes >= SHARE_CHANGES_PER_ROUND:
-                # The next round goes on here: every node has to pull each change.
+                # Every node has to pull each change, so the next round continues from here.
                 return
             self._share_service_index = (self._share_service_index + 1) % len(services)
             command = plan_shares(config, services[self._share_service_index], capacities)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
@@ -1,4 +1,4 @@
-"""What control last heard of each node."""
+"""The status that each node last reported to control."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 def list_node_statuses(
     config: Configuration, membership: Membership, now: float
 ) -> list[NodeStatus]:
-    """Return all members, sorted by id; one never heard of has version 0."""
+    """Return all members, sorted by id; version 0 means that a node has sent no heartbeat."""
     nodes = [
         NodeStatus(m.server_id, "agent", m.data_centre, 0, None, m.state.value, m.service)
         for m in config.servers_by_id.values()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -1,4 +1,4 @@
-"""State that operators replace as a whole: routing documents, and data centres out or back."""
+"""State that operators replace as a whole: routing documents and states of data centres."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class OperatorState:
-    """Changes and reads that a quorum confirms; ``propose`` returns None away from the leader."""
+    """Changes and reads that a quorum confirms; ``propose`` returns None if not the leader."""
 
     def __init__(
         self,
@@ -48,10 +48,10 @@
         self._lock = anyio.Lock()
 
     async def replace_routing(self, document: RoutingDocument, author: str) -> CommandAnswer:
-        """Put a document in force, or confirm that a newer one is.
+        """Commit a routing document, or confirm that its version or a newer one is committed.
 
-        The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
-        same document may then be sent again, here or elsewhere.
+        The answer is UNKNOWN if this instance is not the leader or no quorum confirms in time;
+        the same document may then be sent again, to this instance or to another.
         """
         error = find_document_fault(document)
         if error is not None:
@@ -71,7 +71,7 @@
         return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
 
     async def read_routing(self) -> RoutingDocument | None:
-        """Return the newest document, or None where a quorum does not confirm that it is."""
+        """Return the newest document, or None if no quorum confirms that it is the newest."""
         if not await self._confirm_read():
             return None
         return self._store.configuration.routing
@@ -79,7 +79,7 @@
     async def set_data_centre_state(
         self, name: str, state: DataCentreState, author: str
     ) -> CommandAnswer:
-        """Take a data centre out or back; one that is in the state already is confirmed."""
+        """Set the state of a data centre; a state that is already set is confirmed."""
         async with self._lock:
             if not await self._confirm_read():
                 return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
@@ -88,7 +88,7 @@
                 return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
             command = SetDataCentreState(name=name, state=state, may_be_last=True)
             answer = await self._propose(CommandRequest(command, "", author))
-        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance does not lead")
+        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance is not the leader")
 
     async def _confirm_read(self) -> bool:
         requested_at = clock.seconds()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/pending_proposals.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/pending_proposals.py
@@ -1,4 +1,4 @@
-"""Commands that wait for their commit."""
+"""Proposed commands that are not committed yet."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class PendingProposal(msgspec.Struct):
-    """A proposal at its log position; the answer stays empty when another entry took it."""
+    """A proposal at its log index; ``answer`` stays None if another entry is committed there."""
 
     term: int
     done: anyio.Event
@@ -27,13 +27,13 @@
         self._pending_by_index: dict[int, PendingProposal] = {}
 
     def add(self, index: int, term: int) -> PendingProposal:
-        """Wait for an index."""
+        """Add a proposal at a log index."""
         pending = PendingProposal(term, anyio.Event())
         self._pending_by_index[index] = pending
         return pending
 
     def resolve(self, entry: LogEntry, answer: CommandAnswer) -> None:
-        """Wake who waits for the entry; one of another term took the place of theirs."""
+        """Wake the waiter for an entry; it gets no answer if the entry is of another term."""
         pending = self._pending_by_index.pop(entry.index, None)
         if pending is None:
             return
@@ -42,5 +42,5 @@
         pending.done.set()
 
     def discard(self, index: int) -> None:
-        """Stop waiting."""
+        """Remove the proposal at a log index, if there is one."""
         self._pending_by_index.pop(index, None)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
@@ -1,4 +1,4 @@
-"""The log store as consensus sees it: its errors become faults of the coordination layer."""
+"""The log store as RaftStorage: its errors are converted to StorageFaultError."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
         self.last_error = ""
 
     def save_vote(self, vote: Vote) -> None:
-        """Replace the vote."""
+        """Replace the stored term and vote."""
         try:
             self._store.save_vote(vote)
         except StorageError as error:
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -116,7 +116,7 @@
         even = dict.fromkeys(SERVERS, 1_000)
         table = {
             "nothing measured": ({}, False),
-            "all alike": (even, False),
+            "all equal": (even, False),
             "within the hysteresis": ({**even, "a": 1_015}, False),
             "one faster": ({**even, "a": 2_000}, True),
             "the rest unmeasured": ({"a": 1_000, "b": 2_000}, True),
@@ -181,11 +181,11 @@
         unformed_replies = [FormationReply("b", "b1"), FormationReply("c", "c1")]
         voters = {"a": "a1", "b": "b1", "c": "c1"}
         table = {
-            "nobody answers": ([], None),
+            "no instance answers": ([], None),
             "one of two answers": (unformed_replies[:1], None),
-            "all are fresh": (unformed_replies, voters),
-            "formed, and names this folder": ([FormationReply("b", "b1", voters)], voters),
-            "formed, and names an earlier one": (
+            "no instance belongs to a cluster": (unformed_replies, voters),
+            "formed, and lists this identity": ([FormationReply("b", "b1", voters)], voters),
+            "formed, and lists an earlier identity": (
                 [FormationReply("b", "b1", {**voters, "a": "a0"}), unformed_replies[1]],
                 None,
             ),
