Raft log: texts name the base and what a reset removes

RaftLog.compact and reset, and the handling of a reply under another identity, did not say what moves, what is removed and what does not count. The docstrings now do.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -62,13 +62,13 @@
         del self._entries[index - self.base_index - 1 :]
 
     def compact(self, index: int) -> None:
-        """Remove the entries up to ``index``, which has to be in the log."""
+        """Move the base forward to ``index``, which is in the log, and remove entries up to it."""
         term = self.term_at(index)
         assert term is not None, "the compaction index is in the log"
         del self._entries[: index - self.base_index]
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
-        """Replace the whole log by the position of a snapshot from the leader."""
+        """Remove all entries and start after a snapshot received from the leader."""
         self._entries.clear()
         self.base_index, self.base_term = index, term
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -448,8 +448,8 @@
     def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
         """Process the reply of an instance whose data folder is not the one of its voter.
 
-        The log is replicated to the instance, but it doesn't count towards a quorum. Once it has
-        caught up, the voter with the former identity is removed.
+        The log is replicated to the instance, but its replies don't count towards a quorum. Once
+        it has caught up, the voter with the former identity is removed.
         """
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
