--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
@@ -1,4 +1,4 @@
-"""What a leader knows of one peer."""
+"""Replication progress of one peer, kept by the leader."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 
 
 class PeerProgress(msgspec.Struct):
-    """Replication state; times are monotonic seconds of the leader."""
+    """Replication state of one peer; times are monotonic seconds of the leader."""
 
     next_index: int
     match_index: int = 0
     sent_at: float = float("-inf")
     acknowledged_sent_at: float = float("-inf")
     round: int = 0
-    is_busy: bool = False
+    is_request_pending: bool = False
 
-    def learn(self, is_matched: bool, match_index: int, base_index: int) -> None:
-        """Take in what a peer says of its log; ``base_index`` is the start of the own one."""
+    def update(self, is_matched: bool, match_index: int, base_index: int) -> None:
+        """Process a peer's append reply; ``base_index`` is the base of the leader's log."""
         if is_matched:
             self.match_index = max(self.match_index, match_index)
             self.next_index = self.match_index + 1
             return
-        step_back = min(match_index, self.next_index - 1) + 1
-        self.next_index = max(1, step_back, base_index)
+        retry_index = min(match_index, self.next_index - 1) + 1
+        self.next_index = max(1, retry_index, base_index)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -1,10 +1,10 @@
 """Consensus among control instances.
 
-Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote and check-quorum (Ongaro's thesis,
+Source: Raft (Ongaro and Ousterhout, 2014), with pre-vote and check-quorum (Ongaro's dissertation,
 sections 9.6 and 6.2), leader leases for reads (section 6.4.1) and membership changes of one
 voter at a time (section 4.1). A voter is an instance id together with the identity of its data
-folder: an instance that lost its folder has another identity and is no voter until the log says
-so.
+folder: an instance that lost its folder has another identity and is no voter until a log entry
+adds that identity to the voters.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
 
 
 class RaftNode:
-    """One instance; calls of ``send`` are requests whose replies come back by ``on_reply``."""
+    """One instance; ``send`` sends a request to a peer, whose reply is passed to ``on_reply``."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         storage: RaftStorage,
         send: Callable[[str, RaftMessage], None],
         apply: Callable[[LogEntry], CommandAnswer],
-        replace: Callable[[Configuration], None],
+        replace_configuration: Callable[[Configuration], None],
         random: Random,
         now: float,
         voter_limit: int = UNLIMITED_VOTERS,
@@ -81,7 +81,7 @@
         self.log = log
         self.commit_index = configuration.index
         self.configuration = configuration
-        self.has_failed = False
+        self.has_storage_failed = False
         self.progress_by_id: dict[str, PeerProgress] = {}
         self.instance_id = instance_id
         self.identity = identity
@@ -91,11 +91,11 @@
         self._storage = storage
         self.send = send
         self._apply = apply
-        self._replace = replace
+        self._replace_configuration = replace_configuration
         self._elections = Elections(self, random, now)
         self._voters_by_id = self._find_voters()
 
-    # Reading
+    # Voters and reads
 
     @property
     def voters_by_id(self) -> dict[str, str]:
@@ -104,44 +104,44 @@
 
     @property
     def is_voter(self) -> bool:
-        """Tell whether this data folder may vote."""
+        """Return whether the identity of this data folder is a voter."""
         return self._voters_by_id.get(self.instance_id) == self.identity
 
     @property
     def is_leader(self) -> bool:
-        """Tell whether this instance leads its term."""
+        """Return whether this instance is the leader of its term."""
         return self.role is RaftRole.LEADER
 
     def has_read_lease(self, now: float) -> bool:
-        """Tell whether no other leader can have been elected yet, so that reads are current."""
+        """Return whether no other leader can have been elected yet, so that reads are current."""
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
         lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
-        return now < self._quorum_sent_at(now) + lease_s
+        return now < self._quorum_acknowledged_sent_at(now) + lease_s
 
-    def is_read_confirmed(self, asked_at: float, now: float) -> bool:
-        """Tell whether a quorum has answered a request sent after ``asked_at``.
+    def is_read_confirmed(self, requested_at: float, now: float) -> bool:
+        """Return whether a quorum has answered a request sent after ``requested_at``.
 
-        Source: ReadIndex, section 6.4 of the thesis. No clock of another instance is trusted.
+        Source: ReadIndex, section 6.4 of the dissertation. Relies on no clock of another instance.
         """
         if not self.is_leader or self.log.term_at(self.commit_index) != self.term:
             return False
-        return self._quorum_sent_at(now) >= asked_at
+        return self._quorum_acknowledged_sent_at(now) >= requested_at
 
-    def _quorum_sent_at(self, now: float) -> float:
-        times = [
+    def _quorum_acknowledged_sent_at(self, now: float) -> float:
+        sent_times = [
             now if voter == self.instance_id else self.progress_of(voter).acknowledged_sent_at
             for voter in self._voters_by_id
         ]
-        return sorted(times, reverse=True)[self.quorum - 1]
+        return sorted(sent_times, reverse=True)[self.quorum - 1]
 
     @property
     def quorum(self) -> int:
-        """The number of voters that decide."""
+        """Number of voters that form a majority."""
         return len(self._voters_by_id) // 2 + 1
 
     def progress_of(self, peer: str) -> PeerProgress:
-        """Return what this leader knows of another instance's log."""
+        """Return the replication progress of another instance."""
         if peer not in self.progress_by_id:
             self.progress_by_id[peer] = PeerProgress(self.log.last_index + 1)
         return self.progress_by_id[peer]
@@ -149,7 +149,7 @@
     # Bootstrap and proposals
 
     def form(self, identities_by_id: dict[str, str]) -> None:
-        """Write the first entry of a new cluster; the same on every initial voter."""
+        """Append the first entry of a new cluster, which is the same on every initial voter."""
         command = SetControlMembers(identities_by_id=identities_by_id)
         self._append([LogEntry(1, 0, command)])
 
@@ -160,46 +160,46 @@
         author: str = "",
         expected_version: int | None = None,
     ) -> int | None:
-        """Append a command as leader; return its index, or None when not the leader."""
-        if not self.is_leader or self.has_failed:
+        """Append a command as leader; return its index, or None if not leader or the disk fails."""
+        if not self.is_leader or self.has_storage_failed:
             return None
         index = self.log.last_index + 1
         entry = LogEntry(index, self.term, command, command_id, author, expected_version)
         self._append([entry])
-        self._advance_commit()
-        return None if self.has_failed else index
+        self._advance_commit_index()
+        return None if self.has_storage_failed else index
 
     def _append(self, entries: list[LogEntry]) -> bool:
         try:
             self._storage.append(entries)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.append(entries)
         self._voters_by_id = self._find_voters()
         return True
 
-    def _fail(self) -> None:
-        """An instance whose disk does not sync is no use as a voter; it steps down for now."""
-        self.has_failed = True
+    def _on_storage_failure(self) -> None:
+        """Step down for now: an instance whose disk does not sync is of no use as a voter."""
+        self.has_storage_failed = True
         self._retry_storage_at = float("-inf")
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
 
     def _retry_storage(self, now: float) -> None:
-        """Try the disk again after a while: it may have been full for a time only.
+        """Retry the disk after STORAGE_RETRY_S: it may have been full only temporarily.
 
-        What failed was not added to the log in memory, and the next write takes its place.
+        Entries whose write failed are not in the in-memory log; the next write replaces them.
         """
         if self._retry_storage_at == float("-inf"):
             self._retry_storage_at = now + STORAGE_RETRY_S
         if now < self._retry_storage_at:
             return
-        self.has_failed = False
+        self.has_storage_failed = False
         if not self.save_vote(self.term, self.voted_for):
             return
-        # While the disk failed, a leader may have counted the answers to its heartbeats.
-        self._elections.on_leader_heard(now)
+        # While the disk failed, a leader may have counted this voter's replies to its heartbeats.
+        self._elections.on_leader_contact(now)
 
     def _find_voters(self) -> dict[str, str]:
         voters = self.log.find_voters(after=self.configuration.index)
@@ -207,36 +207,36 @@
 
     @property
     def is_member_change_pending(self) -> bool:
-        """Tell whether a change of voters is in the log but not committed."""
+        """Return whether a change of voters is in the log but not committed."""
         return self.log.find_voters(after=self.commit_index) is not None
 
     # Timers
 
     def tick(self, now: float) -> None:
         """Start elections, send heartbeats, and step down without a quorum."""
-        if self.has_failed:
+        if self.has_storage_failed:
             self._retry_storage(now)
             return
         if self.is_leader:
-            self._lead(now)
+            self._tick_as_leader(now)
         elif self.is_voter:
             self._elections.tick(now)
 
-    def _lead(self, now: float) -> None:
-        if now - self._quorum_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
+    def _tick_as_leader(self, now: float) -> None:
+        if now - self._quorum_acknowledged_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
             self.step_down(self.term, now)
             return
-        self.learners.forget_silent(now)
+        self.learners.remove_unresponsive(now)
         for peer in self._replication_targets():
             self._replicate(peer, now)
 
     def _replication_targets(self) -> list[str]:
-        """All other instances: those without a vote follow the log as learners."""
+        """Return all other instances; those without a vote replicate the log as learners."""
         targets = set(self._voters_by_id) | set(self.learners.instance_ids)
         return sorted(targets - {self.instance_id})
 
     def flush(self, now: float) -> None:
-        """Send new entries at once instead of at the next heartbeat."""
+        """Send new entries now instead of with the next heartbeat."""
         if not self.is_leader:
             return
         for peer in self._replication_targets():
@@ -246,49 +246,49 @@
     # Elections
 
     def become_leader(self, now: float) -> None:
-        """Lead the present term."""
+        """Become the leader of the current term."""
         self.role = RaftRole.LEADER
         self.leader_id = self.instance_id
         self.progress_by_id = {}
         for peer in self._replication_targets():
-            # The quorum that voted counts as heard, so that check-quorum gives it time to answer.
+            # Peers count as having just answered, so that check-quorum gives them time to do so.
             self.progress_of(peer).acknowledged_sent_at = now
         self.propose(Noop())
         self.flush(now)
 
     def save_vote(self, term: int, voted_for: str) -> bool:
-        """Make a term and a vote durable; return False where the disk fails."""
+        """Save a term and a vote durably; return False if the disk fails."""
         try:
             self._storage.save_vote(Vote(term, voted_for))
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.term, self.voted_for = term, voted_for
         return True
 
     def step_down(self, term: int, now: float) -> None:
-        """Follow, in a term that is at least the own one."""
+        """Become a follower in a term that is not older than the current one."""
         if term > self.term and not self.save_vote(term, ""):
             return
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
-        self._elections.postpone(now)
+        self._elections.reset_timer(now)
 
     @singledispatchmethod
     def on_request(self, request: object, now: float) -> VoteReply | AppendReply | RestartReply:
-        """Answer a request of a peer."""
-        raise TypeError(f"no rule for {type(request).__name__}")
+        """Process a request from a peer and return the reply."""
+        raise TypeError(f"no handler for {type(request).__name__}")
 
     # Replication
 
     def _replicate(self, peer: str, now: float) -> None:
         progress = self.progress_of(peer)
-        if progress.is_busy and now - progress.sent_at < REPLY_TIMEOUT_S:
+        if progress.is_request_pending and now - progress.sent_at < REPLY_TIMEOUT_S:
             return
-        has_news = progress.next_index <= self.log.last_index
-        if not has_news and now - progress.sent_at < HEARTBEAT_INTERVAL_S:
+        has_new_entries = progress.next_index <= self.log.last_index
+        if not has_new_entries and now - progress.sent_at < HEARTBEAT_INTERVAL_S:
             return
-        progress.is_busy = True
+        progress.is_request_pending = True
         progress.sent_at = now
         progress.round += 1
         previous_index = progress.next_index - 1
@@ -318,52 +318,52 @@
 
     @on_request.register
     def _(self, request: VoteRequest, now: float) -> VoteReply:
-        return self._elections.answer_vote(request, now)
+        return self._elections.on_vote_request(request, now)
 
     @on_request.register
     def _(self, request: RestartRequest, now: float) -> RestartReply:
-        return self._elections.answer_restart(request, now)
+        return self._elections.on_restart_request(request, now)
 
     @on_request.register
     def _(self, request: AppendRequest, now: float) -> AppendReply:
-        if self.has_failed or request.term < self.term:
+        if self.has_storage_failed or request.term < self.term:
             return self._append_reply(False, self.log.last_index, request.round)
-        if not self._follow(request.leader_id, request.term, now):
+        if not self._accept_leader(request.leader_id, request.term, now):
             return self._append_reply(False, self.log.last_index, request.round)
         if self.log.term_at(request.previous_index) != request.previous_term:
             hint = min(self.log.last_index, max(request.previous_index - 1, self.commit_index))
             return self._append_reply(False, hint, request.round)
-        if not self._store(request):
+        if not self._store_entries(request):
             return self._append_reply(False, self.commit_index, request.round)
         match_index = request.previous_index + len(request.entries)
         self._commit_to(min(request.commit_index, match_index))
         return self._append_reply(True, match_index, request.round)
 
-    def _follow(self, leader_id: str, term: int, now: float) -> bool:
+    def _accept_leader(self, leader_id: str, term: int, now: float) -> bool:
         if term > self.term or self.role is not RaftRole.FOLLOWER:
             self.step_down(term, now)
-            if self.has_failed:
+            if self.has_storage_failed:
                 return False
         self.leader_id = leader_id
-        self._elections.on_leader_heard(now)
+        self._elections.on_leader_contact(now)
         return True
 
-    def _append_reply(self, is_matched: bool, match_index: int, round_: int) -> AppendReply:
+    def _append_reply(self, is_matched: bool, match_index: int, round_number: int) -> AppendReply:
         return AppendReply(
-            self.term, self.instance_id, is_matched, match_index, round_, self.identity
+            self.term, self.instance_id, is_matched, match_index, round_number, self.identity
         )
 
-    def _store(self, request: AppendRequest) -> bool:
-        fresh: list[LogEntry] = []
+    def _store_entries(self, request: AppendRequest) -> bool:
+        new_entries: list[LogEntry] = []
         for position, entry in enumerate(request.entries):
-            known = self.log.term_at(entry.index)
-            if known == entry.term or entry.index <= self.log.base_index:
+            known_term = self.log.term_at(entry.index)
+            if known_term == entry.term or entry.index <= self.log.base_index:
                 continue
-            if known is not None and not self._truncate(entry.index):
+            if known_term is not None and not self._truncate(entry.index):
                 return False
-            fresh = request.entries[position:]
+            new_entries = request.entries[position:]
             break
-        return not fresh or self._append(fresh)
+        return not new_entries or self._append(new_entries)
 
     def _truncate(self, index: int) -> bool:
         if index <= self.commit_index:
@@ -371,7 +371,7 @@
         try:
             self._storage.truncate_from(index)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.truncate_from(index)
         self._voters_by_id = self._find_voters()
@@ -379,37 +379,37 @@
 
     @on_request.register
     def _(self, request: SnapshotRequest, now: float) -> AppendReply:
-        if self.has_failed or request.term < self.term:
+        if self.has_storage_failed or request.term < self.term:
             return self._append_reply(False, self.log.last_index, request.round)
-        if not self._follow(request.leader_id, request.term, now):
+        if not self._accept_leader(request.leader_id, request.term, now):
             return self._append_reply(False, self.log.last_index, request.round)
         if request.last_index > self.commit_index:
             configuration = msgspec.msgpack.decode(request.snapshot, type=Configuration)
-            if not self._install(configuration):
+            if not self._install_snapshot(configuration):
                 return self._append_reply(False, self.commit_index, request.round)
         return self._append_reply(True, request.last_index, request.round)
 
-    def _install(self, configuration: Configuration) -> bool:
+    def _install_snapshot(self, configuration: Configuration) -> bool:
         try:
-            # In this order: entries that were acknowledged stay durable until the snapshot is.
+            # The snapshot is saved first, so that acknowledged entries stay durable throughout.
             self._storage.save_snapshot(Snapshot(configuration))
             self._storage.truncate_from(self.log.base_index + 1)
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return False
         self.log.reset(configuration.index, configuration.term)
         self.commit_index = configuration.index
         self.configuration = configuration
         self._voters_by_id = self._find_voters()
-        self._replace(configuration)
+        self._replace_configuration(configuration)
         return True
 
     # Replies
 
     @singledispatchmethod
     def on_reply(self, reply: object, now: float) -> None:
-        """Handle the reply to an earlier request."""
-        raise TypeError(f"no rule for {type(reply).__name__}")
+        """Process the reply to an earlier request."""
+        raise TypeError(f"no handler for {type(reply).__name__}")
 
     @on_reply.register
     def _(self, reply: VoteReply, now: float) -> None:
@@ -429,29 +429,33 @@
         progress = self.progress_of(reply.follower_id)
         if reply.round != progress.round:
             return
-        progress.is_busy = False
+        progress.is_request_pending = False
         voter_identity = self._voters_by_id.get(reply.follower_id)
         if voter_identity is None:
             self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         elif voter_identity != reply.follower_identity:
-            self._on_foreign_identity(reply, progress, now)
+            self._on_identity_mismatch(reply, progress, now)
             return
         progress.acknowledged_sent_at = progress.sent_at
-        refused_index = progress.next_index
-        progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
-        self._advance_commit()
-        # A follower whose disk fails refuses the same entries again and again: it can wait.
-        has_moved = reply.is_matched or progress.next_index != refused_index
-        if has_moved and progress.next_index <= self.log.last_index:
+        rejected_index = progress.next_index
+        progress.update(reply.is_matched, reply.match_index, self.log.base_index)
+        self._advance_commit_index()
+        # A follower whose disk fails rejects the same entries repeatedly: don't resend at once.
+        has_progressed = reply.is_matched or progress.next_index != rejected_index
+        if has_progressed and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
-    def _on_foreign_identity(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
-        """An instance with another data folder than its voter's: replicate, but don't count."""
+    def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
+        """Process the reply of an instance whose data folder is not the one of its voter.
+
+        The log is replicated to the instance, but its replies don't count towards a quorum. Once
+        it has caught up, the voter with the former identity is removed.
+        """
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
             progress.next_index = reply.match_index + 1
         else:
-            progress.learn(reply.is_matched, reply.match_index, self.log.base_index)
+            progress.update(reply.is_matched, reply.match_index, self.log.base_index)
         progress.match_index = 0
         is_caught_up = reply.is_matched and reply.match_index >= self.commit_index
         if is_caught_up and not self.is_member_change_pending:
@@ -462,10 +466,10 @@
 
     # Commit
 
-    def _advance_commit(self) -> None:
+    def _advance_commit_index(self) -> None:
         if not self.is_leader:
             return
-        matches = [
+        match_indexes = [
             (
                 self.log.last_index
                 if voter == self.instance_id
@@ -473,9 +477,9 @@
             )
             for voter in self._voters_by_id
         ]
-        if not matches:
+        if not match_indexes:
             return
-        index = sorted(matches, reverse=True)[self.quorum - 1]
+        index = sorted(match_indexes, reverse=True)[self.quorum - 1]
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self._commit_to(index)
 
@@ -491,6 +495,6 @@
         try:
             self._storage.save_snapshot(Snapshot(self.configuration))
         except StorageFaultError:
-            self._fail()
+            self._on_storage_failure()
             return
         self.log.compact(self.commit_index - RETAINED_ENTRIES)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/leader_duties.py
@@ -1,4 +1,4 @@
-"""What the leader proposes of its own accord."""
+"""Commands that the leader proposes without a request."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class LeaderDuties:
-    """Data centres of the settings, removals, bookings and shares."""
+    """Finds due commands: data centres of the settings, removals, bookings and shares."""
 
     def __init__(
         self, data_centres: list[DataCentreSettings], metrics: Metrics, now: float
@@ -34,7 +34,7 @@
         self._data_centres = data_centres
         self._metrics = metrics
         self._shares_planned_at = now
-        self._share_position = 0
+        self._share_service_index = 0
 
     @classmethod
     def from_settings(cls, section: ControlSettings, metrics: Metrics, now: float) -> LeaderDuties:
@@ -42,23 +42,25 @@
         return cls(section.data_centres, metrics, now)
 
     def start_term(self, now: float) -> None:
-        """Forget what an earlier term heard: leases are counted from here."""
+        """Discard the heartbeats received in an earlier term: leases are counted from ``now``."""
         self.membership = Membership(now)
 
-    def find_due(self, config: Configuration, now: float, wall_s: float) -> Iterator[AnyCommand]:
+    def find_due_commands(
+        self, config: Configuration, now: float, wall_s: float
+    ) -> Iterator[AnyCommand]:
         """Yield the commands that are due; ``wall_s`` is seconds since the Unix epoch."""
-        yield from self._find_data_centres(config)
+        yield from self._find_data_centre_changes(config)
         for removal in self.membership.find_removals(config, now):
-            logger.warning("removing {}", removal)
+            logger.warning("removing a node that has stopped sending heartbeats: {}", removal)
             yield removal
         for advance in find_due_bookings(config, wall_s):
-            logger.info("booking {} is {}", advance.booking_id, advance.state.value)
+            logger.info("booking {} changes to {}", advance.booking_id, advance.state.value)
             yield advance
         if now - self._shares_planned_at >= SHARE_INTERVAL_S:
             self._shares_planned_at = now
             yield from self._find_share_changes(config)
 
-    def _find_data_centres(self, config: Configuration) -> Iterator[AnyCommand]:
+    def _find_data_centre_changes(self, config: Configuration) -> Iterator[AnyCommand]:
         for data_centre in self._data_centres:
             known = config.data_centres_by_name.get(data_centre.name)
             if known is None or known.region != data_centre.region:
@@ -74,10 +76,10 @@
         changes = 0
         for _ in range(len(services)):
             if changes >= SHARE_CHANGES_PER_ROUND:
-                # The next round goes on here: every node has to pull each change.
+                # Every node has to pull each change, so the next round continues from here.
                 return
-            self._share_position = (self._share_position + 1) % len(services)
-            command = plan_shares(config, services[self._share_position], capacities)
+            self._share_service_index = (self._share_service_index + 1) % len(services)
+            command = plan_shares(config, services[self._share_service_index], capacities)
             if command is not None:
                 changes += 1
                 self._metrics.counters["share_changes"] += 1
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -1,4 +1,4 @@
-"""State that operators replace as a whole: routing documents, and data centres out or back."""
+"""State that operators replace as a whole: routing documents and states of data centres."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class OperatorState:
-    """Changes and reads that a quorum confirms; ``propose`` returns None away from the leader."""
+    """Changes and reads that a quorum confirms; ``propose`` returns None if not the leader."""
 
     def __init__(
         self,
@@ -48,20 +48,20 @@
         self._lock = anyio.Lock()
 
     async def replace_routing(self, document: RoutingDocument, author: str) -> CommandAnswer:
-        """Put a document in force, or confirm that a newer one is.
+        """Commit a routing document, or confirm that its version or a newer one is committed.
 
-        The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
-        same document may then be sent again, here or elsewhere.
+        The answer is UNKNOWN if this instance is not the leader or no quorum confirms in time;
+        the same document may then be sent again, to this instance or to another.
         """
-        fault = find_document_fault(document)
-        if fault is not None:
-            return CommandAnswer(AnswerStatus.REJECTED, fault)
+        error = find_document_fault(document)
+        if error is not None:
+            return CommandAnswer(AnswerStatus.REJECTED, error)
         async with self._lock:
             for _ in range(ROUTING_ATTEMPTS):
-                known = self._store.configuration.routing
-                if document.version <= known.version:
+                current = self._store.configuration.routing
+                if document.version <= current.version:
                     return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
-                command = ReplaceRouting(change=compute_change(known, document))
+                command = ReplaceRouting(change=compute_change(current, document))
                 answer = await self._propose(CommandRequest(command, "", author))
                 if answer is None or answer.status is AnswerStatus.UNKNOWN:
                     break
@@ -71,7 +71,7 @@
         return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
 
     async def read_routing(self) -> RoutingDocument | None:
-        """Return the newest document, or None where a quorum does not confirm that it is."""
+        """Return the newest document, or None if no quorum confirms that it is the newest."""
         if not await self._confirm_read():
             return None
         return self._store.configuration.routing
@@ -79,24 +79,24 @@
     async def set_data_centre_state(
         self, name: str, state: DataCentreState, author: str
     ) -> CommandAnswer:
-        """Take a data centre out or back; one that is in the state already is confirmed."""
+        """Set the state of a data centre; a state that is already set is confirmed."""
         async with self._lock:
             if not await self._confirm_read():
                 return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
-            found = self._store.configuration.data_centres_by_name.get(name)
-            if found is not None and found.state is state:
+            data_centre = self._store.configuration.data_centres_by_name.get(name)
+            if data_centre is not None and data_centre.state is state:
                 return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
             command = SetDataCentreState(name=name, state=state, may_be_last=True)
             answer = await self._propose(CommandRequest(command, "", author))
-        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance does not lead")
+        return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance is not the leader")
 
     async def _confirm_read(self) -> bool:
-        asked_at = clock.seconds()
+        requested_at = clock.seconds()
         while self._raft.is_leader:
             now = clock.seconds()
-            if self._raft.is_read_confirmed(asked_at, now):
+            if self._raft.is_read_confirmed(requested_at, now):
                 return True
-            if now - asked_at > READ_TIMEOUT_S:
+            if now - requested_at > READ_TIMEOUT_S:
                 return False
             await anyio.sleep(READ_POLL_S)
         return False
