--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -37,7 +37,7 @@
 
 Address = tuple[str, int]
 
-_RETURNS = (RelayKind.REJECTED, RelayKind.RETURNED, RelayKind.BUSY)
+_RETURN_KINDS = (RelayKind.REJECTED, RelayKind.RETURNED, RelayKind.BUSY)
 
 
 class AgentRouter:
@@ -69,7 +69,7 @@
         self.owner = DirectoryOwner(
             self._context, self.holder, data_centre, random, choose, are_members_confirmed
         )
-        self.holder.connect(self.owner)
+        self.holder.connect_owner(self.owner)
         self.routing = self._context.routing
         self.held = self.holder.held
         self.pointers = self.owner.pointers
@@ -95,10 +95,10 @@
         self.pointers.idle_limit_s = document.idle_limit_s
 
     def set_peers(
-        self, services_by_member: Mapping[Address, str], former: frozenset[Address]
+        self, services_by_member: Mapping[Address, str], former_members: frozenset[Address]
     ) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
-        self.owner.set_peers(services_by_member, former)
+        self.owner.set_peers(services_by_member, former_members)
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Take in what the own server says; return whether it counts."""
@@ -127,11 +127,11 @@
             self._context.counters[f"dropped_{header.value}"] += 1
             return
         flow = self.held.by_key.get(header.key)
-        if flow is not None and self.gate.has_gone:
+        if flow is not None and self.gate.has_stopped:
             # Its server does not answer any more, and nobody else will on its behalf.
             self.held.remove(flow)
             flow = None
-        if flow is not None and frame.kind not in _RETURNS:
+        if flow is not None and frame.kind not in _RETURN_KINDS:
             self.holder.deliver_held(flow, frame, header, source)
             return
         self._route(frame, header, source)
@@ -143,9 +143,9 @@
         elif kind is RelayKind.PLACE:
             self.holder.on_place(frame, header, source)
         elif kind is RelayKind.DELIVER:
-            self.holder.on_unknown(frame, header, source, RelayKind.RETURNED, frame.body)
+            self.holder.on_unknown_flow(frame, header, source, RelayKind.RETURNED, frame.body)
         elif kind is RelayKind.SEARCH:
-            self.holder.on_unknown(frame, header, source, RelayKind.NOT_FOUND, header.key)
+            self.holder.on_unknown_flow(frame, header, source, RelayKind.NOT_FOUND, header.key)
         elif kind in (RelayKind.REJECTED, RelayKind.BUSY):
             self.owner.on_rejected(frame, header, source)
         else:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -34,7 +34,7 @@
 
 Address = tuple[str, int]
 
-PLACEMENT_ATTEMPTS = 4
+MAX_PLACEMENT_ATTEMPTS = 4
 
 
 class _Opening(msgspec.Struct):
@@ -44,7 +44,7 @@
     key: bytes
     service: str
     tag: int
-    has_all_copies: bool
+    is_sole_placer: bool
 
 
 class DirectoryOwner:
@@ -66,7 +66,7 @@
         self.searches = FlowSearches()
         self.loads = PeerLoads()
         self.peers: frozenset[Address] = frozenset()
-        self.former: frozenset[Address] = frozenset()
+        self.former_members: frozenset[Address] = frozenset()
         self._members_by_tag: dict[int, list[Address]] = {}
         self._context = context
         self._holder = holder
@@ -76,12 +76,12 @@
         self._are_members_confirmed = are_members_confirmed
 
     def set_peers(
-        self, services_by_member: Mapping[Address, str], former: frozenset[Address]
+        self, services_by_member: Mapping[Address, str], former_members: frozenset[Address]
     ) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
         members = frozenset(services_by_member)
-        self.former = former - members
-        self.peers = (members | former) - {self._context.own_address}
+        self.former_members = former_members - members
+        self.peers = (members | former_members) - {self._context.own_address}
         self.loads.retain(members)
         self._members_by_tag = {}
         for address, service in services_by_member.items():
@@ -104,7 +104,7 @@
         elif pointer is not None:
             kind = RelayKind.PLACE if header.is_opening else RelayKind.DELIVER
             self._context.send(pointer.target, kind, frame, frame.body)
-            if pointer.target in self.former:
+            if pointer.target in self.former_members:
                 # Control does not hear the agent: it may have died with the flow's server.
                 self._search(frame, header.key, exclude=None)
         elif header.is_opening:
@@ -115,7 +115,7 @@
             self._search(frame, header.key, exclude=None)
 
     def _is_reachable(self, address: Address) -> bool:
-        return self.loads.is_fresh(address, self._context.now)
+        return self.loads.is_available(address, self._context.now)
 
     # Openings
 
@@ -126,17 +126,17 @@
         if service is None:
             self._context.counters["dropped_route_changed"] += 1
             return
-        has_all_copies = self.pointers.has_all_copies(key, header.attempt)
-        opening = _Opening(frame, key, service, relay.service_tag(service), has_all_copies)
+        is_sole_placer = self.pointers.is_sole_placer(key, header.attempt)
+        opening = _Opening(frame, key, service, relay.service_tag(service), is_sole_placer)
         candidates = self._find_candidates(opening)
-        while len(tried) < PLACEMENT_ATTEMPTS:
+        while len(tried) < MAX_PLACEMENT_ATTEMPTS:
             peer = self._choose(candidates, self._data_centre, tried, self._random)
             if peer is None:
                 break
-            self._note_placement(peer, key, len(candidates))
-            pointer = self.pointers.point(key, peer.address, self._context.now)
+            self._emit_placement(peer, key, len(candidates))
+            pointer = self.pointers.set_target(key, peer.address, self._context.now)
             pointer.tried = tried
-            pointer.has_all_copies = has_all_copies
+            pointer.is_sole_placer = is_sole_placer
             if self._offer(opening, peer.address):
                 return
             tried.add(peer.address)
@@ -146,13 +146,13 @@
         now = self._context.now
         own_load = self._holder.build_load(now)
         self.loads.on_load(self._context.own_address, self._data_centre, own_load, now)
-        return self.loads.candidates(self._members_by_tag.get(opening.tag, []), now)
+        return self.loads.find_candidates(self._members_by_tag.get(opening.tag, []), now)
 
     def _offer(self, opening: _Opening, address: Address) -> bool:
         """Pass an opening to an agent; return False where the own one does not take it."""
         frame, key = opening.frame, opening.key
         if address != self._context.own_address:
-            self.loads.note_opening(address)
+            self.loads.count_opening(address)
             self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
             return True
         if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
@@ -164,22 +164,24 @@
         """No server has taken an opening: refuse it, unless one may, or may have."""
         key, now = opening.key, self._context.now
         self.pointers.remove(key)
-        self.pointers.note_unplaced(key, now)
-        if self.loads.has_unheard(opening.tag, now) or not self._hears_all_members(opening.tag):
+        self.pointers.record_unplaced(key, now)
+        if self.loads.has_unreported_server(opening.tag, now) or not self._are_members_reachable(
+            opening.tag
+        ):
             # A server may have room: the caller's next copy finds it.
             self._context.counters["openings_deferred"] += 1
-        elif opening.has_all_copies:
+        elif opening.is_sole_placer:
             self._refuse(opening.frame.body, key, tried, candidates)
         else:
             # Another owner may have placed an earlier copy: its flow may be open by now.
             self._context.counters["dropped_copy_of_opening"] += 1
 
-    def _hears_all_members(self, tag: int) -> bool:
+    def _are_members_reachable(self, tag: int) -> bool:
         """Tell whether no server of a service can be unknown to be ready."""
         members = self._members_by_tag.get(tag, [])
         return all(a == self._context.own_address or self._is_reachable(a) for a in members)
 
-    def _note_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
+    def _emit_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
         self._context.emit(
             events.OpeningPlaced(
                 flow_id(key),
@@ -187,7 +189,7 @@
                 self._context.routing.version,
                 candidates,
                 round(expected_wait_ms(peer, self._data_centre), 1),
-                round((self._context.now - peer.heard_at) * 1_000, 1),
+                round((self._context.now - peer.received_at) * 1_000, 1),
             )
         )
 
@@ -200,7 +202,7 @@
                 flow_id(key), reason, tried, candidates, self._context.routing.version
             )
         )
-        self._context.reset(packet, key)
+        self._context.send_reset(packet, key)
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Offer an opening that came back to another server."""
@@ -211,7 +213,7 @@
         tried = pointer.tried if pointer is not None else set()
         tried.add(source)
         if frame.kind is RelayKind.REJECTED:
-            self.loads.note_rejection(source)
+            self.loads.record_rejection(source)
         if header.key not in self._holder.held.by_key:
             self._place(frame, header, tried)
 
@@ -228,12 +230,12 @@
         if key not in self.searches.by_key:
             reason = "not_in_directory" if exclude is None else "returned_by_server"
             self._context.emit(events.SearchStarted(flow_id(key), reason, len(self.peers)))
-        asked = set(self.peers)
-        if self._holder.is_forgetful:
-            asked.add(self._context.own_address)
+        queried = set(self.peers)
+        if self._holder.has_incomplete_flow_table:
+            queried.add(self._context.own_address)
         if exclude is not None:
-            asked.discard(exclude)
-        for address in self.searches.begin(key, frame.body, asked, self._context.now):
+            queried.discard(exclude)
+        for address in self.searches.begin(key, frame.body, queried, self._context.now):
             self._context.counters["search_requests"] += 1
             if address == self._context.own_address:
                 self._holder.probe(key, frame.body, self._context.own_address)
@@ -243,9 +245,9 @@
     def on_found(self, key: bytes, source: Address) -> None:
         """End a search: the agent at ``source`` has the flow."""
         if key in self.searches.by_key:
-            self._end_search(key, "found", source[0], 0)
+            self._emit_search_ended(key, "found", source[0], 0)
         queued = self.searches.on_found(key)
-        self.pointers.point(key, source, self._context.now)
+        self.pointers.set_target(key, source, self._context.now)
         for packet in queued:
             if source == self._context.own_address:
                 self._context.outbox.deliver(packet)
@@ -259,9 +261,9 @@
             # A delivery, not a search, has met an agent without the flow: the next packet searches.
             self.pointers.remove(key)
         if self.searches.on_not_found(key, source):
-            self._conclude(key)
+            self._end_exhausted(key)
 
-    def _conclude(self, key: bytes) -> None:
+    def _end_exhausted(self, key: bytes) -> None:
         """End a search that all deny, once it is certain that all were asked.
 
         A server gets openings only as a member, so whoever has the flow was one before the search.
@@ -270,30 +272,32 @@
         if not self._are_members_confirmed(search.started_at):
             return
         packet = search.packet
-        fresh = self.searches.ask_more(key, self.peers, self._context.now)
-        for address in fresh:
+        unqueried = self.searches.query_more(key, self.peers, self._context.now)
+        for address in unqueried:
             self._context.relay_packet(address, RelayKind.SEARCH, packet)
-        if fresh:
+        if unqueried:
             return
         self.searches.end(key)
         self.pointers.remove(key)
         self._context.counters["flows_found_nowhere"] += 1
-        self._end_search(key, "nowhere", "", 0)
+        self._emit_search_ended(key, "nowhere", "", 0)
         header = self._context.packet_format.parse_inbound(packet)
         if not isinstance(header, Malformed) and header.payload_bytes:
             # The flow ended with its server: the caller need not wait for its deadline.
             self._context.emit(events.FlowReset(flow_id(key), "held_nowhere"))
-            self._context.reset(packet, key)
+            self._context.send_reset(packet, key)
 
-    def _end_search(self, key: bytes, outcome: str, server_agent: str, silent: int) -> None:
-        self._context.emit(events.SearchEnded(flow_id(key), outcome, server_agent, silent))
+    def _emit_search_ended(
+        self, key: bytes, outcome: str, server_agent: str, unanswered: int
+    ) -> None:
+        self._context.emit(events.SearchEnded(flow_id(key), outcome, server_agent, unanswered))
 
     def tick(self) -> None:
         """End searches that are settled or too old, and forget unused pointers."""
         now = self._context.now
-        for key in self.searches.find_denied(self.former, now):
-            self._conclude(key)
-        for key, silent in self.searches.expire(now):
+        for key in self.searches.find_exhausted(self.former_members, now):
+            self._end_exhausted(key)
+        for key, unanswered in self.searches.expire(now):
             self._context.counters["searches_expired"] += 1
-            self._end_search(key, "expired", "", silent)
+            self._emit_search_ended(key, "expired", "", unanswered)
         self.pointers.sweep(now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -7,8 +7,8 @@
 
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.flow_probe import FlowProbes
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
-from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
 from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
@@ -28,12 +28,12 @@
 
 Address = tuple[str, int]
 
-FORGETFUL_S = 60.0
+INCOMPLETE_FLOW_TABLE_S = 60.0
 """A restarted agent may lack flows that its server has for as long as a flow may last."""
 SERVER_BUSY = "server_busy"
 
 
-class OwnerSide(Protocol):
+class LocalOwner(Protocol):
     """What a holder tells the directory owner in its own process."""
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
@@ -60,12 +60,12 @@
     ) -> None:
         self.gate = gate
         self.held = HeldFlows(record_response)
-        self.probes = MemoryProbes()
+        self.probes = FlowProbes()
         self._context = context
-        self._forgetful_until = context.now + FORGETFUL_S
-        self._owner: OwnerSide
+        self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
+        self._owner: LocalOwner
 
-    def connect(self, owner: OwnerSide) -> None:
+    def connect_owner(self, owner: LocalOwner) -> None:
         """Set the directory owner of the same process."""
         self._owner = owner
 
@@ -83,7 +83,7 @@
             self.held.service_s = 0.0
         if known is None and report.sequence <= 1:
             # The server is as young as this agent: there is nothing to have forgotten.
-            self._forgetful_until = now
+            self._incomplete_until = now
         return True
 
     def build_load(self, now: float) -> ServerLoad:
@@ -97,7 +97,7 @@
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
             self.gate.is_leaving,
-            self.gate.is_unheard(now),
+            self.gate.is_awaiting_first_report(now),
         )
 
     # Packets for the own server
@@ -124,15 +124,15 @@
 
     def has_room(self, key: bytes) -> bool:
         """Tell whether a request on a new flow would be answered within its route's target."""
-        is_free = has_room(
-            self.held.count_expected(self._context.now),
+        has_capacity = has_room(
+            self.held.count_expected_requests(self._context.now),
             self.held.slots,
             self.held.service_s,
             self._context.routing.target_s(self._context.packet_format.endpoint_of(key)),
         )
-        if not is_free:
+        if not has_capacity:
             self._count_rejection(key, SERVER_BUSY)
-        return is_free
+        return has_capacity
 
     def admit(self, service: str, key: bytes) -> bool:
         """Tell whether the gate lets an opening of a service through, and count it in."""
@@ -143,9 +143,9 @@
 
     def _count_rejection(self, key: bytes, reason: str) -> None:
         self._context.counters[f"rejected_{reason}"] += 1
-        self._note_rejection(key, reason)
+        self._emit_rejection(key, reason)
 
-    def _note_rejection(self, key: bytes, reason: str) -> None:
+    def _emit_rejection(self, key: bytes, reason: str) -> None:
         self._context.emit(
             events.OpeningRejected(
                 flow_id(key), reason, self.gate.service, self._context.routing.version
@@ -159,11 +159,11 @@
         self._context.outbox.deliver(packet)
 
     @property
-    def is_forgetful(self) -> bool:
+    def has_incomplete_flow_table(self) -> bool:
         """Tell whether the server may hold flows that this agent does not know."""
-        return self._context.now < self._forgetful_until
+        return self._context.now < self._incomplete_until
 
-    def on_unknown(
+    def on_unknown_flow(
         self,
         frame: RelayFrame,
         header: PacketHeader,
@@ -172,7 +172,7 @@
         body: bytes,
     ) -> None:
         """Answer for a flow that is not known here, asking the server where it may be."""
-        if not self.is_forgetful or header.is_opening:
+        if not self.has_incomplete_flow_table or header.is_opening:
             self._context.send(source, answer, frame, body)
             return
         self.probe(header.key, frame.body, source)
@@ -187,7 +187,7 @@
 
     def on_server_packet(self, packet: bytes) -> None:
         """Send a server's packet to its caller, or deal with one that it returned."""
-        self.gate.note_packet()
+        self.gate.record_packet()
         header = self._context.packet_format.parse_outbound(packet)
         if isinstance(header, Malformed):
             self._context.counters[f"dropped_reply_{header.value}"] += 1
@@ -233,7 +233,7 @@
             return
         self.held.remove(flow)
         if header.is_opening:
-            self._note_rejection(header.key, "server_full")
+            self._emit_rejection(header.key, "server_full")
         else:
             self._context.emit(events.FlowReturned(flow_id(header.key)))
         kind = RelayKind.REJECTED if header.is_opening else RelayKind.RETURNED
@@ -244,9 +244,9 @@
         if flow.owner != self._context.own_address:
             self._context.send(flow.owner, kind, frame, packet)
         else:
-            self._pass_to_own_owner(frame, header)
+            self._return_to_local_owner(frame, header)
 
-    def _pass_to_own_owner(self, frame: RelayFrame, header: PacketHeader) -> None:
+    def _return_to_local_owner(self, frame: RelayFrame, header: PacketHeader) -> None:
         if frame.kind is RelayKind.REJECTED:
             self._owner.on_rejected(frame, header, self._context.own_address)
         else:
@@ -265,15 +265,15 @@
     def tick(self) -> None:
         """Settle probes that met silence, and forget flows that are over."""
         now = self._context.now
-        for key, requester in self.probes.take_silent(now):
-            self._on_silent_probe(key, requester)
-        self.gate.watch(now)
+        for key, requester in self.probes.pop_expired(now):
+            self._on_expired_probe(key, requester)
+        self.gate.update_inactivity(now)
         self.held.sweep(now)
 
-    def _on_silent_probe(self, key: bytes, requester: Address) -> None:
+    def _on_expired_probe(self, key: bytes, requester: Address) -> None:
         """A live server that does not return a packet has its flow; one that has gone has none."""
-        if self.gate.is_heard(self._context.now):
+        if self.gate.has_recent_report(self._context.now):
             self.held.open(key, requester, self._context.now)
             self._answer(requester, RelayKind.FOUND, key)
-        elif self.gate.has_gone:
+        elif self.gate.has_stopped:
             self._answer(requester, RelayKind.NOT_FOUND, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -7,7 +7,7 @@
 Address = tuple[str, int]
 
 SWEEP_INTERVAL_S = 1.0
-UNPLACED_MEMORY_S = 5.0
+UNPLACED_RETENTION_S = 5.0
 """Copies of an opening come for no longer than this."""
 
 
@@ -20,7 +20,7 @@
     target: Address
     last_seen_at: float
     tried: set[Address]
-    has_all_copies: bool = False
+    is_sole_placer: bool = False
 
 
 class FlowPointers:
@@ -32,14 +32,14 @@
         self._unplaced_at_by_key: dict[bytes, float] = {}
         self._swept_at = float("-inf")
 
-    def note_unplaced(self, key: bytes, now: float) -> None:
+    def record_unplaced(self, key: bytes, now: float) -> None:
         """Remember that this owner has had a copy of an opening, and no server took it."""
         self._unplaced_at_by_key[key] = now
 
-    def has_all_copies(self, key: bytes, attempt: int) -> bool:
+    def is_sole_placer(self, key: bytes, attempt: int) -> bool:
         """Tell whether no other owner can have placed the copy before this one."""
         pointer = self.by_key.get(key)
-        is_known = pointer is not None and pointer.has_all_copies
+        is_known = pointer is not None and pointer.is_sole_placer
         return attempt == 0 or is_known or key in self._unplaced_at_by_key
 
     def find(self, key: bytes, now: float) -> FlowPointer | None:
@@ -49,7 +49,7 @@
             pointer.last_seen_at = now
         return pointer
 
-    def point(self, key: bytes, target: Address, now: float) -> FlowPointer:
+    def set_target(self, key: bytes, target: Address, now: float) -> FlowPointer:
         """Point to an agent; what was tried before stays known."""
         pointer = self.by_key.get(key)
         if pointer is None:
@@ -72,5 +72,5 @@
         for key in [k for k, p in self.by_key.items() if now - p.last_seen_at > limit_s]:
             del self.by_key[key]
         unplaced = self._unplaced_at_by_key
-        for key in [k for k, at in unplaced.items() if now - at > UNPLACED_MEMORY_S]:
+        for key in [k for k, at in unplaced.items() if now - at > UNPLACED_RETENTION_S]:
             del unplaced[key]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -16,11 +16,11 @@
 
 Address = tuple[str, int]
 
-REPEAT_AFTER_S = 0.1
-FORMER_SILENCE_S = 0.5
-EXPIRES_AFTER_S = 2.0
-QUEUE_LIMIT_PACKETS = 16
-SEARCH_LIMIT = 20_000
+RETRY_INTERVAL_S = 0.1
+FORMER_MEMBER_TIMEOUT_S = 0.5
+SEARCH_TIMEOUT_S = 2.0
+MAX_QUEUED_PACKETS = 16
+MAX_SEARCHES = 20_000
 
 
 class Search(msgspec.Struct):
@@ -28,9 +28,9 @@
 
     packet: bytes
     started_at: float
-    asked_at: float
-    asked: set[Address]
-    silent: set[Address]
+    queried_at: float
+    queried: set[Address]
+    pending: set[Address]
     queued: list[bytes]
 
 
@@ -41,19 +41,19 @@
         self.by_key: dict[bytes, Search] = {}
 
     def begin(
-        self, key: bytes, packet: bytes, asked: Iterable[Address], now: float
+        self, key: bytes, packet: bytes, queried: Iterable[Address], now: float
     ) -> list[Address]:
         """Return the agents to ask with this packet: all, those still silent, or none yet."""
         search = self.by_key.get(key)
         if search is None:
-            if len(self.by_key) >= SEARCH_LIMIT:
+            if len(self.by_key) >= MAX_SEARCHES:
                 return []
-            self.by_key[key] = Search(packet, now, now, set(asked), set(asked), [])
-            return list(self.by_key[key].silent)
-        if now - search.asked_at >= REPEAT_AFTER_S:
-            search.asked_at = now
-            return list(search.silent)
-        if len(search.queued) < QUEUE_LIMIT_PACKETS:
+            self.by_key[key] = Search(packet, now, now, set(queried), set(queried), [])
+            return list(self.by_key[key].pending)
+        if now - search.queried_at >= RETRY_INTERVAL_S:
+            search.queried_at = now
+            return list(search.pending)
+        if len(search.queued) < MAX_QUEUED_PACKETS:
             search.queued.append(packet)
         return []
 
@@ -67,24 +67,26 @@
         search = self.by_key.get(key)
         if search is None:
             return False
-        search.silent.discard(source)
-        return not search.silent
+        search.pending.discard(source)
+        return not search.pending
 
-    def ask_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
+    def query_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
         """Return the agents that the search has not asked yet, and note that it asks them now."""
         search = self.by_key[key]
-        fresh = [address for address in peers if address not in search.asked]
-        search.asked.update(fresh)
-        search.silent.update(fresh)
-        search.asked_at = now
-        return fresh
+        unqueried = [address for address in peers if address not in search.queried]
+        search.queried.update(unqueried)
+        search.pending.update(unqueried)
+        search.queried_at = now
+        return unqueried
 
-    def find_denied(self, former: Collection[Address], now: float) -> list[bytes]:
+    def find_exhausted(self, former_members: Collection[Address], now: float) -> list[bytes]:
         """Return the keys of searches that all agents asked have denied.
 
         A former member that stays silent counts as dead: control has not heard it either.
         """
-        return [key for key, search in self.by_key.items() if _is_denied(search, former, now)]
+        return [
+            key for key, search in self.by_key.items() if _is_exhausted(search, former_members, now)
+        ]
 
     def end(self, key: bytes) -> bytes:
         """Forget a search; return the packet that it was for."""
@@ -92,13 +94,13 @@
 
     def expire(self, now: float) -> list[tuple[bytes, int]]:
         """Forget searches that not all agents have answered; return how many were silent by key."""
-        late = [k for k, s in self.by_key.items() if now - s.started_at > EXPIRES_AFTER_S]
-        return [(key, len(self.by_key.pop(key).silent)) for key in late]
+        late = [k for k, s in self.by_key.items() if now - s.started_at > SEARCH_TIMEOUT_S]
+        return [(key, len(self.by_key.pop(key).pending)) for key in late]
 
 
-def _is_denied(search: Search, former: Collection[Address], now: float) -> bool:
-    if not search.silent:
+def _is_exhausted(search: Search, former_members: Collection[Address], now: float) -> bool:
+    if not search.pending:
         return True
-    if now - search.started_at < FORMER_SILENCE_S:
+    if now - search.started_at < FORMER_MEMBER_TIMEOUT_S:
         return False
-    return all(address in former for address in search.silent)
+    return all(address in former_members for address in search.pending)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -17,10 +17,10 @@
 
 CLOSED_LINGER_S = 3.0
 """A closed flow's late packets still go to its server, which answers them."""
-ANSWER_LIMIT_S = 5.0
+ANSWER_TIMEOUT_S = 5.0
 SWEEP_INTERVAL_S = 1.0
-SMOOTHING = 0.1
-FIRST_REQUEST_LIMIT_S = 0.1
+SMOOTHING_FACTOR = 0.1
+FIRST_REQUEST_TIMEOUT_S = 0.1
 """A new flow counts as a request on its way for so long: the caller's answer to the server's."""
 
 
@@ -32,8 +32,8 @@
     last_seen_at: float
     has_reply: bool = False
     awaiting_since: float = 0.0
-    is_alone: bool = False
-    closes: int = 0
+    has_free_slot: bool = False
+    finished_ends: int = 0
     closed_at: float = 0.0
 
 
@@ -59,10 +59,10 @@
         """The number of flows that the server owes an answer."""
         return len(self._awaiting_by_key)
 
-    def count_expected(self, now: float) -> int:
+    def count_expected_requests(self, now: float) -> int:
         """Return the number of requests in flight and of new flows whose first is on its way."""
         opened = self._opened_at_by_key
-        while opened and now - opened[oldest := next(iter(opened))] > FIRST_REQUEST_LIMIT_S:
+        while opened and now - opened[oldest := next(iter(opened))] > FIRST_REQUEST_TIMEOUT_S:
             del opened[oldest]
         return self.in_flight + len(opened)
 
@@ -93,35 +93,38 @@
         flow.last_seen_at = now
         if header.payload_bytes and not flow.awaiting_since:
             flow.awaiting_since = now
-            flow.is_alone = len(self._awaiting_by_key) < self.slots
+            flow.has_free_slot = len(self._awaiting_by_key) < self.slots
             self._awaiting_by_key[flow.key] = flow
             self._opened_at_by_key.pop(flow.key, None)
         if header.flags & (packet_flags.FIN | packet_flags.RESET):
-            self._note_close(flow, header, _CALLER_FINISHED, now)
+            self._record_close(flow, header, _CALLER_FINISHED, now)
 
     def on_outbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
         """Account for a packet of the server."""
         flow.last_seen_at = now
         flow.has_reply = True
         if header.payload_bytes and flow.awaiting_since:
-            self._learn_answer(flow, now)
+            self._record_answer(flow, now)
         if header.flags & (packet_flags.FIN | packet_flags.RESET):
-            self._note_close(flow, header, _SERVER_FINISHED, now)
-
-    def _note_close(self, flow: HeldFlow, header: PacketHeader, end: int, now: float) -> None:
-        flow.closes |= end
-        if header.flags & packet_flags.RESET or flow.closes == _CALLER_FINISHED | _SERVER_FINISHED:
+            self._record_close(flow, header, _SERVER_FINISHED, now)
+
+    def _record_close(self, flow: HeldFlow, header: PacketHeader, end: int, now: float) -> None:
+        flow.finished_ends |= end
+        if (
+            header.flags & packet_flags.RESET
+            or flow.finished_ends == _CALLER_FINISHED | _SERVER_FINISHED
+        ):
             flow.closed_at = flow.closed_at or now
-            self._forget_debt(flow)
+            self._clear_awaiting(flow)
 
-    def _learn_answer(self, flow: HeldFlow, now: float) -> None:
+    def _record_answer(self, flow: HeldFlow, now: float) -> None:
         response_s = now - flow.awaiting_since
         self._record_response(response_s)
-        if flow.is_alone:
+        if flow.has_free_slot:
             self.service_s = _smooth(self.service_s, response_s)
-        self._forget_debt(flow)
+        self._clear_awaiting(flow)
 
-    def _forget_debt(self, flow: HeldFlow) -> None:
+    def _clear_awaiting(self, flow: HeldFlow) -> None:
         flow.awaiting_since = 0.0
         self._awaiting_by_key.pop(flow.key, None)
 
@@ -131,16 +134,16 @@
             return
         self._swept_at = now
         for flow in list(self._awaiting_by_key.values()):
-            if now - flow.awaiting_since > ANSWER_LIMIT_S:
-                self._forget_debt(flow)
-        for flow in [f for f in self.by_key.values() if self._is_over(f, now)]:
+            if now - flow.awaiting_since > ANSWER_TIMEOUT_S:
+                self._clear_awaiting(flow)
+        for flow in [f for f in self.by_key.values() if self._is_expired(f, now)]:
             self.remove(flow)
 
-    def _is_over(self, flow: HeldFlow, now: float) -> bool:
+    def _is_expired(self, flow: HeldFlow, now: float) -> bool:
         if flow.closed_at and now - flow.closed_at > CLOSED_LINGER_S:
             return True
         return now - flow.last_seen_at > self.idle_limit_s
 
 
 def _smooth(average: float, value: float) -> float:
-    return average + SMOOTHING * (value - average) if average else value
+    return average + SMOOTHING_FACTOR * (value - average) if average else value
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
@@ -10,40 +10,40 @@
 
 Address = tuple[str, int]
 
-BUCKETS = 256
+BUCKET_COUNT = 256
 
 
 class OwnerMap:
     """Owners by bucket, among the agents of one data centre where any is alive."""
 
     def __init__(self) -> None:
-        self._alive: tuple[Address, ...] = ()
+        self._live_agents: tuple[Address, ...] = ()
         self._owners: list[Address] = []
 
-    def update(self, alive: list[Address]) -> bool:
+    def update(self, live_agents: list[Address]) -> bool:
         """Build the map again if the set of live agents has changed; return whether it has."""
-        ordered = tuple(sorted(alive))
-        if ordered == self._alive:
+        ordered = tuple(sorted(live_agents))
+        if ordered == self._live_agents:
             return False
-        self._alive = ordered
+        self._live_agents = ordered
         seeds = [xxhash.xxh3_64_intdigest(f"{host}:{port}".encode()) for host, port in ordered]
-        buckets = range(BUCKETS) if ordered else ()
-        self._owners = [_heaviest(ordered, seeds, bucket) for bucket in buckets]
+        buckets = range(BUCKET_COUNT) if ordered else ()
+        self._owners = [_pick_owner(ordered, seeds, bucket) for bucket in buckets]
         return True
 
     @property
     def has_owners(self) -> bool:
         """Tell whether any agent keeps the directory."""
-        return bool(self._alive)
+        return bool(self._live_agents)
 
     def owner_of(self, key: bytes) -> Address | None:
         """Return the owner of a flow; None where no agent is alive."""
-        if not self._alive:
+        if not self._live_agents:
             return None
-        return self._owners[xxhash.xxh3_64_intdigest(key) % BUCKETS]
+        return self._owners[xxhash.xxh3_64_intdigest(key) % BUCKET_COUNT]
 
 
-def _heaviest(ordered: tuple[Address, ...], seeds: list[int], bucket: int) -> Address:
-    salt = bucket.to_bytes(2, "big")
-    weights = [xxhash.xxh3_64_intdigest(salt, seed) for seed in seeds]
+def _pick_owner(ordered: tuple[Address, ...], seeds: list[int], bucket: int) -> Address:
+    encoded_bucket = bucket.to_bytes(2, "big")
+    weights = [xxhash.xxh3_64_intdigest(encoded_bucket, seed) for seed in seeds]
     return ordered[weights.index(max(weights))]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-WAIT_SHARE = 0.4
+MAX_WAIT_FRACTION = 0.4
 """The part of a route's target that a request may spend waiting; the rest is for its work."""
 
 
@@ -21,4 +21,4 @@
     if not target_s or not service_s:
         return True
     waiting = max(0, in_flight + 1 - slots)
-    return service_s * waiting / max(1, slots) <= WAIT_SHARE * target_s
+    return service_s * waiting / max(1, slots) <= MAX_WAIT_FRACTION * target_s
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
@@ -48,7 +48,7 @@
             return destinations.choose(key) if destinations else None
         return self.services_by_tag.get(frame.service_tag)
 
-    def reset(self, packet: bytes, key: bytes) -> None:
+    def send_reset(self, packet: bytes, key: bytes) -> None:
         """Tell a packet's caller that its flow is not open."""
         refusal = self.packet_format.build_refusal(packet)
         if refusal is not None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -22,23 +22,23 @@
     """The services of a route and the running sums of their weights; its target in seconds."""
 
     services: tuple[str, ...]
-    bounds: tuple[int, ...]
+    cumulative_weights: tuple[int, ...]
     target_s: float = 0.0
 
     @classmethod
     def from_route(cls, route: Route) -> Destinations:
         """Leave out services without weight."""
         weighted = [found for found in route.destinations if found.weight > 0]
-        bounds = accumulate(found.weight for found in weighted)
+        cumulative_weights = accumulate(found.weight for found in weighted)
         services = tuple(found.service for found in weighted)
-        return cls(services, tuple(bounds), route.target_s)
+        return cls(services, tuple(cumulative_weights), route.target_s)
 
     def choose(self, key: bytes) -> str:
         """Return the service of a flow; the same for every copy of its opening."""
         if len(self.services) == 1:
             return self.services[0]
-        point = xxhash.xxh3_64_intdigest(key, SPLIT_SEED) % self.bounds[-1]
-        return self.services[bisect_right(self.bounds, point)]
+        position = xxhash.xxh3_64_intdigest(key, SPLIT_SEED) % self.cumulative_weights[-1]
+        return self.services[bisect_right(self.cumulative_weights, position)]
 
 
 class RoutingTable:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -21,14 +21,14 @@
 
 Address = tuple[str, int]
 
-REPORT_LIMIT_S = 1.2
+MAX_LOAD_AGE_S = 1.2
 """Reports come twice a second at least."""
 REMOTE_PENALTY_MS = 3.0
 """What a flow into another data centre costs, as waiting time: its packets cross twice."""
 HELD_FLOW_WEIGHT = 0.25
 """How much of a request an open flow stands for, on average."""
 COLD_FACTOR = 2.0
-UNKNOWN_SERVICE_MS = 20.0
+DEFAULT_SERVICE_MS = 20.0
 
 
 class PeerLoad(msgspec.Struct):
@@ -37,8 +37,8 @@
     address: Address
     data_centre: str
     load: ServerLoad
-    heard_at: float
-    sent_since: int = 0
+    received_at: float
+    openings_since_report: int = 0
     has_rejected: bool = False
 
 
@@ -52,13 +52,13 @@
         """Take in a report."""
         self.by_address[address] = PeerLoad(address, data_centre, load, now)
 
-    def note_opening(self, address: Address) -> None:
+    def count_opening(self, address: Address) -> None:
         """Count an opening that the last report can't know of."""
         peer = self.by_address.get(address)
         if peer is not None:
-            peer.sent_since += 1
+            peer.openings_since_report += 1
 
-    def note_rejection(self, address: Address) -> None:
+    def record_rejection(self, address: Address) -> None:
         """Offer no more openings to an agent until its next report."""
         peer = self.by_address.get(address)
         if peer is not None:
@@ -69,14 +69,14 @@
         for address in [a for a in self.by_address if a not in addresses]:
             del self.by_address[address]
 
-    def is_fresh(self, address: Address, now: float) -> bool:
+    def is_available(self, address: Address, now: float) -> bool:
         """Tell whether an agent has reported recently and is not about to stop."""
         peer = self.by_address.get(address)
         if peer is None or peer.load.is_leaving:
             return False
-        return now - peer.heard_at <= REPORT_LIMIT_S
+        return now - peer.received_at <= MAX_LOAD_AGE_S
 
-    def candidates(self, members: Iterable[Address], now: float) -> list[PeerLoad]:
+    def find_candidates(self, members: Iterable[Address], now: float) -> list[PeerLoad]:
         """Return those of a service's agents whose servers take openings."""
         known = (self.by_address.get(address) for address in members)
         return [
@@ -86,15 +86,15 @@
             and peer.load.accepts
             and not peer.has_rejected
             and not peer.load.is_leaving
-            and now - peer.heard_at <= REPORT_LIMIT_S
+            and now - peer.received_at <= MAX_LOAD_AGE_S
         ]
 
-    def has_unheard(self, service_tag: int, now: float) -> bool:
+    def has_unreported_server(self, service_tag: int, now: float) -> bool:
         """Tell whether a server of the service may be ready, and its agent does not know yet."""
         return any(
             peer.load.service_tag == service_tag
             and peer.load.is_unheard
-            and now - peer.heard_at <= REPORT_LIMIT_S
+            and now - peer.received_at <= MAX_LOAD_AGE_S
             for peer in self.by_address.values()
         )
 
@@ -115,10 +115,10 @@
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
     """Return the time that a new flow's first request would take, and a share of later load."""
     load = peer.load
-    service_ms = load.service_ms or UNKNOWN_SERVICE_MS
+    service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
         service_ms *= COLD_FACTOR
-    work = load.in_flight + peer.sent_since + HELD_FLOW_WEIGHT * load.held_flows + 1.0
+    work = load.in_flight + peer.openings_since_report + HELD_FLOW_WEIGHT * load.held_flows + 1.0
     wait_ms = service_ms * work / max(1, load.slots)
     return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -14,8 +14,8 @@
 
 COLD_WINDOW_S = 1.05
 """Any span of one second counts; the rest covers the way to the server."""
-WATCH_STEP_LIMIT_S = 0.2
-WARM_RETURN_CHECK_S = 2.0
+MAX_INACTIVITY_STEP_S = 0.2
+RETURN_COLD_S = 2.0
 """After its data centre returns a server counts as cold until a newer report says otherwise."""
 
 
@@ -47,7 +47,7 @@
     factor: float = 1.0
     slack: float = 0.0
 
-    def openings(self, starts_per_s: float) -> int:
+    def max_openings(self, starts_per_s: float) -> int:
         """Return the limit for a server that says it bears ``starts_per_s``; at least 1."""
         return max(1, int(starts_per_s * self.factor + self.slack))
 
@@ -55,7 +55,7 @@
 class GateReason(Enum):
     """Why an opening was not let through."""
 
-    UNHEARD = "server_unheard"
+    NO_RECENT_REPORT = "server_unheard"
     WRONG_SERVICE = "wrong_service"
     DRAINING = "server_draining"
     OUT_OF_SERVICE = "data_centre_out_of_service"
@@ -67,22 +67,22 @@
     """The state of the own server as far as openings are concerned; times in seconds."""
 
     def __init__(
-        self, service: str, report_limit_s: float, cold_limit: ColdLimit, now: float
+        self, service: str, report_timeout_s: float, cold_limit: ColdLimit, now: float
     ) -> None:
         self.service = service
         self.report: ServerReport | None = None
-        self.heard_at = float("-inf")
+        self.report_received_at = float("-inf")
         self.is_in_service = True
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
-        self._watched_since = now
-        self._watched_at = now
-        self._silence_s = 0.0
-        self._report_limit_s = report_limit_s
+        self._started_at = now
+        self._inactivity_updated_at = now
+        self._inactive_s = 0.0
+        self._report_timeout_s = report_timeout_s
         self._cold_limit = cold_limit
         self._cold_until = float("-inf")
-        self._returned_at = float("-inf")
-        self._openings: deque[float] = deque()
+        self._back_in_service_at = float("-inf")
+        self._cold_opening_times: deque[float] = deque()
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Take a report in; return False for one that is late or of another service."""
@@ -92,75 +92,75 @@
         if report.service != self.service:
             return False
         self.report = report
-        self.heard_at = now
-        self._silence_s = 0.0
+        self.report_received_at = now
+        self._inactive_s = 0.0
         self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
         return True
 
     def set_in_service(self, is_in_service: bool, now: float) -> None:
         """Follow the state of the data centre."""
         if is_in_service and not self.is_in_service:
-            self._returned_at = now
+            self._back_in_service_at = now
         self.is_in_service = is_in_service
 
-    def is_heard(self, now: float) -> bool:
+    def has_recent_report(self, now: float) -> bool:
         """Tell whether the server has spoken recently; its address may be another's by now."""
-        return self.report is not None and now - self.heard_at <= self._report_limit_s
+        return self.report is not None and now - self.report_received_at <= self._report_timeout_s
 
-    def note_packet(self) -> None:
+    def record_packet(self) -> None:
         """A server that sends packets is alive."""
-        self._silence_s = 0.0
+        self._inactive_s = 0.0
 
-    def watch(self, now: float) -> None:
+    def update_inactivity(self, now: float) -> None:
         """Count the server's silence; time in which this agent itself stood still is left out."""
-        self._silence_s += min(now - self._watched_at, WATCH_STEP_LIMIT_S)
-        self._watched_at = now
+        self._inactive_s += min(now - self._inactivity_updated_at, MAX_INACTIVITY_STEP_S)
+        self._inactivity_updated_at = now
 
     @property
-    def has_gone(self) -> bool:
+    def has_stopped(self) -> bool:
         """Tell whether the server has left, or has been silent for too long to be alive."""
         has_left = self.report is not None and self.report.has_left
-        return has_left or self._silence_s > self._report_limit_s
+        return has_left or self._inactive_s > self._report_timeout_s
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the server is slow, or may have turned so while it was out of service."""
-        is_unchecked = self.heard_at < self._returned_at
+        is_report_outdated = self.report_received_at < self._back_in_service_at
         return now < self._cold_until or (
-            is_unchecked and now - self._returned_at < WARM_RETURN_CHECK_S
+            is_report_outdated and now - self._back_in_service_at < RETURN_COLD_S
         )
 
     def accepts(self, now: float) -> bool:
         """Tell whether peers should offer openings."""
-        return self._find_reason(now) is None
+        return self._find_rejection_reason(now) is None
 
-    def is_unheard(self, now: float) -> bool:
+    def is_awaiting_first_report(self, now: float) -> bool:
         """Tell whether the agent is as young as the first report of its server may be."""
-        is_young = self.report is None and now - self._watched_since <= self._report_limit_s
-        return is_young and self._find_reason(now) is GateReason.UNHEARD
+        is_report_pending = self.report is None and now - self._started_at <= self._report_timeout_s
+        return is_report_pending and self._find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
 
     def admit(self, service: str, now: float) -> GateReason | None:
         """Count an opening in and return None, or return why it may not pass."""
         if service != self.service:
             return GateReason.WRONG_SERVICE
-        reason = self._find_reason(now)
+        reason = self._find_rejection_reason(now)
         if reason is None and self.is_cold(now):
-            self._openings.append(now)
+            self._cold_opening_times.append(now)
         return reason
 
-    def _find_reason(self, now: float) -> GateReason | None:
+    def _find_rejection_reason(self, now: float) -> GateReason | None:
         if self.is_leaving:
             return GateReason.LEAVING
         if not self.is_in_service:
             return GateReason.OUT_OF_SERVICE
-        if self.report is None or not self.is_heard(now):
-            return GateReason.UNHEARD
+        if self.report is None or not self.has_recent_report(now):
+            return GateReason.NO_RECENT_REPORT
         if self.report.is_draining or self.report.has_left:
             return GateReason.DRAINING
-        if self.is_cold(now) and not self._has_cold_room(now):
+        if self.is_cold(now) and not self._has_cold_capacity(now):
             return GateReason.COLD
         return None
 
-    def _has_cold_room(self, now: float) -> bool:
-        while self._openings and now - self._openings[0] > COLD_WINDOW_S:
-            self._openings.popleft()
-        return len(self._openings) < self._cold_limit.openings(self.cold_starts_per_s)
+    def _has_cold_capacity(self, now: float) -> bool:
+        while self._cold_opening_times and now - self._cold_opening_times[0] > COLD_WINDOW_S:
+            self._cold_opening_times.popleft()
+        return len(self._cold_opening_times) < self._cold_limit.max_openings(self.cold_starts_per_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_turns.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_coordinator.py
@@ -9,29 +9,29 @@
 
 Address = tuple[str, int]
 
-AWAY_LIMIT_S = 5.0
+RESTART_TIMEOUT_S = 5.0
 """A balancer that stays away for longer is not coming back soon."""
-RETURN_SETTLE_S = 0.6
+READY_SETTLE_S = 0.6
 """The fabric asks twice a second whether a balancer is ready."""
 
 
-class StopTurns:
+class StopCoordinator:
     """Planned stops of the other balancers, as they have told them; times in seconds."""
 
-    def __init__(self, wait_limit_s: float) -> None:
-        self._wait_limit_s = wait_limit_s
-        self._away_until: dict[Address, float] = {}
+    def __init__(self, wait_timeout_s: float) -> None:
+        self._wait_timeout_s = wait_timeout_s
+        self._stopped_until: dict[Address, float] = {}
 
     def on_stop(self, balancer: Address, now: float) -> None:
         """Another balancer has begun to stop."""
-        self._away_until[balancer] = now + AWAY_LIMIT_S
+        self._stopped_until[balancer] = now + RESTART_TIMEOUT_S
 
     def on_ready(self, balancer: Address, now: float) -> None:
         """Another balancer has become ready."""
-        if balancer in self._away_until:
-            self._away_until[balancer] = min(self._away_until[balancer], now + RETURN_SETTLE_S)
+        if balancer in self._stopped_until:
+            self._stopped_until[balancer] = min(self._stopped_until[balancer], now + READY_SETTLE_S)
 
-    def may_stop(self, asked_at: float, now: float) -> bool:
+    def may_stop(self, requested_at: float, now: float) -> bool:
         """Tell whether the own planned stop, asked for at ``asked_at``, may begin."""
-        is_alone = all(until <= now for until in self._away_until.values())
-        return is_alone or now - asked_at >= self._wait_limit_s
+        are_others_ready = all(until <= now for until in self._stopped_until.values())
+        return are_others_ready or now - requested_at >= self._wait_timeout_s
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -55,11 +55,11 @@
 
 TICK_INTERVAL_S = 0.05
 LOAD_INTERVAL_S = 0.1
-QUIET_LOAD_INTERVAL_S = 0.5
-PEER_MEMORY_S = 60.0
+UNCHANGED_LOAD_INTERVAL_S = 0.5
+FORMER_PEER_RETENTION_S = 60.0
 """A removed agent may still hold flows that it serves behind a cut."""
-LEAVE_LIMIT_S = 1.5
-LEAVING_NOTICES = 3
+LEAVE_TIMEOUT_S = 1.5
+LEAVING_NOTICE_COUNT = 3
 LEAVING_NOTICE_INTERVAL_S = 0.05
 
 
@@ -86,7 +86,7 @@
         self._data_centres_by_peer: dict[Address, str] = {}
         self._seen_at_by_peer: dict[Address, float] = {}
         self._emit = event_sink.emit
-        self._known_removal_index = -1
+        self._last_removal_index = -1
         self._last_load: ServerLoad | None = None
         self._load_sent_at = float("-inf")
         self.router = AgentRouter(
@@ -104,7 +104,7 @@
             self.metrics.counters,
             event_sink,
             self.metrics.record_response,
-            self._link_confirms_members,
+            self._are_members_confirmed,
             clock.seconds(),
         )
         self.store.subscribe(self._on_configuration)
@@ -146,7 +146,7 @@
                 tasks.start_soon(self._server_endpoint.receive, self._on_server_packet)
                 tasks.start_soon(self._link.run)
                 tasks.start_soon(self._tick_forever)
-                tasks.start_soon(self._report_forever)
+                tasks.start_soon(self._send_load_forever)
                 task_status.started()
         finally:
             self._endpoint.close()
@@ -160,9 +160,9 @@
         self.router.gate.is_leaving = True
         report = self.router.gate.report
         if report is not None and report.has_left:
-            with anyio.move_on_after(LEAVE_LIMIT_S):
+            with anyio.move_on_after(LEAVE_TIMEOUT_S):
                 await self._link.leave()
-        for _ in range(LEAVING_NOTICES):
+        for _ in range(LEAVING_NOTICE_COUNT):
             self._send_load(self.router.build_load(clock.seconds()))
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
@@ -207,33 +207,33 @@
         if config.routing.version > self.router.routing.version:
             self._emit(events.RoutingAdopted(config.routing.version, config.index))
         self.router.apply_routing(config.routing)
-        self._follow_data_centre(config, now)
+        self._apply_data_centre_state(config, now)
         for member in config.servers_by_id.values():
             address = (member.host, member.port)
             self._data_centres_by_peer[address] = member.data_centre
             self._seen_at_by_peer[address] = now
-        self._remember_removed(config, now)
-        former = {(m.host, m.port) for m in config.former_members_by_id.values()}
+        self._record_removed_members(config, now)
+        former_members = {(m.host, m.port) for m in config.former_members_by_id.values()}
         for address, seen_at in list(self._seen_at_by_peer.items()):
-            has_ended = seen_at < now and address not in former
-            if has_ended or now - seen_at > PEER_MEMORY_S:
+            is_unlisted = seen_at < now and address not in former_members
+            if is_unlisted or now - seen_at > FORMER_PEER_RETENTION_S:
                 del self._seen_at_by_peer[address]
                 self._data_centres_by_peer.pop(address, None)
         members = {(m.host, m.port): m.service for m in config.servers_by_id.values()}
         self.router.set_peers(members, frozenset(self._seen_at_by_peer))
 
-    def _remember_removed(self, config: Configuration, now: float) -> None:
+    def _record_removed_members(self, config: Configuration, now: float) -> None:
         """A member removed since this process last looked may still serve flows."""
-        known_index = self._known_removal_index
+        known_index = self._last_removal_index
         for member in config.former_members_by_id.values():
             if member.removed_index > known_index:
-                self._known_removal_index = max(self._known_removal_index, member.removed_index)
+                self._last_removal_index = max(self._last_removal_index, member.removed_index)
                 self._seen_at_by_peer.setdefault((member.host, member.port), now)
 
-    def _link_confirms_members(self, since: float) -> bool:
+    def _are_members_confirmed(self, since: float) -> bool:
         return self._link.is_version_confirmed(since)
 
-    def _follow_data_centre(self, config: Configuration, now: float) -> None:
+    def _apply_data_centre_state(self, config: Configuration, now: float) -> None:
         name = self._instance.data_centre
         is_in_service = config.is_in_service(name)
         if is_in_service != self.router.gate.is_in_service:
@@ -245,7 +245,7 @@
 
     def _on_datagram(self, datagram: bytes, source: Address) -> None:
         if not relay.is_relay(datagram):
-            self._on_control(datagram, source)
+            self._on_control_datagram(datagram, source)
             return
         frame = relay.decode_relay(datagram)
         if isinstance(frame, Malformed):
@@ -253,7 +253,7 @@
             return
         self.router.on_frame(frame, source, clock.seconds())
 
-    def _on_control(self, datagram: bytes, source: Address) -> None:
+    def _on_control_datagram(self, datagram: bytes, source: Address) -> None:
         message = decode_datagram(datagram)
         if isinstance(message, Malformed):
             self.metrics.counters[f"dropped_{message.value}"] += 1
@@ -287,12 +287,14 @@
             self.router.tick(clock.seconds())
             await anyio.sleep(TICK_INTERVAL_S)
 
-    async def _report_forever(self) -> None:
+    async def _send_load_forever(self) -> None:
         while True:
             now = clock.seconds()
             load = self.router.build_load(now)
-            is_quiet = self._last_load is not None and not _differs(self._last_load, load)
-            if not is_quiet or now - self._load_sent_at >= QUIET_LOAD_INTERVAL_S:
+            is_unchanged = self._last_load is not None and not _has_load_changed(
+                self._last_load, load
+            )
+            if not is_unchanged or now - self._load_sent_at >= UNCHANGED_LOAD_INTERVAL_S:
                 self._send_load(load)
             await anyio.sleep(LOAD_INTERVAL_S)
 
@@ -336,7 +338,7 @@
         )
 
 
-def _differs(known: ServerLoad, load: ServerLoad) -> bool:
+def _has_load_changed(known: ServerLoad, load: ServerLoad) -> bool:
     return (known.accepts, known.in_flight, known.held_flows) != (
         load.accepts,
         load.in_flight,
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -15,7 +15,7 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
-from wagtailkeel_coordination.handshake.stop_turns import StopTurns
+from wagtailkeel_coordination.handshake.stop_coordinator import StopCoordinator
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
@@ -50,9 +50,9 @@
 
 Address = tuple[str, int]
 
-OWNER_INTERVAL_S = 0.2
-ROUTING_AGE_LIMIT_S = 1.5
-TURN_POLL_S = 0.1
+OWNER_REFRESH_INTERVAL_S = 0.2
+MAX_ROUTING_AGE_S = 1.5
+STOP_POLL_INTERVAL_S = 0.1
 
 
 class HandshakeBalancer:
@@ -86,7 +86,7 @@
         self._emit = event_sink.emit
         self._is_stopping = False
         self._was_ready = False
-        self._turns = StopTurns(section.stop_wait_limit_s)
+        self._stop_coordinator = StopCoordinator(section.stop_wait_limit_s)
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             self._balancer_id,
@@ -114,8 +114,8 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether the fabric should hand packets to this balancer."""
-        is_routing = self._router.routing.version > 0 and self._router.owners.has_owners
-        return self._link.is_joined.is_set() and is_routing and not self._is_stopping
+        has_routing = self._router.routing.version > 0 and self._router.owners.has_owners
+        return self._link.is_joined.is_set() and has_routing and not self._is_stopping
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
@@ -137,16 +137,16 @@
 
     async def stop(self) -> None:
         """Wait for the turn, say no when asked whether ready, and serve until that is noticed."""
-        asked_at = clock.seconds()
-        while not self._turns.may_stop(asked_at, clock.seconds()):
-            await anyio.sleep(TURN_POLL_S)
+        requested_at = clock.seconds()
+        while not self._stop_coordinator.may_stop(requested_at, clock.seconds()):
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
         self._is_stopping = True
-        self._tell_state(is_stopping=True)
+        self._notify_balancers(is_stopping=True)
         await anyio.sleep(self._section.stop_delay_s)
 
     def _is_routing_current(self) -> bool:
-        silent_s = clock.seconds() - self._link.acknowledged_at
-        is_confirmed = silent_s < ROUTING_AGE_LIMIT_S and not self._link.has_newer_version
+        unconfirmed_s = clock.seconds() - self._link.acknowledged_at
+        is_confirmed = unconfirmed_s < MAX_ROUTING_AGE_S and not self._link.has_newer_version
         return self._router.routing.version > 0 and is_confirmed
 
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
@@ -177,26 +177,30 @@
             self._refresh_owners()
             is_ready = self.is_ready
             if is_ready and not self._was_ready:
-                self._tell_state(is_stopping=False)
+                self._notify_balancers(is_stopping=False)
             self._was_ready = is_ready
-            await anyio.sleep(OWNER_INTERVAL_S)
+            await anyio.sleep(OWNER_REFRESH_INTERVAL_S)
 
-    def _tell_state(self, *, is_stopping: bool) -> None:
+    def _notify_balancers(self, *, is_stopping: bool) -> None:
         """Tell the other balancers of the data centre."""
         datagram = encode_datagram(BalancerState(is_stopping))
         for balancer in self.store.configuration.balancers_by_id.values():
-            is_near = balancer.data_centre == self._instance.data_centre
-            if is_near and balancer.instance_id != self._balancer_id:
+            is_local = balancer.data_centre == self._instance.data_centre
+            if is_local and balancer.instance_id != self._balancer_id:
                 self._endpoint.send(datagram, (balancer.host, balancer.port))
 
     def _refresh_owners(self) -> None:
         """Owners are the live agents of the own data centre; without any, all others."""
         now = clock.seconds()
         members = self.store.configuration.servers_by_id.values()
-        near = {(m.host, m.port) for m in members if m.data_centre == self._instance.data_centre}
-        alive = [address for address in near if self._loads.is_fresh(address, now)]
-        everywhere = [(m.host, m.port) for m in members]
-        owners = alive or list(near) or everywhere
+        local_agents = {
+            (m.host, m.port) for m in members if m.data_centre == self._instance.data_centre
+        }
+        live_agents = [
+            address for address in local_agents if self._loads.is_available(address, now)
+        ]
+        all_agents = [(m.host, m.port) for m in members]
+        owners = live_agents or list(local_agents) or all_agents
         if self._router.owners.update(owners):
             self.metrics.counters["owner_changes"] += 1
             self._emit(events.OwnersChanged(sorted(host for host, _ in owners)))
@@ -232,9 +236,9 @@
     def _(self, message: BalancerState, source: Address) -> None:
         now = clock.seconds()
         if message.is_stopping:
-            self._turns.on_stop(source, now)
+            self._stop_coordinator.on_stop(source, now)
         else:
-            self._turns.on_ready(source, now)
+            self._stop_coordinator.on_ready(source, now)
 
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request.since)
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -30,7 +30,7 @@
 ARCHIVE = "archive"
 DESK_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbb"
 SPLIT_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbc"
-REPORT_LIMIT_S = 2.0
+REPORT_TIMEOUT_S = 2.0
 MAX_EVENTS = 20_000
 
 
@@ -49,21 +49,21 @@
 
     def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         try:
-            found = msgspec.msgpack.decode(packet, type=FakePacket)
+            decoded = msgspec.msgpack.decode(packet, type=FakePacket)
         except msgspec.MsgspecError:
             return Malformed.UNDECODABLE
-        return PacketHeader(found.key, found.flags, found.data, found.attempt)
+        return PacketHeader(decoded.key, decoded.flags, decoded.data, decoded.attempt)
 
     parse_outbound = parse_inbound
 
     def restore_bounced(self, packet: bytes) -> bytes:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        found.flags &= ~packet_flags.BOUNCED
-        return msgspec.msgpack.encode(found)
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        decoded.flags &= ~packet_flags.BOUNCED
+        return msgspec.msgpack.encode(decoded)
 
     def build_refusal(self, packet: bytes) -> bytes | None:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET))
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.RESET))
 
     def endpoint_of(self, key: bytes) -> bytes:
         return key[-6:]
@@ -84,35 +84,39 @@
         self.is_full = False
         self.resets_unknown = False
 
-    def take(self, packet: bytes) -> bytes | None:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        if found.flags & packet_flags.OPENING:
-            return self._take_opening(found)
-        if found.key in self.half_open and found.server == self.name:
-            self.half_open.discard(found.key)
-            self.open.add(found.key)
-        if found.key not in self.open and self.resets_unknown:
-            return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET, self.name))
-        if found.key not in self.open:
-            return msgspec.msgpack.encode(_bounced(found))
-        self.received[found.key] += 1
-        if not found.data:
+    def handle(self, packet: bytes) -> bytes | None:
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        if decoded.flags & packet_flags.OPENING:
+            return self._handle_opening(decoded)
+        if decoded.key in self.half_open and decoded.server == self.name:
+            self.half_open.discard(decoded.key)
+            self.open.add(decoded.key)
+        if decoded.key not in self.open and self.resets_unknown:
+            return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.RESET, self.name))
+        if decoded.key not in self.open:
+            return msgspec.msgpack.encode(_bounced(decoded))
+        self.received[decoded.key] += 1
+        if not decoded.data:
             return None
-        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.ACK, self.name, 1))
-
-    def _take_opening(self, found: FakePacket) -> bytes:
-        if self.is_full and found.key not in self.half_open:
-            return msgspec.msgpack.encode(_bounced(found))
-        self.openings.append(found.key)
-        if found.key not in self.open:
-            self.half_open.add(found.key)
-        answer = FakePacket(found.key, packet_flags.OPENING | packet_flags.ACK, self.name)
+        return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.ACK, self.name, 1))
+
+    def _handle_opening(self, decoded: FakePacket) -> bytes:
+        if self.is_full and decoded.key not in self.half_open:
+            return msgspec.msgpack.encode(_bounced(decoded))
+        self.openings.append(decoded.key)
+        if decoded.key not in self.open:
+            self.half_open.add(decoded.key)
+        answer = FakePacket(decoded.key, packet_flags.OPENING | packet_flags.ACK, self.name)
         return msgspec.msgpack.encode(answer)
 
 
-def _bounced(found: FakePacket) -> FakePacket:
+def _bounced(decoded: FakePacket) -> FakePacket:
     return FakePacket(
-        found.key, found.flags | packet_flags.BOUNCED, found.server, found.data, found.attempt
+        decoded.key,
+        decoded.flags | packet_flags.BOUNCED,
+        decoded.server,
+        decoded.data,
+        decoded.attempt,
     )
 
 
@@ -135,7 +139,7 @@
             self.address,
             DATA_CENTRE,
             FakeFormat(),
-            ServerGate(self.service, REPORT_LIMIT_S, ColdLimit(), self._network.now),
+            ServerGate(self.service, REPORT_TIMEOUT_S, ColdLimit(), self._network.now),
             self,
             Random(self.address[0]),
             self.counters,
@@ -170,7 +174,7 @@
     def deliver(self, packet: bytes) -> None:
         if not self.has_server:
             return
-        answer = self.server.take(packet)
+        answer = self.server.handle(packet)
         if answer is not None:
             self._network.schedule(lambda: self._on_server_packet(answer))
 
@@ -223,7 +227,7 @@
         for node in self.nodes.values():
             node.report()
         self.apply_routing(self.document(1))
-        self.spread()
+        self.share_state()
 
     def emit(self, event: Event) -> None:
         self.events.append(event)
@@ -250,12 +254,12 @@
         for node in self.nodes.values():
             node.router.apply_routing(document)
 
-    def spread(self) -> None:
+    def share_state(self) -> None:
         """Let all that are up know one another's load, and the balancer the owners."""
-        self.spread_loads()
+        self.share_loads()
         self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
 
-    def spread_loads(self) -> None:
+    def share_loads(self) -> None:
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
             members = {
@@ -271,7 +275,7 @@
     def remove(self, node: FakeNode) -> None:
         """Let control remove a member that it does not hear."""
         self.removed.add(node.address)
-        self.spread_loads()
+        self.share_loads()
 
     def pass_time(self, seconds: float) -> None:
         """Let all servers report and all agents tell their load meanwhile."""
@@ -281,7 +285,7 @@
             if not node.has_server:
                 continue
             node.report(is_draining=report is not None and report.is_draining)
-        self.spread_loads()
+        self.share_loads()
         for node in self.nodes.values():
             if node.is_up:
                 node.router.tick(self.now)
@@ -297,9 +301,9 @@
         node = self.nodes.get(address)
         if node is None or not node.is_up:
             return
-        found = relay.decode_relay(frame)
-        assert not isinstance(found, Malformed)
-        node.router.on_frame(found, source, self.now)
+        decoded = relay.decode_relay(frame)
+        assert not isinstance(decoded, Malformed)
+        node.router.on_frame(decoded, source, self.now)
 
     def run(self) -> None:
         for _ in range(MAX_EVENTS):
@@ -312,7 +316,7 @@
 
     # The caller's side
 
-    def packet(self, packet: FakePacket) -> list[FakePacket]:
+    def send_packet(self, packet: FakePacket) -> list[FakePacket]:
         """Send one packet of a caller and return what comes back."""
         self.replies.clear()
         self.balancer.on_packet(msgspec.msgpack.encode(packet))
@@ -322,13 +326,13 @@
     def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
         """Open a flow; return the server's name, or "" where it was refused or dropped."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
+        answers = self.send_packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
         return answers[0].server if answers else ""
 
     def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
         """Send data on a flow; return the name of the server that answers, "" without one."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, packet_flags.ACK, server, 1))
+        answers = self.send_packet(FakePacket(key, packet_flags.ACK, server, 1))
         answers = [answer for answer in answers if not answer.flags & packet_flags.RESET]
         return answers[0].server if answers else ""
 
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -26,7 +26,7 @@
         for name, server in self.servers.items():
             self.assertEqual(self.network.request(name, server), server)
 
-    def check(self) -> None:
+    def check_all_flows(self) -> None:
         for name, server in self.servers.items():
             for _ in range(2):
                 answer = self.network.request(name, server)
@@ -49,25 +49,25 @@
             self.network.balancer.owners.update(
                 [a for a in self.network.nodes if a != node.address]
             )
-            self.check()
+            self.check_all_flows()
             self.network.balancer.owners.update(list(self.network.nodes))
-            self.check()
+            self.check_all_flows()
 
     def test_each_agent_restarts(self) -> None:
         for node in self.network.nodes.values():
             node.is_up = False
-            self.network.spread()
+            self.network.share_state()
             node.restart()
             node.router.apply_routing(self.network.document(1))
-            self.network.spread()
-            self.check()
+            self.network.share_state()
+            self.check_all_flows()
 
     def test_all_agents_restart_at_once(self) -> None:
         for node in self.network.nodes.values():
             node.restart()
             node.router.apply_routing(self.network.document(1))
-        self.network.spread()
-        self.check()
+        self.network.share_state()
+        self.check_all_flows()
 
     def test_servers_that_reset_what_they_do_not_hold(self) -> None:
         """Seen with a server that was just starting: its agent asked it for a flow elsewhere."""
@@ -75,38 +75,38 @@
             node.server.resets_unknown = True
             node.restart()
             node.router.apply_routing(self.network.document(1))
-        self.network.spread()
-        self.check()
+        self.network.share_state()
+        self.check_all_flows()
 
-    def test_route_is_removed_for_new_flows_only(self) -> None:
+    def test_removing_a_route_affects_only_new_flows(self) -> None:
         self.network.apply_routing(self.network.document(2, has_desk=False))
-        self.check()
+        self.check_all_flows()
         self.assertEqual(self.network.open("late"), "")
 
     def test_servers_drain(self) -> None:
         for node in list(self.network.nodes.values())[:3]:
             node.report(is_draining=True)
-        self.network.spread()
-        self.check()
+        self.network.share_state()
+        self.check_all_flows()
         last = list(self.network.nodes.values())[3]
         self.assertEqual(self.network.open("late"), last.server.name)
 
-    def test_data_centre_leaves(self) -> None:
+    def test_data_centre_is_taken_out_of_service(self) -> None:
         for node in self.network.nodes.values():
             node.router.gate.set_in_service(False, self.network.now)
-        self.network.spread()
-        self.check()
+        self.network.share_state()
+        self.check_all_flows()
         self.assertEqual(self.network.open("late"), "")
         self.assertEqual(self.network.resets, 1)
 
-    def test_flow_of_a_dead_server_is_reset_once_every_agent_has_said_no(self) -> None:
+    def test_flow_lost_by_its_server_is_reset_once_every_agent_denies_it(self) -> None:
         name, server = next(iter(self.servers.items()))
         node = next(n for n in self.network.nodes.values() if n.server.name == server)
         node.server.open.clear()
         self.assertEqual(self.network.request(name, server), "")
         self.assertEqual(self.network.resets, 1)
 
-    def test_no_reset_while_an_agent_is_silent_or_members_may_be_missing(self) -> None:
+    def test_no_reset_while_an_agent_does_not_answer_or_members_may_be_missing(self) -> None:
         name, server = next(iter(self.servers.items()))
         node = next(n for n in self.network.nodes.values() if n.server.name == server)
         node.server.open.clear()
@@ -140,7 +140,7 @@
         self.network.pass_time(0.05)
         self.assertEqual([answer.server for answer in self.network.replies], [server])
 
-    def test_an_agent_whose_server_has_gone_denies_flows(self) -> None:
+    def test_an_agent_whose_server_has_stopped_denies_flows(self) -> None:
         """Seen after all power was lost: agents of servers that had left kept searches open."""
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
@@ -155,7 +155,7 @@
         self.network.pass_time(0.1)
         self.assertEqual(self.network.resets, 1)
 
-    def test_flow_of_a_dead_instance_is_reset_once_control_has_removed_it(self) -> None:
+    def test_flow_of_a_crashed_instance_is_reset_once_control_has_removed_it(self) -> None:
         """Seen after a crash: callers went on sending on flows that no one would answer."""
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
@@ -173,11 +173,11 @@
             resets += self.network.resets
         self.assertGreater(resets, 0)
 
-    def test_flow_of_an_instance_that_only_control_does_not_hear_goes_on(self) -> None:
+    def test_flow_of_an_instance_that_only_control_cannot_reach_continues(self) -> None:
         self.network.remove(next(iter(self.network.nodes.values())))
-        self.check()
+        self.check_all_flows()
 
-    def test_flow_of_a_silent_server_is_given_up(self) -> None:
+    def test_flow_of_a_server_that_stopped_answering_is_reset(self) -> None:
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
         holder.has_server = False
@@ -198,24 +198,24 @@
             self.network.pass_time(0.15)
         self.assertGreater(self.count_resets(name, server, rounds=4), 0)
 
-    def test_a_suspended_agent_does_not_take_its_server_for_dead(self) -> None:
+    def test_a_suspended_agent_does_not_consider_its_server_stopped(self) -> None:
         for node in self.network.nodes.values():
             node.has_server = False
         self.network.pass_time(30.0)
         for node in self.network.nodes.values():
             node.has_server = True
-        self.network.spread()
-        self.check()
+        self.network.share_state()
+        self.check_all_flows()
 
 
 class OpeningsTest(unittest.TestCase):
-    def test_copy_of_an_opening_reaches_the_same_server(self) -> None:
+    def test_a_retransmitted_opening_reaches_the_same_server(self) -> None:
         network = FakeNetwork([DESK] * 4)
         for name in FLOWS:
             first = network.open(name)
             self.assertEqual(network.open(name, attempt=1), first)
 
-    def test_two_servers_with_one_opening(self) -> None:
+    def test_one_opening_placed_on_two_servers(self) -> None:
         """A copy placed by another owner: data goes to the server that the caller acknowledges."""
         network = FakeNetwork([DESK] * 4)
         addresses = list(network.nodes)
@@ -231,7 +231,7 @@
                 network.pass_time(0.2)
                 self.assertEqual(network.request(name, chosen), chosen)
 
-    def test_full_servers_are_passed_over(self) -> None:
+    def test_full_servers_are_skipped(self) -> None:
         network = FakeNetwork([DESK] * 4)
         nodes = list(network.nodes.values())
         for node in nodes[:3]:
@@ -247,7 +247,7 @@
         self.assertEqual(network.resets, 1)
         self.assertEqual(sum(len(n.server.half_open) for n in network.nodes.values()), 0)
 
-    def test_busy_servers_get_no_openings_and_the_caller_learns_at_once(self) -> None:
+    def test_openings_for_busy_servers_are_refused_at_once(self) -> None:
         """Seen after an outage: a route had moved to a small service, whose queues stayed full."""
         network = FakeNetwork([DESK] * 2)
         network.apply_routing(network.document(2, target_s=0.1))
@@ -268,7 +268,7 @@
                 next(iter(network.nodes.values())).router.held.service_s = service_s
                 self.assertNotIn("", [network.open(name) for name in FLOWS])
 
-    def test_a_later_copy_is_refused_only_where_the_first_was(self) -> None:
+    def test_a_retransmission_is_refused_only_by_an_owner_that_failed_to_place_one(self) -> None:
         """Another owner may have placed the first copy: its flow may be open by now."""
         network = FakeNetwork([DESK] * 2)
         for node in network.nodes.values():
@@ -283,32 +283,32 @@
         services = {name: names[network.open(name, SPLIT_ENDPOINT)] for name in FLOWS}
         self.assertEqual(set(services.values()), {DESK, ARCHIVE})
 
-    def test_an_opening_by_an_older_version_follows_the_newer_one(self) -> None:
+    def test_the_newer_routing_version_decides_an_opening(self) -> None:
         network = FakeNetwork([DESK] * 3)
         for node in network.nodes.values():
             node.router.apply_routing(network.document(2, has_desk=False))
         self.assertEqual(network.open("caller"), "")
         self.assertEqual(sum(len(n.server.openings) for n in network.nodes.values()), 0)
 
-    def test_a_server_that_is_not_heard_gets_nothing(self) -> None:
+    def test_a_server_without_recent_reports_gets_no_openings(self) -> None:
         network = FakeNetwork([DESK] * 3)
         network.now += 60.0
-        network.spread()
+        network.share_state()
         self.assertEqual(network.open("caller"), "")
         self.assertEqual(sum(len(n.server.openings) for n in network.nodes.values()), 0)
 
-    def test_a_cold_server_gets_no_more_than_it_bears(self) -> None:
+    def test_a_cold_server_gets_no_more_openings_than_it_can_handle(self) -> None:
         network = FakeNetwork([DESK], cold_starts_per_s=3.0)
         node = next(iter(network.nodes.values()))
         node.report(cold_for_s=5.0)
-        network.spread()
+        network.share_state()
         for name in FLOWS:
             network.open(name)
         self.assertEqual(len(node.server.openings), 3)
         self.assertEqual(network.open("late"), "")
         self.assertEqual(network.resets, 1, "room comes later than the caller can use it")
 
-    def test_an_unknown_route_is_refused_from_the_second_copy_on(self) -> None:
+    def test_an_opening_without_route_is_refused_from_the_first_retransmission_on(self) -> None:
         network = FakeNetwork([DESK])
         endpoint = b"\xc6\x12\x00\x63\x01\xbb"
         network.open("caller", endpoint)
@@ -330,19 +330,19 @@
         for node in network.nodes.values():
             node.restart(has_server=False)
             node.router.apply_routing(network.document(1))
-        network.spread()
+        network.share_state()
         self.assertEqual((network.open("caller"), network.resets), ("", 0))
         network.pass_time(3.0)
         self.assertEqual((network.open("caller", attempt=1), network.resets), ("", 1))
 
-    def test_no_refusal_while_a_member_has_not_told_its_load(self) -> None:
+    def test_no_refusal_while_a_member_has_not_reported_its_load(self) -> None:
         """Seen after all power was lost: an owner that had heard no other agent refused."""
         network = FakeNetwork([ARCHIVE, DESK])
         archive, desk = network.nodes.values()
         archive.router.loads.by_address.clear()
         network.balancer.owners.update([archive.address])
         self.assertEqual((network.open("caller"), network.resets), ("", 0))
-        network.spread_loads()
+        network.share_loads()
         self.assertEqual(network.open("caller", attempt=1), desk.server.name)
 
     def test_only_members_get_openings(self) -> None:
@@ -388,7 +388,7 @@
             node.report(is_draining=random.random() < 0.5)
         network.pass_time(random.choice([0.01, 0.3]))
         if choice != 1:
-            network.spread()
+            network.share_state()
 
     def _check(self, network: FakeNetwork, name: str, server: str) -> None:
         for _ in range(3):
@@ -409,7 +409,9 @@
 
     def test_reset_of_an_unknown_flow_is_dropped(self) -> None:
         network = FakeNetwork([DESK] * 2)
-        answers = network.packet(FakePacket(b"x" + b"\xc6\x12\x00\x01\x01\xbb", packet_flags.RESET))
+        answers = network.send_packet(
+            FakePacket(b"x" + b"\xc6\x12\x00\x01\x01\xbb", packet_flags.RESET)
+        )
         self.assertEqual(answers, [])
 
 
