--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_coordinator.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_coordinator.py
@@ -18,8 +18,8 @@
 class StopCoordinator:
     """Planned stops of the other balancers, as they have told them; times in seconds."""
 
-    def __init__(self, wait_timeout_s: float) -> None:
-        self._wait_timeout_s = wait_timeout_s
+    def __init__(self, wait_limit_s: float) -> None:
+        self._wait_limit_s = wait_limit_s
         self._stopped_until: dict[Address, float] = {}
 
     def on_stop(self, balancer: Address, now: float) -> None:
@@ -34,4 +34,4 @@
     def may_stop(self, requested_at: float, now: float) -> bool:
         """Tell whether the own planned stop, asked for at ``asked_at``, may begin."""
         are_others_ready = all(until <= now for until in self._stopped_until.values())
-        return are_others_ready or now - requested_at >= self._wait_timeout_s
+        return are_others_ready or now - requested_at >= self._wait_limit_s
--- a/tests/coordination/handshake/test_stop_coordinator.py
+++ b/tests/coordination/handshake/test_stop_coordinator.py
@@ -8,21 +8,21 @@
 from wagtailkeel_coordination.handshake.stop_coordinator import RESTART_TIMEOUT_S
 from wagtailkeel_coordination.handshake.stop_coordinator import StopCoordinator
 
-WAIT_TIMEOUT_S = 3.0
+WAIT_LIMIT_S = 3.0
 OTHER = ("10.0.0.1", 7_001)
 THIRD = ("10.0.0.2", 7_001)
 
 
 class StopCoordinatorTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.turns = StopCoordinator(WAIT_TIMEOUT_S)
+        self.turns = StopCoordinator(WAIT_LIMIT_S)
 
     def test_may_stop_at_once_when_no_other_stops(self) -> None:
         self.assertTrue(self.turns.may_stop(10.0, 10.0))
 
     def test_waits_for_another_balancer_up_to_the_timeout(self) -> None:
         self.turns.on_stop(OTHER, 9.0)
-        table = [(10.0, False), (10.0 + WAIT_TIMEOUT_S - 0.1, False), (10.0 + WAIT_TIMEOUT_S, True)]
+        table = [(10.0, False), (10.0 + WAIT_LIMIT_S - 0.1, False), (10.0 + WAIT_LIMIT_S, True)]
         for now, expected in table:
             with self.subTest(now=now):
                 self.assertIs(self.turns.may_stop(10.0, now), expected)
