Comments of the handshake routing in plain technical English

Comments such as "what the own server says" or "a first copy is dropped" did not say who does what. Docstrings and comments of the coordination package's handshake folder now name the node or packet meant, when it acts and why; reasons and numbers are kept.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
@@ -1,4 +1,4 @@
-"""Routing where the opening handshake settles which server has a flow."""
+"""Routing for protocols whose opening handshake determines which server has a flow."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -1,9 +1,9 @@
-"""What an agent's router does with each event: it asks one of its two parts.
+"""Dispatches the events of an agent to its directory owner or its flow holder.
 
 Every agent is the directory owner of some flows, by hash among the agents of the caller's data
-centre, and holds the flows of its own server. Two servers may take copies of one opening: the
-caller acknowledges one of them, and the other returns what follows, so no exclusive right to
-place is needed.
+centre, and holds the flows of its backend server. Two servers may get transmissions of the same
+opening: the caller acknowledges one of them, and the other returns later packets. So an owner needs
+no exclusive right to place an opening.
 """
 
 from __future__ import annotations
@@ -41,9 +41,9 @@
 
 
 class AgentRouter:
-    """Routing decisions of one agent; time and randomness come from outside.
+    """Routing decisions of one agent; the caller provides time and randomness.
 
-    ``are_members_confirmed`` tells whether control has confirmed the members since a moment.
+    ``are_members_confirmed`` returns whether control has confirmed the members since a given time.
     """
 
     def __init__(
@@ -78,13 +78,13 @@
 
     @property
     def own_address(self) -> Address:
-        """Where this agent takes frames."""
+        """The address at which this agent receives frames."""
         return self._context.own_address
 
     # Configuration and reports
 
     def apply_routing(self, document: RoutingDocument) -> None:
-        """Adopt a newer routing document."""
+        """Apply a newer routing document."""
         if not self.routing.update(document):
             return
         for service in document.policies_by_service:
@@ -101,11 +101,11 @@
         self.owner.set_peers(services_by_member, former_members)
 
     def on_report(self, report: ServerReport, now: float) -> bool:
-        """Take in what the own server says; return whether it counts."""
+        """Process a status report of the backend server; return whether it was accepted."""
         return self.holder.on_report(report, now)
 
     def build_load(self, now: float) -> ServerLoad:
-        """Return what peers need to know of the own server."""
+        """Return the load of the backend server to report to peers."""
         return self.holder.build_load(now)
 
     # Frames
@@ -128,7 +128,7 @@
             return
         flow = self.held.by_key.get(header.key)
         if flow is not None and self.gate.has_stopped:
-            # Its server does not answer any more, and nobody else will on its behalf.
+            # The flow's server has stopped, and no other server can answer for it.
             self.held.remove(flow)
             flow = None
         if flow is not None and frame.kind not in _RETURN_KINDS:
@@ -152,12 +152,12 @@
             self.owner.on_returned(frame, header, source)
 
     def on_server_packet(self, packet: bytes, now: float) -> None:
-        """Send a server's packet to its caller, or deal with one that it returned."""
+        """Forward a packet of the server to its caller, or process a packet that it returned."""
         self._context.now = now
         self.holder.on_server_packet(packet)
 
     def tick(self, now: float) -> None:
-        """Settle what has waited long enough, and forget what is over."""
+        """Resolve probes and searches that timed out, and remove expired flows and pointers."""
         self._context.now = now
         self.holder.tick()
         self.owner.tick()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -1,4 +1,4 @@
-"""What a balancer does with each packet: hand it to the directory owner of its flow."""
+"""Forwards each packet that arrives at a balancer to the directory owner of its flow."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
 
 
 class BalancerRouter:
-    """Holds nothing about any flow.
+    """Routes packets of callers without keeping state about flows.
 
-    ``is_routing_current`` tells whether control has confirmed the own version just now.
+    ``is_routing_current`` returns whether control has just confirmed the balancer's version.
     """
 
     def __init__(
@@ -50,13 +50,13 @@
         self._tags_by_service: dict[str, int] = {}
 
     def apply_routing(self, document: RoutingDocument) -> None:
-        """Adopt a newer routing document."""
+        """Apply a newer routing document."""
         if self.routing.update(document):
             names = document.policies_by_service
             self._tags_by_service = {name: relay.service_tag(name) for name in names}
 
     def on_packet(self, packet: bytes) -> None:
-        """Hand a caller's packet on."""
+        """Forward a caller's packet to the directory owner of its flow."""
         header = self._format.parse_inbound(packet)
         if isinstance(header, Malformed):
             self._counters[f"dropped_{header.value}"] += 1
@@ -77,9 +77,10 @@
         self._send(frame, owner)
 
     def _on_unknown_route(self, packet: bytes, header: PacketHeader) -> None:
-        """A first copy is dropped, since a new route may be on its way here.
+        """Drop an opening without route, or refuse it.
 
-        Later ones are refused, unless this balancer may have missed a change.
+        The first transmission is dropped, since a new route may not have reached this balancer yet.
+        Retransmissions are refused, unless this balancer may have missed a change.
         """
         is_refused = header.attempt > 0 and self._is_routing_current()
         self._counters["openings_without_route"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -1,6 +1,6 @@
-"""The directory owner's part of an agent: it places openings and knows where flows are.
+"""The part of an agent that owns directory entries: it places openings and locates flows.
 
-Its pointers are a cache of what the agents hold; a search rebuilds them.
+Its pointers are a cache of the flows that agents hold; a search rebuilds them.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 
 
 class _Opening(msgspec.Struct):
-    """An opening that is being placed; ``tag`` names ``service`` in frames."""
+    """An opening that is being placed; ``tag`` identifies ``service`` in frames."""
 
     frame: RelayFrame
     key: bytes
@@ -50,7 +50,7 @@
 class DirectoryOwner:
     """Keeps the directory entries of some flows.
 
-    ``are_members_confirmed`` tells whether control has confirmed the members since a moment.
+    ``are_members_confirmed`` returns whether control has confirmed the members since a given time.
     """
 
     def __init__(
@@ -91,21 +91,21 @@
     # Frames
 
     def on_forward(self, frame: RelayFrame, header: PacketHeader) -> None:
-        """Hand a balancer's packet on, place it, or search for its flow."""
+        """Forward a balancer's packet, place its opening, or search for its flow."""
         pointer = self.pointers.find(header.key, self._context.now)
         if pointer is not None and pointer.target == self._context.own_address:
-            # The flow was here and is no longer held.
+            # This agent had the flow and no longer holds it.
             self.pointers.remove(header.key)
             pointer = None
         if pointer is not None and header.is_opening and not self._is_reachable(pointer.target):
-            # The first copy may have gone to an agent that has died: another server takes this.
+            # The first transmission may have gone to an agent that stopped: try another server.
             pointer.tried.add(pointer.target)
             self._place(frame, header, pointer.tried)
         elif pointer is not None:
             kind = RelayKind.PLACE if header.is_opening else RelayKind.DELIVER
             self._context.send(pointer.target, kind, frame, frame.body)
             if pointer.target in self.former_members:
-                # Control does not hear the agent: it may have died with the flow's server.
+                # Control has no contact with the agent: it may have stopped with the flow's server.
                 self._search(frame, header.key, exclude=None)
         elif header.is_opening:
             self._place(frame, header, set())
@@ -120,7 +120,7 @@
     # Openings
 
     def _place(self, frame: RelayFrame, header: PacketHeader, tried: set[Address]) -> None:
-        """Choose a server for an opening that no server has."""
+        """Place an opening on a server; no server is known to have its flow."""
         key = header.key
         service = self._context.resolve_service(frame, key)
         if service is None:
@@ -149,7 +149,7 @@
         return self.loads.find_candidates(self._members_by_tag.get(opening.tag, []), now)
 
     def _offer(self, opening: _Opening, address: Address) -> bool:
-        """Pass an opening to an agent; return False where the own one does not take it."""
+        """Send an opening to an agent; return False if this agent rejects it itself."""
         frame, key = opening.frame, opening.key
         if address != self._context.own_address:
             self.loads.count_opening(address)
@@ -161,23 +161,23 @@
         return True
 
     def _on_unplaced(self, opening: _Opening, tried: int, candidates: int) -> None:
-        """No server has taken an opening: refuse it, unless one may, or may have."""
+        """Refuse an opening that no server has taken, unless one may take it or have taken it."""
         key, now = opening.key, self._context.now
         self.pointers.remove(key)
         self.pointers.record_unplaced(key, now)
         if self.loads.has_unreported_server(opening.tag, now) or not self._are_members_reachable(
             opening.tag
         ):
-            # A server may have room: the caller's next copy finds it.
+            # A server may have room: the caller's next retransmission reaches it.
             self._context.counters["openings_deferred"] += 1
         elif opening.is_sole_placer:
             self._refuse(opening.frame.body, key, tried, candidates)
         else:
-            # Another owner may have placed an earlier copy: its flow may be open by now.
+            # Another owner may have placed an earlier transmission, so the flow may be open.
             self._context.counters["dropped_copy_of_opening"] += 1
 
     def _are_members_reachable(self, tag: int) -> bool:
-        """Tell whether no server of a service can be unknown to be ready."""
+        """Return whether all members of a service are reachable, so that no ready one is missed."""
         members = self._members_by_tag.get(tag, [])
         return all(a == self._context.own_address or self._is_reachable(a) for a in members)
 
@@ -194,7 +194,7 @@
         )
 
     def _refuse(self, packet: bytes, key: bytes, tried: int, candidates: int) -> None:
-        """No server takes the opening: none has seen it, and the caller learns so at once."""
+        """Refuse an opening that no server has seen, so that the caller learns it at once."""
         self._context.counters["openings_refused"] += 1
         reason = "all_tried" if candidates else "no_server_accepts"
         self._context.emit(
@@ -205,7 +205,7 @@
         self._context.send_reset(packet, key)
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """Offer an opening that came back to another server."""
+        """Place a rejected opening on another server."""
         pointer = self.pointers.by_key.get(header.key)
         if pointer is not None and pointer.target != source:
             self._context.counters["dropped_late_rejection"] += 1
@@ -220,7 +220,7 @@
     # Searches
 
     def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """Search for a flow that its supposed server does not hold."""
+        """Search for a flow that the server it was delivered to does not hold."""
         pointer = self.pointers.by_key.get(header.key)
         if pointer is not None and pointer.target == source:
             self.pointers.remove(header.key)
@@ -243,7 +243,7 @@
                 self._context.send(address, RelayKind.SEARCH, frame, frame.body)
 
     def on_found(self, key: bytes, source: Address) -> None:
-        """End a search: the agent at ``source`` has the flow."""
+        """End a search; the agent at ``source`` has the flow and gets the queued packets."""
         if key in self.searches.by_key:
             self._emit_search_ended(key, "found", source[0], 0)
         queued = self.searches.on_found(key)
@@ -255,18 +255,19 @@
                 self._context.relay_packet(source, RelayKind.DELIVER, packet)
 
     def on_not_found(self, key: bytes, source: Address) -> None:
-        """Note that the agent at ``source`` does not have the flow."""
+        """Record that the agent at ``source`` does not have the flow."""
         pointer = self.pointers.by_key.get(key)
         if key not in self.searches.by_key and pointer is not None and pointer.target == source:
-            # A delivery, not a search, has met an agent without the flow: the next packet searches.
+            # This answers a delivery, not a search: the next packet starts a search.
             self.pointers.remove(key)
         if self.searches.on_not_found(key, source):
             self._end_exhausted(key)
 
     def _end_exhausted(self, key: bytes) -> None:
-        """End a search that all deny, once it is certain that all were asked.
+        """End a search that all agents have denied, once it is certain that all were queried.
 
-        A server gets openings only as a member, so whoever has the flow was one before the search.
+        A server gets openings only as a member, so the agent that has the flow was a member before
+        the search began.
         """
         search = self.searches.by_key[key]
         if not self._are_members_confirmed(search.started_at):
@@ -293,7 +294,7 @@
         self._context.emit(events.SearchEnded(flow_id(key), outcome, server_agent, unanswered))
 
     def tick(self) -> None:
-        """End searches that are settled or too old, and forget unused pointers."""
+        """End searches that are exhausted or timed out, and remove unused pointers."""
         now = self._context.now
         for key in self.searches.find_exhausted(self.former_members, now):
             self._end_exhausted(key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -1,4 +1,7 @@
-"""The part of an agent beside its server: the flows that the server holds are the ground truth."""
+"""The part of an agent that exchanges packets with its backend server.
+
+The flows that the server holds are the ground truth.
+"""
 
 from __future__ import annotations
 
@@ -29,28 +32,28 @@
 Address = tuple[str, int]
 
 INCOMPLETE_FLOW_TABLE_S = 60.0
-"""A restarted agent may lack flows that its server has for as long as a flow may last."""
+"""For as long as a flow may last, a restarted agent may not know some flows of its server."""
 SERVER_BUSY = "server_busy"
 
 
 class LocalOwner(Protocol):
-    """What a holder tells the directory owner in its own process."""
+    """Notifications of a flow holder to the directory owner in the same process."""
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """An opening comes back."""
+        """Process an opening that the agent at ``source`` has rejected."""
 
     def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """A later packet comes back."""
+        """Process a later packet that the agent at ``source`` has returned."""
 
     def on_found(self, key: bytes, source: Address) -> None:
-        """The flow is at ``source``."""
+        """Record that the agent at ``source`` has the flow."""
 
     def on_not_found(self, key: bytes, source: Address) -> None:
-        """The flow is not at ``source``."""
+        """Record that the agent at ``source`` does not have the flow."""
 
 
 class FlowHolder:
-    """Delivers packets to the own server, and takes its packets and reports."""
+    """Delivers packets to the agent's backend server, and processes its packets and reports."""
 
     def __init__(
         self,
@@ -69,10 +72,10 @@
         """Set the directory owner of the same process."""
         self._owner = owner
 
-    # The server's reports
+    # Reports of the server
 
     def on_report(self, report: ServerReport, now: float) -> bool:
-        """Take in what the own server says; return whether it counts."""
+        """Process a status report of the backend server; return whether it was accepted."""
         known = self.gate.report
         if not self.gate.on_report(report, now):
             return False
@@ -82,12 +85,12 @@
             self.held.clear()
             self.held.service_s = 0.0
         if known is None and report.sequence <= 1:
-            # The server is as young as this agent: there is nothing to have forgotten.
+            # The server has just started too, so it has no flows that this agent does not know.
             self._incomplete_until = now
         return True
 
     def build_load(self, now: float) -> ServerLoad:
-        """Return what peers need to know of the own server."""
+        """Return the load of the backend server to report to peers."""
         return ServerLoad(
             self._context.own_tag,
             self.gate.accepts(now),
@@ -100,7 +103,7 @@
             self.gate.is_awaiting_first_report(now),
         )
 
-    # Packets for the own server
+    # Packets to the server
 
     def deliver_held(
         self, flow: HeldFlow, frame: RelayFrame, header: PacketHeader, source: Address
@@ -113,7 +116,7 @@
         self._context.outbox.deliver(frame.body)
 
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """Deliver an opening that an owner has placed here, or send it back."""
+        """Deliver an opening that an owner has placed here, or return it to the owner."""
         service = self._context.resolve_service(frame, header.key)
         if not self.has_room(header.key):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
@@ -123,7 +126,7 @@
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
     def has_room(self, key: bytes) -> bool:
-        """Tell whether a request on a new flow would be answered within its route's target."""
+        """Return whether a request on a new flow would be answered within its route's target."""
         has_capacity = has_room(
             self.held.count_expected_requests(self._context.now),
             self.held.slots,
@@ -135,7 +138,7 @@
         return has_capacity
 
     def admit(self, service: str, key: bytes) -> bool:
-        """Tell whether the gate lets an opening of a service through, and count it in."""
+        """Admit an opening of a service or count its rejection; return whether it is admitted."""
         reason = self.gate.admit(service, self._context.now)
         if reason is not None:
             self._count_rejection(key, reason.value)
@@ -153,14 +156,14 @@
         )
 
     def open(self, packet: bytes, key: bytes, owner: Address) -> None:
-        """Deliver an opening that was let through."""
+        """Deliver an opening that was admitted."""
         self._context.counters["flows_opened"] += 1
         self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
         self._context.outbox.deliver(packet)
 
     @property
     def has_incomplete_flow_table(self) -> bool:
-        """Tell whether the server may hold flows that this agent does not know."""
+        """Return whether the server may have flows that this agent does not know."""
         return self._context.now < self._incomplete_until
 
     def on_unknown_flow(
@@ -171,22 +174,22 @@
         answer: RelayKind,
         body: bytes,
     ) -> None:
-        """Answer for a flow that is not known here, asking the server where it may be."""
+        """Answer that a flow is not here, or probe the server first if it may have the flow."""
         if not self.has_incomplete_flow_table or header.is_opening:
             self._context.send(source, answer, frame, body)
             return
         self.probe(header.key, frame.body, source)
 
     def probe(self, key: bytes, packet: bytes, requester: Address) -> None:
-        """Ask the own server for a flow that this agent may have forgotten."""
+        """Deliver a packet to learn whether the server has a flow that this agent does not know."""
         self._context.counters["memory_probes"] += 1
         self.probes.add(key, requester, self._context.now)
         self._context.outbox.deliver(packet)
 
-    # Packets from the own server
+    # Packets from the server
 
     def on_server_packet(self, packet: bytes) -> None:
-        """Send a server's packet to its caller, or deal with one that it returned."""
+        """Forward a packet of the server to its caller, or process a packet that it returned."""
         self.gate.record_packet()
         header = self._context.packet_format.parse_outbound(packet)
         if isinstance(header, Malformed):
@@ -205,7 +208,7 @@
         self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
 
     def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
-        """A reset that answers a probe says that the flow is elsewhere: the caller is spared it."""
+        """Forward a reset, except one that answers a probe: it means that the flow is elsewhere."""
         requester = self.probes.remove(header.key)
         if requester is None:
             self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
@@ -214,7 +217,7 @@
         self._answer(requester, RelayKind.NOT_FOUND, header.key)
 
     def _adopt(self, key: bytes) -> HeldFlow:
-        """The server speaks on a flow that this agent has forgotten."""
+        """Start to track an unknown flow on which the server has sent a packet."""
         self._context.counters["flows_adopted"] += 1
         self._context.emit(events.FlowAdopted(flow_id(key)))
         requester = self.probes.remove(key)
@@ -263,7 +266,7 @@
     # Timers
 
     def tick(self) -> None:
-        """Settle probes that met silence, and forget flows that are over."""
+        """Resolve probes that timed out, and remove flows that have ended."""
         now = self._context.now
         for key, requester in self.probes.pop_expired(now):
             self._on_expired_probe(key, requester)
@@ -271,7 +274,10 @@
         self.held.sweep(now)
 
     def _on_expired_probe(self, key: bytes, requester: Address) -> None:
-        """A live server that does not return a packet has its flow; one that has gone has none."""
+        """Answer a probe whose packet the server has not returned.
+
+        A server that reports has the flow; one that has stopped does not.
+        """
         if self.gate.has_recent_report(self._context.now):
             self.held.open(key, requester, self._context.now)
             self._answer(requester, RelayKind.FOUND, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -1,4 +1,4 @@
-"""Directory entries of one owner: which agent has a flow, and which were tried for it."""
+"""The directory entries of one owner: the agent that has a flow, and the agents already tried."""
 
 from __future__ import annotations
 
@@ -8,13 +8,14 @@
 
 SWEEP_INTERVAL_S = 1.0
 UNPLACED_RETENTION_S = 5.0
-"""Copies of an opening come for no longer than this."""
+"""A caller retransmits an opening for no longer than this."""
 
 
 class FlowPointer(msgspec.Struct):
-    """A flow's agent; ``tried`` are agents that returned its opening. Times in seconds.
+    """The agent of a flow, ``target``; ``tried`` are agents that did not take its opening.
 
-    ``has_all_copies`` says that no other owner can have placed a copy of the opening.
+    ``is_sole_placer`` is set when no other owner can have placed a transmission of the opening.
+    Times are in seconds.
     """
 
     target: Address
@@ -24,7 +25,7 @@
 
 
 class FlowPointers:
-    """Pointers by flow key; one unused for the idle limit is forgotten."""
+    """Pointers by flow key; a pointer that is unused for the idle limit is removed."""
 
     def __init__(self) -> None:
         self.by_key: dict[bytes, FlowPointer] = {}
@@ -33,24 +34,24 @@
         self._swept_at = float("-inf")
 
     def record_unplaced(self, key: bytes, now: float) -> None:
-        """Remember that this owner has had a copy of an opening, and no server took it."""
+        """Record that this owner received an opening and that no server took it."""
         self._unplaced_at_by_key[key] = now
 
     def is_sole_placer(self, key: bytes, attempt: int) -> bool:
-        """Tell whether no other owner can have placed the copy before this one."""
+        """Return whether no other owner can have placed an earlier transmission of the opening."""
         pointer = self.by_key.get(key)
         is_known = pointer is not None and pointer.is_sole_placer
         return attempt == 0 or is_known or key in self._unplaced_at_by_key
 
     def find(self, key: bytes, now: float) -> FlowPointer | None:
-        """Return a pointer and note its use."""
+        """Return a pointer and record its use."""
         pointer = self.by_key.get(key)
         if pointer is not None:
             pointer.last_seen_at = now
         return pointer
 
     def set_target(self, key: bytes, target: Address, now: float) -> FlowPointer:
-        """Point to an agent; what was tried before stays known."""
+        """Point a flow to an agent; the agents tried before are kept."""
         pointer = self.by_key.get(key)
         if pointer is None:
             pointer = FlowPointer(target, now, set())
@@ -60,11 +61,11 @@
         return pointer
 
     def remove(self, key: bytes) -> None:
-        """Forget a pointer."""
+        """Remove a pointer."""
         self.by_key.pop(key, None)
 
     def sweep(self, now: float) -> None:
-        """Forget pointers that are no longer used."""
+        """Remove unused pointers and outdated records of unplaced openings."""
         if now - self._swept_at < SWEEP_INTERVAL_S:
             return
         self._swept_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -1,7 +1,7 @@
 """Searches for flows whose server the directory owner does not know.
 
-An owner that has just taken a bucket over, or has restarted, asks every agent. The one that has
-the flow delivers the packet and answers; the others answer that they do not have it.
+An owner that has just taken over a bucket, or has restarted, queries every agent. The agent that
+has the flow delivers the packet and confirms it; the other agents answer that they do not have it.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class Search(msgspec.Struct):
-    """One search: the agents asked, those of them that are silent, and packets that wait."""
+    """A search: the agents queried, those with an answer pending, and the queued packets."""
 
     packet: bytes
     started_at: float
@@ -43,7 +43,11 @@
     def begin(
         self, key: bytes, packet: bytes, queried: Iterable[Address], now: float
     ) -> list[Address]:
-        """Return the agents to ask with this packet: all, those still silent, or none yet."""
+        """Start or continue a search; return the agents to send this packet to.
+
+        These are all agents at first, then at intervals those with an answer pending. A packet that
+        arrives between is queued.
+        """
         search = self.by_key.get(key)
         if search is None:
             if len(self.by_key) >= MAX_SEARCHES:
@@ -58,12 +62,12 @@
         return []
 
     def on_found(self, key: bytes) -> list[bytes]:
-        """End a search; return the packets that have waited for it."""
+        """End a search; return the packets that were queued for it."""
         search = self.by_key.pop(key, None)
         return search.queued if search else []
 
     def on_not_found(self, key: bytes, source: Address) -> bool:
-        """Note a "no"; return whether it was the last answer missing."""
+        """Record that an agent does not have the flow; return whether no answer is pending now."""
         search = self.by_key.get(key)
         if search is None:
             return False
@@ -71,7 +75,7 @@
         return not search.pending
 
     def query_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
-        """Return the agents that the search has not asked yet, and note that it asks them now."""
+        """Return the agents that the search has not queried yet, and record them as queried."""
         search = self.by_key[key]
         unqueried = [address for address in peers if address not in search.queried]
         search.queried.update(unqueried)
@@ -80,20 +84,20 @@
         return unqueried
 
     def find_exhausted(self, former_members: Collection[Address], now: float) -> list[bytes]:
-        """Return the keys of searches that all agents asked have denied.
+        """Return the keys of searches in which no queried agent has the flow.
 
-        A former member that stays silent counts as dead: control has not heard it either.
+        A former member that does not answer counts as stopped: control had no contact either.
         """
         return [
             key for key, search in self.by_key.items() if _is_exhausted(search, former_members, now)
         ]
 
     def end(self, key: bytes) -> bytes:
-        """Forget a search; return the packet that it was for."""
+        """Remove a search; return the packet that started it."""
         return self.by_key.pop(key).packet
 
     def expire(self, now: float) -> list[tuple[bytes, int]]:
-        """Forget searches that not all agents have answered; return how many were silent by key."""
+        """Remove searches that timed out; return their keys and how many answers were pending."""
         late = [k for k, s in self.by_key.items() if now - s.started_at > SEARCH_TIMEOUT_S]
         return [(key, len(self.by_key.pop(key).pending)) for key in late]
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -1,4 +1,4 @@
-"""Flows on the agent's own server, and what they tell of its load."""
+"""Tracks the flows of the agent's backend server and derives the server's load from them."""
 
 from __future__ import annotations
 
@@ -16,16 +16,22 @@
 Address = tuple[str, int]
 
 CLOSED_LINGER_S = 3.0
-"""A closed flow's late packets still go to its server, which answers them."""
+"""Late packets of a closed flow are still delivered to its server, which answers them."""
 ANSWER_TIMEOUT_S = 5.0
 SWEEP_INTERVAL_S = 1.0
 SMOOTHING_FACTOR = 0.1
 FIRST_REQUEST_TIMEOUT_S = 0.1
-"""A new flow counts as a request on its way for so long: the caller's answer to the server's."""
+"""A new flow counts as a request for this long, while the caller completes the handshake."""
 
 
 class HeldFlow(msgspec.Struct):
-    """A flow that the own server has; ``owner`` sent its last packet here. Times in seconds."""
+    """A flow of the backend server; times are in seconds.
+
+    ``owner`` is the agent that sent the flow's last packet here, ``awaiting_since`` the time of a
+    request without an answer (0 for none). ``has_free_slot`` is set if the server had a slot free
+    for that request, so that its response time is the server's work alone. ``finished_ends`` is the
+    set of ends that have closed the flow.
+    """
 
     key: bytes
     owner: Address
@@ -42,7 +48,7 @@
 
 
 class HeldFlows:
-    """Accounts for every packet of the own server's flows."""
+    """Keeps the state of the backend server's flows, updated with each of their packets."""
 
     def __init__(self, record_response: Callable[[float], None]) -> None:
         self.by_key: dict[bytes, HeldFlow] = {}
@@ -56,40 +62,40 @@
 
     @property
     def in_flight(self) -> int:
-        """The number of flows that the server owes an answer."""
+        """The number of flows with a request that the server has not answered."""
         return len(self._awaiting_by_key)
 
     def count_expected_requests(self, now: float) -> int:
-        """Return the number of requests in flight and of new flows whose first is on its way."""
+        """Return the number of requests in flight plus that of expected first requests."""
         opened = self._opened_at_by_key
         while opened and now - opened[oldest := next(iter(opened))] > FIRST_REQUEST_TIMEOUT_S:
             del opened[oldest]
         return self.in_flight + len(opened)
 
     def open(self, key: bytes, owner: Address, now: float) -> HeldFlow:
-        """Start to account for a flow."""
+        """Start to track a flow."""
         flow = HeldFlow(key, owner, now)
         self.by_key[key] = flow
         return flow
 
     def expect_request(self, flow: HeldFlow, now: float) -> None:
-        """Count a flow whose opening is being delivered as a request on its way."""
+        """Count a flow whose opening is being delivered as an expected request."""
         self._opened_at_by_key[flow.key] = now
 
     def remove(self, flow: HeldFlow) -> None:
-        """Forget a flow."""
+        """Stop tracking a flow."""
         self.by_key.pop(flow.key, None)
         self._awaiting_by_key.pop(flow.key, None)
         self._opened_at_by_key.pop(flow.key, None)
 
     def clear(self) -> None:
-        """Forget all flows: the server has started anew."""
+        """Stop tracking all flows, since the server has restarted."""
         self.by_key.clear()
         self._awaiting_by_key.clear()
         self._opened_at_by_key.clear()
 
     def on_inbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
-        """Account for a packet that is about to be delivered."""
+        """Update a flow for a packet that is about to be delivered to the server."""
         flow.last_seen_at = now
         if header.payload_bytes and not flow.awaiting_since:
             flow.awaiting_since = now
@@ -100,7 +106,7 @@
             self._record_close(flow, header, _CALLER_FINISHED, now)
 
     def on_outbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
-        """Account for a packet of the server."""
+        """Update a flow for a packet that the server has sent."""
         flow.last_seen_at = now
         flow.has_reply = True
         if header.payload_bytes and flow.awaiting_since:
@@ -129,7 +135,7 @@
         self._awaiting_by_key.pop(flow.key, None)
 
     def sweep(self, now: float) -> None:
-        """Forget flows that are over, and answers that will not come."""
+        """Remove closed and idle flows, and stop waiting for overdue answers."""
         if now - self._swept_at < SWEEP_INTERVAL_S:
             return
         self._swept_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/outbox.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/outbox.py
@@ -1,4 +1,4 @@
-"""What an agent's routing decisions ask the transport to send."""
+"""The interface by which an agent's router sends packets and frames."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 
 
 class RelayOutbox(Protocol):
-    """Sends packets and frames without waiting; delivery is not guaranteed."""
+    """Sends packets and frames without blocking; delivery is not guaranteed."""
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server."""
+        """Send a packet to the agent's backend server."""
 
     def reply(self, packet: bytes, caller_host: str) -> None:
         """Send a packet to its caller."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
@@ -1,7 +1,7 @@
-"""Which agent keeps the directory entry of a flow: rendezvous hashing over the live agents.
+"""Assigns the directory entries of flows to live agents by rendezvous hashing.
 
 Source: highest random weight hashing (Thaler and Ravishankar, 1998). Two nodes may disagree while
-agents come and go: an owner that does not know a flow searches for it.
+agents start or stop: an owner without an entry for a flow searches for the flow.
 """
 
 from __future__ import annotations
@@ -14,14 +14,14 @@
 
 
 class OwnerMap:
-    """Owners by bucket, among the agents of one data centre where any is alive."""
+    """Owners by bucket, among the agents of one data centre where any is live."""
 
     def __init__(self) -> None:
         self._live_agents: tuple[Address, ...] = ()
         self._owners: list[Address] = []
 
     def update(self, live_agents: list[Address]) -> bool:
-        """Build the map again if the set of live agents has changed; return whether it has."""
+        """Rebuild the map if the set of live agents has changed; return whether it has."""
         ordered = tuple(sorted(live_agents))
         if ordered == self._live_agents:
             return False
@@ -33,11 +33,11 @@
 
     @property
     def has_owners(self) -> bool:
-        """Tell whether any agent keeps the directory."""
+        """Return whether any agent owns directory entries."""
         return bool(self._live_agents)
 
     def owner_of(self, key: bytes) -> Address | None:
-        """Return the owner of a flow; None where no agent is alive."""
+        """Return the owner of a flow, or None if no agent is live."""
         if not self._live_agents:
             return None
         return self._owners[xxhash.xxh3_64_intdigest(key) % BUCKET_COUNT]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
@@ -1,22 +1,22 @@
-"""How many requests may wait at a server before its agent turns openings away.
+"""Limits how many requests may wait at a server before its agent rejects openings.
 
-Load pattern answered: more work than a service's servers can do, as after a route moves to a small
-service, or when all callers return at once after an outage. Without a limit the servers' own
-queues stay full: every answer is late, and what the queues do not hold is refused after it has
-travelled all the way. With one, those that are let in are answered in time, and the others learn
-at once that nothing has run.
+This protects a service that gets more work than its servers can handle, for instance after a route
+moves to a small service, or when all callers return at once after an outage. Without a limit the
+servers' own queues stay full: every answer is late, and requests that do not fit into the queues
+are refused only after they have reached a server. With the limit, admitted requests are answered in
+time, and the other callers learn at once that their request was not executed.
 """
 
 from __future__ import annotations
 
 MAX_WAIT_FRACTION = 0.4
-"""The part of a route's target that a request may spend waiting; the rest is for its work."""
+"""The fraction of a route's target that a request may wait; the rest is left to process it."""
 
 
 def has_room(in_flight: int, slots: int, service_s: float, target_s: float) -> bool:
-    """Tell whether one more request would start soon enough; times in seconds.
+    """Return whether one more request would start soon enough; times are in seconds.
 
-    Without a target, or before the first measured answer, nothing is limited.
+    There is no limit without a target, or before the response time of an answer was measured.
     """
     if not target_s or not service_s:
         return True
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
@@ -1,4 +1,4 @@
-"""What both parts of an agent's router share: the packet format, the routing, and ways to send."""
+"""State shared by both parts of an agent's router: packet format, routing, and sending."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class RouterContext:
-    """State of one agent that belongs to neither part; ``now`` is the time of the last event."""
+    """State of one agent that both parts use; ``now`` is the time of the last event."""
 
     def __init__(
         self,
@@ -42,29 +42,29 @@
         self.now = now
 
     def resolve_service(self, frame: RelayFrame, key: bytes) -> str | None:
-        """Return the service of an opening by the newer of the sender's and the own routing."""
+        """Return an opening's service by the newer of the sender's and this agent's routing."""
         if self.routing.version > frame.routing_version:
             destinations = self.routing.find(self.packet_format.endpoint_of(key))
             return destinations.choose(key) if destinations else None
         return self.services_by_tag.get(frame.service_tag)
 
     def send_reset(self, packet: bytes, key: bytes) -> None:
-        """Tell a packet's caller that its flow is not open."""
+        """Send the caller of a packet a reset, since its flow is not open."""
         refusal = self.packet_format.build_refusal(packet)
         if refusal is not None:
             self.outbox.reply(refusal, self.packet_format.caller_host(key))
 
     def send(self, address: Address, kind: RelayKind, frame: RelayFrame, body: bytes) -> None:
-        """Send a body on behalf of a frame's flow."""
+        """Send a body with the hops, routing version and service tag of a frame."""
         self.relay(address, kind, frame, frame.service_tag, body)
 
     def relay(
         self, address: Address, kind: RelayKind, frame: RelayFrame, tag: int, body: bytes
     ) -> None:
-        """Send a body with the newer of the frame's and the own routing version."""
+        """Send a body with a service tag and the newer of the frame's and this agent's version."""
         version = max(frame.routing_version, self.routing.version if tag else 0)
         self.outbox.relay(address, kind, frame.hops + 1, version, tag, body)
 
     def relay_packet(self, address: Address, kind: RelayKind, packet: bytes) -> None:
-        """Send a packet that no frame brought."""
+        """Send a packet that did not arrive in a frame."""
         self.outbox.relay(address, kind, 1, 0, relay.NO_SERVICE, packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -1,4 +1,4 @@
-"""Lookup of routes by a packet's destination."""
+"""Looks up routes by the destination of a packet."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Destinations(msgspec.Struct, frozen=True):
-    """The services of a route and the running sums of their weights; its target in seconds."""
+    """The services of a route, the running sums of their weights, and the target in seconds."""
 
     services: tuple[str, ...]
     cumulative_weights: tuple[int, ...]
@@ -27,14 +27,14 @@
 
     @classmethod
     def from_route(cls, route: Route) -> Destinations:
-        """Leave out services without weight."""
+        """Build the destinations of a route without services of weight zero."""
         weighted = [found for found in route.destinations if found.weight > 0]
         cumulative_weights = accumulate(found.weight for found in weighted)
         services = tuple(found.service for found in weighted)
         return cls(services, tuple(cumulative_weights), route.target_s)
 
     def choose(self, key: bytes) -> str:
-        """Return the service of a flow; the same for every copy of its opening."""
+        """Return the service of a flow; it is the same for every transmission of the opening."""
         if len(self.services) == 1:
             return self.services[0]
         position = xxhash.xxh3_64_intdigest(key, SPLIT_SEED) % self.cumulative_weights[-1]
@@ -42,7 +42,7 @@
 
 
 class RoutingTable:
-    """Destinations by endpoint (packed address and port), for one routing document."""
+    """Destinations by endpoint (packed address and port) for one routing document."""
 
     def __init__(self) -> None:
         self.version = 0
@@ -50,7 +50,7 @@
         self._routes: dict[str, Route] = {}
 
     def update(self, document: RoutingDocument) -> bool:
-        """Adopt a newer document; return whether it was newer."""
+        """Apply a document if it is newer; return whether it was."""
         if document.version <= self.version:
             return False
         for place, route in self._routes.items():
@@ -64,15 +64,15 @@
         return True
 
     def find(self, endpoint: bytes) -> Destinations | None:
-        """Return where new flows to an endpoint go, or None where there is no route."""
+        """Return the destinations of new flows to an endpoint, or None if there is no route."""
         return self._by_endpoint.get(endpoint)
 
     def target_s(self, endpoint: bytes) -> float:
-        """Return the response time that a route's requests should keep; 0 where none is set."""
+        """Return the target response time of a route's requests; 0 if none is set."""
         destinations = self._by_endpoint.get(endpoint)
         return destinations.target_s if destinations else 0.0
 
 
 def endpoint_of_route(route: Route) -> bytes:
-    """Return a route's address and port as packets have them."""
+    """Return a route's address and port as they are encoded in packets."""
     return ipaddress.ip_address(route.address).packed + struct.pack("!H", route.port)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -1,8 +1,8 @@
-"""Which server gets a new flow.
+"""Chooses the server of a new flow.
 
-Load patterns answered: servers of unlike speed with few slots each, where random placement makes
-some queue while others idle; and bursts that arrive faster than load reports do, which openings
-counted since the last report answer.
+The servers of a service may differ in speed and have few slots each, so random placement would
+make some servers queue requests while others are idle. Bursts may arrive faster than load reports,
+so the openings sent to an agent since its last report count as load too.
 """
 
 from __future__ import annotations
@@ -22,17 +22,17 @@
 Address = tuple[str, int]
 
 MAX_LOAD_AGE_S = 1.2
-"""Reports come twice a second at least."""
+"""Agents report at least twice a second."""
 REMOTE_PENALTY_MS = 3.0
-"""What a flow into another data centre costs, as waiting time: its packets cross twice."""
+"""The cost of a flow into another data centre as waiting time: its packets cross twice."""
 HELD_FLOW_WEIGHT = 0.25
-"""How much of a request an open flow stands for, on average."""
+"""The fraction of a request that an open flow counts as, on average."""
 COLD_FACTOR = 2.0
 DEFAULT_SERVICE_MS = 20.0
 
 
 class PeerLoad(msgspec.Struct):
-    """The last report of an agent and the openings sent to it since."""
+    """The last load report of an agent and the openings sent to the agent since."""
 
     address: Address
     data_centre: str
@@ -49,35 +49,35 @@
         self.by_address: dict[Address, PeerLoad] = {}
 
     def on_load(self, address: Address, data_centre: str, load: ServerLoad, now: float) -> None:
-        """Take in a report."""
+        """Record a load report."""
         self.by_address[address] = PeerLoad(address, data_centre, load, now)
 
     def count_opening(self, address: Address) -> None:
-        """Count an opening that the last report can't know of."""
+        """Count an opening that the agent's last report can't include."""
         peer = self.by_address.get(address)
         if peer is not None:
             peer.openings_since_report += 1
 
     def record_rejection(self, address: Address) -> None:
-        """Offer no more openings to an agent until its next report."""
+        """Exclude an agent from placement until its next report."""
         peer = self.by_address.get(address)
         if peer is not None:
             peer.has_rejected = True
 
     def retain(self, addresses: Collection[Address]) -> None:
-        """Forget agents that are no members."""
+        """Remove agents that are not among the addresses."""
         for address in [a for a in self.by_address if a not in addresses]:
             del self.by_address[address]
 
     def is_available(self, address: Address, now: float) -> bool:
-        """Tell whether an agent has reported recently and is not about to stop."""
+        """Return whether an agent has reported recently and is not about to stop."""
         peer = self.by_address.get(address)
         if peer is None or peer.load.is_leaving:
             return False
         return now - peer.received_at <= MAX_LOAD_AGE_S
 
     def find_candidates(self, members: Iterable[Address], now: float) -> list[PeerLoad]:
-        """Return those of a service's agents whose servers take openings."""
+        """Return the loads of those members whose servers accept openings."""
         known = (self.by_address.get(address) for address in members)
         return [
             peer
@@ -90,7 +90,7 @@
         ]
 
     def has_unreported_server(self, service_tag: int, now: float) -> bool:
-        """Tell whether a server of the service may be ready, and its agent does not know yet."""
+        """Return whether a server of the service may be ready without its agent knowing it yet."""
         return any(
             peer.load.service_tag == service_tag
             and peer.load.is_unheard
@@ -100,7 +100,7 @@
 
 
 class ServerChoice(Protocol):
-    """A way to choose a server for a new flow."""
+    """A function that chooses a server for a new flow."""
 
     def __call__(
         self,
@@ -109,11 +109,11 @@
         tried: Collection[Address],
         random: Random,
     ) -> PeerLoad | None:
-        """Return a candidate that was not tried, or None where all were."""
+        """Return a candidate that was not tried, or None if all were."""
 
 
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
-    """Return the time that a new flow's first request would take, and a share of later load."""
+    """Return the expected time of a new flow's first request, with a share of later load."""
     load = peer.load
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
@@ -126,7 +126,7 @@
 def choose_server(
     candidates: Iterable[PeerLoad], data_centre: str, tried: Collection[Address], random: Random
 ) -> PeerLoad | None:
-    """Return the candidate with the least expected wait, ties by lot; None where all were tried."""
+    """Return the untried candidate with the least expected wait, ties broken at random, or None."""
     scored = [
         (expected_wait_ms(peer, data_centre), random.random(), peer)
         for peer in candidates
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -1,8 +1,8 @@
-"""Which openings an agent lets through to its own server.
+"""Decides which openings an agent delivers to its backend server.
 
-Load patterns answered: a server that is leaving or out of service gets no new flow, whoever
-asks; a server that has just started gets no more openings a second than it bears, also while the
-agent is cut off, since no other process hands it any.
+A server that is leaving or out of service gets no new flow from any sender. A server that has just
+started gets no more openings a second than it can handle. This holds during a network partition
+too, since no other process delivers openings to the server.
 """
 
 from __future__ import annotations
@@ -13,17 +13,19 @@
 import msgspec
 
 COLD_WINDOW_S = 1.05
-"""Any span of one second counts; the rest covers the way to the server."""
+"""The limit applies to any span of 1 s; the excess covers the transit to the server."""
 MAX_INACTIVITY_STEP_S = 0.2
 RETURN_COLD_S = 2.0
-"""After its data centre returns a server counts as cold until a newer report says otherwise."""
+"""When its data centre returns to service, a server counts as cold for this long, unless a newer
+report says otherwise.
+"""
 
 
 class ServerReport(msgspec.Struct, frozen=True):
-    """What a server says of itself.
+    """A status report of a backend server.
 
-    ``started_at_ms`` names its incarnation and ``sequence`` orders its reports; ``cold_for_s`` is
-    how long it stays slow. ``has_left`` is its last word.
+    ``started_at_ms`` identifies the server's incarnation and ``sequence`` orders its reports.
+    ``cold_for_s`` is how long the server stays slow. ``has_left`` is set in its last report.
     """
 
     server_id: str
@@ -37,23 +39,23 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Reports count only in this order; a late one of an earlier incarnation is dropped."""
+        """The sort key of reports; a late report, or one of an earlier incarnation, is dropped."""
         return self.started_at_ms, self.sequence
 
 
 class ColdLimit(msgspec.Struct, frozen=True):
-    """How many openings a second a cold server takes: ``factor`` times its rate, and ``slack``."""
+    """The openings a second that a cold server gets: ``factor`` times its rate, plus ``slack``."""
 
     factor: float = 1.0
     slack: float = 0.0
 
     def max_openings(self, starts_per_s: float) -> int:
-        """Return the limit for a server that says it bears ``starts_per_s``; at least 1."""
+        """Return the limit for a server whose declared rate is ``starts_per_s``; at least 1."""
         return max(1, int(starts_per_s * self.factor + self.slack))
 
 
 class GateReason(Enum):
-    """Why an opening was not let through."""
+    """The reason why an opening was not admitted."""
 
     NO_RECENT_REPORT = "server_unheard"
     WRONG_SERVICE = "wrong_service"
@@ -64,7 +66,7 @@
 
 
 class ServerGate:
-    """The state of the own server as far as openings are concerned; times in seconds."""
+    """Admits openings by the state of the backend server; times are in seconds."""
 
     def __init__(
         self, service: str, report_timeout_s: float, cold_limit: ColdLimit, now: float
@@ -85,7 +87,7 @@
         self._cold_opening_times: deque[float] = deque()
 
     def on_report(self, report: ServerReport, now: float) -> bool:
-        """Take a report in; return False for one that is late or of another service."""
+        """Process a report; return False if it is late or of another service."""
         known = self.report
         if known is not None and report.order <= known.order:
             return False
@@ -98,48 +100,54 @@
         return True
 
     def set_in_service(self, is_in_service: bool, now: float) -> None:
-        """Follow the state of the data centre."""
+        """Apply whether the data centre is in service."""
         if is_in_service and not self.is_in_service:
             self._back_in_service_at = now
         self.is_in_service = is_in_service
 
     def has_recent_report(self, now: float) -> bool:
-        """Tell whether the server has spoken recently; its address may be another's by now."""
+        """Return whether the server has reported recently.
+
+        Without recent reports, its address may belong to another server by now.
+        """
         return self.report is not None and now - self.report_received_at <= self._report_timeout_s
 
     def record_packet(self) -> None:
-        """A server that sends packets is alive."""
+        """Record that the server has sent a packet, so it is running."""
         self._inactive_s = 0.0
 
     def update_inactivity(self, now: float) -> None:
-        """Count the server's silence; time in which this agent itself stood still is left out."""
+        """Add the time since the last call to the server's inactivity.
+
+        Time in which the agent itself was suspended is left out.
+        """
         self._inactive_s += min(now - self._inactivity_updated_at, MAX_INACTIVITY_STEP_S)
         self._inactivity_updated_at = now
 
     @property
     def has_stopped(self) -> bool:
-        """Tell whether the server has left, or has been silent for too long to be alive."""
+        """Return whether the server has left, or has sent nothing for too long to be running."""
         has_left = self.report is not None and self.report.has_left
         return has_left or self._inactive_s > self._report_timeout_s
 
     def is_cold(self, now: float) -> bool:
-        """Tell whether the server is slow, or may have turned so while it was out of service."""
+        """Return whether the server is slow, or may have become so while it was out of service."""
         is_report_outdated = self.report_received_at < self._back_in_service_at
         return now < self._cold_until or (
             is_report_outdated and now - self._back_in_service_at < RETURN_COLD_S
         )
 
     def accepts(self, now: float) -> bool:
-        """Tell whether peers should offer openings."""
+        """Return whether peers should send openings."""
         return self._find_rejection_reason(now) is None
 
     def is_awaiting_first_report(self, now: float) -> bool:
-        """Tell whether the agent is as young as the first report of its server may be."""
+        """Return whether the agent started too recently to expect a report of its server yet."""
         is_report_pending = self.report is None and now - self._started_at <= self._report_timeout_s
         return is_report_pending and self._find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
 
     def admit(self, service: str, now: float) -> GateReason | None:
-        """Count an opening in and return None, or return why it may not pass."""
+        """Admit and count an opening and return None, or return the reason why it is rejected."""
         if service != self.service:
             return GateReason.WRONG_SERVICE
         reason = self._find_rejection_reason(now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_coordinator.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/stop_coordinator.py
@@ -1,8 +1,8 @@
-"""Balancers of one data centre stop one after the other.
+"""Makes the balancers of one data centre stop one after the other.
 
-Load pattern answered: operators restart all balancers in turn, faster than a thin instance comes
+Operators may restart all balancers in turn, faster than a restarted instance comes
 back. Where fewer than half of a data centre's balancers are ready, a fabric may use all of them
-again, those that are down included. So one that is asked to stop serves on while another is away.
+again, including those down. So a balancer asked to stop keeps serving while another is down.
 """
 
 from __future__ import annotations
@@ -10,13 +10,13 @@
 Address = tuple[str, int]
 
 RESTART_TIMEOUT_S = 5.0
-"""A balancer that stays away for longer is not coming back soon."""
+"""A balancer that is down for longer is not expected back soon."""
 READY_SETTLE_S = 0.6
 """The fabric asks twice a second whether a balancer is ready."""
 
 
 class StopCoordinator:
-    """Planned stops of the other balancers, as they have told them; times in seconds."""
+    """Tracks the planned stops that other balancers announce; times are in seconds."""
 
     def __init__(self, wait_limit_s: float) -> None:
         self._wait_limit_s = wait_limit_s
@@ -32,6 +32,6 @@
             self._stopped_until[balancer] = min(self._stopped_until[balancer], now + READY_SETTLE_S)
 
     def may_stop(self, requested_at: float, now: float) -> bool:
-        """Tell whether the own planned stop, asked for at ``asked_at``, may begin."""
+        """Return whether this balancer's planned stop, requested at ``requested_at``, may begin."""
         are_others_ready = all(until <= now for until in self._stopped_until.values())
         return are_others_ready or now - requested_at >= self._wait_limit_s
