Comments of the handshake roles and tests in plain technical English

Docstrings such as "tell whether the agent takes part" or "seen after all power was lost" did not say what the code does or which failure a test guards against. They do now; reasons and numbers are kept, and the checks of the tests are unchanged.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/__init__.py
@@ -1,4 +1,4 @@
-"""Roles for packet formats whose opening handshake settles which server has a flow."""
+"""Roles for packet formats whose opening handshake determines which server has a flow."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -1,4 +1,4 @@
-"""The agent role: the process beside one backend server."""
+"""The agent role: the process that runs beside one backend server."""
 
 from __future__ import annotations
 
@@ -57,14 +57,14 @@
 LOAD_INTERVAL_S = 0.1
 UNCHANGED_LOAD_INTERVAL_S = 0.5
 FORMER_PEER_RETENTION_S = 60.0
-"""A removed agent may still hold flows that it serves behind a cut."""
+"""A removed agent may still hold flows and serve them during a network partition."""
 LEAVE_TIMEOUT_S = 1.5
 LEAVING_NOTICE_COUNT = 3
 LEAVING_NOTICE_INTERVAL_S = 0.05
 
 
 class HandshakeAgent:
-    """Owns the sockets and the router of one backend server's agent."""
+    """Owns the sockets and the router of the agent of one backend server."""
 
     def __init__(
         self,
@@ -127,13 +127,13 @@
         event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> HandshakeAgent:
-        """Build the role; sockets are bound here."""
+        """Build the role and bind its sockets."""
         assert settings.handshake_agent is not None, "the caller checks for the section"
         return cls(settings, settings.handshake_agent, packet_format, event_sink, read_seeds)
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether the agent takes part."""
+        """Return whether the agent has joined the cluster and is not leaving."""
         return self._link.is_joined.is_set() and not self.router.gate.is_leaving
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -156,7 +156,7 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Tell all others that this agent keeps no directory entries from now on."""
+        """Notify all peers that this agent owns no directory entries from now on."""
         self.router.gate.is_leaving = True
         report = self.router.gate.report
         if report is not None and report.has_left:
@@ -167,7 +167,7 @@
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
     def on_report(self, report: ServerReport) -> bool:
-        """Take in what the server says; return whether it counts."""
+        """Process a status report of the server; return whether it was accepted."""
         now = clock.seconds()
         if not self.router.on_report(report, now):
             return False
@@ -223,7 +223,7 @@
         self.router.set_peers(members, frozenset(self._seen_at_by_peer))
 
     def _record_removed_members(self, config: Configuration, now: float) -> None:
-        """A member removed since this process last looked may still serve flows."""
+        """Keep members removed since the last update, since they may still serve flows."""
         known_index = self._last_removal_index
         for member in config.former_members_by_id.values():
             if member.removed_index > known_index:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -1,4 +1,4 @@
-"""The balancer role: a thin entry instance that hands packets to the owners of their flows."""
+"""The balancer role: a thin entry instance that forwards packets to the owners of their flows."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
 
 
 class HandshakeBalancer:
-    """Owns the sockets of one entry instance."""
+    """Owns the sockets and the router of one entry instance."""
 
     def __init__(
         self,
@@ -107,13 +107,13 @@
         event_sink: EventSink,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> HandshakeBalancer:
-        """Build the role; sockets are bound here."""
+        """Build the role and bind its sockets."""
         assert settings.handshake_balancer is not None, "the caller checks for the section"
         return cls(settings, settings.handshake_balancer, packet_format, event_sink, read_seeds)
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether the fabric should hand packets to this balancer."""
+        """Return whether the fabric should send packets to this balancer."""
         has_routing = self._router.routing.version > 0 and self._router.owners.has_owners
         return self._link.is_joined.is_set() and has_routing and not self._is_stopping
 
@@ -136,7 +136,7 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Wait for the turn, say no when asked whether ready, and serve until that is noticed."""
+        """Wait for its turn to stop, report not ready, and serve until the fabric has noticed."""
         requested_at = clock.seconds()
         while not self._stop_coordinator.may_stop(requested_at, clock.seconds()):
             await anyio.sleep(STOP_POLL_INTERVAL_S)
@@ -182,7 +182,7 @@
             await anyio.sleep(OWNER_REFRESH_INTERVAL_S)
 
     def _notify_balancers(self, *, is_stopping: bool) -> None:
-        """Tell the other balancers of the data centre."""
+        """Notify the other balancers of the data centre that this one stops or has become ready."""
         datagram = encode_datagram(BalancerState(is_stopping))
         for balancer in self.store.configuration.balancers_by_id.values():
             is_local = balancer.data_centre == self._instance.data_centre
@@ -190,7 +190,11 @@
                 self._endpoint.send(datagram, (balancer.host, balancer.port))
 
     def _refresh_owners(self) -> None:
-        """Owners are the live agents of the own data centre; without any, all others."""
+        """Update the agents that own directory entries.
+
+        These are the live agents of the balancer's data centre. If none is live, they are all its
+        agents, and if it has no agent, those of all data centres.
+        """
         now = clock.seconds()
         members = self.store.configuration.servers_by_id.values()
         local_agents = {
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/relay_outbox.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/relay_outbox.py
@@ -1,4 +1,4 @@
-"""Sends what an agent's router asks for."""
+"""Sends the packets and frames of an agent's router over UDP."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
         self._server_endpoint = server_endpoint
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server."""
+        """Send a packet to the agent's backend server."""
         self._server_endpoint.send(packet, self._server_address)
 
     def reply(self, packet: bytes, caller_host: str) -> None:
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -1,4 +1,4 @@
-"""Agents and balancers on a network in memory, with servers that hold flows and return packets."""
+"""An in-memory network of agents and a balancer, with servers that hold flows."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class FakePacket(msgspec.Struct, array_like=True):
-    """A packet: its flow, its marks, the server that it acknowledges, and its data."""
+    """A packet: its flow, its flags, the server that it acknowledges, and its data."""
 
     key: bytes
     flags: int
@@ -73,7 +73,7 @@
 
 
 class FakeServer:
-    """Holds flows; returns openings when it is full and all packets of flows it does not hold."""
+    """Holds flows; returns openings when it is full, and packets of flows that it does not hold."""
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -121,7 +121,7 @@
 
 
 class FakeNode:
-    """One agent with its server; implements the relay outbox."""
+    """One agent with its server; implements RelayOutbox."""
 
     def __init__(self, network: FakeNetwork, address: Address, service: str) -> None:
         self.address = address
@@ -150,7 +150,7 @@
         )
 
     def restart(self, *, has_server: bool = True) -> None:
-        """Start the agent anew; the server goes on, or is no longer there."""
+        """Restart the agent; its server continues, or is no longer running."""
         self.router = self._build_router()
         self.is_up = True
         self.has_server = has_server
@@ -199,7 +199,7 @@
 
 
 class FakeNetwork:
-    """Delivers in order unless ``drop`` says otherwise; time moves only by :meth:`pass_time`."""
+    """Delivers frames in order; time advances only by :meth:`pass_time`."""
 
     def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
         self.now = 100.0
@@ -255,7 +255,7 @@
             node.router.apply_routing(document)
 
     def share_state(self) -> None:
-        """Let all that are up know one another's load, and the balancer the owners."""
+        """Share the loads of all running agents among them, and update the balancer's owners."""
         self.share_loads()
         self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
 
@@ -273,12 +273,12 @@
                 node.router.loads.on_load(other.address, DATA_CENTRE, load, self.now)
 
     def remove(self, node: FakeNode) -> None:
-        """Let control remove a member that it does not hear."""
+        """Let control remove a member that it cannot reach."""
         self.removed.add(node.address)
         self.share_loads()
 
     def pass_time(self, seconds: float) -> None:
-        """Let all servers report and all agents tell their load meanwhile."""
+        """Advance time, let all servers report, and let all agents share loads and run timers."""
         self.now += seconds
         for node in self.nodes.values():
             report = node.router.gate.report
@@ -312,25 +312,25 @@
             event = self._events.popleft()
             assert callable(event)
             event()
-        raise AssertionError("packets go round in circles")
+        raise AssertionError("packets are forwarded in a loop")
 
-    # The caller's side
+    # Actions of a caller
 
     def send_packet(self, packet: FakePacket) -> list[FakePacket]:
-        """Send one packet of a caller and return what comes back."""
+        """Send one packet of a caller and return the replies."""
         self.replies.clear()
         self.balancer.on_packet(msgspec.msgpack.encode(packet))
         self.run()
         return list(self.replies)
 
     def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
-        """Open a flow; return the server's name, or "" where it was refused or dropped."""
+        """Open a flow; return the server's name, or "" if the opening was refused or dropped."""
         key = name.encode() + endpoint
         answers = self.send_packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
         return answers[0].server if answers else ""
 
     def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
-        """Send data on a flow; return the name of the server that answers, "" without one."""
+        """Send data on a flow; return the name of the server that answers, or "" if none does."""
         key = name.encode() + endpoint
         answers = self.send_packet(FakePacket(key, packet_flags.ACK, server, 1))
         answers = [answer for answer in answers if not answer.flags & packet_flags.RESET]
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -18,7 +18,7 @@
 
 
 class OpenFlowsTest(unittest.TestCase):
-    """A flow stays on its server, whatever happens to owners, agents and routes."""
+    """A flow must stay on its server when owners, agents or routes change."""
 
     def setUp(self) -> None:
         self.network = FakeNetwork([DESK] * 4)
@@ -70,7 +70,7 @@
         self.check_all_flows()
 
     def test_servers_that_reset_what_they_do_not_hold(self) -> None:
-        """Seen with a server that was just starting: its agent asked it for a flow elsewhere."""
+        """A starting server resets a probe for a flow of another server: the flow must go on."""
         for node in self.network.nodes.values():
             node.server.resets_unknown = True
             node.restart()
@@ -122,7 +122,7 @@
                 self.network.pass_time(3.0)
 
     def test_reset_waits_until_all_members_are_known_and_asked(self) -> None:
-        """Seen after all power was lost: nodes joined while the searches were under way."""
+        """After a total power loss, nodes join during a search: the flow must not be reset."""
         name, server = next(iter(self.servers.items()))
         nodes = list(self.network.nodes.values())
         owner = next(n for n in nodes if n.server.name != server)
@@ -141,7 +141,7 @@
         self.assertEqual([answer.server for answer in self.network.replies], [server])
 
     def test_an_agent_whose_server_has_stopped_denies_flows(self) -> None:
-        """Seen after all power was lost: agents of servers that had left kept searches open."""
+        """After a total power loss, agents of stopped servers must not keep searches open."""
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
         holder.restart(has_server=False)
@@ -156,7 +156,7 @@
         self.assertEqual(self.network.resets, 1)
 
     def test_flow_of_a_crashed_instance_is_reset_once_control_has_removed_it(self) -> None:
-        """Seen after a crash: callers went on sending on flows that no one would answer."""
+        """After a crash, callers must not keep sending on flows that no server answers."""
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
         owner = next(n for n in self.network.nodes.values() if n is not holder)
@@ -186,7 +186,7 @@
         self.assertGreater(self.count_resets(name, server, rounds=3), 0)
 
     def test_a_pointer_to_an_agent_that_denies_the_flow_is_dropped(self) -> None:
-        """Seen with real processes: the agent forgot the flow and its server did not answer."""
+        """An agent lost its state and its server does not answer: its flows must be reset."""
         name, server = next(iter(self.servers.items()))
         holder = next(n for n in self.network.nodes.values() if n.server.name == server)
         owner = next(n for n in self.network.nodes.values() if n is not holder)
@@ -216,7 +216,7 @@
             self.assertEqual(network.open(name, attempt=1), first)
 
     def test_one_opening_placed_on_two_servers(self) -> None:
-        """A copy placed by another owner: data goes to the server that the caller acknowledges."""
+        """Another owner places a retransmission: data goes to the server that the caller ACKs."""
         network = FakeNetwork([DESK] * 4)
         addresses = list(network.nodes)
         for name in FLOWS:
@@ -248,12 +248,12 @@
         self.assertEqual(sum(len(n.server.half_open) for n in network.nodes.values()), 0)
 
     def test_openings_for_busy_servers_are_refused_at_once(self) -> None:
-        """Seen after an outage: a route had moved to a small service, whose queues stayed full."""
+        """After an outage, a route moved to a small service: its queues must not stay full."""
         network = FakeNetwork([DESK] * 2)
         network.apply_routing(network.document(2, target_s=0.1))
         for node in network.nodes.values():
             node.router.held.service_s = 0.02
-        # Two requests may wait for 0.04 s at each server, beside the one that it works on.
+        # At each server, two requests may wait for 0.04 s in addition to the one in progress.
         servers = [network.open(name) for name in FLOWS[:6]]
         self.assertNotIn("", servers)
         self.assertEqual((network.open("late"), network.resets), ("", 1))
@@ -269,7 +269,7 @@
                 self.assertNotIn("", [network.open(name) for name in FLOWS])
 
     def test_a_retransmission_is_refused_only_by_an_owner_that_failed_to_place_one(self) -> None:
-        """Another owner may have placed the first copy: its flow may be open by now."""
+        """Another owner may have placed the first transmission, so its flow may be open."""
         network = FakeNetwork([DESK] * 2)
         for node in network.nodes.values():
             node.server.is_full = True
@@ -317,7 +317,7 @@
         self.assertEqual(network.resets, 1)
 
     def test_no_refusal_for_a_missing_route_while_changes_may_be_missing(self) -> None:
-        """Seen after all power was lost: a balancer without a document refused all openings."""
+        """After a total power loss, a balancer without routing document must refuse no opening."""
         network = FakeNetwork([DESK])
         network.are_members_known = False
         for attempt in range(3):
@@ -325,7 +325,7 @@
             self.assertEqual(network.resets, 0)
 
     def test_no_refusal_before_the_first_report_of_a_server(self) -> None:
-        """Seen after all power was lost: servers report up to a second after their agents start."""
+        """After a total power loss, servers report up to a second after their agents start."""
         network = FakeNetwork([DESK] * 2)
         for node in network.nodes.values():
             node.restart(has_server=False)
@@ -336,7 +336,7 @@
         self.assertEqual((network.open("caller", attempt=1), network.resets), ("", 1))
 
     def test_no_refusal_while_a_member_has_not_reported_its_load(self) -> None:
-        """Seen after all power was lost: an owner that had heard no other agent refused."""
+        """After a total power loss, an owner without load reports must refuse no opening."""
         network = FakeNetwork([ARCHIVE, DESK])
         archive, desk = network.nodes.values()
         archive.router.loads.by_address.clear()
@@ -346,7 +346,7 @@
         self.assertEqual(network.open("caller", attempt=1), desk.server.name)
 
     def test_only_members_get_openings(self) -> None:
-        """Seen while control had no leader: a flow on a server that no other owner knew of."""
+        """While control has no leader, no flow may open on a server unknown to other owners."""
         network = FakeNetwork([DESK] * 2)
         first, second = network.nodes.values()
         for node in (first, second):
@@ -358,7 +358,7 @@
 
 
 class RandomChangesTest(unittest.TestCase):
-    """Owners, agents and drains change at random; no flow of a live server moves or is reset."""
+    """Owners, agents and drains change at random: no flow of a live server may move or be reset."""
 
     @settings(max_examples=40, deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
--- a/tests/coordination/handshake/test_stop_coordinator.py
+++ b/tests/coordination/handshake/test_stop_coordinator.py
@@ -1,4 +1,4 @@
-"""Planned stops of balancers in one data centre come one after the other."""
+"""Balancers of one data centre must not stop at the same time when the stops are planned."""
 
 from __future__ import annotations
 
