Finish the comments of the handshake routing

Three comments were shorter than what they describe: the fake network's servers return packets too, a data centre's state is set, and the expected wait includes a share of later load.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -113,7 +113,7 @@
 
 
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
-    """Return the expected time of a new flow's first request, with a share of later load."""
+    """Return the expected time of a new flow's first request, including a share of later load."""
     load = peer.load
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -100,7 +100,7 @@
         return True
 
     def set_in_service(self, is_in_service: bool, now: float) -> None:
-        """Apply whether the data centre is in service."""
+        """Set whether the data centre is in service."""
         if is_in_service and not self.is_in_service:
             self._back_in_service_at = now
         self.is_in_service = is_in_service
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -1,4 +1,4 @@
-"""An in-memory network of agents and a balancer, with servers that hold flows."""
+"""Agents and a balancer on an in-memory network; the servers hold flows and return packets."""
 
 from __future__ import annotations
 
