Merge the wording of the handshake routing and its roles

Names and texts now use the field's terms; each reason and number behind a constant or a rule stands, reworded.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -1,4 +1,7 @@
-"""The part of an agent beside its server: the flows that the server holds are the ground truth."""
+"""The part of an agent that exchanges packets with its backend server.
+
+The flows that the server holds are the ground truth.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +10,8 @@
 
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.flow_probe import FlowProbes
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
-from wagtailkeel_coordination.handshake.memory_probe import MemoryProbes
 from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
@@ -28,29 +31,29 @@
 
 Address = tuple[str, int]
 
-FORGETFUL_S = 60.0
-"""A restarted agent may lack flows that its server has for as long as a flow may last."""
+INCOMPLETE_FLOW_TABLE_S = 60.0
+"""For as long as a flow may last, a restarted agent may not know some flows of its server."""
 SERVER_BUSY = "server_busy"
 
 
-class OwnerSide(Protocol):
-    """What a holder tells the directory owner in its own process."""
+class LocalOwner(Protocol):
+    """Notifications of a flow holder to the directory owner in the same process."""
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """An opening comes back."""
+        """Process an opening that the agent at ``source`` has rejected."""
 
     def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """A later packet comes back."""
+        """Process a later packet that the agent at ``source`` has returned."""
 
     def on_found(self, key: bytes, source: Address) -> None:
-        """The flow is at ``source``."""
+        """Record that the agent at ``source`` has the flow."""
 
     def on_not_found(self, key: bytes, source: Address) -> None:
-        """The flow is not at ``source``."""
+        """Record that the agent at ``source`` does not have the flow."""
 
 
 class FlowHolder:
-    """Delivers packets to the own server, and takes its packets and reports."""
+    """Delivers packets to the agent's backend server, and processes its packets and reports."""
 
     def __init__(
         self,
@@ -60,19 +63,19 @@
     ) -> None:
         self.gate = gate
         self.held = HeldFlows(record_response)
-        self.probes = MemoryProbes()
+        self.probes = FlowProbes()
         self._context = context
-        self._forgetful_until = context.now + FORGETFUL_S
-        self._owner: OwnerSide
+        self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
+        self._owner: LocalOwner
 
-    def connect(self, owner: OwnerSide) -> None:
+    def connect_owner(self, owner: LocalOwner) -> None:
         """Set the directory owner of the same process."""
         self._owner = owner
 
-    # The server's reports
+    # Reports of the server
 
     def on_report(self, report: ServerReport, now: float) -> bool:
-        """Take in what the own server says; return whether it counts."""
+        """Process a status report of the backend server; return whether it was accepted."""
         known = self.gate.report
         if not self.gate.on_report(report, now):
             return False
@@ -82,12 +85,12 @@
             self.held.clear()
             self.held.service_s = 0.0
         if known is None and report.sequence <= 1:
-            # The server is as young as this agent: there is nothing to have forgotten.
-            self._forgetful_until = now
+            # The server has just started too, so it has no flows that this agent does not know.
+            self._incomplete_until = now
         return True
 
     def build_load(self, now: float) -> ServerLoad:
-        """Return what peers need to know of the own server."""
+        """Return the load of the backend server to report to peers."""
         return ServerLoad(
             self._context.own_tag,
             self.gate.accepts(now),
@@ -97,10 +100,10 @@
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
             self.gate.is_leaving,
-            self.gate.is_unheard(now),
+            self.gate.is_awaiting_first_report(now),
         )
 
-    # Packets for the own server
+    # Packets to the server
 
     def deliver_held(
         self, flow: HeldFlow, frame: RelayFrame, header: PacketHeader, source: Address
@@ -113,7 +116,7 @@
         self._context.outbox.deliver(frame.body)
 
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """Deliver an opening that an owner has placed here, or send it back."""
+        """Deliver an opening that an owner has placed here, or return it to the owner."""
         service = self._context.resolve_service(frame, header.key)
         if not self.has_room(header.key):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
@@ -123,19 +126,19 @@
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
     def has_room(self, key: bytes) -> bool:
-        """Tell whether a request on a new flow would be answered within its route's target."""
-        is_free = has_room(
-            self.held.count_expected(self._context.now),
+        """Return whether a request on a new flow would be answered within its route's target."""
+        has_capacity = has_room(
+            self.held.count_expected_requests(self._context.now),
             self.held.slots,
             self.held.service_s,
             self._context.routing.target_s(self._context.packet_format.endpoint_of(key)),
         )
-        if not is_free:
+        if not has_capacity:
             self._count_rejection(key, SERVER_BUSY)
-        return is_free
+        return has_capacity
 
     def admit(self, service: str, key: bytes) -> bool:
-        """Tell whether the gate lets an opening of a service through, and count it in."""
+        """Admit an opening of a service or count its rejection; return whether it is admitted."""
         reason = self.gate.admit(service, self._context.now)
         if reason is not None:
             self._count_rejection(key, reason.value)
@@ -143,9 +146,9 @@
 
     def _count_rejection(self, key: bytes, reason: str) -> None:
         self._context.counters[f"rejected_{reason}"] += 1
-        self._note_rejection(key, reason)
+        self._emit_rejection(key, reason)
 
-    def _note_rejection(self, key: bytes, reason: str) -> None:
+    def _emit_rejection(self, key: bytes, reason: str) -> None:
         self._context.emit(
             events.OpeningRejected(
                 flow_id(key), reason, self.gate.service, self._context.routing.version
@@ -153,17 +156,17 @@
         )
 
     def open(self, packet: bytes, key: bytes, owner: Address) -> None:
-        """Deliver an opening that was let through."""
+        """Deliver an opening that was admitted."""
         self._context.counters["flows_opened"] += 1
         self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
         self._context.outbox.deliver(packet)
 
     @property
-    def is_forgetful(self) -> bool:
-        """Tell whether the server may hold flows that this agent does not know."""
-        return self._context.now < self._forgetful_until
+    def has_incomplete_flow_table(self) -> bool:
+        """Return whether the server may have flows that this agent does not know."""
+        return self._context.now < self._incomplete_until
 
-    def on_unknown(
+    def on_unknown_flow(
         self,
         frame: RelayFrame,
         header: PacketHeader,
@@ -171,23 +174,23 @@
         answer: RelayKind,
         body: bytes,
     ) -> None:
-        """Answer for a flow that is not known here, asking the server where it may be."""
-        if not self.is_forgetful or header.is_opening:
+        """Answer that a flow is not here, or probe the server first if it may have the flow."""
+        if not self.has_incomplete_flow_table or header.is_opening:
             self._context.send(source, answer, frame, body)
             return
         self.probe(header.key, frame.body, source)
 
     def probe(self, key: bytes, packet: bytes, requester: Address) -> None:
-        """Ask the own server for a flow that this agent may have forgotten."""
+        """Deliver a packet to learn whether the server has a flow that this agent does not know."""
         self._context.counters["memory_probes"] += 1
         self.probes.add(key, requester, self._context.now)
         self._context.outbox.deliver(packet)
 
-    # Packets from the own server
+    # Packets from the server
 
     def on_server_packet(self, packet: bytes) -> None:
-        """Send a server's packet to its caller, or deal with one that it returned."""
-        self.gate.note_packet()
+        """Forward a packet of the server to its caller, or process a packet that it returned."""
+        self.gate.record_packet()
         header = self._context.packet_format.parse_outbound(packet)
         if isinstance(header, Malformed):
             self._context.counters[f"dropped_reply_{header.value}"] += 1
@@ -205,7 +208,7 @@
         self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
 
     def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
-        """A reset that answers a probe says that the flow is elsewhere: the caller is spared it."""
+        """Forward a reset, except one that answers a probe: it means that the flow is elsewhere."""
         requester = self.probes.remove(header.key)
         if requester is None:
             self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
@@ -214,7 +217,7 @@
         self._answer(requester, RelayKind.NOT_FOUND, header.key)
 
     def _adopt(self, key: bytes) -> HeldFlow:
-        """The server speaks on a flow that this agent has forgotten."""
+        """Start to track an unknown flow on which the server has sent a packet."""
         self._context.counters["flows_adopted"] += 1
         self._context.emit(events.FlowAdopted(flow_id(key)))
         requester = self.probes.remove(key)
@@ -233,7 +236,7 @@
             return
         self.held.remove(flow)
         if header.is_opening:
-            self._note_rejection(header.key, "server_full")
+            self._emit_rejection(header.key, "server_full")
         else:
             self._context.emit(events.FlowReturned(flow_id(header.key)))
         kind = RelayKind.REJECTED if header.is_opening else RelayKind.RETURNED
@@ -244,9 +247,9 @@
         if flow.owner != self._context.own_address:
             self._context.send(flow.owner, kind, frame, packet)
         else:
-            self._pass_to_own_owner(frame, header)
+            self._return_to_local_owner(frame, header)
 
-    def _pass_to_own_owner(self, frame: RelayFrame, header: PacketHeader) -> None:
+    def _return_to_local_owner(self, frame: RelayFrame, header: PacketHeader) -> None:
         if frame.kind is RelayKind.REJECTED:
             self._owner.on_rejected(frame, header, self._context.own_address)
         else:
@@ -263,17 +266,20 @@
     # Timers
 
     def tick(self) -> None:
-        """Settle probes that met silence, and forget flows that are over."""
+        """Resolve probes that timed out, and remove flows that have ended."""
         now = self._context.now
-        for key, requester in self.probes.take_silent(now):
-            self._on_silent_probe(key, requester)
-        self.gate.watch(now)
+        for key, requester in self.probes.pop_expired(now):
+            self._on_expired_probe(key, requester)
+        self.gate.update_inactivity(now)
         self.held.sweep(now)
 
-    def _on_silent_probe(self, key: bytes, requester: Address) -> None:
-        """A live server that does not return a packet has its flow; one that has gone has none."""
-        if self.gate.is_heard(self._context.now):
+    def _on_expired_probe(self, key: bytes, requester: Address) -> None:
+        """Answer a probe whose packet the server has not returned.
+
+        A server that reports has the flow; one that has stopped does not.
+        """
+        if self.gate.has_recent_report(self._context.now):
             self.held.open(key, requester, self._context.now)
             self._answer(requester, RelayKind.FOUND, key)
-        elif self.gate.has_gone:
+        elif self.gate.has_stopped:
             self._answer(requester, RelayKind.NOT_FOUND, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -1,7 +1,7 @@
 """Searches for flows whose server the directory owner does not know.
 
-An owner that has just taken a bucket over, or has restarted, asks every agent. The one that has
-the flow delivers the packet and answers; the others answer that they do not have it.
+An owner that has just taken over a bucket, or has restarted, queries every agent. The agent that
+has the flow delivers the packet and confirms it; the other agents answer that they do not have it.
 """
 
 from __future__ import annotations
@@ -16,21 +16,21 @@
 
 Address = tuple[str, int]
 
-REPEAT_AFTER_S = 0.1
-FORMER_SILENCE_S = 0.5
-EXPIRES_AFTER_S = 2.0
-QUEUE_LIMIT_PACKETS = 16
-SEARCH_LIMIT = 20_000
+RETRY_INTERVAL_S = 0.1
+FORMER_MEMBER_TIMEOUT_S = 0.5
+SEARCH_TIMEOUT_S = 2.0
+MAX_QUEUED_PACKETS = 16
+MAX_SEARCHES = 20_000
 
 
 class Search(msgspec.Struct):
-    """One search: the agents asked, those of them that are silent, and packets that wait."""
+    """A search: the agents queried, those with an answer pending, and the queued packets."""
 
     packet: bytes
     started_at: float
-    asked_at: float
-    asked: set[Address]
-    silent: set[Address]
+    queried_at: float
+    queried: set[Address]
+    pending: set[Address]
     queued: list[bytes]
 
 
@@ -41,64 +41,70 @@
         self.by_key: dict[bytes, Search] = {}
 
     def begin(
-        self, key: bytes, packet: bytes, asked: Iterable[Address], now: float
+        self, key: bytes, packet: bytes, queried: Iterable[Address], now: float
     ) -> list[Address]:
-        """Return the agents to ask with this packet: all, those still silent, or none yet."""
+        """Start or continue a search; return the agents to send this packet to.
+
+        These are all agents at first, then at intervals those with an answer pending. A packet that
+        arrives between is queued.
+        """
         search = self.by_key.get(key)
         if search is None:
-            if len(self.by_key) >= SEARCH_LIMIT:
+            if len(self.by_key) >= MAX_SEARCHES:
                 return []
-            self.by_key[key] = Search(packet, now, now, set(asked), set(asked), [])
-            return list(self.by_key[key].silent)
-        if now - search.asked_at >= REPEAT_AFTER_S:
-            search.asked_at = now
-            return list(search.silent)
-        if len(search.queued) < QUEUE_LIMIT_PACKETS:
+            self.by_key[key] = Search(packet, now, now, set(queried), set(queried), [])
+            return list(self.by_key[key].pending)
+        if now - search.queried_at >= RETRY_INTERVAL_S:
+            search.queried_at = now
+            return list(search.pending)
+        if len(search.queued) < MAX_QUEUED_PACKETS:
             search.queued.append(packet)
         return []
 
     def on_found(self, key: bytes) -> list[bytes]:
-        """End a search; return the packets that have waited for it."""
+        """End a search; return the packets that were queued for it."""
         search = self.by_key.pop(key, None)
         return search.queued if search else []
 
     def on_not_found(self, key: bytes, source: Address) -> bool:
-        """Note a "no"; return whether it was the last answer missing."""
+        """Record that an agent does not have the flow; return whether no answer is pending now."""
         search = self.by_key.get(key)
         if search is None:
             return False
-        search.silent.discard(source)
-        return not search.silent
+        search.pending.discard(source)
+        return not search.pending
 
-    def ask_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
-        """Return the agents that the search has not asked yet, and note that it asks them now."""
+    def query_more(self, key: bytes, peers: Iterable[Address], now: float) -> list[Address]:
+        """Return the agents that the search has not queried yet, and record them as queried."""
         search = self.by_key[key]
-        fresh = [address for address in peers if address not in search.asked]
-        search.asked.update(fresh)
-        search.silent.update(fresh)
-        search.asked_at = now
-        return fresh
+        unqueried = [address for address in peers if address not in search.queried]
+        search.queried.update(unqueried)
+        search.pending.update(unqueried)
+        search.queried_at = now
+        return unqueried
 
-    def find_denied(self, former: Collection[Address], now: float) -> list[bytes]:
-        """Return the keys of searches that all agents asked have denied.
+    def find_exhausted(self, former_members: Collection[Address], now: float) -> list[bytes]:
+        """Return the keys of searches in which no queried agent has the flow.
 
-        A former member that stays silent counts as dead: control has not heard it either.
+        A former member that does not answer counts as stopped: control had no contact either.
         """
-        return [key for key, search in self.by_key.items() if _is_denied(search, former, now)]
+        return [
+            key for key, search in self.by_key.items() if _is_exhausted(search, former_members, now)
+        ]
 
     def end(self, key: bytes) -> bytes:
-        """Forget a search; return the packet that it was for."""
+        """Remove a search; return the packet that started it."""
         return self.by_key.pop(key).packet
 
     def expire(self, now: float) -> list[tuple[bytes, int]]:
-        """Forget searches that not all agents have answered; return how many were silent by key."""
-        late = [k for k, s in self.by_key.items() if now - s.started_at > EXPIRES_AFTER_S]
-        return [(key, len(self.by_key.pop(key).silent)) for key in late]
+        """Remove searches that timed out; return their keys and how many answers were pending."""
+        late = [k for k, s in self.by_key.items() if now - s.started_at > SEARCH_TIMEOUT_S]
+        return [(key, len(self.by_key.pop(key).pending)) for key in late]
 
 
-def _is_denied(search: Search, former: Collection[Address], now: float) -> bool:
-    if not search.silent:
+def _is_exhausted(search: Search, former_members: Collection[Address], now: float) -> bool:
+    if not search.pending:
         return True
-    if now - search.started_at < FORMER_SILENCE_S:
+    if now - search.started_at < FORMER_MEMBER_TIMEOUT_S:
         return False
-    return all(address in former for address in search.silent)
+    return all(address in former_members for address in search.pending)
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -1,4 +1,4 @@
-"""Agents and balancers on a network in memory, with servers that hold flows and return packets."""
+"""Agents and a balancer on an in-memory network; the servers hold flows and return packets."""
 
 from __future__ import annotations
 
@@ -30,12 +30,12 @@
 ARCHIVE = "archive"
 DESK_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbb"
 SPLIT_ENDPOINT = b"\xc6\x12\x00\x01\x01\xbc"
-REPORT_LIMIT_S = 2.0
+REPORT_TIMEOUT_S = 2.0
 MAX_EVENTS = 20_000
 
 
 class FakePacket(msgspec.Struct, array_like=True):
-    """A packet: its flow, its marks, the server that it acknowledges, and its data."""
+    """A packet: its flow, its flags, the server that it acknowledges, and its data."""
 
     key: bytes
     flags: int
@@ -49,21 +49,21 @@
 
     def parse_inbound(self, packet: bytes) -> PacketHeader | Malformed:
         try:
-            found = msgspec.msgpack.decode(packet, type=FakePacket)
+            decoded = msgspec.msgpack.decode(packet, type=FakePacket)
         except msgspec.MsgspecError:
             return Malformed.UNDECODABLE
-        return PacketHeader(found.key, found.flags, found.data, found.attempt)
+        return PacketHeader(decoded.key, decoded.flags, decoded.data, decoded.attempt)
 
     parse_outbound = parse_inbound
 
     def restore_bounced(self, packet: bytes) -> bytes:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        found.flags &= ~packet_flags.BOUNCED
-        return msgspec.msgpack.encode(found)
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        decoded.flags &= ~packet_flags.BOUNCED
+        return msgspec.msgpack.encode(decoded)
 
     def build_refusal(self, packet: bytes) -> bytes | None:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET))
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.RESET))
 
     def endpoint_of(self, key: bytes) -> bytes:
         return key[-6:]
@@ -73,7 +73,7 @@
 
 
 class FakeServer:
-    """Holds flows; returns openings when it is full and all packets of flows it does not hold."""
+    """Holds flows; returns openings when it is full, and packets of flows that it does not hold."""
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -84,40 +84,44 @@
         self.is_full = False
         self.resets_unknown = False
 
-    def take(self, packet: bytes) -> bytes | None:
-        found = msgspec.msgpack.decode(packet, type=FakePacket)
-        if found.flags & packet_flags.OPENING:
-            return self._take_opening(found)
-        if found.key in self.half_open and found.server == self.name:
-            self.half_open.discard(found.key)
-            self.open.add(found.key)
-        if found.key not in self.open and self.resets_unknown:
-            return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.RESET, self.name))
-        if found.key not in self.open:
-            return msgspec.msgpack.encode(_bounced(found))
-        self.received[found.key] += 1
-        if not found.data:
+    def handle(self, packet: bytes) -> bytes | None:
+        decoded = msgspec.msgpack.decode(packet, type=FakePacket)
+        if decoded.flags & packet_flags.OPENING:
+            return self._handle_opening(decoded)
+        if decoded.key in self.half_open and decoded.server == self.name:
+            self.half_open.discard(decoded.key)
+            self.open.add(decoded.key)
+        if decoded.key not in self.open and self.resets_unknown:
+            return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.RESET, self.name))
+        if decoded.key not in self.open:
+            return msgspec.msgpack.encode(_bounced(decoded))
+        self.received[decoded.key] += 1
+        if not decoded.data:
             return None
-        return msgspec.msgpack.encode(FakePacket(found.key, packet_flags.ACK, self.name, 1))
-
-    def _take_opening(self, found: FakePacket) -> bytes:
-        if self.is_full and found.key not in self.half_open:
-            return msgspec.msgpack.encode(_bounced(found))
-        self.openings.append(found.key)
-        if found.key not in self.open:
-            self.half_open.add(found.key)
-        answer = FakePacket(found.key, packet_flags.OPENING | packet_flags.ACK, self.name)
+        return msgspec.msgpack.encode(FakePacket(decoded.key, packet_flags.ACK, self.name, 1))
+
+    def _handle_opening(self, decoded: FakePacket) -> bytes:
+        if self.is_full and decoded.key not in self.half_open:
+            return msgspec.msgpack.encode(_bounced(decoded))
+        self.openings.append(decoded.key)
+        if decoded.key not in self.open:
+            self.half_open.add(decoded.key)
+        answer = FakePacket(decoded.key, packet_flags.OPENING | packet_flags.ACK, self.name)
         return msgspec.msgpack.encode(answer)
 
 
-def _bounced(found: FakePacket) -> FakePacket:
+def _bounced(decoded: FakePacket) -> FakePacket:
     return FakePacket(
-        found.key, found.flags | packet_flags.BOUNCED, found.server, found.data, found.attempt
+        decoded.key,
+        decoded.flags | packet_flags.BOUNCED,
+        decoded.server,
+        decoded.data,
+        decoded.attempt,
     )
 
 
 class FakeNode:
-    """One agent with its server; implements the relay outbox."""
+    """One agent with its server; implements RelayOutbox."""
 
     def __init__(self, network: FakeNetwork, address: Address, service: str) -> None:
         self.address = address
@@ -135,7 +139,7 @@
             self.address,
             DATA_CENTRE,
             FakeFormat(),
-            ServerGate(self.service, REPORT_LIMIT_S, ColdLimit(), self._network.now),
+            ServerGate(self.service, REPORT_TIMEOUT_S, ColdLimit(), self._network.now),
             self,
             Random(self.address[0]),
             self.counters,
@@ -146,7 +150,7 @@
         )
 
     def restart(self, *, has_server: bool = True) -> None:
-        """Start the agent anew; the server goes on, or is no longer there."""
+        """Restart the agent; its server continues, or is no longer running."""
         self.router = self._build_router()
         self.is_up = True
         self.has_server = has_server
@@ -170,7 +174,7 @@
     def deliver(self, packet: bytes) -> None:
         if not self.has_server:
             return
-        answer = self.server.take(packet)
+        answer = self.server.handle(packet)
         if answer is not None:
             self._network.schedule(lambda: self._on_server_packet(answer))
 
@@ -195,7 +199,7 @@
 
 
 class FakeNetwork:
-    """Delivers in order unless ``drop`` says otherwise; time moves only by :meth:`pass_time`."""
+    """Delivers frames in order; time advances only by :meth:`pass_time`."""
 
     def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
         self.now = 100.0
@@ -223,7 +227,7 @@
         for node in self.nodes.values():
             node.report()
         self.apply_routing(self.document(1))
-        self.spread()
+        self.share_state()
 
     def emit(self, event: Event) -> None:
         self.events.append(event)
@@ -250,12 +254,12 @@
         for node in self.nodes.values():
             node.router.apply_routing(document)
 
-    def spread(self) -> None:
-        """Let all that are up know one another's load, and the balancer the owners."""
-        self.spread_loads()
+    def share_state(self) -> None:
+        """Share the loads of all running agents among them, and update the balancer's owners."""
+        self.share_loads()
         self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
 
-    def spread_loads(self) -> None:
+    def share_loads(self) -> None:
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
             members = {
@@ -269,19 +273,19 @@
                 node.router.loads.on_load(other.address, DATA_CENTRE, load, self.now)
 
     def remove(self, node: FakeNode) -> None:
-        """Let control remove a member that it does not hear."""
+        """Let control remove a member that it cannot reach."""
         self.removed.add(node.address)
-        self.spread_loads()
+        self.share_loads()
 
     def pass_time(self, seconds: float) -> None:
-        """Let all servers report and all agents tell their load meanwhile."""
+        """Advance time, let all servers report, and let all agents share loads and run timers."""
         self.now += seconds
         for node in self.nodes.values():
             report = node.router.gate.report
             if not node.has_server:
                 continue
             node.report(is_draining=report is not None and report.is_draining)
-        self.spread_loads()
+        self.share_loads()
         for node in self.nodes.values():
             if node.is_up:
                 node.router.tick(self.now)
@@ -297,9 +301,9 @@
         node = self.nodes.get(address)
         if node is None or not node.is_up:
             return
-        found = relay.decode_relay(frame)
-        assert not isinstance(found, Malformed)
-        node.router.on_frame(found, source, self.now)
+        decoded = relay.decode_relay(frame)
+        assert not isinstance(decoded, Malformed)
+        node.router.on_frame(decoded, source, self.now)
 
     def run(self) -> None:
         for _ in range(MAX_EVENTS):
@@ -308,27 +312,27 @@
             event = self._events.popleft()
             assert callable(event)
             event()
-        raise AssertionError("packets go round in circles")
+        raise AssertionError("packets are forwarded in a loop")
 
-    # The caller's side
+    # Actions of a caller
 
-    def packet(self, packet: FakePacket) -> list[FakePacket]:
-        """Send one packet of a caller and return what comes back."""
+    def send_packet(self, packet: FakePacket) -> list[FakePacket]:
+        """Send one packet of a caller and return the replies."""
         self.replies.clear()
         self.balancer.on_packet(msgspec.msgpack.encode(packet))
         self.run()
         return list(self.replies)
 
     def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
-        """Open a flow; return the server's name, or "" where it was refused or dropped."""
+        """Open a flow; return the server's name, or "" if the opening was refused or dropped."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
+        answers = self.send_packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
         return answers[0].server if answers else ""
 
     def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
-        """Send data on a flow; return the name of the server that answers, "" without one."""
+        """Send data on a flow; return the name of the server that answers, or "" if none does."""
         key = name.encode() + endpoint
-        answers = self.packet(FakePacket(key, packet_flags.ACK, server, 1))
+        answers = self.send_packet(FakePacket(key, packet_flags.ACK, server, 1))
         answers = [answer for answer in answers if not answer.flags & packet_flags.RESET]
         return answers[0].server if answers else ""
 
