Rename identifiers of the roles

Names such as _changed, _heard_at, ACK_SILENCE_LIMIT_S, accept and TEXT_TYPE did not say what they hold.

--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -104,10 +104,10 @@
 
     async def serve(self) -> None:
         config = _configuration(self.host, self.sink.port)
-        self._balancer.store.accept(PullReply(snapshot=config))
+        self._balancer.store.apply_pull(PullReply(snapshot=config))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._balancer._refresh_forever)
-            tasks.start_soon(self._balancer._fabric.receive, self._handle)
+            tasks.start_soon(self._balancer._fabric_endpoint.receive, self._handle)
 
     def _handle(self, datagram: bytes) -> None:
         self._balancer._on_packet(datagram)
@@ -141,7 +141,7 @@
 
     async def serve(self) -> None:
         agent = self._agent
-        agent.store.accept(PullReply(snapshot=_configuration(self.host, self.port)))
+        agent.store.apply_pull(PullReply(snapshot=_configuration(self.host, self.port)))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(agent._refresh_forever)
             await anyio.sleep(0.2)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
@@ -28,7 +28,7 @@
         discovery: DiscoverySettings | None = None,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> None:
-        self._control_by_id = {found.id: found for found in control_instances}
+        self._control_instances_by_id = {instance.id: instance for instance in control_instances}
         self._store = store
         self._discovery = discovery
         self._seeds = list(discovery.seeds) if discovery else []
@@ -53,7 +53,7 @@
     def control_ids(self) -> list[str]:
         """Ids of the control instances, in the order of the settings."""
         if self._discovery is None:
-            return list(self._control_by_id)
+            return list(self._control_instances_by_id)
         voters = self._store.configuration.control_identities_by_id
         return list(dict.fromkeys([*voters, *self._seeds]))
 
@@ -67,7 +67,7 @@
 
         A former member is found too: one that only control can't hear still serves its flows.
         """
-        control = self._control_by_id.get(instance_id)
+        control = self._control_instances_by_id.get(instance_id)
         if control is not None:
             return (control.host, control.port)
         config = self._store.configuration
@@ -82,7 +82,7 @@
 
     def rpc_address(self, instance_id: str) -> Address | None:
         """Return where an instance takes calls."""
-        control = self._control_by_id.get(instance_id)
+        control = self._control_instances_by_id.get(instance_id)
         if control is not None:
             return (control.host, control.rpc_port)
         config = self._store.configuration
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -58,7 +58,7 @@
 GOSSIP_INTERVAL_S = 0.5
 GOSSIP_FANOUT = 6
 STOP_POLL_INTERVAL_S = 0.05
-FLOWS_IN_DUMP = 10
+FLOW_SAMPLE_LIMIT = 10
 
 
 class Agent:
@@ -100,13 +100,13 @@
             self.metrics.record_response,
             clock.seconds(),
         )
-        self._tables = TableBuilder(
-            settings.instance.data_centre, is_plain=settings.instance.stateless
+        self._table_builder = TableBuilder(
+            settings.instance.data_centre, without_quotas=settings.instance.stateless
         )
-        self._changed = anyio.Event()
+        self._configuration_changed = anyio.Event()
         self._is_stopping = False
         self._is_isolated = False
-        self._heard_at = clock.seconds()
+        self._last_message_at = clock.seconds()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             section.server_id,
@@ -224,7 +224,7 @@
             self.metrics.counters[f"dropped_{message.value}"] += 1
             return
         self.metrics.counters["control_bytes_received"] += len(datagram)
-        self._heard_at = clock.seconds()
+        self._last_message_at = clock.seconds()
         self._on_message(message)
 
     @singledispatchmethod
@@ -266,7 +266,7 @@
         limit_s = self._section.isolated_stop_s
         if limit_s <= 0 or self._router.view.config is None:
             return
-        is_isolated = clock.seconds() - self._heard_at > limit_s
+        is_isolated = clock.seconds() - self._last_message_at > limit_s
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
             logger.warning("isolated: service ends" if is_isolated else "service goes on")
@@ -293,15 +293,15 @@
     # Configuration
 
     def _on_configuration(self, config: Configuration) -> None:
-        self._changed.set()
+        self._configuration_changed.set()
 
     async def _refresh_forever(self) -> None:
         while True:
-            await self._changed.wait()
-            self._changed = anyio.Event()
+            await self._configuration_changed.wait()
+            self._configuration_changed = anyio.Event()
             service = self._section.service
-            await self._tables.refresh(self.store.configuration, [service])
-            table = self._tables.tables_by_service.get(service)
+            await self._table_builder.refresh(self.store.configuration, [service])
+            table = self._table_builder.tables_by_service.get(service)
             self._router.apply_configuration(self.store.configuration, table, clock.seconds())
 
     async def _answer_pull(self, request: PullRequest) -> PullReply:
@@ -332,7 +332,7 @@
                 "held_flows": router.local.held_count,
                 "local_flows_sample": [
                     describe_flow(key)
-                    for key in islice(router.directory.local_flows_by_key, FLOWS_IN_DUMP)
+                    for key in islice(router.directory.local_flows_by_key, FLOW_SAMPLE_LIMIT)
                 ],
                 "remote_flows": router.directory.remote_flow_count,
                 "awaiting": router.local.awaiting_count,
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -13,7 +13,7 @@
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
 from wagtailkeel.roles.process_dump import build_dump
-from wagtailkeel.roles.service_route import BUCKET_BYTES
+from wagtailkeel.roles.service_route import ENCODED_BUCKETS
 from wagtailkeel.roles.service_route import PREFIX_IPV4
 from wagtailkeel.roles.service_route import PREFIX_IPV6
 from wagtailkeel.roles.service_route import ServiceRoute
@@ -58,16 +58,16 @@
         self._section = section
         self._balancer_id = settings.balancer_id
         self._endpoint = UdpEndpoint(settings.instance.listen_host, section.port)
-        self._fabric = UdpEndpoint(settings.instance.listen_host, section.fabric_port)
+        self._fabric_endpoint = UdpEndpoint(settings.instance.listen_host, section.fabric_port)
         self._rpc_client = RpcClient(settings.instance.listen_host)
         self._routes_by_endpoint: dict[bytes, ServiceRoute] = {}
         self._route_versions_by_service: dict[str, tuple[int, int, int]] = {}
-        self._tables = TableBuilder(
-            settings.instance.data_centre, is_plain=settings.instance.stateless
+        self._table_builder = TableBuilder(
+            settings.instance.data_centre, without_quotas=settings.instance.stateless
         )
         self._forwarded_packets = 0
-        self._changed = anyio.Event()
-        self._has_routes = anyio.Event()
+        self._configuration_changed = anyio.Event()
+        self._routes_built = anyio.Event()
         self.store.subscribe(self._on_configuration)
         self._link = NodeLink(
             settings.balancer_id,
@@ -92,16 +92,16 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._endpoint.receive, self._on_datagram)
-                tasks.start_soon(self._fabric.receive, self._on_packet)
+                tasks.start_soon(self._fabric_endpoint.receive, self._on_packet)
                 tasks.start_soon(self._refresh_forever)
                 tasks.start_soon(self._link.run)
                 await self._link.is_joined.wait()
                 # Ready only with the routes of the version of the own join.
-                self._changed.set()
-                await self._has_routes.wait()
+                self._configuration_changed.set()
+                await self._routes_built.wait()
                 task_status.started()
         finally:
-            self._fabric.close()
+            self._fabric_endpoint.close()
             self._endpoint.close()
             self._rpc_client.close()
             with anyio.CancelScope(shield=True):
@@ -146,36 +146,38 @@
         if address is None:
             self.metrics.counters["dropped_no_server"] += 1
             return
-        self._endpoint.send(prefix + BUCKET_BYTES[bucket] + route.suffix + packet, address)
+        self._endpoint.send(prefix + ENCODED_BUCKETS[bucket] + route.suffix + packet, address)
         self._forwarded_packets += 1
 
     # Configuration
 
     def _on_configuration(self, config: Configuration) -> None:
-        self._changed.set()
+        self._configuration_changed.set()
 
     async def _refresh_forever(self) -> None:
         while True:
-            await self._changed.wait()
-            self._changed = anyio.Event()
+            await self._configuration_changed.wait()
+            self._configuration_changed = anyio.Event()
             config = self.store.configuration
             self._refresh_routes(config)
-            await self._tables.refresh(config, list(config.services_by_name))
+            await self._table_builder.refresh(config, list(config.services_by_name))
             self._refresh_routes(config)
             if self._link.is_joined.is_set():
-                self._has_routes.set()
+                self._routes_built.set()
 
     def _refresh_routes(self, config: Configuration) -> None:
         """Build the routes of services whose table, members or classes have changed."""
-        for name, table in self._tables.tables_by_service.items():
+        for name, table in self._table_builder.tables_by_service.items():
             service = config.services_by_name[name]
             version = (service.table_epoch, table.epoch, len(service.classes_by_name))
             if self._route_versions_by_service.get(name) == version:
                 continue
             self._route_versions_by_service[name] = version
             route = ServiceRoute.from_table(table, config)
-            for found in service.classes_by_name.values():
-                key = endpoint_key(service.address, found.port, found.protocol.number)
+            for traffic_class in service.classes_by_name.values():
+                key = endpoint_key(
+                    service.address, traffic_class.port, traffic_class.protocol.number
+                )
                 self._routes_by_endpoint[key] = route
 
     # Messages
@@ -214,7 +216,8 @@
                 "version": self.store.version,
                 "control_silent_s": clock.seconds() - self._link.acknowledged_at,
                 "epochs_by_service": {
-                    name: table.epoch for name, table in self._tables.tables_by_service.items()
+                    name: table.epoch
+                    for name, table in self._table_builder.tables_by_service.items()
                 },
                 "send_failures": self._endpoint.send_failures,
                 "metrics": self.metrics.dump(),
--- a/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
@@ -42,26 +42,26 @@
             return PullReply(entries=entries)
         return PullReply(snapshot=self.configuration)
 
-    def accept(self, reply: PullReply) -> bool:
+    def apply_pull(self, reply: PullReply) -> bool:
         """Apply a reply to a pull; return whether the version went up."""
-        before = self.version
+        previous_version = self.version
         if reply.snapshot is not None and reply.snapshot.index > self.version:
             self.configuration = reply.snapshot
             self._recent_entries.clear()
         for entry in reply.entries:
             if entry.index == self.version + 1:
-                self._apply(entry)
-        if self.version == before:
+                self._apply_entry(entry)
+        if self.version == previous_version:
             return False
         for listener in self._listeners:
             listener(self.configuration)
         return True
 
-    def _apply(self, entry: LogEntry) -> None:
+    def _apply_entry(self, entry: LogEntry) -> None:
         apply_entry(self.configuration, entry)
-        self.retain(entry)
+        self.retain_entry(entry)
 
-    def retain(self, entry: LogEntry) -> None:
+    def retain_entry(self, entry: LogEntry) -> None:
         """Keep a recent entry for peers."""
         self._recent_entries.append(entry)
         if len(self._recent_entries) > 2 * RETAINED_ENTRIES:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -251,7 +251,7 @@
         return reply
 
     def _apply(self, entry: LogEntry) -> CommandAnswer:
-        self._store.retain(entry)
+        self._store.retain_entry(entry)
         answer = apply_entry(self._store.configuration, entry)
         self._pending.resolve(entry, answer)
         self.metrics.counters["entries_applied"] += 1
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from hdrh.histogram import HdrHistogram
 
-LOWEST_US = 1
-HIGHEST_US = 60_000_000
+MIN_RESPONSE_US = 1
+MAX_RESPONSE_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 99.0, 99.9)
 
@@ -26,19 +26,19 @@
         self.counters: Counter[str] = Counter()
         self.response_sum_s = 0.0
         self._started_at = clock.seconds()
-        self._started_wall_s = time.time()
+        self._started_at_unix_s = time.time()
 
     @cached_property
     def _responses(self) -> HdrHistogram:
         # Imported at the first answer: a balancer measures none.
         from hdrh.histogram import HdrHistogram
 
-        return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+        return HdrHistogram(MIN_RESPONSE_US, MAX_RESPONSE_US, SIGNIFICANT_DIGITS)
 
     def record_response(self, response_s: float) -> None:
         """Record one response time."""
         self.response_sum_s += response_s
-        value = min(max(int(response_s * 1e6), LOWEST_US), HIGHEST_US)
+        value = min(max(int(response_s * 1e6), MIN_RESPONSE_US), MAX_RESPONSE_US)
         self._responses.record_value(value)
 
     @property
@@ -61,7 +61,7 @@
             "counters": dict(sorted(self.counters.items())),
             "responses": self._responses.get_total_count(),
             "response_ms": percentiles,
-            "started_at": self._started_wall_s,
+            "started_at": self._started_at_unix_s,
             "uptime_s": clock.seconds() - self._started_at,
             "cpu_s": usage.ru_utime + usage.ru_stime,
             "max_rss_kb": usage.ru_maxrss,
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
@@ -21,9 +21,9 @@
     from wagtailkeel.settings import InstanceSettings
     from wagtailkeel.settings import MetricsSettings
 
-TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-COUNTER_NAME = "wagtailkeel_events"
-RESPONSE_NAME = "wagtailkeel_response_seconds"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+EVENTS_METRIC = "wagtailkeel_events"
+RESPONSE_TIME_METRIC = "wagtailkeel_response_seconds"
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
@@ -33,7 +33,7 @@
     def __init__(self, host: str, section: MetricsSettings, metrics: Metrics) -> None:
         self._path = section.path
         self._metrics = metrics
-        self._server = HttpServer((host, section.port), self._answer, metrics.counters)
+        self._server = HttpServer((host, section.port), self._handle_request, metrics.counters)
 
     @classmethod
     def from_settings(
@@ -53,13 +53,13 @@
     async def stop(self) -> None:
         """Metrics are served until the process ends."""
 
-    async def _answer(self, method: str, path: str, body: bytes) -> Response:
+    async def _handle_request(self, method: str, path: str, body: bytes) -> Response:
         if (method, path) != ("GET", self._path):
             return Response.error(HTTPStatus.NOT_FOUND, f"no call {method} {path}")
-        return Response(HTTPStatus.OK, build_text(self._metrics), content_type=TEXT_TYPE)
+        return Response(HTTPStatus.OK, render_metrics(self._metrics), content_type=CONTENT_TYPE)
 
 
-def build_text(metrics: Metrics) -> bytes:
+def render_metrics(metrics: Metrics) -> bytes:
     """Return the metrics in the text format of Prometheus."""
     # Imported at the first request: most processes start often and are asked seldom.
     from prometheus_client.core import CounterMetricFamily
@@ -69,16 +69,18 @@
 
     class Collector:
         def collect(self) -> Iterator[Metric]:
-            counter = CounterMetricFamily(COUNTER_NAME, "Events by name", labels=["name"])
+            counter = CounterMetricFamily(EVENTS_METRIC, "Events by name", labels=["name"])
             for name, value in sorted(metrics.counters.items()):
                 counter.add_metric([name], value)
             yield counter
-            summary = SummaryMetricFamily(RESPONSE_NAME, "Time to the first byte of an answer")
+            summary = SummaryMetricFamily(
+                RESPONSE_TIME_METRIC, "Time to the first byte of an answer"
+            )
             count = metrics.response_count
             summary.add_metric([], count_value=count, sum_value=metrics.response_sum_s)
             for quantile in QUANTILES:
                 quantile_s = metrics.response_percentile_s(quantile * 100)
-                summary.add_sample(RESPONSE_NAME, {"quantile": str(quantile)}, quantile_s)
+                summary.add_sample(RESPONSE_TIME_METRIC, {"quantile": str(quantile)}, quantile_s)
             yield summary
 
     registry = CollectorRegistry(auto_describe=False)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -35,14 +35,14 @@
     from wagtailkeel_transport import UdpEndpoint
 
 HEARTBEAT_INTERVAL_S = 0.5
-ACK_SILENCE_LIMIT_S = 1.5
-ANNOUNCE_RETRY_S = 0.3
+ACK_TIMEOUT_S = 1.5
+ANNOUNCE_RETRY_INTERVAL_S = 0.3
 ANNOUNCE_TIMEOUT_S = 3.0
 LEAVE_TIMEOUT_S = 0.5
 PULL_TIMEOUT_S = 2.0
-PULL_RETRY_S = 0.2
-VERSION_POLL_S = 0.02
-CONFIRMATION_INTERVAL_S = 0.05
+PULL_RETRY_INTERVAL_S = 0.2
+VERSION_POLL_INTERVAL_S = 0.02
+CONFIRMATION_RETRY_INTERVAL_S = 0.05
 BOOT_ID_BITS = 53
 
 
@@ -85,27 +85,30 @@
         self._lease = lease or PlacementLease()
         self._metrics = metrics
         self._emit = event_sink.emit
-        self._lost_at = float("inf")
-        self._confirmed_from = float("-inf")
-        self._asked_at = float("-inf")
+        self._control_lost_at = float("inf")
+        self._version_confirmed_at = float("-inf")
+        self._confirmation_requested_at = float("-inf")
         self._joined_at = float("inf")
         self._random = Random()
-        self._versions_by_source: dict[str, int] = {}
+        self._versions_by_peer_id: dict[str, int] = {}
         self._newer_version_known = anyio.Event()
         self._must_rejoin = anyio.Event()
 
     @property
     def has_newer_version(self) -> bool:
         """Tell whether a newer version than the own one is known to exist."""
-        return any(version > self._store.version for version in self._versions_by_source.values())
+        return any(version > self._store.version for version in self._versions_by_peer_id.values())
 
     def is_version_confirmed(self, since: float) -> bool:
         """Tell whether the leader has confirmed the own version since a moment; else ask it."""
-        if self._confirmed_from >= since and not self.has_newer_version:
+        if self._version_confirmed_at >= since and not self.has_newer_version:
             return True
         now = clock.seconds()
-        if self._is_announced and now - self._asked_at >= CONFIRMATION_INTERVAL_S:
-            self._asked_at = now
+        if (
+            self._is_join_logged
+            and now - self._confirmation_requested_at >= CONFIRMATION_RETRY_INTERVAL_S
+        ):
+            self._confirmation_requested_at = now
             self._send_heartbeat()
         return False
 
@@ -113,16 +116,16 @@
         """Join, then keep the membership and the version up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._pull_forever)
-            tasks.start_soon(self._beat_forever)
+            tasks.start_soon(self._heartbeat_forever)
             await self._join()
             tasks.start_soon(self._rejoin_forever)
 
     async def _join(self) -> None:
         attempts = 0
-        hinted_id = ""
+        leader_hint = ""
         while True:
             control_ids = self._address_book.control_ids
-            control_id = hinted_id or control_ids[attempts % len(control_ids)]
+            control_id = leader_hint or control_ids[attempts % len(control_ids)]
             attempts += 1
             if attempts % len(control_ids) == 0:
                 self._address_book.reload_seeds()
@@ -130,10 +133,10 @@
             await self._pull_from(control_id)
             reply = await self._announce_to(control_id)
             if reply is None or not reply.is_joined:
-                hinted_id = reply.leader_id if reply and reply.leader_id != control_id else ""
+                leader_hint = reply.leader_id if reply and reply.leader_id != control_id else ""
                 if reply is not None and reply.reason:
                     logger.error("control refuses this instance: {}", reply.reason)
-                await anyio.sleep(0.0 if hinted_id else ANNOUNCE_RETRY_S)
+                await anyio.sleep(0.0 if leader_hint else ANNOUNCE_RETRY_INTERVAL_S)
                 continue
             self.leader_id = control_id
             self._joined_at = clock.seconds()
@@ -141,7 +144,7 @@
                 # A node serves only with a version at least as new as its own join.
                 if not await self._pull_from(control_id):
                     self.record_peer_version(control_id, reply.index)
-                    await anyio.sleep(VERSION_POLL_S)
+                    await anyio.sleep(VERSION_POLL_INTERVAL_S)
             logger.info("joined as incarnation {} at index {}", self.boot_id, reply.index)
             self._emit(events.NodeJoined(self.boot_id, reply.index))
             self.is_joined.set()
@@ -161,8 +164,8 @@
     async def leave(self) -> None:
         """Tell control that the server has ended; control removes a silent agent anyway."""
         request = LeaveRequest(self._instance_id, self.boot_id)
-        asked = [self.leader_id, *self._address_book.control_ids]
-        for control_id in dict.fromkeys(asked):
+        control_ids = [self.leader_id, *self._address_book.control_ids]
+        for control_id in dict.fromkeys(control_ids):
             address = self._address_book.rpc_address(control_id)
             if address is None:
                 continue
@@ -174,21 +177,21 @@
             if reply.is_joined:
                 return
 
-    async def _beat_forever(self) -> None:
+    async def _heartbeat_forever(self) -> None:
         while True:
-            if self._is_announced:
+            if self._is_join_logged:
                 self._send_heartbeat()
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
     @property
-    def _is_announced(self) -> bool:
+    def _is_join_logged(self) -> bool:
         """Tell whether control has logged the present incarnation."""
         return self._joined_at < float("inf")
 
     def _send_heartbeat(self) -> None:
         now = clock.seconds()
-        if now - self.acknowledged_at > ACK_SILENCE_LIMIT_S:
-            self._try_next_control(now)
+        if now - self.acknowledged_at > ACK_TIMEOUT_S:
+            self._switch_to_next_control(now)
         address = self._address_book.datagram_address(self.leader_id)
         if address is None:
             return
@@ -199,9 +202,9 @@
         self._metrics.counters["control_bytes_sent"] += len(datagram)
         self._endpoint.send(datagram, address)
 
-    def _try_next_control(self, now: float) -> None:
-        if self._lost_at == float("inf"):
-            self._lost_at = self.acknowledged_at
+    def _switch_to_next_control(self, now: float) -> None:
+        if self._control_lost_at == float("inf"):
+            self._control_lost_at = self.acknowledged_at
             silent_s = round(now - self.acknowledged_at, 1)
             self._emit(events.ControlLost(self.leader_id, silent_s))
         ids = self._address_book.control_ids
@@ -209,21 +212,21 @@
         self.leader_id = ids[(position + 1) % len(ids)]
         if position + 1 == len(ids):
             self._address_book.reload_seeds()
-        self.acknowledged_at = now - ACK_SILENCE_LIMIT_S + HEARTBEAT_INTERVAL_S
+        self.acknowledged_at = now - ACK_TIMEOUT_S + HEARTBEAT_INTERVAL_S
 
     def on_ack(self, message: HeartbeatAck) -> None:
         """Handle the answer to a heartbeat."""
         self.record_peer_version(message.sender, message.version)
         if message.leader_id != message.sender:
-            self._follow_hint(message.leader_id)
+            self._switch_to_leader(message.leader_id)
             return
         self.leader_id = message.leader_id
         self.acknowledged_at = clock.seconds()
-        self._confirmed_from = max(self._confirmed_from, message.sent_at)
-        if self._lost_at < float("inf"):
-            silent_s = round(self.acknowledged_at - self._lost_at, 1)
+        self._version_confirmed_at = max(self._version_confirmed_at, message.sent_at)
+        if self._control_lost_at < float("inf"):
+            silent_s = round(self.acknowledged_at - self._control_lost_at, 1)
             self._emit(events.ControlFound(self.leader_id, silent_s))
-            self._lost_at = float("inf")
+            self._control_lost_at = float("inf")
         if message.is_member:
             if message.lease_s > 0 and message.boot_id == self.boot_id:
                 self._lease.renew(message.sent_at, message.lease_s)
@@ -242,45 +245,45 @@
                 self._on_rejoin(self.boot_id)
             await self._join()
 
-    def _follow_hint(self, leader_id: str) -> None:
+    def _switch_to_leader(self, leader_id: str) -> None:
         """Ask the leader that a follower names, and give it the time of a heartbeat."""
         if not leader_id or leader_id == self.leader_id:
             return
         if self._address_book.datagram_address(leader_id) is None:
             return
         self.leader_id = leader_id
-        self.acknowledged_at = clock.seconds() - ACK_SILENCE_LIMIT_S + 2 * HEARTBEAT_INTERVAL_S
+        self.acknowledged_at = clock.seconds() - ACK_TIMEOUT_S + 2 * HEARTBEAT_INTERVAL_S
         self._send_heartbeat()
 
-    def record_peer_version(self, source: str, version: int) -> None:
+    def record_peer_version(self, peer_id: str, version: int) -> None:
         """Remember that ``source`` has a version; pull it when it is newer than the own one."""
         if version > self._store.version:
-            self._versions_by_source[source] = version
+            self._versions_by_peer_id[peer_id] = version
             self._newer_version_known.set()
 
     async def _pull_forever(self) -> None:
         while True:
             await self._newer_version_known.wait()
             self._newer_version_known = anyio.Event()
-            for source, version in list(self._versions_by_source.items()):
-                if version <= self._store.version or not await self._pull_near(source):
-                    del self._versions_by_source[source]
-            if self._versions_by_source:
+            for peer_id, version in list(self._versions_by_peer_id.items()):
+                if version <= self._store.version or not await self._pull_from_any(peer_id):
+                    del self._versions_by_peer_id[peer_id]
+            if self._versions_by_peer_id:
                 # Changes that come close together are pulled together.
-                await anyio.sleep(PULL_RETRY_S)
+                await anyio.sleep(PULL_RETRY_INTERVAL_S)
                 self._newer_version_known.set()
 
-    async def _pull_near(self, source: str) -> bool:
+    async def _pull_from_any(self, peer_id: str) -> bool:
         """Pull from any control instance rather than all from the leader; else from the source."""
         control_ids = self._address_book.control_ids
-        if source in control_ids:
-            chosen = self._random.choice(control_ids)
-            if chosen != source and await self._pull_from(chosen):
+        if peer_id in control_ids:
+            control_id = self._random.choice(control_ids)
+            if control_id != peer_id and await self._pull_from(control_id):
                 return True
-        return await self._pull_from(source)
+        return await self._pull_from(peer_id)
 
-    async def _pull_from(self, source: str) -> bool:
-        address = self._address_book.rpc_address(source)
+    async def _pull_from(self, peer_id: str) -> bool:
+        address = self._address_book.rpc_address(peer_id)
         if address is None:
             return False
         try:
@@ -290,4 +293,4 @@
             self._metrics.counters["pull_failures"] += 1
             return False
         self._metrics.counters["pulls"] += 1
-        return self._store.accept(reply)
+        return self._store.apply_pull(reply)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
@@ -12,6 +12,6 @@
     from collections.abc import Mapping
 
 
-def build_dump(parts: Mapping[str, object]) -> DumpReply:
+def build_dump(state: Mapping[str, object]) -> DumpReply:
     """Return the state as JSON text."""
-    return DumpReply(msgspec.json.encode(parts))
+    return DumpReply(msgspec.json.encode(state))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -15,7 +15,7 @@
 Address = tuple[str, int]
 
 MAX_BUCKETS = 65_536
-BUCKET_BYTES = tuple(bucket.to_bytes(2, "big") for bucket in range(MAX_BUCKETS))
+ENCODED_BUCKETS = tuple(bucket.to_bytes(2, "big") for bucket in range(MAX_BUCKETS))
 PREFIX_IPV4 = gue.header_prefix(4)
 PREFIX_IPV6 = gue.header_prefix(6)
 
@@ -34,11 +34,11 @@
         A server that is no member any more, or whose data centre is out of service, has no
         address: nothing is sent there, even before the table without it is built.
         """
-        addresses = tuple(_find_address(server_id, config) for server_id in table.server_ids)
+        addresses = tuple(_server_address(server_id, config) for server_id in table.server_ids)
         return cls(memoryview(table.positions), addresses, gue.header_suffix(table.epoch))
 
 
-def _find_address(server_id: str, config: Configuration) -> Address | None:
+def _server_address(server_id: str, config: Configuration) -> Address | None:
     member = config.servers_by_id.get(server_id)
     if member is None or not config.is_in_service(member.data_centre):
         return None
--- a/tests/wagtailkeel/test_metrics_server.py
+++ b/tests/wagtailkeel/test_metrics_server.py
@@ -8,7 +8,7 @@
 
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.metrics_server import MetricsServer
-from wagtailkeel.roles.metrics_server import build_text
+from wagtailkeel.roles.metrics_server import render_metrics
 from wagtailkeel.settings import MetricsSettings
 
 
@@ -26,13 +26,13 @@
         metrics.counters["openings_refused"] += 3
         for _ in range(10):
             metrics.record_response(0.02)
-        text = build_text(metrics).decode()
+        text = render_metrics(metrics).decode()
         self.assertIn('wagtailkeel_events_total{name="openings_refused"} 3.0', text)
         self.assertIn("wagtailkeel_response_seconds_count 10.0", text)
         self.assertIn('wagtailkeel_response_seconds{quantile="0.99"} 0.02', text)
 
     def test_nothing_recorded(self) -> None:
-        self.assertIn("wagtailkeel_response_seconds_count 0.0", build_text(Metrics()).decode())
+        self.assertIn("wagtailkeel_response_seconds_count 0.0", render_metrics(Metrics()).decode())
 
 
 class MetricsServerTest(unittest.TestCase):
