Reword texts of the roles

Docstrings, comments and log lines of the roles used figurative wording ('the own server', 'moves forward', 'asks for') that a newcomer could not act on. Reworded in the field's terms, with every reason kept. No behaviour changes: the linters and type checker report nothing and the 27 tests of tests/wagtailkeel pass.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/__init__.py
@@ -1,6 +1,6 @@
 """Roles of the daemon: tasks that own sockets and state.
 
-Each role is imported from its own module, so that a process loads only what it runs.
+Import each role from its own module, so that a process loads only the roles that it runs.
 """
 
 from __future__ import annotations
--- a/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
@@ -1,4 +1,4 @@
-"""Where instances listen, by id."""
+"""Addresses of instances by id."""
 
 from __future__ import annotations
 
@@ -16,9 +16,9 @@
 
 
 class AddressBook:
-    """Control instances from the settings or from seeds, all other nodes from the configuration.
+    """Looks up control instances in the settings or seeds, other nodes in the configuration.
 
-    With seeds, the voters of the configuration come first and the seeds after them.
+    With seeds, ``control_ids`` lists the voters of the configuration before the seeds.
     """
 
     def __init__(
@@ -41,17 +41,17 @@
         store: ConfigurationStore,
         read_seeds: Callable[[], list[str]] | None = None,
     ) -> AddressBook:
-        """Build the book; ``read_seeds`` returns the seeds as they are in the settings now."""
+        """Build the address book; ``read_seeds`` returns the seeds that the settings have now."""
         return cls(settings.control_instances, store, settings.discovery, read_seeds)
 
     def reload_seeds(self) -> None:
-        """Read the seeds again: they may have changed since the start."""
+        """Read the seeds again, since they may have changed; keep the old ones if none are read."""
         if self._read_seeds is not None:
             self._seeds = self._read_seeds() or self._seeds
 
     @property
     def control_ids(self) -> list[str]:
-        """Ids of the control instances, in the order of the settings."""
+        """Ids of the control instances, in the order in which they are tried."""
         if self._discovery is None:
             return list(self._control_instances_by_id)
         voters = self._store.configuration.control_identities_by_id
@@ -63,9 +63,10 @@
         return list(self._seeds)
 
     def datagram_address(self, instance_id: str) -> Address | None:
-        """Return where an instance takes datagrams.
+        """Return the address at which an instance receives datagrams, or None if it is unknown.
 
-        A former member is found too: one that only control can't hear still serves its flows.
+        Former members are included, since an agent that only control can't reach still serves
+        its flows.
         """
         control = self._control_instances_by_id.get(instance_id)
         if control is not None:
@@ -81,7 +82,7 @@
         return (instance_id, self._discovery.port) if self._discovery else None
 
     def rpc_address(self, instance_id: str) -> Address | None:
-        """Return where an instance takes calls."""
+        """Return the address at which an instance receives RPCs, or None if it is unknown."""
         control = self._control_instances_by_id.get(instance_id)
         if control is not None:
             return (control.host, control.rpc_port)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -1,4 +1,4 @@
-"""The agent role: the process beside one backend server."""
+"""The agent role, which runs beside one backend server."""
 
 from __future__ import annotations
 
@@ -124,7 +124,7 @@
 
     @classmethod
     def from_settings(cls, settings: Settings, section: AgentSettings) -> Agent:
-        """Build the role; sockets are bound here."""
+        """Build the role and bind its UDP sockets."""
         return cls(settings, section)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -149,13 +149,13 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Pass on all buckets before a planned stop; the server and its flows stay."""
+        """Hand over all buckets before a planned stop; the backend server keeps its flows."""
         self._is_stopping = True
         with anyio.move_on_after(self._section.stop_limit_s):
             await self._announce_stop()
             while self._router.authority.can_pass_on:
                 await anyio.sleep(STOP_POLL_INTERVAL_S)
-        logger.info("passed on all but {} buckets", len(self._router.authority.tokens_by_bucket))
+        logger.info("handed over all but {} buckets", len(self._router.authority.tokens_by_bucket))
 
     async def _announce_stop(self) -> None:
         request = StopRequest(self._section.server_id, self._link.boot_id)
@@ -203,7 +203,8 @@
         if gue.is_control(datagram):
             self._on_control(datagram)
             return
-        # Most packets belong to flows of the own server: they need no frame.
+        # Most packets belong to flows of the local backend server: deliver those without decoding
+        # the whole frame.
         flags, hops = gue.peek_flags_and_hops(datagram)
         if not flags & gue.FLAG_REJECTED and not self._instance.stateless:
             packet = datagram[gue.HEADER_BYTES :]
@@ -269,7 +270,11 @@
         is_isolated = clock.seconds() - self._last_message_at > limit_s
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
-            logger.warning("isolated: service ends" if is_isolated else "service goes on")
+            logger.warning(
+                "no message received for isolated_stop_s; serving stopped"
+                if is_isolated
+                else "messages received again; serving resumed"
+            )
             self._router.set_isolated(is_isolated, clock.seconds())
 
     async def _gossip_forever(self) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent_outbox.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent_outbox.py
@@ -1,4 +1,4 @@
-"""Sends what an agent's decisions ask for."""
+"""Sends an agent's packets and messages over UDP."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class AgentOutbox:
-    """Implements both outboxes of the coordination layer on UDP."""
+    """Implements the packet and datagram outboxes of the coordination layer over UDP."""
 
     def __init__(
         self,
@@ -37,12 +37,12 @@
         self._gateway_address = (section.caller_gateway_host, section.caller_gateway_port)
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server."""
+        """Send a packet to the local backend server."""
         self.delivered_packets += 1
         self._server_endpoint.send(packet, self._server_address)
 
     def reply(self, packet: bytes) -> None:
-        """Send a packet towards its caller."""
+        """Send a packet of the local backend server to the caller gateway."""
         self.returned_packets += 1
         self._server_endpoint.send(packet, self._gateway_address)
 
@@ -55,7 +55,7 @@
         self._peer_endpoint.send(encode_frame(frame), address)
 
     def send(self, instance_id: str, message: AnyDatagram) -> None:
-        """Send a control datagram."""
+        """Send a message to another instance."""
         address = self._address_book.datagram_address(instance_id)
         if address is None:
             self._counters["dropped_no_address"] += 1
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -1,4 +1,4 @@
-"""The balancer role: a thin entry instance without per-flow state."""
+"""The balancer role: forwards callers' packets to agents and keeps no state per flow."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
 
 
 class Balancer:
-    """Sends each packet of the fabric to the owner of its bucket."""
+    """Forwards each packet from the fabric to the owner of the packet's bucket."""
 
     def __init__(self, settings: Settings, section: BalancerSettings) -> None:
         self.metrics = Metrics()
@@ -81,8 +81,8 @@
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Balancer:
-        """Build the role; sockets are bound here."""
-        assert settings.balancer is not None, "the caller checks for the section"
+        """Build the role and bind its UDP sockets."""
+        assert settings.balancer is not None, "the settings must have a balancer section"
         return cls(settings, settings.balancer)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -96,7 +96,7 @@
                 tasks.start_soon(self._refresh_forever)
                 tasks.start_soon(self._link.run)
                 await self._link.is_joined.wait()
-                # Ready only with the routes of the version of the own join.
+                # Not ready before the routes of the version with this balancer's join are built.
                 self._configuration_changed.set()
                 await self._routes_built.wait()
                 task_status.started()
@@ -108,7 +108,7 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """A balancer holds nothing that must be passed on."""
+        """Do nothing: a balancer has no state to hand over."""
 
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
         return AnnounceRequest(
@@ -166,7 +166,7 @@
                 self._routes_built.set()
 
     def _refresh_routes(self, config: Configuration) -> None:
-        """Build the routes of services whose table, members or classes have changed."""
+        """Rebuild the routes of services whose table, members or classes have changed."""
         for name, table in self._table_builder.tables_by_service.items():
             service = config.services_by_name[name]
             version = (service.table_epoch, table.epoch, len(service.classes_by_name))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
@@ -1,4 +1,4 @@
-"""A node's copy of the configuration: it only ever moves forward."""
+"""A node's copy of the configuration, whose version never decreases."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class ConfigurationStore:
-    """The newest configuration known here, and recent entries for peers that pull."""
+    """Holds the newest configuration known to this node, and recent log entries for peers."""
 
     def __init__(self) -> None:
         self.configuration = Configuration()
@@ -26,15 +26,15 @@
 
     @property
     def version(self) -> int:
-        """Log index of the configuration."""
+        """Log index of the newest entry in the configuration."""
         return self.configuration.index
 
     def subscribe(self, listener: Callable[[Configuration], None]) -> None:
-        """Call ``listener`` after each step forward."""
+        """Call ``listener`` after each pull that raises the version."""
         self._listeners.append(listener)
 
     def answer_pull(self, since: int) -> PullReply:
-        """Return what is newer than ``since``."""
+        """Return the entries after index ``since``, or a snapshot if they are not all retained."""
         if since >= self.version:
             return PullReply()
         entries = [entry for entry in self._recent_entries if entry.index > since]
@@ -43,7 +43,7 @@
         return PullReply(snapshot=self.configuration)
 
     def apply_pull(self, reply: PullReply) -> bool:
-        """Apply a reply to a pull; return whether the version went up."""
+        """Apply the reply to a pull; return whether the version increased."""
         previous_version = self.version
         if reply.snapshot is not None and reply.snapshot.index > self.version:
             self.configuration = reply.snapshot
@@ -62,12 +62,12 @@
         self.retain_entry(entry)
 
     def retain_entry(self, entry: LogEntry) -> None:
-        """Keep a recent entry for peers."""
+        """Keep a recent entry for peers that pull."""
         self._recent_entries.append(entry)
         if len(self._recent_entries) > 2 * RETAINED_ENTRIES:
             del self._recent_entries[:RETAINED_ENTRIES]
 
     def replace(self, configuration: Configuration) -> None:
-        """Adopt a whole configuration that consensus has installed."""
+        """Replace the configuration by one from a snapshot that Raft has installed."""
         self.configuration = configuration
         self._recent_entries.clear()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -20,7 +20,7 @@
 
 
 class Metrics:
-    """Counted events by name, and response times in microseconds."""
+    """Holds counters by name, and a histogram of response times in microseconds."""
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
@@ -30,7 +30,7 @@
 
     @cached_property
     def _responses(self) -> HdrHistogram:
-        # Imported at the first answer: a balancer measures none.
+        # Imported on first use, since a balancer records no response times.
         from hdrh.histogram import HdrHistogram
 
         return HdrHistogram(MIN_RESPONSE_US, MAX_RESPONSE_US, SIGNIFICANT_DIGITS)
@@ -43,7 +43,7 @@
 
     @property
     def response_count(self) -> int:
-        """The number of response times recorded."""
+        """Number of recorded response times."""
         return int(self._responses.get_total_count())
 
     def response_percentile_s(self, percentile: float) -> float:
@@ -51,7 +51,7 @@
         return float(self._responses.get_value_at_percentile(percentile)) / 1e6
 
     def dump(self) -> dict[str, object]:
-        """Return all values, for the dump of the process."""
+        """Return all metrics for the dump of the process."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         percentiles = {
             f"p{percentile:g}_ms": self._responses.get_value_at_percentile(percentile) / 1_000
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics_server.py
@@ -1,4 +1,4 @@
-"""Serves a process's counters and response times as text, for collectors."""
+"""Serves a process's counters and response times to Prometheus over HTTP."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class MetricsServer:
-    """Answers GET on the path of the settings; without its port the process goes on."""
+    """Serves GET on the configured path; the process keeps running if the port can't be bound."""
 
     def __init__(self, host: str, section: MetricsSettings, metrics: Metrics) -> None:
         self._path = section.path
@@ -39,7 +39,7 @@
     def from_settings(
         cls, instance: InstanceSettings, section: MetricsSettings, metrics: Metrics
     ) -> MetricsServer:
-        """Build the role; its socket is bound when it runs."""
+        """Build the role; ``run`` binds its socket."""
         return cls(instance.listen_host, section, metrics)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
@@ -47,21 +47,21 @@
         try:
             await self._server.run(task_status=task_status)
         except BindError as error:
-            logger.warning("no metrics are served: {}", error)
+            logger.warning("metrics are not served: {}", error)
             task_status.started()
 
     async def stop(self) -> None:
-        """Metrics are served until the process ends."""
+        """Do nothing: metrics are served until the process ends."""
 
     async def _handle_request(self, method: str, path: str, body: bytes) -> Response:
         if (method, path) != ("GET", self._path):
-            return Response.error(HTTPStatus.NOT_FOUND, f"no call {method} {path}")
+            return Response.error(HTTPStatus.NOT_FOUND, f"no such endpoint: {method} {path}")
         return Response(HTTPStatus.OK, render_metrics(self._metrics), content_type=CONTENT_TYPE)
 
 
 def render_metrics(metrics: Metrics) -> bytes:
-    """Return the metrics in the text format of Prometheus."""
-    # Imported at the first request: most processes start often and are asked seldom.
+    """Return the metrics in the Prometheus text format."""
+    # Imported on the first request: most processes start often and are scraped rarely.
     from prometheus_client.core import CounterMetricFamily
     from prometheus_client.core import SummaryMetricFamily
     from prometheus_client.exposition import generate_latest
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -1,4 +1,4 @@
-"""A node's link to control: it announces itself, sends heartbeats and pulls newer versions."""
+"""Connects a node to control: joins, sends heartbeats and pulls newer configurations."""
 
 from __future__ import annotations
 
@@ -47,12 +47,12 @@
 
 
 def generate_boot_id() -> int:
-    """Return a number that names an incarnation of a node."""
+    """Return a random number that identifies one incarnation of a node."""
     return secrets.randbits(BOOT_ID_BITS)
 
 
 class NodeLink:
-    """Owns the membership and the version of one node."""
+    """Maintains the membership and the configuration version of one node."""
 
     def __init__(
         self,
@@ -96,11 +96,14 @@
 
     @property
     def has_newer_version(self) -> bool:
-        """Tell whether a newer version than the own one is known to exist."""
+        """Return whether a version newer than this node's is known to exist."""
         return any(version > self._store.version for version in self._versions_by_peer_id.values())
 
     def is_version_confirmed(self, since: float) -> bool:
-        """Tell whether the leader has confirmed the own version since a moment; else ask it."""
+        """Return whether the leader has confirmed this node's version since ``since``.
+
+        If it has not, send the leader a heartbeat; its acknowledgement confirms the version.
+        """
         if self._version_confirmed_at >= since and not self.has_newer_version:
             return True
         now = clock.seconds()
@@ -113,7 +116,7 @@
         return False
 
     async def run(self) -> None:
-        """Join, then keep the membership and the version up to date until cancelled."""
+        """Join, then keep the membership and the configuration up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._pull_forever)
             tasks.start_soon(self._heartbeat_forever)
@@ -129,19 +132,20 @@
             attempts += 1
             if attempts % len(control_ids) == 0:
                 self._address_book.reload_seeds()
-            # Others send packets here as soon as the join is logged: know the classes before.
+            # Pull before joining: other nodes send packets here as soon as the join is logged, and
+            # handling them needs the classes.
             await self._pull_from(control_id)
             reply = await self._announce_to(control_id)
             if reply is None or not reply.is_joined:
                 leader_hint = reply.leader_id if reply and reply.leader_id != control_id else ""
                 if reply is not None and reply.reason:
-                    logger.error("control refuses this instance: {}", reply.reason)
+                    logger.error("control rejected the join: {}", reply.reason)
                 await anyio.sleep(0.0 if leader_hint else ANNOUNCE_RETRY_INTERVAL_S)
                 continue
             self.leader_id = control_id
             self._joined_at = clock.seconds()
             while self._store.version < reply.index:
-                # A node serves only with a version at least as new as its own join.
+                # A node must not serve with a configuration older than its join.
                 if not await self._pull_from(control_id):
                     self.record_peer_version(control_id, reply.index)
                     await anyio.sleep(VERSION_POLL_INTERVAL_S)
@@ -162,7 +166,10 @@
             return None
 
     async def leave(self) -> None:
-        """Tell control that the server has ended; control removes a silent agent anyway."""
+        """Notify control that the backend server has ended.
+
+        This is best effort, since control removes an agent that sends no heartbeats anyway.
+        """
         request = LeaveRequest(self._instance_id, self.boot_id)
         control_ids = [self.leader_id, *self._address_book.control_ids]
         for control_id in dict.fromkeys(control_ids):
@@ -185,7 +192,7 @@
 
     @property
     def _is_join_logged(self) -> bool:
-        """Tell whether control has logged the present incarnation."""
+        """Return whether control has logged the join of this incarnation."""
         return self._joined_at < float("inf")
 
     def _send_heartbeat(self) -> None:
@@ -215,7 +222,7 @@
         self.acknowledged_at = now - ACK_TIMEOUT_S + HEARTBEAT_INTERVAL_S
 
     def on_ack(self, message: HeartbeatAck) -> None:
-        """Handle the answer to a heartbeat."""
+        """Process the acknowledgement of a heartbeat."""
         self.record_peer_version(message.sender, message.version)
         if message.leader_id != message.sender:
             self._switch_to_leader(message.leader_id)
@@ -240,13 +247,13 @@
             self._must_rejoin = anyio.Event()
             self.boot_id = generate_boot_id()
             self._metrics.counters["rejoins"] += 1
-            logger.warning("control has removed this incarnation; joining as {}", self.boot_id)
+            logger.warning("control removed this incarnation; rejoining as {}", self.boot_id)
             if self._on_rejoin is not None:
                 self._on_rejoin(self.boot_id)
             await self._join()
 
     def _switch_to_leader(self, leader_id: str) -> None:
-        """Ask the leader that a follower names, and give it the time of a heartbeat."""
+        """Switch to the leader that a follower reported; it has two heartbeat intervals to ack."""
         if not leader_id or leader_id == self.leader_id:
             return
         if self._address_book.datagram_address(leader_id) is None:
@@ -256,7 +263,7 @@
         self._send_heartbeat()
 
     def record_peer_version(self, peer_id: str, version: int) -> None:
-        """Remember that ``source`` has a version; pull it when it is newer than the own one."""
+        """Record a peer's configuration version; pull it if it is newer than this node's."""
         if version > self._store.version:
             self._versions_by_peer_id[peer_id] = version
             self._newer_version_known.set()
@@ -269,12 +276,15 @@
                 if version <= self._store.version or not await self._pull_from_any(peer_id):
                     del self._versions_by_peer_id[peer_id]
             if self._versions_by_peer_id:
-                # Changes that come close together are pulled together.
+                # The delay combines changes in quick succession into one pull.
                 await anyio.sleep(PULL_RETRY_INTERVAL_S)
                 self._newer_version_known.set()
 
     async def _pull_from_any(self, peer_id: str) -> bool:
-        """Pull from any control instance rather than all from the leader; else from the source."""
+        """Pull from a random control instance, to spare the leader; if that fails, from the peer.
+
+        A peer that is not a control instance is pulled from directly.
+        """
         control_ids = self._address_book.control_ids
         if peer_id in control_ids:
             control_id = self._random.choice(control_ids)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
@@ -1,4 +1,4 @@
-"""Answering a request for a process's state."""
+"""Builds the reply to a request for a process's state."""
 
 from __future__ import annotations
 
@@ -13,5 +13,5 @@
 
 
 def build_dump(state: Mapping[str, object]) -> DumpReply:
-    """Return the state as JSON text."""
+    """Return the reply with the state as JSON."""
     return DumpReply(msgspec.json.encode(state))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -1,4 +1,4 @@
-"""A balancer's route to one service: small enough to hold one for every service of a fleet."""
+"""A balancer's route to one service, compact enough to hold one for every service of a fleet."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class ServiceRoute(msgspec.Struct):
-    """Positions of owners by bucket, their addresses, and what a header ends with."""
+    """Owners by bucket, as positions in ``addresses``, and the last bytes of each GUE header."""
 
     positions: memoryview
     addresses: tuple[Address | None, ...]
@@ -29,10 +29,10 @@
 
     @classmethod
     def from_table(cls, table: OwnerTable, config: Configuration) -> ServiceRoute:
-        """Build the route.
+        """Build the route from an owner table.
 
-        A server that is no member any more, or whose data centre is out of service, has no
-        address: nothing is sent there, even before the table without it is built.
+        A server that is no longer a member, or whose data centre is out of service, gets no
+        address, so that no packet is sent to it even before the table without it is built.
         """
         addresses = tuple(_server_address(server_id, config) for server_id in table.server_ids)
         return cls(memoryview(table.positions), addresses, gue.header_suffix(table.epoch))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/table_builder.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/table_builder.py
@@ -1,4 +1,4 @@
-"""Owner tables built in a worker thread, away from the tasks that move packets."""
+"""Builds owner tables in a worker thread, to not delay the tasks that forward packets."""
 
 from __future__ import annotations
 
@@ -13,7 +13,10 @@
 
 
 class TableBuilder:
-    """Builds tables for one region; keeps one by service until its epoch changes."""
+    """Builds the owner tables of one region, and keeps each service's until its epoch changes.
+
+    ``without_quotas`` builds them by plain rendezvous hashing, the baseline of measurements.
+    """
 
     def __init__(self, data_centre: str, *, without_quotas: bool = False) -> None:
         self.tables_by_service: dict[str, OwnerTable] = {}
@@ -21,7 +24,7 @@
         self._without_quotas = without_quotas
 
     async def refresh(self, config: Configuration, service_names: list[str]) -> list[str]:
-        """Build the tables whose epoch is behind; return the services whose table is new."""
+        """Rebuild the tables whose epoch is outdated; return the names of their services."""
         refreshed = []
         for name in service_names:
             service = config.services_by_name.get(name)
