Rename identifiers of the daemon, its logs and their tests

Names such as LateRole, take, left_out, _to_line, cores and sides did not say what they hold or do. Renamed to the field's terms, with their users in platform, the console and the tests; tests are named after the failure that they guard against.

--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -8,9 +8,9 @@
 import click
 
 from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.errors import FlowNameError
+from wagtailkeel.errors import InvalidFlowError
 from wagtailkeel.flow_explanation import explain_flow
-from wagtailkeel.flow_explanation import parse_flow_name
+from wagtailkeel.flow_explanation import parse_flow_id
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,8 +28,8 @@
     wagtailkeel explain "100.64.0.7:40001>198.18.0.1:443" balancer.log agent-*.log
     """
     try:
-        flow_id = parse_flow_name(flow)
-    except FlowNameError as error:
+        flow_id = parse_flow_id(flow)
+    except InvalidFlowError as error:
         click.echo(f"error: {error}", err=True)
         raise SystemExit(ExitCode.USAGE) from error
     explanation = explain_flow(flow_id, _read(logs))
@@ -37,8 +37,8 @@
         details = " ".join(f"{name}={value}" for name, value in line.fields.items())
         click.echo(f"{line.at:.3f} {line.node} {line.event} {details}")
     click.echo(f"flow {flow_id}: {explanation.cause}")
-    if explanation.unreadable or explanation.foreign:
-        counts = f"{explanation.unreadable} unreadable and {explanation.foreign} other lines"
+    if explanation.unreadable or explanation.unrelated:
+        counts = f"{explanation.unreadable} unreadable and {explanation.unrelated} other lines"
         click.echo(f"left aside: {counts}", err=True)
     if not explanation.lines:
         raise SystemExit(ExitCode.FAILURE)
--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -30,7 +30,7 @@
         """Pass on what others need, before the role is cancelled."""
 
 
-class LateRole:
+class DeferredRole:
     """A role that is built, and its modules imported, only once the roles before it run."""
 
     def __init__(self, name: str, build: Callable[[], Role]) -> None:
@@ -49,9 +49,9 @@
             await self._role.stop()
 
 
-def name_of(role: Role) -> str:
+def role_name(role: Role) -> str:
     """Return a role's name for logs."""
-    return role.name if isinstance(role, LateRole) else type(role).__name__
+    return role.name if isinstance(role, DeferredRole) else type(role).__name__
 
 
 class Daemon:
@@ -87,22 +87,22 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT; SIGHUP says that the settings have changed."""
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*watched) as signals:
+        handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*handled_signals) as signals:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._start_roles, tasks)
-                async for number in signals:
-                    if number == signal.SIGHUP:
-                        self._reload()
+                async for signal_number in signals:
+                    if signal_number == signal.SIGHUP:
+                        self._reload_settings()
                         continue
-                    self._emit(events.ProcessStopping(signal.Signals(number).name))
-                    logger.info("stopping on {}", signal.Signals(number).name)
+                    self._emit(events.ProcessStopping(signal.Signals(signal_number).name))
+                    logger.info("stopping on {}", signal.Signals(signal_number).name)
                     break
                 await self._stop_roles()
                 tasks.cancel_scope.cancel()
         logger.info("stopped")
 
-    def _reload(self) -> None:
+    def _reload_settings(self) -> None:
         """Seeds are read again when a peer is not reachable; nothing else may change."""
         logger.info("the settings have changed")
         if self._read_seeds is not None:
@@ -112,7 +112,7 @@
         for role in self._roles:
             await tasks.start(role.run)
         logger.info("ready with {} roles", len(self._roles))
-        self._emit(events.ProcessStarted([name_of(role) for role in self._roles]))
+        self._emit(events.ProcessStarted([role_name(role) for role in self._roles]))
 
     async def _stop_roles(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/packages/wagtailkeel/src/wagtailkeel/errors.py
+++ b/packages/wagtailkeel/src/wagtailkeel/errors.py
@@ -11,15 +11,15 @@
     """Settings that can't be used; names the file, the key, what was expected and found."""
 
     def __init__(self, path: str, key: str, detail: str) -> None:
-        where = f"{path}: {key}" if key else path
-        super().__init__(f"{where}: {detail}")
+        location = f"{path}: {key}" if key else path
+        super().__init__(f"{location}: {detail}")
 
 
 class ControlUnreachableError(WagtailkeelError):
     """No control instance answered."""
 
 
-class FlowNameError(WagtailkeelError):
+class InvalidFlowError(WagtailkeelError):
     """A flow is named in a way that can't be read."""
 
     def __init__(self, name: str, detail: str) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/event_log.py
+++ b/packages/wagtailkeel/src/wagtailkeel/event_log.py
@@ -18,8 +18,8 @@
     from wagtailkeel.line_writer import LineWriter
     from wagtailkeel_coordination.events import Event
 
-ESSENTIAL_PER_S = 40
-OTHER_PER_S = 20
+ESSENTIAL_EVENTS_PER_S = 40
+OTHER_EVENTS_PER_S = 20
 BURST_S = 2.0
 SUMMARY_INTERVAL_S = 1.0
 
@@ -29,12 +29,12 @@
 
     rate: float
     tokens: float
-    filled_at: float
+    refilled_at: float
 
-    def take(self, now: float) -> bool:
+    def try_consume(self, now: float) -> bool:
         """Take one token, if there is one."""
-        self.tokens = min(self.rate * BURST_S, self.tokens + (now - self.filled_at) * self.rate)
-        self.filled_at = now
+        self.tokens = min(self.rate * BURST_S, self.tokens + (now - self.refilled_at) * self.rate)
+        self.refilled_at = now
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
@@ -48,45 +48,45 @@
     """
 
     def __init__(self, instance: str, writer: LineWriter) -> None:
-        self.left_out: Counter[str] = Counter()
+        self.omitted_counts: Counter[str] = Counter()
         self._instance = instance
         self._writer = writer
-        self._buckets_by_name: dict[str, TokenBucket] = {}
-        self._summarised_at = float("-inf")
+        self._token_buckets_by_event: dict[str, TokenBucket] = {}
+        self._summary_written_at = float("-inf")
 
     def emit(self, event: Event) -> None:
         """Write an event, or count it as left out."""
         now = clock.seconds()
         name = event.name()
-        if self._bucket_of(event, name, now).take(now):
+        if self._token_bucket(event, name, now).try_consume(now):
             self._write(event)
         else:
-            self.left_out[name] += 1
-        has_losses = bool(self.left_out) or self._writer.dropped_lines
-        if has_losses and now - self._summarised_at >= SUMMARY_INTERVAL_S:
-            self._summarise(now)
+            self.omitted_counts[name] += 1
+        has_omissions = bool(self.omitted_counts) or self._writer.dropped_lines
+        if has_omissions and now - self._summary_written_at >= SUMMARY_INTERVAL_S:
+            self._write_summary(now)
 
-    def _bucket_of(self, event: Event, name: str, now: float) -> TokenBucket:
-        bucket = self._buckets_by_name.get(name)
+    def _token_bucket(self, event: Event, name: str, now: float) -> TokenBucket:
+        bucket = self._token_buckets_by_event.get(name)
         if bucket is None:
-            rate = ESSENTIAL_PER_S if event.is_essential() else OTHER_PER_S
+            rate = ESSENTIAL_EVENTS_PER_S if event.is_essential() else OTHER_EVENTS_PER_S
             bucket = TokenBucket(rate, rate * BURST_S, now)
-            self._buckets_by_name[name] = bucket
+            self._token_buckets_by_event[name] = bucket
         return bucket
 
-    def _summarise(self, now: float) -> None:
-        self._summarised_at = now
+    def _write_summary(self, now: float) -> None:
+        self._summary_written_at = now
         if self._writer.dropped_lines:
-            self.left_out["unread_lines"] += self._writer.dropped_lines
+            self.omitted_counts["unread_lines"] += self._writer.dropped_lines
             self._writer.dropped_lines = 0
-        summary = EventsLeftOut(dict(self.left_out))
-        self.left_out.clear()
+        summary = EventsLeftOut(dict(self.omitted_counts))
+        self.omitted_counts.clear()
         self._write(summary)
 
     def _write(self, event: Event) -> None:
         body = msgspec.json.encode(event)
-        head = msgspec.json.encode({"at": round(time.time(), 3), "node": self._instance})
-        logger.opt(raw=True).info((head[:-1] + b"," + body[1:] + b"\n").decode())
+        prefix = msgspec.json.encode({"at": round(time.time(), 3), "node": self._instance})
+        logger.opt(raw=True).info((prefix[:-1] + b"," + body[1:] + b"\n").decode())
 
 
 def format_as_json(instance: str, message: Message) -> str:
--- a/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from wagtailkeel.errors import FlowNameError
+from wagtailkeel.errors import InvalidFlowError
 from wagtailkeel_coordination.events import EVENTS_BY_NAME
 from wagtailkeel_coordination.events import flow_id
 
@@ -19,7 +19,7 @@
 FLOW_ID_DIGITS = 16
 
 _OPENING_EVENTS = ("route_missing", "opening_placed", "opening_rejected", "opening_refused")
-_CAUSES_BY_EVENT = {
+_CAUSE_TEMPLATES_BY_EVENT = {
     "opening_refused": "the opening was refused: {reason}; {tried} servers were tried",
     "flow_reset": "the caller was told that nobody has the flow: {reason}",
     "route_missing": "the balancer has no route for it in version {routing_version}",
@@ -40,11 +40,11 @@
     position: int
 
     @property
-    def order(self) -> tuple[bool, int, float, int]:
+    def sort_key(self) -> tuple[bool, int, float, int]:
         """Openings come first, then by routing version: clocks of two nodes may disagree."""
-        is_later = self.event not in _OPENING_EVENTS
+        is_after_opening = self.event not in _OPENING_EVENTS
         version = int(self.fields.get("routing_version", 0))
-        return is_later, 0 if is_later else version, self.at, self.position
+        return is_after_opening, 0 if is_after_opening else version, self.at, self.position
 
 
 class FlowExplanation(msgspec.Struct):
@@ -53,16 +53,16 @@
     flow: str
     lines: list[LogLine]
     unreadable: int
-    foreign: int
+    unrelated: int
 
     @property
     def cause(self) -> str:
         """What ended the flow, or the last that is known of it."""
         if not self.lines:
             return "the logs do not name the flow"
-        final = [line for line in self.lines if line.event in _FINAL_EVENTS]
-        last = (final or self.lines)[-1]
-        template = _CAUSES_BY_EVENT.get(last.event)
+        final_lines = [line for line in self.lines if line.event in _FINAL_EVENTS]
+        last = (final_lines or self.lines)[-1]
+        template = _CAUSE_TEMPLATES_BY_EVENT.get(last.event)
         if template is None:
             return f"no decision ended it; the last is {last.event} on {last.node}"
         try:
@@ -73,25 +73,27 @@
 
 def explain_flow(flow: str, lines: Iterable[str | bytes]) -> FlowExplanation:
     """Collect what is said of a flow; cut and foreign lines are counted, never an error."""
-    found: list[LogLine] = []
-    unreadable = foreign = 0
-    for position, text in enumerate(lines):
-        fields = _decode(text)
+    flow_lines: list[LogLine] = []
+    unreadable = unrelated = 0
+    for position, raw_line in enumerate(lines):
+        fields = _decode_line(raw_line)
         if fields is None:
             unreadable += 1
         elif fields.get("event") not in EVENTS_BY_NAME:
-            foreign += 1
+            unrelated += 1
         elif fields.get("flow") == flow:
-            line = _to_line(fields, position)
+            line = _build_line(fields, position)
             if line is None:
                 unreadable += 1
             else:
-                found.append(line)
-    return FlowExplanation(flow, sorted(found, key=lambda line: line.order), unreadable, foreign)
+                flow_lines.append(line)
+    return FlowExplanation(
+        flow, sorted(flow_lines, key=lambda line: line.sort_key), unreadable, unrelated
+    )
 
 
-def _decode(text: str | bytes) -> dict[str, Any] | None:
-    data = text.encode() if isinstance(text, str) else text
+def _decode_line(raw_line: str | bytes) -> dict[str, Any] | None:
+    data = raw_line.encode() if isinstance(raw_line, str) else raw_line
     # A collector may have put its own words in front of the object.
     start = data.find(b"{")
     if start < 0:
@@ -102,34 +104,34 @@
         return None
 
 
-def _to_line(fields: dict[str, Any], position: int) -> LogLine | None:
+def _build_line(fields: dict[str, Any], position: int) -> LogLine | None:
     at, node, version = fields.get("at"), fields.get("node"), fields.get("routing_version", 0)
     if not isinstance(at, (int, float)) or not isinstance(node, str):
         return None
     if not isinstance(version, int):
         return None
-    rest = {k: v for k, v in fields.items() if k not in ("at", "node", "event", "flow")}
-    return LogLine(float(at), node, str(fields["event"]), rest, position)
+    details = {k: v for k, v in fields.items() if k not in ("at", "node", "event", "flow")}
+    return LogLine(float(at), node, str(fields["event"]), details, position)
 
 
-def parse_flow_name(name: str) -> str:
+def parse_flow_id(flow: str) -> str:
     """Return the flow id of "caller:port>route:port", or of an id as it is."""
-    if len(name) == FLOW_ID_DIGITS and all(digit in "0123456789abcdef" for digit in name):
-        return name
-    caller, separator, route = name.partition(">")
+    if len(flow) == FLOW_ID_DIGITS and all(digit in "0123456789abcdef" for digit in flow):
+        return flow
+    caller, separator, route = flow.partition(">")
     try:
         if not separator:
             raise ValueError("it has no '>'")
-        caller_address, caller_port = _parse_end(caller)
-        route_address, route_port = _parse_end(route)
+        caller_address, caller_port = _parse_endpoint(caller)
+        route_address, route_port = _parse_endpoint(route)
     except ValueError as error:
-        raise FlowNameError(name, str(error)) from error
+        raise InvalidFlowError(flow, str(error)) from error
     return flow_id(caller_address + route_address + caller_port + route_port)
 
 
-def _parse_end(text: str) -> tuple[bytes, bytes]:
+def _parse_endpoint(text: str) -> tuple[bytes, bytes]:
     host, _, port = text.rpartition(":")
-    number = int(port)
-    if not 0 < number <= 65_535:
-        raise ValueError(f"{number} is no port")
-    return ipaddress.ip_address(host).packed, struct.pack("!H", number)
+    port_number = int(port)
+    if not 0 < port_number <= 65_535:
+        raise ValueError(f"{port_number} is no port")
+    return ipaddress.ip_address(host).packed, struct.pack("!H", port_number)
--- a/packages/wagtailkeel/src/wagtailkeel/logs.py
+++ b/packages/wagtailkeel/src/wagtailkeel/logs.py
@@ -15,15 +15,15 @@
     from loguru import Message
 
 
-def start_logs(instance: str, level: str) -> EventLog:
+def configure_logging(instance: str, level: str) -> EventLog:
     """Send all lines to standard output as JSON; return the sink for events."""
     writer = LineWriter(sys.stdout.fileno())
 
-    def sink(message: Message) -> None:
+    def write_message(message: Message) -> None:
         # Events are lines already; whatever else is logged gets their form.
         is_event = message.startswith('{"at"')
         writer.write(str(message) if is_event else format_as_json(instance, message))
 
     logger.remove()
-    logger.add(sink, level=level, format="{message}", catch=True)
+    logger.add(write_message, level=level, format="{message}", catch=True)
     return EventLog(instance, writer)
--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -21,36 +21,36 @@
 SERVICE = "desk"
 ROUTE = "198.18.0.1"
 ROUTE_PORT = 8443
-HEARTBEAT_S = 0.2
-WAIT_S = 30.0
-POLL_S = 0.02
-LINES_IN_FAILURE = 60
-ENDS = struct.Struct("!IBBIIIH4s4sHH")
+HEARTBEAT_INTERVAL_S = 0.2
+WAIT_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.02
+FAILURE_LOG_LINES = 60
+PACKET_HEADER = struct.Struct("!IBBIIIH4s4sHH")
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports that the kernel says are free."""
     sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [int(found.getsockname()[1]) for found in sockets]
-    for found in sockets:
-        found.close()
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [int(sock.getsockname()[1]) for sock in sockets]
+    for sock in sockets:
+        sock.close()
     return ports
 
 
-def wait_until(condition: Any, what: str) -> Any:
+def wait_until(condition: Any, description: str) -> Any:
     """Return the first true value of a condition; fail after a while."""
-    deadline = time.monotonic() + WAIT_S
+    deadline = time.monotonic() + WAIT_TIMEOUT_S
     while time.monotonic() < deadline:
         value = condition()
         if value:
             return value
-        time.sleep(POLL_S)
-    raise AssertionError(f"waited in vain for {what}")
+        time.sleep(POLL_INTERVAL_S)
+    raise AssertionError(f"waited in vain for {description}")
 
 
-def call(host: str, port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+def http_call(host: str, port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
     """Make one call, following redirects; status 0 where nobody answers."""
     data = json.dumps(body).encode() if body is not None else None
     for _ in range(3):
@@ -71,14 +71,16 @@
     return 0, b""
 
 
-def build(
+def build_packet(
     flags: int, caller: tuple[str, int], *, is_reply: bool = False, ack: int = 0, data: bytes = b""
 ) -> bytes:
     """Return a packet between a caller and the route."""
-    ends = [(ROUTE, ROUTE_PORT), caller]
-    (to, to_port), (source, source_port) = reversed(ends) if is_reply else ends
+    endpoints = [(ROUTE, ROUTE_PORT), caller]
+    (destination, destination_port), (source, source_port) = (
+        reversed(endpoints) if is_reply else endpoints
+    )
     return (
-        ENDS.pack(
+        PACKET_HEADER.pack(
             1,
             flags,
             0,
@@ -86,10 +88,10 @@
             7,
             ack,
             len(data),
-            socket.inet_aton(to),
+            socket.inet_aton(destination),
             socket.inet_aton(source),
             source_port,
-            to_port,
+            destination_port,
         )
         + data
     )
@@ -98,37 +100,39 @@
 class FakeBackend(threading.Thread):
     """A backend server: takes flows, answers data with its own name, returns what it lacks."""
 
-    def __init__(self, host: str, port: int, outbound: tuple[str, int], control: int) -> None:
+    def __init__(
+        self, host: str, port: int, outbound_address: tuple[str, int], control_port: int
+    ) -> None:
         super().__init__(daemon=True)
         self.host = host
         self.state = "healthy"
-        self.is_alive_on_network = True
+        self.is_connected = True
         self.flows: set[bytes] = set()
         self._port = port
-        self._outbound = outbound
-        self._control = control
+        self._outbound_address = outbound_address
+        self._control_port = control_port
         self._sequence = 0
-        self._born = int(time.time() * 1_000)
+        self._started_at_ms = int(time.time() * 1_000)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
-        self._socket.settimeout(HEARTBEAT_S)
+        self._socket.settimeout(HEARTBEAT_INTERVAL_S)
 
     def run(self) -> None:
-        beaten_at = 0.0
+        last_heartbeat_at = 0.0
         while True:
-            if self.is_alive_on_network and time.monotonic() - beaten_at > HEARTBEAT_S:
-                beaten_at = time.monotonic()
-                self._beat()
+            if self.is_connected and time.monotonic() - last_heartbeat_at > HEARTBEAT_INTERVAL_S:
+                last_heartbeat_at = time.monotonic()
+                self._send_heartbeat()
             try:
                 packet = self._socket.recv(2_048)
             except TimeoutError:
                 continue
             except OSError:
                 return
-            if self.is_alive_on_network:
-                self._take(packet)
+            if self.is_connected:
+                self._handle_packet(packet)
 
-    def _beat(self) -> None:
+    def _send_heartbeat(self) -> None:
         self._sequence += 1
         body = {
             "service": SERVICE,
@@ -139,24 +143,26 @@
             "state": self.state,
             "warmup-left-ms": 0,
             "seq": self._sequence,
-            "born": self._born,
+            "born": self._started_at_ms,
         }
-        call(self.host, self._control, "POST", f"/-/instances/i-{self.host}/heartbeat", body)
+        http_call(
+            self.host, self._control_port, "POST", f"/-/instances/i-{self.host}/heartbeat", body
+        )
 
-    def _take(self, packet: bytes) -> None:
+    def _handle_packet(self, packet: bytes) -> None:
         flags, caller = packet[4], (socket.inet_ntoa(packet[24:28]), 0)
         caller = (caller[0], struct.unpack_from("!H", packet, 28)[0])
         key = packet[24:32]
         if flags & packets.SYN:
             self.flows.add(key)
-            self._send(build(packets.SYN | packets.ACK, caller, is_reply=True))
+            self._send(build_packet(packets.SYN | packets.ACK, caller, is_reply=True))
         elif key not in self.flows:
             self._send(packet[:4] + bytes([flags | packets.BOUNCED]) + packet[5:])
         elif len(packet) > packets.HEAD_BYTES:
-            self._send(build(packets.ACK, caller, is_reply=True, data=self.host.encode()))
+            self._send(build_packet(packets.ACK, caller, is_reply=True, data=self.host.encode()))
 
     def _send(self, packet: bytes) -> None:
-        self._socket.sendto(packet, self._outbound)
+        self._socket.sendto(packet, self._outbound_address)
 
     def close(self) -> None:
         self._socket.close()
@@ -170,26 +176,26 @@
         self.control_port, self.ready_port, self.packet_port, self.outbound_port = ports[:4]
         self._internal_port, self._app_port = ports[4], ports[5]
         self._folder = folder
-        self.cores = [f"127.31.0.{number}" for number in (1, 2, 3)]
-        self.sides = [f"127.31.1.{number}" for number in (1, 2)]
-        self.edge = "127.31.2.1"
+        self.control_hosts = [f"127.31.0.{number}" for number in (1, 2, 3)]
+        self.agent_hosts = [f"127.31.1.{number}" for number in (1, 2)]
+        self.balancer_host = "127.31.2.1"
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._caller.bind(("127.31.9.1", self.packet_port))
         self._caller.settimeout(0.2)
         self.backends = [
             FakeBackend(host, self._app_port, (host, self.outbound_port), self.control_port)
-            for host in self.sides
+            for host in self.agent_hosts
         ]
 
     def start(self) -> None:
         """Start everything and put the first configuration in force."""
-        for host in [*self.cores, *self.sides, self.edge]:
+        for host in [*self.control_hosts, *self.agent_hosts, self.balancer_host]:
             self.start_process(host)
         for backend in self.backends:
             backend.start()
-        self.configure(1)
-        wait_until(lambda: self.get_ready() == 200, "the balancer")
+        self.replace_configuration(1)
+        wait_until(lambda: self.get_readiness_status() == 200, "the balancer")
 
     def start_process(self, host: str) -> None:
         path = self._folder / f"{host}.toml"
@@ -217,23 +223,27 @@
                 process.kill()
                 process.wait()
         for backend in self.backends:
-            backend.is_alive_on_network = False
+            backend.is_connected = False
             backend.close()
         self._caller.close()
 
     def _settings(self, host: str) -> str:
-        is_core, is_side = host in self.cores, host in self.sides
-        serves = "control_plane" if is_core else "side" if is_side else "edge"
-        seeds = ",".join(f'"{core}:{self.control_port}"' for core in self.cores)
-        data = self._folder / f"data-{host}"
-        data.mkdir(exist_ok=True)
-        addresses = {"control-plane": self.control_port} if is_core else {"ready": self.ready_port}
-        if not is_core:
+        is_control, is_agent = host in self.control_hosts, host in self.agent_hosts
+        serves = "control_plane" if is_control else "side" if is_agent else "edge"
+        seeds = ",".join(
+            f'"{control_host}:{self.control_port}"' for control_host in self.control_hosts
+        )
+        data_folder = self._folder / f"data-{host}"
+        data_folder.mkdir(exist_ok=True)
+        addresses = (
+            {"control-plane": self.control_port} if is_control else {"ready": self.ready_port}
+        )
+        if not is_control:
             addresses["datagram-addr"] = self.packet_port
-        if is_side:
+        if is_agent:
             addresses["outbound"] = self.outbound_port
             addresses["control-plane"] = self.control_port
-        bound = "\n".join(f'{name} = "{host}:{port}"' for name, port in addresses.items())
+        bind_addresses = "\n".join(f'{name} = "{host}:{port}"' for name, port in addresses.items())
         return f"""
 node-name = "{host}"
 ip = "{host}"
@@ -244,15 +254,15 @@
 internal-port-range = [{self._internal_port}, {self._internal_port + 15}]
 seed-nodes = [{seeds}]
 bootstrap = true
-data-dir = "{data}"
-heartbeat-interval-ms = {int(HEARTBEAT_S * 1_000)}
+data-dir = "{data_folder}"
+heartbeat-interval-ms = {int(HEARTBEAT_INTERVAL_S * 1_000)}
 service = "{SERVICE}"
 app = "{host}:{self._app_port}"
 a-field-of-tomorrow = 1
 [zones]
 east = "home"
 [bind-addrs]
-{bound}
+{bind_addresses}
 [fault-tolerance]
 max-node-failures = 1
 [bounds]
@@ -260,7 +270,7 @@
 warmup-slack = 5
 """
 
-    def configure(self, version: int) -> None:
+    def replace_configuration(self, version: int) -> None:
         """Have a configuration acknowledged."""
         body = {
             "version": version,
@@ -277,39 +287,40 @@
         }
         path = "/-/config/replace"
         wait_until(
-            lambda: call(self.cores[0], self.control_port, "POST", path, body)[0] == 200,
+            lambda: http_call(self.control_hosts[0], self.control_port, "POST", path, body)[0]
+            == 200,
             "the acknowledgement of a configuration",
         )
 
-    def get_ready(self) -> int:
-        return call(self.edge, self.ready_port, "GET", "/-/readyz")[0]
+    def get_readiness_status(self) -> int:
+        return http_call(self.balancer_host, self.ready_port, "GET", "/-/readyz")[0]
 
-    def operate(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+    def call_operator_api(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
         """Make a call of the operator at the last control instance."""
-        return call(self.cores[-1], self.control_port, method, path, body)
+        return http_call(self.control_hosts[-1], self.control_port, method, path, body)
 
-    def exchange(self, packet: bytes) -> bytes | None:
+    def send_and_receive(self, packet: bytes) -> bytes | None:
         """Send a caller's packet; return the next packet that comes back, None without one."""
-        self._caller.sendto(packet, (self.edge, self.packet_port))
+        self._caller.sendto(packet, (self.balancer_host, self.packet_port))
         try:
             return self._caller.recv(2_048)
         except TimeoutError:
             return None
 
-    def open(self, port: int) -> None:
+    def open_flow(self, port: int) -> None:
         """Open a flow from a port, with copies of the opening as callers send them."""
         caller = ("127.31.9.1", port)
-        for copies in range(int(WAIT_S / 0.2)):
-            answer = self.exchange(build(packets.SYN, caller, ack=copies))
+        for attempt in range(int(WAIT_TIMEOUT_S / 0.2)):
+            answer = self.send_and_receive(build_packet(packets.SYN, caller, ack=attempt))
             if answer is not None and answer[4] & packets.SYN:
                 return
-        lines = b"\n".join(self.logs()[-LINES_IN_FAILURE:]).decode(errors="replace")
+        lines = b"\n".join(self.logs()[-FAILURE_LOG_LINES:]).decode(errors="replace")
         raise AssertionError(f"no server takes the opening; the last lines:\n{lines}")
 
-    def request(self, port: int) -> bytes:
+    def send_request(self, port: int) -> bytes:
         """Send data on a flow until it is answered; return the answer: data, or a reset."""
-        packet = build(packets.ACK, ("127.31.9.1", port), ack=1, data=b"request")
-        return bytes(wait_until(lambda: self.exchange(packet), "an answer"))
+        packet = build_packet(packets.ACK, ("127.31.9.1", port), ack=1, data=b"request")
+        return bytes(wait_until(lambda: self.send_and_receive(packet), "an answer"))
 
     def logs(self) -> list[bytes]:
         """Return the lines of all processes."""
--- a/tests/wagtailkeel/test_event_log.py
+++ b/tests/wagtailkeel/test_event_log.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from wagtailkeel.event_log import ESSENTIAL_PER_S
+from wagtailkeel.event_log import ESSENTIAL_EVENTS_PER_S
 from wagtailkeel.event_log import EventLog
 from wagtailkeel.line_writer import PENDING_LIMIT_BYTES
 from wagtailkeel.line_writer import LineWriter
@@ -19,7 +19,7 @@
 
 
 @contextmanager
-def pipe_log() -> Iterator[tuple[EventLog, LineWriter, int]]:
+def log_to_unread_pipe() -> Iterator[tuple[EventLog, LineWriter, int]]:
     """Yield a log whose lines go into a pipe that nobody reads."""
     reader, descriptor = os.pipe()
     writer = LineWriter(descriptor)
@@ -38,27 +38,27 @@
 
 
 class EventLogTest(unittest.TestCase):
-    def test_every_event_is_a_line_with_its_name(self) -> None:
-        with pipe_log() as (log, _, reader):
+    def test_event_is_written_as_a_json_line_with_its_name(self) -> None:
+        with log_to_unread_pipe() as (log, _, reader):
             log.emit(events.OpeningRefused("f1", "all_tried", 2, 3, 7))
             (line,) = read_lines(reader)
         self.assertEqual(line["event"], "opening_refused")
         self.assertEqual((line["node"], line["flow"], line["tried"]), ("n1", "f1", 2))
 
-    def test_names_are_unique_and_documented(self) -> None:
+    def test_event_types_have_unique_names_and_docstrings(self) -> None:
         self.assertEqual(len(events.EVENTS_BY_NAME), len(events.EVENT_TYPES))
-        for found in events.EVENT_TYPES:
-            with self.subTest(found.name()):
-                self.assertTrue(found.__doc__)
-                self.assertNotEqual(found.name(), found.__name__)
+        for event_type in events.EVENT_TYPES:
+            with self.subTest(event_type.name()):
+                self.assertTrue(event_type.__doc__)
+                self.assertNotEqual(event_type.name(), event_type.__name__)
 
-    def test_a_storm_is_bounded_and_counted(self) -> None:
-        with pipe_log() as (log, _, reader):
+    def test_event_burst_is_limited_and_omissions_are_counted(self) -> None:
+        with log_to_unread_pipe() as (log, _, reader):
             for _ in range(EVENTS):
                 log.emit(events.OpeningPlaced("f", "10.0.0.1", 1, 1, 1.0, 1.0))
             lines = read_lines(reader)
-            left_out = sum(log.left_out.values())
-        said = sum(
+            not_yet_reported = sum(log.omitted_counts.values())
+        omitted_in_summaries = sum(
             count
             for line in lines
             if line["event"] == "events_left_out"
@@ -66,34 +66,34 @@
         )
         placed = sum(line["event"] == "opening_placed" for line in lines)
         self.assertLess(placed, EVENTS / 10)
-        self.assertEqual(placed + said + left_out, EVENTS)
+        self.assertEqual(placed + omitted_in_summaries + not_yet_reported, EVENTS)
 
-    def test_placements_do_not_crowd_out_refusals(self) -> None:
-        with pipe_log() as (log, _, reader):
+    def test_placements_do_not_use_up_the_limit_of_refusals(self) -> None:
+        with log_to_unread_pipe() as (log, _, reader):
             for _ in range(EVENTS):
                 log.emit(events.OpeningPlaced("f", "10.0.0.1", 1, 1, 1.0, 1.0))
-            for _ in range(ESSENTIAL_PER_S):
+            for _ in range(ESSENTIAL_EVENTS_PER_S):
                 log.emit(events.OpeningRefused("f", "all_tried", 1, 1, 1))
             refused = [x for x in read_lines(reader) if x["event"] == "opening_refused"]
-        self.assertEqual(len(refused), ESSENTIAL_PER_S)
+        self.assertEqual(len(refused), ESSENTIAL_EVENTS_PER_S)
 
-    def test_a_reader_that_does_not_read_costs_lines_and_no_time(self) -> None:
-        with pipe_log() as (log, writer, _):
+    def test_unread_pipe_drops_lines_without_blocking(self) -> None:
+        with log_to_unread_pipe() as (log, writer, _):
             for number in range(EVENTS):
                 name = f"{number:0200d}"
                 for kind in (events.FlowAdopted, events.FlowReturned):
                     writer.write(name * 2 + "\n")
                     log.emit(kind(name))
-            self.assertGreater(writer.dropped_lines + log.left_out["unread_lines"], 0)
+            self.assertGreater(writer.dropped_lines + log.omitted_counts["unread_lines"], 0)
             self.assertLessEqual(len(writer._pending), PENDING_LIMIT_BYTES)
 
-    def test_flow_ids_differ_by_flow(self) -> None:
+    def test_flow_ids_are_hexadecimal_and_differ_by_flow(self) -> None:
         self.assertEqual(len({events.flow_id(bytes(11) + bytes([n])) for n in range(200)}), 200)
         self.assertRegex(events.flow_id(b"x"), "^[0-9a-f]{16}$")
 
 
-class ClosedListTest(unittest.TestCase):
-    def test_base_is_no_event(self) -> None:
+class EventTypesTest(unittest.TestCase):
+    def test_base_class_is_not_an_event_type(self) -> None:
         self.assertNotIn(Event, events.EVENT_TYPES)
 
 
--- a/tests/wagtailkeel/test_flow_explanation.py
+++ b/tests/wagtailkeel/test_flow_explanation.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from wagtailkeel.console.application import main
-from wagtailkeel.errors import FlowNameError
+from wagtailkeel.errors import InvalidFlowError
 from wagtailkeel.flow_explanation import explain_flow
-from wagtailkeel.flow_explanation import parse_flow_name
+from wagtailkeel.flow_explanation import parse_flow_id
 from wagtailkeel_coordination.events import flow_id
 
 FLOW = "0123456789abcdef"
@@ -39,12 +39,12 @@
 
 
 class ExplainTest(unittest.TestCase):
-    def test_a_refused_flow(self) -> None:
+    def test_explains_a_refused_flow(self) -> None:
         explanation = explain_flow(FLOW, REFUSED)
         self.assertIn("refused: all_tried", explanation.cause)
         self.assertEqual(len(explanation.lines), 3)
 
-    def test_a_flow_lost_with_its_server(self) -> None:
+    def test_explains_a_flow_lost_with_its_server(self) -> None:
         logs = [
             line(1.0, "a", "search_started", reason="not_in_directory", asked=3),
             line(1.2, "a", "search_ended", outcome="nowhere", server_agent="", silent=0),
@@ -52,23 +52,23 @@
         ]
         self.assertIn("held_nowhere", explain_flow(FLOW, logs).cause)
 
-    def test_an_older_version_comes_first_whatever_its_clock_says(self) -> None:
+    def test_older_routing_version_sorts_first_despite_clock_skew(self) -> None:
         logs = [
             line(3.0, "new", "opening_placed", server_agent="x", routing_version=8),
             line(7.0, "old", "route_missing", endpoint="", routing_version=7, is_refused=False),
         ]
         self.assertEqual([x.node for x in explain_flow(FLOW, logs).lines], ["old", "new"])
 
-    def test_foreign_and_cut_lines_are_counted(self) -> None:
+    def test_unrelated_and_truncated_lines_are_counted(self) -> None:
         logs = ["", "words", '{"event":', json.dumps({"event": "else"}), "[1]", *REFUSED]
         explanation = explain_flow(FLOW, [*logs, b"\xff{\xfe"])
-        self.assertEqual((explanation.unreadable, explanation.foreign), (5, 1))
+        self.assertEqual((explanation.unreadable, explanation.unrelated), (5, 1))
         self.assertEqual(len(explanation.lines), 3)
 
-    def test_lines_with_a_collector_in_front(self) -> None:
+    def test_prefix_of_a_log_collector_is_skipped(self) -> None:
         self.assertEqual(len(explain_flow(FLOW, [f"12.0 node {REFUSED[0]}"]).lines), 1)
 
-    def test_nothing_known(self) -> None:
+    def test_flow_without_log_lines(self) -> None:
         self.assertIn("do not name", explain_flow(FLOW, []).cause)
 
     @settings(max_examples=200, deadline=None, derandomize=True)
@@ -80,21 +80,21 @@
         self.assertTrue(explain_flow(FLOW, [bytes(text)]).cause)
 
 
-class FlowNameTest(unittest.TestCase):
-    def test_names(self) -> None:
+class FlowIdTest(unittest.TestCase):
+    def test_valid_flows(self) -> None:
         expected = flow_id(KEY)
-        self.assertEqual(parse_flow_name("100.64.0.7:40001>198.18.0.1:443"), expected)
-        self.assertEqual(parse_flow_name(FLOW), FLOW)
+        self.assertEqual(parse_flow_id("100.64.0.7:40001>198.18.0.1:443"), expected)
+        self.assertEqual(parse_flow_id(FLOW), FLOW)
         self.assertEqual(flow_id(KEY + b"\x06"), expected)
 
-    def test_bad_names(self) -> None:
+    def test_invalid_flows(self) -> None:
         for name in ("", "x", "1.2.3.4:5", "1.2.3.4:0>1.2.3.4:1", "1.2.3:4>5.6.7.8:9"):
-            with self.subTest(name), self.assertRaises(FlowNameError):
-                parse_flow_name(name)
+            with self.subTest(name), self.assertRaises(InvalidFlowError):
+                parse_flow_id(name)
 
 
 class ExplainCommandTest(unittest.TestCase):
-    def test_command(self) -> None:
+    def test_exit_code_and_output(self) -> None:
         table = [
             (FLOW, "\n".join(REFUSED), 0, "refused: all_tried"),
             (FLOW, "", 1, "do not name"),
--- a/tests/wagtailkeel/test_metrics_server.py
+++ b/tests/wagtailkeel/test_metrics_server.py
@@ -15,9 +15,9 @@
 def free_port() -> int:
     import socket
 
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return int(found.getsockname()[1])
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
 
 
 class MetricsTextTest(unittest.TestCase):
@@ -31,12 +31,12 @@
         self.assertIn("wagtailkeel_response_seconds_count 10.0", text)
         self.assertIn('wagtailkeel_response_seconds{quantile="0.99"} 0.02', text)
 
-    def test_nothing_recorded(self) -> None:
+    def test_no_response_times_recorded(self) -> None:
         self.assertIn("wagtailkeel_response_seconds_count 0.0", render_metrics(Metrics()).decode())
 
 
 class MetricsServerTest(unittest.TestCase):
-    def test_serves_its_path_and_survives_a_taken_port(self) -> None:
+    def test_serves_metrics_and_survives_a_port_in_use(self) -> None:
         port = free_port()
         metrics = Metrics()
         metrics.counters["x"] += 1
--- a/tests/wagtailkeel/test_operations_page.py
+++ b/tests/wagtailkeel/test_operations_page.py
@@ -20,28 +20,28 @@
     "platform",
 )
 FILES = ("packages/wagtailkeel/src/wagtailkeel/roles/node_link.py",)
-_COUNTER = re.compile(r'counters\["([a-z_]+)"\]')
+_COUNTER_PATTERN = re.compile(r'counters\["([a-z_]+)"\]')
 
 
 class OperationsPageTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.named = set(re.findall(r"`([a-z_]+)`", PAGE.read_text()))
+        self.documented = set(re.findall(r"`([a-z_]+)`", PAGE.read_text()))
 
-    def test_events(self) -> None:
-        self.assertLessEqual(set(events.EVENTS_BY_NAME), self.named)
+    def test_events_are_documented(self) -> None:
+        self.assertLessEqual(set(events.EVENTS_BY_NAME), self.documented)
 
-    def test_reasons_of_the_gate(self) -> None:
+    def test_gate_reasons_are_documented(self) -> None:
         names = {reason.value for reason in GateReason}
-        self.assertLessEqual(names, self.named)
-        self.assertLessEqual({f"rejected_{name}" for name in names}, self.named)
+        self.assertLessEqual(names, self.documented)
+        self.assertLessEqual({f"rejected_{name}" for name in names}, self.documented)
 
-    def test_counters(self) -> None:
+    def test_counters_are_documented(self) -> None:
         files = [path for folder in FOLDERS for path in (ROOT / folder).rglob("*.py")]
         files += [ROOT / name for name in FILES]
-        counters = {name for path in files for name in _COUNTER.findall(path.read_text())}
+        counters = {name for path in files for name in _COUNTER_PATTERN.findall(path.read_text())}
         self.assertGreater(len(counters), 30)
-        self.assertLessEqual(counters, self.named)
-        self.assertLessEqual({f"dropped_{fault.value}" for fault in Malformed}, self.named)
+        self.assertLessEqual(counters, self.documented)
+        self.assertLessEqual({f"dropped_{reason.value}" for reason in Malformed}, self.documented)
 
 
 if __name__ == "__main__":
