Reword texts of the daemon, its logs and their tests

Docstrings and messages such as 'names no flow', 'left out', 'the logs do not name the flow' and 'nobody has the flow' did not say who does what. Reworded in the field's terms, with every reason kept; the tests that match a message match its new text as strictly as before.

--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -1,4 +1,4 @@
-"""One process: the roles that its settings name."""
+"""The daemon, which runs the roles of one process."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 
 
 class Role(Protocol):
-    """A role as the daemon sees it."""
+    """Interface of a role towards the daemon."""
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
-        """Serve until cancelled; report as started once the role takes part."""
+        """Serve until cancelled; report the role as started once it takes part."""
 
     async def stop(self) -> None:
-        """Pass on what others need, before the role is cancelled."""
+        """Hand over the state that other instances need, before the role is cancelled."""
 
 
 class DeferredRole:
-    """A role that is built, and its modules imported, only once the roles before it run."""
+    """A role that is built, and its modules imported, only once the preceding roles run."""
 
     def __init__(self, name: str, build: Callable[[], Role]) -> None:
         self.name = name
@@ -44,7 +44,7 @@
         await self._role.run(task_status=task_status)
 
     async def stop(self) -> None:
-        """Stop the role, where it was built."""
+        """Stop the role if it has been built."""
         if self._role is not None:
             await self._role.stop()
 
@@ -55,7 +55,7 @@
 
 
 class Daemon:
-    """Starts all roles, waits for a signal, stops them gracefully."""
+    """Starts all roles, waits for a signal and stops the roles gracefully."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
-        """Build the roles in the order in which they depend on one another."""
+        """Build the roles in the order of their dependencies."""
         roles: list[Role] = []
         if settings.control is not None:
             from wagtailkeel.roles.control import Control
@@ -86,7 +86,7 @@
         return cls(roles)
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT; SIGHUP says that the settings have changed."""
+        """Serve until SIGTERM or SIGINT; SIGHUP signals that the settings have changed."""
         handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*handled_signals) as signals:
             async with anyio.create_task_group() as tasks:
@@ -103,8 +103,11 @@
         logger.info("stopped")
 
     def _reload_settings(self) -> None:
-        """Seeds are read again when a peer is not reachable; nothing else may change."""
-        logger.info("the settings have changed")
+        """Log the present seeds; no other setting may change while the process runs.
+
+        The roles read the seeds again when they can't reach a control instance.
+        """
+        logger.info("settings file changed")
         if self._read_seeds is not None:
             self._emit(events.SettingsReloaded(self._read_seeds()))
 
--- a/packages/wagtailkeel/src/wagtailkeel/errors.py
+++ b/packages/wagtailkeel/src/wagtailkeel/errors.py
@@ -1,14 +1,14 @@
-"""Errors of the two binaries."""
+"""Errors of the wagtailkeeld and wagtailkeel programs."""
 
 from __future__ import annotations
 
 
 class WagtailkeelError(Exception):
-    """Base of all errors that end a command with a message."""
+    """Base class of errors that end a command with a message."""
 
 
 class SettingsError(WagtailkeelError):
-    """Settings that can't be used; names the file, the key, what was expected and found."""
+    """Invalid settings; the message has the file, the key, and what was expected and found."""
 
     def __init__(self, path: str, key: str, detail: str) -> None:
         location = f"{path}: {key}" if key else path
@@ -20,10 +20,10 @@
 
 
 class InvalidFlowError(WagtailkeelError):
-    """A flow is named in a way that can't be read."""
+    """A flow is given in a form that can't be parsed."""
 
     def __init__(self, name: str, detail: str) -> None:
         super().__init__(
-            f"{name!r} names no flow: {detail}; expected 16 hexadecimal digits or "
+            f"{name!r} is not a flow: {detail}; expected 16 hexadecimal digits or "
             "caller:port>route:port"
         )
--- a/packages/wagtailkeel/src/wagtailkeel/event_log.py
+++ b/packages/wagtailkeel/src/wagtailkeel/event_log.py
@@ -1,4 +1,4 @@
-"""Writes events as JSON lines, bounded in volume."""
+"""Writes events as JSON lines, with a rate limit for each kind of event."""
 
 from __future__ import annotations
 
@@ -25,14 +25,14 @@
 
 
 class TokenBucket(msgspec.Struct):
-    """Rate limit of one kind of event; times in seconds."""
+    """Rate limit of one kind of event; ``rate`` is in tokens per second, times in seconds."""
 
     rate: float
     tokens: float
     refilled_at: float
 
     def try_consume(self, now: float) -> bool:
-        """Take one token, if there is one."""
+        """Consume a token; return whether one was available."""
         self.tokens = min(self.rate * BURST_S, self.tokens + (now - self.refilled_at) * self.rate)
         self.refilled_at = now
         if self.tokens < 1.0:
@@ -42,9 +42,10 @@
 
 
 class EventLog:
-    """Implements the event sink: each kind of event has a rate limit of its own.
+    """Implements the event sink, with a separate rate limit for each kind of event.
 
-    What is left out, here or by the writer, is counted and said once a second.
+    Events over the limit and lines dropped by the writer are counted; the counts are logged at
+    most once a second.
     """
 
     def __init__(self, instance: str, writer: LineWriter) -> None:
@@ -55,7 +56,7 @@
         self._summary_written_at = float("-inf")
 
     def emit(self, event: Event) -> None:
-        """Write an event, or count it as left out."""
+        """Write an event, or count it as omitted."""
         now = clock.seconds()
         name = event.name()
         if self._token_bucket(event, name, now).try_consume(now):
@@ -90,7 +91,7 @@
 
 
 def format_as_json(instance: str, message: Message) -> str:
-    """Return a log line that is no event in the form of events."""
+    """Return a log message other than an event as a JSON line in the format of events."""
     record = message.record
     line = {
         "at": round(record["time"].timestamp(), 3),
--- a/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -1,4 +1,4 @@
-"""Putting the log lines of all processes about one flow in order, and saying what ended it."""
+"""Orders the log lines of all processes about one flow and determines what ended the flow."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 _OPENING_EVENTS = ("route_missing", "opening_placed", "opening_rejected", "opening_refused")
 _CAUSE_TEMPLATES_BY_EVENT = {
     "opening_refused": "the opening was refused: {reason}; {tried} servers were tried",
-    "flow_reset": "the caller was told that nobody has the flow: {reason}",
-    "route_missing": "the balancer has no route for it in version {routing_version}",
-    "search_ended": "the flow was searched for: {outcome}, {silent} agents did not answer",
-    "opening_rejected": "a server did not take the opening: {reason}",
-    "flow_returned": "a server returned a packet of the flow: it does not hold it",
+    "flow_reset": "a reset was sent to the caller, as no server holds the flow: {reason}",
+    "route_missing": "the balancer has no route for the flow in routing version {routing_version}",
+    "search_ended": "the search for the flow ended: {outcome}; {silent} agents did not answer",
+    "opening_rejected": "an agent or its server rejected the opening: {reason}",
+    "flow_returned": "a server returned a packet because it does not hold the flow",
 }
 _FINAL_EVENTS = ("opening_refused", "flow_reset")
 
 
 class LogLine(msgspec.Struct):
-    """One line about a flow; ``position`` is its place among the lines read."""
+    """One log line about a flow; ``position`` is its index among the lines read."""
 
     at: float
     node: str
@@ -41,14 +41,14 @@
 
     @property
     def sort_key(self) -> tuple[bool, int, float, int]:
-        """Openings come first, then by routing version: clocks of two nodes may disagree."""
+        """Sort openings first and by routing version, since the clocks of two nodes may differ."""
         is_after_opening = self.event not in _OPENING_EVENTS
         version = int(self.fields.get("routing_version", 0))
         return is_after_opening, 0 if is_after_opening else version, self.at, self.position
 
 
 class FlowExplanation(msgspec.Struct):
-    """What the logs say of a flow; lines that could not be used are counted."""
+    """The log lines about a flow, and the numbers of lines that could not be used."""
 
     flow: str
     lines: list[LogLine]
@@ -57,22 +57,22 @@
 
     @property
     def cause(self) -> str:
-        """What ended the flow, or the last that is known of it."""
+        """What ended the flow, or else the last event known of it."""
         if not self.lines:
-            return "the logs do not name the flow"
+            return "the logs do not contain the flow"
         final_lines = [line for line in self.lines if line.event in _FINAL_EVENTS]
         last = (final_lines or self.lines)[-1]
         template = _CAUSE_TEMPLATES_BY_EVENT.get(last.event)
         if template is None:
-            return f"no decision ended it; the last is {last.event} on {last.node}"
+            return f"no event ended the flow; the last is {last.event} on {last.node}"
         try:
             return f"{template.format(**last.fields)} (on {last.node})"
         except KeyError as error:
-            return f"{last.event} on {last.node}, without {error}"
+            return f"{last.event} on {last.node}, but the event lacks the field {error}"
 
 
 def explain_flow(flow: str, lines: Iterable[str | bytes]) -> FlowExplanation:
-    """Collect what is said of a flow; cut and foreign lines are counted, never an error."""
+    """Collect the events of a flow; truncated and unrelated lines are counted, never an error."""
     flow_lines: list[LogLine] = []
     unreadable = unrelated = 0
     for position, raw_line in enumerate(lines):
@@ -94,7 +94,7 @@
 
 def _decode_line(raw_line: str | bytes) -> dict[str, Any] | None:
     data = raw_line.encode() if isinstance(raw_line, str) else raw_line
-    # A collector may have put its own words in front of the object.
+    # A log collector may have put a prefix in front of the JSON object.
     start = data.find(b"{")
     if start < 0:
         return None
@@ -115,13 +115,13 @@
 
 
 def parse_flow_id(flow: str) -> str:
-    """Return the flow id of "caller:port>route:port", or of an id as it is."""
+    """Return the flow id of "caller:port>route:port"; return a flow id unchanged."""
     if len(flow) == FLOW_ID_DIGITS and all(digit in "0123456789abcdef" for digit in flow):
         return flow
     caller, separator, route = flow.partition(">")
     try:
         if not separator:
-            raise ValueError("it has no '>'")
+            raise ValueError("'>' is missing")
         caller_address, caller_port = _parse_endpoint(caller)
         route_address, route_port = _parse_endpoint(route)
     except ValueError as error:
@@ -133,5 +133,5 @@
     host, _, port = text.rpartition(":")
     port_number = int(port)
     if not 0 < port_number <= 65_535:
-        raise ValueError(f"{port_number} is no port")
+        raise ValueError(f"{port_number} is not a port number")
     return ipaddress.ip_address(host).packed, struct.pack("!H", port_number)
--- a/packages/wagtailkeel/src/wagtailkeel/line_writer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/line_writer.py
@@ -1,4 +1,4 @@
-"""Writes log lines without ever waiting for their reader."""
+"""Writes log lines without ever blocking on their reader."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 
 class LineWriter:
-    """Writes to a descriptor that is made non-blocking.
+    """Writes lines to a file descriptor, which it makes non-blocking.
 
-    A reader that does not read costs lines, which are counted, and never time.
+    If the reader does not read, lines are dropped and counted instead of blocking the process.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -20,7 +20,7 @@
         os.set_blocking(descriptor, False)
 
     def write(self, line: str) -> None:
-        """Write a line, keep it for later, or drop and count it."""
+        """Write or buffer a line; drop and count it if the buffer is full."""
         data = line.encode()
         if len(self._pending) + len(data) > PENDING_LIMIT_BYTES:
             self.dropped_lines += 1
@@ -32,6 +32,6 @@
         try:
             written = os.write(self._descriptor, self._pending)
         except OSError:
-            # The pipe is full, or its reader has gone: lines wait up to the limit.
+            # The pipe is full or its reader has closed it: lines stay buffered up to the limit.
             return
         self._pending = self._pending[written:]
--- a/packages/wagtailkeel/src/wagtailkeel/logs.py
+++ b/packages/wagtailkeel/src/wagtailkeel/logs.py
@@ -1,4 +1,4 @@
-"""Sets up the log of a process: loguru, JSON lines, a writer that never blocks."""
+"""Configures the logging of a process: loguru, JSON lines and a writer that never blocks."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 
 
 def configure_logging(instance: str, level: str) -> EventLog:
-    """Send all lines to standard output as JSON; return the sink for events."""
+    """Write all log messages to standard output as JSON lines; return the event sink."""
     writer = LineWriter(sys.stdout.fileno())
 
     def write_message(message: Message) -> None:
-        # Events are lines already; whatever else is logged gets their form.
+        # Events are already JSON lines; all other messages are converted to the same format.
         is_event = message.startswith('{"at"')
         writer.write(str(message) if is_event else format_as_json(instance, message))
 
--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -1,4 +1,4 @@
-"""A site of real processes on loopback addresses, each agent with a backend server of our own."""
+"""A site of real processes on loopback addresses, with a fake backend server beside each agent."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel says are free."""
+    """Return ports that the kernel reports as free."""
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
         sock.bind(("127.0.0.1", 0))
@@ -40,18 +40,18 @@
 
 
 def wait_until(condition: Any, description: str) -> Any:
-    """Return the first true value of a condition; fail after a while."""
+    """Return the first true value of a condition; fail after ``WAIT_TIMEOUT_S``."""
     deadline = time.monotonic() + WAIT_TIMEOUT_S
     while time.monotonic() < deadline:
         value = condition()
         if value:
             return value
         time.sleep(POLL_INTERVAL_S)
-    raise AssertionError(f"waited in vain for {description}")
+    raise AssertionError(f"timed out waiting for {description}")
 
 
 def http_call(host: str, port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
-    """Make one call, following redirects; status 0 where nobody answers."""
+    """Send an HTTP request, following redirects; return status 0 if there is no answer."""
     data = json.dumps(body).encode() if body is not None else None
     for _ in range(3):
         connection = http.client.HTTPConnection(host, port, timeout=3)
@@ -98,7 +98,7 @@
 
 
 class FakeBackend(threading.Thread):
-    """A backend server: takes flows, answers data with its own name, returns what it lacks."""
+    """A backend server: accepts flows, answers data with its host, returns other flows' packets."""
 
     def __init__(
         self, host: str, port: int, outbound_address: tuple[str, int], control_port: int
@@ -169,7 +169,7 @@
 
 
 class FakeSite:
-    """Three control instances, two agents with servers, one balancer; data centre "east"."""
+    """Three control instances, two agents with servers and one balancer in data centre "east"."""
 
     def __init__(self, folder: Path) -> None:
         ports = free_ports(7)
@@ -189,7 +189,7 @@
         ]
 
     def start(self) -> None:
-        """Start everything and put the first configuration in force."""
+        """Start all processes and backend servers, and apply the first configuration."""
         for host in [*self.control_hosts, *self.agent_hosts, self.balancer_host]:
             self.start_process(host)
         for backend in self.backends:
@@ -258,7 +258,7 @@
 heartbeat-interval-ms = {int(HEARTBEAT_INTERVAL_S * 1_000)}
 service = "{SERVICE}"
 app = "{host}:{self._app_port}"
-a-field-of-tomorrow = 1
+field-of-a-later-version = 1
 [zones]
 east = "home"
 [bind-addrs]
@@ -271,7 +271,7 @@
 """
 
     def replace_configuration(self, version: int) -> None:
-        """Have a configuration acknowledged."""
+        """Replace the configuration and wait until that is acknowledged."""
         body = {
             "version": version,
             "routes": [
@@ -296,11 +296,11 @@
         return http_call(self.balancer_host, self.ready_port, "GET", "/-/readyz")[0]
 
     def call_operator_api(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
-        """Make a call of the operator at the last control instance."""
+        """Send an operator's request to the last control instance."""
         return http_call(self.control_hosts[-1], self.control_port, method, path, body)
 
     def send_and_receive(self, packet: bytes) -> bytes | None:
-        """Send a caller's packet; return the next packet that comes back, None without one."""
+        """Send a caller's packet; return the next packet that comes back, or None."""
         self._caller.sendto(packet, (self.balancer_host, self.packet_port))
         try:
             return self._caller.recv(2_048)
@@ -308,14 +308,14 @@
             return None
 
     def open_flow(self, port: int) -> None:
-        """Open a flow from a port, with copies of the opening as callers send them."""
+        """Open a flow from a port, retransmitting the opening packet as callers do."""
         caller = ("127.31.9.1", port)
         for attempt in range(int(WAIT_TIMEOUT_S / 0.2)):
             answer = self.send_and_receive(build_packet(packets.SYN, caller, ack=attempt))
             if answer is not None and answer[4] & packets.SYN:
                 return
         lines = b"\n".join(self.logs()[-FAILURE_LOG_LINES:]).decode(errors="replace")
-        raise AssertionError(f"no server takes the opening; the last lines:\n{lines}")
+        raise AssertionError(f"no server accepted the opening; the last log lines:\n{lines}")
 
     def send_request(self, port: int) -> bytes:
         """Send data on a flow until it is answered; return the answer: data, or a reset."""
@@ -323,7 +323,7 @@
         return bytes(wait_until(lambda: self.send_and_receive(packet), "an answer"))
 
     def logs(self) -> list[bytes]:
-        """Return the lines of all processes."""
+        """Return the log lines of all processes."""
         return [
             line for path in self._folder.glob("*.log") for line in path.read_bytes().splitlines()
         ]
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,4 +1,4 @@
-"""The adapter's real processes: a flow through all of them, and what the logs say of failures."""
+"""Tests the adapter's real processes: a flow through all of them, and failures in their logs."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
         cls.site.start()
 
     def wait_for_cause(self, port: int, text: str) -> str:
-        """Wait until the logs alone say a word about a flow."""
+        """Wait until the cause that the logs alone give for a flow contains a text; return it."""
         flow = parse_flow_id(f"127.31.9.1:{port}>{ROUTE}:{ROUTE_PORT}")
 
         def find_cause() -> str:
@@ -81,7 +81,7 @@
         self.assertIn("no_server_accepts", self.wait_for_cause(port, "refused"))
 
     def open_until_refused(self, first_port: int) -> int:
-        """Open flows until one is refused: servers may take some before they are heard to drain."""
+        """Open flows until one is refused: servers accept some until they report their drain."""
         ports = iter(range(first_port, first_port + 1_000))
 
         def find_refused() -> int:
@@ -99,7 +99,7 @@
         try:
             answer = self.site.send_request(3_001)
             self.assertTrue(answer[4] & packets.RST)
-            self.assertIn("held_nowhere", self.wait_for_cause(3_001, "nobody has the flow"))
+            self.assertIn("held_nowhere", self.wait_for_cause(3_001, "no server holds the flow"))
         finally:
             backend.flows.clear()
             backend._started_at_ms += 1
--- a/tests/wagtailkeel/test_event_log.py
+++ b/tests/wagtailkeel/test_event_log.py
@@ -20,7 +20,7 @@
 
 @contextmanager
 def log_to_unread_pipe() -> Iterator[tuple[EventLog, LineWriter, int]]:
-    """Yield a log whose lines go into a pipe that nobody reads."""
+    """Yield an event log that writes into a pipe, its writer, and the unread end of the pipe."""
     reader, descriptor = os.pipe()
     writer = LineWriter(descriptor)
     logger.remove()
--- a/tests/wagtailkeel/test_flow_explanation.py
+++ b/tests/wagtailkeel/test_flow_explanation.py
@@ -69,7 +69,7 @@
         self.assertEqual(len(explain_flow(FLOW, [f"12.0 node {REFUSED[0]}"]).lines), 1)
 
     def test_flow_without_log_lines(self) -> None:
-        self.assertIn("do not name", explain_flow(FLOW, []).cause)
+        self.assertIn("do not contain", explain_flow(FLOW, []).cause)
 
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.data())
@@ -97,8 +97,8 @@
     def test_exit_code_and_output(self) -> None:
         table = [
             (FLOW, "\n".join(REFUSED), 0, "refused: all_tried"),
-            (FLOW, "", 1, "do not name"),
-            ("odd", "", 2, "names no flow"),
+            (FLOW, "", 1, "do not contain"),
+            ("odd", "", 2, "is not a flow"),
         ]
         for flow, logs, status, expected in table:
             with self.subTest(flow=flow, size=len(logs)):
--- a/tests/wagtailkeel/test_operations_page.py
+++ b/tests/wagtailkeel/test_operations_page.py
@@ -1,4 +1,4 @@
-"""The page for on-call engineers names every event, reason and counter that the code has."""
+"""Checks that the page for on-call engineers lists every event, reason and counter in the code."""
 
 from __future__ import annotations
 
