--- a/packages/wagtailkeel/src/wagtailkeel/errors.py
+++ b/packages/wagtailkeel/src/wagtailkeel/errors.py
@@ -22,8 +22,8 @@
 class InvalidFlowError(WagtailkeelError):
     """A flow is given in a form that can't be parsed."""
 
-    def __init__(self, name: str, detail: str) -> None:
+    def __init__(self, flow: str, detail: str) -> None:
         super().__init__(
-            f"{name!r} is not a flow: {detail}; expected 16 hexadecimal digits or "
+            f"{flow!r} is not a flow: {detail}; expected 16 hexadecimal digits or "
             "caller:port>route:port"
         )
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -112,7 +112,8 @@
         self.assertTrue(answer[4] & packets.RST)
         flow = parse_flow_id(f"127.31.9.1:4001>{ROUTE}:{ROUTE_PORT + 1}")
         cause = wait_until(
-            lambda: (found := explain_flow(flow, self.site.logs())).lines and found.cause,
+            lambda: (explanation := explain_flow(flow, self.site.logs())).lines
+            and explanation.cause,
             "the line about the missing route",
         )
         self.assertIn("no route", cause)
--- a/tests/wagtailkeel/test_event_log.py
+++ b/tests/wagtailkeel/test_event_log.py
@@ -15,7 +15,7 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import Event
 
-EVENTS = 2_000
+EVENT_COUNT = 2_000
 
 
 @contextmanager
@@ -54,7 +54,7 @@
 
     def test_event_burst_is_limited_and_omissions_are_counted(self) -> None:
         with log_to_unread_pipe() as (log, _, reader):
-            for _ in range(EVENTS):
+            for _ in range(EVENT_COUNT):
                 log.emit(events.OpeningPlaced("f", "10.0.0.1", 1, 1, 1.0, 1.0))
             lines = read_lines(reader)
             not_yet_reported = sum(log.omitted_counts.values())
@@ -65,12 +65,12 @@
             for count in dict(line["counts"]).values()  # type: ignore[call-overload]
         )
         placed = sum(line["event"] == "opening_placed" for line in lines)
-        self.assertLess(placed, EVENTS / 10)
-        self.assertEqual(placed + omitted_in_summaries + not_yet_reported, EVENTS)
+        self.assertLess(placed, EVENT_COUNT / 10)
+        self.assertEqual(placed + omitted_in_summaries + not_yet_reported, EVENT_COUNT)
 
     def test_placements_do_not_use_up_the_limit_of_refusals(self) -> None:
         with log_to_unread_pipe() as (log, _, reader):
-            for _ in range(EVENTS):
+            for _ in range(EVENT_COUNT):
                 log.emit(events.OpeningPlaced("f", "10.0.0.1", 1, 1, 1.0, 1.0))
             for _ in range(ESSENTIAL_EVENTS_PER_S):
                 log.emit(events.OpeningRefused("f", "all_tried", 1, 1, 1))
@@ -79,7 +79,7 @@
 
     def test_unread_pipe_drops_lines_without_blocking(self) -> None:
         with log_to_unread_pipe() as (log, writer, _):
-            for number in range(EVENTS):
+            for number in range(EVENT_COUNT):
                 name = f"{number:0200d}"
                 for kind in (events.FlowAdopted, events.FlowReturned):
                     writer.write(name * 2 + "\n")
--- a/tests/wagtailkeel/test_flow_explanation.py
+++ b/tests/wagtailkeel/test_flow_explanation.py
@@ -88,9 +88,9 @@
         self.assertEqual(flow_id(KEY + b"\x06"), expected)
 
     def test_invalid_flows(self) -> None:
-        for name in ("", "x", "1.2.3.4:5", "1.2.3.4:0>1.2.3.4:1", "1.2.3:4>5.6.7.8:9"):
-            with self.subTest(name), self.assertRaises(InvalidFlowError):
-                parse_flow_id(name)
+        for flow in ("", "x", "1.2.3.4:5", "1.2.3.4:0>1.2.3.4:1", "1.2.3:4>5.6.7.8:9"):
+            with self.subTest(flow), self.assertRaises(InvalidFlowError):
+                parse_flow_id(flow)
 
 
 class ExplainCommandTest(unittest.TestCase):
--- a/tests/wagtailkeel/test_operations_page.py
+++ b/tests/wagtailkeel/test_operations_page.py
@@ -12,14 +12,14 @@
 
 ROOT = Path(__file__).parents[2]
 PAGE = ROOT / "docs" / "OPERATIONS.md"
-FOLDERS = (
+COUNTER_FOLDERS = (
     "packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake",
     "packages/wagtailkeel/src/wagtailkeel/roles/handshake",
     "packages/wagtailkeel/src/wagtailkeel/roles/control",
     "packages/wagtailkeel-transport/src",
     "platform",
 )
-FILES = ("packages/wagtailkeel/src/wagtailkeel/roles/node_link.py",)
+COUNTER_FILES = ("packages/wagtailkeel/src/wagtailkeel/roles/node_link.py",)
 _COUNTER_PATTERN = re.compile(r'counters\["([a-z_]+)"\]')
 
 
@@ -36,8 +36,8 @@
         self.assertLessEqual({f"rejected_{name}" for name in names}, self.documented)
 
     def test_counters_are_documented(self) -> None:
-        files = [path for folder in FOLDERS for path in (ROOT / folder).rglob("*.py")]
-        files += [ROOT / name for name in FILES]
+        files = [path for folder in COUNTER_FOLDERS for path in (ROOT / folder).rglob("*.py")]
+        files += [ROOT / name for name in COUNTER_FILES]
         counters = {name for path in files for name in _COUNTER_PATTERN.findall(path.read_text())}
         self.assertGreater(len(counters), 30)
         self.assertLessEqual(counters, self.documented)
