State the order of control ids and the counts of unusable log lines

The docstrings did not say in which order control instances are listed, nor which lines are counted as unreadable and which as unrelated. Both say so now; no behaviour changes: the linters and type checker report nothing and the 27 tests of tests/wagtailkeel pass.

--- a/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -48,7 +48,10 @@
 
 
 class FlowExplanation(msgspec.Struct):
-    """The log lines about a flow, and the numbers of lines that could not be used."""
+    """The log lines about a flow, and the numbers of lines that could not be used.
+
+    ``unreadable`` counts truncated or malformed lines, ``unrelated`` lines of no known event.
+    """
 
     flow: str
     lines: list[LogLine]
--- a/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
@@ -51,7 +51,7 @@
 
     @property
     def control_ids(self) -> list[str]:
-        """Ids of the control instances, in the order in which they are tried."""
+        """Ids of the control instances, in the order of the settings, or voters before seeds."""
         if self._discovery is None:
             return list(self._control_instances_by_id)
         voters = self._store.configuration.control_identities_by_id
