--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -1,4 +1,4 @@
-"""One process: the roles that its settings name."""
+"""The daemon, which runs the roles of one process."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 
 
 class Role(Protocol):
-    """A role as the daemon sees it."""
+    """Interface of a role towards the daemon."""
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
-        """Serve until cancelled; report as started once the role takes part."""
+        """Serve until cancelled; report the role as started once it takes part."""
 
     async def stop(self) -> None:
-        """Pass on what others need, before the role is cancelled."""
+        """Hand over the state that other instances need, before the role is cancelled."""
 
 
-class LateRole:
-    """A role that is built, and its modules imported, only once the roles before it run."""
+class DeferredRole:
+    """A role that is built, and its modules imported, only once the preceding roles run."""
 
     def __init__(self, name: str, build: Callable[[], Role]) -> None:
         self.name = name
@@ -44,18 +44,18 @@
         await self._role.run(task_status=task_status)
 
     async def stop(self) -> None:
-        """Stop the role, where it was built."""
+        """Stop the role if it has been built."""
         if self._role is not None:
             await self._role.stop()
 
 
-def name_of(role: Role) -> str:
+def role_name(role: Role) -> str:
     """Return a role's name for logs."""
-    return role.name if isinstance(role, LateRole) else type(role).__name__
+    return role.name if isinstance(role, DeferredRole) else type(role).__name__
 
 
 class Daemon:
-    """Starts all roles, waits for a signal, stops them gracefully."""
+    """Starts all roles, waits for a signal and stops the roles gracefully."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
-        """Build the roles in the order in which they depend on one another."""
+        """Build the roles in the order of their dependencies."""
         roles: list[Role] = []
         if settings.control is not None:
             from wagtailkeel.roles.control import Control
@@ -86,25 +86,28 @@
         return cls(roles)
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT; SIGHUP says that the settings have changed."""
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*watched) as signals:
+        """Serve until SIGTERM or SIGINT; SIGHUP signals that the settings have changed."""
+        handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*handled_signals) as signals:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._start_roles, tasks)
-                async for number in signals:
-                    if number == signal.SIGHUP:
-                        self._reload()
+                async for signal_number in signals:
+                    if signal_number == signal.SIGHUP:
+                        self._reload_settings()
                         continue
-                    self._emit(events.ProcessStopping(signal.Signals(number).name))
-                    logger.info("stopping on {}", signal.Signals(number).name)
+                    self._emit(events.ProcessStopping(signal.Signals(signal_number).name))
+                    logger.info("stopping on {}", signal.Signals(signal_number).name)
                     break
                 await self._stop_roles()
                 tasks.cancel_scope.cancel()
         logger.info("stopped")
 
-    def _reload(self) -> None:
-        """Seeds are read again when a peer is not reachable; nothing else may change."""
-        logger.info("the settings have changed")
+    def _reload_settings(self) -> None:
+        """Log the present seeds; no other setting may change while the process runs.
+
+        The roles read the seeds again when they can't reach a control instance.
+        """
+        logger.info("settings file changed")
         if self._read_seeds is not None:
             self._emit(events.SettingsReloaded(self._read_seeds()))
 
@@ -112,7 +115,7 @@
         for role in self._roles:
             await tasks.start(role.run)
         logger.info("ready with {} roles", len(self._roles))
-        self._emit(events.ProcessStarted([name_of(role) for role in self._roles]))
+        self._emit(events.ProcessStarted([role_name(role) for role in self._roles]))
 
     async def _stop_roles(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/process_dump.py
@@ -1,4 +1,4 @@
-"""Answering a request for a process's state."""
+"""Builds the reply to a request for a process's state."""
 
 from __future__ import annotations
 
@@ -12,6 +12,6 @@
     from collections.abc import Mapping
 
 
-def build_dump(parts: Mapping[str, object]) -> DumpReply:
-    """Return the state as JSON text."""
-    return DumpReply(msgspec.json.encode(parts))
+def build_dump(state: Mapping[str, object]) -> DumpReply:
+    """Return the reply with the state as JSON."""
+    return DumpReply(msgspec.json.encode(state))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -1,4 +1,4 @@
-"""A balancer's route to one service: small enough to hold one for every service of a fleet."""
+"""A balancer's route to one service, compact enough to hold one for every service of a fleet."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 Address = tuple[str, int]
 
 MAX_BUCKETS = 65_536
-BUCKET_BYTES = tuple(bucket.to_bytes(2, "big") for bucket in range(MAX_BUCKETS))
+ENCODED_BUCKETS = tuple(bucket.to_bytes(2, "big") for bucket in range(MAX_BUCKETS))
 PREFIX_IPV4 = gue.header_prefix(4)
 PREFIX_IPV6 = gue.header_prefix(6)
 
 
 class ServiceRoute(msgspec.Struct):
-    """Positions of owners by bucket, their addresses, and what a header ends with."""
+    """Owners by bucket, as positions in ``addresses``, and the last bytes of each GUE header."""
 
     positions: memoryview
     addresses: tuple[Address | None, ...]
@@ -29,16 +29,16 @@
 
     @classmethod
     def from_table(cls, table: OwnerTable, config: Configuration) -> ServiceRoute:
-        """Build the route.
+        """Build the route from an owner table.
 
-        A server that is no member any more, or whose data centre is out of service, has no
-        address: nothing is sent there, even before the table without it is built.
+        A server that is no longer a member, or whose data centre is out of service, gets no
+        address, so that no packet is sent to it even before the table without it is built.
         """
-        addresses = tuple(_find_address(server_id, config) for server_id in table.server_ids)
+        addresses = tuple(_server_address(server_id, config) for server_id in table.server_ids)
         return cls(memoryview(table.positions), addresses, gue.header_suffix(table.epoch))
 
 
-def _find_address(server_id: str, config: Configuration) -> Address | None:
+def _server_address(server_id: str, config: Configuration) -> Address | None:
     member = config.servers_by_id.get(server_id)
     if member is None or not config.is_in_service(member.data_centre):
         return None
