Names of loop variables in membership, addresses and the class index

`found` did not say what it holds: a traffic class, or a server or balancer. Renamed to traffic_class and node. Identifiers only; no behaviour changes.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
@@ -46,7 +46,11 @@
 
 def _free_port(command: CreateClass, config: Configuration, pools: list[AddressPool]) -> int:
     service = config.services_by_name.get(command.service)
-    taken = {found.port for found in service.classes_by_name.values()} if service else set()
+    taken = (
+        {traffic_class.port for traffic_class in service.classes_by_name.values()}
+        if service
+        else set()
+    )
     taken |= {
         c.port
         for c in _booked_changes(config)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -120,8 +120,8 @@
     """Return whether the sender's incarnation is a member."""
     member = config.servers_by_id.get(message.sender)
     balancer = config.balancers_by_id.get(message.sender)
-    found = member or balancer
-    return found is not None and found.boot_id == message.boot_id
+    node = member or balancer
+    return node is not None and node.boot_id == message.boot_id
 
 
 def _boot_ids(config: Configuration) -> dict[str, int]:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_view.py
@@ -14,6 +14,8 @@
 def index_classes(service: Service) -> dict[bytes, TrafficClass]:
     """Return the classes by destination address, port and protocol."""
     return {
-        endpoint_key(service.address, found.port, found.protocol.number): found
-        for found in service.classes_by_name.values()
+        endpoint_key(
+            service.address, traffic_class.port, traffic_class.protocol.number
+        ): traffic_class
+        for traffic_class in service.classes_by_name.values()
     }
