Two texts of the flow router

The comment on a reply without a flow and the docstring of _query_before_takeover could be misread. Reworded; no code changes.

make lint is clean; make test: 232 passed, 0 failed, 0 skipped.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -221,7 +221,7 @@
             self._counters["dropped_claim_queue_full"] += 1
 
     def _query_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
-        """Look for a flow that no member knows without waiting for the takeover and its leases.
+        """Query for a flow that no member knows, without waiting for leases as the takeover does.
 
         Return whether the packet was handled in this way.
         """
@@ -369,7 +369,7 @@
             now = self._context.now
             flow = self.local_flows.open(key, bucket, traffic_class, now)
             self.local_flows.on_outbound(flow, packet, now)
-        # An unknown TCP flow otherwise was closed here, and its last packets are still sent.
+        # Otherwise, the TCP flow was closed here, and its last packets are still sent.
         self._packets.reply(packet)
 
     # Messages and timers
