Say at the tests of formats and transport which failure they guard against

The texts of these tests were short of a subject ("Stands for a kill"), and some tests did not say how the failure comes about. Reworded, with a line where it was missing; FLAG_DELIVER and two replies name the server and the instance meant. Texts only; no check changes.

--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -19,7 +19,7 @@
 HEADER_BYTES = 20
 BUCKET_OFFSET = 6
 FLAG_DELIVER = 0x01
-"""The receiving agent delivers the packet to its own server."""
+"""The receiving agent delivers the packet to its backend server."""
 FLAG_NEW = 0x02
 """The packet opens a flow that was placed on the receiving agent's server."""
 FLAG_REJECTED = 0x04
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -219,7 +219,7 @@
 
 
 class AnnounceReply(msgspec.Struct):
-    """Whether the request is committed; if not, ``leader_id`` is the instance to ask instead."""
+    """Whether the request is committed; if not, ``leader_id`` is the instance to query instead."""
 
     is_joined: bool
     index: int = 0
@@ -280,7 +280,7 @@
 class ControlJoinReply(msgspec.Struct):
     """Whether the queried instance is the leader and has registered the other as a learner.
 
-    If not, ``leader_id`` is the instance to ask instead.
+    If not, ``leader_id`` is the instance to query instead.
     """
 
     is_noted: bool
--- a/tests/protocol/test_packet_formats.py
+++ b/tests/protocol/test_packet_formats.py
@@ -1,4 +1,4 @@
-"""One table for the formats of the product; the adapter's test adds its own to it."""
+"""Tests of every packet format, here of TCP over IP; the adapter's test adds its own format."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class FormatCase(msgspec.Struct):
-    """A format and packets of one flow in it."""
+    """A packet format and packets of one flow in that format."""
 
     packet_format: PacketFormat
     key: bytes
@@ -39,7 +39,7 @@
 
 
 def make_ip_case() -> FormatCase:
-    """Return TCP in IPv4."""
+    """Return the case of TCP over IPv4."""
     key = (
         ipaddress.ip_address(CALLER).packed
         + ipaddress.ip_address(ROUTE).packed
@@ -58,7 +58,7 @@
 
 
 class PacketFormatTest(unittest.TestCase):
-    """What every format must do; the adapter's test replaces ``cases`` by its own."""
+    """Tests of every packet format; the adapter's test replaces ``cases`` by its own."""
 
     cases: ClassVar[list[FormatCase]] = [make_ip_case()]
 
--- a/tests/transport/storage/test_log_store.py
+++ b/tests/transport/storage/test_log_store.py
@@ -28,7 +28,7 @@
 
 
 class KilledError(Exception):
-    """Stands for a kill at a sync point."""
+    """Simulates that the process is killed at a sync."""
 
 
 class LogStoreTest(unittest.TestCase):
@@ -80,6 +80,7 @@
                 self.assertEqual(found[-1].term, 2)
 
     def test_kill_after_truncation_keeps_earlier_entries(self) -> None:
+        """A truncation must not lose the earlier entries of the same record."""
         store = self.open()
         store.append([make_entry(1), make_entry(2), make_entry(3)])
         store.truncate_from(3)
@@ -123,6 +124,7 @@
             self.open(sync).append([make_entry(1)])
 
     def test_torn_last_record_is_truncated(self) -> None:
+        """A crash during a write may leave a prefix of any length of the last record."""
         store = self.open()
         store.append([make_entry(1)])
         whole = self.segment().stat().st_size
@@ -137,6 +139,7 @@
                 self.segment().write_bytes(data)
 
     def test_damage_before_the_last_record_is_an_error(self) -> None:
+        """A crash can't damage an earlier record: its entries must not be dropped silently."""
         store = self.open()
         store.append([make_entry(1)])
         offset = self.segment().stat().st_size
--- a/tests/transport/test_rpc.py
+++ b/tests/transport/test_rpc.py
@@ -65,7 +65,7 @@
             listener.bind((HOST, self.port))
             listener.listen(0)
             for filler in (first, second):
-                # The queue of new connections is full: opening packets are dropped from here on.
+                # These fill the listen backlog, so that the kernel drops every further SYN.
                 filler.setblocking(False)
                 filler.connect_ex((HOST, self.port))
             async with asyncio.timeout(TEST_TIMEOUT_S):
@@ -73,6 +73,8 @@
                     await self.call(0, timeout_s=2 * TEST_TIMEOUT_S)
 
     async def test_lost_connection_does_not_cancel_the_caller(self) -> None:
+        """grpclib cancels the task of a lost call; the caller's next timeout must still work."""
+
         async def abort_connection(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
@@ -85,6 +87,7 @@
         server.close()
 
     async def lose_connection(self) -> int:
+        """Make a call whose connection is lost; return the caller's cancellation count."""
         with contextlib.suppress(RpcError):
             await self.call(-1)
         with anyio.move_on_after(0.01):
