Names of configuration, directory and owner tables

Names such as durable, REFUSED, is_held, build_plain or _touch_table did not say what they hold or do. Renamed to the field's terms (persistent_state, REFUSED_SERVER_ID, has_held_flows_target, build_without_quotas, _set_table_epoch), with every use in the other packages and tests. Names of commands, stored fields and reason texts are untouched.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -325,7 +325,7 @@
                 continue
             if claim.holder_id == message.sender:
                 claim.holder_id = ""
-            self._directory.install(answer.bucket, answer.flows, now)
+            self._directory.install_records(answer.bucket, answer.flows, now)
             claim.record_denial(message.sender, answer)
             if not claim.pending_ids and claim.queue:
                 # All members' flows are now known, though the takeover may still wait for leases.
@@ -431,7 +431,7 @@
         outgoing.uncertain_until = self.uncertain_until_by_bucket.pop(outgoing.bucket, 0.0)
         del self.tokens_by_bucket[outgoing.bucket]
         self.successors_by_bucket[outgoing.bucket] = outgoing.successor_id
-        self._directory.drop_remotes(outgoing.bucket)
+        self._directory.remove_remotes(outgoing.bucket)
         self._counters["grants_released"] += 1
 
     def on_grant(self, message: Grant, now: float) -> None:
@@ -451,7 +451,7 @@
             self._counters["grants_taken"] += 1
             if grant.uncertain_s > 0:
                 self.uncertain_until_by_bucket[grant.bucket] = now + grant.uncertain_s
-            self._directory.install(grant.bucket, grant.flows, now)
+            self._directory.install_records(grant.bucket, grant.flows, now)
             self._accept_token(grant.bucket, grant.generation, grant.epoch, now)
         self._outbox.send(message.sender, GrantAck(self._own_id, receipts))
 
@@ -470,7 +470,7 @@
             self._counters["messages_of_old_incarnation"] += 1
             return
         if not self.is_stale(message.bucket, message.generation):
-            self._directory.install(message.bucket, message.flows, now)
+            self._directory.install_records(message.bucket, message.flows, now)
         self._outbox.send(
             message.sender,
             FlowTransferAck(self._own_id, message.bucket, message.generation, message.part),
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -66,7 +66,7 @@
         """Start tracking a flow."""
         flow = LocalFlow(key, bucket, traffic_class, now, now)
         self._directory.add_local(flow)
-        self.held_count += traffic_class.is_held
+        self.held_count += traffic_class.has_held_flows_target
         self._counters["flows_opened"] += 1
         return flow
 
@@ -74,7 +74,7 @@
         """Stop tracking a flow and remove its record."""
         self._abandon_answer(flow)
         self._directory.remove_local(flow)
-        self.held_count -= flow.traffic_class.is_held
+        self.held_count -= flow.traffic_class.has_held_flows_target
         self._counters["flows_closed"] += 1
 
     def mark_closed(self, flow: LocalFlow) -> None:
@@ -114,7 +114,7 @@
         if flow.awaiting_since > 0.0:
             return
         flow.awaiting_since = now
-        flow.is_queued_start = self._limiter.in_flight >= self._slots
+        flow.was_queued = self._limiter.in_flight >= self._slots
         self._limiter.on_start()
         self._awaiting_by_key[flow.key] = flow
 
@@ -145,12 +145,12 @@
         traffic_class = flow.traffic_class
         self._clear_awaiting(flow)
         self._limiter.on_answer(
-            traffic_class.name, response_s, traffic_class.target, flow.is_queued_start, now
+            traffic_class.name, response_s, traffic_class.target, flow.was_queued, now
         )
         self._record_response(response_s)
 
     def _abandon_answer(self, flow: LocalFlow) -> None:
-        if not flow.is_awaiting:
+        if not flow.is_awaiting_answer:
             return
         self._clear_awaiting(flow)
         self._limiter.on_abandon()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -11,7 +11,7 @@
 from wagtailkeel_protocol.gue import DataFrame
 from wagtailkeel_protocol.messages import Load
 from wagtailkeel_protocol.packet_builder import build_refusal
-from wagtailkeel_state.flow_record import REFUSED
+from wagtailkeel_state.flow_record import REFUSED_SERVER_ID
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,7 +96,7 @@
         if not view.is_placeable(view.own_id) or not self._limiter.allows_start():
             return False
         held_count = self._context.local_flows.held_count
-        return not traffic_class.is_held or held_count < traffic_class.target.limit
+        return not traffic_class.has_held_flows_target or held_count < traffic_class.target.limit
 
     def on_rejection(
         self,
@@ -170,13 +170,13 @@
     def _prefers_local_server(self, traffic_class: TrafficClass) -> bool:
         if not self.can_start_locally(traffic_class):
             return False
-        if not traffic_class.is_held or self._must_start_locally(traffic_class):
+        if not traffic_class.has_held_flows_target or self._must_start_locally(traffic_class):
             return True
         return self._peers.has_at_most_mean_held_ratio(self.load, self._context.now)
 
     def _choose_peer(self, traffic_class: TrafficClass) -> str | None:
         excluded = {self._context.view.own_id}
-        if traffic_class.is_held:
+        if traffic_class.has_held_flows_target:
             return self._peers.choose_for_held_flow(excluded, self._context.now)
         return self._peers.choose_for_request(excluded, self._context.now)
 
@@ -200,7 +200,7 @@
         None will reach a server while the refusal is on record.
         """
         context = self._context
-        context.directory.add_remote(frame.bucket, key, REFUSED, context.now)
+        context.directory.add_remote(frame.bucket, key, REFUSED_SERVER_ID, context.now)
         context.counters["starts_refused"] += 1
         context.packets.reply(build_refusal(frame.packet))
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -34,8 +34,8 @@
 from wagtailkeel_state.commands import Noop
 from wagtailkeel_state.commands import SetControlMembers
 from wagtailkeel_state.configuration import Configuration
-from wagtailkeel_state.durable import Snapshot
-from wagtailkeel_state.durable import Vote
+from wagtailkeel_state.persistent_state import Snapshot
+from wagtailkeel_state.persistent_state import Vote
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/storage.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/storage.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from wagtailkeel_state.commands import LogEntry
-    from wagtailkeel_state.durable import Snapshot
-    from wagtailkeel_state.durable import Vote
+    from wagtailkeel_state.persistent_state import Snapshot
+    from wagtailkeel_state.persistent_state import Vote
 
 
 class RaftStorage(Protocol):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wagtailkeel_state.commands import SetShares
-from wagtailkeel_state.configuration import DEFAULT_SHARE
+from wagtailkeel_state.configuration import DEFAULT_SHARE_PER_SLOT
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,7 +45,7 @@
         return None
     moved_fraction = sum(abs(target[key] - current[key]) for key in target) / 2
     step = min(1.0, MAX_MOVED_FRACTION / moved_fraction)
-    total_shares = DEFAULT_SHARE * sum(m.slots for m in members)
+    total_shares = DEFAULT_SHARE_PER_SLOT * sum(m.slots for m in members)
     shares = {
         key: max(1, round(total_shares * (current[key] + step * (target[key] - current[key]))))
         for key in target
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/address_pool.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/address_pool.py
@@ -23,11 +23,11 @@
 
     def overlaps(self, other: AddressPool) -> bool:
         """Tell whether two pools share an address."""
-        mine, theirs = self.ip_network, other.ip_network
-        if isinstance(mine, IPv4Network) and isinstance(theirs, IPv4Network):
-            return mine.overlaps(theirs)
-        if isinstance(mine, IPv6Network) and isinstance(theirs, IPv6Network):
-            return mine.overlaps(theirs)
+        own_network, other_network = self.ip_network, other.ip_network
+        if isinstance(own_network, IPv4Network) and isinstance(other_network, IPv4Network):
+            return own_network.overlaps(other_network)
+        if isinstance(own_network, IPv6Network) and isinstance(other_network, IPv6Network):
+            return own_network.overlaps(other_network)
         return False
 
     def first_free_address(self, taken: set[str]) -> str | None:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
@@ -26,30 +26,34 @@
     for booking in overlapping:
         if booking_subject(booking.change) == subject:
             return f"booking {booking.booking_id} by {booking.author} changes {subject} then"
-    return _find_lost_capacity(config, [command.change, *(b.change for b in overlapping)])
+    return _find_capacity_conflict(config, [command.change, *(b.change for b in overlapping)])
 
 
-def _find_lost_capacity(config: Configuration, changes: list[Command]) -> str | None:
+def _find_capacity_conflict(config: Configuration, changes: list[Command]) -> str | None:
     """Return what would be without any server while all the changes hold together, or None."""
-    out = {
+    out_of_service = {
         change.name
         for change in changes
         if isinstance(change, SetDataCentreState) and change.state is DataCentreState.OUT_OF_SERVICE
     }
-    remaining = [
+    remaining_data_centres = [
         dc
         for dc in config.data_centres_by_name.values()
-        if dc.state is DataCentreState.IN_SERVICE and dc.name not in out
+        if dc.state is DataCentreState.IN_SERVICE and dc.name not in out_of_service
     ]
-    if out and not remaining:
+    if out_of_service and not remaining_data_centres:
         return "no data centre would be left in service in that window"
     drained = {change.server_id for change in changes if isinstance(change, DrainServer)}
-    members = [config.servers_by_id[key] for key in drained if key in config.servers_by_id]
+    members_to_drain = [config.servers_by_id[key] for key in drained if key in config.servers_by_id]
     # Sorted, since every replica has to give the same reason.
-    for service in sorted({member.service for member in members}):
+    for service in sorted({member.service for member in members_to_drain}):
         placeable = [m for m in config.members_of(service) if config.is_placeable(m.server_id)]
-        left = [m for m in placeable if m.server_id not in drained and m.data_centre not in out]
-        if placeable and not left:
+        remaining = [
+            m
+            for m in placeable
+            if m.server_id not in drained and m.data_centre not in out_of_service
+        ]
+        if placeable and not remaining:
             return f"no server of {service} would be left in that window"
     return None
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -15,7 +15,7 @@
 from wagtailkeel_state.server_member import ServerMember
 from wagtailkeel_state.service import Service
 
-DEFAULT_SHARE = 1_000
+DEFAULT_SHARE_PER_SLOT = 1_000
 
 
 class Configuration(msgspec.Struct):
@@ -37,13 +37,13 @@
 
     def is_in_service(self, data_centre: str) -> bool:
         """Tell whether a data centre takes traffic; one never defined does."""
-        found = self.data_centres_by_name.get(data_centre)
-        return found is None or found.state is DataCentreState.IN_SERVICE
+        definition = self.data_centres_by_name.get(data_centre)
+        return definition is None or definition.state is DataCentreState.IN_SERVICE
 
     def region_of(self, data_centre: str) -> str:
         """Return the region of a data centre; one never defined is a region of its own."""
-        found = self.data_centres_by_name.get(data_centre)
-        return found.region if found else data_centre
+        definition = self.data_centres_by_name.get(data_centre)
+        return definition.region if definition else data_centre
 
     def is_placeable(self, server_id: str) -> bool:
         """Tell whether new flows may go to the server."""
@@ -54,8 +54,8 @@
 
     def members_of(self, service: str) -> list[ServerMember]:
         """Return all members of a service, in the order of their ids."""
-        found = self.services_by_name.get(service)
-        return [self.servers_by_id[key] for key in found.server_ids] if found else []
+        definition = self.services_by_name.get(service)
+        return [self.servers_by_id[key] for key in definition.server_ids] if definition else []
 
     def share_of(self, server_id: str) -> int:
         """Return a server's quota weight; 0 for one that is no member."""
@@ -63,7 +63,7 @@
         if member is None or member.service not in self.services_by_name:
             return 0
         shares = self.services_by_name[member.service].shares_by_server_id
-        return shares.get(server_id, DEFAULT_SHARE * member.slots)
+        return shares.get(server_id, DEFAULT_SHARE_PER_SLOT * member.slots)
 
     def table_region(self, service: str, region: str) -> str:
         """Return the region whose servers serve ``region``: itself, else the next with a server."""
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -42,8 +42,8 @@
 from wagtailkeel_state.service import Service
 from wagtailkeel_state.traffic_class import TrafficClass
 
-RETAINED_ANSWERS = 10_000
-RETAINED_FORMER_MEMBERS = 1_000
+MAX_RETAINED_ANSWERS = 10_000
+MAX_RETAINED_FORMER_MEMBERS = 1_000
 
 _SYSTEM_COMMANDS = (
     Noop,
@@ -68,17 +68,17 @@
         raise ValueError(f"entry {entry.index} does not follow index {config.index}")
     config.index = entry.index
     config.term = entry.term
-    earlier = config.answers_by_command_id.get(entry.command_id) if entry.command_id else None
-    if earlier is not None:
-        return earlier
-    answer = _decide(config, entry)
+    first_answer = config.answers_by_command_id.get(entry.command_id) if entry.command_id else None
+    if first_answer is not None:
+        return first_answer
+    answer = _execute(config, entry)
     answer.index = entry.index
     if entry.command_id:
         _retain_answer(config, entry.command_id, answer)
     return answer
 
 
-def _decide(config: Configuration, entry: LogEntry) -> CommandAnswer:
+def _execute(config: Configuration, entry: LogEntry) -> CommandAnswer:
     is_operator_command = not isinstance(entry.command, _SYSTEM_COMMANDS)
     if is_operator_command and entry.expected_version is not None:
         if entry.expected_version != config.operator_version:
@@ -99,20 +99,22 @@
 def _retain_answer(config: Configuration, command_id: str, answer: CommandAnswer) -> None:
     answers = config.answers_by_command_id
     answers[command_id] = answer
-    while len(answers) > RETAINED_ANSWERS:
+    while len(answers) > MAX_RETAINED_ANSWERS:
         del answers[next(iter(answers))]
 
 
-def _touch_table(config: Configuration, index: int, service: str) -> None:
-    found = config.services_by_name.get(service)
-    if found is not None:
-        found.table_epoch = index
+def _set_table_epoch(config: Configuration, index: int, service_name: str) -> None:
+    service = config.services_by_name.get(service_name)
+    if service is not None:
+        service.table_epoch = index
 
 
-def _touch_tables_of_data_centre(config: Configuration, index: int, name: str) -> None:
+def _set_table_epochs_of_data_centre(config: Configuration, index: int, data_centre: str) -> None:
     """Only services with a server there get a new table: the others' owners stay as they are."""
-    for service in {m.service for m in config.servers_by_id.values() if m.data_centre == name}:
-        _touch_table(config, index, service)
+    for service_name in {
+        m.service for m in config.servers_by_id.values() if m.data_centre == data_centre
+    }:
+        _set_table_epoch(config, index, service_name)
 
 
 @singledispatch
@@ -179,23 +181,23 @@
 
 @apply_command.register
 def _(command: DefineDataCentre, config: Configuration, entry: LogEntry) -> str | None:
-    found = config.data_centres_by_name.get(command.name)
-    if found is not None and found.region == command.region:
+    data_centre = config.data_centres_by_name.get(command.name)
+    if data_centre is not None and data_centre.region == command.region:
         return None
-    if found is not None:
-        found.region = command.region
+    if data_centre is not None:
+        data_centre.region = command.region
     else:
         config.data_centres_by_name[command.name] = DataCentre(command.name, command.region)
-    _touch_tables_of_data_centre(config, entry.index, command.name)
+    _set_table_epochs_of_data_centre(config, entry.index, command.name)
     return None
 
 
 @apply_command.register
 def _(command: SetDataCentreState, config: Configuration, entry: LogEntry) -> str | None:
-    found = config.data_centres_by_name.get(command.name)
-    if found is None:
+    data_centre = config.data_centres_by_name.get(command.name)
+    if data_centre is None:
         return f"data centre {command.name} is not known; it is named in the settings of control"
-    if found.state is command.state:
+    if data_centre.state is command.state:
         return f"data centre {command.name} is {command.state.value} already"
     is_last = not any(
         other.state is DataCentreState.IN_SERVICE
@@ -204,19 +206,19 @@
     )
     if command.state is DataCentreState.OUT_OF_SERVICE and is_last and not command.may_be_last:
         return f"data centre {command.name} is the last one in service"
-    found.state = command.state
-    found.state_index = entry.index
-    _touch_tables_of_data_centre(config, entry.index, command.name)
+    data_centre.state = command.state
+    data_centre.state_index = entry.index
+    _set_table_epochs_of_data_centre(config, entry.index, command.name)
     return None
 
 
 @apply_command.register
 def _(command: ReplaceRouting, config: Configuration, entry: LogEntry) -> str | None:
-    known = config.routing.version
-    if command.change.version <= known:
+    current = config.routing.version
+    if command.change.version <= current:
         return None
-    if command.change.base_version != known:
-        return f"the change is from version {command.change.base_version}, not from {known}"
+    if command.change.base_version != current:
+        return f"the change is from version {command.change.base_version}, not from {current}"
     config.routing = apply_change(config.routing, command.change)
     return None
 
@@ -233,7 +235,7 @@
         return f"server {command.server_id} is the last one serving {member.service}"
     member.state = ServerState.DRAINING
     member.drain_deadline_s = command.deadline_s
-    _touch_table(config, entry.index, member.service)
+    _set_table_epoch(config, entry.index, member.service)
     return None
 
 
@@ -245,26 +247,26 @@
     if member.state is ServerState.SERVING:
         return f"server {command.server_id} is serving already"
     member.state = ServerState.SERVING
-    _touch_table(config, entry.index, member.service)
+    _set_table_epoch(config, entry.index, member.service)
     return None
 
 
 @apply_command.register
 def _(command: JoinServer, config: Configuration, entry: LogEntry) -> str | None:
     member = msgspec.structs.replace(command.member, joined_index=entry.index)
-    earlier = config.servers_by_id.get(member.server_id)
-    if earlier is not None:
-        if earlier.service != member.service:
-            return f"server {member.server_id} serves {earlier.service}; use another server id"
-        if earlier.state is ServerState.DRAINING:
-            member.state = earlier.state
-            member.drain_deadline_s = earlier.drain_deadline_s
-        _retain_former_member(config, earlier.server_id, entry.index)
+    previous = config.servers_by_id.get(member.server_id)
+    if previous is not None:
+        if previous.service != member.service:
+            return f"server {member.server_id} serves {previous.service}; use another server id"
+        if previous.state is ServerState.DRAINING:
+            member.state = previous.state
+            member.drain_deadline_s = previous.drain_deadline_s
+        _retain_former_member(config, previous.server_id, entry.index)
     config.servers_by_id[member.server_id] = member
     service = config.services_by_name.get(member.service)
-    if service is not None and earlier is None:
+    if service is not None and previous is None:
         insort(service.server_ids, member.server_id)
-    _touch_table(config, entry.index, member.service)
+    _set_table_epoch(config, entry.index, member.service)
     return None
 
 
@@ -275,7 +277,7 @@
         return f"server {command.server_id} with boot id {command.boot_id} is not a member"
     if member.state is ServerState.SERVING:
         member.state = ServerState.AGENT_STOPPING
-        _touch_table(config, entry.index, member.service)
+        _set_table_epoch(config, entry.index, member.service)
     return None
 
 
@@ -298,19 +300,19 @@
     service = config.services_by_name.get(member.service)
     if service is not None:
         service.server_ids.remove(command.server_id)
-    _touch_table(config, entry.index, member.service)
+    _set_table_epoch(config, entry.index, member.service)
     return None
 
 
 def _retain_former_member(config: Configuration, server_id: str, index: int) -> None:
     member = config.servers_by_id[server_id]
-    former = config.former_members_by_id
-    former.pop(server_id, None)
-    former[server_id] = FormerMember(
+    former_members = config.former_members_by_id
+    former_members.pop(server_id, None)
+    former_members[server_id] = FormerMember(
         server_id, member.service, member.boot_id, index, member.host, member.port
     )
-    while len(former) > RETAINED_FORMER_MEMBERS:
-        del former[next(iter(former))]
+    while len(former_members) > MAX_RETAINED_FORMER_MEMBERS:
+        del former_members[next(iter(former_members))]
 
 
 @apply_command.register
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
@@ -66,7 +66,7 @@
         if not flows:
             del self.remote_flows_by_bucket[bucket]
 
-    def drop_remotes(self, bucket: int) -> None:
+    def remove_remotes(self, bucket: int) -> None:
         """Forget all pointers of a bucket, after its token has gone elsewhere."""
         self.remote_flows_by_bucket.pop(bucket, None)
 
@@ -84,7 +84,7 @@
             for key in self.local_keys_by_bucket.get(bucket, ())
         ]
 
-    def install(self, bucket: int, records: Iterable[FlowRecord], now: float) -> None:
+    def install_records(self, bucket: int, records: Iterable[FlowRecord], now: float) -> None:
         """Take over another agent's records; flows of the own server stay as they are."""
         for record in records:
             if record.key not in self.local_flows_by_key:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/flow_record.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/flow_record.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-REFUSED = ""
+REFUSED_SERVER_ID = ""
 """Server id of an entry that records a refusal."""
 
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
@@ -18,14 +18,14 @@
     last_outbound_at: float = 0.0
     awaiting_since: float = 0.0
     unanswered_packets: int = 0
-    is_queued_start: bool = False
+    was_queued: bool = False
     has_inbound_fin: bool = False
     has_outbound_fin: bool = False
     probed_at: float = 0.0
     last_packet: bytes = b""
 
     @property
-    def is_awaiting(self) -> bool:
+    def is_awaiting_answer(self) -> bool:
         """Tell whether the server owes an answer."""
         return self.awaiting_since > 0.0
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -19,10 +19,10 @@
     import numpy as np
     from numpy.typing import NDArray
 
-POSITION_TYPE = "H"
-_GOLDEN_RATIO = 0x9E3779B97F4A7C15
-_MIX_1 = 0xBF58476D1CE4E5B9
-_MIX_2 = 0x94D049BB133111EB
+POSITION_TYPECODE = "H"
+_SPLITMIX64_INCREMENT = 0x9E3779B97F4A7C15
+_SPLITMIX64_MULTIPLIER_1 = 0xBF58476D1CE4E5B9
+_SPLITMIX64_MULTIPLIER_2 = 0x94D049BB133111EB
 
 
 class OwnerTable(msgspec.Struct):
@@ -38,33 +38,33 @@
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
         """Build the table; the result depends on the arguments alone, not on their order."""
-        server_ids = _select(shares_by_server_id)
+        server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
         quotas = compute_quotas([shares_by_server_id[key] for key in server_ids], buckets)
-        owners = _assign(_pair_hashes(server_ids, buckets), quotas)
-        return cls(epoch, tuple(server_ids), array(POSITION_TYPE, owners))
+        owners = _assign_buckets(_pair_hashes(server_ids, buckets), quotas)
+        return cls(epoch, tuple(server_ids), array(POSITION_TYPECODE, owners))
 
     @classmethod
-    def build_plain(
+    def build_without_quotas(
         cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int
     ) -> OwnerTable:
         """Build a table by rendezvous hashing without quotas: the baseline of measurements."""
-        server_ids = _select(shares_by_server_id)
+        server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
         owners = _pair_hashes(server_ids, buckets).argmax(axis=1).tolist()
-        return cls(epoch, tuple(server_ids), array(POSITION_TYPE, owners))
+        return cls(epoch, tuple(server_ids), array(POSITION_TYPECODE, owners))
 
     @classmethod
-    def single(cls, epoch: int, server_id: str, buckets: int = 1) -> OwnerTable:
+    def with_single_owner(cls, epoch: int, server_id: str, buckets: int = 1) -> OwnerTable:
         """Return a table in which one server owns all buckets."""
-        return cls(epoch, (server_id,), array(POSITION_TYPE, [0] * buckets))
+        return cls(epoch, (server_id,), array(POSITION_TYPECODE, [0] * buckets))
 
     @classmethod
     def empty(cls, epoch: int) -> OwnerTable:
         """Return a table without owners."""
-        return cls(epoch, (), array(POSITION_TYPE))
+        return cls(epoch, (), array(POSITION_TYPECODE))
 
     @property
     def has_owners(self) -> bool:
@@ -81,11 +81,13 @@
         """Return the buckets that the server owns, ascending."""
         if server_id not in self.server_ids:
             return []
-        own = self.server_ids.index(server_id)
-        return [bucket for bucket, position in enumerate(self.positions) if position == own]
+        own_position = self.server_ids.index(server_id)
+        return [
+            bucket for bucket, position in enumerate(self.positions) if position == own_position
+        ]
 
 
-def _select(shares_by_server_id: Mapping[str, int]) -> list[str]:
+def _server_ids_with_share(shares_by_server_id: Mapping[str, int]) -> list[str]:
     return sorted(key for key, share in shares_by_server_id.items() if share > 0)
 
 
@@ -107,26 +109,28 @@
         [xxhash.xxh3_64_intdigest(key.encode()) for key in server_ids], dtype=np.uint64
     )
     with np.errstate(over="ignore"):
-        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(_GOLDEN_RATIO)
-        mixed = positions[:, None] ^ seeds[None, :]
-        mixed = (mixed ^ (mixed >> np.uint64(30))) * np.uint64(_MIX_1)
-        mixed = (mixed ^ (mixed >> np.uint64(27))) * np.uint64(_MIX_2)
-    result: NDArray[np.uint64] = mixed ^ (mixed >> np.uint64(31))
+        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(
+            _SPLITMIX64_INCREMENT
+        )
+        hashes = positions[:, None] ^ seeds[None, :]
+        hashes = (hashes ^ (hashes >> np.uint64(30))) * np.uint64(_SPLITMIX64_MULTIPLIER_1)
+        hashes = (hashes ^ (hashes >> np.uint64(27))) * np.uint64(_SPLITMIX64_MULTIPLIER_2)
+    result: NDArray[np.uint64] = hashes ^ (hashes >> np.uint64(31))
     return result
 
 
-def _assign(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
+def _assign_buckets(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
     buckets, servers = hashes.shape
-    order = (~hashes.ravel()).argsort(kind="stable").tolist()
+    pairs_by_hash = (~hashes.ravel()).argsort(kind="stable").tolist()
     owners = [-1] * buckets
-    room = list(quotas)
+    remaining_quotas = list(quotas)
     unassigned = buckets
-    for pair in order:
+    for pair in pairs_by_hash:
         bucket, server = divmod(pair, servers)
-        if owners[bucket] >= 0 or not room[server]:
+        if owners[bucket] >= 0 or not remaining_quotas[server]:
             continue
         owners[bucket] = server
-        room[server] -= 1
+        remaining_quotas[server] -= 1
         unassigned -= 1
         if not unassigned:
             break
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wagtailkeel_state.flow_record import REFUSED
+from wagtailkeel_state.flow_record import REFUSED_SERVER_ID
 
 
 class RemoteFlow(msgspec.Struct):
@@ -17,4 +17,4 @@
     @property
     def is_refused(self) -> bool:
         """Tell whether the flow was refused."""
-        return self.server_id == REFUSED
+        return self.server_id == REFUSED_SERVER_ID
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -70,7 +70,7 @@
     places: list[str] = []
 
 
-def find_document_fault(document: RoutingDocument) -> str | None:
+def find_document_error(document: RoutingDocument) -> str | None:
     """Return why a document can't be put in force, or None."""
     if document.version <= 0:
         return f"version {document.version} is not a positive number"
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/target.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/target.py
@@ -25,15 +25,15 @@
     @classmethod
     def parse(cls, text: str, importance: int = 1) -> Target:
         """Read ``p99<200ms`` or ``held<2000``; raise ValueError with the expected forms."""
-        left, separator, right = text.replace(" ", "").partition("<")
+        metric, separator, bound = text.replace(" ", "").partition("<")
         try:
-            if separator and left == "held":
-                return cls(TargetKind.HELD_FLOWS, _positive(right), importance=importance)
-            if separator and left.startswith("p") and right.endswith("ms"):
-                percentile = float(left[1:])
+            if separator and metric == "held":
+                return cls(TargetKind.HELD_FLOWS, _parse_positive(bound), importance=importance)
+            if separator and metric.startswith("p") and bound.endswith("ms"):
+                percentile = float(metric[1:])
                 if not 0 < percentile < 100:
                     raise ValueError(text)
-                limit_ms = _positive(right[:-2])
+                limit_ms = _parse_positive(bound[:-2])
                 return cls(TargetKind.RESPONSE_TIME, limit_ms, percentile, importance)
         except ValueError:
             pass
@@ -45,7 +45,7 @@
         return f"p{self.percentile:g}<{self.limit:g}ms"
 
 
-def _positive(text: str) -> float:
+def _parse_positive(text: str) -> float:
     value = float(text)
     if not 0 < value < float("inf"):
         raise ValueError(text)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/traffic_class.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/traffic_class.py
@@ -20,6 +20,6 @@
     idle_limit_s: float = 30.0
 
     @property
-    def is_held(self) -> bool:
+    def has_held_flows_target(self) -> bool:
         """Tell whether the target bounds held flows rather than response times."""
         return self.target.kind is TargetKind.HELD_FLOWS
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -14,8 +14,8 @@
 
 from wagtailkeel_state.commands import LogEntry
 from wagtailkeel_state.configuration import Configuration
-from wagtailkeel_state.durable import Snapshot
-from wagtailkeel_state.durable import Vote
+from wagtailkeel_state.persistent_state import Snapshot
+from wagtailkeel_state.persistent_state import Vote
 from wagtailkeel_transport.errors import StorageError
 from wagtailkeel_transport.storage.record_file import encode_record
 from wagtailkeel_transport.storage.record_file import read_records
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -13,7 +13,7 @@
 from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.enums import AnswerStatus
 from wagtailkeel_state.routing import compute_change
-from wagtailkeel_state.routing import find_document_fault
+from wagtailkeel_state.routing import find_document_error
 from wagtailkeel_transport import clock
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
         The answer is UNKNOWN where this instance does not lead or no quorum confirms in time; the
         same document may then be sent again, here or elsewhere.
         """
-        fault = find_document_fault(document)
+        fault = find_document_error(document)
         if fault is not None:
             return CommandAnswer(AnswerStatus.REJECTED, fault)
         async with self._lock:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from wagtailkeel_state.commands import LogEntry
-    from wagtailkeel_state.durable import Snapshot
-    from wagtailkeel_state.durable import Vote
+    from wagtailkeel_state.persistent_state import Snapshot
+    from wagtailkeel_state.persistent_state import Vote
     from wagtailkeel_transport.storage import LogStore
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/table_builder.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/table_builder.py
@@ -29,7 +29,7 @@
             if service is None or (known is not None and known.epoch >= service.table_epoch):
                 continue
             shares = config.table_shares(name, config.region_of(self._data_centre))
-            build = OwnerTable.build_plain if self._is_plain else OwnerTable.build
+            build = OwnerTable.build_without_quotas if self._is_plain else OwnerTable.build
             self.tables_by_service[name] = await to_thread.run_sync(
                 build, service.table_epoch, shares, service.bucket_count
             )
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -50,7 +50,9 @@
     def apply(self, epoch: int, owner: str, *, removed: str = "", now: float = 0.0) -> None:
         members = {key: boot for key, boot in BOOT_IDS.items() if key != removed}
         removed_ids = {removed} if removed else set()
-        self.authority.apply_table(OwnerTable.single(epoch, owner), members, removed_ids, now)
+        self.authority.apply_table(
+            OwnerTable.with_single_owner(epoch, owner), members, removed_ids, now
+        )
 
     def deny(self, member: str, epoch: int, now: float = 0.0) -> None:
         answers = [BucketAnswer(BUCKET, False, [])]
@@ -157,7 +159,7 @@
     def test_large_bucket_is_transferred_before_its_token(self) -> None:
         self.hold()
         records = [FlowRecord(bytes([n]) * 13, "b") for n in range(70)]
-        self.directory.install(BUCKET, records, 0.0)
+        self.directory.install_records(BUCKET, records, 0.0)
         self.apply(6, "b")
         self.authority.tick(1.0)
         self.assertTrue(self.authority.is_authority(BUCKET), "the holder stays the authority")
@@ -180,7 +182,9 @@
 
     def test_removed_incarnation_discards_its_tokens(self) -> None:
         self.hold()
-        self.authority.apply_table(OwnerTable.single(6, "b"), {"b": 2, "c": 3}, {"a"}, 0.0)
+        self.authority.apply_table(
+            OwnerTable.with_single_owner(6, "b"), {"b": 2, "c": 3}, {"a"}, 0.0
+        )
         self.assertFalse(self.authority.is_authority(BUCKET))
 
 
--- a/tests/platform/test_routing_body.py
+++ b/tests/platform/test_routing_body.py
@@ -12,7 +12,7 @@
 from wagtailkeel_platform.routing_body import decode_routing
 from wagtailkeel_platform.routing_body import encode_routing
 from wagtailkeel_state.routing import RoutingDocument
-from wagtailkeel_state.routing import find_document_fault
+from wagtailkeel_state.routing import find_document_error
 
 BODY: dict[str, Any] = {
     "version": 7,
@@ -93,7 +93,7 @@
         split = document.routes_by_place["198.18.0.1:8443"].destinations
         self.assertEqual([(d.service, d.weight) for d in split], [("a", 90), ("b", 10)])
         self.assertEqual(document.policies_by_service["a"].cold_starts_per_s, 4.5)
-        self.assertIsNone(find_document_fault(document))
+        self.assertIsNone(find_document_error(document))
 
     def test_reads_back_what_was_sent(self) -> None:
         body = changed("later", value={"x": [1, 2]})
@@ -103,7 +103,7 @@
         for name, body in INVALID.items():
             with self.subTest(name):
                 try:
-                    fault = find_document_fault(read(body))
+                    fault = find_document_error(read(body))
                 except InvalidBodyError as error:
                     fault = str(error)
                 self.assertTrue(fault)
@@ -115,7 +115,7 @@
         for _ in range(data.draw(st.integers(1, 4))):
             text[data.draw(st.integers(0, len(text) - 1))] = data.draw(st.integers(0, 255))
         try:
-            find_document_fault(read(bytes(text)))
+            find_document_error(read(bytes(text)))
         except InvalidBodyError as error:
             self.assertTrue(str(error))
 
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -24,7 +24,7 @@
 from wagtailkeel_state.routing import WeightedService
 from wagtailkeel_state.routing import apply_change
 from wagtailkeel_state.routing import compute_change
-from wagtailkeel_state.routing import find_document_fault
+from wagtailkeel_state.routing import find_document_error
 
 CHANGES = 200
 
@@ -56,8 +56,8 @@
         ]
         for name, found in table:
             with self.subTest(name):
-                self.assertIsNotNone(find_document_fault(found))
-        self.assertIsNone(find_document_fault(document(1, [route(1)])))
+                self.assertIsNotNone(find_document_error(found))
+        self.assertIsNone(find_document_error(document(1, [route(1)])))
 
     def test_random_changes_rebuild_the_document_and_its_order(self) -> None:
         random = Random(1)
--- a/tests/transport/storage/test_log_store.py
+++ b/tests/transport/storage/test_log_store.py
@@ -10,8 +10,8 @@
 from wagtailkeel_state import LogEntry
 from wagtailkeel_state import apply_entry
 from wagtailkeel_state.commands import DefineDataCentre
-from wagtailkeel_state.durable import Snapshot
-from wagtailkeel_state.durable import Vote
+from wagtailkeel_state.persistent_state import Snapshot
+from wagtailkeel_state.persistent_state import Vote
 from wagtailkeel_transport import DamagedFileError
 from wagtailkeel_transport import DataFolderLockedError
 from wagtailkeel_transport import DataFolderMissingError
