Names of the tests of configuration, routing and owner tables

Names such as test_faults, test_versions or test_no_servers did not say which failure they guard against. Renamed, with the locals that were called found; no check changes.

--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -27,7 +27,7 @@
 from wagtailkeel_state.enums import ServerState
 
 TARGET = Target.parse("p99<200ms")
-OUT = DataCentreState.OUT_OF_SERVICE
+OUT_OF_SERVICE = DataCentreState.OUT_OF_SERVICE
 
 
 def member(server_id: str, boot_id: int = 1, service: str = "desk") -> ServerMember:
@@ -60,7 +60,7 @@
         answer = self.apply(command)
         self.assertTrue(answer.is_accepted, answer.reason)
 
-    def test_rejections_name_the_reason(self) -> None:
+    def test_rejection_has_a_reason_and_keeps_the_version(self) -> None:
         change = ChangeTarget(service="desk", name="none", target=TARGET)
         table: list[tuple[AnyCommand, str]] = [
             (CreateService(name="desk", address="10.0.0.2"), "exists already"),
@@ -70,7 +70,7 @@
             (self.create_class("new", 20_000), "is taken"),
             (self.create_class("new", 20_001, "none"), "does not exist"),
             (change, "does not exist"),
-            (SetDataCentreState(name="north", state=OUT), "is not known"),
+            (SetDataCentreState(name="north", state=OUT_OF_SERVICE), "is not known"),
             (DrainServer(server_id="none"), "is not a member"),
             (RemoveServer(server_id="a", boot_id=9), "is not a member"),
             (JoinServer(member=member("a", 2, "other")), "use another server id"),
@@ -84,14 +84,14 @@
                 self.assertIn(reason, answer.reason)
                 self.assertEqual(self.config.operator_version, before)
 
-    def test_resent_command_gets_its_first_answer(self) -> None:
-        change = SetDataCentreState(name="east", state=OUT)
+    def test_resent_command_returns_its_first_answer(self) -> None:
+        change = SetDataCentreState(name="east", state=OUT_OF_SERVICE)
         first = self.apply(change, "id1")
-        again = self.apply(change, "id1")
+        resent = self.apply(change, "id1")
         self.assertTrue(first.is_accepted)
-        self.assertEqual(again, first)
+        self.assertEqual(resent, first)
 
-    def test_one_of_two_equal_versions_wins(self) -> None:
+    def test_second_command_with_the_same_expected_version_conflicts(self) -> None:
         version = self.config.operator_version
         change = ChangeTarget(service="desk", name="feed", target=TARGET)
         first = self.apply(change, "id1", version)
@@ -101,33 +101,33 @@
         self.assertIn("by ann", second.reason)
         self.assertIn(str(first.index), second.reason)
 
-    def test_last_capacity_is_kept(self) -> None:
-        self.accept(SetDataCentreState(name="west", state=OUT))
-        answer = self.apply(SetDataCentreState(name="east", state=OUT))
+    def test_last_data_centre_and_last_server_stay_in_service(self) -> None:
+        self.accept(SetDataCentreState(name="west", state=OUT_OF_SERVICE))
+        answer = self.apply(SetDataCentreState(name="east", state=OUT_OF_SERVICE))
         self.assertIn("last one in service", answer.reason)
         self.accept(DrainServer(server_id="a"))
         self.assertIn("last one serving", self.apply(DrainServer(server_id="b")).reason)
 
-    def test_restart_of_an_agent_leaves_a_former_member(self) -> None:
+    def test_restarted_agent_keeps_draining_and_leaves_a_former_member(self) -> None:
         self.accept(DrainServer(server_id="a"))
         self.accept(JoinServer(member=member("a", 2)))
-        found = self.config.servers_by_id["a"]
-        self.assertIs(found.state, ServerState.DRAINING)
+        restarted = self.config.servers_by_id["a"]
+        self.assertIs(restarted.state, ServerState.DRAINING)
         self.assertEqual(self.config.former_members_by_id["a"].boot_id, 1)
-        self.assertEqual(found.joined_index, self.config.index)
+        self.assertEqual(restarted.joined_index, self.config.index)
 
-    def test_region_without_a_server_uses_the_next_one(self) -> None:
+    def test_region_without_a_server_uses_the_next_region(self) -> None:
         self.accept(DefineDataCentre(name="far", region="overseas"))
         self.assertEqual(self.config.table_region("desk", "overseas"), "home")
         self.assertEqual(set(self.config.table_shares("desk", "overseas")), {"a", "b"})
 
     def book(self, booking_id: str, start_s: float, end_s: float, name: str) -> CommandAnswer:
-        change = SetDataCentreState(name=name, state=OUT)
+        change = SetDataCentreState(name=name, state=OUT_OF_SERVICE)
         return self.apply(
             CreateBooking(booking_id=booking_id, start_s=start_s, end_s=end_s, change=change)
         )
 
-    def test_booking_conflicts_are_answered_when_booked(self) -> None:
+    def test_conflicting_booking_is_rejected_on_creation(self) -> None:
         self.assertTrue(self.book("one", 100, 200, "east").is_accepted)
         table = [
             ("one", 300, 400, "east", "exists already"),
@@ -142,7 +142,7 @@
                 self.assertEqual(answer.is_accepted, not reason, answer.reason)
                 self.assertIn(reason, answer.reason)
 
-    def test_booked_drains_leave_a_server(self) -> None:
+    def test_bookings_cannot_drain_the_last_server(self) -> None:
         table = [("a", ""), ("b", "no server of desk")]
         for number, (server_id, reason) in enumerate(table):
             change = DrainServer(server_id=server_id)
@@ -152,11 +152,11 @@
             self.assertEqual(answer.is_accepted, not reason, answer.reason)
             self.assertIn(reason, answer.reason)
 
-    def test_booking_states(self) -> None:
+    def test_booking_state_transitions(self) -> None:
         active, done = BookingState.ACTIVE, BookingState.DONE
         table = [
-            ([active], BookingState.ACTIVE, OUT),
-            ([active, done], BookingState.DONE, OUT),
+            ([active], BookingState.ACTIVE, OUT_OF_SERVICE),
+            ([active, done], BookingState.DONE, OUT_OF_SERVICE),
             ([BookingState.LAPSED], BookingState.LAPSED, DataCentreState.IN_SERVICE),
             ([BookingState.LAPSED, active], BookingState.LAPSED, DataCentreState.IN_SERVICE),
         ]
@@ -169,15 +169,15 @@
                 self.assertIs(self.config.bookings_by_id["one"].state, final)
                 self.assertIs(self.config.data_centres_by_name["east"].state, expected)
 
-    def test_booking_that_no_longer_fits_fails_with_its_reason(self) -> None:
+    def test_booking_that_cannot_be_applied_fails_with_the_reason(self) -> None:
         self.book("one", 100, 200, "east")
-        self.accept(SetDataCentreState(name="west", state=OUT))
+        self.accept(SetDataCentreState(name="west", state=OUT_OF_SERVICE))
         self.apply(AdvanceBooking(booking_id="one", state=BookingState.ACTIVE))
-        found = self.config.bookings_by_id["one"]
-        self.assertIs(found.state, BookingState.FAILED)
-        self.assertIn("last one in service", found.reason)
+        booking = self.config.bookings_by_id["one"]
+        self.assertIs(booking.state, BookingState.FAILED)
+        self.assertIn("last one in service", booking.reason)
 
-    def test_gaps_are_refused(self) -> None:
+    def test_index_gap_raises_value_error(self) -> None:
         with self.assertRaises(ValueError):
             apply_entry(self.config, LogEntry(self.config.index + 2, 1, DrainServer(server_id="a")))
 
--- a/tests/state/test_owner_table.py
+++ b/tests/state/test_owner_table.py
@@ -27,7 +27,7 @@
         backwards = dict(reversed(shares.items()))
         self.assertEqual(OwnerTable.build(1, shares, 64), OwnerTable.build(1, backwards, 64))
 
-    def test_quotas(self) -> None:
+    def test_quotas_by_largest_remainder(self) -> None:
         table = [
             ([1], 8, [8]),
             ([1, 1], 8, [4, 4]),
@@ -39,7 +39,7 @@
             with self.subTest(shares=shares):
                 self.assertEqual(compute_quotas(shares, buckets), expected)
 
-    def test_removal_moves_little_more_than_the_removed(self) -> None:
+    def test_removing_a_server_moves_few_buckets_of_others(self) -> None:
         shares = {f"s{number}": 1_000 for number in range(8)}
         before = OwnerTable.build(1, shares, 1_024)
         del shares["s3"]
@@ -47,7 +47,7 @@
         moved = sum(before.owner_of(n) != after.owner_of(n) for n in range(1_024))
         self.assertLess(moved, 2 * len(before.buckets_of("s3")))
 
-    def test_no_servers(self) -> None:
+    def test_table_without_servers_has_no_owner(self) -> None:
         for shares in ({}, {"a": 0}):
             with self.subTest(shares=shares):
                 self.assertIsNone(OwnerTable.build(1, shares, 8).owner_of(0))
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -26,7 +26,7 @@
 from wagtailkeel_state.routing import compute_change
 from wagtailkeel_state.routing import find_document_error
 
-CHANGES = 200
+VERSIONS = 200
 
 
 def route(number: int, service: str = "a", weight: int = 1) -> Route:
@@ -36,7 +36,7 @@
 def document(version: int, routes: list[Route], services: str = "ab") -> RoutingDocument:
     return RoutingDocument(
         version,
-        {found.place: found for found in routes},
+        {entry.place: entry for entry in routes},
         {name: ServicePolicy(name) for name in services},
     )
 
@@ -46,7 +46,7 @@
 
 
 class RoutingDocumentTest(unittest.TestCase):
-    def test_faults(self) -> None:
+    def test_invalid_document_has_an_error(self) -> None:
         table = [
             ("version", document(0, [route(1)])),
             ("unknown service", document(1, [route(1, "c")])),
@@ -54,30 +54,30 @@
             ("negative weight", document(1, [route(1, weight=-1)])),
             ("no service", document(1, [Route("198.18.0.1", 1, ())])),
         ]
-        for name, found in table:
+        for name, invalid in table:
             with self.subTest(name):
-                self.assertIsNotNone(find_document_error(found))
+                self.assertIsNotNone(find_document_error(invalid))
         self.assertIsNone(find_document_error(document(1, [route(1)])))
 
-    def test_random_changes_rebuild_the_document_and_its_order(self) -> None:
+    def test_random_changes_restore_the_document_and_its_order(self) -> None:
         random = Random(1)
-        known = RoutingDocument()
-        for version in range(1, CHANGES):
+        current = RoutingDocument()
+        for version in range(1, VERSIONS):
             numbers = random.sample(range(1, 40), random.randint(1, 30))
             routes = [
                 route(number, random.choice("ab"), random.randint(1, 3)) for number in numbers
             ]
             new = document(version, routes, random.choice(["ab", "ba", "abc"]))
             change = msgspec.msgpack.decode(
-                msgspec.msgpack.encode(compute_change(known, new)),
-                type=type(compute_change(known, new)),
+                msgspec.msgpack.encode(compute_change(current, new)),
+                type=type(compute_change(current, new)),
             )
-            known = apply_change(known, change)
-            self.assertEqual(list(known.routes_by_place), list(new.routes_by_place))
-            self.assertEqual(known.routes_by_place, new.routes_by_place)
-            self.assertEqual(known.policies_by_service, new.policies_by_service)
+            current = apply_change(current, change)
+            self.assertEqual(list(current.routes_by_place), list(new.routes_by_place))
+            self.assertEqual(current.routes_by_place, new.routes_by_place)
+            self.assertEqual(current.policies_by_service, new.policies_by_service)
 
-    def test_a_change_of_one_route_carries_one_route(self) -> None:
+    def test_change_of_one_route_carries_only_that_route(self) -> None:
         old = document(1, [route(number) for number in range(1, 400)])
         new = document(2, [route(number, "b" if number == 7 else "a") for number in range(1, 400)])
         change = compute_change(old, new)
@@ -85,7 +85,7 @@
 
 
 class ReplaceRoutingTest(unittest.TestCase):
-    def test_versions(self) -> None:
+    def test_outdated_version_changes_nothing(self) -> None:
         config = Configuration()
         first, second = document(3, [route(1)]), document(9, [route(2)])
         self.assertTrue(
@@ -95,12 +95,12 @@
         self.assertTrue(apply(config, ReplaceRouting(change=change)).is_accepted)
         same = compute_change(RoutingDocument(), document(9, [route(5)]))
         older = compute_change(RoutingDocument(), document(4, [route(5)]))
-        for overtaken in (same, older):
-            with self.subTest(version=overtaken.version):
-                self.assertTrue(apply(config, ReplaceRouting(change=overtaken)).is_accepted)
+        for outdated in (same, older):
+            with self.subTest(version=outdated.version):
+                self.assertTrue(apply(config, ReplaceRouting(change=outdated)).is_accepted)
                 self.assertEqual(list(config.routing.routes_by_place), ["198.18.0.1:2"])
 
-    def test_a_change_from_another_base_is_rejected(self) -> None:
+    def test_change_from_another_base_version_is_rejected(self) -> None:
         config = Configuration()
         apply(
             config, ReplaceRouting(change=compute_change(config.routing, document(3, [route(1)])))
@@ -112,7 +112,7 @@
 
 
 class MembersTest(unittest.TestCase):
-    def test_an_agent_whose_server_has_ended_is_no_former_member(self) -> None:
+    def test_removed_member_is_retained_unless_its_server_has_ended(self) -> None:
         for has_ended, expected in ((True, set()), (False, {"s1"})):
             with self.subTest(has_ended=has_ended):
                 config = Configuration()
@@ -121,7 +121,7 @@
                 apply(config, RemoveServer(server_id="s1", boot_id=7, has_ended=has_ended))
                 self.assertEqual(set(config.former_members_by_id), expected)
 
-    def test_the_last_data_centre_leaves_only_when_that_is_allowed(self) -> None:
+    def test_last_data_centre_goes_out_of_service_only_with_may_be_last(self) -> None:
         config = Configuration()
         apply(config, DefineDataCentre(name="east", region="home"))
         state = DataCentreState.OUT_OF_SERVICE
