Texts of configuration, directory and owner tables

Docstrings and comments said "Tell whether", "one never defined does" or "forget", and left open who does what. Reworded in plain terms; the constants of the owner table's hash and the shapes of its arrays are explained. The messages for an invalid routing document and an invalid target are reworded as well; no test matches them, and neither text is stored. Reasons that replicas compute are unchanged.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/address_pool.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/address_pool.py
@@ -1,4 +1,4 @@
-"""The pool that service addresses and class ports are taken from."""
+"""Pool from which service addresses and class ports are assigned."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class AddressPool(msgspec.Struct, frozen=True):
-    """A network and a port range; operators never type an address themselves."""
+    """A network and a port range from which control assigns; operators never enter an address."""
 
     network: str
     first_port: int = 20_000
@@ -18,11 +18,11 @@
 
     @property
     def ip_network(self) -> IPv4Network | IPv6Network:
-        """The network as an address object; raises ValueError where the text is not one."""
+        """The network as an address object; raises ValueError if the text is not a network."""
         return ip_network(self.network)
 
     def overlaps(self, other: AddressPool) -> bool:
-        """Tell whether two pools share an address."""
+        """Return whether the two pools share an address."""
         own_network, other_network = self.ip_network, other.ip_network
         if isinstance(own_network, IPv4Network) and isinstance(other_network, IPv4Network):
             return own_network.overlaps(other_network)
@@ -31,14 +31,14 @@
         return False
 
     def first_free_address(self, taken: set[str]) -> str | None:
-        """Return the lowest host address not in ``taken``, or None when the pool is used up."""
+        """Return the lowest host address not in ``taken``, or None if all are taken."""
         for host in self.ip_network.hosts():
             if str(host) not in taken:
                 return str(host)
         return None
 
     def first_free_port(self, taken: set[int]) -> int | None:
-        """Return the lowest port not in ``taken``, or None when the range is used up."""
+        """Return the lowest port not in ``taken``, or None if all are taken."""
         for port in range(self.first_port, self.last_port + 1):
             if port not in taken:
                 return port
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/balancer_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/balancer_member.py
@@ -6,7 +6,7 @@
 
 
 class BalancerMember(msgspec.Struct):
-    """A balancer as it announced itself."""
+    """A balancer, with the details that it announced."""
 
     instance_id: str
     data_centre: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking.py
@@ -1,4 +1,4 @@
-"""A change booked for a window of time."""
+"""A change that is booked for a time window."""
 
 from __future__ import annotations
 
@@ -9,7 +9,10 @@
 
 
 class Booking(msgspec.Struct):
-    """Times are seconds since the Unix epoch; the leader logs each change of state."""
+    """A booked change and its state, of which the leader logs each transition.
+
+    Times are in seconds since the Unix epoch.
+    """
 
     booking_id: str
     author: str
@@ -20,5 +23,5 @@
     reason: str = ""
 
     def overlaps(self, start_s: float, end_s: float) -> bool:
-        """Tell whether the windows have an instant in common."""
+        """Return whether the two windows overlap; windows that only touch do not."""
         return self.start_s < end_s and start_s < self.end_s
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
@@ -1,4 +1,4 @@
-"""When two bookings clash."""
+"""Rules that decide whether bookings conflict."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def find_booking_conflict(config: Configuration, command: CreateBooking) -> str | None:
-    """Return why the booking clashes with another in an overlapping window, or None."""
+    """Return why the booking conflicts with others in overlapping windows, or None."""
     subject = booking_subject(command.change)
     pending = [b for b in config.bookings_by_id.values() if not b.state.is_final]
     overlapping = [b for b in pending if b.overlaps(command.start_s, command.end_s)]
@@ -30,7 +30,7 @@
 
 
 def _find_capacity_conflict(config: Configuration, changes: list[Command]) -> str | None:
-    """Return what would be without any server while all the changes hold together, or None."""
+    """Return the reason if all the changes together leave no data centre or server, or None."""
     out_of_service = {
         change.name
         for change in changes
@@ -45,7 +45,7 @@
         return "no data centre would be left in service in that window"
     drained = {change.server_id for change in changes if isinstance(change, DrainServer)}
     members_to_drain = [config.servers_by_id[key] for key in drained if key in config.servers_by_id]
-    # Sorted, since every replica has to give the same reason.
+    # Sorted, so that every replica returns the same reason.
     for service in sorted({member.service for member in members_to_drain}):
         placeable = [m for m in config.members_of(service) if config.is_placeable(m.server_id)]
         remaining = [
@@ -59,7 +59,7 @@
 
 
 def booking_subject(change: Command) -> str:
-    """Return the name of what a change is about; two changes of one subject conflict."""
+    """Return what a change affects; overlapping bookings of the same subject conflict."""
     if isinstance(change, SetDataCentreState):
         return f"data centre {change.name}"
     if isinstance(change, (DrainServer, RestoreServer)):
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -1,4 +1,4 @@
-"""Commands: the content of log entries. Every replica applies them and gets the same answer."""
+"""Commands of log entries. Every replica applies them and computes the same answers."""
 
 from __future__ import annotations
 
@@ -19,18 +19,18 @@
 
 
 class Noop(Command):
-    """Entry a new leader commits first, so that entries of earlier terms commit with it."""
+    """First entry that a new leader commits, so that entries of earlier terms commit with it."""
 
 
 class CreateService(Command):
-    """Create a service; its address is assigned from the pool by the leader."""
+    """Create a service; the leader assigns its address from a pool."""
 
     name: str
     address: str = ""
 
 
 class CreateClass(Command):
-    """Add a class to a service; its port is assigned from the pool by the leader."""
+    """Add a traffic class to a service; the leader assigns its port from a pool."""
 
     service: str
     name: str
@@ -42,7 +42,7 @@
 
 
 class ChangeTarget(Command):
-    """Set another target for a class."""
+    """Replace the target of a traffic class."""
 
     service: str
     name: str
@@ -50,16 +50,16 @@
 
 
 class DefineDataCentre(Command):
-    """Record a data centre and its region."""
+    """Define a data centre, or change its region."""
 
     name: str
     region: str
 
 
 class SetDataCentreState(Command):
-    """Take a data centre out of service or bring it back.
+    """Take a data centre out of service or return it to service.
 
-    ``may_be_last`` allows to take out the last one in service.
+    ``may_be_last`` permits that the last data centre in service is taken out.
     """
 
     name: str
@@ -68,13 +68,13 @@
 
 
 class ReplaceRouting(Command):
-    """Put a newer routing document in force; one that is not newer changes nothing."""
+    """Put a newer routing document in force; a version that is not newer has no effect."""
 
     change: RoutingChange
 
 
 class DrainServer(Command):
-    """Let a server finish its flows; it gets no new work."""
+    """Stop placing new flows on a server and let it finish its flows."""
 
     server_id: str
     deadline_s: float = 3_600.0
@@ -87,28 +87,28 @@
 
 
 class JoinServer(Command):
-    """Add a server, or its agent's next incarnation."""
+    """Add a server, or record its agent's next incarnation."""
 
     member: ServerMember
 
 
 class StopAgent(Command):
-    """An agent is about to stop as planned; its server goes on and keeps its flows."""
+    """Record that an agent is about to stop as planned; its server keeps running with its flows."""
 
     server_id: str
     boot_id: int
 
 
 class SetControlMembers(Command):
-    """Set the voters of control: each one's data folder identity by instance id."""
+    """Set the voters of control: the identity of each voter's data folder, by instance id."""
 
     identities_by_id: dict[str, str]
 
 
 class RemoveServer(Command):
-    """Remove one incarnation of a server's agent; any other incarnation stays.
+    """Remove one incarnation of a server's agent; other incarnations are not affected.
 
-    ``has_ended`` says that the server has ended too: no flow of its is left anywhere.
+    ``has_ended`` means that the server has stopped too, so that none of its flows is left anywhere.
     """
 
     server_id: str
@@ -117,7 +117,7 @@
 
 
 class JoinBalancer(Command):
-    """Add a balancer, or its next incarnation."""
+    """Add a balancer, or record its next incarnation."""
 
     member: BalancerMember
 
@@ -130,14 +130,14 @@
 
 
 class SetShares(Command):
-    """Set the quota weights of a service's servers."""
+    """Set the quota weights of a service's servers by server id."""
 
     service: str
     shares_by_server_id: dict[str, int]
 
 
 class CreateBooking(Command):
-    """Book a change for a window; times are seconds since the Unix epoch."""
+    """Book a change for a time window; times are in seconds since the Unix epoch."""
 
     booking_id: str
     start_s: float
@@ -146,13 +146,13 @@
 
 
 class CancelBooking(Command):
-    """Cancel a booking that has not become active."""
+    """Cancel a booking that is not active yet."""
 
     booking_id: str
 
 
 class AdvanceBooking(Command):
-    """Leader's record that a booking became active, is done or lapsed."""
+    """Record, as proposed by the leader, that a booking is active, is done or has lapsed."""
 
     booking_id: str
     state: BookingState
@@ -185,7 +185,7 @@
 
 
 class CommandAnswer(msgspec.Struct, omit_defaults=True):
-    """Outcome of a command; ``index`` is the log index where it was decided."""
+    """Outcome of a command; ``index`` is the log index at which it was decided."""
 
     status: AnswerStatus
     reason: str = ""
@@ -193,12 +193,12 @@
 
     @property
     def is_accepted(self) -> bool:
-        """Tell whether the command took effect."""
+        """Return whether the command took effect."""
         return self.status is AnswerStatus.ACCEPTED
 
 
 class LogEntry(msgspec.Struct, omit_defaults=True):
-    """A command at its place in the log, with who sent it and what version they expected."""
+    """A command with its position in the log, its author and the version that they expected."""
 
     index: int
     term: int
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -1,4 +1,4 @@
-"""The replicated configuration: what every node knows, at one log index."""
+"""The replicated configuration that every node has, as of one log index."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Configuration(msgspec.Struct):
-    """All replicated state; only :func:`apply_entry` changes it."""
+    """All replicated state; only :func:`apply_entry` modifies it."""
 
     index: int = 0
     term: int = 0
@@ -36,29 +36,29 @@
     routing: RoutingDocument = msgspec.field(default_factory=RoutingDocument)
 
     def is_in_service(self, data_centre: str) -> bool:
-        """Tell whether a data centre takes traffic; one never defined does."""
+        """Return whether a data centre takes traffic; an undefined data centre does."""
         definition = self.data_centres_by_name.get(data_centre)
         return definition is None or definition.state is DataCentreState.IN_SERVICE
 
     def region_of(self, data_centre: str) -> str:
-        """Return the region of a data centre; one never defined is a region of its own."""
+        """Return the region of a data centre; an undefined data centre is a region of its own."""
         definition = self.data_centres_by_name.get(data_centre)
         return definition.region if definition else data_centre
 
     def is_placeable(self, server_id: str) -> bool:
-        """Tell whether new flows may go to the server."""
+        """Return whether new flows may be placed on the server."""
         member = self.servers_by_id.get(server_id)
         if member is None or member.state is not ServerState.SERVING:
             return False
         return self.is_in_service(member.data_centre)
 
     def members_of(self, service: str) -> list[ServerMember]:
-        """Return all members of a service, in the order of their ids."""
+        """Return all members of a service, ordered by server id."""
         definition = self.services_by_name.get(service)
         return [self.servers_by_id[key] for key in definition.server_ids] if definition else []
 
     def share_of(self, server_id: str) -> int:
-        """Return a server's quota weight; 0 for one that is no member."""
+        """Return a server's quota weight, or 0 if it is not a member of a defined service."""
         member = self.servers_by_id.get(server_id)
         if member is None or member.service not in self.services_by_name:
             return 0
@@ -66,7 +66,11 @@
         return shares.get(server_id, DEFAULT_SHARE_PER_SLOT * member.slots)
 
     def table_region(self, service: str, region: str) -> str:
-        """Return the region whose servers serve ``region``: itself, else the next with a server."""
+        """Return the region whose servers serve ``region``.
+
+        This is the region itself or, if none of its servers is placeable, the next region by name
+        that has such a server.
+        """
         regions = sorted(
             {
                 self.region_of(m.data_centre)
@@ -79,7 +83,7 @@
         return next((name for name in regions if name > region), regions[0])
 
     def table_shares(self, service: str, region: str) -> dict[str, int]:
-        """Return the quota weights of the servers that may own buckets for a region."""
+        """Return the quota weights by id of the servers that may own buckets for a region."""
         serving_region = self.table_region(service, region)
         return {
             m.server_id: self.share_of(m.server_id)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -1,4 +1,4 @@
-"""Applying log entries to the configuration: deterministic, the same on every replica."""
+"""Deterministic application of log entries: every replica computes the same configuration."""
 
 from __future__ import annotations
 
@@ -45,6 +45,7 @@
 MAX_RETAINED_ANSWERS = 10_000
 MAX_RETAINED_FORMER_MEMBERS = 1_000
 
+# Commands of nodes, not operators: the expected version is not checked.
 _SYSTEM_COMMANDS = (
     Noop,
     DefineDataCentre,
@@ -62,7 +63,7 @@
 def apply_entry(config: Configuration, entry: LogEntry) -> CommandAnswer:
     """Apply the entry at ``config.index + 1`` and return its answer.
 
-    A command id seen before gets its first answer again and changes nothing.
+    A command whose id was applied before changes nothing and returns its first answer.
     """
     if entry.index != config.index + 1:
         raise ValueError(f"entry {entry.index} does not follow index {config.index}")
@@ -110,7 +111,7 @@
 
 
 def _set_table_epochs_of_data_centre(config: Configuration, index: int, data_centre: str) -> None:
-    """Only services with a server there get a new table: the others' owners stay as they are."""
+    """Set the table epoch of services with a server there; the owners of others do not change."""
     for service_name in {
         m.service for m in config.servers_by_id.values() if m.data_centre == data_centre
     }:
@@ -119,7 +120,7 @@
 
 @singledispatch
 def apply_command(command: Command, config: Configuration, entry: LogEntry) -> str | None:
-    """Apply one command; return None when it took effect, else the reason why not."""
+    """Apply one command; return None if it took effect, else the reason why it did not."""
     raise TypeError(f"no rule to apply {type(command).__name__}")
 
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/data_centre.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/data_centre.py
@@ -8,7 +8,7 @@
 
 
 class DataCentre(msgspec.Struct):
-    """Data centres of one region are near one another and share owner tables."""
+    """A data centre; those of one region are close to one another and share owner tables."""
 
     name: str
     region: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/enums.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/enums.py
@@ -6,7 +6,7 @@
 
 
 class FlowProtocol(str, Enum):
-    """Transport protocol of a class of work."""
+    """Transport protocol of a traffic class."""
 
     TCP = "tcp"
     UDP = "udp"
@@ -18,7 +18,7 @@
 
 
 class ServerState(str, Enum):
-    """Life-cycle state of a backend server, as logged."""
+    """Life-cycle state of a backend server, as recorded in the replicated log."""
 
     SERVING = "serving"
     DRAINING = "draining"
@@ -44,7 +44,7 @@
 
     @property
     def is_final(self) -> bool:
-        """A final state never changes again."""
+        """Return whether the state is final, that is, never changes again."""
         return self not in (BookingState.BOOKED, BookingState.ACTIVE)
 
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
@@ -1,7 +1,8 @@
 """The flow directory of one agent.
 
-Local flows live on the agent's own server and are the ground truth of where a flow is. Remote
-flows are pointers, kept for the buckets whose authority this agent is.
+Local flows are the flows on the agent's backend server; their records are authoritative on where a
+flow is. Remote flows are pointers to other servers, kept for the buckets whose authority this agent
+is.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 
 class FlowDirectory:
-    """Local flows by key and by bucket, remote flows by bucket."""
+    """Records of local flows by key and by bucket, and of remote flows by bucket."""
 
     __slots__ = ("local_flows_by_key", "local_keys_by_bucket", "remote_flows_by_bucket")
 
@@ -29,17 +30,17 @@
 
     @property
     def remote_flow_count(self) -> int:
-        """The number of pointers and refusals."""
+        """The number of pointers and recorded refusals."""
         return sum(len(flows) for flows in self.remote_flows_by_bucket.values())
 
     def add_local(self, flow: LocalFlow) -> None:
-        """Record a flow of the own server; a pointer to it is no longer needed."""
+        """Record a flow of the local backend server and remove a pointer to it, if any."""
         self.local_flows_by_key[flow.key] = flow
         self.local_keys_by_bucket.setdefault(flow.bucket, set()).add(flow.key)
         self.remove_remote(flow.bucket, flow.key)
 
     def remove_local(self, flow: LocalFlow) -> None:
-        """Forget a flow of the own server."""
+        """Remove a flow of the local backend server."""
         self.local_flows_by_key.pop(flow.key, None)
         keys = self.local_keys_by_bucket.get(flow.bucket)
         if keys is None:
@@ -49,17 +50,17 @@
             del self.local_keys_by_bucket[flow.bucket]
 
     def find_remote(self, bucket: int, key: bytes) -> RemoteFlow | None:
-        """Return the pointer for a flow, if there is one."""
+        """Return the pointer or refusal recorded for a flow, or None."""
         flows = self.remote_flows_by_bucket.get(bucket)
         return flows.get(key) if flows else None
 
     def add_remote(self, bucket: int, key: bytes, server_id: str, now: float) -> None:
-        """Record which server has a flow, or its refusal."""
+        """Record which server has a flow, or that the flow was refused."""
         flows = self.remote_flows_by_bucket.setdefault(bucket, {})
         flows[key] = RemoteFlow(server_id, now)
 
     def remove_remote(self, bucket: int, key: bytes) -> None:
-        """Forget a pointer."""
+        """Remove the pointer or refusal recorded for a flow."""
         flows = self.remote_flows_by_bucket.get(bucket)
         if flows is None or flows.pop(key, None) is None:
             return
@@ -67,17 +68,17 @@
             del self.remote_flows_by_bucket[bucket]
 
     def remove_remotes(self, bucket: int) -> None:
-        """Forget all pointers of a bucket, after its token has gone elsewhere."""
+        """Remove all pointers of a bucket after its token was granted to another agent."""
         self.remote_flows_by_bucket.pop(bucket, None)
 
     def records_of(self, bucket: int, own_id: str) -> list[FlowRecord]:
-        """Return all that is known of a bucket, as its next owner needs it."""
+        """Return the records of all local and remote flows of a bucket, for its next owner."""
         local = [FlowRecord(key, own_id) for key in self.local_keys_by_bucket.get(bucket, ())]
         remote = self.remote_flows_by_bucket.get(bucket, {})
         return local + [FlowRecord(key, flow.server_id) for key, flow in remote.items()]
 
     def local_records(self, buckets: Iterable[int], own_id: str) -> list[FlowRecord]:
-        """Return the flows of some buckets that live on the own server."""
+        """Return the records of the local backend server's flows in the given buckets."""
         return [
             FlowRecord(key, own_id)
             for bucket in buckets
@@ -85,7 +86,7 @@
         ]
 
     def install_records(self, bucket: int, records: Iterable[FlowRecord], now: float) -> None:
-        """Take over another agent's records; flows of the own server stay as they are."""
+        """Add another agent's records, except for flows that are on the local backend server."""
         for record in records:
             if record.key not in self.local_flows_by_key:
                 self.add_remote(bucket, record.key, record.server_id, now)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/flow_record.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/flow_record.py
@@ -1,15 +1,15 @@
-"""A directory entry in its transferable form."""
+"""A directory entry, in the form in which agents transfer it."""
 
 from __future__ import annotations
 
 import msgspec
 
 REFUSED_SERVER_ID = ""
-"""Server id of an entry that records a refusal."""
+"""Server id in an entry that records that a flow was refused."""
 
 
 class FlowRecord(msgspec.Struct, array_like=True, frozen=True):
-    """Says which server has a flow; the server id :data:`REFUSED` records a refusal."""
+    """The server that has a flow, or :data:`REFUSED_SERVER_ID` if the flow was refused."""
 
     key: bytes
     server_id: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/generation.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/generation.py
@@ -6,7 +6,7 @@
 
 
 class Generation(msgspec.Struct, array_like=True, frozen=True, order=True):
-    """Age of a token; a takeover starts at (epoch, 0), each grant adds one to the counter."""
+    """Age of a token: a takeover starts at (epoch, 0), each grant adds 1 to the counter."""
 
     epoch: int
     counter: int
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
@@ -1,4 +1,4 @@
-"""A flow that lives on this agent's own server."""
+"""A flow on the agent's backend server."""
 
 from __future__ import annotations
 
@@ -8,7 +8,10 @@
 
 
 class LocalFlow(msgspec.Struct):
-    """What the agent has seen of a flow, in both directions; times are monotonic seconds."""
+    """State of a flow as seen by the agent in both directions; times are in monotonic seconds.
+
+    ``was_queued`` is true if all slots of the server were busy when the unanswered request arrived.
+    """
 
     key: bytes
     bucket: int
@@ -26,10 +29,10 @@
 
     @property
     def is_awaiting_answer(self) -> bool:
-        """Tell whether the server owes an answer."""
+        """Return whether an answer of the server is expected."""
         return self.awaiting_since > 0.0
 
     @property
     def is_closed(self) -> bool:
-        """Tell whether both ends have sent FIN."""
+        """Return whether both ends have sent FIN."""
         return self.has_inbound_fin and self.has_outbound_fin
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -1,8 +1,9 @@
 """Owner tables: rendezvous hashing with quotas.
 
-Source: highest random weight hashing (Thaler and Ravishankar, 1998). Each server's quota is its
-share of the buckets by largest remainder. All (bucket, server) pairs are taken in descending
-order of hash, and a pair is made where the bucket is free and the quota is not full.
+Based on highest random weight hashing (Thaler and Ravishankar, 1998). Each server's quota is its
+share of the buckets by the largest remainder method. All (bucket, server) pairs are processed in
+descending order of their hash: the server becomes the owner if the bucket has none yet and the
+server's quota is not used up.
 """
 
 from __future__ import annotations
@@ -26,9 +27,9 @@
 
 
 class OwnerTable(msgspec.Struct):
-    """Owners by bucket, as positions in ``server_ids``: two bytes a bucket.
+    """Owner of each bucket, as a position in ``server_ids`` of two bytes.
 
-    ``epoch`` is the log index of the change that made the table.
+    ``epoch`` is the log index of the change from which the table results.
     """
 
     epoch: int
@@ -37,7 +38,7 @@
 
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
-        """Build the table; the result depends on the arguments alone, not on their order."""
+        """Build the table; the order of the servers does not affect the result."""
         server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
@@ -49,7 +50,7 @@
     def build_without_quotas(
         cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int
     ) -> OwnerTable:
-        """Build a table by rendezvous hashing without quotas: the baseline of measurements."""
+        """Build a table by rendezvous hashing without quotas, as the baseline of measurements."""
         server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
@@ -68,17 +69,17 @@
 
     @property
     def has_owners(self) -> bool:
-        """Tell whether any server owns buckets."""
+        """Return whether any server owns buckets."""
         return bool(self.server_ids)
 
     def owner_of(self, bucket: int) -> str | None:
-        """Return the owner's server id, or None in an empty table or for no bucket of it."""
+        """Return the owner's server id, or None if the table has no such bucket or is empty."""
         if not 0 <= bucket < len(self.positions):
             return None
         return self.server_ids[self.positions[bucket]]
 
     def buckets_of(self, server_id: str) -> list[int]:
-        """Return the buckets that the server owns, ascending."""
+        """Return the buckets that the server owns, in ascending order."""
         if server_id not in self.server_ids:
             return []
         own_position = self.server_ids.index(server_id)
@@ -92,7 +93,7 @@
 
 
 def compute_quotas(shares: list[int], buckets: int) -> list[int]:
-    """Split ``buckets`` by largest remainder; ties go to the earlier server."""
+    """Distribute ``buckets`` by largest remainder; ties go to the earlier server."""
     total = sum(shares)
     quotas = [share * buckets // total for share in shares]
     by_remainder = sorted(range(len(shares)), key=lambda i: (-(shares[i] * buckets % total), i))
@@ -102,7 +103,8 @@
 
 
 def _pair_hashes(server_ids: list[str], buckets: int) -> NDArray[np.uint64]:
-    # Most roles build no table, and numpy takes long to import on a thin instance.
+    """Return the hash of each pair, computed with SplitMix64, in the shape (buckets, servers)."""
+    # Imported here since most roles build no table, and numpy is slow to import on small instances.
     import numpy as np
 
     seeds = np.array(
@@ -120,6 +122,7 @@
 
 
 def _assign_buckets(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
+    """Return the position of each bucket's owner; ``hashes`` has the shape (buckets, servers)."""
     buckets, servers = hashes.shape
     pairs_by_hash = (~hashes.ravel()).argsort(kind="stable").tolist()
     owners = [-1] * buckets
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
@@ -1,4 +1,4 @@
-"""What a control instance keeps on disk besides its log."""
+"""State that a control instance keeps on disk in addition to its log."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 
 class Vote(msgspec.Struct, frozen=True):
-    """The newest term seen and whom this instance voted for in it."""
+    """The latest term seen and the candidate that this instance voted for in that term."""
 
     term: int = 0
     voted_for: str = ""
 
 
 class Snapshot(msgspec.Struct):
-    """A configuration that stands for all entries up to its index."""
+    """A configuration that replaces all log entries up to its index."""
 
     configuration: Configuration
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
@@ -1,4 +1,4 @@
-"""A flow of an owned bucket that lives on another agent's server."""
+"""A flow of one of the agent's buckets that is on another agent's server."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class RemoteFlow(msgspec.Struct):
-    """A pointer to a flow's server, or the memory of a refusal."""
+    """A pointer to the server that has a flow, or the record that the flow was refused."""
 
     server_id: str
     last_seen_at: float
@@ -16,5 +16,5 @@
 
     @property
     def is_refused(self) -> bool:
-        """Tell whether the flow was refused."""
+        """Return whether the flow was refused."""
         return self.server_id == REFUSED_SERVER_ID
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -1,7 +1,7 @@
-"""Routing documents: which service new flows to an address and port go to.
+"""Routing documents: the services to which new flows to an address and port go.
 
-A document is replaced as a whole under a rising version. Log entries carry only what differs
-from the version before, so that a large document costs little to change.
+Operators replace the whole document under an increasing version. Log entries carry only the
+difference from the previous version, so that a small change of a large document costs little.
 """
 
 from __future__ import annotations
@@ -10,17 +10,17 @@
 
 
 class WeightedService(msgspec.Struct, frozen=True):
-    """One destination of a route; ``weight`` is relative to the other destinations."""
+    """A destination of a route; ``weight`` is relative to the route's other destinations."""
 
     service: str
     weight: int
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Where new flows to one address and port go.
+    """The destinations of new flows to one address and port.
 
-    ``source`` is the route as the operator wrote it, returned unchanged when it is read back.
-    ``target_s`` is the response time in seconds that its requests should keep; 0 where none is set.
+    ``source`` is the route as the operator wrote it; it is returned unchanged to readers.
+    ``target_s`` is the target response time of its requests in seconds, or 0 if none is set.
     """
 
     address: str
@@ -31,12 +31,12 @@
 
     @property
     def place(self) -> str:
-        """The address and port as text: the key of a route."""
+        """The route's key: its address and port as text."""
         return f"{self.address}:{self.port}"
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
-    """What a service's servers bear after a start; ``source`` as in :class:`Route`."""
+    """Limit of what a service's servers can handle after a start; ``source`` as in Route."""
 
     name: str
     cold_starts_per_s: float = 0.0
@@ -44,7 +44,7 @@
 
 
 class RoutingDocument(msgspec.Struct):
-    """All routes of one version; version 0 is the empty document before the first."""
+    """All routes of one version; version 0 is the empty document that precedes the first one."""
 
     version: int = 0
     routes_by_place: dict[str, Route] = {}
@@ -54,9 +54,10 @@
 
 
 class RoutingChange(msgspec.Struct):
-    """What turns the document of ``base_version`` into that of ``version``.
+    """The difference between the documents of ``base_version`` and ``version``.
 
-    ``places`` gives the order of all routes where it can't be derived, else it is empty.
+    ``places`` lists the keys of all routes in order if the order does not follow from the other
+    fields; otherwise it is empty.
     """
 
     version: int
@@ -71,24 +72,24 @@
 
 
 def find_document_error(document: RoutingDocument) -> str | None:
-    """Return why a document can't be put in force, or None."""
+    """Return why a document is invalid and must not be put in force, or None."""
     if document.version <= 0:
         return f"version {document.version} is not a positive number"
     for route in document.routes_by_place.values():
         if not route.destinations:
-            return f"route {route.place} names no service"
+            return f"route {route.place} has no destinations"
         for destination in route.destinations:
             if destination.service not in document.policies_by_service:
-                return f"route {route.place} names the unknown service {destination.service}"
+                return f"route {route.place} refers to the unknown service {destination.service}"
             if destination.weight < 0:
                 return f"route {route.place} has the negative weight {destination.weight}"
         if not sum(destination.weight for destination in route.destinations):
-            return f"route {route.place} gives no service any weight"
+            return f"route {route.place} has only destinations of weight 0"
     return None
 
 
 def compute_change(old: RoutingDocument, new: RoutingDocument) -> RoutingChange:
-    """Return what differs between two documents."""
+    """Return the change that turns ``old`` into ``new``."""
     change = RoutingChange(
         new.version,
         old.version,
@@ -109,7 +110,7 @@
 
 
 def apply_change(old: RoutingDocument, change: RoutingChange) -> RoutingDocument:
-    """Return the document after a change; ``old`` stays as it is."""
+    """Return the document after a change; ``old`` is not modified."""
     routes = dict(old.routes_by_place)
     for place in change.removed_places:
         routes.pop(place, None)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -8,7 +8,7 @@
 
 
 class ServerMember(msgspec.Struct):
-    """A backend server announced by its agent; ``boot_id`` names the agent's incarnation."""
+    """A backend server announced by its agent; ``boot_id`` identifies the agent's incarnation."""
 
     server_id: str
     service: str
@@ -24,7 +24,7 @@
 
 
 class FormerMember(msgspec.Struct, frozen=True):
-    """A member that left the list: its tokens may live on, and so may its server's flows."""
+    """A removed member, whose tokens and whose server's flows may still exist."""
 
     server_id: str
     service: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
@@ -1,4 +1,4 @@
-"""A service as operators see it."""
+"""A service, as operators define it."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 class Service(msgspec.Struct):
-    """A service has one address, several classes and its servers.
+    """A service with its address, its traffic classes and its servers.
 
-    ``shares_by_server_id`` are quota weights; ``table_epoch`` is the log index of the last change
-    that concerns the owner tables.
+    ``shares_by_server_id`` holds quota weights; ``table_epoch`` is the log index of the last change
+    that affects the service's owner tables.
     """
 
     name: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/target.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/target.py
@@ -1,4 +1,4 @@
-"""The target that operators set for a class of work."""
+"""The target that operators set for a traffic class."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 
 class TargetKind(str, Enum):
-    """What a target bounds."""
+    """The quantity that a target bounds."""
 
     RESPONSE_TIME = "response-time"
     HELD_FLOWS = "held-flows"
 
 
 class Target(msgspec.Struct, frozen=True):
-    """A response time at a percentile (milliseconds) or a number of held flows per server."""
+    """Upper limit of a response time percentile (milliseconds) or of held flows per server."""
 
     kind: TargetKind
     limit: float
@@ -24,7 +24,7 @@
 
     @classmethod
     def parse(cls, text: str, importance: int = 1) -> Target:
-        """Read ``p99<200ms`` or ``held<2000``; raise ValueError with the expected forms."""
+        """Parse ``p99<200ms`` or ``held<2000``; raise ValueError that shows the expected forms."""
         metric, separator, bound = text.replace(" ", "").partition("<")
         try:
             if separator and metric == "held":
@@ -37,7 +37,7 @@
                 return cls(TargetKind.RESPONSE_TIME, limit_ms, percentile, importance)
         except ValueError:
             pass
-        raise ValueError(f"target {text!r} is neither like 'p99<200ms' nor like 'held<2000'")
+        raise ValueError(f"invalid target {text!r}; expected e.g. 'p99<200ms' or 'held<2000'")
 
     def __str__(self) -> str:
         if self.kind is TargetKind.HELD_FLOWS:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/traffic_class.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/traffic_class.py
@@ -1,4 +1,4 @@
-"""A class of work within a service."""
+"""A traffic class of a service."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class TrafficClass(msgspec.Struct):
-    """A class has its own port on the service's address and its own target."""
+    """A class of traffic with its own port on the service's address and its own target."""
 
     name: str
     protocol: FlowProtocol
@@ -21,5 +21,5 @@
 
     @property
     def has_held_flows_target(self) -> bool:
-        """Tell whether the target bounds held flows rather than response times."""
+        """Return whether the target bounds held flows instead of response times."""
         return self.target.kind is TargetKind.HELD_FLOWS
