Texts of the tests of configuration, routing and owner tables

The tests did not say which failure they guard against. Those whose name does not make it plain now have one line that does; no check changes.

--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -61,6 +61,7 @@
         self.assertTrue(answer.is_accepted, answer.reason)
 
     def test_rejection_has_a_reason_and_keeps_the_version(self) -> None:
+        """A rejected command must not make the expected version of other operators outdated."""
         change = ChangeTarget(service="desk", name="none", target=TARGET)
         table: list[tuple[AnyCommand, str]] = [
             (CreateService(name="desk", address="10.0.0.2"), "exists already"),
@@ -85,6 +86,7 @@
                 self.assertEqual(self.config.operator_version, before)
 
     def test_resent_command_returns_its_first_answer(self) -> None:
+        """Applied twice, the command would be rejected, since east is out of service already."""
         change = SetDataCentreState(name="east", state=OUT_OF_SERVICE)
         first = self.apply(change, "id1")
         resent = self.apply(change, "id1")
@@ -92,6 +94,7 @@
         self.assertEqual(resent, first)
 
     def test_second_command_with_the_same_expected_version_conflicts(self) -> None:
+        """The conflict names the author and version of the accepted command."""
         version = self.config.operator_version
         change = ChangeTarget(service="desk", name="feed", target=TARGET)
         first = self.apply(change, "id1", version)
@@ -102,6 +105,7 @@
         self.assertIn(str(first.index), second.reason)
 
     def test_last_data_centre_and_last_server_stay_in_service(self) -> None:
+        """No operator can leave a service without a data centre or server by mistake."""
         self.accept(SetDataCentreState(name="west", state=OUT_OF_SERVICE))
         answer = self.apply(SetDataCentreState(name="east", state=OUT_OF_SERVICE))
         self.assertIn("last one in service", answer.reason)
@@ -109,6 +113,7 @@
         self.assertIn("last one serving", self.apply(DrainServer(server_id="b")).reason)
 
     def test_restarted_agent_keeps_draining_and_leaves_a_former_member(self) -> None:
+        """A restart of the agent must not return a draining server to service."""
         self.accept(DrainServer(server_id="a"))
         self.accept(JoinServer(member=member("a", 2)))
         restarted = self.config.servers_by_id["a"]
@@ -128,6 +133,7 @@
         )
 
     def test_conflicting_booking_is_rejected_on_creation(self) -> None:
+        """A conflict is reported when the change is booked, not when its window starts."""
         self.assertTrue(self.book("one", 100, 200, "east").is_accepted)
         table = [
             ("one", 300, 400, "east", "exists already"),
@@ -170,6 +176,7 @@
                 self.assertIs(self.config.data_centres_by_name["east"].state, expected)
 
     def test_booking_that_cannot_be_applied_fails_with_the_reason(self) -> None:
+        """West goes out of service later, so that east is the last data centre."""
         self.book("one", 100, 200, "east")
         self.accept(SetDataCentreState(name="west", state=OUT_OF_SERVICE))
         self.apply(AdvanceBooking(booking_id="one", state=BookingState.ACTIVE))
@@ -178,6 +185,7 @@
         self.assertIn("last one in service", booking.reason)
 
     def test_index_gap_raises_value_error(self) -> None:
+        """A replica that skipped an entry would differ from the others."""
         with self.assertRaises(ValueError):
             apply_entry(self.config, LogEntry(self.config.index + 2, 1, DrainServer(server_id="a")))
 
--- a/tests/state/test_owner_table.py
+++ b/tests/state/test_owner_table.py
@@ -40,6 +40,7 @@
                 self.assertEqual(compute_quotas(shares, buckets), expected)
 
     def test_removing_a_server_moves_few_buckets_of_others(self) -> None:
+        """Fewer buckets move than twice the number that the removed server owned."""
         shares = {f"s{number}": 1_000 for number in range(8)}
         before = OwnerTable.build(1, shares, 1_024)
         del shares["s3"]
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -60,6 +60,7 @@
         self.assertIsNone(find_document_error(document(1, [route(1)])))
 
     def test_random_changes_restore_the_document_and_its_order(self) -> None:
+        """Changes are encoded and decoded, as they are in log entries."""
         random = Random(1)
         current = RoutingDocument()
         for version in range(1, VERSIONS):
@@ -78,6 +79,7 @@
             self.assertEqual(current.policies_by_service, new.policies_by_service)
 
     def test_change_of_one_route_carries_only_that_route(self) -> None:
+        """A log entry stays small however large the document is."""
         old = document(1, [route(number) for number in range(1, 400)])
         new = document(2, [route(number, "b" if number == 7 else "a") for number in range(1, 400)])
         change = compute_change(old, new)
@@ -86,6 +88,7 @@
 
 class ReplaceRoutingTest(unittest.TestCase):
     def test_outdated_version_changes_nothing(self) -> None:
+        """A document of the same or an earlier version is accepted but not put in force."""
         config = Configuration()
         first, second = document(3, [route(1)]), document(9, [route(2)])
         self.assertTrue(
@@ -101,6 +104,7 @@
                 self.assertEqual(list(config.routing.routes_by_place), ["198.18.0.1:2"])
 
     def test_change_from_another_base_version_is_rejected(self) -> None:
+        """Applied to another base version, the change would give a wrong document."""
         config = Configuration()
         apply(
             config, ReplaceRouting(change=compute_change(config.routing, document(3, [route(1)])))
