Keep two facts in the texts of the owner table and of answered commands

The rewording left out that an owner table depends on its arguments alone, and said that only applied commands return their first answer, while rejected ones do so too. Both are stated again.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -63,7 +63,7 @@
 def apply_entry(config: Configuration, entry: LogEntry) -> CommandAnswer:
     """Apply the entry at ``config.index + 1`` and return its answer.
 
-    A command whose id was applied before changes nothing and returns its first answer.
+    A command whose id was answered before changes nothing and returns its first answer.
     """
     if entry.index != config.index + 1:
         raise ValueError(f"entry {entry.index} does not follow index {config.index}")
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -38,7 +38,7 @@
 
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
-        """Build the table; the order of the servers does not affect the result."""
+        """Build the table; the result depends on the arguments alone, not on the servers' order."""
         server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
@@ -103,7 +103,7 @@
 
 
 def _pair_hashes(server_ids: list[str], buckets: int) -> NDArray[np.uint64]:
-    """Return the hash of each pair, computed with SplitMix64, in the shape (buckets, servers)."""
+    """Return the hash of each pair, mixed as in SplitMix64; shape (buckets, servers)."""
     # Imported here since most roles build no table, and numpy is slow to import on small instances.
     import numpy as np
 
--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -105,7 +105,7 @@
         self.assertIn(str(first.index), second.reason)
 
     def test_last_data_centre_and_last_server_stay_in_service(self) -> None:
-        """No operator can leave a service without a data centre or server by mistake."""
+        """Otherwise a service could be left without any server for new flows."""
         self.accept(SetDataCentreState(name="west", state=OUT_OF_SERVICE))
         answer = self.apply(SetDataCentreState(name="east", state=OUT_OF_SERVICE))
         self.assertIn("last one in service", answer.reason)
