--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
@@ -1,4 +1,4 @@
-"""When two bookings clash."""
+"""Rules that decide whether bookings conflict."""
 
 from __future__ import annotations
 
@@ -19,43 +19,47 @@
 
 
 def find_booking_conflict(config: Configuration, command: CreateBooking) -> str | None:
-    """Return why the booking clashes with another in an overlapping window, or None."""
+    """Return why the booking conflicts with others in overlapping windows, or None."""
     subject = booking_subject(command.change)
     pending = [b for b in config.bookings_by_id.values() if not b.state.is_final]
     overlapping = [b for b in pending if b.overlaps(command.start_s, command.end_s)]
     for booking in overlapping:
         if booking_subject(booking.change) == subject:
             return f"booking {booking.booking_id} by {booking.author} changes {subject} then"
-    return _find_lost_capacity(config, [command.change, *(b.change for b in overlapping)])
+    return _find_capacity_conflict(config, [command.change, *(b.change for b in overlapping)])
 
 
-def _find_lost_capacity(config: Configuration, changes: list[Command]) -> str | None:
-    """Return what would be without any server while all the changes hold together, or None."""
-    out = {
+def _find_capacity_conflict(config: Configuration, changes: list[Command]) -> str | None:
+    """Return the reason if all the changes together leave no data centre or server, or None."""
+    out_of_service = {
         change.name
         for change in changes
         if isinstance(change, SetDataCentreState) and change.state is DataCentreState.OUT_OF_SERVICE
     }
-    remaining = [
+    remaining_data_centres = [
         dc
         for dc in config.data_centres_by_name.values()
-        if dc.state is DataCentreState.IN_SERVICE and dc.name not in out
+        if dc.state is DataCentreState.IN_SERVICE and dc.name not in out_of_service
     ]
-    if out and not remaining:
+    if out_of_service and not remaining_data_centres:
         return "no data centre would be left in service in that window"
     drained = {change.server_id for change in changes if isinstance(change, DrainServer)}
-    members = [config.servers_by_id[key] for key in drained if key in config.servers_by_id]
-    # Sorted, since every replica has to give the same reason.
-    for service in sorted({member.service for member in members}):
+    members_to_drain = [config.servers_by_id[key] for key in drained if key in config.servers_by_id]
+    # Sorted, so that every replica returns the same reason.
+    for service in sorted({member.service for member in members_to_drain}):
         placeable = [m for m in config.members_of(service) if config.is_placeable(m.server_id)]
-        left = [m for m in placeable if m.server_id not in drained and m.data_centre not in out]
-        if placeable and not left:
+        remaining = [
+            m
+            for m in placeable
+            if m.server_id not in drained and m.data_centre not in out_of_service
+        ]
+        if placeable and not remaining:
             return f"no server of {service} would be left in that window"
     return None
 
 
 def booking_subject(change: Command) -> str:
-    """Return the name of what a change is about; two changes of one subject conflict."""
+    """Return what a change affects; overlapping bookings of the same subject conflict."""
     if isinstance(change, SetDataCentreState):
         return f"data centre {change.name}"
     if isinstance(change, (DrainServer, RestoreServer)):
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -13,7 +13,7 @@
 from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.enums import AnswerStatus
 from wagtailkeel_state.routing import compute_change
-from wagtailkeel_state.routing import find_document_fault
+from wagtailkeel_state.routing import find_document_error
 from wagtailkeel_transport import clock
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
         The answer is UNKNOWN if this instance is not the leader or no quorum confirms in time;
         the same document may then be sent again, to this instance or to another.
         """
-        error = find_document_fault(document)
+        error = find_document_error(document)
         if error is not None:
             return CommandAnswer(AnswerStatus.REJECTED, error)
         async with self._lock:
