Names of the load model

Names such as note_end, took_s, take, play, Timeline and unlike "rate" without a unit did not say what they do or hold. Renamed to the terms of the field: EventScheduler.call_later, simulate, requests_per_s, max attempts, work_cv, queue limit.

--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -13,7 +13,7 @@
 from wagtailkeel_bench.load_model import LOADS_BY_NAME
 from wagtailkeel_bench.load_model import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model import format_table
-from wagtailkeel_bench.load_model import play
+from wagtailkeel_bench.load_model import simulate
 from wagtailkeel_bench.measurements.forward import measure_forward
 from wagtailkeel_bench.measurements.slopes import measure_slopes
 from wagtailkeel_bench.measurements.table_build import measure_table_build
@@ -86,10 +86,10 @@
     """Play LOAD against the routing decisions in virtual time, one line a policy."""
     chosen = LOADS_BY_NAME[load]
     if servers is not None:
-        chosen = msgspec.structs.replace(chosen, speeds=(1.0,) * servers)
+        chosen = msgspec.structs.replace(chosen, server_speeds=(1.0,) * servers)
     if rate is not None:
-        chosen = msgspec.structs.replace(chosen, rate=rate)
-    results = {name: play(chosen, policy, seed) for name, policy in POLICIES_BY_NAME.items()}
+        chosen = msgspec.structs.replace(chosen, requests_per_s=rate)
+    results = {name: simulate(chosen, policy, seed) for name, policy in POLICIES_BY_NAME.items()}
     click.echo(f"{load}: {chosen.summary}")
     click.echo(format_table(results))
     if plot:
--- a/bench/src/wagtailkeel_bench/load_model/__init__.py
+++ b/bench/src/wagtailkeel_bench/load_model/__init__.py
@@ -7,6 +7,6 @@
 from wagtailkeel_bench.load_model.policy import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model.results import Results
 from wagtailkeel_bench.load_model.results import format_table
-from wagtailkeel_bench.load_model.simulation import play
+from wagtailkeel_bench.load_model.simulation import simulate
 
-__all__ = ["LOADS_BY_NAME", "POLICIES_BY_NAME", "Load", "Results", "format_table", "play"]
+__all__ = ["LOADS_BY_NAME", "POLICIES_BY_NAME", "Load", "Results", "format_table", "simulate"]
--- a/bench/src/wagtailkeel_bench/load_model/load.py
+++ b/bench/src/wagtailkeel_bench/load_model/load.py
@@ -15,15 +15,15 @@
     """
 
     summary: str
-    speeds: tuple[float, ...]
+    server_speeds: tuple[float, ...]
     slots: int = 1
-    queue: int = 8
-    rate: float
-    surge_rate: float = 0.0
-    surge_from_s: float = 0.0
-    surge_to_s: float = 0.0
-    work_s: float = 0.02
-    work_spread: float = 0.5
+    queue_limit: int = 8
+    requests_per_s: float
+    surge_requests_per_s: float = 0.0
+    surge_start_s: float = 0.0
+    surge_end_s: float = 0.0
+    mean_work_s: float = 0.02
+    work_cv: float = 0.5
     target_s: float = 0.1
     deadline_s: float = 1.0
     users: int = 150
@@ -33,36 +33,36 @@
 
     def rate_at(self, now: float) -> float:
         """Return the rate of requests at a moment."""
-        is_surge = self.surge_from_s <= now < self.surge_to_s
-        return self.surge_rate if is_surge else self.rate
+        is_surge = self.surge_start_s <= now < self.surge_end_s
+        return self.surge_requests_per_s if is_surge else self.requests_per_s
 
 
 LOADS_BY_NAME = {
     "unlike-servers": Load(
         summary="servers of unlike speed with one slot each, 45% busy",
-        speeds=(0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0),
-        rate=160.0,
+        server_speeds=(0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0),
+        requests_per_s=160.0,
     ),
     "small-service": Load(
         summary="a route has moved to two servers that can just not do its work",
-        speeds=(1.0, 1.0),
+        server_speeds=(1.0, 1.0),
         slots=2,
-        rate=215.0,
+        requests_per_s=215.0,
     ),
     "surge": Load(
         summary="1.7 times the usual work for three seconds, more than the servers can do",
-        speeds=(1.0, 1.0, 1.0),
+        server_speeds=(1.0, 1.0, 1.0),
         slots=2,
-        rate=200.0,
-        surge_rate=340.0,
-        surge_from_s=6.0,
-        surge_to_s=9.0,
+        requests_per_s=200.0,
+        surge_requests_per_s=340.0,
+        surge_start_s=6.0,
+        surge_end_s=9.0,
     ),
     "all-return": Load(
         summary="all callers come back at once to servers that are slow for two seconds",
-        speeds=(1.0, 1.0, 1.0),
+        server_speeds=(1.0, 1.0, 1.0),
         slots=2,
-        rate=210.0,
+        requests_per_s=210.0,
         cold_s=2.0,
         cold_factor=1.6,
     ),
--- a/bench/src/wagtailkeel_bench/load_model/model_callers.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_callers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wagtailkeel_bench.load_model.model_server import SHED
+from wagtailkeel_bench.load_model.model_server import SHED_PAYLOAD
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 
@@ -16,12 +16,12 @@
 
     from wagtailkeel_bench.load_model.load import Load
     from wagtailkeel_bench.load_model.results import Results
-    from wagtailkeel_bench.load_model.timeline import Timeline
+    from wagtailkeel_bench.load_model.scheduler import EventScheduler
 
-TRIES = 3
+MAX_ATTEMPTS = 3
 FIRST_PORT = 1_024
-PORTS = 60_000
-REQUEST = b"q"
+PORTS_PER_HOST = 60_000
+REQUEST_PAYLOAD = b"q"
 
 
 class ModelRequest(msgspec.Struct):
@@ -29,8 +29,8 @@
 
     user: int
     started_at: float
-    tries: int = 0
-    is_over: bool = False
+    attempts: int = 0
+    is_finished: bool = False
 
 
 class ModelCallers:
@@ -40,65 +40,65 @@
         self,
         load: Load,
         endpoint: bytes,
-        timeline: Timeline,
+        scheduler: EventScheduler,
         random: Random,
         send: Callable[[bytes], None],
         results: Results,
     ) -> None:
         self._load = load
         self._endpoint = endpoint
-        self._timeline = timeline
+        self._scheduler = scheduler
         self._random = random
         self._send = send
         self._results = results
-        self._free_users = list(range(load.users))
+        self._idle_users = list(range(load.users))
         self._flow_by_user: dict[int, bytes] = {}
         self._request_by_key: dict[bytes, ModelRequest] = {}
-        self._flows = 0
+        self._opened_flows = 0
 
     def start(self) -> None:
         """Begin to send."""
         self._schedule_next()
 
     def _schedule_next(self) -> None:
-        delay_s = self._random.expovariate(self._load.rate_at(self._timeline.now))
-        self._timeline.after(delay_s, self._begin)
+        delay_s = self._random.expovariate(self._load.rate_at(self._scheduler.now))
+        self._scheduler.call_later(delay_s, self._start_request)
 
-    def _begin(self) -> None:
+    def _start_request(self) -> None:
         self._schedule_next()
-        if not self._free_users:
-            self._results.note_no_user()
+        if not self._idle_users:
+            self._results.record_no_idle_user()
             return
-        position = self._random.randrange(len(self._free_users))
-        request = ModelRequest(self._free_users.pop(position), self._timeline.now)
-        self._timeline.after(self._load.deadline_s, lambda: self._give_up(request))
-        self._try(request)
+        index = self._random.randrange(len(self._idle_users))
+        request = ModelRequest(self._idle_users.pop(index), self._scheduler.now)
+        self._scheduler.call_later(self._load.deadline_s, lambda: self._on_deadline(request))
+        self._attempt(request)
 
-    def _try(self, request: ModelRequest) -> None:
-        request.tries += 1
+    def _attempt(self, request: ModelRequest) -> None:
+        request.attempts += 1
         key = self._flow_by_user.get(request.user)
         if key is not None:
             self._request_by_key[key] = request
             self._send_request(key)
             return
-        key = self._draw_key()
+        key = self._generate_key()
         self._request_by_key[key] = request
         self._send(build_tcp(key, 0, 0, ip.SYN))
 
-    def _draw_key(self) -> bytes:
-        self._flows += 1
-        host, port = divmod(self._flows, PORTS)
+    def _generate_key(self) -> bytes:
+        self._opened_flows += 1
+        host, port = divmod(self._opened_flows, PORTS_PER_HOST)
         ports = (FIRST_PORT + port).to_bytes(2, "big") + self._endpoint[4:6]
         return bytes((100, 64, 0, host)) + self._endpoint[:4] + ports + bytes((ip.TCP,))
 
     def _send_request(self, key: bytes) -> None:
-        self._send(build_tcp(key, 1, 1, ip.ACK, REQUEST))
+        self._send(build_tcp(key, 1, 1, ip.ACK, REQUEST_PAYLOAD))
 
-    def take(self, packet: bytes) -> None:
+    def on_packet(self, packet: bytes) -> None:
         """Take a packet that comes back."""
-        reverse = ip.parse_flow_key(packet)
-        assert isinstance(reverse, bytes), "the model sends only whole packets"
-        key = ip.reverse_key(reverse)
+        reply_key = ip.parse_flow_key(packet)
+        assert isinstance(reply_key, bytes), "the model sends only whole packets"
+        key = ip.reverse_key(reply_key)
         request = self._request_by_key.get(key)
         if request is None:
             return
@@ -109,34 +109,34 @@
         elif flags & ip.SYN:
             self._flow_by_user[request.user] = key
             self._send_request(key)
-        elif payload == SHED:
+        elif payload == SHED_PAYLOAD:
             self._results.shed += 1
             self._on_failure(key, request)
         else:
             del self._request_by_key[key]
-            self._end(request, is_answered=True)
+            self._finish(request, is_answered=True)
 
     def _on_failure(self, key: bytes, request: ModelRequest) -> None:
         """A refused opening, or a shed request, whose server closes the flow."""
         del self._request_by_key[key]
         self._flow_by_user.pop(request.user, None)
-        if request.tries < TRIES:
-            self._try(request)
+        if request.attempts < MAX_ATTEMPTS:
+            self._attempt(request)
         else:
-            self._end(request, is_answered=False)
+            self._finish(request, is_answered=False)
 
-    def _give_up(self, request: ModelRequest) -> None:
-        if request.is_over:
+    def _on_deadline(self, request: ModelRequest) -> None:
+        if request.is_finished:
             return
-        for key in [k for k, found in self._request_by_key.items() if found is request]:
+        for key in [k for k, pending in self._request_by_key.items() if pending is request]:
             del self._request_by_key[key]
         self._flow_by_user.pop(request.user, None)
-        self._end(request, is_answered=False)
+        self._finish(request, is_answered=False)
 
-    def _end(self, request: ModelRequest, *, is_answered: bool) -> None:
-        if request.is_over:
+    def _finish(self, request: ModelRequest, *, is_answered: bool) -> None:
+        if request.is_finished:
             return
-        request.is_over = True
-        self._free_users.append(request.user)
-        took_s = self._timeline.now - request.started_at
-        self._results.note_end(request.started_at, took_s, is_answered=is_answered)
+        request.is_finished = True
+        self._idle_users.append(request.user)
+        elapsed_s = self._scheduler.now - request.started_at
+        self._results.record_request(request.started_at, elapsed_s, is_answered=is_answered)
--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -23,20 +23,20 @@
     """How a server is chosen, and whether openings are turned away where requests wait."""
 
     choose: ServerChoice
-    limits_queue: bool
+    has_queue_limit: bool
 
 
-def choose_at_random(
+def choose_random_server(
     candidates: Iterable[PeerLoad], data_centre: str, tried: Collection[Address], random: Random
 ) -> PeerLoad | None:
     """Return any candidate that was not tried, whatever its load."""
-    left = [peer for peer in candidates if peer.address not in tried]
-    return random.choice(left) if left else None
+    untried = [peer for peer in candidates if peer.address not in tried]
+    return random.choice(untried) if untried else None
 
 
 POLICIES_BY_NAME = {
-    "random": Policy(choose_at_random, limits_queue=False),
-    "least-wait": Policy(choose_server, limits_queue=False),
-    "least-wait-limited": Policy(choose_server, limits_queue=True),
+    "random": Policy(choose_random_server, has_queue_limit=False),
+    "least-wait": Policy(choose_server, has_queue_limit=False),
+    "least-wait-limited": Policy(choose_server, has_queue_limit=True),
 }
 """The last one is the product's."""
--- a/bench/src/wagtailkeel_bench/load_model/results.py
+++ b/bench/src/wagtailkeel_bench/load_model/results.py
@@ -13,11 +13,11 @@
 
     from wagtailkeel_bench.load_model.load import Load
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 60_000_000
+LOWEST_RESPONSE_US = 1
+HIGHEST_RESPONSE_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
-STEP_S = 1.0
-BAR_WIDTH = 40
+PLOT_INTERVAL_S = 1.0
+BAR_WIDTH_CHARACTERS = 40
 
 
 class Results:
@@ -30,26 +30,24 @@
         self.shed = 0
         self.work_s_by_server: list[float] = []
         self._load = load
-        self._histogram = HdrHistogram(
-            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
-        )
-        steps = int(load.duration_s / STEP_S)
-        self._in_target_by_step = [0] * steps
-        self._requests_by_step = [0] * steps
+        self._histogram = HdrHistogram(LOWEST_RESPONSE_US, HIGHEST_RESPONSE_US, SIGNIFICANT_DIGITS)
+        interval_count = int(load.duration_s / PLOT_INTERVAL_S)
+        self._in_target_by_interval = [0] * interval_count
+        self._requests_by_interval = [0] * interval_count
 
-    def note_end(self, started_at: float, took_s: float, *, is_answered: bool) -> None:
+    def record_request(self, started_at: float, elapsed_s: float, *, is_answered: bool) -> None:
         """Count a request."""
-        is_in_target = is_answered and took_s <= self._load.target_s
+        is_in_target = is_answered and elapsed_s <= self._load.target_s
         self.in_target += is_in_target
         self.late += is_answered and not is_in_target
         self.failed += not is_answered
         if is_answered:
-            self._histogram.record_value(int(took_s * 1_000_000))
-        step = min(int(started_at / STEP_S), len(self._requests_by_step) - 1)
-        self._requests_by_step[step] += 1
-        self._in_target_by_step[step] += is_in_target
+            self._histogram.record_value(int(elapsed_s * 1_000_000))
+        interval = min(int(started_at / PLOT_INTERVAL_S), len(self._requests_by_interval) - 1)
+        self._requests_by_interval[interval] += 1
+        self._in_target_by_interval[interval] += is_in_target
 
-    def note_no_user(self) -> None:
+    def record_no_idle_user(self) -> None:
         """Count a request that found all users busy."""
         self.failed += 1
 
@@ -76,20 +74,22 @@
     def plot(self) -> list[str]:
         """Return one bar a second: the share of its requests that were answered in time."""
         lines = []
-        for step, requests in enumerate(self._requests_by_step):
-            share = self._in_target_by_step[step] / max(1, requests)
-            lines.append(f"{step:4d} s  {share:5.2f}  {'#' * round(share * BAR_WIDTH)}")
+        for interval, requests in enumerate(self._requests_by_interval):
+            share = self._in_target_by_interval[interval] / max(1, requests)
+            lines.append(
+                f"{interval:4d} s  {share:5.2f}  {'#' * round(share * BAR_WIDTH_CHARACTERS)}"
+            )
         return lines
 
 
 def format_table(results_by_policy: Mapping[str, Results]) -> str:
     """Return one line a policy."""
     lines = ["policy               in target   late  failed   shed  p50 ms  p99 ms  imbalance"]
-    for name, found in results_by_policy.items():
-        total = max(1, found.requests)
+    for name, result in results_by_policy.items():
+        total = max(1, result.requests)
         lines.append(
-            f"{name:20s} {found.in_target / total:9.3f} {found.late / total:6.3f}"
-            f" {found.failed / total:7.3f} {found.shed:6d} {found.percentile_ms(50):7.1f}"
-            f" {found.percentile_ms(99):7.1f} {found.imbalance:10.3f}"
+            f"{name:20s} {result.in_target / total:9.3f} {result.late / total:6.3f}"
+            f" {result.failed / total:7.3f} {result.shed:6d} {result.percentile_ms(50):7.1f}"
+            f" {result.percentile_ms(99):7.1f} {result.imbalance:10.3f}"
         )
     return "\n".join(lines)
--- a/bench/src/wagtailkeel_bench/load_model/timeline.py
+++ b/bench/src/wagtailkeel_bench/load_model/scheduler.py
@@ -9,17 +9,17 @@
 Action = Callable[[], None]
 
 
-class Timeline:
+class EventScheduler:
     """Runs actions in the order of their times, in seconds; equal times in the order given."""
 
     def __init__(self) -> None:
         self.now = 0.0
-        self._numbers = count()
+        self._sequence_numbers = count()
         self._queue: list[tuple[float, int, Action]] = []
 
-    def after(self, delay_s: float, action: Action) -> None:
+    def call_later(self, delay_s: float, action: Action) -> None:
         """Run an action later."""
-        heapq.heappush(self._queue, (self.now + delay_s, next(self._numbers), action))
+        heapq.heappush(self._queue, (self.now + delay_s, next(self._sequence_numbers), action))
 
     def run_until(self, end_s: float) -> None:
         """Run all actions that are due up to a moment."""
--- a/bench/src/wagtailkeel_bench/load_model/simulation.py
+++ b/bench/src/wagtailkeel_bench/load_model/simulation.py
@@ -10,7 +10,7 @@
 from wagtailkeel_bench.load_model.model_callers import ModelCallers
 from wagtailkeel_bench.load_model.model_server import ModelServer
 from wagtailkeel_bench.load_model.results import Results
-from wagtailkeel_bench.load_model.timeline import Timeline
+from wagtailkeel_bench.load_model.scheduler import EventScheduler
 from wagtailkeel_coordination.events import UNLOGGED
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import BalancerRouter
@@ -40,7 +40,7 @@
 PEER_DELAY_S = 0.0005
 LOAD_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
-REPORT_LIMIT_S = 2.5
+REPORT_TIMEOUT_S = 2.5
 
 
 class ModelAgent:
@@ -50,19 +50,19 @@
         self.address = (f"10.0.0.{number + 1}", PEER_PORT)
         self.server = ModelServer(
             load,
-            load.speeds[number],
-            site.timeline,
+            load.server_speeds[number],
+            site.scheduler,
             Random(f"{site.seed}/server/{number}"),
             self._on_server_packet,
         )
         self._site = site
-        self._reports = 0
+        self._report_sequence = 0
         self._slots = load.slots
         self.router = AgentRouter(
             self.address,
             DATA_CENTRE,
             IpPacketFormat(),
-            ServerGate(SERVICE, REPORT_LIMIT_S, ColdLimit(), 0.0),
+            ServerGate(SERVICE, REPORT_TIMEOUT_S, ColdLimit(), 0.0),
             self,
             Random(f"{site.seed}/agent/{number}"),
             Counter(),
@@ -73,22 +73,24 @@
             policy.choose,
         )
 
-    def report(self) -> None:
+    def send_report(self) -> None:
         """Let the server tell its agent that it is well."""
-        self._reports += 1
-        report = ServerReport(self.address[0], SERVICE, 1, self._reports, self._slots)
-        self.router.on_report(report, self._site.timeline.now)
+        self._report_sequence += 1
+        report = ServerReport(self.address[0], SERVICE, 1, self._report_sequence, self._slots)
+        self.router.on_report(report, self._site.scheduler.now)
 
     def _on_server_packet(self, packet: bytes) -> None:
-        self.router.on_server_packet(packet, self._site.timeline.now)
+        self.router.on_server_packet(packet, self._site.scheduler.now)
 
     def deliver(self, packet: bytes) -> None:
         """Hand a packet to the own server."""
-        self.server.take(packet)
+        self.server.on_packet(packet)
 
     def reply(self, packet: bytes, caller_host: str) -> None:
         """Send a packet to its caller."""
-        self._site.timeline.after(CALLER_DELAY_S, partial(self._site.callers.take, packet))
+        self._site.scheduler.call_later(
+            CALLER_DELAY_S, partial(self._site.callers.on_packet, packet)
+        )
 
     def relay(
         self,
@@ -109,16 +111,16 @@
 
     def __init__(self, load: Load, policy: Policy, seed: int, results: Results) -> None:
         self.seed = seed
-        self.timeline = Timeline()
+        self.scheduler = EventScheduler()
         self._load = load
         self._agents = [
-            ModelAgent(self, number, load, policy) for number in range(len(load.speeds))
+            ModelAgent(self, number, load, policy) for number in range(len(load.server_speeds))
         ]
         self._agents_by_address = {agent.address: agent for agent in self._agents}
         self._balancer = BalancerRouter(
             IpPacketFormat(),
             lambda frame, address: self.send_frame(frame, address, ("", 0)),
-            lambda packet, host: self.callers.take(packet),
+            lambda packet, host: self.callers.on_packet(packet),
             Counter(),
             UNLOGGED,
             lambda: True,
@@ -126,12 +128,12 @@
         self.callers = ModelCallers(
             load,
             bytes((198, 18, 0, 1)) + ROUTE_PORT.to_bytes(2, "big"),
-            self.timeline,
+            self.scheduler,
             Random(f"{seed}/callers"),
             self._on_caller_packet,
             results,
         )
-        self._set_up(load.target_s if policy.limits_queue else 0.0)
+        self._set_up(load.target_s if policy.has_queue_limit else 0.0)
 
     def _set_up(self, target_s: float) -> None:
         route = Route(ROUTE_ADDRESS, ROUTE_PORT, (WeightedService(SERVICE, 1),), target_s=target_s)
@@ -143,44 +145,44 @@
         for agent in self._agents:
             agent.router.apply_routing(document)
             agent.router.set_peers(services, frozenset())
-        self._report_forever()
-        self._tell_loads_forever()
+        self._send_reports_forever()
+        self._send_loads_forever()
 
-    def _report_forever(self) -> None:
+    def _send_reports_forever(self) -> None:
         for agent in self._agents:
-            agent.report()
-        self.timeline.after(REPORT_INTERVAL_S, self._report_forever)
+            agent.send_report()
+        self.scheduler.call_later(REPORT_INTERVAL_S, self._send_reports_forever)
 
-    def _tell_loads_forever(self) -> None:
-        now = self.timeline.now
+    def _send_loads_forever(self) -> None:
+        now = self.scheduler.now
         for agent in self._agents:
             agent.router.tick(now)
-            told = agent.router.build_load(now)
+            load = agent.router.build_load(now)
             for other in self._agents:
-                other.router.loads.on_load(agent.address, DATA_CENTRE, told, now)
-        self.timeline.after(LOAD_INTERVAL_S, self._tell_loads_forever)
+                other.router.loads.on_load(agent.address, DATA_CENTRE, load, now)
+        self.scheduler.call_later(LOAD_INTERVAL_S, self._send_loads_forever)
 
     def _on_caller_packet(self, packet: bytes) -> None:
-        self.timeline.after(CALLER_DELAY_S, partial(self._balancer.on_packet, packet))
+        self.scheduler.call_later(CALLER_DELAY_S, partial(self._balancer.on_packet, packet))
 
     def send_frame(self, frame: bytes, address: Address, source: Address) -> None:
         """Deliver a frame to an agent after the way between two nodes."""
-        found = relay.decode_relay(frame)
-        assert not isinstance(found, Malformed), "the model sends only whole frames"
+        decoded = relay.decode_relay(frame)
+        assert not isinstance(decoded, Malformed), "the model sends only whole frames"
         agent = self._agents_by_address[address]
-        self.timeline.after(
+        self.scheduler.call_later(
             PEER_DELAY_S,
-            lambda: agent.router.on_frame(found, source, self.timeline.now),
+            lambda: agent.router.on_frame(decoded, source, self.scheduler.now),
         )
 
     def run(self) -> list[float]:
         """Play the load to its end; return the work of each server in seconds."""
         self.callers.start()
-        self.timeline.run_until(self._load.duration_s)
+        self.scheduler.run_until(self._load.duration_s)
         return [agent.server.busy_s for agent in self._agents]
 
 
-def play(load: Load, policy: Policy, seed: int) -> Results:
+def simulate(load: Load, policy: Policy, seed: int) -> Results:
     """Play a load under a policy; equal seeds give equal results."""
     results = Results(load)
     results.work_s_by_server = ModelSite(load, policy, seed, results).run()
