--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -84,17 +84,19 @@
     load: str, seed: int, servers: int | None, rate: float | None, plot: bool
 ) -> None:
     """Play LOAD against the routing decisions in virtual time, one line a policy."""
-    chosen = LOADS_BY_NAME[load]
+    selected_load = LOADS_BY_NAME[load]
     if servers is not None:
-        chosen = msgspec.structs.replace(chosen, server_speeds=(1.0,) * servers)
+        selected_load = msgspec.structs.replace(selected_load, server_speeds=(1.0,) * servers)
     if rate is not None:
-        chosen = msgspec.structs.replace(chosen, requests_per_s=rate)
-    results = {name: simulate(chosen, policy, seed) for name, policy in POLICIES_BY_NAME.items()}
-    click.echo(f"{load}: {chosen.summary}")
+        selected_load = msgspec.structs.replace(selected_load, requests_per_s=rate)
+    results = {
+        name: simulate(selected_load, policy, seed) for name, policy in POLICIES_BY_NAME.items()
+    }
+    click.echo(f"{load}: {selected_load.summary}")
     click.echo(format_table(results))
     if plot:
-        for name, found in results.items():
-            click.echo("\n".join(["", f"answered in time, {name}", *found.plot()]))
+        for name, result in results.items():
+            click.echo("\n".join(["", f"answered in time, {name}", *result.plot()]))
 
 
 if __name__ == "__main__":
--- a/bench/src/wagtailkeel_bench/child_process.py
+++ b/bench/src/wagtailkeel_bench/child_process.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-STOP_LIMIT_S = 20.0
-COMMAND_LIMIT_S = 30.0
-LINE_LIMIT_BYTES = 64 * 1024 * 1024
+STOP_TIMEOUT_S = 20.0
+COMMAND_TIMEOUT_S = 30.0
+MAX_LINE_BYTES = 64 * 1024 * 1024
 
 
 class BenchError(Exception):
@@ -49,23 +49,23 @@
                 stdin=pipe,
                 stdout=pipe if has_pipes else log,
                 stderr=log,
-                limit=LINE_LIMIT_BYTES,
+                limit=MAX_LINE_BYTES,
             )
 
-    def signal(self, number: signal.Signals) -> None:
+    def signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it lives."""
         if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+            self._process.send_signal(signal_number)
 
     async def wait(self) -> int:
         """Wait for the end of the process; return its exit status."""
         assert self._process is not None, "only a started process is waited for"
         try:
-            return await asyncio.wait_for(self._process.wait(), STOP_LIMIT_S)
+            return await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_S)
         except TimeoutError:
             self._process.kill()
             await self._process.wait()
-            raise BenchError(f"{self.name} did not stop within {STOP_LIMIT_S:g} s") from None
+            raise BenchError(f"{self.name} did not stop within {STOP_TIMEOUT_S:g} s") from None
 
     async def kill(self) -> None:
         """End the process at once."""
@@ -98,7 +98,7 @@
         assert process is not None and process.stdin is not None and process.stdout is not None
         request = {"command": command, "arguments": arguments}
         process.stdin.write(json.dumps(request).encode() + b"\n")
-        line = await asyncio.wait_for(process.stdout.readline(), COMMAND_LIMIT_S)
+        line = await asyncio.wait_for(process.stdout.readline(), COMMAND_TIMEOUT_S)
         if not line:
             raise BenchError(f"stand-in {self.name} ended: {self.log[-2_000:]}")
         return json.loads(line)
--- a/bench/src/wagtailkeel_bench/demonstration.py
+++ b/bench/src/wagtailkeel_bench/demonstration.py
@@ -11,10 +11,10 @@
 from wagtailkeel_bench.site import Site
 from wagtailkeel_bench.site import make_folder
 
-FEEDS = 60
+FEED_COUNT = 60
 REQUESTS_PER_S = 60.0
 SEED = 1
-OUTCOME_LIMIT_S = 8.0
+OUTCOME_TIMEOUT_S = 8.0
 
 
 def run_demonstration(seconds: float) -> int:
@@ -35,7 +35,7 @@
         await site.start()
         print("ready: service marshal-desk has an address, two classes and three servers")
         await _send_traffic(site, seconds)
-        return await _report(site)
+        return await _print_report(site)
     finally:
         with contextlib.suppress(ProcessLookupError):
             await site.stop()
@@ -45,9 +45,9 @@
 async def _send_traffic(site: Site, seconds: float) -> None:
     feed = site.endpoints_by_class["marshal-desk/feed"]
     checkpoint = site.endpoints_by_class["marshal-desk/checkpoint"]
-    print(f"sending {FEEDS} feeds and {REQUESTS_PER_S:g} checkpoint reports a second")
+    print(f"sending {FEED_COUNT} feeds and {REQUESTS_PER_S:g} checkpoint reports a second")
     await site.callers.command(
-        "start_feeds", endpoint=feed, count=FEEDS, interval_s=0.5, over_s=seconds / 4
+        "start_feeds", endpoint=feed, count=FEED_COUNT, interval_s=0.5, over_s=seconds / 4
     )
     await site.callers.command(
         "start_requests",
@@ -60,31 +60,31 @@
     await asyncio.sleep(seconds)
     await site.callers.command("stop_requests")
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(OUTCOME_LIMIT_S):
-            while not await _all_have_outcome(site):
+        async with asyncio.timeout(OUTCOME_TIMEOUT_S):
+            while not await _is_every_request_resolved(site):
                 await asyncio.sleep(0.1)
 
 
-async def _all_have_outcome(site: Site) -> bool:
-    callers = await _report_callers(site)
-    outcomes = sum(callers.get(f"requests_{name}", 0) for name in ("answered", "refused"))
-    is_done: bool = outcomes == callers["requests_sent"]
-    return is_done
+async def _is_every_request_resolved(site: Site) -> bool:
+    callers = await _fetch_callers_report(site)
+    resolved_requests = sum(callers.get(f"requests_{name}", 0) for name in ("answered", "refused"))
+    is_resolved: bool = resolved_requests == callers["requests_sent"]
+    return is_resolved
 
 
-async def _report_callers(site: Site) -> dict[str, Any]:
-    found: dict[str, Any] = await site.callers.command(
+async def _fetch_callers_report(site: Site) -> dict[str, Any]:
+    report: dict[str, Any] = await site.callers.command(
         "report", lost_servers=[], silenced=[], max_idle_s=3.0
     )
-    return found
+    return report
 
 
-async def _report(site: Site) -> int:
-    callers = await _report_callers(site)
+async def _print_report(site: Site) -> int:
+    callers = await _fetch_callers_report(site)
     servers = await site.servers.command("report")
-    is_open = callers["outcomes"].get("open", 0)
+    open_feeds = callers["outcomes"].get("open", 0)
     answered = callers.get("requests_answered", 0)
-    print(f"feeds: {is_open} of {callers['feeds']} open, by server {callers['feeds_by_server']}")
+    print(f"feeds: {open_feeds} of {callers['feeds']} open, by server {callers['feeds_by_server']}")
     refused = callers.get("requests_refused", 0)
     print(
         f"reports: {answered} of {callers['requests_sent']} answered, {refused} refused as not run"
@@ -92,6 +92,6 @@
     print(f"response times in ms: {callers['response_ms']}")
     print(f"packets at a wrong service: {servers['misrouted_packets']}")
     print(f"reports that ran twice: {servers['double_runs']}")
-    is_whole = is_open == FEEDS and answered + refused == callers["requests_sent"]
-    is_clean = not servers["misrouted_packets"] and not servers["double_runs"]
-    return 0 if is_whole and is_clean else 1
+    is_complete = open_feeds == FEED_COUNT and answered + refused == callers["requests_sent"]
+    is_correct = not servers["misrouted_packets"] and not servers["double_runs"]
+    return 0 if is_complete and is_correct else 1
--- a/bench/src/wagtailkeel_bench/deployment.py
+++ b/bench/src/wagtailkeel_bench/deployment.py
@@ -16,12 +16,12 @@
 from wagtailkeel_bench.stand_ins.servers import ServersPlan
 from wagtailkeel_bench.stand_ins.udp_port import Address
 
-NETWORKS = 200
-BIND_THIRD = 1
-PROXY_THIRD = 2
+LOOPBACK_NETWORKS = 200
+FIRST_BIND_OCTET = 1
+FIRST_PROXY_OCTET = 2
 
 
-class ClassShape(msgspec.Struct):
+class ClassSpec(msgspec.Struct):
     """A class to create."""
 
     service: str
@@ -32,7 +32,7 @@
     idle_limit_s: float = 3_600.0
 
 
-class ServiceShape(msgspec.Struct):
+class ServiceSpec(msgspec.Struct):
     """A service's servers: their number, slots, and speeds in turn."""
 
     name: str
@@ -41,56 +41,56 @@
     speeds: list[float]
 
 
-class DeploymentShape(msgspec.Struct):
+class DeploymentSpec(msgspec.Struct):
     """A site, without addresses."""
 
     name: str
     data_centres: list[str]
-    services: list[ServiceShape]
-    classes: list[ClassShape]
+    services: list[ServiceSpec]
+    classes: list[ClassSpec]
     balancers: int = 3
     controls: int = 1
 
 
-UNLIKE_SPEEDS = [1.0, 0.6, 1.5, 0.8, 1.2, 1.0, 0.7]
+MIXED_SPEEDS = [1.0, 0.6, 1.5, 0.8, 1.2, 1.0, 0.7]
 
-MARSHALS = DeploymentShape(
+MARSHALS = DeploymentSpec(
     "marshals",
     ["ahmedabad", "vadodara", "surat"],
     [
-        ServiceShape("marshal-desk", 7, 2, UNLIKE_SPEEDS),
-        ServiceShape("sheet-office", 3, 2, UNLIKE_SPEEDS),
+        ServiceSpec("marshal-desk", 7, 2, MIXED_SPEEDS),
+        ServiceSpec("sheet-office", 3, 2, MIXED_SPEEDS),
     ],
     [
-        ClassShape("marshal-desk", "feed", "tcp", "held<2000"),
-        ClassShape("marshal-desk", "checkpoint", "udp", "p99<500ms", False, 30.0),
-        ClassShape("sheet-office", "sheet", "udp", "p99<1000ms", True, 30.0),
+        ClassSpec("marshal-desk", "feed", "tcp", "held<2000"),
+        ClassSpec("marshal-desk", "checkpoint", "udp", "p99<500ms", False, 30.0),
+        ClassSpec("sheet-office", "sheet", "udp", "p99<1000ms", True, 30.0),
     ],
 )
-GUILD = DeploymentShape(
+GUILD = DeploymentSpec(
     "guild",
     ["boston", "portland", "hartford"],
     [
-        ServiceShape("count-desk", 7, 1, UNLIKE_SPEEDS),
-        ServiceShape("sketch-archive", 3, 1, UNLIKE_SPEEDS),
+        ServiceSpec("count-desk", 7, 1, MIXED_SPEEDS),
+        ServiceSpec("sketch-archive", 3, 1, MIXED_SPEEDS),
     ],
     [
-        ClassShape("count-desk", "session", "tcp", "held<2000"),
-        ClassShape("count-desk", "tally", "udp", "p99<500ms", False, 30.0),
-        ClassShape("sketch-archive", "sketch", "udp", "p99<1000ms", True, 30.0),
+        ClassSpec("count-desk", "session", "tcp", "held<2000"),
+        ClassSpec("count-desk", "tally", "udp", "p99<500ms", False, 30.0),
+        ClassSpec("sketch-archive", "sketch", "udp", "p99<1000ms", True, 30.0),
     ],
 )
-SMALL = DeploymentShape(
+SMALL = DeploymentSpec(
     "small",
     ["ahmedabad", "vadodara", "surat"],
-    [ServiceShape("marshal-desk", 3, 2, [1.0])],
+    [ServiceSpec("marshal-desk", 3, 2, [1.0])],
     [
-        ClassShape("marshal-desk", "feed", "tcp", "held<2000"),
-        ClassShape("marshal-desk", "checkpoint", "udp", "p99<500ms", False, 30.0),
+        ClassSpec("marshal-desk", "feed", "tcp", "held<2000"),
+        ClassSpec("marshal-desk", "checkpoint", "udp", "p99<500ms", False, 30.0),
     ],
     balancers=2,
 )
-SHAPES_BY_NAME = {shape.name: shape for shape in (MARSHALS, GUILD, SMALL)}
+DEPLOYMENT_SPECS_BY_NAME = {spec.name: spec for spec in (MARSHALS, GUILD, SMALL)}
 
 
 class Instance(msgspec.Struct):
@@ -107,25 +107,25 @@
     speed: float = 1.0
 
 
-class AddressPlan:
+class AddressAllocator:
     """Hands out loopback hosts and free ports of this run."""
 
     def __init__(self) -> None:
-        self._network = 16 + os.getpid() % NETWORKS
-        self._next = 1
+        self._network = 16 + os.getpid() % LOOPBACK_NETWORKS
+        self._next_number = 1
 
-    def next_hosts(self) -> tuple[str, str]:
+    def allocate_hosts(self) -> tuple[str, str]:
         """Return a bind host and the proxy host in front of it."""
-        number = self._next
-        self._next += 1
+        number = self._next_number
+        self._next_number += 1
         high, low = divmod(number, 250)
         return (
-            f"127.{self._network}.{BIND_THIRD + 2 * high}.{low + 1}",
-            f"127.{self._network}.{PROXY_THIRD + 2 * high}.{low + 1}",
+            f"127.{self._network}.{FIRST_BIND_OCTET + 2 * high}.{low + 1}",
+            f"127.{self._network}.{FIRST_PROXY_OCTET + 2 * high}.{low + 1}",
         )
 
 
-def free_port(host: str) -> int:
+def find_free_port(host: str) -> int:
     """Return a port that the kernel finds free on a host."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind((host, 0))
@@ -136,46 +136,46 @@
 class Deployment:
     """A shape with addresses, and the plans and settings derived from it."""
 
-    def __init__(self, shape: DeploymentShape, folder: Path, seed: int, is_stateless: bool) -> None:
-        self.shape = shape
+    def __init__(self, spec: DeploymentSpec, folder: Path, seed: int, is_stateless: bool) -> None:
+        self.spec = spec
         self.folder = folder
         self._seed = seed
         self.is_stateless = is_stateless
-        self._addresses = AddressPlan()
+        self._allocator = AddressAllocator()
         self.instances_by_name: dict[str, Instance] = {}
-        hosts = [self._addresses.next_hosts()[0] for _ in range(3)]
-        self.fabric: Address = (hosts[0], free_port(hosts[0]))
-        self.gateway: Address = (hosts[1], free_port(hosts[1]))
-        self.callers: Address = (hosts[2], free_port(hosts[2]))
-        for number in range(shape.controls):
-            self._add(f"control-{number + 1}", "control", number, ("port", "rpc_port"))
-        for service in shape.services:
+        hosts = [self._allocator.allocate_hosts()[0] for _ in range(3)]
+        self.fabric: Address = (hosts[0], find_free_port(hosts[0]))
+        self.gateway: Address = (hosts[1], find_free_port(hosts[1]))
+        self.callers: Address = (hosts[2], find_free_port(hosts[2]))
+        for number in range(spec.controls):
+            self._add_instance(f"control-{number + 1}", "control", number, ("port", "rpc_port"))
+        for service in spec.services:
             for number in range(service.servers):
                 self.add_agent(service, number)
-        for number in range(shape.balancers):
+        for number in range(spec.balancers):
             ports = ("port", "rpc_port", "fabric_port")
-            self._add(f"balancer-{number + 1}", "balancer", number, ports)
+            self._add_instance(f"balancer-{number + 1}", "balancer", number, ports)
 
-    def add_agent(self, service: ServiceShape, number: int) -> Instance:
+    def add_agent(self, service: ServiceSpec, number: int) -> Instance:
         """Add a server and its agent."""
         ports = ("port", "rpc_port", "server_side_port", "server_port")
-        instance = self._add(f"{service.name}-{number + 1}", "agent", number, ports)
+        instance = self._add_instance(f"{service.name}-{number + 1}", "agent", number, ports)
         instance.service = service.name
         instance.slots = service.slots
         instance.speed = service.speeds[number % len(service.speeds)]
         return instance
 
-    def _add(self, name: str, role: str, number: int, ports: tuple[str, ...]) -> Instance:
-        bind_host, proxy_host = self._addresses.next_hosts()
-        data_centre = self.shape.data_centres[number % len(self.shape.data_centres)]
-        taken = {key: free_port(bind_host) for key in ports}
-        instance = Instance(name, role, data_centre, bind_host, proxy_host, taken)
+    def _add_instance(self, name: str, role: str, number: int, ports: tuple[str, ...]) -> Instance:
+        bind_host, proxy_host = self._allocator.allocate_hosts()
+        data_centre = self.spec.data_centres[number % len(self.spec.data_centres)]
+        ports_by_name = {key: find_free_port(bind_host) for key in ports}
+        instance = Instance(name, role, data_centre, bind_host, proxy_host, ports_by_name)
         self.instances_by_name[name] = instance
         return instance
 
     def of_role(self, role: str) -> list[Instance]:
         """Return the instances of a role."""
-        return [found for found in self.instances_by_name.values() if found.role == role]
+        return [instance for instance in self.instances_by_name.values() if instance.role == role]
 
     # Plans of the stand-ins
 
@@ -183,13 +183,13 @@
         """Return what the network needs."""
         proxied = [
             ProxiedInstance(
-                found.name,
-                found.bind_host,
-                found.proxy_host,
-                [found.ports["port"]],
-                [found.ports["rpc_port"]],
+                instance.name,
+                instance.bind_host,
+                instance.proxy_host,
+                [instance.ports["port"]],
+                [instance.ports["rpc_port"]],
             )
-            for found in self.instances_by_name.values()
+            for instance in self.instances_by_name.values()
         ]
         return NetworkPlan(self._seed, proxied, self.fabric, self.gateway, self.callers)
 
@@ -197,15 +197,15 @@
         """Return what the servers need."""
         servers = [
             ServerPlan(
-                found.name,
-                found.service,
-                found.data_centre,
-                found.slots,
-                found.speed,
-                (found.bind_host, found.ports["server_port"]),
-                (found.bind_host, found.ports["server_side_port"]),
+                instance.name,
+                instance.service,
+                instance.data_centre,
+                instance.slots,
+                instance.speed,
+                (instance.bind_host, instance.ports["server_port"]),
+                (instance.bind_host, instance.ports["server_side_port"]),
             )
-            for found in self.of_role("agent")
+            for instance in self.of_role("agent")
         ]
         return ServersPlan(self._seed, servers)
 
@@ -218,10 +218,10 @@
     def write_settings(self, instance: Instance) -> Path:
         """Write the settings file of an instance and return its path."""
         path = self.folder / f"{instance.name}.toml"
-        path.write_bytes(msgspec.toml.encode(self._settings(instance)))
+        path.write_bytes(msgspec.toml.encode(self._build_settings(instance)))
         return path
 
-    def _settings(self, instance: Instance) -> dict[str, Any]:
+    def _build_settings(self, instance: Instance) -> dict[str, Any]:
         settings: dict[str, Any] = {
             "instance": {
                 "id": instance.name,
@@ -231,19 +231,19 @@
                 "stateless": self.is_stateless,
             },
             "control_instances": [
-                {"id": found.name, "host": found.proxy_host, **found.ports}
-                for found in self.of_role("control")
+                {"id": control.name, "host": control.proxy_host, **control.ports}
+                for control in self.of_role("control")
             ],
         }
         if instance.role == "balancer":
             settings["balancer"] = dict(instance.ports)
         elif instance.role == "agent":
-            settings["agents"] = [self._agent_section(instance)]
+            settings["agents"] = [self._build_agent_section(instance)]
         else:
-            settings["control"] = self._control_section(instance)
+            settings["control"] = self._build_control_section(instance)
         return settings
 
-    def _agent_section(self, instance: Instance) -> dict[str, Any]:
+    def _build_agent_section(self, instance: Instance) -> dict[str, Any]:
         return {
             "server_id": instance.name,
             "service": instance.service,
@@ -254,11 +254,11 @@
             **instance.ports,
         }
 
-    def _control_section(self, instance: Instance) -> dict[str, Any]:
+    def _build_control_section(self, instance: Instance) -> dict[str, Any]:
         data_folder = self.folder / f"{instance.name}-data"
         data_folder.mkdir(exist_ok=True)
         return {
             "data_folder": str(data_folder),
             "pools": [{"network": "10.90.0.0/24"}],
-            "data_centres": [{"name": name, "region": "home"} for name in self.shape.data_centres],
+            "data_centres": [{"name": name, "region": "home"} for name in self.spec.data_centres],
         }
--- a/bench/src/wagtailkeel_bench/measurements/sample_service.py
+++ b/bench/src/wagtailkeel_bench/measurements/sample_service.py
@@ -14,21 +14,21 @@
 from wagtailkeel_state.commands import CreateService
 from wagtailkeel_state.commands import JoinServer
 
-ADDRESS = "10.90.0.1"
-PORT = 20_000
-FIRST_CALLER = 0x0A010000
-FIRST_PORT = 2_000
+SERVICE_ADDRESS = "10.90.0.1"
+CLASS_PORT = 20_000
+FIRST_CALLER_HOST = 0x0A010000
+FIRST_CALLER_PORT = 2_000
 PORTS_PER_CALLER = 60_000
 
 
 def build_keys(count: int) -> list[bytes]:
     """Return the keys of TCP flows to the service."""
-    target = endpoint_key(ADDRESS, PORT, ip.TCP)
+    endpoint = endpoint_key(SERVICE_ADDRESS, CLASS_PORT, ip.TCP)
     return [
-        (FIRST_CALLER + number // PORTS_PER_CALLER).to_bytes(4, "big")
-        + target[:4]
-        + (FIRST_PORT + number % PORTS_PER_CALLER).to_bytes(2, "big")
-        + target[4:]
+        (FIRST_CALLER_HOST + number // PORTS_PER_CALLER).to_bytes(4, "big")
+        + endpoint[:4]
+        + (FIRST_CALLER_PORT + number % PORTS_PER_CALLER).to_bytes(2, "big")
+        + endpoint[4:]
         for number in range(count)
     ]
 
@@ -37,13 +37,13 @@
     """Return a configuration with the service and one server."""
     config = Configuration()
     commands = (
-        CreateService(name="desk", address=ADDRESS),
+        CreateService(name="desk", address=SERVICE_ADDRESS),
         CreateClass(
             service="desk",
             name="feed",
             protocol=FlowProtocol.TCP,
             target=Target.parse("held<1000000"),
-            port=PORT,
+            port=CLASS_PORT,
             idle_limit_s=36_000.0,
         ),
         JoinServer(member=member),
--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -13,8 +13,8 @@
 import anyio
 import msgspec
 
-from wagtailkeel_bench.deployment import AddressPlan
-from wagtailkeel_bench.deployment import free_port
+from wagtailkeel_bench.deployment import AddressAllocator
+from wagtailkeel_bench.deployment import find_free_port
 from wagtailkeel_bench.measurements.sample_service import build_configuration
 from wagtailkeel_bench.measurements.sample_service import build_keys
 from wagtailkeel_coordination import AgentIdentity
@@ -57,9 +57,9 @@
 FLOW_COUNTS = (1_000, 10_000, 50_000, 200_000)
 SERVER_COUNTS = (100, 1_000, 5_000, 13_000)
 SERVERS_PER_SERVICE = 3
-LOOKUPS = 20_000
-REPEATS = 2_000
-CALLS = 500
+LOOKUP_COUNT = 20_000
+CODEC_CALLS = 2_000
+PULL_COUNT = 500
 BOOT_ID = 2**52
 
 
@@ -89,13 +89,13 @@
     }
 
 
-def _apply(config: Configuration, command: AnyCommand) -> LogEntry:
+def _apply_command(config: Configuration, command: AnyCommand) -> LogEntry:
     entry = LogEntry(config.index + 1, 1, command, f"command-{config.index}", "operator")
     apply_entry(config, entry)
     return entry
 
 
-def _member(server_id: str, service: str) -> ServerMember:
+def _build_member(server_id: str, service: str) -> ServerMember:
     return ServerMember(server_id, service, "dc-1", "10.0.0.1", 7_001, 7_002, BOOT_ID, 2)
 
 
@@ -111,7 +111,7 @@
         lambda response_s: None,
         now,
     )
-    config = build_configuration(_member("desk-1", "desk"))
+    config = build_configuration(_build_member("desk-1", "desk"))
     service = config.services_by_name["desk"]
     table = OwnerTable.build(
         service.table_epoch, config.table_shares("desk", "dc-1"), service.bucket_count
@@ -130,41 +130,43 @@
     before = tracemalloc.get_traced_memory()[0]
     for key in keys:
         router.local_flows.open(bytes(key), hash_flow(key) % 1_024, traffic_class, 0.0)
-    held = tracemalloc.get_traced_memory()[0] - before
+    allocated_bytes = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     random = Random(1)
     frames = [
         DataFrame(build_tcp(key, 1, 1, ip.ACK), hash_flow(key) % 1_024, 0)
-        for key in random.choices(keys, k=LOOKUPS)
+        for key in random.choices(keys, k=LOOKUP_COUNT)
     ]
     started_at = time.perf_counter()
     for frame in frames:
         router.on_frame(frame, 1.0)
-    microseconds = (time.perf_counter() - started_at) * 1e6 / LOOKUPS
+    microseconds = (time.perf_counter() - started_at) * 1e6 / LOOKUP_COUNT
     return {
         "flows": count,
-        "bytes_per_flow": round(held / count, 1),
+        "bytes_per_flow": round(allocated_bytes / count, 1),
         "inbound_us_per_packet": round(microseconds, 3),
     }
 
 
-def _time(work: Callable[[], object], repeats: int) -> float:
+def _measure_us(function: Callable[[], object], repeats: int) -> float:
     """Return microseconds a call."""
     started_at = time.perf_counter()
     for _ in range(repeats):
-        work()
+        function()
     return (time.perf_counter() - started_at) * 1e6 / repeats
 
 
-def _fleet(servers: int) -> tuple[Configuration, int]:
+def _build_fleet(servers: int) -> tuple[Configuration, int]:
     config = Configuration()
     log_bytes = 0
     for number in range(servers):
         service = f"service-{number // SERVERS_PER_SERVICE}"
         if number % SERVERS_PER_SERVICE == 0:
             command = CreateService(name=service, address=f"10.{number >> 8}.{number & 255}.1")
-            _apply(config, command)
-        entry = _apply(config, JoinServer(member=_member(f"{service}-{number}", service)))
+            _apply_command(config, command)
+        entry = _apply_command(
+            config, JoinServer(member=_build_member(f"{service}-{number}", service))
+        )
         log_bytes += len(msgspec.msgpack.encode(entry))
     return config, log_bytes
 
@@ -172,20 +174,20 @@
 def _measure_configuration(servers: int) -> dict[str, float]:
     gc.collect()
     tracemalloc.start()
-    config, log_bytes = _fleet(servers)
-    held = tracemalloc.get_traced_memory()[0]
+    config, log_bytes = _build_fleet(servers)
+    allocated_bytes = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     snapshot = msgspec.msgpack.encode(config)
     config.answers_by_command_id.clear()
-    without_answers = len(msgspec.msgpack.encode(config))
-    decode_us = _time(lambda: msgspec.msgpack.decode(snapshot, type=Configuration), 3)
+    bytes_without_answers = len(msgspec.msgpack.encode(config))
+    decode_us = _measure_us(lambda: msgspec.msgpack.decode(snapshot, type=Configuration), 3)
     name = next(iter(config.services_by_name))
-    shares_us = _time(lambda: config.table_shares(name, "dc-1"), 20)
+    shares_us = _measure_us(lambda: config.table_shares(name, "dc-1"), 20)
     return {
         "servers": servers,
-        "bytes_in_memory": held,
+        "bytes_in_memory": allocated_bytes,
         "snapshot_bytes": len(snapshot),
-        "snapshot_bytes_without_answers": without_answers,
+        "snapshot_bytes_without_answers": bytes_without_answers,
         "log_bytes_per_join": round(log_bytes / servers, 1),
         "decode_ms": round(decode_us / 1_000, 2),
         "table_shares_ms": round(shares_us / 1_000, 3),
@@ -222,8 +224,8 @@
         datagram = encode_datagram(message)
         result[name] = {
             "bytes": len(datagram),
-            "encode_us": round(_time(lambda m=message: encode_datagram(m), REPEATS), 2),  # type: ignore[misc]
-            "decode_us": round(_time(lambda d=datagram: decode_datagram(d), REPEATS), 2),  # type: ignore[misc]
+            "encode_us": round(_measure_us(lambda m=message: encode_datagram(m), CODEC_CALLS), 2),  # type: ignore[misc]
+            "decode_us": round(_measure_us(lambda d=datagram: decode_datagram(d), CODEC_CALLS), 2),  # type: ignore[misc]
         }
     result["configuration_change"] = {"bytes": len(msgspec.msgpack.encode([change]))}
     return result
@@ -237,32 +239,32 @@
     async def answer(request: PullRequest) -> PullReply:
         return PullReply(entries=[entry])
 
-    host = AddressPlan().next_hosts()[0]
-    port = free_port(host)
+    host = AddressAllocator().allocate_hosts()[0]
+    port = find_free_port(host)
     server = RpcServer({PULL: answer})
     await server.start(host, port)
     client = RpcClient(host)
     await client.call((host, port), PULL, PullRequest(6))
     started_at = time.perf_counter()
-    for _ in range(CALLS):
+    for _ in range(PULL_COUNT):
         await client.call((host, port), PULL, PullRequest(6))
-    microseconds = (time.perf_counter() - started_at) * 1e6 / CALLS
+    microseconds = (time.perf_counter() - started_at) * 1e6 / PULL_COUNT
     client.close()
     await server.close()
     return {"pull_us_both_ends": round(microseconds, 1)}
 
 
 def _measure_heartbeats(servers: int) -> dict[str, float]:
-    config, _ = _fleet(servers)
+    config, _ = _build_fleet(servers)
     membership = Membership(0.0)
     messages = [
         Heartbeat(member.server_id, BOOT_ID, config.index, 1_000, False, 1.0)
         for member in list(config.servers_by_id.values())[:500]
     ]
-    microseconds = _time(
+    microseconds = _measure_us(
         lambda: [membership.on_heartbeat(message, config, 1.0) for message in messages], 3
     )
-    removals_us = _time(lambda: membership.find_removals(config, 1.0), 3)
+    removals_us = _measure_us(lambda: membership.find_removals(config, 1.0), 3)
     return {
         "servers": servers,
         "leader_us_per_heartbeat": round(microseconds / len(messages), 2),
--- a/bench/src/wagtailkeel_bench/measurements/table_build.py
+++ b/bench/src/wagtailkeel_bench/measurements/table_build.py
@@ -24,17 +24,19 @@
         started_at = time.perf_counter()
         table = OwnerTable.build(1, shares, buckets)
         times_ms.append((time.perf_counter() - started_at) * 1_000)
-    without = dict(shares)
-    removed = without.popitem()[0]
-    smaller = OwnerTable.build(2, without, buckets)
-    moved = sum(table.owner_of(n) != smaller.owner_of(n) for n in range(buckets))
-    total = sum(shares.values())
-    loads = [len(table.buckets_of(key)) / share * total for key, share in shares.items()]
+    remaining_shares = dict(shares)
+    removed = remaining_shares.popitem()[0]
+    reduced_table = OwnerTable.build(2, remaining_shares, buckets)
+    moved_buckets = sum(table.owner_of(n) != reduced_table.owner_of(n) for n in range(buckets))
+    total_share = sum(shares.values())
+    relative_loads = [
+        len(table.buckets_of(key)) / share * total_share for key, share in shares.items()
+    ]
     return {
         "servers": servers,
         "buckets": buckets,
         "build_ms": round(statistics.median(times_ms), 3),
         "microseconds_per_pair": round(statistics.median(times_ms) * 1_000 / servers / buckets, 4),
-        "moves_over_least": round(moved / len(table.buckets_of(removed)), 2),
-        "share_cv": round(statistics.pstdev(loads) / statistics.fmean(loads), 4),
+        "moves_over_least": round(moved_buckets / len(table.buckets_of(removed)), 2),
+        "share_cv": round(statistics.pstdev(relative_loads) / statistics.fmean(relative_loads), 4),
     }
--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -82,11 +82,11 @@
             raise ScenarioError(f"line {step.line}: {step.verb}: {error!r}") from error
 
     async def _drain(self, server_id: str) -> None:
-        await self._site.operate(DrainServer(server_id=server_id))
+        await self._site.send_command(DrainServer(server_id=server_id))
         self.accepted_changes += 1
 
     async def _restore(self, server_id: str) -> None:
-        await self._site.operate(RestoreServer(server_id=server_id))
+        await self._site.send_command(RestoreServer(server_id=server_id))
         self.accepted_changes += 1
 
     async def _start(self, name: str) -> None:
@@ -110,7 +110,7 @@
         self.lost_servers.extend(
             found.name for found in deployment.of_role("agent") if found.data_centre == name
         )
-        await self._site.operate(
+        await self._site.send_command(
             SetDataCentreState(name=name, state=DataCentreState.OUT_OF_SERVICE)
         )
         self.accepted_changes += 1
@@ -118,7 +118,9 @@
 
     async def _bring_back(self, name: str) -> None:
         await self._site.servers.command("open_data_centre", name=name)
-        await self._site.operate(SetDataCentreState(name=name, state=DataCentreState.IN_SERVICE))
+        await self._site.send_command(
+            SetDataCentreState(name=name, state=DataCentreState.IN_SERVICE)
+        )
         self.accepted_changes += 1
 
     async def _cut(self, *names: str) -> None:
@@ -151,7 +153,7 @@
 
     async def _change_members(self, count: str, over_s: str) -> None:
         """Drain and restore one server after another: each step is a change of the table."""
-        service = self._site.deployment.shape.services[0]
+        service = self._site.deployment.spec.services[0]
         interval_s = float(over_s) / int(count)
         loop = asyncio.get_running_loop()
         due = loop.time()
--- a/bench/src/wagtailkeel_bench/scenario/operators.py
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -47,7 +47,7 @@
 
     def _next_change(self) -> ChangeTarget:
         self._number += 1
-        found = self._site.deployment.shape.classes[0]
+        found = self._site.deployment.spec.classes[0]
         target = Target.parse(f"held<{2_000 + self._number}")
         return ChangeTarget(service=found.service, name=found.name, target=target)
 
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wagtailkeel_bench.deployment import SHAPES_BY_NAME
+from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
 from wagtailkeel_bench.deployment import Deployment
 from wagtailkeel_bench.scenario.actions import Actions
 from wagtailkeel_bench.scenario.model import FeedTraffic
@@ -31,7 +31,7 @@
 
     def __init__(self, scenario: Scenario, seed: int, *, is_stateless: bool = False) -> None:
         self._scenario = scenario
-        shape = msgspec.structs.replace(SHAPES_BY_NAME[scenario.deployment])
+        shape = msgspec.structs.replace(DEPLOYMENT_SPECS_BY_NAME[scenario.deployment])
         shape.balancers = scenario.balancers or shape.balancers
         shape.controls = scenario.controls or shape.controls
         self.folder = make_folder()
@@ -66,7 +66,7 @@
     async def _start_traffic(self) -> None:
         for requests in self._scenario.requests:
             service, _, name = requests.class_path.partition("/")
-            classes = self._site.deployment.shape.classes
+            classes = self._site.deployment.spec.classes
             found = next(c for c in classes if (c.service, c.name) == (service, name))
             await self._site.callers.command(
                 "start_requests",
--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -26,11 +26,11 @@
 from wagtailkeel_state.enums import FlowProtocol
 from wagtailkeel_state.target import Target
 
-READY_LIMIT_S = 40.0
-READY_TEXT = "ready with"
+READY_TIMEOUT_S = 40.0
+READY_LOG_TEXT = "ready with"
 POLL_INTERVAL_S = 0.05
-FABRIC_NOTICE_S = 0.3
-DEADLINE_S = 20.0
+BALANCER_LOSS_DETECTION_S = 0.3
+COMMAND_DEADLINE_S = 20.0
 
 
 class Site:
@@ -43,7 +43,7 @@
         self.callers = StandIn("callers", deployment.callers_plan(), deployment.folder)
         self.processes_by_name: dict[str, ChildProcess] = {}
         self.endpoints_by_class: dict[str, str] = {}
-        self.client = self.new_client(DEADLINE_S)
+        self.client = self.new_client(COMMAND_DEADLINE_S)
 
     async def start(self, absent: list[str] | None = None) -> None:
         """Start all but the absent processes, create services, wait until all is in force."""
@@ -59,8 +59,8 @@
     def new_client(self, deadline_s: float) -> ControlClient:
         """Return a client of control with connections of its own."""
         addresses = [
-            (found.proxy_host, found.ports["rpc_port"])
-            for found in self.deployment.of_role("control")
+            (instance.proxy_host, instance.ports["rpc_port"])
+            for instance in self.deployment.of_role("control")
         ]
         return ControlClient(addresses, deadline_s)
 
@@ -75,7 +75,7 @@
         self.processes_by_name[instance.name] = process
         await process.start()
         if instance.role == "balancer":
-            await self._wait_in_log(process, READY_TEXT)
+            await self._wait_for_log_text(process, READY_LOG_TEXT)
             await self.network.command(
                 "set_balancer",
                 name=instance.name,
@@ -83,30 +83,30 @@
                 port=instance.ports["fabric_port"],
             )
 
-    async def _wait_in_log(self, process: ChildProcess, text: str) -> None:
+    async def _wait_for_log_text(self, process: ChildProcess, text: str) -> None:
         """Wait as the health check of a fabric would."""
-        deadline = time.monotonic() + READY_LIMIT_S
-        seen = process.log.count(text)
-        while process.log.count(text) <= seen and time.monotonic() < deadline:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        initial_count = process.log.count(text)
+        while process.log.count(text) <= initial_count and time.monotonic() < deadline:
             if not process.is_running:
                 raise BenchError(f"{process.name} ended: {process.log[-2_000:]}")
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _create_services(self) -> None:
-        for service in self.deployment.shape.services:
-            await self.operate(CreateService(name=service.name))
-        for found in self.deployment.shape.classes:
+        for service in self.deployment.spec.services:
+            await self.send_command(CreateService(name=service.name))
+        for class_spec in self.deployment.spec.classes:
             command = CreateClass(
-                service=found.service,
-                name=found.name,
-                protocol=FlowProtocol(found.protocol),
-                target=Target.parse(found.target),
-                is_idempotent=found.is_idempotent,
-                idle_limit_s=found.idle_limit_s,
+                service=class_spec.service,
+                name=class_spec.name,
+                protocol=FlowProtocol(class_spec.protocol),
+                target=Target.parse(class_spec.target),
+                is_idempotent=class_spec.is_idempotent,
+                idle_limit_s=class_spec.idle_limit_s,
             )
-            await self.operate(command)
+            await self.send_command(command)
 
-    async def operate(self, command: AnyCommand, **options: Any) -> CommandAnswer:
+    async def send_command(self, command: AnyCommand, **options: Any) -> CommandAnswer:
         """Send an operator's command; raise BenchError unless it is accepted."""
         answer = await self.client.send(command, author="bench", **options)
         if not answer.is_accepted:
@@ -115,7 +115,7 @@
 
     async def wait_ready(self) -> None:
         """Wait until all nodes have the newest version and every bucket has an authority."""
-        deadline = time.monotonic() + READY_LIMIT_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             if await self._is_ready():
                 return
@@ -127,8 +127,8 @@
             status = await self.client.status()
         except ControlUnreachableError:
             return False
-        running = {name for name, found in self.processes_by_name.items() if found.is_running}
-        nodes = running - {found.name for found in self.deployment.of_role("control")}
+        running = {name for name, process in self.processes_by_name.items() if process.is_running}
+        nodes = running - {instance.name for instance in self.deployment.of_role("control")}
         if not status.is_leader or nodes - {node.instance_id for node in status.nodes}:
             return False
         if any(node.version < status.version for node in status.nodes):
@@ -148,10 +148,12 @@
         config = (await self.client.status()).configuration
         services_by_endpoint: dict[str, str] = {}
         for service in config.services_by_name.values():
-            for found in service.classes_by_name.values():
-                key = endpoint_key(service.address, found.port, found.protocol.number).hex()
+            for traffic_class in service.classes_by_name.values():
+                key = endpoint_key(
+                    service.address, traffic_class.port, traffic_class.protocol.number
+                ).hex()
                 services_by_endpoint[key] = service.name
-                self.endpoints_by_class[f"{service.name}/{found.name}"] = key
+                self.endpoints_by_class[f"{service.name}/{traffic_class.name}"] = key
         for stand_in in (self.servers, self.callers):
             await stand_in.command("set_endpoints", services_by_endpoint=services_by_endpoint)
 
@@ -159,20 +161,20 @@
         """Return the state of one instance."""
         instance = self.deployment.instances_by_name[name]
         body = await self.client.dump((instance.bind_host, instance.ports["rpc_port"]))
-        found: dict[str, Any] = json.loads(body)
-        return found
+        state: dict[str, Any] = json.loads(body)
+        return state
 
     async def dumps(self, role: str = "") -> dict[str, dict[str, Any]]:
         """Return the states of all running instances of a role."""
         names = [
-            found.name
-            for found in self.deployment.instances_by_name.values()
-            if (not role or found.role == role) and self._is_running(found.name)
+            instance.name
+            for instance in self.deployment.instances_by_name.values()
+            if (not role or instance.role == role) and self._is_running(instance.name)
         ]
-        found = await asyncio.gather(*(self.dump(name) for name in names), return_exceptions=True)
+        results = await asyncio.gather(*(self.dump(name) for name in names), return_exceptions=True)
         return {
             name: dump
-            for name, dump in zip(names, found, strict=True)
+            for name, dump in zip(names, results, strict=True)
             if not isinstance(dump, BaseException)
         }
 
@@ -186,7 +188,7 @@
         """End a process at once; the fabric notices a lost balancer a little later."""
         await self.processes_by_name[name].kill()
         if self.deployment.instances_by_name[name].role == "balancer":
-            await asyncio.sleep(FABRIC_NOTICE_S)
+            await asyncio.sleep(BALANCER_LOSS_DETECTION_S)
             await self.network.command("remove_balancer", name=name)
 
     async def restart_instance(self, name: str, *, is_planned: bool) -> None:
@@ -220,21 +222,23 @@
 
     def pause_instance(self, name: str, is_paused: bool) -> None:
         """Freeze a process, or let it go on."""
-        number = signal.SIGSTOP if is_paused else signal.SIGCONT
-        self.processes_by_name[name].signal(number)
+        signal_number = signal.SIGSTOP if is_paused else signal.SIGCONT
+        self.processes_by_name[name].signal(signal_number)
 
     async def stop(self) -> dict[str, int]:
         """Stop all processes; return the exit statuses of those of the system."""
         statuses: dict[str, int] = {}
         for role in ("balancer", "agent", "control"):
-            names = [f.name for f in self.deployment.of_role(role)]
+            names = [instance.name for instance in self.deployment.of_role(role)]
             running = [
                 self.processes_by_name[name]
                 for name in names
                 if name in self.processes_by_name and self.processes_by_name[name].is_running
             ]
             results = await asyncio.gather(*(process.stop() for process in running))
-            statuses.update({p.name: s for p, s in zip(running, results, strict=True)})
+            statuses.update(
+                {process.name: status for process, status in zip(running, results, strict=True)}
+            )
         for stand_in in (self.callers, self.servers, self.network):
             if stand_in.is_running:
                 await stand_in.kill()
--- a/bench/src/wagtailkeel_bench/test_runner.py
+++ b/bench/src/wagtailkeel_bench/test_runner.py
@@ -17,18 +17,18 @@
         str(root / "tests"), pattern=pattern, top_level_dir=str(root)
     )
     result = unittest.TextTestRunner(verbosity=1, stream=sys.stdout).run(suite)
-    known = load_known_red(root / KNOWN_RED_FILE)
+    known_red = load_known_red(root / KNOWN_RED_FILE)
     print_known_red(root / KNOWN_RED_FILE)
     failed = {case.id().split(" ")[0] for case, _ in [*result.failures, *result.errors]}
-    for test_id in sorted(failed & known):
+    for test_id in sorted(failed & known_red):
         print(f"known red: {test_id}")
-    for test_id in sorted(known - failed):
+    for test_id in sorted(known_red - failed):
         print(f"known red, but passed or not run: {test_id}")
-    fresh = failed - known
+    unexpected = failed - known_red
     skipped = len(result.skipped)
     passed = result.testsRun - len(failed) - skipped
-    print(f"{passed} passed, {len(fresh)} failed, {skipped} skipped")
-    return 1 if fresh or not result.testsRun else 0
+    print(f"{passed} passed, {len(unexpected)} failed, {skipped} skipped")
+    return 1 if unexpected or not result.testsRun else 0
 
 
 def print_known_red(path: Path) -> None:
--- a/tests/bench/test_scenario_language.py
+++ b/tests/bench/test_scenario_language.py
@@ -11,7 +11,7 @@
 
 
 class ScenarioLanguageTest(unittest.TestCase):
-    def test_statements(self) -> None:
+    def test_statements_are_parsed_into_their_fields(self) -> None:
         text = """
         # comment
         deployment guild
@@ -35,14 +35,14 @@
         self.assertEqual(steps, [(1.0, "changes", ["4", "2.0"]), (3.0, "cut", ["control-1"])])
         self.assertEqual(found.expectations, [Expectation("response_ms.p99", "<=", 12.5)])
 
-    def test_errors_name_line_and_column(self) -> None:
+    def test_errors_state_file_and_line(self) -> None:
         table = [("deployment marshals\nfeeds many", 2), ("expect x 5", 1), ("at 3 kill a", 1)]
         for text, line in table:
             with self.subTest(text=text), self.assertRaises(ScenarioError) as caught:
                 parse_scenario(text, "inline")
             self.assertIn(f"inline:{line}:", str(caught.exception))
 
-    def test_all_scenarios_parse_and_expect_something(self) -> None:
+    def test_all_scenario_files_parse_and_have_expectations(self) -> None:
         paths = sorted(SCENARIOS.glob("*.scenario"))
         self.assertGreaterEqual(len(paths), 20)
         for path in paths:
--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -14,22 +14,24 @@
 from wagtailkeel_protocol.flow_key import endpoint_key
 from wagtailkeel_protocol.packet_builder import build_udp
 
-LIMIT_S = 20.0
+TIMEOUT_S = 20.0
 SEED = 7
-GARBAGE_DATAGRAMS = 200
-KEY = bytes([10, 1, 0, 1]) + bytes([10, 90, 0, 1]) + b"\x07\xd0\x4e\x20\x11"
+RANDOM_DATAGRAMS = 200
+FLOW_KEY = bytes([10, 1, 0, 1]) + bytes([10, 90, 0, 1]) + b"\x07\xd0\x4e\x20\x11"
 
 
-def bad_packets() -> dict[str, bytes]:
+def build_bad_packets() -> dict[str, bytes]:
     """Return packets by the cause under which they have to be counted."""
-    good = build_udp(KEY, b"body")
+    valid_packet = build_udp(FLOW_KEY, b"body")
     return {
-        "dropped_truncated": good[:-3],
-        "dropped_oversized": good + b"more",
-        "dropped_fragmented": good[:6] + b"\x20\x00" + good[8:],
-        "dropped_foreign": good[:9] + b"\x2f" + good[10:],
-        "dropped_wrong_version": b"\x95" + good[1:],
-        "dropped_unknown_class": build_udp(KEY[:4] + b"\x0a\x5a\x00\xfe" + KEY[8:], b"body"),
+        "dropped_truncated": valid_packet[:-3],
+        "dropped_oversized": valid_packet + b"more",
+        "dropped_fragmented": valid_packet[:6] + b"\x20\x00" + valid_packet[8:],
+        "dropped_foreign": valid_packet[:9] + b"\x2f" + valid_packet[10:],
+        "dropped_wrong_version": b"\x95" + valid_packet[1:],
+        "dropped_unknown_class": build_udp(
+            FLOW_KEY[:4] + b"\x0a\x5a\x00\xfe" + FLOW_KEY[8:], b"body"
+        ),
     }
 
 
@@ -43,10 +45,10 @@
     async def asyncTearDown(self) -> None:
         await self.site.stop()
 
-    async def test_bad_input(self) -> None:
-        packets = bad_packets()
+    async def test_bad_datagrams_are_counted_by_cause_and_traffic_goes_on(self) -> None:
+        packets = build_bad_packets()
         await self.site.callers.command("send_raw", packets=[p.hex() for p in packets.values()])
-        self.send_garbage()
+        self.send_random_datagrams()
         await self.wait_for_counters("balancer", set(packets))
         await self.wait_for_counters("agent", {"dropped_undecodable", "dropped_truncated"})
         await self.wait_for_counters("control", {"dropped_undecodable", "dropped_wrong_version"})
@@ -58,22 +60,22 @@
             parts=1,
             is_idempotent=False,
         )
-        async with asyncio.timeout(LIMIT_S):
-            while "requests_answered" not in await self.report():
+        async with asyncio.timeout(TIMEOUT_S):
+            while "requests_answered" not in await self.fetch_callers_report():
                 await asyncio.sleep(0.1)
 
-    async def report(self) -> dict[str, object]:
+    async def fetch_callers_report(self) -> dict[str, object]:
         found: dict[str, object] = await self.site.callers.command(
             "report", lost_servers=[], silenced=[], max_idle_s=1.0
         )
         return found
 
-    def send_garbage(self) -> None:
+    def send_random_datagrams(self) -> None:
         random = Random(SEED)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for instance in self.site.deployment.instances_by_name.values():
                 address = (instance.bind_host, instance.ports["port"])
-                for _ in range(GARBAGE_DATAGRAMS):
+                for _ in range(RANDOM_DATAGRAMS):
                     body = random.randbytes(random.randrange(1, 200))
                     sender.sendto(body, address)
                     sender.sendto(gue.CONTROL_PREFIX + body, address)
@@ -81,7 +83,7 @@
 
     async def wait_for_counters(self, role: str, names: set[str]) -> None:
         found: Counter[str] = Counter()
-        async with asyncio.timeout(LIMIT_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while not names <= set(found):
                 await asyncio.sleep(0.1)
                 found = Counter()
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -17,10 +17,10 @@
 from wagtailkeel_bench.site import Site
 from wagtailkeel_bench.site import make_folder
 
-WINDOW = ("--start", "2040-01-10T01:00+05:30", "--end", "2040-01-10T03:00+05:30")
-UDP = ("--protocol", "udp", "--target", "p99<1000ms")
-LIMIT_S = 20.0
-SHORT = ("--deadline", "1")
+BOOKING_WINDOW = ("--start", "2040-01-10T01:00+05:30", "--end", "2040-01-10T03:00+05:30")
+UDP_CLASS_OPTIONS = ("--protocol", "udp", "--target", "p99<1000ms")
+TIMEOUT_S = 20.0
+SHORT_DEADLINE = ("--deadline", "1")
 
 
 class ConsoleTest(unittest.IsolatedAsyncioTestCase):
@@ -43,7 +43,7 @@
         self.assertEqual(status, ExitCode.DONE, output)
         return json.loads(output, parse_constant=self.fail)
 
-    async def test_commands(self) -> None:
+    async def test_commands_return_their_exit_code_and_message(self) -> None:
         created = await self.run_json("service", "create", "sheet-office", "--wait")
         table: list[tuple[tuple[str, ...], ExitCode, str]] = [
             (("service", "create", "sheet-office"), ExitCode.REJECTED, "exists already"),
@@ -53,7 +53,7 @@
                 "by ann",
             ),
             (
-                ("class", "create", "sheet-office", "sheet", *UDP, "--wait"),
+                ("class", "create", "sheet-office", "sheet", *UDP_CLASS_OPTIONS, "--wait"),
                 ExitCode.DONE,
                 "created",
             ),
@@ -66,29 +66,36 @@
             (("datacentre", "out", "surat", "--wait"), ExitCode.DONE, "out of service"),
             (("datacentre", "back", "surat"), ExitCode.DONE, "in service"),
             (
-                ("booking", "create", "datacentre-out", "surat", "--id", "one", *WINDOW),
+                ("booking", "create", "datacentre-out", "surat", "--id", "one", *BOOKING_WINDOW),
                 ExitCode.DONE,
                 "accepted",
             ),
             (
-                ("booking", "create", "datacentre-out", "surat", "--id", "two", *WINDOW),
+                ("booking", "create", "datacentre-out", "surat", "--id", "two", *BOOKING_WINDOW),
                 ExitCode.REJECTED,
                 "booking one by ann",
             ),
             (("booking", "create", "datacentre-out", "surat"), ExitCode.USAGE, "--start"),
             (("booking", "show", "one"), ExitCode.DONE, "2040-01-09 19:30:00 UTC"),
             (
-                ("booking", "create", "class-create", "sheet-office/map", *UDP, *WINDOW),
+                (
+                    "booking",
+                    "create",
+                    "class-create",
+                    "sheet-office/map",
+                    *UDP_CLASS_OPTIONS,
+                    *BOOKING_WINDOW,
+                ),
                 ExitCode.DONE,
                 "accepted",
             ),
             (
-                ("booking", "create", "service-create", "archive", *WINDOW),
+                ("booking", "create", "service-create", "archive", *BOOKING_WINDOW),
                 ExitCode.DONE,
                 "accepted",
             ),
             (
-                ("booking", "create", "class-target", "sheet-office", *WINDOW),
+                ("booking", "create", "class-target", "sheet-office", *BOOKING_WINDOW),
                 ExitCode.USAGE,
                 "SERVICE/CLASS",
             ),
@@ -106,12 +113,12 @@
                 self.assertEqual(status, expected, output)
                 self.assertIn(text, output)
 
-    async def test_booking_takes_effect_in_its_window(self) -> None:
+    async def test_booking_is_applied_when_its_window_starts(self) -> None:
         now = datetime.now(UTC)
         window = [(now + timedelta(seconds=offset)).isoformat() for offset in (-1, 600)]
         arguments = ("booking", "create", "datacentre-out", "surat", "--id", "soon")
         await self.run_json(*arguments, "--start", window[0], "--end", window[1])
-        async with asyncio.timeout(LIMIT_S):
+        async with asyncio.timeout(TIMEOUT_S):
             while (await self.run_json("booking", "show", "soon"))["state"] != "active":
                 await asyncio.sleep(0.1)
         status = await self.run_json("status")
@@ -119,7 +126,9 @@
         self.assertEqual(states["surat"]["state"], "out-of-service")
         self.assertEqual(states["vadodara"]["state"], "in-service")
 
-    async def test_resend_and_status(self) -> None:
+    async def test_resent_command_returns_the_first_answer_and_status_waits_for_a_version(
+        self,
+    ) -> None:
         change = ("class", "target", "marshal-desk", "feed", "held<999", "--command-id", "same")
         first = await self.run_json(*change)
         again = await self.run_json(*change)
@@ -130,11 +139,11 @@
         self.assertEqual(dump["role"], "agent")
         self.assertGreaterEqual(dump["version"], first["index"])
 
-    async def test_without_control(self) -> None:
+    async def test_exit_codes_while_no_control_instance_runs(self) -> None:
         await self.site.kill_instance("control-1")
-        for arguments in ((*SHORT, "status"), (*SHORT, "servers")):
+        for arguments in ((*SHORT_DEADLINE, "status"), (*SHORT_DEADLINE, "servers")):
             self.assertEqual((await self.run_command(*arguments))[0], ExitCode.UNREACHABLE)
-        status, output = await self.run_command(*SHORT, "service", "create", "late")
+        status, output = await self.run_command(*SHORT_DEADLINE, "service", "create", "late")
         self.assertEqual(status, ExitCode.UNKNOWN, output)
         self.assertIn("--command-id", output)
 
--- a/tests/integration/test_single_process.py
+++ b/tests/integration/test_single_process.py
@@ -10,13 +10,13 @@
 from wagtailkeel.console.application import main
 from wagtailkeel.console.exit_codes import ExitCode
 from wagtailkeel_bench.child_process import ChildProcess
-from wagtailkeel_bench.deployment import AddressPlan
-from wagtailkeel_bench.deployment import free_port
+from wagtailkeel_bench.deployment import AddressAllocator
+from wagtailkeel_bench.deployment import find_free_port
 from wagtailkeel_bench.site import make_folder
 
 EXAMPLE = Path(__file__).parents[2] / "examples" / "single.toml"
 EXAMPLE_PORTS = ("7001", "7002", "7011", "7012", "7021", "7022", "6080", "6081", "6090", "6091")
-READY_LIMIT_S = 20.0
+READY_TIMEOUT_S = 20.0
 
 
 class SingleProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -24,10 +24,10 @@
 
     async def asyncSetUp(self) -> None:
         self.folder = make_folder()
-        self.host = AddressPlan().next_hosts()[0]
+        self.host = AddressAllocator().allocate_hosts()[0]
         self.process = self.build_process("first")
         await self.process.start()
-        deadline = time.monotonic() + READY_LIMIT_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while "ready with 3 roles" not in self.process.log and time.monotonic() < deadline:
             await asyncio.sleep(0.05)
 
@@ -38,7 +38,7 @@
         text = EXAMPLE.read_text().replace("127.0.0.1", self.host)
         text = text.replace("/var/lib/wagtailkeel", str(self.folder))
         for port in EXAMPLE_PORTS:
-            chosen = str(free_port(self.host))
+            chosen = str(find_free_port(self.host))
             text = text.replace(f"port = {port}\n", f"port = {chosen}\n")
             if port == "7002":
                 self.control = f"{self.host}:{chosen}"
@@ -52,7 +52,7 @@
         result = await asyncio.to_thread(CliRunner().invoke, main, options)
         return result.exit_code
 
-    async def test_every_role_takes_part(self) -> None:
+    async def test_commands_succeed_and_every_role_returns_a_dump(self) -> None:
         feed = ("class", "create", "marshal-desk", "feed", "--protocol", "tcp")
         self.assertEqual(
             await self.run_command("service", "create", "marshal-desk", "--wait"), ExitCode.DONE
@@ -63,7 +63,7 @@
         for instance in ("small-site-balancer", "desk-1"):
             self.assertEqual(await self.run_command("dump", instance), ExitCode.DONE)
 
-    async def test_second_process_on_the_data_folder_is_refused(self) -> None:
+    async def test_second_process_on_the_same_data_folder_exits_with_an_error(self) -> None:
         control = self.control
         second = self.build_process("second")
         await second.start()
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -8,7 +8,7 @@
 from wagtailkeel_bench.site import Site
 from wagtailkeel_bench.site import make_folder
 
-LIMIT_S = 20.0
+TIMEOUT_S = 20.0
 
 
 class WholePathTest(unittest.IsolatedAsyncioTestCase):
@@ -22,7 +22,7 @@
         statuses = await self.site.stop()
         self.assertEqual(set(statuses.values()), {0}, "SIGTERM is a graceful stop")
 
-    async def test_feed_and_request(self) -> None:
+    async def test_feed_and_requests_reach_their_servers(self) -> None:
         endpoints = self.site.endpoints_by_class
         callers = self.site.callers
         await callers.command(
@@ -40,15 +40,15 @@
             parts=3,
             is_idempotent=False,
         )
-        async with asyncio.timeout(LIMIT_S):
-            while not await self._has_both():
+        async with asyncio.timeout(TIMEOUT_S):
+            while not await self._has_open_feed_and_answer():
                 await asyncio.sleep(0.1)
         await callers.command("stop_requests")
         report = await self.site.servers.command("report")
         for name in ("misrouted_packets", "double_runs", "multi_server_flows"):
             self.assertEqual(report[name], 0, name)
 
-    async def _has_both(self) -> bool:
+    async def _has_open_feed_and_answer(self) -> bool:
         report = await self.site.callers.command(
             "report", lost_servers=[], silenced=[], max_idle_s=2.0
         )
