--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -237,7 +237,7 @@
             ]
             results = await asyncio.gather(*(process.stop() for process in running))
             statuses.update(
-                {process.name: status for process, status in zip(running, results, strict=True)}
+                {stopped.name: status for stopped, status in zip(running, results, strict=True)}
             )
         for stand_in in (self.callers, self.servers, self.network):
             if stand_in.is_running:
