Texts of the load model

Texts such as "what callers ask", "the own server" and "played against" needed knowledge of the project. Reworded: who sends, answers, retries and counts what, and in which unit.

--- a/bench/src/wagtailkeel_bench/load_model/__init__.py
+++ b/bench/src/wagtailkeel_bench/load_model/__init__.py
@@ -1,4 +1,4 @@
-"""Loads played against the real routing decisions in virtual time."""
+"""Simulates loads in virtual time against the real routing code."""
 
 from __future__ import annotations
 
--- a/bench/src/wagtailkeel_bench/load_model/load.py
+++ b/bench/src/wagtailkeel_bench/load_model/load.py
@@ -1,4 +1,4 @@
-"""What callers ask of a service, and the servers that it has."""
+"""Loads: the request rate of one service and the capacity of its servers."""
 
 from __future__ import annotations
 
@@ -6,12 +6,13 @@
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
-    """One service under one pattern of requests; times in seconds, rates a second.
+    """The servers of one service and its request rate; times in seconds, rates per second.
 
-    ``speeds`` has one entry a server, 1.0 being the speed at which a request takes ``work_s``. A
-    server works on ``slots`` requests at once, queues ``queue`` more and sheds the rest. Requests
-    between ``surge_from_s`` and ``surge_to_s`` come at ``surge_rate``. Servers are ``cold_factor``
-    times slower for the first ``cold_s``.
+    ``server_speeds`` has one entry per server; at speed 1.0 a request takes ``mean_work_s`` on
+    average, with the coefficient of variation ``work_cv``. A server works on ``slots`` requests at
+    once, queues up to ``queue_limit`` more and sheds the rest. From ``surge_start_s`` to
+    ``surge_end_s`` requests arrive at ``surge_requests_per_s``. For the first ``cold_s`` servers
+    are slower by ``cold_factor``.
     """
 
     summary: str
@@ -32,25 +33,25 @@
     cold_factor: float = 1.0
 
     def rate_at(self, now: float) -> float:
-        """Return the rate of requests at a moment."""
+        """Return the request rate at a time since the start."""
         is_surge = self.surge_start_s <= now < self.surge_end_s
         return self.surge_requests_per_s if is_surge else self.requests_per_s
 
 
 LOADS_BY_NAME = {
     "unlike-servers": Load(
-        summary="servers of unlike speed with one slot each, 45% busy",
+        summary="servers of different speeds with one slot each, 45% busy",
         server_speeds=(0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0),
         requests_per_s=160.0,
     ),
     "small-service": Load(
-        summary="a route has moved to two servers that can just not do its work",
+        summary="a route has moved to two servers with slightly too little capacity for it",
         server_speeds=(1.0, 1.0),
         slots=2,
         requests_per_s=215.0,
     ),
     "surge": Load(
-        summary="1.7 times the usual work for three seconds, more than the servers can do",
+        summary="1.7 times the usual load for three seconds, more than the servers can handle",
         server_speeds=(1.0, 1.0, 1.0),
         slots=2,
         requests_per_s=200.0,
@@ -59,7 +60,7 @@
         surge_end_s=9.0,
     ),
     "all-return": Load(
-        summary="all callers come back at once to servers that are slow for two seconds",
+        summary="all callers return at once to servers that are slow for the first two seconds",
         server_speeds=(1.0, 1.0, 1.0),
         slots=2,
         requests_per_s=210.0,
--- a/bench/src/wagtailkeel_bench/load_model/model_callers.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep a flow open for many requests and try again when they are refused."""
+"""Callers that send many requests on one flow and retry failed ones on a new flow."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class ModelRequest(msgspec.Struct):
-    """A request and the flow that it uses; times in seconds."""
+    """A request and the user whose flow carries it; times in seconds."""
 
     user: int
     started_at: float
@@ -34,7 +34,7 @@
 
 
 class ModelCallers:
-    """Requests come at random; each takes a user that has none, and that user's flow."""
+    """Sends requests at random times, each on the flow of a user without a pending request."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         self._opened_flows = 0
 
     def start(self) -> None:
-        """Begin to send."""
+        """Schedule the first request."""
         self._schedule_next()
 
     def _schedule_next(self) -> None:
@@ -95,9 +95,9 @@
         self._send(build_tcp(key, 1, 1, ip.ACK, REQUEST_PAYLOAD))
 
     def on_packet(self, packet: bytes) -> None:
-        """Take a packet that comes back."""
+        """Process a packet that is returned to the callers."""
         reply_key = ip.parse_flow_key(packet)
-        assert isinstance(reply_key, bytes), "the model sends only whole packets"
+        assert isinstance(reply_key, bytes), "the model must send only complete packets"
         key = ip.reverse_key(reply_key)
         request = self._request_by_key.get(key)
         if request is None:
@@ -117,7 +117,7 @@
             self._finish(request, is_answered=True)
 
     def _on_failure(self, key: bytes, request: ModelRequest) -> None:
-        """A refused opening, or a shed request, whose server closes the flow."""
+        """Retry a refused opening, or a shed request, whose flow the server closes."""
         del self._request_by_key[key]
         self._flow_by_user.pop(request.user, None)
         if request.attempts < MAX_ATTEMPTS:
--- a/bench/src/wagtailkeel_bench/load_model/model_server.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_server.py
@@ -1,4 +1,4 @@
-"""A backend server with slots, a queue and a speed."""
+"""Model of a backend server with slots, a request queue and a speed."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class ModelServer:
-    """Answers what its agent delivers; ``busy_s`` sums the work of all slots."""
+    """Answers packets from its agent; ``busy_s`` is the total work time of all slots."""
 
     def __init__(
         self,
@@ -42,9 +42,9 @@
         self._queue: deque[bytes] = deque()
 
     def on_packet(self, packet: bytes) -> None:
-        """Take a packet of a caller."""
+        """Process a packet of a caller."""
         key = ip.parse_flow_key(packet)
-        assert isinstance(key, bytes), "the model sends only whole packets"
+        assert isinstance(key, bytes), "the model must send only complete packets"
         if ip.tcp_flags(packet) & ip.SYN:
             self._reply(key, ip.SYN | ip.ACK, b"", HANDSHAKE_DELAY_S)
         elif ip.payload_of(packet):
@@ -65,7 +65,10 @@
         self._scheduler.call_later(work_s, lambda: self._finish_request(key))
 
     def _sample_work_s(self) -> float:
-        """Draw from a log-normal distribution with the load's mean and relative spread."""
+        """Return a work time from a log-normal distribution, scaled by speed and slow start.
+
+        The distribution has the load's mean and coefficient of variation.
+        """
         variance = math.log(1.0 + self._load.work_cv**2)
         work_s = self._load.mean_work_s * self._random.lognormvariate(
             -variance / 2, math.sqrt(variance)
--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -1,4 +1,4 @@
-"""Ways to place and to turn away flows: that of the product, and earlier or simpler ones."""
+"""Policies that place and refuse flows: wagtailkeel's own, and earlier or simpler ones."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Policy(msgspec.Struct, frozen=True):
-    """How a server is chosen, and whether openings are turned away where requests wait."""
+    """How a server is chosen, and whether openings are rejected while too many requests wait."""
 
     choose: ServerChoice
     has_queue_limit: bool
@@ -29,7 +29,7 @@
 def choose_random_server(
     candidates: Iterable[PeerLoad], data_centre: str, tried: Collection[Address], random: Random
 ) -> PeerLoad | None:
-    """Return any candidate that was not tried, whatever its load."""
+    """Return a random candidate that was not tried, whatever its load, or None."""
     untried = [peer for peer in candidates if peer.address not in tried]
     return random.choice(untried) if untried else None
 
@@ -39,4 +39,4 @@
     "least-wait": Policy(choose_server, has_queue_limit=False),
     "least-wait-limited": Policy(choose_server, has_queue_limit=True),
 }
-"""The last one is the product's."""
+"""``least-wait-limited`` is the policy of wagtailkeel."""
--- a/bench/src/wagtailkeel_bench/load_model/results.py
+++ b/bench/src/wagtailkeel_bench/load_model/results.py
@@ -1,4 +1,4 @@
-"""What callers saw, as a table and a plot in text."""
+"""Request outcomes as callers see them, as a table and a text plot."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class Results:
-    """Counts of one play; ``work_s_by_server`` is what each server did."""
+    """Request counts of one simulation; ``work_s_by_server`` is each server's work time."""
 
     def __init__(self, load: Load) -> None:
         self.in_target = 0
@@ -36,7 +36,7 @@
         self._requests_by_interval = [0] * interval_count
 
     def record_request(self, started_at: float, elapsed_s: float, *, is_answered: bool) -> None:
-        """Count a request."""
+        """Count a finished request in the interval in which it started."""
         is_in_target = is_answered and elapsed_s <= self._load.target_s
         self.in_target += is_in_target
         self.late += is_answered and not is_in_target
@@ -48,12 +48,12 @@
         self._in_target_by_interval[interval] += is_in_target
 
     def record_no_idle_user(self) -> None:
-        """Count a request that found all users busy."""
+        """Count a request as failed because all users were busy."""
         self.failed += 1
 
     @property
     def requests(self) -> int:
-        """The number of requests that are over."""
+        """The number of finished requests."""
         return self.in_target + self.late + self.failed
 
     @property
@@ -62,7 +62,7 @@
         return self.in_target / max(1, self.requests)
 
     def percentile_ms(self, percentile: float) -> float:
-        """Return a percentile of the answers' times."""
+        """Return a percentile of the response times of answered requests."""
         return float(self._histogram.get_value_at_percentile(percentile)) / 1_000
 
     @property
@@ -72,7 +72,7 @@
         return pstdev(self.work_s_by_server) / average if average else 0.0
 
     def plot(self) -> list[str]:
-        """Return one bar a second: the share of its requests that were answered in time."""
+        """Return one bar per second: the share of requests started in it and answered in time."""
         lines = []
         for interval, requests in enumerate(self._requests_by_interval):
             share = self._in_target_by_interval[interval] / max(1, requests)
@@ -83,7 +83,7 @@
 
 
 def format_table(results_by_policy: Mapping[str, Results]) -> str:
-    """Return one line a policy."""
+    """Return a header and one line per policy."""
     lines = ["policy               in target   late  failed   shed  p50 ms  p99 ms  imbalance"]
     for name, result in results_by_policy.items():
         total = max(1, result.requests)
--- a/bench/src/wagtailkeel_bench/load_model/scheduler.py
+++ b/bench/src/wagtailkeel_bench/load_model/scheduler.py
@@ -1,4 +1,4 @@
-"""Events in virtual time."""
+"""Event scheduler in virtual time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class EventScheduler:
-    """Runs actions in the order of their times, in seconds; equal times in the order given."""
+    """Runs actions by due time in seconds; those due at the same time in order of scheduling."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -18,11 +18,11 @@
         self._queue: list[tuple[float, int, Action]] = []
 
     def call_later(self, delay_s: float, action: Action) -> None:
-        """Run an action later."""
+        """Schedule an action to run after a delay."""
         heapq.heappush(self._queue, (self.now + delay_s, next(self._sequence_numbers), action))
 
     def run_until(self, end_s: float) -> None:
-        """Run all actions that are due up to a moment."""
+        """Run all actions due up to a time, and set the current time to it."""
         while self._queue and self._queue[0][0] <= end_s:
             self.now, _, action = heapq.heappop(self._queue)
             action()
--- a/bench/src/wagtailkeel_bench/load_model/simulation.py
+++ b/bench/src/wagtailkeel_bench/load_model/simulation.py
@@ -1,4 +1,4 @@
-"""One service's agents, a balancer, servers and callers in virtual time."""
+"""Simulation of one service in virtual time: callers, a balancer, agents and servers."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 
 
 class ModelAgent:
-    """An agent's router beside its server; implements the relay outbox."""
+    """The router of an agent with its backend server; implements the relay outbox."""
 
     def __init__(self, site: ModelSite, number: int, load: Load, policy: Policy) -> None:
         self.address = (f"10.0.0.{number + 1}", PEER_PORT)
@@ -74,7 +74,7 @@
         )
 
     def send_report(self) -> None:
-        """Let the server tell its agent that it is well."""
+        """Pass a status report of the healthy server to the router."""
         self._report_sequence += 1
         report = ServerReport(self.address[0], SERVICE, 1, self._report_sequence, self._slots)
         self.router.on_report(report, self._site.scheduler.now)
@@ -83,7 +83,7 @@
         self.router.on_server_packet(packet, self._site.scheduler.now)
 
     def deliver(self, packet: bytes) -> None:
-        """Hand a packet to the own server."""
+        """Deliver a packet to the agent's backend server."""
         self.server.on_packet(packet)
 
     def reply(self, packet: bytes, caller_host: str) -> None:
@@ -107,7 +107,7 @@
 
 
 class ModelSite:
-    """Everything between the callers and the servers of one play."""
+    """The callers, the balancer, the agents and the network delays of one simulation."""
 
     def __init__(self, load: Load, policy: Policy, seed: int, results: Results) -> None:
         self.seed = seed
@@ -166,9 +166,9 @@
         self.scheduler.call_later(CALLER_DELAY_S, partial(self._balancer.on_packet, packet))
 
     def send_frame(self, frame: bytes, address: Address, source: Address) -> None:
-        """Deliver a frame to an agent after the way between two nodes."""
+        """Deliver a frame to an agent after the network delay between two nodes."""
         decoded = relay.decode_relay(frame)
-        assert not isinstance(decoded, Malformed), "the model sends only whole frames"
+        assert not isinstance(decoded, Malformed), "the model must send only complete frames"
         agent = self._agents_by_address[address]
         self.scheduler.call_later(
             PEER_DELAY_S,
@@ -176,14 +176,14 @@
         )
 
     def run(self) -> list[float]:
-        """Play the load to its end; return the work of each server in seconds."""
+        """Run the load to its end; return the work time of each server in seconds."""
         self.callers.start()
         self.scheduler.run_until(self._load.duration_s)
         return [agent.server.busy_s for agent in self._agents]
 
 
 def simulate(load: Load, policy: Policy, seed: int) -> Results:
-    """Play a load under a policy; equal seeds give equal results."""
+    """Simulate a load under a policy; equal seeds give equal results."""
     results = Results(load)
     results.work_s_by_server = ModelSite(load, policy, seed, results).run()
     return results
--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -1,4 +1,7 @@
-"""The loads that the routing decisions answer, replayed against them in virtual time."""
+"""Guards server choice and queue limit against late answers and shed requests.
+
+Each load is simulated in virtual time against the real routing code.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +20,7 @@
 
 
 def simulate_short(load: str, policy: str) -> Results:
-    """Play the first seconds of a load."""
+    """Simulate the first seconds of a load."""
     chosen = msgspec.structs.replace(LOADS_BY_NAME[load], duration_s=SHORT_DURATION_S)
     return simulate(chosen, POLICIES_BY_NAME[policy], SEED)
 
