Texts of the bench's deployment, site, measurements and integration tests

Texts such as "what can be done to them", "go the way of the command line" and "Return what the servers need" did not say who does what. Reworded: which process is started, signalled or waited for, what a timeout does, what a measured ratio divides, which failure a test class guards against. The demonstration no longer says that each stand-in is a process of its own: backend servers share one.

--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m wagtailkeel_bench``."""
+"""Command line of the bench: ``python -m wagtailkeel_bench``."""
 
 from __future__ import annotations
 
@@ -31,13 +31,13 @@
 
 @click.group()
 def main() -> None:
-    """Bench of wagtailkeel."""
+    """Run tests, scenarios, measurements and load simulations of wagtailkeel."""
 
 
 @main.command(name="run")
 @click.option("--seconds", type=click.FloatRange(min=1), default=8.0)
 def run_command(seconds: float) -> None:
-    """Run a small site for a few seconds and say what happened."""
+    """Run a small site for a few seconds and print what its traffic got."""
     raise SystemExit(run_demonstration(seconds))
 
 
@@ -52,9 +52,10 @@
 @click.argument("scenario")
 @click.option("--seed", type=int, default=1)
 def scenario_command(scenario: str, seed: int) -> None:
-    """Run SCENARIO: a name below bench/scenarios, a path or a measurement; prints one JSON line.
+    """Run SCENARIO and print the result as one JSON line.
 
-    Exit status 1: an expectation failed; 2: the run itself failed.
+    SCENARIO is the name of a file in bench/scenarios, a path or the name of a measurement. The
+    exit status is 1 if an expectation failed and 2 if the run itself failed.
     """
     if scenario in MEASUREMENTS:
         click.echo(msgspec.json.encode(MEASUREMENTS[scenario]()).decode())
@@ -77,13 +78,17 @@
 @main.command(name="load-model")
 @click.argument("load", type=click.Choice(sorted(LOADS_BY_NAME)))
 @click.option("--seed", type=int, default=1)
-@click.option("--servers", type=click.IntRange(min=1), help="Servers, instead of the load's own.")
-@click.option("--rate", type=click.FloatRange(min=0.1), help="Requests a second.")
+@click.option(
+    "--servers",
+    type=click.IntRange(min=1),
+    help="Number of servers of speed 1, instead of the load's servers.",
+)
+@click.option("--rate", type=click.FloatRange(min=0.1), help="Requests per second outside a surge.")
 @click.option("--plot/--no-plot", default=True)
 def load_model_command(
     load: str, seed: int, servers: int | None, rate: float | None, plot: bool
 ) -> None:
-    """Play LOAD against the routing decisions in virtual time, one line a policy."""
+    """Simulate LOAD in virtual time against the real routing code; print a line per policy."""
     selected_load = LOADS_BY_NAME[load]
     if servers is not None:
         selected_load = msgspec.structs.replace(selected_load, server_speeds=(1.0,) * servers)
--- a/bench/src/wagtailkeel_bench/child_process.py
+++ b/bench/src/wagtailkeel_bench/child_process.py
@@ -1,4 +1,4 @@
-"""Processes that the bench starts, and only it ends, each by its own id."""
+"""Child processes that the bench starts and that only the bench stops, by process id."""
 
 from __future__ import annotations
 
@@ -17,11 +17,11 @@
 
 
 class BenchError(Exception):
-    """The run itself failed; it says nothing about the system."""
+    """The bench run failed, so it gives no result about the system under test."""
 
 
 class ChildProcess:
-    """A process with its log file."""
+    """A child process of the bench and its log file."""
 
     def __init__(self, name: str, arguments: list[str], log_path: Path) -> None:
         self.name = name
@@ -31,16 +31,16 @@
 
     @property
     def is_running(self) -> bool:
-        """Tell whether the process lives."""
+        """Return whether the process has started and not ended."""
         return self._process is not None and self._process.returncode is None
 
     @property
     def log(self) -> str:
-        """All that the process wrote."""
+        """The content of the log file, empty before the first start."""
         return self._log_path.read_text() if self._log_path.exists() else ""
 
     async def start(self, *, has_pipes: bool = False) -> None:
-        """Start the process."""
+        """Start the process; with ``has_pipes`` its stdin and stdout are pipes to the bench."""
         pipe = asyncio.subprocess.PIPE if has_pipes else asyncio.subprocess.DEVNULL
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -53,13 +53,13 @@
             )
 
     def signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process, if it lives."""
+        """Send a signal to the process if it is running."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal_number)
 
     async def wait(self) -> int:
-        """Wait for the end of the process; return its exit status."""
-        assert self._process is not None, "only a started process is waited for"
+        """Return the exit status; kill the process and raise BenchError after a timeout."""
+        assert self._process is not None, "the process has not been started"
         try:
             return await asyncio.wait_for(self._process.wait(), STOP_TIMEOUT_S)
         except TimeoutError:
@@ -68,18 +68,18 @@
             raise BenchError(f"{self.name} did not stop within {STOP_TIMEOUT_S:g} s") from None
 
     async def kill(self) -> None:
-        """End the process at once."""
+        """Kill the process and wait until it has ended."""
         self.signal(signal.SIGKILL)
         await self.wait()
 
     async def stop(self) -> int:
-        """Ask the process to stop; return its exit status."""
+        """Send SIGTERM to the process; return its exit status."""
         self.signal(signal.SIGTERM)
         return await self.wait()
 
 
 class StandIn(ChildProcess):
-    """A stand-in process that takes commands."""
+    """A stand-in process that executes commands from its standard input."""
 
     def __init__(self, kind: str, plan: msgspec.Struct, folder: Path) -> None:
         plan_path = folder / f"{kind}.json"
@@ -88,7 +88,7 @@
         super().__init__(kind, arguments, folder / f"{kind}.log")
 
     async def start(self, *, has_pipes: bool = True) -> None:
-        """Start the process and wait until it answers."""
+        """Start the process and wait until it answers a ping."""
         await super().start(has_pipes=has_pipes)
         await self.command("ping")
 
@@ -100,5 +100,5 @@
         process.stdin.write(json.dumps(request).encode() + b"\n")
         line = await asyncio.wait_for(process.stdout.readline(), COMMAND_TIMEOUT_S)
         if not line:
-            raise BenchError(f"stand-in {self.name} ended: {self.log[-2_000:]}")
+            raise BenchError(f"stand-in {self.name} exited: {self.log[-2_000:]}")
         return json.loads(line)
--- a/bench/src/wagtailkeel_bench/demonstration.py
+++ b/bench/src/wagtailkeel_bench/demonstration.py
@@ -1,4 +1,4 @@
-"""The small site of ``make run``."""
+"""Demonstration of ``make run``: a small site that gets traffic for a few seconds."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def run_demonstration(seconds: float) -> int:
-    """Run it; return the exit status."""
+    """Run the demonstration; return 0 only if all traffic was handled correctly."""
     try:
         return asyncio.run(_demonstrate(seconds))
     except KeyboardInterrupt:
@@ -29,11 +29,11 @@
 async def _demonstrate(seconds: float) -> int:
     folder = make_folder()
     site = Site(Deployment(SMALL, folder, SEED, is_stateless=False))
-    print("starting: 1 control, 2 balancers, 3 agents, and stand-ins for")
-    print("network, callers and 3 backend servers, each a process of its own")
+    print("starting 1 control, 2 balancers and 3 agents, one process each, and stand-ins for")
+    print("the network, the callers and 3 backend servers, one process for each kind")
     try:
         await site.start()
-        print("ready: service marshal-desk has an address, two classes and three servers")
+        print("ready: service marshal-desk has an address, two classes and three backend servers")
         await _send_traffic(site, seconds)
         return await _print_report(site)
     finally:
@@ -45,7 +45,9 @@
 async def _send_traffic(site: Site, seconds: float) -> None:
     feed = site.endpoints_by_class["marshal-desk/feed"]
     checkpoint = site.endpoints_by_class["marshal-desk/checkpoint"]
-    print(f"sending {FEED_COUNT} feeds and {REQUESTS_PER_S:g} checkpoint reports a second")
+    print(
+        f"opening {FEED_COUNT} feeds and sending {REQUESTS_PER_S:g} checkpoint reports per second"
+    )
     await site.callers.command(
         "start_feeds", endpoint=feed, count=FEED_COUNT, interval_s=0.5, over_s=seconds / 4
     )
@@ -87,11 +89,11 @@
     print(f"feeds: {open_feeds} of {callers['feeds']} open, by server {callers['feeds_by_server']}")
     refused = callers.get("requests_refused", 0)
     print(
-        f"reports: {answered} of {callers['requests_sent']} answered, {refused} refused as not run"
+        f"reports: {answered} of {callers['requests_sent']} answered, {refused} refused and not run"
     )
     print(f"response times in ms: {callers['response_ms']}")
-    print(f"packets at a wrong service: {servers['misrouted_packets']}")
-    print(f"reports that ran twice: {servers['double_runs']}")
+    print(f"packets delivered to a wrong service: {servers['misrouted_packets']}")
+    print(f"reports run twice: {servers['double_runs']}")
     is_complete = open_feeds == FEED_COUNT and answered + refused == callers["requests_sent"]
     is_correct = not servers["misrouted_packets"] and not servers["double_runs"]
     return 0 if is_complete and is_correct else 1
--- a/bench/src/wagtailkeel_bench/deployment.py
+++ b/bench/src/wagtailkeel_bench/deployment.py
@@ -1,4 +1,4 @@
-"""Deployments: the users' sites of today, and where each process listens in a bench."""
+"""Deployments: the users' present sites, and the addresses of their processes in a bench."""
 
 from __future__ import annotations
 
@@ -19,10 +19,11 @@
 LOOPBACK_NETWORKS = 200
 FIRST_BIND_OCTET = 1
 FIRST_PROXY_OCTET = 2
+"""Third octets of the first 250 bind and proxy hosts; each further 250 add 2 to both."""
 
 
 class ClassSpec(msgspec.Struct):
-    """A class to create."""
+    """A traffic class to create, with its target as operators write it."""
 
     service: str
     name: str
@@ -33,7 +34,7 @@
 
 
 class ServiceSpec(msgspec.Struct):
-    """A service's servers: their number, slots, and speeds in turn."""
+    """A service and its servers; ``speeds`` are assigned to the servers in turn."""
 
     name: str
     servers: int
@@ -42,7 +43,7 @@
 
 
 class DeploymentSpec(msgspec.Struct):
-    """A site, without addresses."""
+    """The services, classes and instance counts of a site, without addresses."""
 
     name: str
     data_centres: list[str]
@@ -94,7 +95,7 @@
 
 
 class Instance(msgspec.Struct):
-    """One process of the system in a bench; ``ports`` by their key in the settings."""
+    """One process of the system in a bench; ``ports`` by their keys in the settings."""
 
     name: str
     role: str
@@ -108,14 +109,14 @@
 
 
 class AddressAllocator:
-    """Hands out loopback hosts and free ports of this run."""
+    """Allocates loopback hosts of this run, in a network picked by the process id."""
 
     def __init__(self) -> None:
         self._network = 16 + os.getpid() % LOOPBACK_NETWORKS
         self._next_number = 1
 
     def allocate_hosts(self) -> tuple[str, str]:
-        """Return a bind host and the proxy host in front of it."""
+        """Return a bind host and the host of the proxy in front of it."""
         number = self._next_number
         self._next_number += 1
         high, low = divmod(number, 250)
@@ -126,7 +127,7 @@
 
 
 def find_free_port(host: str) -> int:
-    """Return a port that the kernel finds free on a host."""
+    """Return a UDP port that the kernel picks as free on a host."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind((host, 0))
         port: int = probe.getsockname()[1]
@@ -134,7 +135,7 @@
 
 
 class Deployment:
-    """A shape with addresses, and the plans and settings derived from it."""
+    """A deployment spec with addresses; derives the stand-ins' plans and the settings files."""
 
     def __init__(self, spec: DeploymentSpec, folder: Path, seed: int, is_stateless: bool) -> None:
         self.spec = spec
@@ -157,7 +158,7 @@
             self._add_instance(f"balancer-{number + 1}", "balancer", number, ports)
 
     def add_agent(self, service: ServiceSpec, number: int) -> Instance:
-        """Add a server and its agent."""
+        """Add the agent of a backend server; ``number`` counts the service's servers from 0."""
         ports = ("port", "rpc_port", "server_side_port", "server_port")
         instance = self._add_instance(f"{service.name}-{number + 1}", "agent", number, ports)
         instance.service = service.name
@@ -180,7 +181,7 @@
     # Plans of the stand-ins
 
     def network_plan(self) -> NetworkPlan:
-        """Return what the network needs."""
+        """Return the plan of the network stand-in."""
         proxied = [
             ProxiedInstance(
                 instance.name,
@@ -194,7 +195,7 @@
         return NetworkPlan(self._seed, proxied, self.fabric, self.gateway, self.callers)
 
     def servers_plan(self) -> ServersPlan:
-        """Return what the servers need."""
+        """Return the plan of the backend server stand-ins."""
         servers = [
             ServerPlan(
                 instance.name,
@@ -210,7 +211,7 @@
         return ServersPlan(self._seed, servers)
 
     def callers_plan(self) -> CallersPlan:
-        """Return what the callers need."""
+        """Return the plan of the callers stand-in."""
         return CallersPlan(self._seed, self.callers, self.fabric)
 
     # Settings
--- a/bench/src/wagtailkeel_bench/measurements/__init__.py
+++ b/bench/src/wagtailkeel_bench/measurements/__init__.py
@@ -1,3 +1,3 @@
-"""Measurements of the bench."""
+"""Measurements of packet rates, memory, message sizes and computing times."""
 
 from __future__ import annotations
--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -1,4 +1,4 @@
-"""Packets per second of a balancer and an agent against a bare loop of the same batch form."""
+"""Packets per second of a balancer and an agent, and of a bare loop with the same batching."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 def _send_load(host: str, port: int, packets: list[bytes], start_signal: Connection) -> None:
-    """Send for longer than the measurement, as fast as the receiver's buffer takes."""
+    """Send for longer than the measurement, as fast as the receiver's buffer accepts."""
     sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     start_signal.recv()
     end_at = time.monotonic() + MEASUREMENT_S + 1.0
@@ -49,7 +49,7 @@
 
 
 class _SystemUnderTest:
-    """What is measured: an endpoint to load and a counter of what it has handled."""
+    """A measured system: the address that the load goes to and a count of handled packets."""
 
     def __init__(self, allocator: AddressAllocator) -> None:
         self.host = allocator.allocate_hosts()[0]
@@ -58,7 +58,7 @@
         self.handled_count = 0
 
     def packets(self, keys: list[bytes]) -> list[bytes]:
-        """Return the datagrams of the load."""
+        """Return the datagrams of the load, one per flow."""
         return [build_tcp(key, 1, 1, ip.ACK, b"x" * 32) for key in keys]
 
     async def serve(self) -> None:
@@ -148,7 +148,7 @@
             tasks.start_soon(agent._refresh_forever)
             await anyio.sleep(0.2)
             router = agent._router
-            assert router.view.config is not None, "the table has been built"
+            assert router.view.config is not None, "the router has not applied the configuration"
             traffic_class = router.view.config.services_by_name["desk"].classes_by_name["feed"]
             for key in self._flows:
                 router.local_flows.open(
@@ -185,7 +185,7 @@
 
 
 def measure_forward() -> dict[str, Any]:
-    """Return rates and their ratios to the bare loop, alternating within one run."""
+    """Return the best rates and their ratios to the bare loop; rounds alternate the systems."""
     allocator = AddressAllocator()
     cases = []
     for flows in FLOW_COUNTS:
--- a/bench/src/wagtailkeel_bench/measurements/sample_service.py
+++ b/bench/src/wagtailkeel_bench/measurements/sample_service.py
@@ -1,4 +1,4 @@
-"""The service with one held class that measurements use, and keys of its flows."""
+"""Sample service of the measurements, with one class of held flows, and its flow keys."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def build_keys(count: int) -> list[bytes]:
-    """Return the keys of TCP flows to the service."""
+    """Return the keys of ``count`` TCP flows to the service."""
     endpoint = endpoint_key(SERVICE_ADDRESS, CLASS_PORT, ip.TCP)
     return [
         (FIRST_CALLER_HOST + number // PORTS_PER_CALLER).to_bytes(4, "big")
@@ -34,7 +34,7 @@
 
 
 def build_configuration(member: ServerMember) -> Configuration:
-    """Return a configuration with the service and one server."""
+    """Return a configuration with the sample service and one backend server."""
     config = Configuration()
     commands = (
         CreateService(name="desk", address=SERVICE_ADDRESS),
--- a/bench/src/wagtailkeel_bench/measurements/slopes.py
+++ b/bench/src/wagtailkeel_bench/measurements/slopes.py
@@ -1,4 +1,4 @@
-"""Slopes for the capacity page: memory and time per flow, bytes and time per message."""
+"""Unit costs for the capacity page: memory and time per flow, bytes and time per message."""
 
 from __future__ import annotations
 
@@ -78,7 +78,7 @@
 
 
 def measure_slopes() -> dict[str, Any]:
-    """Return all slopes."""
+    """Return the unit costs, those of flows and servers at several counts."""
     return {
         "measurement": "slopes",
         "flows": [_measure_flows(count) for count in FLOW_COUNTS],
@@ -149,7 +149,7 @@
 
 
 def _measure_us(function: Callable[[], object], repeats: int) -> float:
-    """Return microseconds a call."""
+    """Return the mean time of a call in microseconds."""
     started_at = time.perf_counter()
     for _ in range(repeats):
         function()
@@ -232,7 +232,7 @@
 
 
 async def _measure_calls() -> dict[str, float]:
-    """Time of one pull of one change, client and server in one process together."""
+    """Return the time of a pull RPC that returns one log entry; both ends are in this process."""
     change = ChangeTarget(service="desk", name="feed", target=Target.parse("p99<200ms"))
     entry = LogEntry(7, 1, change, "0123456789abcdef0123456789abcdef", "operator")
 
--- a/bench/src/wagtailkeel_bench/measurements/table_build.py
+++ b/bench/src/wagtailkeel_bench/measurements/table_build.py
@@ -1,4 +1,4 @@
-"""Cost of building owner tables against servers and buckets."""
+"""Cost of building owner tables, by the numbers of servers and buckets."""
 
 from __future__ import annotations
 
@@ -13,7 +13,12 @@
 
 
 def measure_table_build() -> dict[str, Any]:
-    """Return milliseconds, moves on a removal over the least possible, and the evenness."""
+    """Return build times in ms, and the movement and evenness of buckets.
+
+    ``moves_over_least`` is the number of buckets that change owner when a server is removed,
+    divided by the least possible number. ``share_cv`` is the coefficient of variation of the
+    servers' bucket counts relative to their shares.
+    """
     return {"measurement": "table-build", "cases": [_measure(*case) for case in CASES]}
 
 
--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -1,4 +1,4 @@
-"""A running site: all processes of a deployment, and what can be done to them."""
+"""A running site: all processes of a deployment, their commands and their faults."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class Site:
-    """Starts and stops the processes; operators' commands go the way of the command line."""
+    """Starts and stops the processes; sends commands with the client of the command line."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -46,7 +46,7 @@
         self.client = self.new_client(COMMAND_DEADLINE_S)
 
     async def start(self, absent: list[str] | None = None) -> None:
-        """Start all but the absent processes, create services, wait until all is in force."""
+        """Start all processes but the absent, create the services and wait until all are ready."""
         for stand_in in (self.network, self.servers, self.callers):
             await stand_in.start()
         for instance in self.deployment.instances_by_name.values():
@@ -57,7 +57,7 @@
         await self._publish_endpoints()
 
     def new_client(self, deadline_s: float) -> ControlClient:
-        """Return a client of control with connections of its own."""
+        """Return a client of control that has its own connections."""
         addresses = [
             (instance.proxy_host, instance.ports["rpc_port"])
             for instance in self.deployment.of_role("control")
@@ -65,7 +65,7 @@
         return ControlClient(addresses, deadline_s)
 
     async def start_instance(self, instance: Instance) -> None:
-        """Start one process of the system; a balancer joins the fabric."""
+        """Start one process of the system; add a balancer to the fabric once it is ready."""
         path = self.deployment.write_settings(instance)
         process = ChildProcess(
             instance.name,
@@ -84,12 +84,12 @@
             )
 
     async def _wait_for_log_text(self, process: ChildProcess, text: str) -> None:
-        """Wait as the health check of a fabric would."""
+        """Wait for a new log line with the text, in place of a fabric's health check."""
         deadline = time.monotonic() + READY_TIMEOUT_S
         initial_count = process.log.count(text)
         while process.log.count(text) <= initial_count and time.monotonic() < deadline:
             if not process.is_running:
-                raise BenchError(f"{process.name} ended: {process.log[-2_000:]}")
+                raise BenchError(f"{process.name} exited: {process.log[-2_000:]}")
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _create_services(self) -> None:
@@ -107,20 +107,25 @@
             await self.send_command(command)
 
     async def send_command(self, command: AnyCommand, **options: Any) -> CommandAnswer:
-        """Send an operator's command; raise BenchError unless it is accepted."""
+        """Send an operator's command; raise BenchError unless control accepts it."""
         answer = await self.client.send(command, author="bench", **options)
         if not answer.is_accepted:
             raise BenchError(f"{command} was {answer.status.value}: {answer.reason}")
         return answer
 
     async def wait_ready(self) -> None:
-        """Wait until all nodes have the newest version and every bucket has an authority."""
+        """Wait until all nodes have the newest version and every bucket is held by an agent.
+
+        Buckets are not checked in a stateless deployment.
+        """
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             if await self._is_ready():
                 return
             await asyncio.sleep(POLL_INTERVAL_S * 4)
-        raise BenchError("the site did not become ready: " + json.dumps(await self.dumps())[:4_000])
+        raise BenchError(
+            "the site is not ready in time; dumps: " + json.dumps(await self.dumps())[:4_000]
+        )
 
     async def _is_ready(self) -> bool:
         try:
@@ -158,14 +163,14 @@
             await stand_in.command("set_endpoints", services_by_endpoint=services_by_endpoint)
 
     async def dump(self, name: str) -> dict[str, Any]:
-        """Return the state of one instance."""
+        """Return the state dump of one instance."""
         instance = self.deployment.instances_by_name[name]
         body = await self.client.dump((instance.bind_host, instance.ports["rpc_port"]))
         state: dict[str, Any] = json.loads(body)
         return state
 
     async def dumps(self, role: str = "") -> dict[str, dict[str, Any]]:
-        """Return the states of all running instances of a role."""
+        """Return the dumps of the running instances of a role, or of all; skip failed ones."""
         names = [
             instance.name
             for instance in self.deployment.instances_by_name.values()
@@ -185,14 +190,14 @@
     # Faults
 
     async def kill_instance(self, name: str) -> None:
-        """End a process at once; the fabric notices a lost balancer a little later."""
+        """Kill a process; the fabric drops a balancer ``BALANCER_LOSS_DETECTION_S`` later."""
         await self.processes_by_name[name].kill()
         if self.deployment.instances_by_name[name].role == "balancer":
             await asyncio.sleep(BALANCER_LOSS_DETECTION_S)
             await self.network.command("remove_balancer", name=name)
 
     async def restart_instance(self, name: str, *, is_planned: bool) -> None:
-        """Stop a process, gracefully or not, and start it again."""
+        """Restart a process, after SIGTERM if it is planned, else after SIGKILL."""
         instance = self.deployment.instances_by_name[name]
         if is_planned:
             if instance.role == "balancer":
@@ -203,30 +208,30 @@
         await self.start_instance(instance)
 
     async def wipe_instance(self, name: str) -> None:
-        """End a control process, lose its disk and start it with an empty folder."""
+        """Kill a control process, delete its data folder and start it with an empty one."""
         await self.kill_instance(name)
         shutil.rmtree(self.deployment.folder / f"{name}-data")
         await self.start_instance(self.deployment.instances_by_name[name])
 
     async def find_leader(self) -> str:
-        """Return the name of the leading control instance, or an empty text."""
+        """Return the name of the leading control instance, or an empty string."""
         for name, dump in (await self.dumps("control")).items():
             if dump["raft_role"] == "leader":
                 return name
         return ""
 
     async def kill_server(self, name: str) -> None:
-        """End a backend server together with its agent."""
+        """Stop a backend server and kill its agent."""
         await self.servers.command("set_down", server_id=name, is_down=True)
         await self.kill_instance(name)
 
     def pause_instance(self, name: str, is_paused: bool) -> None:
-        """Freeze a process, or let it go on."""
+        """Suspend or resume a process."""
         signal_number = signal.SIGSTOP if is_paused else signal.SIGCONT
         self.processes_by_name[name].signal(signal_number)
 
     async def stop(self) -> dict[str, int]:
-        """Stop all processes; return the exit statuses of those of the system."""
+        """Stop all processes; return the exit statuses of the system's instances by name."""
         statuses: dict[str, int] = {}
         for role in ("balancer", "agent", "control"):
             names = [instance.name for instance in self.deployment.of_role(role)]
@@ -247,5 +252,5 @@
 
 
 def make_folder(root: Path | None = None) -> Path:
-    """Return a new folder for settings, logs and data of a run."""
+    """Create a temporary folder for the settings, logs and data of a run; return its path."""
     return Path(tempfile.mkdtemp(prefix="wagtailkeel-", dir=root))
--- a/bench/src/wagtailkeel_bench/test_runner.py
+++ b/bench/src/wagtailkeel_bench/test_runner.py
@@ -1,4 +1,4 @@
-"""Runs the tests; entries of KNOWN-RED.txt may fail, and are printed."""
+"""Runs the tests; those listed in KNOWN-RED.txt may fail, and the list is printed."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
 
 
 def print_known_red(path: Path) -> None:
-    """Print the recorded faults, those of scenarios too."""
+    """Print the list of known faults, including those of scenarios."""
     if path.exists():
         print(path.read_text())
 
 
 def load_known_red(path: Path) -> set[str]:
-    """Return the ids of tests that fail for a recorded fault."""
+    """Return the ids of the tests that may fail because of a known fault."""
     if not path.exists():
         return set()
     lines = path.read_text().splitlines()
--- a/tests/bench/test_scenario_language.py
+++ b/tests/bench/test_scenario_language.py
@@ -11,6 +11,8 @@
 
 
 class ScenarioLanguageTest(unittest.TestCase):
+    """Guards the parser of scenario files."""
+
     def test_statements_are_parsed_into_their_fields(self) -> None:
         text = """
         # comment
--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -21,7 +21,7 @@
 
 
 def build_bad_packets() -> dict[str, bytes]:
-    """Return packets by the cause under which they have to be counted."""
+    """Return one bad packet for each counter that must count it."""
     valid_packet = build_udp(FLOW_KEY, b"body")
     return {
         "dropped_truncated": valid_packet[:-3],
@@ -36,7 +36,7 @@
 
 
 class BadInputTest(unittest.IsolatedAsyncioTestCase):
-    """Bad datagrams are counted by cause and dropped; every task lives on."""
+    """Guards against bad datagrams that end a task or are dropped without a count by cause."""
 
     async def asyncSetUp(self) -> None:
         self.site = Site(Deployment(SMALL, make_folder(), 1, is_stateless=False))
--- a/tests/integration/test_console.py
+++ b/tests/integration/test_console.py
@@ -24,6 +24,8 @@
 
 
 class ConsoleTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the exit codes and output of the command line against a running site."""
+
     async def asyncSetUp(self) -> None:
         self.site = Site(Deployment(SMALL, make_folder(), 1, is_stateless=False))
         await self.site.start()
--- a/tests/integration/test_single_process.py
+++ b/tests/integration/test_single_process.py
@@ -20,7 +20,7 @@
 
 
 class SingleProcessTest(unittest.IsolatedAsyncioTestCase):
-    """The example of a small site: all roles in one process."""
+    """Guards the example settings of a small site with all roles in one process."""
 
     async def asyncSetUp(self) -> None:
         self.folder = make_folder()
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -12,7 +12,7 @@
 
 
 class WholePathTest(unittest.IsolatedAsyncioTestCase):
-    """A packet goes from a caller through fabric, balancer and agent to a server and back."""
+    """Guards the path from a caller through fabric, balancer and agent to a server and back."""
 
     async def asyncSetUp(self) -> None:
         self.site = Site(Deployment(SMALL, make_folder(), 1, is_stateless=False))
