--- a/bench/src/wagtailkeel_bench/load_model/model_callers.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_callers.py
@@ -1,4 +1,4 @@
-"""Callers that send many requests on one flow and retry failed ones on a new flow."""
+"""Callers that send many requests on one flow and retry refused or shed ones on a new flow."""
 
 from __future__ import annotations
 
