--- a/bench/src/wagtailkeel_bench/measurements/table_build.py
+++ b/bench/src/wagtailkeel_bench/measurements/table_build.py
@@ -1,4 +1,4 @@
-"""Cost of building owner tables against servers and buckets."""
+"""Cost of building owner tables, by the numbers of servers and buckets."""
 
 from __future__ import annotations
 
@@ -13,7 +13,12 @@
 
 
 def measure_table_build() -> dict[str, Any]:
-    """Return milliseconds, moves on a removal over the least possible, and the evenness."""
+    """Return build times in ms, and the movement and evenness of buckets.
+
+    ``moves_over_least`` is the number of buckets that change owner when a server is removed,
+    divided by the least possible number. ``share_cv`` is the coefficient of variation of the
+    servers' bucket counts relative to their shares.
+    """
     return {"measurement": "table-build", "cases": [_measure(*case) for case in CASES]}
 
 
@@ -24,17 +29,19 @@
         started_at = time.perf_counter()
         table = OwnerTable.build(1, shares, buckets)
         times_ms.append((time.perf_counter() - started_at) * 1_000)
-    without = dict(shares)
-    removed = without.popitem()[0]
-    smaller = OwnerTable.build(2, without, buckets)
-    moved = sum(table.owner_of(n) != smaller.owner_of(n) for n in range(buckets))
-    total = sum(shares.values())
-    loads = [len(table.buckets_of(key)) / share * total for key, share in shares.items()]
+    remaining_shares = dict(shares)
+    removed = remaining_shares.popitem()[0]
+    reduced_table = OwnerTable.build(2, remaining_shares, buckets)
+    moved_buckets = sum(table.owner_of(n) != reduced_table.owner_of(n) for n in range(buckets))
+    total_share = sum(shares.values())
+    relative_loads = [
+        len(table.buckets_of(key)) / share * total_share for key, share in shares.items()
+    ]
     return {
         "servers": servers,
         "buckets": buckets,
         "build_ms": round(statistics.median(times_ms), 3),
         "microseconds_per_pair": round(statistics.median(times_ms) * 1_000 / servers / buckets, 4),
-        "moves_over_least": round(moved / len(table.buckets_of(removed)), 2),
-        "share_cv": round(statistics.pstdev(loads) / statistics.fmean(loads), 4),
+        "moves_over_least": round(moved_buckets / len(table.buckets_of(removed)), 2),
+        "share_cv": round(statistics.pstdev(relative_loads) / statistics.fmean(relative_loads), 4),
     }
