Scenario runner: names in the terms of the field

Names such as FATE_LIMIT_S, IMPATIENCE_S, judge, _is_kept or _means did not say what they hold or do. Timeouts are now named as such, locals say what they contain (traffic_class, lagging_nodes), and methods name what they do (_drain_and_restore_in_turn, check_answers, get_by_path). The scenario language and the keys of results are as before.

--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -19,8 +19,8 @@
     from wagtailkeel_bench.scenario.operators import Operators
     from wagtailkeel_bench.site import Site
 
-LATE_GRACE_S = 3.0
-VOTER_POLLS = 100
+LATE_PACKET_GRACE_S = 3.0
+MAX_VOTER_POLLS = 100
 VOTER_POLL_INTERVAL_S = 0.2
 
 Action = Callable[..., Awaitable[None]]
@@ -31,12 +31,12 @@
 
     def __init__(self, site: Site, operators: Operators) -> None:
         self.lost_servers: list[str] = []
-        self.silenced_keys: list[str] = []
+        self.silenced_flow_keys: list[str] = []
         self.accepted_changes = 0
         self._site = site
         self._operators = operators
-        self._background: list[asyncio.Task[None]] = []
-        self._watcher: asyncio.Task[None] | None = None
+        self._background_tasks: list[asyncio.Task[None]] = []
+        self._version_watcher: asyncio.Task[None] | None = None
         self._killed_leader = ""
         self._actions: dict[str, Action] = {
             "drain": self._drain,
@@ -46,22 +46,22 @@
             "restart": self._restart,
             "crash": self._crash,
             "kill-server": self._kill_server,
-            "out": self._take_out,
-            "back": self._bring_back,
+            "out": self._take_out_data_centre,
+            "back": self._bring_back_data_centre,
             "cut": self._cut,
             "cut-pair": self._cut_pair,
             "cut-one-way": self._cut_one_way,
             "heal": self._heal,
             "cold": self._turn_cold,
             "speed": self._set_speed,
-            "silence": self._silence,
-            "changes": self._change_members,
+            "silence": self._silence_connections,
+            "changes": self._drain_and_restore_in_turn,
             "restart-all": self._restart_all,
             "pause": self._pause,
             "resume": self._resume,
-            "measure": self._measure,
+            "measure": self._start_measuring,
             "commands": self._send_commands,
-            "race": self._race,
+            "race": self._race_commands,
             "wipe": site.wipe_instance,
             "kill-leader": self._kill_leader,
             "start-killed": self._start_killed,
@@ -105,24 +105,26 @@
         self.lost_servers.append(name)
         await self._site.kill_server(name)
 
-    async def _take_out(self, name: str) -> None:
+    async def _take_out_data_centre(self, name: str) -> None:
         deployment = self._site.deployment
         self.lost_servers.extend(
-            found.name for found in deployment.of_role("agent") if found.data_centre == name
+            agent.name for agent in deployment.of_role("agent") if agent.data_centre == name
         )
         await self._site.operate(
             SetDataCentreState(name=name, state=DataCentreState.OUT_OF_SERVICE)
         )
         self.accepted_changes += 1
-        await self._site.servers.command("close_data_centre", name=name, grace_s=LATE_GRACE_S)
+        await self._site.servers.command(
+            "close_data_centre", name=name, grace_s=LATE_PACKET_GRACE_S
+        )
 
-    async def _bring_back(self, name: str) -> None:
+    async def _bring_back_data_centre(self, name: str) -> None:
         await self._site.servers.command("open_data_centre", name=name)
         await self._site.operate(SetDataCentreState(name=name, state=DataCentreState.IN_SERVICE))
         self.accepted_changes += 1
 
     async def _cut(self, *names: str) -> None:
-        others = [found for found in self._site.deployment.instances_by_name if found not in names]
+        others = [name for name in self._site.deployment.instances_by_name if name not in names]
         await self._site.network.command(
             "cut", senders=list(names), receivers=[*others, "operator"], is_one_way=False
         )
@@ -145,21 +147,21 @@
         self._site.deployment.instances_by_name[server_id].speed = float(speed)
         await self._site.servers.command("set_speed", server_id=server_id, speed=float(speed))
 
-    async def _silence(self, count: str, server_id: str) -> None:
+    async def _silence_connections(self, count: str, server_id: str) -> None:
         keys = await self._site.servers.command("silence", server_id=server_id, count=int(count))
-        self.silenced_keys.extend(keys)
+        self.silenced_flow_keys.extend(keys)
 
-    async def _change_members(self, count: str, over_s: str) -> None:
+    async def _drain_and_restore_in_turn(self, count: str, over_s: str) -> None:
         """Drain and restore one server after another: each step is a change of the table."""
         service = self._site.deployment.shape.services[0]
         interval_s = float(over_s) / int(count)
         loop = asyncio.get_running_loop()
-        due = loop.time()
+        due_at = loop.time()
         for number in range(int(count)):
             server_id = f"{service.name}-{number // 2 % service.servers + 1}"
             await (self._restore(server_id) if number % 2 else self._drain(server_id))
-            due += interval_s
-            await asyncio.sleep(max(0.0, due - loop.time()))
+            due_at += interval_s
+            await asyncio.sleep(max(0.0, due_at - loop.time()))
 
     async def _restart_all(self) -> None:
         for role in ("balancer", "agent", "control"):
@@ -170,19 +172,21 @@
     async def _send_commands(self, count: str, over_s: str) -> None:
         """Commands go on while the next steps run."""
         work = self._operators.send_commands(int(count), float(over_s))
-        self._background.append(asyncio.create_task(work))
+        self._background_tasks.append(asyncio.create_task(work))
 
-    async def _race(self, count: str) -> None:
-        self._background.append(asyncio.create_task(self._operators.race(int(count))))
+    async def _race_commands(self, count: str) -> None:
+        self._background_tasks.append(
+            asyncio.create_task(self._operators.race_commands(int(count)))
+        )
 
     async def _watch_versions(self) -> None:
-        self._watcher = asyncio.create_task(self._operators.watch_versions())
+        self._version_watcher = asyncio.create_task(self._operators.watch_versions())
 
     async def finish(self) -> None:
         """Wait for what runs in the background."""
-        await asyncio.gather(*self._background)
-        if self._watcher is not None:
-            self._watcher.cancel()
+        await asyncio.gather(*self._background_tasks)
+        if self._version_watcher is not None:
+            self._version_watcher.cancel()
 
     async def _kill_leader(self) -> None:
         self._killed_leader = await self._site.find_leader()
@@ -193,12 +197,12 @@
 
     async def _await_voters(self, count: str) -> None:
         """Wait until the leader counts so many voters, all with their present folders."""
-        for _ in range(VOTER_POLLS):
+        for _ in range(MAX_VOTER_POLLS):
             dumps = (await self._site.dumps("control")).values()
             if sum(dump["is_voter"] for dump in dumps) == int(count):
                 return
             await asyncio.sleep(VOTER_POLL_INTERVAL_S)
-        raise BenchError(f"there are not {count} voters after {VOTER_POLLS} polls")
+        raise BenchError(f"there are not {count} voters after {MAX_VOTER_POLLS} polls")
 
     async def _pause(self, name: str) -> None:
         self._site.pause_instance(name, True)
@@ -206,6 +210,6 @@
     async def _resume(self, name: str) -> None:
         self._site.pause_instance(name, False)
 
-    async def _measure(self) -> None:
+    async def _start_measuring(self) -> None:
         await self._site.servers.command("reset_load")
         await self._site.callers.command("reset_gaps")
--- a/bench/src/wagtailkeel_bench/scenario/operators.py
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -20,8 +20,8 @@
 from wagtailkeel_state import Target
 from wagtailkeel_state.commands import ChangeTarget
 
-FATE_LIMIT_S = 30.0
-IMPATIENCE_S = 0.02
+COMMAND_TIMEOUT_S = 30.0
+ABANDON_TIMEOUT_S = 0.02
 POLL_INTERVAL_S = 0.1
 
 
@@ -38,25 +38,25 @@
 
     def __init__(self, site: Site, seed: int) -> None:
         self.sent: list[SentCommand] = []
-        self.worst_in_force_s = 0.0
-        self.reversals = 0
+        self.max_in_force_s = 0.0
+        self.version_reversals = 0
         self._site = site
         self._random = Random(seed)
-        self._number = 0
+        self._change_count = 0
         self._versions_by_incarnation: dict[tuple[str, int], int] = {}
 
     def _next_change(self) -> ChangeTarget:
-        self._number += 1
-        found = self._site.deployment.shape.classes[0]
-        target = Target.parse(f"held<{2_000 + self._number}")
-        return ChangeTarget(service=found.service, name=found.name, target=target)
+        self._change_count += 1
+        traffic_class = self._site.deployment.shape.classes[0]
+        target = Target.parse(f"held<{2_000 + self._change_count}")
+        return ChangeTarget(service=traffic_class.service, name=traffic_class.name, target=target)
 
-    def _client(self) -> ControlClient:
-        return self._site.new_client(FATE_LIMIT_S)
+    def _new_client(self) -> ControlClient:
+        return self._site.new_client(COMMAND_TIMEOUT_S)
 
     async def send_commands(self, count: int, over_s: float) -> None:
         """Send commands one after another; each is sent until its fate is known."""
-        client = self._client()
+        client = self._new_client()
         for _ in range(count):
             await self._send(client, self._next_change(), None)
             await asyncio.sleep(over_s / count)
@@ -68,7 +68,7 @@
         command = SentCommand(uuid.UUID(int=self._random.getrandbits(128)).hex, expected_version)
         self.sent.append(command)
         if self._random.random() < 0.3:
-            await self._send_and_lose_answer(client, change, command)
+            await self._send_and_abandon(client, change, command)
         resends = 2 if self._random.random() < 0.3 else 1
         answer = None
         for _ in range(resends):
@@ -82,15 +82,15 @@
                 command.answers.append(answer)
         return answer
 
-    async def _send_and_lose_answer(
+    async def _send_and_abandon(
         self, client: ControlClient, change: ChangeTarget, command: SentCommand
     ) -> None:
-        with anyio.move_on_after(IMPATIENCE_S), contextlib.suppress(ControlUnreachableError):
+        with anyio.move_on_after(ABANDON_TIMEOUT_S), contextlib.suppress(ControlUnreachableError):
             await client.send(change, command.command_id, "bench", command.expected_version)
 
-    async def race(self, count: int) -> None:
+    async def race_commands(self, count: int) -> None:
         """Two operators change the same target on the same version, again and again."""
-        clients = [self._client(), self._client()]
+        clients = [self._new_client(), self._new_client()]
         for _ in range(count // 2):
             version = (await clients[0].status()).configuration.operator_version
             await asyncio.gather(
@@ -101,16 +101,16 @@
 
     async def measure_in_force(self) -> None:
         """Send one command and measure how long until every node has its version."""
-        client = self._client()
+        client = self._new_client()
         loop = asyncio.get_running_loop()
         answer = await self._send(client, self._next_change(), None)
         if answer is None or not answer.is_accepted:
-            self.worst_in_force_s = float("inf")
+            self.max_in_force_s = float("inf")
             return
         accepted_at = loop.time()
-        behind = await client.wait_in_force(answer.index)
-        elapsed_s = float("inf") if behind else loop.time() - accepted_at
-        self.worst_in_force_s = max(self.worst_in_force_s, elapsed_s)
+        lagging_nodes = await client.wait_in_force(answer.index)
+        elapsed_s = float("inf") if lagging_nodes else loop.time() - accepted_at
+        self.max_in_force_s = max(self.max_in_force_s, elapsed_s)
         client.close()
 
     async def watch_versions(self) -> None:
@@ -119,35 +119,43 @@
             for name, dump in (await self._site.dumps()).items():
                 incarnation = (name, dump.get("boot_id", dump["metrics"]["started_at"]))
                 known = self._versions_by_incarnation.get(incarnation, 0)
-                self.reversals += dump["version"] < known
+                self.version_reversals += dump["version"] < known
                 self._versions_by_incarnation[incarnation] = max(known, dump["version"])
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def judge(self) -> dict[str, Any]:
+    async def check_answers(self) -> dict[str, Any]:
         """Compare all answers with the final configuration."""
         config = (await self._site.client.status()).configuration
-        accepted = [s for s in self.sent if any(a.is_accepted for a in s.answers)]
+        accepted = [
+            command
+            for command in self.sent
+            if any(answer.is_accepted for answer in command.answers)
+        ]
         return {
             "commands_sent": len(self.sent),
             "commands_accepted": len(accepted),
-            "commands_unanswered": sum(not s.answers for s in self.sent),
-            "accepted_lost": sum(not _is_kept(s, config) for s in accepted),
-            "answers_changed": sum(_has_changed(s) for s in self.sent),
-            "double_winners": _count_double_winners(accepted),
-            "version_reversals": self.reversals,
-            "in_force_s": self.worst_in_force_s,
+            "commands_unanswered": sum(not command.answers for command in self.sent),
+            "accepted_lost": sum(
+                not _is_recorded_as_accepted(command, config) for command in accepted
+            ),
+            "answers_changed": sum(_has_conflicting_answers(command) for command in self.sent),
+            "double_winners": _count_double_accepts(accepted),
+            "version_reversals": self.version_reversals,
+            "in_force_s": self.max_in_force_s,
         }
 
 
-def _is_kept(command: SentCommand, config: Configuration) -> bool:
-    kept = config.answers_by_command_id.get(command.command_id)
-    return kept is not None and kept.is_accepted
+def _is_recorded_as_accepted(command: SentCommand, config: Configuration) -> bool:
+    recorded = config.answers_by_command_id.get(command.command_id)
+    return recorded is not None and recorded.is_accepted
 
 
-def _has_changed(command: SentCommand) -> bool:
+def _has_conflicting_answers(command: SentCommand) -> bool:
     return any(answer != command.answers[0] for answer in command.answers)
 
 
-def _count_double_winners(accepted: list[SentCommand]) -> int:
-    versions = [s.expected_version for s in accepted if s.expected_version is not None]
+def _count_double_accepts(accepted: list[SentCommand]) -> int:
+    versions = [
+        command.expected_version for command in accepted if command.expected_version is not None
+    ]
     return len(versions) - len(set(versions))
--- a/bench/src/wagtailkeel_bench/scenario/parser.py
+++ b/bench/src/wagtailkeel_bench/scenario/parser.py
@@ -18,7 +18,7 @@
 from wagtailkeel_bench.scenario.model import Step
 
 SECONDS_BY_UNIT = {"s": 1.0, "ms": 0.001}
-RULE_KEYS = {"delay": "delay_ms", "jitter": "jitter_ms"}
+RULE_FIELDS_BY_SETTING = {"delay": "delay_ms", "jitter": "jitter_ms"}
 
 
 class ScenarioError(Exception):
@@ -26,7 +26,7 @@
 
 
 @v_args(inline=True)
-class _Builder(Transformer):  # type: ignore[type-arg]
+class _ScenarioBuilder(Transformer):  # type: ignore[type-arg]
     def __init__(self) -> None:
         super().__init__()
         self.scenario = Scenario()
@@ -63,7 +63,7 @@
         return float(number) / 100 if unit == "%" else float(number)
 
     def setting(self, name: Token, value: float) -> tuple[str, float]:
-        return RULE_KEYS.get(str(name), str(name)), value
+        return RULE_FIELDS_BY_SETTING.get(str(name), str(name)), value
 
     def rule(self, links: Token, *settings: tuple[str, float]) -> None:
         setattr(self.scenario, f"{links}_rule", dict(settings))
@@ -91,7 +91,7 @@
 def parse_scenario(text: str, name: str) -> Scenario:
     """Return the scenario; raise ScenarioError with the place of the first fault."""
     grammar = Path(__file__).with_name("grammar.lark").read_text()
-    builder = _Builder()
+    builder = _ScenarioBuilder()
     try:
         tree = Lark(grammar, parser="earley", propagate_positions=True).parse(text + "\n")
         builder.transform(tree)
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -19,9 +19,9 @@
 from wagtailkeel_bench.site import Site
 from wagtailkeel_bench.site import make_folder
 
-SETTLE_S = 2.5
-OPEN_LIMIT_S = 30.0
-MIN_WORK_S = 0.5
+SETTLE_DELAY_S = 2.5
+OPEN_TIMEOUT_S = 30.0
+MIN_LOAD_S = 0.5
 
 Result = dict[str, Any]
 
@@ -38,9 +38,9 @@
         self._site = Site(Deployment(shape, self.folder, seed, is_stateless))
         self._operators = Operators(self._site, seed)
         self._actions = Actions(self._site, self._operators)
-        self._dumps_before: dict[str, Result] = {}
-        self._measured_from = 0.0
-        self._call_bytes_before = 0
+        self._initial_dumps: dict[str, Result] = {}
+        self._measured_since = 0.0
+        self._initial_call_bytes = 0
 
     async def run(self) -> Result:
         """Run all steps and return the figures."""
@@ -50,9 +50,9 @@
             await self._start_traffic()
             await self._run_steps()
             await self._site.callers.command("stop_requests")
-            await asyncio.sleep(SETTLE_S)
-            figures = await self._collect()
-            return {**figures, "settled_hops": await self._measure_settled_hops()}
+            await asyncio.sleep(SETTLE_DELAY_S)
+            result = await self._collect_result()
+            return {**result, "settled_hops": await self._measure_settled_hops()}
         finally:
             await self._site.stop()
 
@@ -64,36 +64,36 @@
             await network.command("set_default_rule", **self._scenario.network_rule)
 
     async def _start_traffic(self) -> None:
-        for requests in self._scenario.requests:
-            service, _, name = requests.class_path.partition("/")
+        for traffic in self._scenario.requests:
+            service, _, name = traffic.class_path.partition("/")
             classes = self._site.deployment.shape.classes
-            found = next(c for c in classes if (c.service, c.name) == (service, name))
+            traffic_class = next(c for c in classes if (c.service, c.name) == (service, name))
             await self._site.callers.command(
                 "start_requests",
-                endpoint=self._site.endpoints_by_class[requests.class_path],
-                rate=requests.rate,
-                work_ms=requests.work_ms,
-                parts=requests.parts,
-                is_idempotent=found.is_idempotent,
+                endpoint=self._site.endpoints_by_class[traffic.class_path],
+                rate=traffic.rate,
+                work_ms=traffic.work_ms,
+                parts=traffic.parts,
+                is_idempotent=traffic_class.is_idempotent,
             )
         await asyncio.sleep(self._scenario.warmup_s)
-        for feeds in self._scenario.feeds:
-            await self._start_feeds(feeds)
-        self._dumps_before = await self._site.dumps()
-        self._measured_from = time.monotonic()
+        for feed_traffic in self._scenario.feeds:
+            await self._start_feeds(feed_traffic)
+        self._initial_dumps = await self._site.dumps()
+        self._measured_since = time.monotonic()
         counters = await self._site.network.command("counters")
-        self._call_bytes_before = counters["call_bytes"]
+        self._initial_call_bytes = counters["call_bytes"]
 
-    async def _start_feeds(self, feeds: FeedTraffic) -> None:
-        expected = await self._site.callers.command("count_open") + feeds.count
+    async def _start_feeds(self, traffic: FeedTraffic) -> None:
+        expected = await self._site.callers.command("count_open") + traffic.count
         await self._site.callers.command(
             "start_feeds",
-            endpoint=self._site.endpoints_by_class[feeds.class_path],
-            count=feeds.count,
-            interval_s=feeds.interval_s,
-            over_s=feeds.over_s,
+            endpoint=self._site.endpoints_by_class[traffic.class_path],
+            count=traffic.count,
+            interval_s=traffic.interval_s,
+            over_s=traffic.over_s,
         )
-        deadline = time.monotonic() + feeds.over_s + OPEN_LIMIT_S
+        deadline = time.monotonic() + traffic.over_s + OPEN_TIMEOUT_S
         while time.monotonic() < deadline:
             if await self._site.callers.command("count_open") >= expected:
                 return
@@ -110,13 +110,13 @@
 
     # Figures
 
-    async def _collect(self) -> Result:
-        max_interval_s = max((feeds.interval_s for feeds in self._scenario.feeds), default=1.0)
+    async def _collect_result(self) -> Result:
+        max_interval_s = max((traffic.interval_s for traffic in self._scenario.feeds), default=1.0)
         callers = await self._site.callers.command(
             "report",
             lost_servers=self._actions.lost_servers,
-            silenced=self._actions.silenced_keys,
-            max_idle_s=max_interval_s + SETTLE_S,
+            silenced=self._actions.silenced_flow_keys,
+            max_idle_s=max_interval_s + SETTLE_DELAY_S,
         )
         servers = await self._site.servers.command("report")
         false_refusals = await self._site.servers.command(
@@ -154,8 +154,8 @@
             "accepted_changes": self._actions.accepted_changes,
             "call_bytes_per_node_s": await self._measure_call_bytes(),
             **_measure_imbalance(servers["servers"], callers["feeds_by_server"]),
-            **await self._measure_cost(),
-            **await self._operators.judge(),
+            **await self._measure_resource_use(),
+            **await self._operators.check_answers(),
             "share_error_cv": await self._measure_share_error(),
         }
 
@@ -188,18 +188,18 @@
     async def _measure_call_bytes(self) -> float:
         """Bytes of calls between processes, both ways, a node and second."""
         counters = await self._site.network.command("counters")
-        elapsed_s = time.monotonic() - self._measured_from
+        elapsed_s = time.monotonic() - self._measured_since
         nodes = len(self._site.deployment.instances_by_name)
-        rate: float = (counters["call_bytes"] - self._call_bytes_before) / elapsed_s / nodes
+        rate: float = (counters["call_bytes"] - self._initial_call_bytes) / elapsed_s / nodes
         return rate
 
-    async def _measure_cost(self) -> Result:
+    async def _measure_resource_use(self) -> Result:
         dumps = await self._site.dumps()
         bytes_by_role: dict[str, list[float]] = {}
         cpu_by_role: dict[str, list[float]] = {}
         rss_by_role: dict[str, list[float]] = {}
         for name, dump in dumps.items():
-            after, before = dump["metrics"], self._dumps_before.get(name, {}).get("metrics")
+            after, before = dump["metrics"], self._initial_dumps.get(name, {}).get("metrics")
             if before is None or after["uptime_s"] < before["uptime_s"]:
                 before = {"uptime_s": 0.0, "cpu_s": 0.0, "counters": {}}
             elapsed_s = after["uptime_s"] - before["uptime_s"]
@@ -210,14 +210,14 @@
             cpu_by_role.setdefault(role, []).append((after["cpu_s"] - before["cpu_s"]) / elapsed_s)
             rss_by_role.setdefault(role, []).append(after["max_rss_kb"] / 1_024)
         return {
-            "control_bytes_per_s": _means(bytes_by_role),
-            "cpu_share": _means(cpu_by_role),
-            "rss_mb": _means(rss_by_role),
+            "control_bytes_per_s": _mean_by_role(bytes_by_role),
+            "cpu_share": _mean_by_role(cpu_by_role),
+            "rss_mb": _mean_by_role(rss_by_role),
             "counters": _sum_counters(dumps),
         }
 
 
-def _means(values_by_role: dict[str, list[float]]) -> dict[str, float]:
+def _mean_by_role(values_by_role: dict[str, list[float]]) -> dict[str, float]:
     return {role: round(statistics.fmean(v), 4) for role, v in sorted(values_by_role.items())}
 
 
@@ -235,10 +235,13 @@
     """Load relative to capacity: the worst over the services."""
     worst = {"imbalance_cv": 0.0, "imbalance_max_over_mean": 1.0, "held_imbalance_cv": 0.0}
     for service in sorted({s["service"] for s in servers.values()}):
-        found = {key: s for key, s in servers.items() if s["service"] == service}
-        loads = [s["busy_s"] / s["slots"] for s in found.values()]
-        held = [feeds_by_server.get(key, 0) / (s["slots"] * s["speed"]) for key, s in found.items()]
-        if sum(loads) > MIN_WORK_S:
+        reports_by_id = {key: s for key, s in servers.items() if s["service"] == service}
+        loads = [s["busy_s"] / s["slots"] for s in reports_by_id.values()]
+        held = [
+            feeds_by_server.get(key, 0) / (s["slots"] * s["speed"])
+            for key, s in reports_by_id.items()
+        ]
+        if sum(loads) > MIN_LOAD_S:
             cv = statistics.pstdev(loads) / statistics.fmean(loads)
             worst["imbalance_cv"] = max(worst["imbalance_cv"], cv)
             ratio = max(loads) / statistics.fmean(loads)
@@ -252,24 +255,24 @@
 async def run_scenario(scenario: Scenario, name: str, seed: int) -> Result:
     """Run a scenario, and its baseline where it asks for one; judge the expectations."""
     run = ScenarioRun(scenario, seed)
-    figures = await run.run()
+    measured = await run.run()
     if scenario.has_baseline:
         baseline_run = ScenarioRun(scenario, seed, is_stateless=True)
-        figures["baseline"] = await baseline_run.run()
-        del figures["baseline"]["counters"]
+        measured["baseline"] = await baseline_run.run()
+        del measured["baseline"]["counters"]
     failed = [
         str(expectation)
         for expectation in scenario.expectations
-        if not expectation.is_met(look_up(figures, expectation.path))
+        if not expectation.is_met(get_by_path(measured, expectation.path))
     ]
-    result = {"scenario": name, "seed": seed, **figures, "expectations_failed": failed}
+    result = {"scenario": name, "seed": seed, **measured, "expectations_failed": failed}
     (Path(run.folder) / "result.json").write_bytes(msgspec.json.encode(result))
     return result
 
 
-def look_up(figures: Result, path: str) -> float:
+def get_by_path(result: Result, path: str) -> float:
     """Return a figure by its dotted path."""
-    value: Any = figures
+    value: Any = result
     for part in path.split("."):
         value = value[part]
     return float(value)
