Scenario runner: texts say who does what

Docstrings such as 'Commands go on while the next steps run' or 'All that a scenario file says' left open what runs and what is returned, and units were missing. They now name the actor and the units, and the errors about unknown actions and missing voters state the problem in full.

--- a/bench/src/wagtailkeel_bench/scenario/__init__.py
+++ b/bench/src/wagtailkeel_bench/scenario/__init__.py
@@ -1,3 +1,3 @@
-"""Scenario of the bench."""
+"""Scenarios: the language, the steps, and the runner that evaluates the results."""
 
 from __future__ import annotations
--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -1,4 +1,4 @@
-"""What the steps of a scenario do."""
+"""Actions that the steps of a scenario run."""
 
 from __future__ import annotations
 
@@ -27,7 +27,10 @@
 
 
 class Actions:
-    """Actions by verb, and what they mean for the judgement of the run."""
+    """Runs actions by verb and records those of their effects that the result depends on.
+
+    These are the lost servers, the silenced connections and the number of accepted changes.
+    """
 
     def __init__(self, site: Site, operators: Operators) -> None:
         self.lost_servers: list[str] = []
@@ -71,11 +74,13 @@
         }
 
     async def run(self, step: Step) -> None:
-        """Run one step."""
+        """Run one step; raise ScenarioError for an unknown verb or invalid arguments."""
         action = self._actions.get(step.verb)
         if action is None:
             known = ", ".join(sorted(self._actions))
-            raise ScenarioError(f"line {step.line}: no action {step.verb!r}; there are {known}")
+            raise ScenarioError(
+                f"line {step.line}: unknown action {step.verb!r}; known actions are {known}"
+            )
         try:
             await action(*step.arguments)
         except (KeyError, TypeError) as error:
@@ -152,7 +157,10 @@
         self.silenced_flow_keys.extend(keys)
 
     async def _drain_and_restore_in_turn(self, count: str, over_s: str) -> None:
-        """Drain and restore one server after another: each step is a change of the table."""
+        """Drain and restore one server after another.
+
+        Each of the ``count`` commands changes the owner table.
+        """
         service = self._site.deployment.shape.services[0]
         interval_s = float(over_s) / int(count)
         loop = asyncio.get_running_loop()
@@ -170,7 +178,7 @@
                 await self._site.wait_ready()
 
     async def _send_commands(self, count: str, over_s: str) -> None:
-        """Commands go on while the next steps run."""
+        """Start to send commands in the background, so that the next steps run meanwhile."""
         work = self._operators.send_commands(int(count), float(over_s))
         self._background_tasks.append(asyncio.create_task(work))
 
@@ -183,7 +191,7 @@
         self._version_watcher = asyncio.create_task(self._operators.watch_versions())
 
     async def finish(self) -> None:
-        """Wait for what runs in the background."""
+        """Wait until all commands in the background have ended; stop watching versions."""
         await asyncio.gather(*self._background_tasks)
         if self._version_watcher is not None:
             self._version_watcher.cancel()
@@ -196,13 +204,16 @@
         await self._start(self._killed_leader)
 
     async def _await_voters(self, count: str) -> None:
-        """Wait until the leader counts so many voters, all with their present folders."""
+        """Wait until ``count`` control instances are voters.
+
+        Each has to be a voter under the identity of its present data folder.
+        """
         for _ in range(MAX_VOTER_POLLS):
             dumps = (await self._site.dumps("control")).values()
             if sum(dump["is_voter"] for dump in dumps) == int(count):
                 return
             await asyncio.sleep(VOTER_POLL_INTERVAL_S)
-        raise BenchError(f"there are not {count} voters after {MAX_VOTER_POLLS} polls")
+        raise BenchError(f"the number of voters is not {count} after {MAX_VOTER_POLLS} polls")
 
     async def _pause(self, name: str) -> None:
         self._site.pause_instance(name, True)
--- a/bench/src/wagtailkeel_bench/scenario/model.py
+++ b/bench/src/wagtailkeel_bench/scenario/model.py
@@ -1,4 +1,4 @@
-"""A scenario, parsed."""
+"""Structures of a parsed scenario."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class FeedTraffic(msgspec.Struct):
-    """Long flows, opened over a time, each kept alive at an interval."""
+    """Long flows, opened over a span of ``over_s``, with a keep-alive request per interval."""
 
     count: int
     class_path: str
@@ -26,7 +26,10 @@
 
 
 class RequestTraffic(msgspec.Struct):
-    """Short requests at a mean rate; ``work_ms`` is their cost at speed 1."""
+    """Short requests at a mean rate per second.
+
+    ``work_ms`` is the service time at speed 1, ``parts`` the number of packets of an answer.
+    """
 
     rate: float
     class_path: str
@@ -35,7 +38,7 @@
 
 
 class Step(msgspec.Struct):
-    """An action at a time after the traffic started."""
+    """An action, ``at_s`` seconds after the traffic has started."""
 
     at_s: float
     verb: str
@@ -44,14 +47,14 @@
 
 
 class Expectation(msgspec.Struct):
-    """A bound on a figure of the result."""
+    """A bound on one value of the result, which ``path`` identifies by dotted keys."""
 
     path: str
     comparison: str
     bound: float
 
     def is_met(self, value: float) -> bool:
-        """Compare a figure with the bound."""
+        """Return whether a value is within the bound."""
         return COMPARISONS[self.comparison](value, self.bound)
 
     def __str__(self) -> str:
@@ -59,7 +62,7 @@
 
 
 class Scenario(msgspec.Struct):
-    """All that a scenario file says."""
+    """The statements of one scenario file."""
 
     deployment: str = "marshals"
     balancers: int | None = None
--- a/bench/src/wagtailkeel_bench/scenario/operators.py
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -1,4 +1,4 @@
-"""Operators who send commands, resend them, race one another, and remember every answer."""
+"""Simulated operators, who send, resend and race commands and record every answer."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class SentCommand(msgspec.Struct):
-    """One command id and all answers that came back for it."""
+    """One command id and all answers received for it, other than those of unknown outcome."""
 
     command_id: str
     expected_version: int | None
@@ -34,7 +34,7 @@
 
 
 class Operators:
-    """Sends changes of one target; judges the history at the end."""
+    """Sends changes of one target; compares the answers with the configuration at the end."""
 
     def __init__(self, site: Site, seed: int) -> None:
         self.sent: list[SentCommand] = []
@@ -55,7 +55,7 @@
         return self._site.new_client(COMMAND_TIMEOUT_S)
 
     async def send_commands(self, count: int, over_s: float) -> None:
-        """Send commands one after another; each is sent until its fate is known."""
+        """Send commands one after another; the client resends each until its outcome is known."""
         client = self._new_client()
         for _ in range(count):
             await self._send(client, self._next_change(), None)
@@ -89,7 +89,7 @@
             await client.send(change, command.command_id, "bench", command.expected_version)
 
     async def race_commands(self, count: int) -> None:
-        """Two operators change the same target on the same version, again and again."""
+        """Let two operators repeatedly change the same target, both based on the same version."""
         clients = [self._new_client(), self._new_client()]
         for _ in range(count // 2):
             version = (await clients[0].status()).configuration.operator_version
@@ -100,7 +100,7 @@
             client.close()
 
     async def measure_in_force(self) -> None:
-        """Send one command and measure how long until every node has its version."""
+        """Send one command and measure the time until every node has its version."""
         client = self._new_client()
         loop = asyncio.get_running_loop()
         answer = await self._send(client, self._next_change(), None)
@@ -114,7 +114,7 @@
         client.close()
 
     async def watch_versions(self) -> None:
-        """Poll every node's version until cancelled; count those that go down."""
+        """Poll every node's version until cancelled; count decreases within one incarnation."""
         while True:
             for name, dump in (await self._site.dumps()).items():
                 incarnation = (name, dump.get("boot_id", dump["metrics"]["started_at"]))
@@ -124,7 +124,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def check_answers(self) -> dict[str, Any]:
-        """Compare all answers with the final configuration."""
+        """Compare all answers with the final configuration and return the counts."""
         config = (await self._site.client.status()).configuration
         accepted = [
             command
--- a/bench/src/wagtailkeel_bench/scenario/parser.py
+++ b/bench/src/wagtailkeel_bench/scenario/parser.py
@@ -1,4 +1,4 @@
-"""Reading the scenario language."""
+"""Parser of the scenario language."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class ScenarioError(Exception):
-    """A scenario that can't be read; names the file, line and column."""
+    """Raised for an invalid scenario; the message gives file, line and column where known."""
 
 
 @v_args(inline=True)
@@ -89,7 +89,7 @@
 
 
 def parse_scenario(text: str, name: str) -> Scenario:
-    """Return the scenario; raise ScenarioError with the place of the first fault."""
+    """Return the parsed scenario; raise ScenarioError with the position of the first error."""
     grammar = Path(__file__).with_name("grammar.lark").read_text()
     builder = _ScenarioBuilder()
     try:
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -1,4 +1,4 @@
-"""Running a scenario and judging it."""
+"""Runs a scenario and compares its result with the expectations."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class ScenarioRun:
-    """One run of a scenario with real processes."""
+    """One run of a scenario, with each instance in a process of its own."""
 
     def __init__(self, scenario: Scenario, seed: int, *, is_stateless: bool = False) -> None:
         self._scenario = scenario
@@ -43,7 +43,7 @@
         self._initial_call_bytes = 0
 
     async def run(self) -> Result:
-        """Run all steps and return the figures."""
+        """Run all steps and return the result."""
         try:
             await self._site.start(absent=self._scenario.absent)
             await self._set_rules()
@@ -108,7 +108,7 @@
         await asyncio.sleep(max(0.0, started_at + self._scenario.duration_s - loop.time()))
         await self._actions.finish()
 
-    # Figures
+    # Results
 
     async def _collect_result(self) -> Result:
         max_interval_s = max((traffic.interval_s for traffic in self._scenario.feeds), default=1.0)
@@ -160,7 +160,10 @@
         }
 
     async def _measure_share_error(self) -> float:
-        """Evenness of logged shares relative to true capacities: the worst over the services."""
+        """Return the variation of the committed shares relative to the true capacities.
+
+        This is the coefficient of variation of the service with the highest one.
+        """
         config = (await self._site.client.status()).configuration
         worst = 0.0
         for service in config.services_by_name:
@@ -174,7 +177,7 @@
         return worst
 
     async def _measure_settled_hops(self) -> int:
-        """Most hops between agents that a packet took in the second after all has settled."""
+        """Return the highest number of hops between agents in the second after the settle delay."""
         before = _sum_counters(await self._site.dumps("agent"))
         await asyncio.sleep(1.0)
         after = _sum_counters(await self._site.dumps("agent"))
@@ -186,7 +189,7 @@
         return max(hops, default=0)
 
     async def _measure_call_bytes(self) -> float:
-        """Bytes of calls between processes, both ways, a node and second."""
+        """Return the bytes of RPC calls between processes, both ways, per node and second."""
         counters = await self._site.network.command("counters")
         elapsed_s = time.monotonic() - self._measured_since
         nodes = len(self._site.deployment.instances_by_name)
@@ -232,7 +235,7 @@
 def _measure_imbalance(
     servers: dict[str, Result], feeds_by_server: dict[str, int]
 ) -> dict[str, float]:
-    """Load relative to capacity: the worst over the services."""
+    """Return how unevenly load is spread relative to capacity, at worst over the services."""
     worst = {"imbalance_cv": 0.0, "imbalance_max_over_mean": 1.0, "held_imbalance_cv": 0.0}
     for service in sorted({s["service"] for s in servers.values()}):
         reports_by_id = {key: s for key, s in servers.items() if s["service"] == service}
@@ -253,7 +256,7 @@
 
 
 async def run_scenario(scenario: Scenario, name: str, seed: int) -> Result:
-    """Run a scenario, and its baseline where it asks for one; judge the expectations."""
+    """Run a scenario, and its stateless baseline if requested; check the expectations."""
     run = ScenarioRun(scenario, seed)
     measured = await run.run()
     if scenario.has_baseline:
@@ -271,7 +274,7 @@
 
 
 def get_by_path(result: Result, path: str) -> float:
-    """Return a figure by its dotted path."""
+    """Return a value of the result by its dotted path."""
     value: Any = result
     for part in path.split("."):
         value = value[part]
