Bench stand-ins: names in the terms of the field

Names such as bearable, _fallen_until, _warmth, RunLedger, forget_key or LinkRule.plan were figurative or vague. They now name the quantity or the action: max_concurrency, _failed_until, _requests_since_cold, DeliveryChecker, remove_key, pick_delays_s; waits end in _TIMEOUT_S. Commands, their parameters and the keys of reports are as before.

--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -23,16 +23,16 @@
 from wagtailkeel_protocol.packet_builder import build_udp
 
 if TYPE_CHECKING:
-    from wagtailkeel_bench.stand_ins.run_ledger import RunLedger
+    from wagtailkeel_bench.stand_ins.delivery_checker import DeliveryChecker
 
-COLD_FACTOR = 4.0
+COLD_SLOWDOWN_FACTOR = 4.0
 WARM_UP_REQUESTS = 40
-COLD_BEARABLE = 2
-BEARABLE_PER_SLOT = 8
-OVERLOAD_LIMIT_S = 1.0
-FALLEN_S = 3.0
-SERVICE_JITTER = 0.1
-ANSWER_MEMORY = 20_000
+COLD_MAX_CONCURRENCY = 2
+MAX_CONCURRENCY_PER_SLOT = 8
+OVERLOAD_TOLERANCE_S = 1.0
+OUTAGE_S = 3.0
+SERVICE_TIME_JITTER = 0.1
+MAX_REMEMBERED_REQUESTS = 20_000
 
 
 class ServerPlan(msgspec.Struct):
@@ -47,7 +47,7 @@
     agent: Address
 
 
-class Work(msgspec.Struct):
+class QueuedRequest(msgspec.Struct):
     """A request in a slot or in the queue."""
 
     key: bytes
@@ -57,22 +57,22 @@
 class BackendServer:
     """Takes packets of its agent, answers over its agent."""
 
-    def __init__(self, plan: ServerPlan, ledger: RunLedger, random: Random) -> None:
+    def __init__(self, plan: ServerPlan, checker: DeliveryChecker, random: Random) -> None:
         self.plan = plan
         self.counters: Counter[str] = Counter()
         self.busy_s = 0.0
-        self.max_load_over_bearable = 0.0
-        self._ledger = ledger
+        self.max_load_ratio = 0.0
+        self._checker = checker
         self._random = random
         self._port = UdpPort(plan.address, self._on_packet)
         self._connections: set[bytes] = set()
-        self._silent: set[bytes] = set()
-        self._done: dict[tuple[bytes, int], bool] = {}
-        self._queue: deque[Work] = deque()
-        self._busy = 0
-        self._warmth = 0
+        self._silent_keys: set[bytes] = set()
+        self._is_answered_by_request: dict[tuple[bytes, int], bool] = {}
+        self._queue: deque[QueuedRequest] = deque()
+        self._busy_slots = 0
+        self._requests_since_cold = 0
         self._overloaded_since = 0.0
-        self._fallen_until = 0.0
+        self._failed_until = 0.0
         self._is_down = False
 
     @property
@@ -86,44 +86,44 @@
 
     @property
     def _is_cold(self) -> bool:
-        return self._warmth < WARM_UP_REQUESTS
+        return self._requests_since_cold < WARM_UP_REQUESTS
 
     @property
-    def bearable(self) -> int:
+    def max_concurrency(self) -> int:
         """Concurrent requests that the server can bear now."""
-        full = self.plan.slots * BEARABLE_PER_SLOT
-        return COLD_BEARABLE + (full - COLD_BEARABLE) * min(self._warmth, WARM_UP_REQUESTS) // (
-            WARM_UP_REQUESTS
-        )
+        full_concurrency = self.plan.slots * MAX_CONCURRENCY_PER_SLOT
+        return COLD_MAX_CONCURRENCY + (full_concurrency - COLD_MAX_CONCURRENCY) * min(
+            self._requests_since_cold, WARM_UP_REQUESTS
+        ) // WARM_UP_REQUESTS
 
     def turn_cold(self) -> None:
         """Lose all warmth without a sign."""
-        self._warmth = 0
+        self._requests_since_cold = 0
 
     def set_down(self, is_down: bool) -> None:
         """Stop or start the server; a start begins cold and without connections."""
         self._is_down = is_down
         self._connections.clear()
-        self._done.clear()
+        self._is_answered_by_request.clear()
         self._queue.clear()
-        self._busy = 0
-        self._warmth = 0
+        self._busy_slots = 0
+        self._requests_since_cold = 0
 
     def silence(self, count: int) -> list[str]:
         """Make some connections silent for good; return their keys as hex text."""
-        chosen = sorted(self._connections)[:count]
-        self._silent.update(chosen)
-        return [key.hex() for key in chosen]
+        chosen_keys = sorted(self._connections)[:count]
+        self._silent_keys.update(chosen_keys)
+        return [key.hex() for key in chosen_keys]
 
     def _on_packet(self, packet: bytes, sender: Address) -> None:
-        if self._is_down or self._now < self._fallen_until:
+        if self._is_down or self._now < self._failed_until:
             return
         key = ip.parse_flow_key(packet)
         if isinstance(key, Malformed):
             return
         self.counters["packets"] += 1
-        self._ledger.check_arrival(self.plan, key)
-        if key in self._silent:
+        self._checker.check_arrival(self.plan, key)
+        if key in self._silent_keys:
             return
         if key[-1] == ip.TCP:
             self._on_tcp(packet, key)
@@ -159,61 +159,61 @@
             self._on_request(key, request)
 
     def _on_request(self, key: bytes, request: RequestPayload) -> None:
-        known = self._done.get((key, request.request_id))
-        if known is not None:
-            if known:
-                self._answer(key, request)
+        is_answered = self._is_answered_by_request.get((key, request.request_id))
+        if is_answered is not None:
+            if is_answered:
+                self._send_answer(key, request)
             return
-        while len(self._done) > ANSWER_MEMORY:
-            del self._done[next(iter(self._done))]
+        while len(self._is_answered_by_request) > MAX_REMEMBERED_REQUESTS:
+            del self._is_answered_by_request[next(iter(self._is_answered_by_request))]
         if request.work_ms <= 0:
-            self._done[(key, request.request_id)] = True
-            self._answer(key, request)
+            self._is_answered_by_request[(key, request.request_id)] = True
+            self._send_answer(key, request)
             return
-        self._done[(key, request.request_id)] = False
-        self._ledger.record_run(request, self.plan.server_id)
-        self._queue.append(Work(key, request))
+        self._is_answered_by_request[(key, request.request_id)] = False
+        self._checker.record_run(request, self.plan.server_id)
+        self._queue.append(QueuedRequest(key, request))
         self._check_load()
-        self._start_work()
+        self._start_queued_requests()
 
     def _check_load(self) -> None:
-        load = self._busy + len(self._queue)
-        self.max_load_over_bearable = max(self.max_load_over_bearable, load / self.bearable)
-        if load <= self.bearable:
+        load = self._busy_slots + len(self._queue)
+        self.max_load_ratio = max(self.max_load_ratio, load / self.max_concurrency)
+        if load <= self.max_concurrency:
             self._overloaded_since = 0.0
             return
         self.counters["overloads"] += 1
         if self._overloaded_since == 0.0:
             self._overloaded_since = self._now
-        elif self._now - self._overloaded_since > OVERLOAD_LIMIT_S:
+        elif self._now - self._overloaded_since > OVERLOAD_TOLERANCE_S:
             self.counters["falls"] += 1
-            self._fallen_until = self._now + FALLEN_S
+            self._failed_until = self._now + OUTAGE_S
             self._overloaded_since = 0.0
             self._queue.clear()
 
-    def _start_work(self) -> None:
-        while self._queue and self._busy < self.plan.slots:
-            work = self._queue.popleft()
-            self._busy += 1
-            factor = COLD_FACTOR if self._is_cold else 1.0
-            jitter = self._random.uniform(1 - SERVICE_JITTER, 1 + SERVICE_JITTER)
-            duration_s = work.request.work_ms / 1_000 / self.plan.speed * factor * jitter
-            asyncio.get_running_loop().call_later(duration_s, self._finish, work, duration_s)
+    def _start_queued_requests(self) -> None:
+        while self._queue and self._busy_slots < self.plan.slots:
+            queued = self._queue.popleft()
+            self._busy_slots += 1
+            slowdown = COLD_SLOWDOWN_FACTOR if self._is_cold else 1.0
+            jitter = self._random.uniform(1 - SERVICE_TIME_JITTER, 1 + SERVICE_TIME_JITTER)
+            duration_s = queued.request.work_ms / 1_000 / self.plan.speed * slowdown * jitter
+            asyncio.get_running_loop().call_later(duration_s, self._finish_request, queued, duration_s)
 
-    def _finish(self, work: Work, duration_s: float) -> None:
+    def _finish_request(self, queued: QueuedRequest, duration_s: float) -> None:
         if self._is_down:
             return
-        self._busy = max(0, self._busy - 1)
-        self.busy_s += work.request.work_ms / 1_000 / self.plan.speed
-        self._warmth += 1
+        self._busy_slots = max(0, self._busy_slots - 1)
+        self.busy_s += queued.request.work_ms / 1_000 / self.plan.speed
+        self._requests_since_cold += 1
         self.counters["served"] += 1
-        if (work.key, work.request.request_id) in self._done:
-            self._done[(work.key, work.request.request_id)] = True
-        self._answer(work.key, work.request)
+        if (queued.key, queued.request.request_id) in self._is_answered_by_request:
+            self._is_answered_by_request[(queued.key, queued.request.request_id)] = True
+        self._send_answer(queued.key, queued.request)
         self._check_load()
-        self._start_work()
+        self._start_queued_requests()
 
-    def _answer(self, key: bytes, request: RequestPayload) -> None:
+    def _send_answer(self, key: bytes, request: RequestPayload) -> None:
         for part in range(request.parts):
             body = encode_payload(
                 AnswerPayload(
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -25,10 +25,10 @@
 from wagtailkeel_protocol.flow_key import endpoint_of
 from wagtailkeel_protocol.malformed import Malformed
 
-FIRST_CALLER = int(ipaddress.ip_address("10.200.0.1"))
+FIRST_CALLER_ADDRESS = int(ipaddress.ip_address("10.200.0.1"))
 FIRST_PORT = 2_000
 PORTS_PER_CALLER = 50_000
-PORT_FORGET_S = 5.0
+KEY_RETENTION_S = 5.0
 
 PacketHandler = Callable[[bytes], None]
 
@@ -51,35 +51,37 @@
         self._port = UdpPort(plan.address, self._on_packet)
         self._handlers_by_key: dict[bytes, PacketHandler] = {}
         self._service_by_endpoint: dict[str, str] = {}
-        self._flow_number = 0
-        self._request_number = 0
+        self._flow_count = 0
+        self._request_count = 0
         self._feeds: list[Feed] = []
         self._refused_ids: list[int] = []
-        self._responses = HdrHistogram(1, 60_000_000, 3)
-        self._worst_response_s = 0.0
-        self._measured_from = 0.0
-        self._generators: list[asyncio.Task[None]] = []
+        self._response_times_us = HdrHistogram(1, 60_000_000, 3)
+        self._max_response_s = 0.0
+        self._measured_since = 0.0
+        self._request_tasks: list[asyncio.Task[None]] = []
 
     # Used by the flows
 
     def new_key(self, endpoint: str, handler: PacketHandler) -> bytes:
         """Return the key of a new flow to an endpoint (hex text of address, port, protocol)."""
-        self._flow_number += 1
-        caller, port = divmod(self._flow_number, PORTS_PER_CALLER)
-        target = bytes.fromhex(endpoint)
-        source = struct.pack("!I", FIRST_CALLER + caller)
-        key = source + target[:4] + struct.pack("!H", FIRST_PORT + port) + target[4:]
+        self._flow_count += 1
+        caller_number, port = divmod(self._flow_count, PORTS_PER_CALLER)
+        endpoint_bytes = bytes.fromhex(endpoint)
+        source = struct.pack("!I", FIRST_CALLER_ADDRESS + caller_number)
+        key = (
+            source + endpoint_bytes[:4] + struct.pack("!H", FIRST_PORT + port) + endpoint_bytes[4:]
+        )
         self._handlers_by_key[key] = handler
         return key
 
-    def forget_key(self, key: bytes) -> None:
+    def remove_key(self, key: bytes) -> None:
         """Stop to handle packets of a flow, after its late answers."""
-        asyncio.get_running_loop().call_later(PORT_FORGET_S, self._handlers_by_key.pop, key, None)
+        asyncio.get_running_loop().call_later(KEY_RETENTION_S, self._handlers_by_key.pop, key, None)
 
     def new_request_id(self) -> int:
         """Return a number that no other request has."""
-        self._request_number += 1
-        return self._request_number
+        self._request_count += 1
+        return self._request_count
 
     def send(self, packet: bytes) -> None:
         """Hand a packet to the fabric."""
@@ -92,20 +94,20 @@
 
     def on_request_end(self, request: Request, key: bytes) -> None:
         """Account for a request."""
-        self.forget_key(key)
+        self.remove_key(key)
         if request.outcome is RequestOutcome.REFUSED:
             self._refused_ids.append(request.request_id)
-        if request.started_at < self._measured_from:
+        if request.started_at < self._measured_since:
             return
         self.counters[f"requests_{request.outcome.value}"] += 1
         if request.outcome is RequestOutcome.ANSWERED:
-            self._responses.record_value(max(1, int(request.response_s * 1e6)))
-            self._worst_response_s = max(self._worst_response_s, request.response_s)
+            self._response_times_us.record_value(max(1, int(request.response_s * 1e6)))
+            self._max_response_s = max(self._max_response_s, request.response_s)
 
     def _on_packet(self, packet: bytes, sender: Address) -> None:
         if packet[9] == ip.ICMP:
-            quoted = packet[28:]
-            handler = self._handlers_by_key.get(quoted[12:24] + quoted[9:10])
+            quoted_packet = packet[28:]
+            handler = self._handlers_by_key.get(quoted_packet[12:24] + quoted_packet[9:10])
         else:
             key = ip.parse_flow_key(packet)
             if isinstance(key, Malformed):
@@ -140,18 +142,18 @@
     ) -> bool:
         """Send requests at a mean rate until told to stop."""
 
-        async def generate() -> None:
+        async def send_requests() -> None:
             loop = asyncio.get_running_loop()
-            due = loop.time()
+            due_at = loop.time()
             while True:
-                due += self._random.expovariate(rate)
-                delay_s = due - loop.time()
+                due_at += self._random.expovariate(rate)
+                delay_s = due_at - loop.time()
                 if delay_s > 0:
                     await asyncio.sleep(delay_s)
                 self.counters["requests_sent"] += 1
                 Request(self, endpoint, work_ms, parts, is_idempotent).start()
 
-        self._generators.append(asyncio.create_task(generate()))
+        self._request_tasks.append(asyncio.create_task(send_requests()))
         return True
 
     def send_raw(self, packets: list[str]) -> bool:
@@ -162,16 +164,16 @@
 
     def stop_requests(self) -> bool:
         """Stop sending new requests."""
-        for task in self._generators:
+        for task in self._request_tasks:
             task.cancel()
-        self._generators.clear()
+        self._request_tasks.clear()
         return True
 
     def reset_gaps(self) -> bool:
         """Start to measure gaps, answers and response times anew."""
-        self._worst_response_s = 0.0
-        self._measured_from = asyncio.get_running_loop().time()
-        self._responses.reset()
+        self._max_response_s = 0.0
+        self._measured_since = asyncio.get_running_loop().time()
+        self._response_times_us.reset()
         for name in [name for name in self.counters if name.startswith("requests_")]:
             del self.counters[name]
         for feed in self._feeds:
@@ -190,13 +192,13 @@
         silent_keys = {bytes.fromhex(key) for key in silenced}
         outcomes: Counter[str] = Counter()
         feeds_by_server: Counter[str] = Counter()
-        worst_gap_s = self._worst_response_s
-        silent_told: list[float] = []
+        worst_gap_s = self._max_response_s
+        silence_detection_s: list[float] = []
         for feed in self._feeds:
             if feed.key in silent_keys:
                 outcomes["silenced"] += 1
                 outcomes["silenced_told"] += feed.state is FeedState.RESET
-                silent_told.append(feed.broken_at - feed.last_answer_at)
+                silence_detection_s.append(feed.ended_at - feed.last_answer_at)
             elif feed.server_id in lost_servers:
                 outcomes["given_up"] += 1
             elif feed.state is FeedState.OPEN and now - feed.last_answer_at > max_idle_s:
@@ -211,10 +213,10 @@
             "outcomes": dict(outcomes),
             "feeds_by_server": dict(feeds_by_server),
             "worst_gap_ms": worst_gap_s * 1_000,
-            "silence_told_s": max(silent_told, default=0.0),
+            "silence_told_s": max(silence_detection_s, default=0.0),
             "refused_ids": self._refused_ids,
             "response_ms": {
-                name: self._responses.get_value_at_percentile(percentile) / 1_000
+                name: self._response_times_us.get_value_at_percentile(percentile) / 1_000
                 for name, percentile in (("p50", 50.0), ("p99", 99.0), ("p999", 99.9))
             },
             **self.counters,
--- a/bench/src/wagtailkeel_bench/stand_ins/run_ledger.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
@@ -13,7 +13,7 @@
     from wagtailkeel_bench.stand_ins.payload import RequestPayload
 
 
-class RunLedger:
+class DeliveryChecker:
     """Shared by the servers of one bench, so that a second run anywhere is seen."""
 
     def __init__(self) -> None:
@@ -24,8 +24,8 @@
         self._servers_by_request_id: dict[int, str] = {}
         self._service_by_endpoint: dict[bytes, str] = {}
         self._server_by_flow: dict[bytes, str] = {}
-        self._closed_from_by_data_centre: dict[str, float] = {}
-        self._closed_from_by_server: dict[str, float] = {}
+        self._late_since_by_data_centre: dict[str, float] = {}
+        self._late_since_by_server: dict[str, float] = {}
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
         """Learn which endpoint (hex text) belongs to which service."""
@@ -36,12 +36,12 @@
 
     def close_data_centre(self, name: str, grace_s: float) -> bool:
         """Count packets into a data centre as late from now on plus a grace."""
-        self._closed_from_by_data_centre[name] = asyncio.get_running_loop().time() + grace_s
+        self._late_since_by_data_centre[name] = asyncio.get_running_loop().time() + grace_s
         return True
 
     def open_data_centre(self, name: str) -> bool:
         """Stop counting."""
-        self._closed_from_by_data_centre.pop(name, None)
+        self._late_since_by_data_centre.pop(name, None)
         return True
 
     def check_arrival(self, plan: ServerPlan, key: bytes) -> None:
@@ -53,11 +53,11 @@
             return
         if self._service_by_endpoint.get(endpoint_of(key)) != plan.service:
             self.misrouted_packets += 1
-        closed_from = self._closed_from_by_data_centre.get(plan.data_centre)
-        if closed_from is not None and asyncio.get_running_loop().time() > closed_from:
+        late_since = self._late_since_by_data_centre.get(plan.data_centre)
+        if late_since is not None and asyncio.get_running_loop().time() > late_since:
             self.late_packets += 1
-        first = self._server_by_flow.setdefault(key, plan.server_id)
-        if first != plan.server_id:
+        first_server_id = self._server_by_flow.setdefault(key, plan.server_id)
+        if first_server_id != plan.server_id:
             self.multi_server_flows += 1
             self._server_by_flow[key] = plan.server_id
 
--- a/bench/src/wagtailkeel_bench/stand_ins/feed.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/feed.py
@@ -17,8 +17,8 @@
     from wagtailkeel_bench.stand_ins.callers import Callers
 
 RESEND_INTERVAL_S = 0.25
-OPEN_LIMIT_S = 15.0
-ANSWER_LIMIT_S = 10.0
+OPEN_TIMEOUT_S = 15.0
+ANSWER_TIMEOUT_S = 10.0
 REOPEN_DELAY_S = 0.3
 
 
@@ -39,7 +39,7 @@
         self.state = FeedState.OPENING
         self.server_id = ""
         self.worst_gap_s = 0.0
-        self.broken_at = 0.0
+        self.ended_at = 0.0
         self.refusals = 0
         self.last_answer_at = 0.0
         self._callers = callers
@@ -48,7 +48,7 @@
         self._phase_s = phase_s
         self._key = callers.new_key(endpoint, self.on_packet)
         self._request_id = 0
-        self._asked_at = 0.0
+        self._requested_at = 0.0
         self._opened_at = self._now
 
     @property
@@ -64,7 +64,7 @@
         """Send a SYN until it is answered."""
         if self.state is not FeedState.OPENING:
             return
-        if self._now - self._opened_at > OPEN_LIMIT_S:
+        if self._now - self._opened_at > OPEN_TIMEOUT_S:
             self._end(FeedState.NEVER_OPENED)
             return
         self._send(ip.SYN)
@@ -78,46 +78,46 @@
         elif flags & ip.SYN and self.state is FeedState.OPENING:
             self.state = FeedState.OPEN
             self._send(ip.ACK)
-            asyncio.get_running_loop().call_later(self._phase_s, self._ask)
+            asyncio.get_running_loop().call_later(self._phase_s, self._send_request)
         else:
-            self._on_body(ip.payload_of(packet))
+            self._on_answer(ip.payload_of(packet))
 
     def _on_reset(self) -> None:
         if self.state is FeedState.OPENING:
             self.refusals += 1
-            self._callers.forget_key(self._key)
+            self._callers.remove_key(self._key)
             self._key = self._callers.new_key(self._endpoint, self.on_packet)
         elif self.state is FeedState.OPEN:
             self._end(FeedState.RESET)
 
-    def _ask(self) -> None:
+    def _send_request(self) -> None:
         if self.state is not FeedState.OPEN:
             return
         self._request_id = self._callers.new_request_id()
-        self._asked_at = self._now
-        self._resend(self._request_id)
-        asyncio.get_running_loop().call_later(self._interval_s, self._ask_next)
+        self._requested_at = self._now
+        self._resend_request(self._request_id)
+        asyncio.get_running_loop().call_later(self._interval_s, self._send_next_request)
 
-    def _ask_next(self) -> None:
-        if self._asked_at:
+    def _send_next_request(self) -> None:
+        if self._requested_at:
             # The last one is still unanswered; its own resends go on.
-            asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._ask_next)
+            asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._send_next_request)
             return
-        self._ask()
+        self._send_request()
 
-    def _resend(self, request_id: int) -> None:
-        if self.state is not FeedState.OPEN or not self._asked_at:
+    def _resend_request(self, request_id: int) -> None:
+        if self.state is not FeedState.OPEN or not self._requested_at:
             return
         if request_id != self._request_id:
             return
-        if self._now - self._asked_at > ANSWER_LIMIT_S:
+        if self._now - self._requested_at > ANSWER_TIMEOUT_S:
             self._end(FeedState.TIMED_OUT)
             return
         body = encode_payload(RequestPayload(request_id, 0.0, 1, True))
         self._send(ip.PSH | ip.ACK, body)
-        asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._resend, request_id)
+        asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._resend_request, request_id)
 
-    def _on_body(self, body: bytes) -> None:
+    def _on_answer(self, body: bytes) -> None:
         answer = decode_payload(body) if body else None
         if not isinstance(answer, AnswerPayload) or answer.request_id != self._request_id:
             return
@@ -125,15 +125,15 @@
             self._callers.counters["wrong_answers"] += 1
         self.server_id = answer.server_id
         self._callers.check_service(self._key, answer)
-        if self._asked_at:
-            self.worst_gap_s = max(self.worst_gap_s, self._now - self._asked_at)
-            self._asked_at = 0.0
+        if self._requested_at:
+            self.worst_gap_s = max(self.worst_gap_s, self._now - self._requested_at)
+            self._requested_at = 0.0
             self.last_answer_at = self._now
 
     def _end(self, state: FeedState) -> None:
         self.state = state
-        self.broken_at = self._now
-        self._callers.forget_key(self._key)
+        self.ended_at = self._now
+        self._callers.remove_key(self._key)
 
     def _send(self, flags: int, body: bytes = b"") -> None:
         self._callers.send(build_tcp(self._key, 1, 1, flags, body))
--- a/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
@@ -17,14 +17,14 @@
     jitter_ms: float = 0.0
     is_cut: bool = False
 
-    def plan(self, random: Random) -> list[float]:
+    def pick_delays_s(self, random: Random) -> list[float]:
         """Return the delay in seconds of each copy to deliver; none where the packet is lost."""
         if self.is_cut or (self.loss and random.random() < self.loss):
             return []
-        copies = 1 + (self.duplicate > 0 and random.random() < self.duplicate)
-        return [self._draw_delay_s(random) for _ in range(copies)]
+        copy_count = 1 + (self.duplicate > 0 and random.random() < self.duplicate)
+        return [self._pick_delay_s(random) for _ in range(copy_count)]
 
-    def _draw_delay_s(self, random: Random) -> float:
+    def _pick_delay_s(self, random: Random) -> float:
         delay_ms = self.delay_ms + (random.uniform(0, self.jitter_ms) if self.jitter_ms else 0.0)
         if self.reorder and random.random() < self.reorder:
             delay_ms += random.uniform(1, 20)
--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -47,14 +47,14 @@
     def __init__(self, plan: NetworkPlan) -> None:
         self._plan = plan
         self._random = Random(plan.seed)
-        self._names_by_host = {found.bind_host: found.name for found in plan.instances}
+        self._names_by_host = {instance.bind_host: instance.name for instance in plan.instances}
         self._default_rule = LinkRule()
         self._fabric_rule = LinkRule()
         self._rules_by_pair: dict[tuple[str, str], LinkRule] = {}
         self._balancers_by_name: dict[str, Address] = {}
         self._balancers: list[Address] = []
         self.forwarded = 0
-        self.call_bytes = 0
+        self.rpc_bytes = 0
 
     async def start(self) -> None:
         """Bind all ports."""
@@ -83,12 +83,12 @@
     def _on_caller_packet(self, datagram: bytes, sender: Address) -> None:
         if not self._balancers:
             return
-        for delay_s in self._fabric_rule.plan(self._random):
-            target = self._random.choice(self._balancers)
-            self._send_later(self._fabric_port, datagram, target, delay_s)
+        for delay_s in self._fabric_rule.pick_delays_s(self._random):
+            balancer = self._random.choice(self._balancers)
+            self._send_later(self._fabric_port, datagram, balancer, delay_s)
 
     def _on_return_packet(self, datagram: bytes, sender: Address) -> None:
-        for delay_s in self._fabric_rule.plan(self._random):
+        for delay_s in self._fabric_rule.pick_delays_s(self._random):
             self._send_later(self._gateway_port, datagram, self._plan.callers, delay_s)
 
     def _send_later(self, port: UdpPort, datagram: bytes, address: Address, delay_s: float) -> None:
@@ -100,46 +100,46 @@
 
     # Proxy
 
-    def _rule(self, sender_host: str, receiver: str) -> LinkRule:
+    def _rule_for_datagram(self, sender_host: str, receiver: str) -> LinkRule:
         if not self._rules_by_pair:
             return self._default_rule
         sender = self._names_by_host.get(sender_host, "operator")
         return self._rules_by_pair.get((sender, receiver), self._default_rule)
 
     def _start_udp(self, instance: ProxiedInstance, port: int) -> None:
-        target = (instance.bind_host, port)
+        instance_address = (instance.bind_host, port)
 
         def on_datagram(datagram: bytes, sender: Address) -> None:
-            rule = self._rule(sender[0], instance.name)
-            for delay_s in rule.plan(self._random):
-                self._send_later(endpoint, datagram, target, delay_s)
+            rule = self._rule_for_datagram(sender[0], instance.name)
+            for delay_s in rule.pick_delays_s(self._random):
+                self._send_later(proxy_port, datagram, instance_address, delay_s)
 
-        endpoint = UdpPort((instance.proxy_host, port), on_datagram)
+        proxy_port = UdpPort((instance.proxy_host, port), on_datagram)
 
     async def _start_tcp(self, instance: ProxiedInstance, port: int) -> None:
         async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            caller_host = writer.get_extra_info("peername")[0]
-            caller = self._names_by_host.get(caller_host, "operator")
-            await self._wait_while_cut(caller, instance.name)
+            peer_host = writer.get_extra_info("peername")[0]
+            peer = self._names_by_host.get(peer_host, "operator")
+            await self._wait_while_cut(peer, instance.name)
             try:
-                onward = await asyncio.open_connection(instance.bind_host, port)
+                instance_streams = await asyncio.open_connection(instance.bind_host, port)
             except OSError:
                 writer.close()
                 return
             await asyncio.gather(
-                self._pump(reader, onward[1], caller, instance.name),
-                self._pump(onward[0], writer, instance.name, caller),
+                self._copy_stream(reader, instance_streams[1], peer, instance.name),
+                self._copy_stream(instance_streams[0], writer, instance.name, peer),
             )
 
         await asyncio.start_server(on_connection, instance.proxy_host, port)
 
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str, to: str
+    async def _copy_stream(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str, receiver: str
     ) -> None:
         try:
             while chunk := await reader.read(CHUNK_BYTES):
-                await self._wait_while_cut(sender, to)
-                self.call_bytes += len(chunk)
+                await self._wait_while_cut(sender, receiver)
+                self.rpc_bytes += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
@@ -178,7 +178,7 @@
 
     def counters(self) -> dict[str, int]:
         """Return what was forwarded."""
-        return {"forwarded": self.forwarded, "call_bytes": self.call_bytes}
+        return {"forwarded": self.forwarded, "call_bytes": self.rpc_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
--- a/bench/src/wagtailkeel_bench/stand_ins/request.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/request.py
@@ -16,9 +16,9 @@
 if TYPE_CHECKING:
     from wagtailkeel_bench.stand_ins.callers import Callers
 
-FIRST_RESEND_S = 0.4
-RESEND_GROWTH = 2.0
-REQUEST_LIMIT_S = 6.0
+FIRST_RESEND_DELAY_S = 0.4
+RESEND_BACKOFF_FACTOR = 2.0
+REQUEST_TIMEOUT_S = 6.0
 
 
 class RequestOutcome(Enum):
@@ -44,7 +44,7 @@
         self.started_at = asyncio.get_running_loop().time()
         self._callers = callers
         self._key = callers.new_key(endpoint, self.on_packet)
-        self._parts: set[int] = set()
+        self._received_parts: set[int] = set()
         self._packet = build_udp(
             self._key,
             encode_payload(RequestPayload(self.request_id, work_ms, parts, is_idempotent)),
@@ -52,17 +52,17 @@
 
     def start(self) -> None:
         """Send the first packet."""
-        self._send(FIRST_RESEND_S)
+        self._send(FIRST_RESEND_DELAY_S)
 
     def _send(self, wait_s: float) -> None:
         if self.outcome is not RequestOutcome.PENDING:
             return
         loop = asyncio.get_running_loop()
-        if loop.time() - self.started_at > REQUEST_LIMIT_S:
+        if loop.time() - self.started_at > REQUEST_TIMEOUT_S:
             self._end(RequestOutcome.UNANSWERED)
             return
         self._callers.send(self._packet)
-        loop.call_later(wait_s, self._send, wait_s * RESEND_GROWTH)
+        loop.call_later(wait_s, self._send, wait_s * RESEND_BACKOFF_FACTOR)
 
     def on_packet(self, packet: bytes) -> None:
         """Handle an answer or an ICMP refusal."""
@@ -75,8 +75,8 @@
             return
         self.server_id = answer.server_id
         self._callers.check_service(self._key, answer)
-        self._parts.add(answer.part)
-        if len(self._parts) == answer.parts:
+        self._received_parts.add(answer.part)
+        if len(self._received_parts) == answer.parts:
             self._end(RequestOutcome.ANSWERED)
 
     def _end(self, outcome: RequestOutcome) -> None:
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -11,7 +11,7 @@
 from wagtailkeel_bench.stand_ins.backend_server import BackendServer
 from wagtailkeel_bench.stand_ins.backend_server import ServerPlan
 from wagtailkeel_bench.stand_ins.command_loop import serve_commands
-from wagtailkeel_bench.stand_ins.run_ledger import RunLedger
+from wagtailkeel_bench.stand_ins.delivery_checker import DeliveryChecker
 
 
 class ServersPlan(msgspec.Struct):
@@ -25,11 +25,11 @@
     """Commands on the servers."""
 
     def __init__(self, plan: ServersPlan) -> None:
-        self.ledger = RunLedger()
+        self.checker = DeliveryChecker()
         random = Random(plan.seed)
         self._servers_by_id = {
-            found.server_id: BackendServer(found, self.ledger, Random(random.random()))
-            for found in plan.servers
+            server_plan.server_id: BackendServer(server_plan, self.checker, Random(random.random()))
+            for server_plan in plan.servers
         }
 
     def turn_cold(self, server_id: str) -> bool:
@@ -61,10 +61,10 @@
     def report(self) -> dict[str, Any]:
         """Return all that was seen."""
         return {
-            "misrouted_packets": self.ledger.misrouted_packets,
-            "late_packets": self.ledger.late_packets,
-            "double_runs": self.ledger.double_runs,
-            "multi_server_flows": self.ledger.multi_server_flows,
+            "misrouted_packets": self.checker.misrouted_packets,
+            "late_packets": self.checker.late_packets,
+            "double_runs": self.checker.double_runs,
+            "multi_server_flows": self.checker.multi_server_flows,
             "servers": {
                 server_id: {
                     "service": server.plan.service,
@@ -73,7 +73,7 @@
                     "speed": server.plan.speed,
                     "busy_s": server.busy_s,
                     "connections": server.connection_count,
-                    "max_load_over_bearable": server.max_load_over_bearable,
+                    "max_load_over_bearable": server.max_load_ratio,
                     **server.counters,
                 }
                 for server_id, server in self._servers_by_id.items()
@@ -86,10 +86,10 @@
     servers = Servers(plan)
     handlers: dict[str, Callable[..., object]] = {
         "ping": lambda: True,
-        "set_endpoints": servers.ledger.set_endpoints,
-        "close_data_centre": servers.ledger.close_data_centre,
-        "open_data_centre": servers.ledger.open_data_centre,
-        "count_runs": servers.ledger.count_runs,
+        "set_endpoints": servers.checker.set_endpoints,
+        "close_data_centre": servers.checker.close_data_centre,
+        "open_data_centre": servers.checker.open_data_centre,
+        "count_runs": servers.checker.count_runs,
         "turn_cold": servers.turn_cold,
         "set_down": servers.set_down,
         "set_speed": servers.set_speed,
