--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -92,9 +92,12 @@
     def max_concurrency(self) -> int:
         """Concurrent requests that the server can bear now."""
         full_concurrency = self.plan.slots * MAX_CONCURRENCY_PER_SLOT
-        return COLD_MAX_CONCURRENCY + (full_concurrency - COLD_MAX_CONCURRENCY) * min(
-            self._requests_since_cold, WARM_UP_REQUESTS
-        ) // WARM_UP_REQUESTS
+        return (
+            COLD_MAX_CONCURRENCY
+            + (full_concurrency - COLD_MAX_CONCURRENCY)
+            * min(self._requests_since_cold, WARM_UP_REQUESTS)
+            // WARM_UP_REQUESTS
+        )
 
     def turn_cold(self) -> None:
         """Lose all warmth without a sign."""
@@ -198,7 +201,9 @@
             slowdown = COLD_SLOWDOWN_FACTOR if self._is_cold else 1.0
             jitter = self._random.uniform(1 - SERVICE_TIME_JITTER, 1 + SERVICE_TIME_JITTER)
             duration_s = queued.request.work_ms / 1_000 / self.plan.speed * slowdown * jitter
-            asyncio.get_running_loop().call_later(duration_s, self._finish_request, queued, duration_s)
+            asyncio.get_running_loop().call_later(
+                duration_s, self._finish_request, queued, duration_s
+            )
 
     def _finish_request(self, queued: QueuedRequest, duration_s: float) -> None:
         if self._is_down:
