--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -47,7 +47,7 @@
     agent: Address
 
 
-class QueuedRequest(msgspec.Struct):
+class AcceptedRequest(msgspec.Struct):
     """A request in a slot or in the queue."""
 
     key: bytes
@@ -68,7 +68,7 @@
         self._connections: set[bytes] = set()
         self._silent_keys: set[bytes] = set()
         self._is_answered_by_request: dict[tuple[bytes, int], bool] = {}
-        self._queue: deque[QueuedRequest] = deque()
+        self._queue: deque[AcceptedRequest] = deque()
         self._busy_slots = 0
         self._requests_since_cold = 0
         self._overloaded_since = 0.0
@@ -175,7 +175,7 @@
             return
         self._is_answered_by_request[(key, request.request_id)] = False
         self._checker.record_run(request, self.plan.server_id)
-        self._queue.append(QueuedRequest(key, request))
+        self._queue.append(AcceptedRequest(key, request))
         self._check_load()
         self._start_queued_requests()
 
@@ -196,25 +196,25 @@
 
     def _start_queued_requests(self) -> None:
         while self._queue and self._busy_slots < self.plan.slots:
-            queued = self._queue.popleft()
+            accepted = self._queue.popleft()
             self._busy_slots += 1
             slowdown = COLD_SLOWDOWN_FACTOR if self._is_cold else 1.0
             jitter = self._random.uniform(1 - SERVICE_TIME_JITTER, 1 + SERVICE_TIME_JITTER)
-            duration_s = queued.request.work_ms / 1_000 / self.plan.speed * slowdown * jitter
+            duration_s = accepted.request.work_ms / 1_000 / self.plan.speed * slowdown * jitter
             asyncio.get_running_loop().call_later(
-                duration_s, self._finish_request, queued, duration_s
+                duration_s, self._finish_request, accepted, duration_s
             )
 
-    def _finish_request(self, queued: QueuedRequest, duration_s: float) -> None:
+    def _finish_request(self, accepted: AcceptedRequest, duration_s: float) -> None:
         if self._is_down:
             return
         self._busy_slots = max(0, self._busy_slots - 1)
-        self.busy_s += queued.request.work_ms / 1_000 / self.plan.speed
+        self.busy_s += accepted.request.work_ms / 1_000 / self.plan.speed
         self._requests_since_cold += 1
         self.counters["served"] += 1
-        if (queued.key, queued.request.request_id) in self._is_answered_by_request:
-            self._is_answered_by_request[(queued.key, queued.request.request_id)] = True
-        self._send_answer(queued.key, queued.request)
+        if (accepted.key, accepted.request.request_id) in self._is_answered_by_request:
+            self._is_answered_by_request[(accepted.key, accepted.request.request_id)] = True
+        self._send_answer(accepted.key, accepted.request)
         self._check_load()
         self._start_queued_requests()
 
