Bench stand-ins: texts say who does what

Docstrings such as 'Return all that was seen', 'Make a server cold without a sign' or 'Learn which endpoint belongs to which service' left open who acts and what is returned. They now name the actor, the units and the effect.

--- a/bench/src/wagtailkeel_bench/stand_ins/__init__.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/__init__.py
@@ -1,3 +1,3 @@
-"""Stand-ins of the bench."""
+"""Processes that simulate the network, the backend servers and the callers in the bench."""
 
 from __future__ import annotations
--- a/bench/src/wagtailkeel_bench/stand_ins/__main__.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/__main__.py
@@ -26,7 +26,7 @@
 
 
 def main() -> None:
-    """Read the plan and serve."""
+    """Read the plan, a JSON file, and run the stand-in until it is told to stop."""
     kind, path = sys.argv[1:]
     plan_type, run = KINDS[kind]
     plan = msgspec.json.decode(Path(path).read_bytes(), type=plan_type)
--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -1,4 +1,7 @@
-"""A backend server stand-in: slots, a queue, cold start, connections, and a memory of runs."""
+"""A simulated backend server with slots, a queue, a cold start and connections.
+
+It remembers the requests that it has accepted, so that a resent request does not run twice.
+"""
 
 from __future__ import annotations
 
@@ -36,7 +39,7 @@
 
 
 class ServerPlan(msgspec.Struct):
-    """What one server is and where it listens."""
+    """Properties of one server, the address it listens on and the address of its agent."""
 
     server_id: str
     service: str
@@ -48,14 +51,14 @@
 
 
 class AcceptedRequest(msgspec.Struct):
-    """A request in a slot or in the queue."""
+    """A request that occupies a slot or waits in the queue."""
 
     key: bytes
     request: RequestPayload
 
 
 class BackendServer:
-    """Takes packets of its agent, answers over its agent."""
+    """Receives packets from its agent and sends its answers through the agent."""
 
     def __init__(self, plan: ServerPlan, checker: DeliveryChecker, random: Random) -> None:
         self.plan = plan
@@ -77,7 +80,7 @@
 
     @property
     def connection_count(self) -> int:
-        """Open connections."""
+        """Number of open connections."""
         return len(self._connections)
 
     @property
@@ -90,7 +93,7 @@
 
     @property
     def max_concurrency(self) -> int:
-        """Concurrent requests that the server can bear now."""
+        """Number of concurrent requests that the server can handle now; it grows during warm-up."""
         full_concurrency = self.plan.slots * MAX_CONCURRENCY_PER_SLOT
         return (
             COLD_MAX_CONCURRENCY
@@ -100,11 +103,11 @@
         )
 
     def turn_cold(self) -> None:
-        """Lose all warmth without a sign."""
+        """Make the server cold while it runs, without any notice of it."""
         self._requests_since_cold = 0
 
     def set_down(self, is_down: bool) -> None:
-        """Stop or start the server; a start begins cold and without connections."""
+        """Stop or start the server; it starts cold and without connections."""
         self._is_down = is_down
         self._connections.clear()
         self._is_answered_by_request.clear()
@@ -113,7 +116,7 @@
         self._requests_since_cold = 0
 
     def silence(self, count: int) -> list[str]:
-        """Make some connections silent for good; return their keys as hex text."""
+        """Permanently stop answering up to ``count`` connections; return their keys as hex text."""
         chosen_keys = sorted(self._connections)[:count]
         self._silent_keys.update(chosen_keys)
         return [key.hex() for key in chosen_keys]
@@ -154,7 +157,7 @@
             return
         body = ip.payload_of(packet)
         if not body:
-            # A probe asks for an acknowledgement; an ordinary ACK does no harm to answer.
+            # A probe expects an acknowledgement; answering an ordinary ACK too is harmless.
             self._send_tcp(key, ip.ACK)
             return
         request = decode_payload(body)
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -1,4 +1,4 @@
-"""The process that holds all callers."""
+"""The process that simulates all callers."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class CallersPlan(msgspec.Struct):
-    """Where callers listen and where the fabric takes their packets."""
+    """Random seed, the address that callers receive on, and the fabric they send to."""
 
     seed: int
     address: Address
@@ -42,7 +42,7 @@
 
 
 class Callers:
-    """All flows of all callers."""
+    """Sends and receives the packets of all flows of all callers."""
 
     def __init__(self, plan: CallersPlan) -> None:
         self.counters: Counter[str] = Counter()
@@ -60,10 +60,13 @@
         self._measured_since = 0.0
         self._request_tasks: list[asyncio.Task[None]] = []
 
-    # Used by the flows
+    # Used by Feed and Request
 
     def new_key(self, endpoint: str, handler: PacketHandler) -> bytes:
-        """Return the key of a new flow to an endpoint (hex text of address, port, protocol)."""
+        """Register the handler of a new flow and return the flow's key.
+
+        ``endpoint`` is the hex text of address, port and protocol.
+        """
         self._flow_count += 1
         caller_number, port = divmod(self._flow_count, PORTS_PER_CALLER)
         endpoint_bytes = bytes.fromhex(endpoint)
@@ -75,25 +78,25 @@
         return key
 
     def remove_key(self, key: bytes) -> None:
-        """Stop to handle packets of a flow, after its late answers."""
+        """Remove a flow's handler after KEY_RETENTION_S, so that late answers still reach it."""
         asyncio.get_running_loop().call_later(KEY_RETENTION_S, self._handlers_by_key.pop, key, None)
 
     def new_request_id(self) -> int:
-        """Return a number that no other request has."""
+        """Return a unique request id."""
         self._request_count += 1
         return self._request_count
 
     def send(self, packet: bytes) -> None:
-        """Hand a packet to the fabric."""
+        """Send a packet to the fabric."""
         self._port.send(packet, self._plan.fabric)
 
     def check_service(self, key: bytes, answer: AnswerPayload) -> None:
-        """Count an answer of another service."""
+        """Count an answer as wrong if it is from another service than the flow's endpoint."""
         if self._service_by_endpoint.get(endpoint_of(key).hex()) != answer.service:
             self.counters["wrong_answers"] += 1
 
     def on_request_end(self, request: Request, key: bytes) -> None:
-        """Account for a request."""
+        """Record the outcome of a request; count it only if it started after the last reset."""
         self.remove_key(key)
         if request.outcome is RequestOutcome.REFUSED:
             self._refused_ids.append(request.request_id)
@@ -120,12 +123,12 @@
     # Commands
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
-        """Learn which endpoint belongs to which service."""
+        """Set the service of each endpoint (hex text)."""
         self._service_by_endpoint = services_by_endpoint
         return True
 
     def start_feeds(self, endpoint: str, count: int, interval_s: float, over_s: float) -> bool:
-        """Open feeds, spread over a time."""
+        """Open ``count`` feeds, evenly spread over ``over_s`` seconds."""
         loop = asyncio.get_running_loop()
         for number in range(count):
             phase_s = self._random.uniform(0, interval_s)
@@ -140,7 +143,7 @@
     def start_requests(
         self, endpoint: str, rate: float, work_ms: float, parts: int, is_idempotent: bool
     ) -> bool:
-        """Send requests at a mean rate until told to stop."""
+        """Send requests at random intervals, ``rate`` per second on average, until told to stop."""
 
         async def send_requests() -> None:
             loop = asyncio.get_running_loop()
@@ -170,7 +173,7 @@
         return True
 
     def reset_gaps(self) -> bool:
-        """Start to measure gaps, answers and response times anew."""
+        """Reset the measurements of gaps, request outcomes and response times."""
         self._max_response_s = 0.0
         self._measured_since = asyncio.get_running_loop().time()
         self._response_times_us.reset()
@@ -187,7 +190,7 @@
     def report(
         self, lost_servers: list[str], silenced: list[str], max_idle_s: float
     ) -> dict[str, Any]:
-        """Return all that was seen; flows of lost servers and silenced flows are set apart."""
+        """Return all measurements; flows of lost servers and silenced flows are counted apart."""
         now = asyncio.get_running_loop().time()
         silent_keys = {bytes.fromhex(key) for key in silenced}
         outcomes: Counter[str] = Counter()
@@ -224,7 +227,7 @@
 
 
 async def run_callers(plan: CallersPlan) -> None:
-    """Serve until told to stop."""
+    """Run the callers until told to stop."""
     callers = Callers(plan)
     handlers: dict[str, Callable[..., object]] = {
         "ping": lambda: True,
--- a/bench/src/wagtailkeel_bench/stand_ins/command_loop.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/command_loop.py
@@ -1,4 +1,7 @@
-"""Stand-ins take commands as JSON lines on standard input and answer each with one line."""
+"""Command interface of the stand-ins.
+
+Each command is a JSON line on standard input and is answered by a JSON line on standard output.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +15,7 @@
 
 
 async def serve_commands(handlers: Handlers) -> None:
-    """Serve until standard input ends or the command ``stop`` comes."""
+    """Run commands until standard input ends or the command ``stop`` is received."""
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=64 * 1024 * 1024)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
--- a/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
@@ -1,4 +1,4 @@
-"""What all backend servers together have seen: runs, misrouted packets, late packets."""
+"""Counts of repeated runs, misrouted packets and late packets over all backend servers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class DeliveryChecker:
-    """Shared by the servers of one bench, so that a second run anywhere is seen."""
+    """Shared by the servers of one bench, so that a second run on any server is detected."""
 
     def __init__(self) -> None:
         self.misrouted_packets = 0
@@ -28,26 +28,27 @@
         self._late_since_by_server: dict[str, float] = {}
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
-        """Learn which endpoint (hex text) belongs to which service."""
+        """Set the service of each endpoint (hex text)."""
         self._service_by_endpoint = {
             bytes.fromhex(key): service for key, service in services_by_endpoint.items()
         }
         return True
 
     def close_data_centre(self, name: str, grace_s: float) -> bool:
-        """Count packets into a data centre as late from now on plus a grace."""
+        """Count packets to a data centre as late, starting ``grace_s`` seconds from now."""
         self._late_since_by_data_centre[name] = asyncio.get_running_loop().time() + grace_s
         return True
 
     def open_data_centre(self, name: str) -> bool:
-        """Stop counting."""
+        """Stop counting packets to a data centre as late."""
         self._late_since_by_data_centre.pop(name, None)
         return True
 
     def check_arrival(self, plan: ServerPlan, key: bytes) -> None:
-        """Count a packet of a caller that should not be here.
+        """Count a caller's packet if it is misrouted or late, or if its flow has changed servers.
 
-        The agents' own probes of the round trip come from a network set aside for documentation.
+        Agents' round-trip probes are skipped; their source address is from a network that is
+        reserved for documentation.
         """
         if key.startswith(PROBE_SOURCE_IPV4):
             return
@@ -62,11 +63,11 @@
             self._server_by_flow[key] = plan.server_id
 
     def record_run(self, request: RequestPayload, server_id: str) -> None:
-        """Record that a request starts to run."""
+        """Record that a server has accepted a request; count a second run unless idempotent."""
         if request.request_id in self._servers_by_request_id and not request.is_idempotent:
             self.double_runs += 1
         self._servers_by_request_id[request.request_id] = server_id
 
     def count_runs(self, request_ids: list[int]) -> int:
-        """Return how many of the requests have run."""
+        """Return how many of the requests a server has accepted to run."""
         return sum(request_id in self._servers_by_request_id for request_id in request_ids)
--- a/bench/src/wagtailkeel_bench/stand_ins/feed.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/feed.py
@@ -1,4 +1,4 @@
-"""A long flow as its caller sees it: opened once, kept alive, never reopened when it breaks."""
+"""The caller's side of a long flow: opened once, kept alive, never reopened when it breaks."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class FeedState(Enum):
-    """State of a feed."""
+    """State of a feed; all states except OPENING and OPEN are final."""
 
     OPENING = "opening"
     OPEN = "open"
@@ -33,7 +33,7 @@
 
 
 class Feed:
-    """One TCP-like flow with a keep-alive request at an interval."""
+    """One flow of TCP packets with fixed sequence numbers and a keep-alive request per interval."""
 
     def __init__(self, callers: Callers, endpoint: str, interval_s: float, phase_s: float) -> None:
         self.state = FeedState.OPENING
@@ -53,7 +53,7 @@
 
     @property
     def key(self) -> bytes:
-        """The flow's key."""
+        """Current key of the flow; a refused opening is retried with a new key."""
         return self._key
 
     @property
@@ -61,7 +61,7 @@
         return asyncio.get_running_loop().time()
 
     def open(self) -> None:
-        """Send a SYN until it is answered."""
+        """Send a SYN every RESEND_INTERVAL_S until it is answered; give up after OPEN_TIMEOUT_S."""
         if self.state is not FeedState.OPENING:
             return
         if self._now - self._opened_at > OPEN_TIMEOUT_S:
@@ -71,7 +71,7 @@
         asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self.open)
 
     def on_packet(self, packet: bytes) -> None:
-        """Handle a packet of the server."""
+        """Process a packet from the server."""
         flags = ip.tcp_flags(packet)
         if flags & ip.RST:
             self._on_reset()
@@ -100,7 +100,7 @@
 
     def _send_next_request(self) -> None:
         if self._requested_at:
-            # The last one is still unanswered; its own resends go on.
+            # The previous request is unanswered and is still being resent.
             asyncio.get_running_loop().call_later(RESEND_INTERVAL_S, self._send_next_request)
             return
         self._send_request()
--- a/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
@@ -1,4 +1,4 @@
-"""What a fault-injecting link does to traffic."""
+"""Faults that a simulated link injects into its traffic."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class LinkRule(msgspec.Struct):
-    """Probabilities are between 0 and 1; delays are milliseconds."""
+    """Faults of one link; probabilities are between 0 and 1, delays in milliseconds."""
 
     loss: float = 0.0
     duplicate: float = 0.0
@@ -18,7 +18,7 @@
     is_cut: bool = False
 
     def pick_delays_s(self, random: Random) -> list[float]:
-        """Return the delay in seconds of each copy to deliver; none where the packet is lost."""
+        """Return the delay in seconds of each copy to deliver; empty if the packet is lost."""
         if self.is_cut or (self.loss and random.random() < self.loss):
             return []
         copy_count = 1 + (self.duplicate > 0 and random.random() < self.duplicate)
--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -1,7 +1,7 @@
-"""The network stand-in: the fabric before the balancers, and a fault-injecting proxy.
+"""The network stand-in: the fabric in front of the balancers, and a fault-injecting proxy.
 
-Every instance listens on its own bind host; the others reach it through a proxy host with the
-same ports. The sender of a datagram or connection is known by its source host.
+Every instance listens on its own bind host; the other instances reach it through a proxy host with
+the same ports. The proxy identifies the sender of a datagram or connection by its source host.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class ProxiedInstance(msgspec.Struct):
-    """One instance behind the proxy."""
+    """Hosts and ports of one instance behind the proxy."""
 
     name: str
     bind_host: str
@@ -32,7 +32,11 @@
 
 
 class NetworkPlan(msgspec.Struct):
-    """All that the network needs to know at its start."""
+    """Start parameters of the network.
+
+    ``fabric`` receives the packets of callers and ``gateway`` those to callers, which it forwards
+    to ``callers``.
+    """
 
     seed: int
     instances: list[ProxiedInstance]
@@ -42,7 +46,7 @@
 
 
 class Network:
-    """Forwards datagrams and connections by rules for pairs of instances."""
+    """Forwards datagrams and connections according to the rule of each pair of instances."""
 
     def __init__(self, plan: NetworkPlan) -> None:
         self._plan = plan
@@ -69,13 +73,13 @@
     # Fabric
 
     def set_balancer(self, name: str, host: str, port: int) -> bool:
-        """Add a balancer to those that the fabric sprays over."""
+        """Add a balancer to those among which the fabric distributes packets at random."""
         self._balancers_by_name[name] = (host, port)
         self._balancers = list(self._balancers_by_name.values())
         return True
 
     def remove_balancer(self, name: str) -> bool:
-        """Take a balancer out of the fabric."""
+        """Remove a balancer from the fabric."""
         self._balancers_by_name.pop(name, None)
         self._balancers = list(self._balancers_by_name.values())
         return True
@@ -153,17 +157,20 @@
     # Faults
 
     def set_fabric_rule(self, **rule: float) -> bool:
-        """Change what happens between callers, fabric and balancers."""
+        """Set the faults between callers, fabric and balancers."""
         self._fabric_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def set_default_rule(self, **rule: float) -> bool:
-        """Change what happens between all instances without a rule of their own."""
+        """Set the faults between all pairs of instances without a rule of their own."""
         self._default_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def cut(self, senders: list[str], receivers: list[str], is_one_way: bool) -> bool:
-        """Silently drop all traffic from senders to receivers, and back unless one way."""
+        """Block all traffic from senders to receivers, and in the other direction unless one-way.
+
+        Datagrams are dropped and connections stall; neither side receives an error.
+        """
         for sender in senders:
             for receiver in receivers:
                 self._rules_by_pair[(sender, receiver)] = LinkRule(is_cut=True)
@@ -172,17 +179,17 @@
         return True
 
     def heal(self) -> bool:
-        """Remove all rules of pairs."""
+        """Remove the rules of all pairs of instances."""
         self._rules_by_pair.clear()
         return True
 
     def counters(self) -> dict[str, int]:
-        """Return what was forwarded."""
+        """Return the numbers of forwarded datagrams and of forwarded RPC bytes."""
         return {"forwarded": self.forwarded, "call_bytes": self.rpc_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
-    """Serve until told to stop."""
+    """Run the network until told to stop."""
     network = Network(plan)
     await network.start()
     handlers: dict[str, Callable[..., object]] = {
--- a/bench/src/wagtailkeel_bench/stand_ins/payload.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/payload.py
@@ -6,7 +6,7 @@
 
 
 class RequestPayload(msgspec.Struct, array_like=True, tag="q"):
-    """A request; ``work_ms`` is its cost on a server of speed 1, 0 for a keep-alive."""
+    """A request; ``work_ms`` is its service time on a server of speed 1, 0 for a keep-alive."""
 
     request_id: int
     work_ms: float
@@ -31,12 +31,12 @@
 
 
 def encode_payload(payload: Payload) -> bytes:
-    """Return the bytes behind a TCP or UDP header."""
+    """Return the payload as bytes that follow a TCP or UDP header."""
     return _encoder.encode(payload)
 
 
 def decode_payload(body: bytes) -> Payload | None:
-    """Return a payload, or None for anything else."""
+    """Return the decoded payload, or None if the bytes are not a valid payload."""
     try:
         payload: Payload = _decoder.decode(body)
     except msgspec.MsgspecError:
--- a/bench/src/wagtailkeel_bench/stand_ins/request.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/request.py
@@ -1,4 +1,4 @@
-"""A short request over UDP as its caller sees it."""
+"""The caller's side of a short request over UDP."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class RequestOutcome(Enum):
-    """How a request ended."""
+    """Outcome of a request."""
 
     PENDING = "pending"
     ANSWERED = "answered"
@@ -31,7 +31,7 @@
 
 
 class Request:
-    """Sends until answered whole, refused, or out of time."""
+    """Resends a request until it is refused, has timed out or has all parts of its answer."""
 
     def __init__(
         self, callers: Callers, endpoint: str, work_ms: float, parts: int, is_idempotent: bool
@@ -51,7 +51,7 @@
         )
 
     def start(self) -> None:
-        """Send the first packet."""
+        """Send the first packet and schedule resends with exponential backoff."""
         self._send(FIRST_RESEND_DELAY_S)
 
     def _send(self, wait_s: float) -> None:
@@ -65,7 +65,7 @@
         loop.call_later(wait_s, self._send, wait_s * RESEND_BACKOFF_FACTOR)
 
     def on_packet(self, packet: bytes) -> None:
-        """Handle an answer or an ICMP refusal."""
+        """Process a part of the answer or an ICMP refusal."""
         if packet[9] == ip.ICMP:
             self._end(RequestOutcome.REFUSED)
             return
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -1,4 +1,4 @@
-"""The process that holds all backend server stand-ins."""
+"""The process that runs all simulated backend servers."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 
 class ServersPlan(msgspec.Struct):
-    """All servers of a bench."""
+    """Start parameters: the random seed and all servers of a bench."""
 
     seed: int
     servers: list[ServerPlan]
 
 
 class Servers:
-    """Commands on the servers."""
+    """Implements the commands on the servers."""
 
     def __init__(self, plan: ServersPlan) -> None:
         self.checker = DeliveryChecker()
@@ -33,33 +33,33 @@
         }
 
     def turn_cold(self, server_id: str) -> bool:
-        """Make a server cold without a sign."""
+        """Make a server cold while it runs, without any notice of it."""
         self._servers_by_id[server_id].turn_cold()
         return True
 
     def set_speed(self, server_id: str, speed: float) -> bool:
-        """Change a server's speed."""
+        """Set the speed of a server."""
         self._servers_by_id[server_id].plan.speed = speed
         return True
 
     def set_down(self, server_id: str, is_down: bool) -> bool:
-        """Stop or start a server."""
+        """Stop a server, or start it again."""
         self._servers_by_id[server_id].set_down(is_down)
         return True
 
     def silence(self, server_id: str, count: int) -> list[str]:
-        """Make connections silent."""
+        """Stop a server from answering up to ``count`` connections; return their keys in hex."""
         return self._servers_by_id[server_id].silence(count)
 
     def reset_load(self) -> bool:
-        """Start to measure load anew."""
+        """Reset the load measurements of all servers."""
         for server in self._servers_by_id.values():
             server.busy_s = 0.0
             server.counters["served"] = 0
         return True
 
     def report(self) -> dict[str, Any]:
-        """Return all that was seen."""
+        """Return the counts of delivery errors, and the load and counters of each server."""
         return {
             "misrouted_packets": self.checker.misrouted_packets,
             "late_packets": self.checker.late_packets,
@@ -82,7 +82,7 @@
 
 
 async def run_servers(plan: ServersPlan) -> None:
-    """Serve until told to stop."""
+    """Run the servers until told to stop."""
     servers = Servers(plan)
     handlers: dict[str, Callable[..., object]] = {
         "ping": lambda: True,
--- a/bench/src/wagtailkeel_bench/stand_ins/udp_port.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/udp_port.py
@@ -13,7 +13,7 @@
 
 
 class UdpPort:
-    """Bound socket; datagrams come with the address of their sender."""
+    """A bound socket; the callback gets each datagram with the address of its sender."""
 
     def __init__(self, address: Address, on_datagram: Callable[[bytes, Address], None]) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -24,7 +24,7 @@
         asyncio.get_running_loop().add_reader(self._socket, self._read)
 
     def send(self, datagram: bytes, address: Address) -> None:
-        """Send, or lose the datagram."""
+        """Send the datagram; drop it if the socket returns an error."""
         try:
             self._socket.sendto(datagram, address)
         except OSError:
