Merge the wording of the bench's scenarios and stand-ins

Cause: run_ledger, warmth or "learn which endpoint belongs to which service" were riddles. Names and texts say what is simulated, counted and compared. The scenario language, JSON keys and commands of the stand-ins stay.

--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -1,7 +1,7 @@
-"""The network stand-in: the fabric before the balancers, and a fault-injecting proxy.
+"""The network stand-in: the fabric in front of the balancers, and a fault-injecting proxy.
 
-Every instance listens on its own bind host; the others reach it through a proxy host with the
-same ports. The sender of a datagram or connection is known by its source host.
+Every instance listens on its own bind host; the other instances reach it through a proxy host with
+the same ports. The proxy identifies the sender of a datagram or connection by its source host.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 
 class ProxiedInstance(msgspec.Struct):
-    """One instance behind the proxy."""
+    """Hosts and ports of one instance behind the proxy."""
 
     name: str
     bind_host: str
@@ -32,7 +32,11 @@
 
 
 class NetworkPlan(msgspec.Struct):
-    """All that the network needs to know at its start."""
+    """Start parameters of the network.
+
+    ``fabric`` receives the packets of callers and ``gateway`` those to callers, which it forwards
+    to ``callers``.
+    """
 
     seed: int
     instances: list[ProxiedInstance]
@@ -42,19 +46,19 @@
 
 
 class Network:
-    """Forwards datagrams and connections by rules for pairs of instances."""
+    """Forwards datagrams and connections according to the rule of each pair of instances."""
 
     def __init__(self, plan: NetworkPlan) -> None:
         self._plan = plan
         self._random = Random(plan.seed)
-        self._names_by_host = {found.bind_host: found.name for found in plan.instances}
+        self._names_by_host = {instance.bind_host: instance.name for instance in plan.instances}
         self._default_rule = LinkRule()
         self._fabric_rule = LinkRule()
         self._rules_by_pair: dict[tuple[str, str], LinkRule] = {}
         self._balancers_by_name: dict[str, Address] = {}
         self._balancers: list[Address] = []
         self.forwarded = 0
-        self.call_bytes = 0
+        self.rpc_bytes = 0
 
     async def start(self) -> None:
         """Bind all ports."""
@@ -69,13 +73,13 @@
     # Fabric
 
     def set_balancer(self, name: str, host: str, port: int) -> bool:
-        """Add a balancer to those that the fabric sprays over."""
+        """Add a balancer to those among which the fabric distributes packets at random."""
         self._balancers_by_name[name] = (host, port)
         self._balancers = list(self._balancers_by_name.values())
         return True
 
     def remove_balancer(self, name: str) -> bool:
-        """Take a balancer out of the fabric."""
+        """Remove a balancer from the fabric."""
         self._balancers_by_name.pop(name, None)
         self._balancers = list(self._balancers_by_name.values())
         return True
@@ -83,12 +87,12 @@
     def _on_caller_packet(self, datagram: bytes, sender: Address) -> None:
         if not self._balancers:
             return
-        for delay_s in self._fabric_rule.plan(self._random):
-            target = self._random.choice(self._balancers)
-            self._send_later(self._fabric_port, datagram, target, delay_s)
+        for delay_s in self._fabric_rule.pick_delays_s(self._random):
+            balancer = self._random.choice(self._balancers)
+            self._send_later(self._fabric_port, datagram, balancer, delay_s)
 
     def _on_return_packet(self, datagram: bytes, sender: Address) -> None:
-        for delay_s in self._fabric_rule.plan(self._random):
+        for delay_s in self._fabric_rule.pick_delays_s(self._random):
             self._send_later(self._gateway_port, datagram, self._plan.callers, delay_s)
 
     def _send_later(self, port: UdpPort, datagram: bytes, address: Address, delay_s: float) -> None:
@@ -100,46 +104,46 @@
 
     # Proxy
 
-    def _rule(self, sender_host: str, receiver: str) -> LinkRule:
+    def _rule_for_datagram(self, sender_host: str, receiver: str) -> LinkRule:
         if not self._rules_by_pair:
             return self._default_rule
         sender = self._names_by_host.get(sender_host, "operator")
         return self._rules_by_pair.get((sender, receiver), self._default_rule)
 
     def _start_udp(self, instance: ProxiedInstance, port: int) -> None:
-        target = (instance.bind_host, port)
+        instance_address = (instance.bind_host, port)
 
         def on_datagram(datagram: bytes, sender: Address) -> None:
-            rule = self._rule(sender[0], instance.name)
-            for delay_s in rule.plan(self._random):
-                self._send_later(endpoint, datagram, target, delay_s)
+            rule = self._rule_for_datagram(sender[0], instance.name)
+            for delay_s in rule.pick_delays_s(self._random):
+                self._send_later(proxy_port, datagram, instance_address, delay_s)
 
-        endpoint = UdpPort((instance.proxy_host, port), on_datagram)
+        proxy_port = UdpPort((instance.proxy_host, port), on_datagram)
 
     async def _start_tcp(self, instance: ProxiedInstance, port: int) -> None:
         async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            caller_host = writer.get_extra_info("peername")[0]
-            caller = self._names_by_host.get(caller_host, "operator")
-            await self._wait_while_cut(caller, instance.name)
+            peer_host = writer.get_extra_info("peername")[0]
+            peer = self._names_by_host.get(peer_host, "operator")
+            await self._wait_while_cut(peer, instance.name)
             try:
-                onward = await asyncio.open_connection(instance.bind_host, port)
+                instance_streams = await asyncio.open_connection(instance.bind_host, port)
             except OSError:
                 writer.close()
                 return
             await asyncio.gather(
-                self._pump(reader, onward[1], caller, instance.name),
-                self._pump(onward[0], writer, instance.name, caller),
+                self._copy_stream(reader, instance_streams[1], peer, instance.name),
+                self._copy_stream(instance_streams[0], writer, instance.name, peer),
             )
 
         await asyncio.start_server(on_connection, instance.proxy_host, port)
 
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str, to: str
+    async def _copy_stream(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str, receiver: str
     ) -> None:
         try:
             while chunk := await reader.read(CHUNK_BYTES):
-                await self._wait_while_cut(sender, to)
-                self.call_bytes += len(chunk)
+                await self._wait_while_cut(sender, receiver)
+                self.rpc_bytes += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
@@ -153,17 +157,20 @@
     # Faults
 
     def set_fabric_rule(self, **rule: float) -> bool:
-        """Change what happens between callers, fabric and balancers."""
+        """Set the faults between callers, fabric and balancers."""
         self._fabric_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def set_default_rule(self, **rule: float) -> bool:
-        """Change what happens between all instances without a rule of their own."""
+        """Set the faults between all pairs of instances without a rule of their own."""
         self._default_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def cut(self, senders: list[str], receivers: list[str], is_one_way: bool) -> bool:
-        """Silently drop all traffic from senders to receivers, and back unless one way."""
+        """Block all traffic from senders to receivers, and in the other direction unless one-way.
+
+        Datagrams are dropped and connections stall; neither side receives an error.
+        """
         for sender in senders:
             for receiver in receivers:
                 self._rules_by_pair[(sender, receiver)] = LinkRule(is_cut=True)
@@ -172,17 +179,17 @@
         return True
 
     def heal(self) -> bool:
-        """Remove all rules of pairs."""
+        """Remove the rules of all pairs of instances."""
         self._rules_by_pair.clear()
         return True
 
     def counters(self) -> dict[str, int]:
-        """Return what was forwarded."""
-        return {"forwarded": self.forwarded, "call_bytes": self.call_bytes}
+        """Return the numbers of forwarded datagrams and of forwarded RPC bytes."""
+        return {"forwarded": self.forwarded, "call_bytes": self.rpc_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
-    """Serve until told to stop."""
+    """Run the network until told to stop."""
     network = Network(plan)
     await network.start()
     handlers: dict[str, Callable[..., object]] = {
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -1,4 +1,4 @@
-"""The process that holds all backend server stand-ins."""
+"""The process that runs all simulated backend servers."""
 
 from __future__ import annotations
 
@@ -11,60 +11,60 @@
 from wagtailkeel_bench.stand_ins.backend_server import BackendServer
 from wagtailkeel_bench.stand_ins.backend_server import ServerPlan
 from wagtailkeel_bench.stand_ins.command_loop import serve_commands
-from wagtailkeel_bench.stand_ins.run_ledger import RunLedger
+from wagtailkeel_bench.stand_ins.delivery_checker import DeliveryChecker
 
 
 class ServersPlan(msgspec.Struct):
-    """All servers of a bench."""
+    """Start parameters: the random seed and all servers of a bench."""
 
     seed: int
     servers: list[ServerPlan]
 
 
 class Servers:
-    """Commands on the servers."""
+    """Implements the commands on the servers."""
 
     def __init__(self, plan: ServersPlan) -> None:
-        self.ledger = RunLedger()
+        self.checker = DeliveryChecker()
         random = Random(plan.seed)
         self._servers_by_id = {
-            found.server_id: BackendServer(found, self.ledger, Random(random.random()))
-            for found in plan.servers
+            server_plan.server_id: BackendServer(server_plan, self.checker, Random(random.random()))
+            for server_plan in plan.servers
         }
 
     def turn_cold(self, server_id: str) -> bool:
-        """Make a server cold without a sign."""
+        """Make a server cold while it runs, without any notice of it."""
         self._servers_by_id[server_id].turn_cold()
         return True
 
     def set_speed(self, server_id: str, speed: float) -> bool:
-        """Change a server's speed."""
+        """Set the speed of a server."""
         self._servers_by_id[server_id].plan.speed = speed
         return True
 
     def set_down(self, server_id: str, is_down: bool) -> bool:
-        """Stop or start a server."""
+        """Stop a server, or start it again."""
         self._servers_by_id[server_id].set_down(is_down)
         return True
 
     def silence(self, server_id: str, count: int) -> list[str]:
-        """Make connections silent."""
+        """Stop a server from answering up to ``count`` connections; return their keys in hex."""
         return self._servers_by_id[server_id].silence(count)
 
     def reset_load(self) -> bool:
-        """Start to measure load anew."""
+        """Reset the load measurements of all servers."""
         for server in self._servers_by_id.values():
             server.busy_s = 0.0
             server.counters["served"] = 0
         return True
 
     def report(self) -> dict[str, Any]:
-        """Return all that was seen."""
+        """Return the counts of delivery errors, and the load and counters of each server."""
         return {
-            "misrouted_packets": self.ledger.misrouted_packets,
-            "late_packets": self.ledger.late_packets,
-            "double_runs": self.ledger.double_runs,
-            "multi_server_flows": self.ledger.multi_server_flows,
+            "misrouted_packets": self.checker.misrouted_packets,
+            "late_packets": self.checker.late_packets,
+            "double_runs": self.checker.double_runs,
+            "multi_server_flows": self.checker.multi_server_flows,
             "servers": {
                 server_id: {
                     "service": server.plan.service,
@@ -73,7 +73,7 @@
                     "speed": server.plan.speed,
                     "busy_s": server.busy_s,
                     "connections": server.connection_count,
-                    "max_load_over_bearable": server.max_load_over_bearable,
+                    "max_load_over_bearable": server.max_load_ratio,
                     **server.counters,
                 }
                 for server_id, server in self._servers_by_id.items()
@@ -82,14 +82,14 @@
 
 
 async def run_servers(plan: ServersPlan) -> None:
-    """Serve until told to stop."""
+    """Run the servers until told to stop."""
     servers = Servers(plan)
     handlers: dict[str, Callable[..., object]] = {
         "ping": lambda: True,
-        "set_endpoints": servers.ledger.set_endpoints,
-        "close_data_centre": servers.ledger.close_data_centre,
-        "open_data_centre": servers.ledger.open_data_centre,
-        "count_runs": servers.ledger.count_runs,
+        "set_endpoints": servers.checker.set_endpoints,
+        "close_data_centre": servers.checker.close_data_centre,
+        "open_data_centre": servers.checker.open_data_centre,
+        "count_runs": servers.checker.count_runs,
         "turn_cold": servers.turn_cold,
         "set_down": servers.set_down,
         "set_speed": servers.set_speed,
