--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -152,7 +152,7 @@
             self._send(build(packets.SYN | packets.ACK, caller, is_reply=True))
         elif key not in self.flows:
             self._send(packet[:4] + bytes([flags | packets.BOUNCED]) + packet[5:])
-        elif len(packet) > packets.HEAD_BYTES:
+        elif len(packet) > packets.HEADER_BYTES:
             self._send(build(packets.ACK, caller, is_reply=True, data=self.host.encode()))
 
     def _send(self, packet: bytes) -> None:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -32,17 +32,17 @@
     def test_no_platform_name_outside_the_adapter(self) -> None:
         files = [path for folder in SOURCES for path in (ROOT / folder).rglob("*.py")]
         self.assertTrue(files)
-        found = {
+        names_by_file = {
             str(path.relative_to(ROOT)): names
             for path in files
             if (names := _ANY_NAME.findall(path.read_text()))
         }
-        self.assertEqual(found, {})
+        self.assertEqual(names_by_file, {})
 
-    def test_the_check_finds_names(self) -> None:
+    def test_the_pattern_finds_platform_names(self) -> None:
         self.assertTrue(_ANY_NAME.search("POST /-/config/replace"))
 
-    def test_the_folder_can_not_hide_the_standard_library(self) -> None:
+    def test_the_folder_does_not_shadow_the_standard_platform_module(self) -> None:
         self.assertFalse((ROOT / "platform" / "__init__.py").exists())
 
 
--- a/tests/platform/test_packet_format.py
+++ b/tests/platform/test_packet_format.py
@@ -20,10 +20,10 @@
     """Return a packet of the example's flow."""
     caller, route = OPENING[24:28], OPENING[20:24]
     caller_port, route_port = OPENING[28:30], OPENING[30:32]
-    ends = caller + route + route_port + caller_port
+    endpoints = caller + route + route_port + caller_port
     if not is_reply:
-        ends = route + caller + caller_port + route_port
-    return struct.pack("!IBBIIIH", 1, flags, 0, 0, 7, ack, len(data)) + ends + data
+        endpoints = route + caller + caller_port + route_port
+    return struct.pack("!IBBIIIH", 1, flags, 0, 0, 7, ack, len(data)) + endpoints + data
 
 
 class PlatformPacketFormatTest(test_packet_formats.PacketFormatTest):
@@ -48,19 +48,19 @@
         self.assertTrue(header.is_opening)
         self.assertEqual(self.format.build_refusal(OPENING), REFUSAL)
 
-    def test_refusal_of_data_has_the_number_that_the_caller_expects(self) -> None:
+    def test_refusal_of_data_has_the_sequence_number_that_the_caller_expects(self) -> None:
         refusal = self.format.build_refusal(build(platform.ACK, ack=77, data=b"x"))
         assert refusal is not None
         self.assertEqual(struct.unpack_from("!I", refusal, 10)[0], 77)
 
-    def test_no_reset_answers_a_reset(self) -> None:
+    def test_reset_is_not_answered_by_a_reset(self) -> None:
         self.assertIsNone(self.format.build_refusal(build(platform.RST)))
 
-    def test_copies_of_an_opening_are_counted(self) -> None:
-        for copies in (0, 1, 2):
-            header = self.format.parse_inbound(build(platform.SYN, ack=copies))
+    def test_retransmitted_openings_are_counted(self) -> None:
+        for retransmissions in (0, 1, 2):
+            header = self.format.parse_inbound(build(platform.SYN, ack=retransmissions))
             assert isinstance(header, PacketHeader)
-            self.assertEqual(header.attempt, copies)
+            self.assertEqual(header.attempt, retransmissions)
 
     def test_bounced_packet_is_restored(self) -> None:
         packet = build(platform.ACK, data=b"abc")
@@ -72,13 +72,13 @@
         self.assertTrue(header.flags & packet_flags.BOUNCED)
         self.assertEqual(self.format.restore_bounced(bytes(bounced)), packet)
 
-    def test_lengths_that_lie(self) -> None:
-        whole = build(platform.ACK, data=b"abcd")
+    def test_wrong_lengths_are_malformed(self) -> None:
+        valid = build(platform.ACK, data=b"abcd")
         table = [
             (b"", Malformed.TRUNCATED),
-            (whole[:31], Malformed.TRUNCATED),
-            (whole[:-1], Malformed.TRUNCATED),
-            (whole + b"x", Malformed.OVERSIZED),
+            (valid[:31], Malformed.TRUNCATED),
+            (valid[:-1], Malformed.TRUNCATED),
+            (valid + b"x", Malformed.OVERSIZED),
             (build(platform.ACK, data=bytes(1_201)), Malformed.OVERSIZED),
         ]
         for packet, expected in table:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -17,7 +17,7 @@
 from wagtailkeel.flow_explanation import parse_flow_name
 from wagtailkeel_platform import packet_format as packets
 
-HEAD = packets.HEAD_BYTES
+HEAD = packets.HEADER_BYTES
 
 
 class ProcessesTest(unittest.TestCase):
--- a/tests/platform/test_report_body.py
+++ b/tests/platform/test_report_body.py
@@ -20,7 +20,7 @@
     "seq": 4,
     "born": 1_700_000_000_000,
 }
-FOREIGN: dict[str, dict[str, Any]] = {
+INVALID_CHANGES: dict[str, dict[str, Any]] = {
     "another address": {"address": "10.128.0.8:8080"},
     "capacity as text": {"capacity": "2"},
     "capacity 0": {"capacity": 0},
@@ -33,15 +33,15 @@
 
 
 class ReportBodyTest(unittest.TestCase):
-    def test_report(self) -> None:
+    def test_heartbeat_is_decoded(self) -> None:
         report = decode_report("i-1", json.dumps(BODY).encode(), ADDRESS)
         self.assertEqual(report.order, (1_700_000_000_000, 4))
         self.assertEqual((report.service, report.slots), ("a", 2))
         self.assertEqual(report.cold_for_s, 1.5)
         self.assertFalse(report.is_draining)
 
-    def test_foreign_reports_name_no_server(self) -> None:
-        for name, change in FOREIGN.items():
+    def test_invalid_heartbeats_are_rejected(self) -> None:
+        for name, change in INVALID_CHANGES.items():
             with self.subTest(name):
                 body = {k: v for k, v in {**BODY, **change}.items() if v is not None}
                 with self.assertRaises(InvalidBodyError):
@@ -49,7 +49,7 @@
         with self.assertRaises(InvalidBodyError):
             decode_report("i-1", b"\xff\x00", ADDRESS)
 
-    def test_leave(self) -> None:
+    def test_leave_is_decoded(self) -> None:
         self.assertEqual(decode_leave(b""), 0)
         self.assertEqual(decode_leave(b'{"born": 5}'), 5)
         with self.assertRaises(InvalidBodyError):
--- a/tests/platform/test_routing_body.py
+++ b/tests/platform/test_routing_body.py
@@ -46,7 +46,7 @@
 }
 
 
-def changed(*path: Any, value: Any) -> dict[str, Any]:
+def replace_value(*path: Any, value: Any) -> dict[str, Any]:
     """Return the example with one value replaced; ``None`` removes it."""
     body = json.loads(json.dumps(BODY))
     target = body
@@ -63,21 +63,25 @@
     "cut_short": json.dumps(BODY)[:-9].encode(),
     "empty": b"",
     "a list": b"[]",
-    "unknown_service": changed("routes", 1, "service", value="c"),
-    "unknown service in a split": changed("routes", 0, "traffic-split", 0, "service", value="c"),
-    "same_place": changed("routes", 1, "host", value="198.18.0.1"),
-    "no_weight": changed("routes", 0, "traffic-split", 0, "weight", value=None),
-    "weights of 0": changed("routes", 0, "traffic-split", value=[{"service": "a", "weight": 0}]),
-    "no_timeout": changed("routes", 0, "timeout-ms", value=0),
-    "timeout missing": changed("routes", 0, "timeout-ms", value=None),
-    "timeout as text": changed("routes", 0, "timeout-ms", value="500"),
-    "no service": changed("routes", 1, "service", value=None),
-    "no version": changed("version", value=None),
-    "version 0": changed("version", value=0),
-    "version as text": changed("version", value="7"),
-    "no routes": changed("routes", value=None),
-    "port": changed("routes", 0, "path-prefix", value="/x/"),
-    "address": changed("routes", 0, "host", value="example"),
+    "unknown_service": replace_value("routes", 1, "service", value="c"),
+    "unknown service in a split": replace_value(
+        "routes", 0, "traffic-split", 0, "service", value="c"
+    ),
+    "same_place": replace_value("routes", 1, "host", value="198.18.0.1"),
+    "no_weight": replace_value("routes", 0, "traffic-split", 0, "weight", value=None),
+    "weights of 0": replace_value(
+        "routes", 0, "traffic-split", value=[{"service": "a", "weight": 0}]
+    ),
+    "no_timeout": replace_value("routes", 0, "timeout-ms", value=0),
+    "timeout missing": replace_value("routes", 0, "timeout-ms", value=None),
+    "timeout as text": replace_value("routes", 0, "timeout-ms", value="500"),
+    "no service": replace_value("routes", 1, "service", value=None),
+    "no version": replace_value("version", value=None),
+    "version 0": replace_value("version", value=0),
+    "version as text": replace_value("version", value="7"),
+    "no routes": replace_value("routes", value=None),
+    "port": replace_value("routes", 0, "path-prefix", value="/x/"),
+    "address": replace_value("routes", 0, "host", value="example"),
 }
 
 
@@ -86,7 +90,7 @@
 
 
 class RoutingBodyTest(unittest.TestCase):
-    def test_reads_what_routing_needs(self) -> None:
+    def test_fields_that_routing_needs_are_decoded(self) -> None:
         document = read(BODY)
         self.assertEqual(document.version, 7)
         self.assertEqual(list(document.routes_by_place), ["198.18.0.1:8443", "198.18.0.2:8443"])
@@ -95,18 +99,18 @@
         self.assertEqual(document.policies_by_service["a"].cold_starts_per_s, 4.5)
         self.assertIsNone(find_document_fault(document))
 
-    def test_reads_back_what_was_sent(self) -> None:
-        body = changed("later", value={"x": [1, 2]})
+    def test_encoding_returns_the_body_as_sent(self) -> None:
+        body = replace_value("later", value={"x": [1, 2]})
         self.assertEqual(json.loads(encode_routing(read(body))), body)
 
-    def test_invalid_bodies(self) -> None:
+    def test_invalid_bodies_are_rejected(self) -> None:
         for name, body in INVALID.items():
             with self.subTest(name):
                 try:
-                    fault = find_document_fault(read(body))
+                    reason = find_document_fault(read(body))
                 except InvalidBodyError as error:
-                    fault = str(error)
-                self.assertTrue(fault)
+                    reason = str(error)
+                self.assertTrue(reason)
 
     @settings(max_examples=300, deadline=None, derandomize=True)
     @given(st.data())
