Texts of the platform adapter

The docstrings spoke in figures ("the last word of one server", "the platform's question", "the mark", "the product's report"). They now say who sends what to whom and what the adapter converts; every reason and number is kept, and so is every string of the wire, of errors and of logs.

--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,4 +1,4 @@
-"""Nothing outside the adapter's folder knows a name of the platform."""
+"""Guards against names of the platform in code outside the adapter's folder."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_packet_format.py
+++ b/tests/platform/test_packet_format.py
@@ -17,7 +17,7 @@
 
 
 def build(flags: int, *, is_reply: bool = False, ack: int = 0, data: bytes = b"") -> bytes:
-    """Return a packet of the example's flow."""
+    """Build a packet of the flow that OPENING requests."""
     caller, route = OPENING[24:28], OPENING[20:24]
     caller_port, route_port = OPENING[28:30], OPENING[30:32]
     endpoints = caller + route + route_port + caller_port
--- a/tests/platform/test_routing_body.py
+++ b/tests/platform/test_routing_body.py
@@ -47,7 +47,7 @@
 
 
 def replace_value(*path: Any, value: Any) -> dict[str, Any]:
-    """Return the example with one value replaced; ``None`` removes it."""
+    """Return BODY with the value at ``path`` replaced, or removed if ``value`` is None."""
     body = json.loads(json.dumps(BODY))
     target = body
     for step in path[:-1]:
