Names of the command line and settings

Names such as moment, work, behind, found, number, was_sent, best and place were vague. They are now timestamps, operations, lagging nodes, control instances, indexes and so on; moment_type.py is timestamp_type.py, and ConsoleContext.client is create_client. The parameter type keeps its name 'moment', which help texts show. Tests of the settings are named after what they check; their order stays, since HttpServer.run leaves its listener unclosed when it is cancelled: under another order the ResourceWarning for the socket of test_metrics_server lands in the captured output of the settings test (seen in each of 5 runs with such a name). That fault is not mended here. Identifiers only; no behaviour changes.

--- a/packages/wagtailkeel/src/wagtailkeel/console/application.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/application.py
@@ -69,7 +69,10 @@
     except SettingsError as error:
         click.echo(f"error: {error}", err=True)
         raise SystemExit(ExitCode.USAGE) from error
-    return [(found.host, found.rpc_port) for found in loaded.control_instances]
+    return [
+        (control_instance.host, control_instance.rpc_port)
+        for control_instance in loaded.control_instances
+    ]
 
 
 for command in (
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -12,8 +12,8 @@
 from wagtailkeel.console.context import command_options
 from wagtailkeel.console.context import pass_console
 from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.console.moment_type import MOMENT
 from wagtailkeel.console.target_type import TARGET
+from wagtailkeel.console.timestamp_type import TIMESTAMP
 from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_state.booking import Booking
 from wagtailkeel_state.booking_rules import booking_subject
@@ -49,8 +49,8 @@
 @booking.command()
 @click.argument("change", type=click.Choice(CHANGES))
 @click.argument("subject")
-@click.option("--start", type=MOMENT, required=True, help="ISO time with its zone.")
-@click.option("--end", type=MOMENT, required=True, help="ISO time with its zone.")
+@click.option("--start", type=TIMESTAMP, required=True, help="ISO time with its zone.")
+@click.option("--end", type=TIMESTAMP, required=True, help="ISO time with its zone.")
 @click.option("--target", type=TARGET, default=None, help="For class-create and class-target.")
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), default="tcp", show_default=True)
 @click.option("--non-idempotent", is_flag=True, help="For class-create.")
@@ -147,8 +147,8 @@
 
     Example: wagtailkeel booking list
     """
-    found = _load(console)
-    console.print(found, "\n".join(_format(b) for b in found) or "no bookings")
+    bookings = _load_bookings(console)
+    console.print(bookings, "\n".join(_format_booking(b) for b in bookings) or "no bookings")
 
 
 @booking.command()
@@ -159,9 +159,9 @@
 
     Example: wagtailkeel booking show 4f1c22aa
     """
-    for found in _load(console):
-        if found.booking_id == booking_id:
-            console.print(found, _format(found))
+    for entry in _load_bookings(console):
+        if entry.booking_id == booking_id:
+            console.print(entry, _format_booking(entry))
             return
     console.fail(ExitCode.REJECTED, f"booking {booking_id} does not exist")
 
@@ -173,20 +173,20 @@
 
     Example: wagtailkeel booking calendar
     """
-    pending = [b for b in _load(console) if not b.state.is_final]
+    pending = [b for b in _load_bookings(console) if not b.state.is_final]
     lines: list[str] = []
     day = ""
-    for found in pending:
-        start_day = _format_moment(found.start_s)[:10]
+    for entry in pending:
+        start_day = _format_time(entry.start_s)[:10]
         if start_day != day:
             day = start_day
             lines.append(day)
-        lines.append("  " + _format(found))
+        lines.append("  " + _format_booking(entry))
     console.print(pending, "\n".join(lines) or "nothing is booked")
 
 
-def _load(console: ConsoleContext) -> list[Booking]:
-    client = console.client()
+def _load_bookings(console: ConsoleContext) -> list[Booking]:
+    client = console.create_client()
     try:
         status = client.run(client.status)
     except ControlUnreachableError as error:
@@ -194,15 +194,15 @@
     return sorted(status.configuration.bookings_by_id.values(), key=lambda b: b.start_s)
 
 
-def _format(found: Booking) -> str:
-    window = f"{_format_moment(found.start_s)} to {_format_moment(found.end_s)}"
-    reason = f" ({found.reason})" if found.reason else ""
-    subject = booking_subject(found.change)
+def _format_booking(entry: Booking) -> str:
+    window = f"{_format_time(entry.start_s)} to {_format_time(entry.end_s)}"
+    reason = f" ({entry.reason})" if entry.reason else ""
+    subject = booking_subject(entry.change)
     return (
-        f"{found.booking_id:12} {window} {found.state.value:9} "
-        f"{type(found.change).__name__} {subject} by {found.author}{reason}"
+        f"{entry.booking_id:12} {window} {entry.state.value:9} "
+        f"{type(entry.change).__name__} {subject} by {entry.author}{reason}"
     )
 
 
-def _format_moment(seconds: float) -> str:
+def _format_time(seconds: float) -> str:
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
@@ -20,16 +20,16 @@
 
     Example: wagtailkeel dump desk-3
     """
-    client = console.client()
+    client = console.create_client()
 
-    async def work() -> bytes:
+    async def fetch_dump() -> bytes:
         address = await _find_address(client, instance)
         if address is None:
             raise ControlUnreachableError(f"no instance {instance} is known to control")
         return await client.dump(address)
 
     try:
-        body = client.run(work)
+        body = client.run(fetch_dump)
     except ControlUnreachableError as error:
         console.fail(ExitCode.UNREACHABLE, str(error))
     click.echo(body.decode())
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -32,7 +32,7 @@
     except FlowNameError as error:
         click.echo(f"error: {error}", err=True)
         raise SystemExit(ExitCode.USAGE) from error
-    explanation = explain_flow(flow_id, _read(logs))
+    explanation = explain_flow(flow_id, _read_lines(logs))
     for line in explanation.lines:
         details = " ".join(f"{name}={value}" for name, value in line.fields.items())
         click.echo(f"{line.at:.3f} {line.node} {line.event} {details}")
@@ -44,6 +44,6 @@
         raise SystemExit(ExitCode.FAILURE)
 
 
-def _read(logs: tuple[BinaryIO, ...]) -> Iterator[bytes]:
+def _read_lines(logs: tuple[BinaryIO, ...]) -> Iterator[bytes]:
     for log in logs or (sys.stdin.buffer,):
         yield from log
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/run.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/run.py
@@ -37,8 +37,8 @@
         click.echo(f"error: {error}", err=True)
         raise SystemExit(ExitCode.FAILURE) from error
     except BaseExceptionGroup as group:
-        faults, rest = group.split(TransportError)
-        if rest is not None or faults is None:
+        transport_errors, other_errors = group.split(TransportError)
+        if other_errors is not None or transport_errors is None:
             raise
-        click.echo(f"error: {faults.exceptions[0]}", err=True)
+        click.echo(f"error: {transport_errors.exceptions[0]}", err=True)
         raise SystemExit(ExitCode.FAILURE) from group
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
@@ -17,16 +17,16 @@
 
     Example: wagtailkeel servers
     """
-    client = console.client()
+    client = console.create_client()
     try:
         status = client.run(client.status)
     except ControlUnreachableError as error:
         console.fail(ExitCode.UNREACHABLE, str(error))
     members = sorted(status.configuration.servers_by_id.values(), key=lambda m: m.server_id)
-    capacities = {node.instance_id: node.capacity for node in status.nodes}
+    capacities_by_id = {node.instance_id: node.capacity for node in status.nodes}
     lines = [
         f"{m.server_id:24} {m.service:20} {m.data_centre:14} {m.state.value:14} "
-        f"slots {m.slots:<3} capacity {capacities.get(m.server_id, 0)}"
+        f"slots {m.slots:<3} capacity {capacities_by_id.get(m.server_id, 0)}"
         for m in members
     ]
     console.print(members, "\n".join(lines) or "no server has announced itself")
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
@@ -19,16 +19,16 @@
 
     Example: wagtailkeel status --wait 118
     """
-    client = console.client()
+    client = console.create_client()
     try:
-        behind = client.run(lambda: client.wait_in_force(wait)) if wait is not None else []
+        lagging_nodes = client.run(lambda: client.wait_in_force(wait)) if wait is not None else []
         reply = client.run(client.status)
     except ControlUnreachableError as error:
         console.fail(ExitCode.UNREACHABLE, str(error))
     console.print(reply, format_status(reply))
-    if behind:
+    if lagging_nodes:
         console.fail(
-            ExitCode.NOT_IN_FORCE, f"version {wait} is not in force at {', '.join(behind)}"
+            ExitCode.NOT_IN_FORCE, f"version {wait} is not in force at {', '.join(lagging_nodes)}"
         )
 
 
@@ -42,13 +42,13 @@
         lines.append(f"data centre {data_centre.name}: {data_centre.state.value}")
     for service in reply.configuration.services_by_name.values():
         lines.append(f"service {service.name} at {service.address}")
-        for found in service.classes_by_name.values():
-            kind = "idempotent" if found.is_idempotent else "at most once"
+        for traffic_class in service.classes_by_name.values():
+            kind = "idempotent" if traffic_class.is_idempotent else "at most once"
             lines.append(
-                f"  class {found.name}: {found.protocol.value} port {found.port}, "
-                f"target {found.target}, {kind}"
+                f"  class {traffic_class.name}: {traffic_class.protocol.value} "
+                f"port {traffic_class.port}, target {traffic_class.target}, {kind}"
             )
     for node in reply.nodes:
-        mark = "" if node.version >= reply.version else f"  NOT IN FORCE (has {node.version})"
-        lines.append(f"{node.role:9} {node.instance_id:24} {node.state:14}{mark}")
+        suffix = "" if node.version >= reply.version else f"  NOT IN FORCE (has {node.version})"
+        lines.append(f"{node.role:9} {node.instance_id:24} {node.state:14}{suffix}")
     return "\n".join(lines)
--- a/packages/wagtailkeel/src/wagtailkeel/console/context.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/context.py
@@ -39,7 +39,7 @@
         self.deadline_s = deadline_s
         self.author = author
 
-    def client(self) -> ControlClient:
+    def create_client(self) -> ControlClient:
         """Return a client of the control instances."""
         if not self.addresses:
             self.fail(ExitCode.USAGE, "name control with --control HOST:PORT or --settings FILE")
@@ -63,29 +63,31 @@
         command_id: str,
         expected_version: int | None,
         wait: bool,
-        success: str,
+        success_text: str,
     ) -> None:
         """Send a command, print its answer and exit with the status that belongs to it."""
-        client = self.client()
+        client = self.create_client()
 
-        async def work() -> tuple[CommandAnswer, list[str]]:
+        async def send_and_wait() -> tuple[CommandAnswer, list[str]]:
             answer = await client.send(command, command_id, self.author, expected_version)
-            behind: list[str] = []
+            lagging_nodes: list[str] = []
             if wait and answer.is_accepted:
-                behind = await client.wait_in_force(answer.index)
-            return answer, behind
+                lagging_nodes = await client.wait_in_force(answer.index)
+            return answer, lagging_nodes
 
         try:
-            answer, behind = client.run(work)
+            answer, lagging_nodes = client.run(send_and_wait)
         except ControlUnreachableError as error:
             self.fail(ExitCode.UNREACHABLE, str(error))
-        self._finish(answer, behind, success)
+        self._report_answer(answer, lagging_nodes, success_text)
 
-    def _finish(self, answer: CommandAnswer, behind: list[str], success: str) -> None:
+    def _report_answer(
+        self, answer: CommandAnswer, lagging_nodes: list[str], success_text: str
+    ) -> None:
         if answer.is_accepted:
-            self.print(answer, f"{success} (version {answer.index})")
-            if behind:
-                self.fail(ExitCode.NOT_IN_FORCE, f"not yet in force at {', '.join(behind)}")
+            self.print(answer, f"{success_text} (version {answer.index})")
+            if lagging_nodes:
+                self.fail(ExitCode.NOT_IN_FORCE, f"not yet in force at {', '.join(lagging_nodes)}")
             return
         if self.is_json:
             self.print(answer, "")
--- a/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -32,7 +32,7 @@
 Result = TypeVar("Result")
 
 RETRY_INTERVAL_S = 0.2
-WAIT_INTERVAL_S = 0.1
+STATUS_POLL_INTERVAL_S = 0.1
 COMMAND_TIMEOUT_S = 6.0
 
 
@@ -44,12 +44,12 @@
         self._deadline_s = deadline_s
         self._rpc_client = RpcClient()
 
-    def run(self, work: Callable[[], Awaitable[Result]]) -> Result:
+    def run(self, operation: Callable[[], Awaitable[Result]]) -> Result:
         """Run one piece of work in an event loop of its own."""
 
         async def run_and_close() -> Result:
             try:
-                return await work()
+                return await operation()
             finally:
                 self.close()
 
@@ -74,7 +74,7 @@
             command, command_id or uuid.uuid4().hex, author or getpass.getuser(), expected_version
         )
         deadline = time.monotonic() + self._deadline_s
-        was_sent = False
+        may_have_applied = False
         while True:
             for address in self._addresses:
                 try:
@@ -82,17 +82,17 @@
                         address, COMMAND, request, COMMAND_TIMEOUT_S
                     )
                 except RpcError:
-                    was_sent = True
+                    may_have_applied = True
                     continue
                 if reply.answer is None:
                     continue
                 if reply.answer.status is not AnswerStatus.UNKNOWN:
                     return reply.answer
-                was_sent = True
+                may_have_applied = True
             if time.monotonic() > deadline:
                 break
             await anyio.sleep(RETRY_INTERVAL_S)
-        if not was_sent:
+        if not may_have_applied:
             raise ControlUnreachableError("no control instance leads; nothing was changed")
         return CommandAnswer(
             AnswerStatus.UNKNOWN,
@@ -101,7 +101,7 @@
 
     async def status(self) -> StatusReply:
         """Return the leader's picture; without a leader, the newest that any instance has."""
-        best: StatusReply | None = None
+        newest_reply: StatusReply | None = None
         for address in self._addresses:
             try:
                 reply = await self._rpc_client.call(address, STATUS, StatusRequest())
@@ -109,23 +109,23 @@
                 continue
             if reply.is_leader:
                 return reply
-            if best is None or reply.version > best.version:
-                best = reply
-        if best is None:
+            if newest_reply is None or reply.version > newest_reply.version:
+                newest_reply = reply
+        if newest_reply is None:
             raise ControlUnreachableError("no control instance answers; check the addresses")
-        return best
+        return newest_reply
 
     async def wait_in_force(self, version: int) -> list[str]:
         """Wait until every node has a version; return those that lack it at the deadline."""
         deadline = time.monotonic() + self._deadline_s
         while True:
             status = await self.status()
-            behind = [node.instance_id for node in status.nodes if node.version < version]
-            if not behind and status.version >= version:
+            lagging_nodes = [node.instance_id for node in status.nodes if node.version < version]
+            if not lagging_nodes and status.version >= version:
                 return []
             if time.monotonic() > deadline:
-                return behind or ["control"]
-            await anyio.sleep(WAIT_INTERVAL_S)
+                return lagging_nodes or ["control"]
+            await anyio.sleep(STATUS_POLL_INTERVAL_S)
 
     async def dump(self, address: Address) -> bytes:
         """Return the state of the process at an address, as JSON text."""
--- a/packages/wagtailkeel/src/wagtailkeel/console/moment_type.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/timestamp_type.py
@@ -7,7 +7,7 @@
 import click
 
 
-class MomentType(click.ParamType[datetime]):
+class TimestampType(click.ParamType[datetime]):
     """Reads ISO 8601 with an offset, such as 2027-01-10T01:00+05:30."""
 
     name = "moment"
@@ -19,12 +19,12 @@
         if isinstance(value, datetime):
             return value
         try:
-            moment = datetime.fromisoformat(str(value).replace("Z", "+00:00"))
+            timestamp = datetime.fromisoformat(str(value).replace("Z", "+00:00"))
         except ValueError:
             self.fail(f"{value!r} is not like 2027-01-10T01:00+05:30", param, ctx)
-        if moment.tzinfo is None:
+        if timestamp.tzinfo is None:
             self.fail(f"{value!r} names no zone; add one such as +05:30 or Z", param, ctx)
-        return moment
+        return timestamp
 
 
-MOMENT = MomentType()
+TIMESTAMP = TimestampType()
--- a/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
@@ -17,11 +17,11 @@
 def load_settings(path: Path) -> Settings:
     """Return checked settings; raise SettingsError with the first fault."""
     try:
-        text = path.read_text()
+        content = path.read_text()
     except OSError as error:
         raise SettingsError(str(path), "", f"can't be read: {error.strerror}") from error
     try:
-        settings = msgspec.toml.decode(text, type=Settings)
+        settings = msgspec.toml.decode(content, type=Settings)
     except msgspec.ValidationError as error:
         key, detail = _split_validation_error(str(error))
         raise SettingsError(str(path), key, detail) from error
@@ -31,13 +31,13 @@
     return settings
 
 
-def _split_validation_error(text: str) -> tuple[str, str]:
+def _split_validation_error(message: str) -> tuple[str, str]:
     """Turn "Expected `int`, got `str` - at `$.agents[0].slots`" into key and detail."""
-    detail, _, place = text.partition(" - at `$.")
-    key = place.rstrip("`")
-    unknown = re.search(r"unknown field `([^`]*)`", detail)
-    if unknown is not None:
-        key = f"{key}.{unknown.group(1)}" if key else unknown.group(1)
+    detail, _, key_path = message.partition(" - at `$.")
+    key = key_path.rstrip("`")
+    unknown_field = re.search(r"unknown field `([^`]*)`", detail)
+    if unknown_field is not None:
+        key = f"{key}.{unknown_field.group(1)}" if key else unknown_field.group(1)
         detail = "unknown key; expected one of the documented keys"
     return key, detail
 
@@ -61,7 +61,7 @@
     if settings.discovery is None and not settings.control_instances:
         raise SettingsError(path, "control_instances", "expected an entry or a section discovery")
     if settings.control is not None and settings.discovery is None:
-        ids = {found.id for found in settings.control_instances}
+        ids = {control_instance.id for control_instance in settings.control_instances}
         if settings.instance.id not in ids:
             raise SettingsError(
                 path,
@@ -74,13 +74,13 @@
     hosts = [("instance.host", settings.instance.host)]
     if settings.instance.bind_host:
         hosts.append(("instance.bind_host", settings.instance.bind_host))
-    for number, found in enumerate(settings.control_instances):
-        hosts.append((f"control_instances[{number}].host", found.host))
-    for number, seed in enumerate(settings.discovery.seeds if settings.discovery else []):
-        hosts.append((f"discovery.seeds[{number}]", seed))
-    for number, agent in enumerate(settings.agents):
-        hosts.append((f"agents[{number}].server_host", agent.server_host))
-        hosts.append((f"agents[{number}].caller_gateway_host", agent.caller_gateway_host))
+    for index, control_instance in enumerate(settings.control_instances):
+        hosts.append((f"control_instances[{index}].host", control_instance.host))
+    for index, seed in enumerate(settings.discovery.seeds if settings.discovery else []):
+        hosts.append((f"discovery.seeds[{index}]", seed))
+    for index, agent in enumerate(settings.agents):
+        hosts.append((f"agents[{index}].server_host", agent.server_host))
+        hosts.append((f"agents[{index}].caller_gateway_host", agent.caller_gateway_host))
     for key, host in hosts:
         try:
             ipaddress.ip_address(host)
@@ -96,29 +96,31 @@
 
 
 def _check_control_instances(settings: Settings, path: str) -> None:
-    ids = [found.id for found in settings.control_instances]
+    ids = [control_instance.id for control_instance in settings.control_instances]
     if len(set(ids)) != len(ids):
         raise SettingsError(path, "control_instances", "expected ids that differ, found a repeat")
 
 
 def _check_ids(settings: Settings, path: str) -> None:
     """Members and control instances are told apart by id alone."""
-    taken = {found.id for found in settings.control_instances}
+    used_ids = {control_instance.id for control_instance in settings.control_instances}
     members = [(f"agents[{n}].server_id", a.server_id) for n, a in enumerate(settings.agents)]
     if settings.balancer is not None:
         members.append(("balancer.id", settings.balancer_id))
     for key, member_id in members:
-        if member_id in taken:
+        if member_id in used_ids:
             raise SettingsError(path, key, f"expected an id of its own, found {member_id!r} twice")
-        taken.add(member_id)
+        used_ids.add(member_id)
 
 
 def _check_ports(settings: Settings, path: str) -> None:
-    taken: dict[int, str] = {}
+    keys_by_port: dict[int, str] = {}
     for key, port in _bound_ports(settings):
-        if port in taken:
-            raise SettingsError(path, key, f"expected a free port, found {port} of {taken[port]}")
-        taken[port] = key
+        if port in keys_by_port:
+            raise SettingsError(
+                path, key, f"expected a free port, found {port} of {keys_by_port[port]}"
+            )
+        keys_by_port[port] = key
 
 
 def _bound_ports(settings: Settings) -> list[tuple[str, int]]:
@@ -128,22 +130,22 @@
         ports.append(("balancer.port", balancer.port))
         ports.append(("balancer.rpc_port", balancer.rpc_port))
         ports.append(("balancer.fabric_port", balancer.fabric_port))
-    for number, agent in enumerate(settings.agents):
-        ports.append((f"agents[{number}].port", agent.port))
-        ports.append((f"agents[{number}].rpc_port", agent.rpc_port))
-        ports.append((f"agents[{number}].server_side_port", agent.server_side_port))
+    for index, agent in enumerate(settings.agents):
+        ports.append((f"agents[{index}].port", agent.port))
+        ports.append((f"agents[{index}].rpc_port", agent.rpc_port))
+        ports.append((f"agents[{index}].server_side_port", agent.server_side_port))
     if settings.control is not None:
-        for found in settings.control_instances:
-            if found.id == settings.instance.id:
-                ports.append(("control_instances.port", found.port))
-                ports.append(("control_instances.rpc_port", found.rpc_port))
+        for control_instance in settings.control_instances:
+            if control_instance.id == settings.instance.id:
+                ports.append(("control_instances.port", control_instance.port))
+                ports.append(("control_instances.rpc_port", control_instance.rpc_port))
     return ports
 
 
 def _check_pools(settings: Settings, path: str) -> None:
     pools = settings.control.pools if settings.control else []
-    for number, pool in enumerate(pools):
-        key = f"control.pools[{number}]"
+    for index, pool in enumerate(pools):
+        key = f"control.pools[{index}]"
         try:
             _ = pool.ip_network
         except ValueError:
@@ -159,12 +161,12 @@
                 f"expected 1 <= first_port <= last_port <= 65535, "
                 f"found {pool.first_port} and {pool.last_port}",
             )
-        for earlier in pools[:number]:
-            if pool.overlaps(earlier):
+        for earlier_pool in pools[:index]:
+            if pool.overlaps(earlier_pool):
                 raise SettingsError(
                     path,
                     f"{key}.network",
-                    f"expected no overlap, found {pool.network} and {earlier.network}",
+                    f"expected no overlap, found {pool.network} and {earlier_pool.network}",
                 )
 
 
--- a/tests/wagtailkeel/test_settings.py
+++ b/tests/wagtailkeel/test_settings.py
@@ -44,10 +44,10 @@
         result = CliRunner().invoke(main, ["check", str(path)])
         return result.exit_code, result.output
 
-    def test_valid(self) -> None:
+    def test_valid_settings_pass_the_check(self) -> None:
         self.assertEqual(self.check(VALID)[0], 0)
 
-    def test_faults_name_the_key_and_what_was_expected(self) -> None:
+    def test_invalid_settings_give_the_key_and_the_expected_value(self) -> None:
         second_pool = '\n[[control.pools]]\nnetwork = "10.90.0.128/25"\n'
         table = {
             "unknown key": (VALID.replace("host =", "hots ="), "instance"),
@@ -80,14 +80,14 @@
                 self.assertIn(expected, output)
                 self.assertEqual(len(output.strip().splitlines()), 1)
 
-    def test_missing_file(self) -> None:
+    def test_missing_file_is_a_usage_error(self) -> None:
         result = CliRunner().invoke(main, ["check", str(self.folder / "none.toml")])
         self.assertEqual(result.exit_code, 2)
 
     def test_examples_load(self) -> None:
-        found = sorted(EXAMPLES.rglob("*.toml"))
-        self.assertGreaterEqual(len(found), 7)
-        for path in found:
+        paths = sorted(EXAMPLES.rglob("*.toml"))
+        self.assertGreaterEqual(len(paths), 7)
+        for path in paths:
             with self.subTest(path.name):
                 text = path.read_text().replace("/var/lib/wagtailkeel", str(self.folder))
                 copy = self.folder / path.name
