Texts of the command line and settings

Help texts, errors and docstrings were figurative or unclear ("what became of FLOW", "name control with", "the leader's picture", "not like", "names no zone"). They now say who does what and when; every reason, number and unit is kept. Names of commands, arguments and options, exit codes, JSON and the lines for nodes, servers and bookings stay. One test matches the new text of a missing role, 'no role is configured', as strictly as before.

--- a/packages/wagtailkeel/src/wagtailkeel/console/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/__init__.py
@@ -1,3 +1,3 @@
-"""Command line."""
+"""Command lines: wagtailkeel for operators, and wagtailkeeld, the daemon."""
 
 from __future__ import annotations
--- a/packages/wagtailkeel/src/wagtailkeel/console/application.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/application.py
@@ -1,4 +1,4 @@
-"""The operators' command line."""
+"""The ``wagtailkeel`` command line for operators."""
 
 from __future__ import annotations
 
@@ -27,11 +27,15 @@
 
 
 @click.group()
-@click.option("--control", multiple=True, help="HOST:PORT of a control instance; repeatable.")
-@click.option("--settings", type=click.Path(path_type=Path), help="Settings file naming control.")
+@click.option("--control", multiple=True, help="HOST:PORT of a control instance; may be repeated.")
+@click.option(
+    "--settings",
+    type=click.Path(path_type=Path),
+    help="Settings file that lists the control instances.",
+)
 @click.option("--output", type=click.Choice(["text", "json"]), default="text", show_default=True)
 @click.option("--deadline", type=float, default=DEFAULT_DEADLINE_S, show_default=True)
-@click.option("--author", default="", help="Who makes the change; default: the login name.")
+@click.option("--author", default="", help="Author of the change; default: the login name.")
 @click.pass_context
 def main(
     context: click.Context,
@@ -43,8 +47,8 @@
 ) -> None:
     """Operate wagtailkeel.
 
-    Exit status: 0 done, 2 usage, 3 conflict, 4 rejected, 5 fate unknown, 6 control unreachable,
-    7 accepted but not yet in force.
+    Exit status: 0 success, 2 usage error, 3 version conflict, 4 rejected, 5 outcome unknown,
+    6 control unreachable, 7 accepted, but not yet in force on all nodes.
 
     Example: wagtailkeel --control 10.0.0.1:7002 status
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/__init__.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/__init__.py
@@ -1,3 +1,3 @@
-"""Command line."""
+"""Commands of the two command lines."""
 
 from __future__ import annotations
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel booking``."""
+"""The ``wagtailkeel booking`` commands."""
 
 from __future__ import annotations
 
@@ -43,19 +43,19 @@
 
 @click.group()
 def booking() -> None:
-    """Book changes ahead."""
+    """Book changes in advance."""
 
 
 @booking.command()
 @click.argument("change", type=click.Choice(CHANGES))
 @click.argument("subject")
-@click.option("--start", type=TIMESTAMP, required=True, help="ISO time with its zone.")
-@click.option("--end", type=TIMESTAMP, required=True, help="ISO time with its zone.")
+@click.option("--start", type=TIMESTAMP, required=True, help="ISO 8601 time with UTC offset.")
+@click.option("--end", type=TIMESTAMP, required=True, help="ISO 8601 time with UTC offset.")
 @click.option("--target", type=TARGET, default=None, help="For class-create and class-target.")
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), default="tcp", show_default=True)
 @click.option("--non-idempotent", is_flag=True, help="For class-create.")
 @click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
-@click.option("--id", "booking_id", default="", help="Name of the booking.")
+@click.option("--id", "booking_id", default="", help="Id of the booking; default: random.")
 @command_options
 @pass_console
 def create(
@@ -73,7 +73,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Book CHANGE of SUBJECT for a window; SUBJECT of a class is SERVICE/CLASS.
+    """Book CHANGE of SUBJECT for a time window; a class is given as SERVICE/CLASS.
 
     Example: wagtailkeel booking create datacentre-out surat --start 2027-01-10T01:00+05:30
     --end 2027-01-10T03:00+05:30
@@ -108,7 +108,7 @@
         return CreateService(name=subject)
     service, separator, name = subject.partition("/")
     if target is None or not separator:
-        raise click.UsageError(f"{change} takes SERVICE/CLASS and --target")
+        raise click.UsageError(f"{change} requires SERVICE/CLASS and --target")
     if change == "class-create":
         return CreateClass(
             service=service,
@@ -143,7 +143,7 @@
 @booking.command(name="list")
 @pass_console
 def list_bookings(console: ConsoleContext) -> None:
-    """List all bookings by start.
+    """List all bookings in order of their start.
 
     Example: wagtailkeel booking list
     """
@@ -169,7 +169,7 @@
 @booking.command()
 @pass_console
 def calendar(console: ConsoleContext) -> None:
-    """List the pending bookings by day (UTC).
+    """List the bookings that have not ended, by day (UTC).
 
     Example: wagtailkeel booking calendar
     """
@@ -182,7 +182,7 @@
             day = start_day
             lines.append(day)
         lines.append("  " + _format_booking(entry))
-    console.print(pending, "\n".join(lines) or "nothing is booked")
+    console.print(pending, "\n".join(lines) or "no pending or active bookings")
 
 
 def _load_bookings(console: ConsoleContext) -> list[Booking]:
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/check.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/check.py
@@ -1,4 +1,4 @@
-"""``wagtailkeeld check``."""
+"""The ``wagtailkeeld check`` command."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 @click.command()
 @click.argument("settings_file", type=click.Path(path_type=Path))
 def check(settings_file: Path) -> None:
-    """Check SETTINGS_FILE without running it.
+    """Validate SETTINGS_FILE without running its roles.
 
     Example: wagtailkeeld check /etc/wagtailkeel/balancer.toml
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/data_centre.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/data_centre.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel datacentre``."""
+"""The ``wagtailkeel datacentre`` commands."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 def take_out(
     console: ConsoleContext, name: str, command_id: str, expect_version: int | None, wait: bool
 ) -> None:
-    """Take a data centre out of service now; flows that end there are given up.
+    """Take a data centre out of service now; the flows of its servers are ended.
 
     Example: wagtailkeel datacentre out vadodara --wait
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel dump``."""
+"""The ``wagtailkeel dump`` command."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel explain``."""
+"""The ``wagtailkeel explain`` command."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 @click.argument("flow")
 @click.argument("logs", nargs=-1, type=click.File("rb"))
 def explain(flow: str, logs: tuple[BinaryIO, ...]) -> None:
-    """Say from the LOGS of all processes, or standard input, what became of FLOW.
+    """Explain what happened to FLOW, from the LOGS of all processes or standard input.
 
     FLOW is an id from a log line, or "caller:port>route:port". Example:
 
@@ -39,7 +39,7 @@
     click.echo(f"flow {flow_id}: {explanation.cause}")
     if explanation.unreadable or explanation.foreign:
         counts = f"{explanation.unreadable} unreadable and {explanation.foreign} other lines"
-        click.echo(f"left aside: {counts}", err=True)
+        click.echo(f"ignored: {counts}", err=True)
     if not explanation.lines:
         raise SystemExit(ExitCode.FAILURE)
 
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/run.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/run.py
@@ -1,4 +1,4 @@
-"""``wagtailkeeld run``."""
+"""The ``wagtailkeeld run`` command."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 @click.command()
 @click.argument("settings_file", type=click.Path(path_type=Path))
 def run(settings_file: Path) -> None:
-    """Run the roles named in SETTINGS_FILE until SIGTERM or SIGINT.
+    """Run the roles that SETTINGS_FILE configures until SIGTERM or SIGINT.
 
     Example: wagtailkeeld run /etc/wagtailkeel/agent.toml
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/server.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel server``."""
+"""The ``wagtailkeel server`` commands."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Give a server no new work; its flows go on until they end.
+    """Send no new work to a server; its existing flows continue until they end.
 
     Example: wagtailkeel server drain desk-3 --wait
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel servers``."""
+"""The ``wagtailkeel servers`` command."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 @click.command()
 @pass_console
 def servers(console: ConsoleContext) -> None:
-    """List the backend servers that announced themselves.
+    """List the registered backend servers.
 
     Example: wagtailkeel servers
     """
@@ -29,4 +29,4 @@
         f"slots {m.slots:<3} capacity {capacities_by_id.get(m.server_id, 0)}"
         for m in members
     ]
-    console.print(members, "\n".join(lines) or "no server has announced itself")
+    console.print(members, "\n".join(lines) or "no servers are registered")
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/service.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/service.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel service``."""
+"""The ``wagtailkeel service`` commands."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @click.group()
 def service() -> None:
-    """Services: what callers reach by one address."""
+    """Manage services; callers reach a service at one address."""
 
 
 @service.command()
@@ -22,7 +22,7 @@
 def create(
     console: ConsoleContext, name: str, command_id: str, expect_version: int | None, wait: bool
 ) -> None:
-    """Create a service; its address comes from the pool.
+    """Create a service; its address is allocated from the pool.
 
     Example: wagtailkeel service create marshal-desk
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel status``."""
+"""The ``wagtailkeel status`` command."""
 
 from __future__ import annotations
 
@@ -12,10 +12,12 @@
 
 
 @click.command()
-@click.option("--wait", type=int, default=None, help="Wait until this version is in force.")
+@click.option(
+    "--wait", type=int, default=None, help="Wait until this version is in force on all nodes."
+)
 @pass_console
 def status(console: ConsoleContext, wait: int | None) -> None:
-    """Show the version in force, and the nodes where it is not.
+    """Show the current version, and the nodes on which it is not yet in force.
 
     Example: wagtailkeel status --wait 118
     """
@@ -28,16 +30,16 @@
     console.print(reply, format_status(reply))
     if lagging_nodes:
         console.fail(
-            ExitCode.NOT_IN_FORCE, f"version {wait} is not in force at {', '.join(lagging_nodes)}"
+            ExitCode.NOT_IN_FORCE, f"version {wait} is not in force on {', '.join(lagging_nodes)}"
         )
 
 
 def format_status(reply: StatusReply) -> str:
-    """Return the picture as text, nodes that lag behind marked."""
+    """Format a status as text that marks the nodes with an older version."""
     leader = reply.leader_id or "none"
     lines = [f"version {reply.version}, leader {leader}"]
     if not reply.is_leader:
-        lines.append("answered by an instance that does not lead: this may be out of date")
+        lines.append("answered by an instance that is not the leader: this may be out of date")
     for data_centre in reply.configuration.data_centres_by_name.values():
         lines.append(f"data centre {data_centre.name}: {data_centre.state.value}")
     for service in reply.configuration.services_by_name.values():
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/traffic_class.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/traffic_class.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel class``."""
+"""The ``wagtailkeel class`` commands."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 @click.group(name="class")
 def traffic_class() -> None:
-    """Classes of work within a service, each with its target."""
+    """Manage the traffic classes of a service, each with its own target."""
 
 
 @traffic_class.command()
@@ -24,7 +24,7 @@
 @click.argument("name")
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), required=True)
 @click.option("--target", type=TARGET, required=True, help="'p99<200ms' or 'held<2000'.")
-@click.option("--non-idempotent", is_flag=True, help="A request must run at most once.")
+@click.option("--non-idempotent", is_flag=True, help="A request must be executed at most once.")
 @click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
 @command_options
 @pass_console
@@ -40,7 +40,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Add a class to a service; its port comes from the pool.
+    """Add a class to a service; its port is allocated from the pool.
 
     Example: wagtailkeel class create marshal-desk feed --protocol tcp --target 'held<2000'
     """
@@ -70,7 +70,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Set another target for a class.
+    """Change the target of a class.
 
     Example: wagtailkeel class target marshal-desk checkpoint 'p99<150ms'
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/context.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/context.py
@@ -1,4 +1,4 @@
-"""What all commands share: where control is, how to print, what to exit with."""
+"""State shared by all commands: control addresses, output format and exit codes."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class ConsoleContext:
-    """Options of the command group, carried by click."""
+    """Options of the command group, passed to its commands by click."""
 
     __slots__ = ("addresses", "author", "deadline_s", "is_json")
 
@@ -40,20 +40,23 @@
         self.author = author
 
     def create_client(self) -> ControlClient:
-        """Return a client of the control instances."""
+        """Create a client of the control instances; exit if no address is known."""
         if not self.addresses:
-            self.fail(ExitCode.USAGE, "name control with --control HOST:PORT or --settings FILE")
+            self.fail(
+                ExitCode.USAGE,
+                "control address missing: use --control HOST:PORT or --settings FILE",
+            )
         return ControlClient(self.addresses, self.deadline_s)
 
     def print(self, value: Any, text: str) -> None:
-        """Print a value as JSON, or its text form."""
+        """Print a value as JSON or as text, as the --output option requests."""
         if self.is_json:
             click.echo(json.dumps(msgspec.to_builtins(value), sort_keys=True))
         else:
             click.echo(text)
 
     def fail(self, code: ExitCode, message: str) -> NoReturn:
-        """Print an error and exit."""
+        """Print an error and exit with a code."""
         click.echo(f"error: {message}", err=True)
         raise SystemExit(code)
 
@@ -65,7 +68,7 @@
         wait: bool,
         success_text: str,
     ) -> None:
-        """Send a command, print its answer and exit with the status that belongs to it."""
+        """Send a command and print its answer; exit with the matching code unless it succeeds."""
         client = self.create_client()
 
         async def send_and_wait() -> tuple[CommandAnswer, list[str]]:
@@ -87,7 +90,7 @@
         if answer.is_accepted:
             self.print(answer, f"{success_text} (version {answer.index})")
             if lagging_nodes:
-                self.fail(ExitCode.NOT_IN_FORCE, f"not yet in force at {', '.join(lagging_nodes)}")
+                self.fail(ExitCode.NOT_IN_FORCE, f"not yet in force on {', '.join(lagging_nodes)}")
             return
         if self.is_json:
             self.print(answer, "")
@@ -98,16 +101,16 @@
 
 
 def command_options(function: Callable[..., None]) -> Callable[..., None]:
-    """Add the options that every changing command takes."""
-    function = click.option("--command-id", default="", help="Repeat a command by its id.")(
-        function
-    )
+    """Add the options shared by all commands that change the configuration."""
+    function = click.option(
+        "--command-id", default="", help="Command id; resend a command under the same id."
+    )(function)
     function = click.option(
         "--expect-version",
         type=int,
         default=None,
-        help="Refuse unless this is the version of the last operator's change.",
+        help="Reject unless this is the version of the last operator's change.",
+    )(function)
+    return click.option(
+        "--wait", is_flag=True, help="Wait until the change is in force on all nodes."
     )(function)
-    return click.option("--wait", is_flag=True, help="Wait until all nodes have the version.")(
-        function
-    )
--- a/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -1,4 +1,4 @@
-"""The operators' link to control."""
+"""Client of the control instances, for operators' commands and status queries."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class ControlClient:
-    """Finds the leader among the control instances and sends it requests."""
+    """Sends requests to the control instances in turn until the leader answers."""
 
     def __init__(self, addresses: list[Address], deadline_s: float) -> None:
         self._addresses = addresses
@@ -45,7 +45,7 @@
         self._rpc_client = RpcClient()
 
     def run(self, operation: Callable[[], Awaitable[Result]]) -> Result:
-        """Run one piece of work in an event loop of its own."""
+        """Run an operation in a new event loop and close all connections afterwards."""
 
         async def run_and_close() -> Result:
             try:
@@ -66,9 +66,10 @@
         author: str = "",
         expected_version: int | None = None,
     ) -> CommandAnswer:
-        """Send a command until it has an answer; the same id makes every resend harmless.
+        """Send a command until it is answered or the deadline passes.
 
-        The answer is UNKNOWN when the command may or may not have taken effect.
+        All attempts have the same command id, so that a retry is not applied twice. The answer is
+        UNKNOWN if the command may or may not have been applied.
         """
         request = CommandRequest(
             command, command_id or uuid.uuid4().hex, author or getpass.getuser(), expected_version
@@ -93,14 +94,14 @@
                 break
             await anyio.sleep(RETRY_INTERVAL_S)
         if not may_have_applied:
-            raise ControlUnreachableError("no control instance leads; nothing was changed")
+            raise ControlUnreachableError("no control instance is the leader; nothing was changed")
         return CommandAnswer(
             AnswerStatus.UNKNOWN,
-            f"no answer; send it again with --command-id {request.command_id} to learn its fate",
+            f"no answer; resend it with --command-id {request.command_id} to learn the outcome",
         )
 
     async def status(self) -> StatusReply:
-        """Return the leader's picture; without a leader, the newest that any instance has."""
+        """Return the leader's status, or without a leader the newest status of any instance."""
         newest_reply: StatusReply | None = None
         for address in self._addresses:
             try:
@@ -112,11 +113,11 @@
             if newest_reply is None or reply.version > newest_reply.version:
                 newest_reply = reply
         if newest_reply is None:
-            raise ControlUnreachableError("no control instance answers; check the addresses")
+            raise ControlUnreachableError("no control instance answered; check the addresses")
         return newest_reply
 
     async def wait_in_force(self, version: int) -> list[str]:
-        """Wait until every node has a version; return those that lack it at the deadline."""
+        """Wait until every node has a version; return the nodes that lack it at the deadline."""
         deadline = time.monotonic() + self._deadline_s
         while True:
             status = await self.status()
--- a/packages/wagtailkeel/src/wagtailkeel/console/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon's command line."""
+"""The ``wagtailkeeld`` command line."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel/src/wagtailkeel/console/exit_codes.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/exit_codes.py
@@ -1,4 +1,4 @@
-"""Exit codes of both binaries; they are stable."""
+"""Exit codes of both command lines; the numbers are stable."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class ExitCode(IntEnum):
-    """What a command's exit status says."""
+    """Outcome of a command."""
 
     DONE = 0
     FAILURE = 1
--- a/packages/wagtailkeel/src/wagtailkeel/console/target_type.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/target_type.py
@@ -1,4 +1,4 @@
-"""Targets as a parameter type of click."""
+"""Click parameter type for targets."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 
 class TargetType(click.ParamType[Target]):
-    """Reads 'p99<200ms' and 'held<2000'."""
+    """Parses targets such as 'p99<200ms' and 'held<2000'."""
 
     name = "target"
 
     def convert(
         self, value: object, param: click.Parameter | None, ctx: click.Context | None
     ) -> Target:
-        """Return the target, or fail with the expected forms."""
+        """Parse a target; fail with the expected formats if the text has neither."""
         if isinstance(value, Target):
             return value
         try:
--- a/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/loader.py
@@ -1,4 +1,4 @@
-"""Loading and checking settings."""
+"""Loads and validates settings files."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def load_settings(path: Path) -> Settings:
-    """Return checked settings; raise SettingsError with the first fault."""
+    """Load and validate settings; raise SettingsError for the first error found."""
     try:
         content = path.read_text()
     except OSError as error:
@@ -32,7 +32,7 @@
 
 
 def _split_validation_error(message: str) -> tuple[str, str]:
-    """Turn "Expected `int`, got `str` - at `$.agents[0].slots`" into key and detail."""
+    """Split "Expected `int`, got `str` - at `$.agents[0].slots`" into key and detail."""
     detail, _, key_path = message.partition(" - at `$.")
     key = key_path.rstrip("`")
     unknown_field = re.search(r"unknown field `([^`]*)`", detail)
@@ -56,7 +56,7 @@
 def _check_roles(settings: Settings, path: str) -> None:
     if settings.balancer is None and settings.control is None and not settings.agents:
         raise SettingsError(
-            path, "", "names no role; expected a section balancer, agents or control"
+            path, "", "no role is configured; expected a section balancer, agents or control"
         )
     if settings.discovery is None and not settings.control_instances:
         raise SettingsError(path, "control_instances", "expected an entry or a section discovery")
@@ -98,18 +98,18 @@
 def _check_control_instances(settings: Settings, path: str) -> None:
     ids = [control_instance.id for control_instance in settings.control_instances]
     if len(set(ids)) != len(ids):
-        raise SettingsError(path, "control_instances", "expected ids that differ, found a repeat")
+        raise SettingsError(path, "control_instances", "expected unique ids, found a duplicate")
 
 
 def _check_ids(settings: Settings, path: str) -> None:
-    """Members and control instances are told apart by id alone."""
+    """Check that ids are unique, since only the id distinguishes members and control instances."""
     used_ids = {control_instance.id for control_instance in settings.control_instances}
     members = [(f"agents[{n}].server_id", a.server_id) for n, a in enumerate(settings.agents)]
     if settings.balancer is not None:
         members.append(("balancer.id", settings.balancer_id))
     for key, member_id in members:
         if member_id in used_ids:
-            raise SettingsError(path, key, f"expected an id of its own, found {member_id!r} twice")
+            raise SettingsError(path, key, f"expected a unique id, found {member_id!r} twice")
         used_ids.add(member_id)
 
 
@@ -118,7 +118,7 @@
     for key, port in _bound_ports(settings):
         if port in keys_by_port:
             raise SettingsError(
-                path, key, f"expected a free port, found {port} of {keys_by_port[port]}"
+                path, key, f"expected an unused port, found {port} of {keys_by_port[port]}"
             )
         keys_by_port[port] = key
 
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -16,13 +16,14 @@
 
 
 class _Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """Base of all sections: unknown keys are errors."""
+    """Base class of all sections; unknown keys are errors."""
 
 
 class InstanceSettings(_Section):
-    """Who this process is; ``bind_host`` is needed where the announced host is not its own.
+    """Identity and address of the process.
 
-    ``stateless`` turns the flow directory off: the baseline that measurements compare with.
+    ``host`` is announced to others; ``bind_host`` is needed if ``host`` is not the process's own
+    address. ``stateless`` turns the flow directory off, as a baseline for measurements.
     """
 
     id: Name
@@ -34,12 +35,12 @@
 
     @property
     def listen_host(self) -> str:
-        """The address that sockets are bound to."""
+        """The address that the process binds its sockets to."""
         return self.bind_host or self.host
 
 
 class ControlInstanceSettings(_Section):
-    """Where a control instance listens."""
+    """Id and addresses of a control instance."""
 
     id: Name
     host: str
@@ -48,11 +49,11 @@
 
 
 class DiscoverySettings(_Section):
-    """Finding control from seeds, instead of a list of all its instances.
+    """Discovery of control through seeds, instead of a list of all control instances.
 
-    ``seeds`` are hosts of control instances; each such instance has its host as its id and
-    listens on ``port`` and ``rpc_port``. With ``may_form`` the seeds form a new cluster while
-    none of them belongs to one; others join it, up to ``voters`` votes.
+    ``seeds`` are hosts of control instances; the id of each such instance is its host, and it
+    listens on ``port`` and ``rpc_port``. With ``may_form``, the seeds form a new cluster if none
+    of them belongs to one; other instances join the cluster, up to ``voters`` voters.
     """
 
     seeds: Annotated[list[str], msgspec.Meta(min_length=1)]
@@ -63,16 +64,16 @@
 
 
 class MetricsSettings(_Section):
-    """Where the process serves its metrics as text."""
+    """Port and path at which the process serves its metrics as text."""
 
     port: Port
     path: str = "/metrics"
 
 
 class BalancerSettings(_Section):
-    """The balancer role; the fabric hands packets to ``fabric_port``.
+    """The balancer role; the fabric forwards packets to ``fabric_port``.
 
-    ``id`` is needed where the instance's own id is that of its control role.
+    ``id`` is needed if the control role of the same instance uses the instance's id.
     """
 
     port: Port
@@ -82,7 +83,7 @@
 
 
 class AgentSettings(_Section):
-    """The agent role, beside one backend server."""
+    """The agent role; the agent runs next to one backend server."""
 
     server_id: Name
     service: Name
@@ -99,11 +100,11 @@
 
 
 class HandshakeBalancerSettings(_Section):
-    """The balancer role for packet formats whose handshake settles a flow's server.
+    """The balancer role for packet formats whose handshake determines a flow's server.
 
-    ``caller_port`` is where callers take packets. A planned stop waits for up to
-    ``stop_wait_limit_s`` while another balancer of the data centre is away, and goes on serving
-    for ``stop_delay_s`` after the ready endpoint has said no.
+    Callers receive packets at ``caller_port``. A planned stop waits for up to
+    ``stop_wait_limit_s`` while another balancer of the data centre is stopped. The balancer goes
+    on serving for ``stop_delay_s`` after its ready endpoint has reported "not ready".
     """
 
     port: Port
@@ -115,12 +116,12 @@
 
 
 class HandshakeAgentSettings(_Section):
-    """The agent role for packet formats whose handshake settles a flow's server.
+    """The agent role for packet formats whose handshake determines a flow's server.
 
-    The server takes packets at ``server_host`` and ``server_port`` and sends its own to
-    ``server_side_port``. It counts as gone once it has not reported for ``report_limit_s``. While
-    cold it takes ``cold_factor`` times the rate that its service's policy gives, and
-    ``cold_slack`` more openings a second.
+    The server receives packets at ``server_host`` and ``server_port`` and sends packets to
+    ``server_side_port``. It counts as stopped once it has not reported for ``report_limit_s``.
+    While cold, it gets at most ``cold_factor`` times the rate of its service's policy, plus
+    ``cold_slack``, in openings per second.
     """
 
     service: Name
@@ -143,7 +144,7 @@
 
 
 class ControlSettings(_Section):
-    """The control role, on an instance with a disk."""
+    """The control role, which needs a disk."""
 
     data_folder: str
     pools: Annotated[list[AddressPool], msgspec.Meta(min_length=1)]
@@ -151,7 +152,7 @@
 
 
 class Settings(_Section):
-    """The whole file; a role runs where its section is present."""
+    """The whole file; the process runs each role whose section is present."""
 
     instance: InstanceSettings
     control_instances: list[ControlInstanceSettings] = []
@@ -165,6 +166,6 @@
 
     @property
     def balancer_id(self) -> str:
-        """The id under which the balancer is a member."""
+        """The balancer's member id."""
         own_id = self.balancer.id if self.balancer else None
         return own_id or self.instance.id
--- a/tests/wagtailkeel/test_settings.py
+++ b/tests/wagtailkeel/test_settings.py
@@ -66,7 +66,7 @@
                 ),
                 "balancer.id",
             ),
-            "no role": (VALID[: VALID.index("[control]")], "names no role"),
+            "no role": (VALID[: VALID.index("[control]")], "no role is configured"),
             "no TOML": ("instance = ", "is not TOML"),
             "unknown level": (
                 VALID.replace("[[control_i", 'log_level = "LOUD"\n\n[[control_i'),
