Merge the wording of the platform adapter, the command line and the settings

Cause: moments, faults and "names no zone" left readers and operators guessing. Errors say what was expected and found, help texts what a command does. Commands, options, settings keys and every string of the platform's wire stay.

--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel booking``."""
+"""The ``wagtailkeel booking`` commands."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from wagtailkeel.console.context import command_options
 from wagtailkeel.console.context import pass_console
 from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.console.moment_type import MOMENT
 from wagtailkeel.console.target_type import TARGET
+from wagtailkeel.console.timestamp_type import TIMESTAMP
 from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_state.booking import Booking
 from wagtailkeel_state.booking_rules import booking_subject
@@ -43,19 +43,19 @@
 
 @click.group()
 def booking() -> None:
-    """Book changes ahead."""
+    """Book changes in advance."""
 
 
 @booking.command()
 @click.argument("change", type=click.Choice(CHANGES))
 @click.argument("subject")
-@click.option("--start", type=MOMENT, required=True, help="ISO time with its zone.")
-@click.option("--end", type=MOMENT, required=True, help="ISO time with its zone.")
+@click.option("--start", type=TIMESTAMP, required=True, help="ISO 8601 time with UTC offset.")
+@click.option("--end", type=TIMESTAMP, required=True, help="ISO 8601 time with UTC offset.")
 @click.option("--target", type=TARGET, default=None, help="For class-create and class-target.")
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), default="tcp", show_default=True)
 @click.option("--non-idempotent", is_flag=True, help="For class-create.")
 @click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
-@click.option("--id", "booking_id", default="", help="Name of the booking.")
+@click.option("--id", "booking_id", default="", help="Id of the booking; default: random.")
 @command_options
 @pass_console
 def create(
@@ -73,7 +73,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Book CHANGE of SUBJECT for a window; SUBJECT of a class is SERVICE/CLASS.
+    """Book CHANGE of SUBJECT for a time window; a class is given as SERVICE/CLASS.
 
     Example: wagtailkeel booking create datacentre-out surat --start 2027-01-10T01:00+05:30
     --end 2027-01-10T03:00+05:30
@@ -108,7 +108,7 @@
         return CreateService(name=subject)
     service, separator, name = subject.partition("/")
     if target is None or not separator:
-        raise click.UsageError(f"{change} takes SERVICE/CLASS and --target")
+        raise click.UsageError(f"{change} requires SERVICE/CLASS and --target")
     if change == "class-create":
         return CreateClass(
             service=service,
@@ -143,12 +143,12 @@
 @booking.command(name="list")
 @pass_console
 def list_bookings(console: ConsoleContext) -> None:
-    """List all bookings by start.
+    """List all bookings in order of their start.
 
     Example: wagtailkeel booking list
     """
-    found = _load(console)
-    console.print(found, "\n".join(_format(b) for b in found) or "no bookings")
+    bookings = _load_bookings(console)
+    console.print(bookings, "\n".join(_format_booking(b) for b in bookings) or "no bookings")
 
 
 @booking.command()
@@ -159,9 +159,9 @@
 
     Example: wagtailkeel booking show 4f1c22aa
     """
-    for found in _load(console):
-        if found.booking_id == booking_id:
-            console.print(found, _format(found))
+    for entry in _load_bookings(console):
+        if entry.booking_id == booking_id:
+            console.print(entry, _format_booking(entry))
             return
     console.fail(ExitCode.REJECTED, f"booking {booking_id} does not exist")
 
@@ -169,24 +169,24 @@
 @booking.command()
 @pass_console
 def calendar(console: ConsoleContext) -> None:
-    """List the pending bookings by day (UTC).
+    """List the bookings that have not ended, by day (UTC).
 
     Example: wagtailkeel booking calendar
     """
-    pending = [b for b in _load(console) if not b.state.is_final]
+    pending = [b for b in _load_bookings(console) if not b.state.is_final]
     lines: list[str] = []
     day = ""
-    for found in pending:
-        start_day = _format_moment(found.start_s)[:10]
+    for entry in pending:
+        start_day = _format_time(entry.start_s)[:10]
         if start_day != day:
             day = start_day
             lines.append(day)
-        lines.append("  " + _format(found))
-    console.print(pending, "\n".join(lines) or "nothing is booked")
+        lines.append("  " + _format_booking(entry))
+    console.print(pending, "\n".join(lines) or "no pending or active bookings")
 
 
-def _load(console: ConsoleContext) -> list[Booking]:
-    client = console.client()
+def _load_bookings(console: ConsoleContext) -> list[Booking]:
+    client = console.create_client()
     try:
         status = client.run(client.status)
     except ControlUnreachableError as error:
@@ -194,15 +194,15 @@
     return sorted(status.configuration.bookings_by_id.values(), key=lambda b: b.start_s)
 
 
-def _format(found: Booking) -> str:
-    window = f"{_format_moment(found.start_s)} to {_format_moment(found.end_s)}"
-    reason = f" ({found.reason})" if found.reason else ""
-    subject = booking_subject(found.change)
+def _format_booking(entry: Booking) -> str:
+    window = f"{_format_time(entry.start_s)} to {_format_time(entry.end_s)}"
+    reason = f" ({entry.reason})" if entry.reason else ""
+    subject = booking_subject(entry.change)
     return (
-        f"{found.booking_id:12} {window} {found.state.value:9} "
-        f"{type(found.change).__name__} {subject} by {found.author}{reason}"
+        f"{entry.booking_id:12} {window} {entry.state.value:9} "
+        f"{type(entry.change).__name__} {subject} by {entry.author}{reason}"
     )
 
 
-def _format_moment(seconds: float) -> str:
+def _format_time(seconds: float) -> str:
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -1,4 +1,4 @@
-"""``wagtailkeel explain``."""
+"""The ``wagtailkeel explain`` command."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 @click.argument("flow")
 @click.argument("logs", nargs=-1, type=click.File("rb"))
 def explain(flow: str, logs: tuple[BinaryIO, ...]) -> None:
-    """Say from the LOGS of all processes, or standard input, what became of FLOW.
+    """Explain what happened to FLOW, from the LOGS of all processes or standard input.
 
     FLOW is an id from a log line, or "caller:port>route:port". Example:
 
@@ -32,18 +32,18 @@
     except InvalidFlowError as error:
         click.echo(f"error: {error}", err=True)
         raise SystemExit(ExitCode.USAGE) from error
-    explanation = explain_flow(flow_id, _read(logs))
+    explanation = explain_flow(flow_id, _read_lines(logs))
     for line in explanation.lines:
         details = " ".join(f"{name}={value}" for name, value in line.fields.items())
         click.echo(f"{line.at:.3f} {line.node} {line.event} {details}")
     click.echo(f"flow {flow_id}: {explanation.cause}")
     if explanation.unreadable or explanation.unrelated:
         counts = f"{explanation.unreadable} unreadable and {explanation.unrelated} other lines"
-        click.echo(f"left aside: {counts}", err=True)
+        click.echo(f"ignored: {counts}", err=True)
     if not explanation.lines:
         raise SystemExit(ExitCode.FAILURE)
 
 
-def _read(logs: tuple[BinaryIO, ...]) -> Iterator[bytes]:
+def _read_lines(logs: tuple[BinaryIO, ...]) -> Iterator[bytes]:
     for log in logs or (sys.stdin.buffer,):
         yield from log
--- a/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -1,4 +1,4 @@
-"""The operators' link to control."""
+"""Client of the control instances, for operators' commands and status queries."""
 
 from __future__ import annotations
 
@@ -32,24 +32,24 @@
 Result = TypeVar("Result")
 
 RETRY_INTERVAL_S = 0.2
-WAIT_INTERVAL_S = 0.1
+STATUS_POLL_INTERVAL_S = 0.1
 COMMAND_TIMEOUT_S = 6.0
 
 
 class ControlClient:
-    """Finds the leader among the control instances and sends it requests."""
+    """Sends requests to the control instances in turn until the leader answers."""
 
     def __init__(self, addresses: list[Address], deadline_s: float) -> None:
         self._addresses = addresses
         self._deadline_s = deadline_s
         self._rpc_client = RpcClient()
 
-    def run(self, work: Callable[[], Awaitable[Result]]) -> Result:
-        """Run one piece of work in an event loop of its own."""
+    def run(self, operation: Callable[[], Awaitable[Result]]) -> Result:
+        """Run an operation in a new event loop and close all connections afterwards."""
 
         async def run_and_close() -> Result:
             try:
-                return await work()
+                return await operation()
             finally:
                 self.close()
 
@@ -66,15 +66,16 @@
         author: str = "",
         expected_version: int | None = None,
     ) -> CommandAnswer:
-        """Send a command until it has an answer; the same id makes every resend harmless.
+        """Send a command until it is answered or the deadline passes.
 
-        The answer is UNKNOWN when the command may or may not have taken effect.
+        All attempts have the same command id, so that a retry is not applied twice. The answer is
+        UNKNOWN if the command may or may not have been applied.
         """
         request = CommandRequest(
             command, command_id or uuid.uuid4().hex, author or getpass.getuser(), expected_version
         )
         deadline = time.monotonic() + self._deadline_s
-        was_sent = False
+        may_have_applied = False
         while True:
             for address in self._addresses:
                 try:
@@ -82,26 +83,26 @@
                         address, COMMAND, request, COMMAND_TIMEOUT_S
                     )
                 except RpcError:
-                    was_sent = True
+                    may_have_applied = True
                     continue
                 if reply.answer is None:
                     continue
                 if reply.answer.status is not AnswerStatus.UNKNOWN:
                     return reply.answer
-                was_sent = True
+                may_have_applied = True
             if time.monotonic() > deadline:
                 break
             await anyio.sleep(RETRY_INTERVAL_S)
-        if not was_sent:
-            raise ControlUnreachableError("no control instance leads; nothing was changed")
+        if not may_have_applied:
+            raise ControlUnreachableError("no control instance is the leader; nothing was changed")
         return CommandAnswer(
             AnswerStatus.UNKNOWN,
-            f"no answer; send it again with --command-id {request.command_id} to learn its fate",
+            f"no answer; resend it with --command-id {request.command_id} to learn the outcome",
         )
 
     async def status(self) -> StatusReply:
-        """Return the leader's picture; without a leader, the newest that any instance has."""
-        best: StatusReply | None = None
+        """Return the leader's status, or without a leader the newest status of any instance."""
+        newest_reply: StatusReply | None = None
         for address in self._addresses:
             try:
                 reply = await self._rpc_client.call(address, STATUS, StatusRequest())
@@ -109,23 +110,23 @@
                 continue
             if reply.is_leader:
                 return reply
-            if best is None or reply.version > best.version:
-                best = reply
-        if best is None:
-            raise ControlUnreachableError("no control instance answers; check the addresses")
-        return best
+            if newest_reply is None or reply.version > newest_reply.version:
+                newest_reply = reply
+        if newest_reply is None:
+            raise ControlUnreachableError("no control instance answered; check the addresses")
+        return newest_reply
 
     async def wait_in_force(self, version: int) -> list[str]:
-        """Wait until every node has a version; return those that lack it at the deadline."""
+        """Wait until every node has a version; return the nodes that lack it at the deadline."""
         deadline = time.monotonic() + self._deadline_s
         while True:
             status = await self.status()
-            behind = [node.instance_id for node in status.nodes if node.version < version]
-            if not behind and status.version >= version:
+            lagging_nodes = [node.instance_id for node in status.nodes if node.version < version]
+            if not lagging_nodes and status.version >= version:
                 return []
             if time.monotonic() > deadline:
-                return behind or ["control"]
-            await anyio.sleep(WAIT_INTERVAL_S)
+                return lagging_nodes or ["control"]
+            await anyio.sleep(STATUS_POLL_INTERVAL_S)
 
     async def dump(self, address: Address) -> bytes:
         """Return the state of the process at an address, as JSON text."""
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -17,7 +17,7 @@
 from wagtailkeel.flow_explanation import parse_flow_id
 from wagtailkeel_platform import packet_format as packets
 
-HEADER_BYTES = packets.HEAD_BYTES
+HEADER_BYTES = packets.HEADER_BYTES
 
 
 class ProcessesTest(unittest.TestCase):
