Name counts, agents and conditions of the handshake routing by what they are

Some names held something else than they said: `tried` and `candidates` were sets in one method and counts in the next, `queried` were agents still to be queried, `live_agents` of the owner map are all agents of a data centre if none is live, and `_is_reachable` also excludes agents that are about to stop (PeerLoads calls the same condition `is_available`).

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -97,7 +97,7 @@
             # This agent had the flow and no longer holds it.
             self.pointers.remove(header.key)
             pointer = None
-        if pointer is not None and header.is_opening and not self._is_reachable(pointer.target):
+        if pointer is not None and header.is_opening and not self._is_available(pointer.target):
             # The first transmission may have gone to an agent that stopped: try another server.
             pointer.tried.add(pointer.target)
             self._place(frame, header, pointer.tried)
@@ -114,7 +114,7 @@
         else:
             self._search(frame, header.key, exclude=None)
 
-    def _is_reachable(self, address: Address) -> bool:
+    def _is_available(self, address: Address) -> bool:
         return self.loads.is_available(address, self._context.now)
 
     # Openings
@@ -160,46 +160,46 @@
         self._holder.open(frame.body, key, address)
         return True
 
-    def _on_unplaced(self, opening: _Opening, tried: int, candidates: int) -> None:
+    def _on_unplaced(self, opening: _Opening, tried_count: int, candidate_count: int) -> None:
         """Refuse an opening that no server has taken, unless one may take it or have taken it."""
         key, now = opening.key, self._context.now
         self.pointers.remove(key)
         self.pointers.record_unplaced(key, now)
-        if self.loads.has_unreported_server(opening.tag, now) or not self._are_members_reachable(
+        if self.loads.has_unreported_server(opening.tag, now) or not self._are_members_available(
             opening.tag
         ):
             # A server may have room: the caller's next retransmission reaches it.
             self._context.counters["openings_deferred"] += 1
         elif opening.is_sole_placer:
-            self._refuse(opening.frame.body, key, tried, candidates)
+            self._refuse(opening.frame.body, key, tried_count, candidate_count)
         else:
             # Another owner may have placed an earlier transmission, so the flow may be open.
             self._context.counters["dropped_copy_of_opening"] += 1
 
-    def _are_members_reachable(self, tag: int) -> bool:
+    def _are_members_available(self, tag: int) -> bool:
         """Return whether all members of a service are reachable, so that no ready one is missed."""
         members = self._members_by_tag.get(tag, [])
-        return all(a == self._context.own_address or self._is_reachable(a) for a in members)
+        return all(a == self._context.own_address or self._is_available(a) for a in members)
 
-    def _emit_placement(self, peer: PeerLoad, key: bytes, candidates: int) -> None:
+    def _emit_placement(self, peer: PeerLoad, key: bytes, candidate_count: int) -> None:
         self._context.emit(
             events.OpeningPlaced(
                 flow_id(key),
                 peer.address[0],
                 self._context.routing.version,
-                candidates,
+                candidate_count,
                 round(expected_wait_ms(peer, self._data_centre), 1),
                 round((self._context.now - peer.received_at) * 1_000, 1),
             )
         )
 
-    def _refuse(self, packet: bytes, key: bytes, tried: int, candidates: int) -> None:
+    def _refuse(self, packet: bytes, key: bytes, tried_count: int, candidate_count: int) -> None:
         """Refuse an opening that no server has seen, so that the caller learns it at once."""
         self._context.counters["openings_refused"] += 1
-        reason = "all_tried" if candidates else "no_server_accepts"
+        reason = "all_tried" if candidate_count else "no_server_accepts"
         self._context.emit(
             events.OpeningRefused(
-                flow_id(key), reason, tried, candidates, self._context.routing.version
+                flow_id(key), reason, tried_count, candidate_count, self._context.routing.version
             )
         )
         self._context.send_reset(packet, key)
@@ -230,12 +230,12 @@
         if key not in self.searches.by_key:
             reason = "not_in_directory" if exclude is None else "returned_by_server"
             self._context.emit(events.SearchStarted(flow_id(key), reason, len(self.peers)))
-        queried = set(self.peers)
+        agents = set(self.peers)
         if self._holder.has_incomplete_flow_table:
-            queried.add(self._context.own_address)
+            agents.add(self._context.own_address)
         if exclude is not None:
-            queried.discard(exclude)
-        for address in self.searches.begin(key, frame.body, queried, self._context.now):
+            agents.discard(exclude)
+        for address in self.searches.begin(key, frame.body, agents, self._context.now):
             self._context.counters["search_requests"] += 1
             if address == self._context.own_address:
                 self._holder.probe(key, frame.body, self._context.own_address)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -41,7 +41,7 @@
         self.by_key: dict[bytes, Search] = {}
 
     def begin(
-        self, key: bytes, packet: bytes, queried: Iterable[Address], now: float
+        self, key: bytes, packet: bytes, agents: Iterable[Address], now: float
     ) -> list[Address]:
         """Start or continue a search; return the agents to send this packet to.
 
@@ -52,7 +52,7 @@
         if search is None:
             if len(self.by_key) >= MAX_SEARCHES:
                 return []
-            self.by_key[key] = Search(packet, now, now, set(queried), set(queried), [])
+            self.by_key[key] = Search(packet, now, now, set(agents), set(agents), [])
             return list(self.by_key[key].pending)
         if now - search.queried_at >= RETRY_INTERVAL_S:
             search.queried_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
@@ -17,15 +17,15 @@
     """Owners by bucket, among the agents of one data centre where any is live."""
 
     def __init__(self) -> None:
-        self._live_agents: tuple[Address, ...] = ()
+        self._agents: tuple[Address, ...] = ()
         self._owners: list[Address] = []
 
-    def update(self, live_agents: list[Address]) -> bool:
+    def update(self, agents: list[Address]) -> bool:
         """Rebuild the map if the set of live agents has changed; return whether it has."""
-        ordered = tuple(sorted(live_agents))
-        if ordered == self._live_agents:
+        ordered = tuple(sorted(agents))
+        if ordered == self._agents:
             return False
-        self._live_agents = ordered
+        self._agents = ordered
         seeds = [xxhash.xxh3_64_intdigest(f"{host}:{port}".encode()) for host, port in ordered]
         buckets = range(BUCKET_COUNT) if ordered else ()
         self._owners = [_pick_owner(ordered, seeds, bucket) for bucket in buckets]
@@ -34,11 +34,11 @@
     @property
     def has_owners(self) -> bool:
         """Return whether any agent owns directory entries."""
-        return bool(self._live_agents)
+        return bool(self._agents)
 
     def owner_of(self, key: bytes) -> Address | None:
         """Return the owner of a flow, or None if no agent is live."""
-        if not self._live_agents:
+        if not self._agents:
             return None
         return self._owners[xxhash.xxh3_64_intdigest(key) % BUCKET_COUNT]
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -28,9 +28,9 @@
     @classmethod
     def from_route(cls, route: Route) -> Destinations:
         """Build the destinations of a route without services of weight zero."""
-        weighted = [found for found in route.destinations if found.weight > 0]
-        cumulative_weights = accumulate(found.weight for found in weighted)
-        services = tuple(found.service for found in weighted)
+        weighted = [entry for entry in route.destinations if entry.weight > 0]
+        cumulative_weights = accumulate(entry.weight for entry in weighted)
+        services = tuple(entry.service for entry in weighted)
         return cls(services, tuple(cumulative_weights), route.target_s)
 
     def choose(self, key: bytes) -> str:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -27,7 +27,7 @@
 """The cost of a flow into another data centre as waiting time: its packets cross twice."""
 HELD_FLOW_WEIGHT = 0.25
 """The fraction of a request that an open flow counts as, on average."""
-COLD_FACTOR = 2.0
+COLD_SERVICE_TIME_FACTOR = 2.0
 DEFAULT_SERVICE_MS = 20.0
 
 
@@ -117,7 +117,7 @@
     load = peer.load
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
-        service_ms *= COLD_FACTOR
+        service_ms *= COLD_SERVICE_TIME_FACTOR
     work = load.in_flight + peer.openings_since_report + HELD_FLOW_WEIGHT * load.held_flows + 1.0
     wait_ms = service_ms * work / max(1, load.slots)
     return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -130,7 +130,7 @@
         self.counters: Counter[str] = Counter()
         self.is_up = True
         self.has_server = True
-        self.reports = 0
+        self.report_count = 0
         self._network = network
         self.router = self._build_router()
 
@@ -145,7 +145,7 @@
             self.counters,
             self._network,
             lambda response_s: None,
-            lambda since: self._network.are_members_known,
+            lambda since: self._network.is_control_reachable,
             self._network.now,
         )
 
@@ -158,12 +158,12 @@
             self.report()
 
     def report(self, *, is_draining: bool = False, cold_for_s: float = 0.0) -> None:
-        self.reports += 1
+        self.report_count += 1
         report = ServerReport(
             f"server-{self.address[0]}",
             self.service,
             1,
-            self.reports,
+            self.report_count,
             1,
             is_draining,
             False,
@@ -205,10 +205,10 @@
         self.now = 100.0
         self.replies: list[FakePacket] = []
         self.events: list[Event] = []
-        self.are_members_known = True
+        self.is_control_reachable = True
         self.removed: set[Address] = set()
         self.cold_starts_per_s = cold_starts_per_s
-        self._events: deque[object] = deque()
+        self._scheduled: deque[object] = deque()
         self.nodes: dict[Address, FakeNode] = {}
         for number, service in enumerate(services):
             address = (f"10.0.0.{number + 1}", 7_001)
@@ -222,7 +222,7 @@
             ),
             self.counters,
             self,
-            lambda: self.are_members_known,
+            lambda: self.is_control_reachable,
         )
         for node in self.nodes.values():
             node.report()
@@ -291,8 +291,8 @@
                 node.router.tick(self.now)
         self.run()
 
-    def schedule(self, event: object) -> None:
-        self._events.append(event)
+    def schedule(self, callback: object) -> None:
+        self._scheduled.append(callback)
 
     def send(self, frame: bytes, address: Address, source: Address) -> None:
         self.schedule(lambda: self._receive(frame, address, source))
@@ -307,11 +307,11 @@
 
     def run(self) -> None:
         for _ in range(MAX_EVENTS):
-            if not self._events:
+            if not self._scheduled:
                 return
-            event = self._events.popleft()
-            assert callable(event)
-            event()
+            callback = self._scheduled.popleft()
+            assert callable(callback)
+            callback()
         raise AssertionError("packets are forwarded in a loop")
 
     # Actions of a caller
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -112,16 +112,16 @@
         node.server.open.clear()
         other = next(n for n in self.network.nodes.values() if n is not node)
         table = [(False, True), (True, False)]
-        for is_up, are_known in table:
-            with self.subTest(is_up=is_up, are_known=are_known):
+        for is_up, is_reachable in table:
+            with self.subTest(is_up=is_up, is_reachable=is_reachable):
                 other.is_up = is_up
-                self.network.are_members_known = are_known
+                self.network.is_control_reachable = is_reachable
                 self.network.balancer.owners.update([node.address])
                 self.assertEqual(self.network.request(name, server), "")
                 self.assertEqual(self.network.resets, 0)
                 self.network.pass_time(3.0)
 
-    def test_reset_waits_until_all_members_are_known_and_asked(self) -> None:
+    def test_reset_waits_until_all_members_are_known_and_queried(self) -> None:
         """After a total power loss, nodes join during a search: the flow must not be reset."""
         name, server = next(iter(self.servers.items()))
         nodes = list(self.network.nodes.values())
@@ -132,11 +132,11 @@
         holder = next(n for n in nodes if n.server.name == server)
         others = {n.address: n.service for n in nodes if n is not holder}
         owner.router.set_peers(others, frozenset())
-        self.network.are_members_known = False
+        self.network.is_control_reachable = False
         self.assertEqual(self.network.request(name, server), "")
         self.assertEqual(self.network.resets, 0)
         owner.router.set_peers({n.address: n.service for n in nodes}, frozenset())
-        self.network.are_members_known = True
+        self.network.is_control_reachable = True
         self.network.pass_time(0.05)
         self.assertEqual([answer.server for answer in self.network.replies], [server])
 
@@ -277,7 +277,7 @@
         self.assertEqual((network.open("copy", attempt=2), network.resets), ("", 1))
         self.assertEqual((network.open("first"), network.resets), ("", 1))
 
-    def test_service_of_a_split_is_kept(self) -> None:
+    def test_a_split_route_uses_both_services(self) -> None:
         network = FakeNetwork([DESK, DESK, ARCHIVE, ARCHIVE])
         names = {n.server.name: n.service for n in network.nodes.values()}
         services = {name: names[network.open(name, SPLIT_ENDPOINT)] for name in FLOWS}
@@ -319,7 +319,7 @@
     def test_no_refusal_for_a_missing_route_while_changes_may_be_missing(self) -> None:
         """After a total power loss, a balancer without routing document must refuse no opening."""
         network = FakeNetwork([DESK])
-        network.are_members_known = False
+        network.is_control_reachable = False
         for attempt in range(3):
             network.open("caller", b"\xc6\x12\x00\x63\x01\xbb", attempt)
             self.assertEqual(network.resets, 0)
@@ -401,7 +401,7 @@
 
 
 class MalformedTest(unittest.TestCase):
-    def test_foreign_bytes_are_counted(self) -> None:
+    def test_undecodable_packets_are_counted(self) -> None:
         network = FakeNetwork([DESK])
         for packet in (b"", b"\x00", b"\xff" * 40):
             network.balancer.on_packet(packet)
