State conditions and side effects in the docstrings of the handshake routing

Several docstrings left out a condition or a side effect, or said something that the code does not do: a relayed body does not keep the hops of its frame but adds one; a packet that is relayed without its frame may well have arrived in one; the rate of a cold server comes from the routing document, not from the server; the owner map is not limited to live agents; asking whether the members are confirmed also requests the confirmation. Who rejects, which time counts and what happens to packets above a limit is now said too.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -2,8 +2,8 @@
 
 Every agent is the directory owner of some flows, by hash among the agents of the caller's data
 centre, and holds the flows of its backend server. Two servers may get transmissions of the same
-opening: the caller acknowledges one of them, and the other returns later packets. So an owner needs
-no exclusive right to place an opening.
+opening: the caller acknowledges one of the servers, and the other server returns later packets. So
+an owner needs no exclusive right to place an opening.
 """
 
 from __future__ import annotations
@@ -43,7 +43,8 @@
 class AgentRouter:
     """Routing decisions of one agent; the caller provides time and randomness.
 
-    ``are_members_confirmed`` returns whether control has confirmed the members since a given time.
+    ``are_members_confirmed`` returns whether control has confirmed the list of members since a
+    given time, and asks control for a confirmation if it has not.
     """
 
     def __init__(
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -27,7 +27,8 @@
 class BalancerRouter:
     """Routes packets of callers without keeping state about flows.
 
-    ``is_routing_current`` returns whether control has just confirmed the balancer's version.
+    ``is_routing_current`` returns whether control has recently confirmed that the balancer has the
+    current routing document.
     """
 
     def __init__(
@@ -77,10 +78,10 @@
         self._send(frame, owner)
 
     def _on_unknown_route(self, packet: bytes, header: PacketHeader) -> None:
-        """Drop an opening without route, or refuse it.
+        """Drop an opening to an endpoint without a route, or refuse it.
 
         The first transmission is dropped, since a new route may not have reached this balancer yet.
-        Retransmissions are refused, unless this balancer may have missed a change.
+        Retransmissions are refused, unless this balancer may have missed a change of the routing.
         """
         is_refused = header.attempt > 0 and self._is_routing_current()
         self._counters["openings_without_route"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -50,7 +50,8 @@
 class DirectoryOwner:
     """Keeps the directory entries of some flows.
 
-    ``are_members_confirmed`` returns whether control has confirmed the members since a given time.
+    ``are_members_confirmed`` returns whether control has confirmed the list of members since a
+    given time, and asks control for a confirmation if it has not.
     """
 
     def __init__(
@@ -105,7 +106,7 @@
             kind = RelayKind.PLACE if header.is_opening else RelayKind.DELIVER
             self._context.send(pointer.target, kind, frame, frame.body)
             if pointer.target in self.former_members:
-                # Control has no contact with the agent: it may have stopped with the flow's server.
+                # Control has no contact with the agent, and the flow's server may have stopped too.
                 self._search(frame, header.key, exclude=None)
         elif header.is_opening:
             self._place(frame, header, set())
@@ -143,13 +144,17 @@
         self._on_unplaced(opening, len(tried), len(candidates))
 
     def _find_candidates(self, opening: _Opening) -> list[PeerLoad]:
+        """Return the agents that may get an opening, among them this one by its current load."""
         now = self._context.now
         own_load = self._holder.build_load(now)
         self.loads.on_load(self._context.own_address, self._data_centre, own_load, now)
         return self.loads.find_candidates(self._members_by_tag.get(opening.tag, []), now)
 
     def _offer(self, opening: _Opening, address: Address) -> bool:
-        """Send an opening to an agent; return False if this agent rejects it itself."""
+        """Send an opening to an agent, or open its flow here.
+
+        Return False if this agent rejects the opening.
+        """
         frame, key = opening.frame, opening.key
         if address != self._context.own_address:
             self.loads.count_opening(address)
@@ -161,7 +166,7 @@
         return True
 
     def _on_unplaced(self, opening: _Opening, tried_count: int, candidate_count: int) -> None:
-        """Refuse an opening that no server has taken, unless one may take it or have taken it."""
+        """Refuse an opening that no server took, unless a server may still take it or has it."""
         key, now = opening.key, self._context.now
         self.pointers.remove(key)
         self.pointers.record_unplaced(key, now)
@@ -177,7 +182,10 @@
             self._context.counters["dropped_copy_of_opening"] += 1
 
     def _are_members_available(self, tag: int) -> bool:
-        """Return whether all members of a service are reachable, so that no ready one is missed."""
+        """Return whether all other members of a service are available by their load reports.
+
+        If not, a server may be ready without this owner knowing it.
+        """
         members = self._members_by_tag.get(tag, [])
         return all(a == self._context.own_address or self._is_available(a) for a in members)
 
@@ -220,7 +228,7 @@
     # Searches
 
     def on_returned(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
-        """Search for a flow that the server it was delivered to does not hold."""
+        """Search for the flow of a packet that the agent at ``source`` has returned."""
         pointer = self.pointers.by_key.get(header.key)
         if pointer is not None and pointer.target == source:
             self.pointers.remove(header.key)
@@ -264,10 +272,10 @@
             self._end_exhausted(key)
 
     def _end_exhausted(self, key: bytes) -> None:
-        """End a search that all agents have denied, once it is certain that all were queried.
+        """End a search in which no queried agent has the flow, once all members were queried.
 
         A server gets openings only as a member, so the agent that has the flow was a member before
-        the search began.
+        the search began. Until control has confirmed the members since then, one may be missing.
         """
         search = self.searches.by_key[key]
         if not self._are_members_confirmed(search.started_at):
@@ -284,7 +292,7 @@
         self._emit_search_ended(key, "nowhere", "", 0)
         header = self._context.packet_format.parse_inbound(packet)
         if not isinstance(header, Malformed) and header.payload_bytes:
-            # The flow ended with its server: the caller need not wait for its deadline.
+            # The flow ended with its server: a reset ends the caller's wait before its deadline.
             self._context.emit(events.FlowReset(flow_id(key), "held_nowhere"))
             self._context.send_reset(packet, key)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -1,6 +1,6 @@
 """The part of an agent that exchanges packets with its backend server.
 
-The flows that the server holds are the ground truth.
+Only the server determines which flows it holds; directory owners merely cache their locations.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 Address = tuple[str, int]
 
 INCOMPLETE_FLOW_TABLE_S = 60.0
-"""For as long as a flow may last, a restarted agent may not know some flows of its server."""
+"""A restarted agent may not know some flows of its server for as long as a flow may last."""
 SERVER_BUSY = "server_busy"
 
 
@@ -126,7 +126,10 @@
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
     def has_room(self, key: bytes) -> bool:
-        """Return whether a request on a new flow would be answered within its route's target."""
+        """Return whether a request on a new flow would be answered within its route's target.
+
+        If not, a rejection is counted.
+        """
         has_capacity = has_room(
             self.held.count_expected_requests(self._context.now),
             self.held.slots,
@@ -208,7 +211,10 @@
         self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
 
     def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
-        """Forward a reset, except one that answers a probe: it means that the flow is elsewhere."""
+        """Forward a reset to its caller, unless it answers a probe.
+
+        The server resets a probe if it does not have the flow, which may be on another server.
+        """
         requester = self.probes.remove(header.key)
         if requester is None:
             self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
@@ -276,7 +282,8 @@
     def _on_expired_probe(self, key: bytes, requester: Address) -> None:
         """Answer a probe whose packet the server has not returned.
 
-        A server that reports has the flow; one that has stopped does not.
+        A server that has reported recently has the flow, or it would have returned the packet. A
+        server that has stopped has no flows. Otherwise, the requester gets no answer.
         """
         if self.gate.has_recent_report(self._context.now):
             self.held.open(key, requester, self._context.now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -1,4 +1,4 @@
-"""The directory entries of one owner: the agent that has a flow, and the agents already tried."""
+"""The directory entries of one owner: which agent has a flow, and which were tried for it."""
 
 from __future__ import annotations
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -45,8 +45,9 @@
     ) -> list[Address]:
         """Start or continue a search; return the agents to send this packet to.
 
-        These are all agents at first, then at intervals those with an answer pending. A packet that
-        arrives between is queued.
+        The first packet goes to all agents. Later, one packet per RETRY_INTERVAL_S goes to the
+        agents with an answer pending, and the others are queued until the flow is found. Packets
+        are dropped when MAX_SEARCHES or MAX_QUEUED_PACKETS is reached.
         """
         search = self.by_key.get(key)
         if search is None:
@@ -86,7 +87,8 @@
     def find_exhausted(self, former_members: Collection[Address], now: float) -> list[bytes]:
         """Return the keys of searches in which no queried agent has the flow.
 
-        A former member that does not answer counts as stopped: control had no contact either.
+        A former member counts as stopped if it has not answered FORMER_MEMBER_TIMEOUT_S after the
+        search began, since control had no contact with it either.
         """
         return [
             key for key, search in self.by_key.items() if _is_exhausted(search, former_members, now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -29,8 +29,8 @@
 
     ``owner`` is the agent that sent the flow's last packet here, ``awaiting_since`` the time of a
     request without an answer (0 for none). ``has_free_slot`` is set if the server had a slot free
-    for that request, so that its response time is the server's work alone. ``finished_ends`` is the
-    set of ends that have closed the flow.
+    for that request, so that its response time is the server's work alone. ``finished_ends`` has a
+    bit for each end that has closed the flow; ``closed_at`` is 0 until the flow is closed.
     """
 
     key: bytes
@@ -48,7 +48,10 @@
 
 
 class HeldFlows:
-    """Keeps the state of the backend server's flows, updated with each of their packets."""
+    """Keeps the state of the backend server's flows, updated with each of their packets.
+
+    ``service_s`` is the smoothed response time of requests that found a slot free; 0 if unknown.
+    """
 
     def __init__(self, record_response: Callable[[float], None]) -> None:
         self.by_key: dict[bytes, HeldFlow] = {}
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/owner_map.py
@@ -1,7 +1,7 @@
-"""Assigns the directory entries of flows to live agents by rendezvous hashing.
+"""Assigns the directory entries of flows to agents by rendezvous hashing.
 
-Source: highest random weight hashing (Thaler and Ravishankar, 1998). Two nodes may disagree while
-agents start or stop: an owner without an entry for a flow searches for the flow.
+Source: highest random weight hashing (Thaler and Ravishankar, 1998). Two balancers may
+disagree while agents start or stop: an owner without an entry for a flow searches for the flow.
 """
 
 from __future__ import annotations
@@ -14,14 +14,14 @@
 
 
 class OwnerMap:
-    """Owners by bucket, among the agents of one data centre where any is live."""
+    """Owners by bucket: the live agents of one data centre, or others if none of them is live."""
 
     def __init__(self) -> None:
         self._agents: tuple[Address, ...] = ()
         self._owners: list[Address] = []
 
     def update(self, agents: list[Address]) -> bool:
-        """Rebuild the map if the set of live agents has changed; return whether it has."""
+        """Rebuild the map if the set of agents has changed; return whether it has."""
         ordered = tuple(sorted(agents))
         if ordered == self._agents:
             return False
@@ -37,7 +37,7 @@
         return bool(self._agents)
 
     def owner_of(self, key: bytes) -> Address | None:
-        """Return the owner of a flow, or None if no agent is live."""
+        """Return the owner of a flow, or None if the map has no agents."""
         if not self._agents:
             return None
         return self._owners[xxhash.xxh3_64_intdigest(key) % BUCKET_COUNT]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
@@ -16,7 +16,7 @@
 def has_room(in_flight: int, slots: int, service_s: float, target_s: float) -> bool:
     """Return whether one more request would start soon enough; times are in seconds.
 
-    There is no limit without a target, or before the response time of an answer was measured.
+    There is no limit without a target, or before a first response time was measured.
     """
     if not target_s or not service_s:
         return True
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
@@ -42,7 +42,10 @@
         self.now = now
 
     def resolve_service(self, frame: RelayFrame, key: bytes) -> str | None:
-        """Return an opening's service by the newer of the sender's and this agent's routing."""
+        """Return an opening's service by the newer of the sender's and this agent's routing.
+
+        Return None if the opening has no route, or its service is not known here.
+        """
         if self.routing.version > frame.routing_version:
             destinations = self.routing.find(self.packet_format.endpoint_of(key))
             return destinations.choose(key) if destinations else None
@@ -55,16 +58,20 @@
             self.outbox.reply(refusal, self.packet_format.caller_host(key))
 
     def send(self, address: Address, kind: RelayKind, frame: RelayFrame, body: bytes) -> None:
-        """Send a body with the hops, routing version and service tag of a frame."""
+        """Send a body that continues or answers a frame, with the service tag of the frame."""
         self.relay(address, kind, frame, frame.service_tag, body)
 
     def relay(
         self, address: Address, kind: RelayKind, frame: RelayFrame, tag: int, body: bytes
     ) -> None:
-        """Send a body with a service tag and the newer of the frame's and this agent's version."""
+        """Send a body that continues or answers a frame: one hop more, and a given service tag.
+
+        With a tag, the routing version is the newer of the frame's and this agent's; without, it
+        is the frame's.
+        """
         version = max(frame.routing_version, self.routing.version if tag else 0)
         self.outbox.relay(address, kind, frame.hops + 1, version, tag, body)
 
     def relay_packet(self, address: Address, kind: RelayKind, packet: bytes) -> None:
-        """Send a packet that did not arrive in a frame."""
+        """Send a packet without its frame: with one hop, no routing version and no service."""
         self.outbox.relay(address, kind, 1, 0, relay.NO_SERVICE, packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -24,10 +24,13 @@
 MAX_LOAD_AGE_S = 1.2
 """Agents report at least twice a second."""
 REMOTE_PENALTY_MS = 3.0
-"""The cost of a flow into another data centre as waiting time: its packets cross twice."""
+"""The extra wait counted for a flow into another data centre, since its packets travel between
+the two data centres twice.
+"""
 HELD_FLOW_WEIGHT = 0.25
 """The fraction of a request that an open flow counts as, on average."""
 COLD_SERVICE_TIME_FACTOR = 2.0
+"""A cold server is expected to need this many times its measured service time."""
 DEFAULT_SERVICE_MS = 20.0
 
 
@@ -77,7 +80,7 @@
         return now - peer.received_at <= MAX_LOAD_AGE_S
 
     def find_candidates(self, members: Iterable[Address], now: float) -> list[PeerLoad]:
-        """Return the loads of those members whose servers accept openings."""
+        """Return the recent loads of members that accept openings and have rejected none since."""
         known = (self.by_address.get(address) for address in members)
         return [
             peer
@@ -113,7 +116,7 @@
 
 
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
-    """Return the expected time of a new flow's first request, including a share of later load."""
+    """Return the expected time of a new flow's first request; held flows add parts of a request."""
     load = peer.load
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -1,8 +1,8 @@
 """Decides which openings an agent delivers to its backend server.
 
 A server that is leaving or out of service gets no new flow from any sender. A server that has just
-started gets no more openings a second than it can handle. This holds during a network partition
-too, since no other process delivers openings to the server.
+started gets no more openings a second than it can handle. This limit holds during a network
+partition too, since no process other than the agent delivers openings to the server.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import msgspec
 
 COLD_WINDOW_S = 1.05
-"""The limit applies to any span of 1 s; the excess covers the transit to the server."""
+"""The limit applies to any span of 1 s; the remaining time covers the transit to the server."""
 MAX_INACTIVITY_STEP_S = 0.2
 RETURN_COLD_S = 2.0
 """When its data centre returns to service, a server counts as cold for this long, unless a newer
@@ -44,13 +44,17 @@
 
 
 class ColdLimit(msgspec.Struct, frozen=True):
-    """The openings a second that a cold server gets: ``factor`` times its rate, plus ``slack``."""
+    """The openings a second that a cold server gets.
+
+    The limit is ``factor`` times the rate that the routing document sets for the service, plus
+    ``slack``.
+    """
 
     factor: float = 1.0
     slack: float = 0.0
 
     def max_openings(self, starts_per_s: float) -> int:
-        """Return the limit for a server whose declared rate is ``starts_per_s``; at least 1."""
+        """Return the limit for a server whose service has the rate ``starts_per_s``; at least 1."""
         return max(1, int(starts_per_s * self.factor + self.slack))
 
 
@@ -119,7 +123,7 @@
     def update_inactivity(self, now: float) -> None:
         """Add the time since the last call to the server's inactivity.
 
-        Time in which the agent itself was suspended is left out.
+        Time above MAX_INACTIVITY_STEP_S is left out, since the agent itself was suspended then.
         """
         self._inactive_s += min(now - self._inactivity_updated_at, MAX_INACTIVITY_STEP_S)
         self._inactivity_updated_at = now
@@ -138,11 +142,14 @@
         )
 
     def accepts(self, now: float) -> bool:
-        """Return whether peers should send openings."""
+        """Return whether peers should send openings to this agent."""
         return self._find_rejection_reason(now) is None
 
     def is_awaiting_first_report(self, now: float) -> bool:
-        """Return whether the agent started too recently to expect a report of its server yet."""
+        """Return whether openings are rejected only because the server's first report is pending.
+
+        The report counts as pending until the agent has run for the report timeout.
+        """
         is_report_pending = self.report is None and now - self._started_at <= self._report_timeout_s
         return is_report_pending and self._find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -156,7 +156,10 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Notify all peers that this agent owns no directory entries from now on."""
+        """Notify all peers that this agent owns no directory entries from now on.
+
+        If its server has left, the agent leaves the cluster first.
+        """
         self.router.gate.is_leaving = True
         report = self.router.gate.report
         if report is not None and report.has_left:
@@ -167,7 +170,10 @@
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
     def on_report(self, report: ServerReport) -> bool:
-        """Process a status report of the server; return whether it was accepted."""
+        """Process a status report of the server; return whether it was accepted.
+
+        If the report changes whether the agent accepts openings, the peers are notified at once.
+        """
         now = clock.seconds()
         if not self.router.on_report(report, now):
             return False
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -136,7 +136,7 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Wait for its turn to stop, report not ready, and serve until the fabric has noticed."""
+        """Wait for this balancer's turn, report not ready, and serve until the fabric notices."""
         requested_at = clock.seconds()
         while not self._stop_coordinator.may_stop(requested_at, clock.seconds()):
             await anyio.sleep(STOP_POLL_INTERVAL_S)
