Describe the fake network of the handshake tests and what its test classes guard against

The fake network did not say what its switches stand for, two of its methods share more than their docstrings said, and two test classes had no head. In the docstring of AgentRouter, "the caller" was the code that calls it, while everywhere else a caller is who sends packets.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -41,7 +41,7 @@
 
 
 class AgentRouter:
-    """Routing decisions of one agent; the caller provides time and randomness.
+    """Routing decisions of one agent; time and randomness are passed in.
 
     ``are_members_confirmed`` returns whether control has confirmed the list of members since a
     given time, and asks control for a confirmation if it has not.
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -35,7 +35,10 @@
 
 
 class FakePacket(msgspec.Struct, array_like=True):
-    """A packet: its flow, its flags, the server that it acknowledges, and its data."""
+    """A packet: its flow, its flags, the server that it acknowledges, and its data.
+
+    ``attempt`` is 0 for the first transmission of an opening.
+    """
 
     key: bytes
     flags: int
@@ -199,7 +202,11 @@
 
 
 class FakeNetwork:
-    """Delivers frames in order; time advances only by :meth:`pass_time`."""
+    """Delivers frames in order; time advances only by :meth:`pass_time`.
+
+    While ``is_control_reachable`` is false, control confirms neither the members to the agents nor
+    the routing document to the balancer. ``removed`` are agents that control has removed.
+    """
 
     def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
         self.now = 100.0
@@ -255,11 +262,12 @@
             node.router.apply_routing(document)
 
     def share_state(self) -> None:
-        """Share the loads of all running agents among them, and update the balancer's owners."""
+        """Share members and loads among the agents, and set those that run as owners."""
         self.share_loads()
         self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
 
     def share_loads(self) -> None:
+        """Give every agent the list of members and the loads of all running agents."""
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
             members = {
@@ -278,7 +286,7 @@
         self.share_loads()
 
     def pass_time(self, seconds: float) -> None:
-        """Advance time, let all servers report, and let all agents share loads and run timers."""
+        """Advance time, let all running servers report, share loads, and run the agents' timers."""
         self.now += seconds
         for node in self.nodes.values():
             report = node.router.gate.report
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -209,6 +209,8 @@
 
 
 class OpeningsTest(unittest.TestCase):
+    """An opening must reach a ready server, and be refused only if no server can have taken it."""
+
     def test_a_retransmitted_opening_reaches_the_same_server(self) -> None:
         network = FakeNetwork([DESK] * 4)
         for name in FLOWS:
@@ -317,7 +319,7 @@
         self.assertEqual(network.resets, 1)
 
     def test_no_refusal_for_a_missing_route_while_changes_may_be_missing(self) -> None:
-        """After a total power loss, a balancer without routing document must refuse no opening."""
+        """After a total power loss, a balancer with no routing document must refuse no opening."""
         network = FakeNetwork([DESK])
         network.is_control_reachable = False
         for attempt in range(3):
@@ -401,6 +403,8 @@
 
 
 class MalformedTest(unittest.TestCase):
+    """Packets that cannot be routed must be dropped without an answer."""
+
     def test_undecodable_packets_are_counted(self) -> None:
         network = FakeNetwork([DESK])
         for packet in (b"", b"\x00", b"\xff" * 40):
