--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -41,18 +41,19 @@
         self.by_key: dict[bytes, Search] = {}
 
     def begin(
-        self, key: bytes, packet: bytes, queried: Iterable[Address], now: float
+        self, key: bytes, packet: bytes, agents: Iterable[Address], now: float
     ) -> list[Address]:
         """Start or continue a search; return the agents to send this packet to.
 
-        These are all agents at first, then at intervals those with an answer pending. A packet that
-        arrives between is queued.
+        The first packet goes to all agents. Later, one packet per RETRY_INTERVAL_S goes to the
+        agents with an answer pending, and the others are queued until the flow is found. Packets
+        are dropped when MAX_SEARCHES or MAX_QUEUED_PACKETS is reached.
         """
         search = self.by_key.get(key)
         if search is None:
             if len(self.by_key) >= MAX_SEARCHES:
                 return []
-            self.by_key[key] = Search(packet, now, now, set(queried), set(queried), [])
+            self.by_key[key] = Search(packet, now, now, set(agents), set(agents), [])
             return list(self.by_key[key].pending)
         if now - search.queried_at >= RETRY_INTERVAL_S:
             search.queried_at = now
@@ -86,7 +87,8 @@
     def find_exhausted(self, former_members: Collection[Address], now: float) -> list[bytes]:
         """Return the keys of searches in which no queried agent has the flow.
 
-        A former member that does not answer counts as stopped: control had no contact either.
+        A former member counts as stopped if it has not answered FORMER_MEMBER_TIMEOUT_S after the
+        search began, since control had no contact with it either.
         """
         return [
             key for key, search in self.by_key.items() if _is_exhausted(search, former_members, now)
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -35,7 +35,10 @@
 
 
 class FakePacket(msgspec.Struct, array_like=True):
-    """A packet: its flow, its flags, the server that it acknowledges, and its data."""
+    """A packet: its flow, its flags, the server that it acknowledges, and its data.
+
+    ``attempt`` is 0 for the first transmission of an opening.
+    """
 
     key: bytes
     flags: int
@@ -130,7 +133,7 @@
         self.counters: Counter[str] = Counter()
         self.is_up = True
         self.has_server = True
-        self.reports = 0
+        self.report_count = 0
         self._network = network
         self.router = self._build_router()
 
@@ -145,7 +148,7 @@
             self.counters,
             self._network,
             lambda response_s: None,
-            lambda since: self._network.are_members_known,
+            lambda since: self._network.is_control_reachable,
             self._network.now,
         )
 
@@ -158,12 +161,12 @@
             self.report()
 
     def report(self, *, is_draining: bool = False, cold_for_s: float = 0.0) -> None:
-        self.reports += 1
+        self.report_count += 1
         report = ServerReport(
             f"server-{self.address[0]}",
             self.service,
             1,
-            self.reports,
+            self.report_count,
             1,
             is_draining,
             False,
@@ -199,16 +202,20 @@
 
 
 class FakeNetwork:
-    """Delivers frames in order; time advances only by :meth:`pass_time`."""
+    """Delivers frames in order; time advances only by :meth:`pass_time`.
+
+    While ``is_control_reachable`` is false, control confirms neither the members to the agents nor
+    the routing document to the balancer. ``removed`` are agents that control has removed.
+    """
 
     def __init__(self, services: list[str], *, cold_starts_per_s: float = 0.0) -> None:
         self.now = 100.0
         self.replies: list[FakePacket] = []
         self.events: list[Event] = []
-        self.are_members_known = True
+        self.is_control_reachable = True
         self.removed: set[Address] = set()
         self.cold_starts_per_s = cold_starts_per_s
-        self._events: deque[object] = deque()
+        self._scheduled: deque[object] = deque()
         self.nodes: dict[Address, FakeNode] = {}
         for number, service in enumerate(services):
             address = (f"10.0.0.{number + 1}", 7_001)
@@ -222,7 +229,7 @@
             ),
             self.counters,
             self,
-            lambda: self.are_members_known,
+            lambda: self.is_control_reachable,
         )
         for node in self.nodes.values():
             node.report()
@@ -255,11 +262,12 @@
             node.router.apply_routing(document)
 
     def share_state(self) -> None:
-        """Share the loads of all running agents among them, and update the balancer's owners."""
+        """Share members and loads among the agents, and set those that run as owners."""
         self.share_loads()
         self.balancer.owners.update([node.address for node in self.nodes.values() if node.is_up])
 
     def share_loads(self) -> None:
+        """Give every agent the list of members and the loads of all running agents."""
         up = [node for node in self.nodes.values() if node.is_up]
         for node in self.nodes.values():
             members = {
@@ -278,7 +286,7 @@
         self.share_loads()
 
     def pass_time(self, seconds: float) -> None:
-        """Advance time, let all servers report, and let all agents share loads and run timers."""
+        """Advance time, let all running servers report, share loads, and run the agents' timers."""
         self.now += seconds
         for node in self.nodes.values():
             report = node.router.gate.report
@@ -291,8 +299,8 @@
                 node.router.tick(self.now)
         self.run()
 
-    def schedule(self, event: object) -> None:
-        self._events.append(event)
+    def schedule(self, callback: object) -> None:
+        self._scheduled.append(callback)
 
     def send(self, frame: bytes, address: Address, source: Address) -> None:
         self.schedule(lambda: self._receive(frame, address, source))
@@ -307,11 +315,11 @@
 
     def run(self) -> None:
         for _ in range(MAX_EVENTS):
-            if not self._events:
+            if not self._scheduled:
                 return
-            event = self._events.popleft()
-            assert callable(event)
-            event()
+            callback = self._scheduled.popleft()
+            assert callable(callback)
+            callback()
         raise AssertionError("packets are forwarded in a loop")
 
     # Actions of a caller
--- a/tests/coordination/handshake/test_stop_coordinator.py
+++ b/tests/coordination/handshake/test_stop_coordinator.py
@@ -20,7 +20,7 @@
     def test_may_stop_at_once_when_no_other_stops(self) -> None:
         self.assertTrue(self.turns.may_stop(10.0, 10.0))
 
-    def test_waits_for_another_balancer_up_to_the_timeout(self) -> None:
+    def test_waits_for_another_balancer_up_to_the_wait_limit(self) -> None:
         self.turns.on_stop(OTHER, 9.0)
         table = [(10.0, False), (10.0 + WAIT_LIMIT_S - 0.1, False), (10.0 + WAIT_LIMIT_S, True)]
         for now, expected in table:
