Names of the coordination layer that held two meanings

LocalFlow.is_queued_start was set when all slots were busy, but a queued start elsewhere is an entry of the admission queue: the field is now was_queued, as in the limiter that receives it. AgentView.own_endpoint only serves as the target of round-trip probes: probe_endpoint. LocalFlows called its PacketOutbox outbox, as the authority calls its DatagramOutbox; the router and the context call it packets, and so does LocalFlows now. A few locals and the names of five tests now say what is checked.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -24,7 +24,7 @@
     def __init__(self, identity: AgentIdentity) -> None:
         self.config: Configuration | None = None
         self.classes_by_endpoint: dict[bytes, TrafficClass] = {}
-        self.own_endpoint = b""
+        self.probe_endpoint = b""
         self.bucket_count = 0
         self.is_out_of_service = False
         self._identity = identity
@@ -61,7 +61,7 @@
         self.config = config
         service = config.services_by_name.get(self._identity.service)
         self.classes_by_endpoint = index_classes(service) if service else {}
-        self.own_endpoint = next(iter(self.classes_by_endpoint), b"")
+        self.probe_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
         self._record_removed_members(now)
         self.refresh(now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -171,24 +171,24 @@
             holder = previous.owner_of(bucket) if previous else None
             if earlier is not None:
                 holder = earlier.holder_id
-            is_reachable = bool(holder) and holder != self._own_id and holder not in changed_ids
+            has_holder = bool(holder) and holder != self._own_id and holder not in changed_ids
             claim = BucketClaim(
                 bucket,
                 table.epoch,
-                self._claim_due_at(earlier, is_reachable, now),
+                self._claim_due_at(earlier, has_holder, now),
                 self._other_members(),
-                holder_id=holder if holder and is_reachable else "",
+                holder_id=holder if holder and has_holder else "",
                 queue=earlier.queue if earlier else [],
             )
             self.claims_by_bucket[bucket] = claim
 
     @staticmethod
-    def _claim_due_at(earlier: BucketClaim | None, is_reachable: bool, now: float) -> float:
+    def _claim_due_at(earlier: BucketClaim | None, has_holder: bool, now: float) -> float:
         """Return when to send a claim: delayed if the holder is reachable, since it grants unasked.
 
         Further table changes don't postpone a claim that is already scheduled.
         """
-        if not is_reachable:
+        if not has_holder:
             return now
         due = now + CLAIM_DELAY_S
         return min(due, earlier.due_at) if earlier is not None else due
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -129,11 +129,11 @@
         self.limit = max(INITIAL_LIMIT, self.limit * DECREASE_FACTOR)
 
     def _acceptable_response_s(self, class_name: str, target: Target) -> float:
-        queue_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
-        queue_s = max(queue_s, MIN_RESPONSE_S * QUEUE_FACTOR)
+        max_response_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
+        max_response_s = max(max_response_s, MIN_RESPONSE_S * QUEUE_FACTOR)
         if target.kind is TargetKind.RESPONSE_TIME:
-            return min(target.limit / 1_000, queue_s)
-        return queue_s
+            return min(target.limit / 1_000, max_response_s)
+        return max_response_s
 
     def _mark_cold(self) -> None:
         self.cold_events += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -228,11 +228,11 @@
         if self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [])
             return True
-        former_members = self.view.recently_removed_ids(self._context.now)
-        for server_id in former_members:
+        removed_ids = self.view.recently_removed_ids(self._context.now)
+        for server_id in removed_ids:
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-        return bool(former_members)
+        return bool(removed_ids)
 
     # Decisions of the authority
 
@@ -422,9 +422,9 @@
         self._rejected_starts.expire(now)
 
     def _send_probe(self, now: float) -> None:
-        if self.view.is_out_of_service or not self.view.own_endpoint:
+        if self.view.is_out_of_service or not self.view.probe_endpoint:
             return
-        probe = self._probe.build(self.view.own_endpoint, now)
+        probe = self._probe.build(self.view.probe_endpoint, now)
         if probe is not None:
             self._packets.deliver(probe)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -40,7 +40,7 @@
         directory: FlowDirectory,
         limiter: ConcurrencyLimiter,
         slots: int,
-        outbox: PacketOutbox,
+        packets: PacketOutbox,
         counters: Counters,
         record_response: Callable[[float], None],
     ) -> None:
@@ -48,7 +48,7 @@
         self._directory = directory
         self._limiter = limiter
         self._slots = slots
-        self._outbox = outbox
+        self._packets = packets
         self._counters = counters
         self._record_response = record_response
         self._awaiting_by_key: dict[bytes, LocalFlow] = {}
@@ -87,9 +87,9 @@
         flow.last_inbound_at = now
         if flow.traffic_class.protocol is FlowProtocol.UDP:
             self._expect_answer(flow, packet, now)
-            self._outbox.deliver(packet)
+            self._packets.deliver(packet)
             return
-        self._outbox.deliver(packet)
+        self._packets.deliver(packet)
         offset = ip.transport_offset(packet)
         flags = packet[offset + 13]
         if flags & _CONNECTION_FLAGS:
@@ -114,7 +114,7 @@
         if flow.awaiting_since > 0.0:
             return
         flow.awaiting_since = now
-        flow.is_queued_start = self._limiter.in_flight >= self._slots
+        flow.was_queued = self._limiter.in_flight >= self._slots
         self._limiter.on_start()
         self._awaiting_by_key[flow.key] = flow
 
@@ -145,7 +145,7 @@
         traffic_class = flow.traffic_class
         self._clear_awaiting(flow)
         self._limiter.on_answer(
-            traffic_class.name, response_s, traffic_class.target, flow.is_queued_start, now
+            traffic_class.name, response_s, traffic_class.target, flow.was_queued, now
         )
         self._record_response(response_s)
 
@@ -191,13 +191,13 @@
         probes = self._probe_counts_by_key.get(flow.key, 0)
         if probes >= MAX_PROBES:
             self._counters["silent_flows_reset"] += 1
-            self._outbox.reply(build_reset(flow.last_packet))
+            self._packets.reply(build_reset(flow.last_packet))
             self.close(flow)
             return
         flow.probed_at = now
         self._probe_counts_by_key[flow.key] = probes + 1
         self._counters["silence_probes"] += 1
-        self._outbox.deliver(build_probe(flow.last_packet))
+        self._packets.deliver(build_probe(flow.last_packet))
 
     def _sweep(self, now: float) -> None:
         if not self._sweep_keys:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
@@ -18,7 +18,7 @@
     last_outbound_at: float = 0.0
     awaiting_since: float = 0.0
     unanswered_packets: int = 0
-    is_queued_start: bool = False
+    was_queued: bool = False
     has_inbound_fin: bool = False
     has_outbound_fin: bool = False
     probed_at: float = 0.0
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -38,7 +38,7 @@
             self.answer(BASELINE_S)
         self.assertEqual(limits, [1, 2, 2, 3, 3, 3, 4])
 
-    def test_limit_stops_growing(self) -> None:
+    def test_limit_stops_growing_at_the_queue_factor_per_slot(self) -> None:
         self.warm()
         self.assertEqual(self.limiter.limit, SLOTS * QUEUE_FACTOR)
 
@@ -49,7 +49,7 @@
         self.limiter.on_abandon()
         self.assertTrue(self.limiter.allows_start())
 
-    def test_slow_answers(self) -> None:
+    def test_slow_answers_lower_the_limit_and_a_lasting_step_means_cold(self) -> None:
         table = {
             "above the target": (0.25, 1, False),
             "above four times the baseline": (BASELINE_S * 4.5, 1, False),
@@ -75,7 +75,7 @@
             self.limiter.on_answer("class", BASELINE_S * 2.8, REQUEST_TARGET, False, self.now)
         self.assertFalse(self.limiter.is_cold)
 
-    def test_held_flow_answers_do_not_warm_a_cold_server(self) -> None:
+    def test_held_flow_answers_raise_the_limit_only_to_the_slots(self) -> None:
         self.answer(0.000_5, 200, HELD_TARGET)
         self.assertLessEqual(self.limiter.limit, SLOTS)
         self.assertEqual(self.limiter.capacity, 0)
@@ -107,7 +107,7 @@
     ) -> Load:
         return Load(in_flight, limit, held, capacity)
 
-    def test_choice(self) -> None:
+    def test_chosen_peer_is_placeable_and_has_headroom(self) -> None:
         table = [
             ({"a": self.load(in_flight=8), "b": self.load()}, "b"),
             ({"a": self.load(in_flight=8)}, None),
@@ -138,9 +138,9 @@
         self.peers.update("fast", self.load(held=150, capacity=2_000), 0.0)
         self.peers.update("slow", self.load(held=100, capacity=1_000), 0.0)
         self.assertEqual(self.peers.choose_for_held_flow((), 0.0), "fast")
-        for held, is_least in ((80, True), (90, False)):
+        for held, is_at_most_mean in ((80, True), (90, False)):
             own = self.load(held=held)
-            self.assertEqual(self.peers.has_at_most_mean_held_ratio(own, 0.0), is_least)
+            self.assertEqual(self.peers.has_at_most_mean_held_ratio(own, 0.0), is_at_most_mean)
 
 
 if __name__ == "__main__":
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -84,7 +84,7 @@
                 self.authority.tick(now)
                 self.assertEqual(self.authority.is_authority(BUCKET), is_taken)
 
-    def test_takeover_after_a_loss_is_uncertain_for_the_retry_horizon(self) -> None:
+    def test_takeover_after_a_removal_is_uncertain_for_the_retry_window(self) -> None:
         for removed, is_uncertain in (("c", True), ("", False)):
             with self.subTest(removed=removed):
                 self.setUp()
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/test_flow_router.py
@@ -44,12 +44,12 @@
         self.assertEqual(sum(self.cluster.resets.values()), 0)
 
     def test_flows_survive_membership_changes(self) -> None:
-        tables = {
+        changes_by_name = {
             "drain and restore": self.drain_and_restore,
             "many changes": self.change_often,
             "crash of each agent in turn": self.crash_each,
         }
-        for name, change in tables.items():
+        for name, change in changes_by_name.items():
             with self.subTest(name):
                 self.setUp()
                 self.open_feeds()
