Texts of the coordination layer that left out a condition

Some docstrings restated the name or left out a condition, a side effect or who acts: how long a bucket is uncertain after a removal or a lost flow table, why frequent changes alone cost no lease, what a pause of the leader does to the timeouts, that forward replaces the flags and stamps the epoch, that only TCP flows are recovered, what the fields of claims, grants and recoveries hold. Where "caller" meant the code that calls a method, not the caller of a flow, the text says so.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
@@ -19,7 +19,10 @@
 def assign_addresses(
     command: AnyCommand, config: Configuration, pools: list[AddressPool]
 ) -> AnyCommand:
-    """Return the command with an address or port from the pools; empty or 0 if none is free."""
+    """Return the command with an address or port from the pools; empty or 0 if none is free.
+
+    Commands that need neither are returned unchanged.
+    """
     if isinstance(command, CreateBooking):
         change = assign_addresses(command.change, config, pools)
         return msgspec.structs.replace(command, change=change)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
@@ -96,16 +96,22 @@
         )
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
-        """Stop or resume all service, if the settings require that an isolated node stops."""
+        """Stop all service while this agent is isolated, or resume it.
+
+        Only called if the settings require that an isolated agent stops.
+        """
         self._is_isolated = is_isolated
         self.refresh(now)
 
     def add_incarnation(self, boot_id: int) -> None:
-        """Record another boot id of this process."""
+        """Record a boot id under which this process joins again."""
         self._boot_ids.add(boot_id)
 
     def had_other_incarnation(self) -> bool:
-        """Return whether the local backend server had an agent before this process."""
+        """Return whether the local backend server had another agent process before this one.
+
+        That process may have tracked flows that this one does not know.
+        """
         if self.config is None:
             return False
         known = (self.own_member, self.config.former_members_by_id.get(self.own_id))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -95,7 +95,10 @@
 
     @property
     def has_tokens_to_grant(self) -> bool:
-        """Return whether tokens are left, or being granted, that another server can take over."""
+        """Return whether this agent has tokens, or grants not acknowledged yet.
+
+        False if the table has no owner that could receive them.
+        """
         has_successors = self.table is not None and self.table.has_owners
         return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
 
@@ -106,8 +109,9 @@
     def is_uncertain(self, bucket: int, now: float) -> bool:
         """Return whether an unknown flow may already run on a server whose records are missing.
 
-        True for ``CALLER_RETRY_WINDOW_S`` after a takeover that followed the removal of a member,
-        and after another member reported an incomplete flow table.
+        True for ``CALLER_RETRY_WINDOW_S`` after another member first reported an incomplete flow
+        table. For a bucket that was taken over after the removal of a member, also true until
+        ``CALLER_RETRY_WINDOW_S`` after the removal; a grant passes the rest of that time on.
         """
         if any(
             now - since < CALLER_RETRY_WINDOW_S for since in self.incomplete_since_by_id.values()
@@ -184,7 +188,7 @@
 
     @staticmethod
     def _claim_due_at(earlier: BucketClaim | None, has_holder: bool, now: float) -> float:
-        """Return when to send a claim: delayed if the holder is reachable, since it grants unasked.
+        """Return when to send a claim: later if a holder is known, since it grants without a claim.
 
         Further table changes don't postpone a claim that is already scheduled.
         """
@@ -310,7 +314,7 @@
         return message.epoch == self.table.epoch and message.sender == self.table.owner_of(bucket)
 
     def on_claim_answer(self, message: ClaimAnswer, now: float) -> None:
-        """Record the answers; flows on the member's server become pointers at once."""
+        """Record a member's answers; the flows on its server become pointers at once."""
         if self._boot_ids_by_member.get(message.sender) != message.boot_id:
             self._counters["messages_of_old_incarnation"] += 1
             return
@@ -437,7 +441,8 @@
     def on_grant(self, message: Grant, now: float) -> None:
         """Accept the tokens that are newer than any seen, refuse the others, acknowledge all.
 
-        A grant to an earlier incarnation is ignored: this one doesn't know its promises.
+        A grant to an earlier incarnation of this agent is ignored, since the present incarnation
+        does not know which promises the earlier one made.
         """
         if message.recipient_boot_id != self._boot_id:
             self._counters["messages_of_old_incarnation"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claim.py
@@ -23,7 +23,11 @@
 
 
 class BucketClaim(msgspec.Struct):
-    """State of one claim; the members in ``pending_ids`` have not yet denied holding the token."""
+    """State of one claim; the members in ``pending_ids`` have not yet denied holding the token.
+
+    No claim message is sent before ``due_at``. ``holder_id`` is the member believed to hold the
+    token, empty if none is known. ``parts_by_member`` are the parts of denials received so far.
+    """
 
     bucket: int
     epoch: int
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -83,8 +83,8 @@
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
-        # Answers without processing say little of the server's speed: they raise the limit only up
-        # to the number of slots.
+        # Answers on held flows cost the server little and say little about its speed: alone, they
+        # raise the limit, which is low on a cold server, only up to the number of slots.
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
@@ -111,7 +111,7 @@
         self._times.reset_slow_streaks()
 
     def on_unresponsive(self) -> None:
-        """Treat a server that has stopped answering its requests as cold."""
+        """Restart slow start for a server that has stopped answering, unless it is cold already."""
         if not self.is_cold:
             self._mark_cold()
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -31,7 +31,7 @@
 
     @classmethod
     def is_essential(cls) -> bool:
-        """Return whether the event tells of a refusal, a recovery or a change of a node's state."""
+        """Return whether the event reports a refusal, a recovery or a change of a node's state."""
         return True
 
 
@@ -85,7 +85,11 @@
 
 
 class OpeningRefused(Event, tag="opening_refused"):
-    """No server accepts the opening; the caller was sent a refusal, and no server has run it."""
+    """No server accepts the opening; the caller was sent a refusal, and no server has run it.
+
+    ``candidates`` is the number of agents that could be chosen, ``tried`` the number of agents that
+    rejected the opening.
+    """
 
     flow: str
     reason: str
@@ -95,7 +99,7 @@
 
 
 class RouteMissing(Event, tag="route_missing"):
-    """A balancer has no route for an opening."""
+    """A balancer has no route for an opening and refuses it if ``is_refused``, else drops it."""
 
     flow: str
     endpoint: str
@@ -178,14 +182,14 @@
 
 
 class ControlLost(Event, tag="control_lost"):
-    """Control has not answered a heartbeat for ``silent_s``."""
+    """The control instance ``instance`` has not answered a heartbeat for ``silent_s``."""
 
     instance: str
     silent_s: float
 
 
 class ControlFound(Event, tag="control_found"):
-    """Control answers heartbeats again, after ``silent_s`` without an answer."""
+    """``instance`` of control answers heartbeats, after ``silent_s`` without any control answer."""
 
     instance: str
     silent_s: float
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
@@ -49,7 +49,10 @@
         return self.authority.table.epoch if self.authority.table else 0
 
     def forward(self, server_id: str, frame: DataFrame, flags: int) -> None:
-        """Forward a frame to another agent."""
+        """Forward a frame to another agent with ``flags`` in place of its own.
+
+        The frame gets one hop more and the epoch of the newest owner table.
+        """
         self.counters["packets_forwarded"] += 1
         self.packets.forward(
             server_id,
@@ -80,7 +83,10 @@
         self.local_flows.on_inbound(flow, frame.packet, self.now)
 
     def return_rejected(self, frame: DataFrame) -> None:
-        """Return a frame to the authority: the local backend server lacks, or rejects, the flow."""
+        """Return a frame to the authority: the local backend server lacks, or rejects, the flow.
+
+        If this agent has become the bucket's authority, it resets the caller instead.
+        """
         self.counters["placements_rejected"] += 1
         if self.authority.is_authority(frame.bucket):
             self.reset_caller(frame.packet)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -104,7 +104,10 @@
     def apply_configuration(
         self, config: Configuration, table: OwnerTable | None, now: float
     ) -> None:
-        """Apply a newer configuration; ``table`` is its owner table, built by the caller."""
+        """Apply a newer configuration.
+
+        ``table`` is the owner table of this agent's service, None if there is none yet.
+        """
         self._context.now = now
         self.view.update(config, now)
         if self.view.had_other_incarnation():
@@ -127,7 +130,7 @@
         self.authority.apply_table(table, boot_ids, self.view.ids_removed_since(known_epoch), now)
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
-        """Stop or resume all service, if the settings require that an isolated node stops."""
+        """Stop all service while this agent is isolated, or resume it."""
         self.view.set_isolated(is_isolated, now)
 
     def rejoin(self, boot_id: int) -> None:
@@ -144,7 +147,7 @@
     def deliver_if_local(self, packet: bytes, hops: int, now: float) -> bool:
         """Deliver a packet of a flow of the local backend server; return False for any other.
 
-        The caller passes any other packet to ``on_frame``.
+        The code that calls this method passes any other packet to ``on_frame``.
         """
         flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
         if flow is None or self.view.is_out_of_service:
@@ -177,7 +180,8 @@
     def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
         """End a flow because the data centre is out of service.
 
-        A record of the flow is kept for a while: its next owner must not start it elsewhere.
+        The flow's record is kept for a while: the bucket's next owner must not start the flow
+        elsewhere.
         """
         self._counters["flows_given_up"] += 1
         if flow.key[-1] == ip.TCP:
@@ -274,7 +278,8 @@
     def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Keep forwarding to a removed member for a while: it may only be out of reach of control.
 
-        A member that is down does not answer; callers get RST once no server can have the flow.
+        A member that is down does not answer; its callers get RST after
+        ``REMOVED_MEMBER_RETENTION_S``, when no server can have the flow any more.
         """
         if server_id in self.view.recently_removed_ids(self._context.now):
             self._counters["packets_to_former_member"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -186,6 +186,7 @@
             self._abandon_answer(flow)
 
     def _probe(self, flow: LocalFlow, now: float) -> None:
+        """Probe whether the server has the flow; after ``MAX_PROBES``, reset and close the flow."""
         if now - flow.probed_at < PROBE_INTERVAL_S:
             return
         probes = self._probe_counts_by_key.get(flow.key, 0)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -59,7 +59,8 @@
     def _has_recent_table(self, message: Heartbeat, config: Configuration, now: float) -> bool:
         """Return whether a node's owner table is recent enough for a lease.
 
-        It must not lag more than ``MAX_VERSION_LAG_S``; how many changes it lacks doesn't matter.
+        The table may lack only changes of the last ``MAX_VERSION_LAG_S``. Their number does not
+        matter, so that frequent changes alone do not cost a node its lease.
         """
         member = config.servers_by_id.get(message.sender)
         if member is None or member.service not in config.services_by_name:
@@ -76,7 +77,11 @@
     def find_removals(
         self, config: Configuration, now: float
     ) -> list[RemoveServer | RemoveBalancer]:
-        """Return the commands that remove nodes which have sent no heartbeat for too long."""
+        """Return the commands that remove nodes which have sent no heartbeat for too long.
+
+        If the last check was more than ``MAX_CHECK_GAP_S`` ago, the leader has paused, and the
+        timeouts of all nodes start again.
+        """
         if now - self._checked_at > MAX_CHECK_GAP_S:
             self._grace_since = now
         self._checked_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -12,7 +12,11 @@
 
 
 class OutgoingGrant(msgspec.Struct):
-    """State of one grant; the sender stays the bucket's authority until ``is_released``."""
+    """State of one grant; the sender stays the bucket's authority until ``is_released``.
+
+    ``parts_by_number`` are the parts that the successor has not acknowledged yet, ``final_records``
+    the records that are sent with the token.
+    """
 
     bucket: int
     successor_id: str
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -57,7 +57,7 @@
             del self._loads_by_id[former_id]
 
     def choose_for_request(self, excluded: Collection[str], now: float) -> str | None:
-        """Return, of two random peers, the one with more headroom.
+        """Return, of two random peers with headroom, the one with more; None if no peer has any.
 
         Source: the power of two choices (Mitzenmacher, 2001).
         """
@@ -67,7 +67,10 @@
         return self._pick(candidates, lambda peer: -peer.headroom)
 
     def choose_for_held_flow(self, excluded: Collection[str], now: float) -> str | None:
-        """Return, of two random peers, the one with fewer held flows per unit of capacity."""
+        """Return, of two random peers with headroom, the one with fewer held flows.
+
+        Held flows are compared per unit of capacity; None if no peer has headroom.
+        """
         candidates = [
             (key, peer) for key, peer in self._candidates(excluded, now) if peer.headroom > 0
         ]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
@@ -46,7 +46,7 @@
 
     @property
     def load(self) -> Load:
-        """The load of the local backend server, as reported to peers."""
+        """The load reported to peers; its limit is 0 while the local server gets no new flows."""
         view = self._context.view
         return Load(
             self._limiter.in_flight,
@@ -197,7 +197,7 @@
     def _refuse(self, frame: DataFrame, key: bytes) -> None:
         """Refuse a flow of which no packet has reached a server.
 
-        None will reach a server while the refusal is on record.
+        No later packet of the flow reaches a server while the refusal is on record.
         """
         context = self._context
         context.directory.add_remote(frame.bucket, key, REFUSED, context.now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
@@ -22,7 +22,11 @@
 
 
 class PendingRecovery(msgspec.Struct):
-    """A flow being recovered; ``candidates`` are the agents to query next."""
+    """A flow being recovered; ``candidates`` are the agents to query next.
+
+    With ``is_for_authority``, another agent is the bucket's authority: it gets the frame back if
+    the local backend server lacks the connection.
+    """
 
     frame: DataFrame
     started_at: float
@@ -45,7 +49,7 @@
         *,
         is_for_authority: bool = False,
     ) -> None:
-        """Start a recovery.
+        """Start a recovery; a UDP packet or an RST is dropped instead.
 
         The local backend server is queried first, if this incarnation may lack some of its flows.
         """
@@ -62,7 +66,7 @@
         context.packets.deliver(frame.packet)
 
     def on_reset(self, key: bytes) -> None:
-        """Query the next candidate: by its RST, the local backend server lacks the connection."""
+        """Query the next candidate: the local backend server's RST shows that it lacks the flow."""
         pending = self._pending_by_key.pop(key, None)
         if pending is not None:
             self._query_next(pending, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/service_times.py
@@ -50,7 +50,7 @@
 
 
 class ClassTimes:
-    """Statistics of one class: response times, share of the requests, and consecutive slow answers.
+    """Statistics of one class: response times, fraction of all requests, consecutive slow answers.
 
     Classes without ``has_work`` are left out of the mean service time.
     """
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -39,6 +39,11 @@
 
 
 class BucketAuthorityTest(unittest.TestCase):
+    """Lost, late and duplicate messages must not give a bucket two authorities.
+
+    The agent under test is "a".
+    """
+
     def setUp(self) -> None:
         self.outbox = Outbox()
         self.directory = FlowDirectory()
@@ -53,6 +58,7 @@
         self.authority.apply_table(OwnerTable.single(epoch, owner), members, removed_ids, now)
 
     def deny(self, member: str, epoch: int, now: float = 0.0) -> None:
+        """Answer the agent's claim: ``member`` denies holding the token."""
         answers = [BucketAnswer(BUCKET, False, [])]
         self.authority.on_claim_answer(ClaimAnswer(member, BOOT_IDS[member], epoch, answers), now)
 
@@ -61,6 +67,7 @@
         self.authority.on_grant(Grant("b", boot_id, grants), 0.0)
 
     def hold(self) -> None:
+        """Make the agent the bucket's authority."""
         self.apply(5, "a")
         self.grant(Generation(4, 0))
         self.assertTrue(self.authority.is_authority(BUCKET))
