Docstrings for the steps of claims and grants, and for probes

The private steps of the token protocol, the check of unanswered flows and the packed endpoint of a probe could only be understood from their code, and plan_shares and find_due_bookings left out a condition and an order. Each has one or two sentences now.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
@@ -34,6 +34,7 @@
 
 
 def _booked_changes(config: Configuration) -> list[AnyCommand]:
+    """Return the changes of unfinished bookings; their addresses and ports count as taken."""
     return [b.change for b in config.bookings_by_id.values() if not b.state.is_final]
 
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/booking_clock.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/booking_clock.py
@@ -12,7 +12,10 @@
 
 
 def find_due_bookings(config: Configuration, wall_s: float) -> list[AdvanceBooking]:
-    """Return the state changes that are due; ``wall_s`` is in seconds since the Unix epoch."""
+    """Return the state changes that are due, in the order of the bookings' starts.
+
+    ``wall_s`` is in seconds since the Unix epoch.
+    """
     due = []
     for booking in sorted(config.bookings_by_id.values(), key=lambda b: (b.start_s, b.booking_id)):
         state = _due_state(booking.state, booking.start_s, booking.end_s, wall_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -152,6 +152,7 @@
         self._grant_reassigned_buckets(table)
 
     def _discard_members(self, changed_ids: set[str]) -> None:
+        """Discard reports of, and grants to, members that were removed or have restarted."""
         for member in changed_ids:
             self.incomplete_since_by_id.pop(member, None)
         for bucket, outgoing in list(self.outgoing_by_bucket.items()):
@@ -164,6 +165,7 @@
     def _restart_claims(
         self, table: OwnerTable, previous: OwnerTable | None, changed_ids: set[str], now: float
     ) -> None:
+        """Claim the owned buckets whose token is missing; earlier claims' queues are kept."""
         earlier_claims = self.claims_by_bucket
         self.claims_by_bucket = {}
         if self._boot_ids_by_member.get(self._own_id) != self._boot_id:
@@ -201,6 +203,7 @@
         return {member for member in self._boot_ids_by_member if member != self._own_id}
 
     def _grant_reassigned_buckets(self, table: OwnerTable) -> None:
+        """Grant tokens of buckets that others own, unless received under a newer table."""
         for bucket in list(self.tokens_by_bucket):
             if table.owner_of(bucket) == self._own_id:
                 self.outgoing_by_bucket.pop(bucket, None)
@@ -379,6 +382,11 @@
         )
 
     def _send_grants(self, now: float) -> None:
+        """Send the flow records of each due grant in parts; after their receipt, send the token.
+
+        The token is sent with the last few records. About ``DATAGRAMS_PER_TICK`` datagrams are
+        sent; the other grants wait for the next call.
+        """
         budget = DATAGRAMS_PER_TICK
         batches: dict[tuple[str, int], list[BucketGrant]] = {}
         for outgoing in list(self.outgoing_by_bucket.values()):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -51,7 +51,10 @@
 
 
 class FlowRouter:
-    """Routing decisions of one agent; owns the flow directory and the parts that use it."""
+    """Routing decisions of one agent; owns the flow directory and the parts that use it.
+
+    ``record_response`` is called with each measured response time in seconds.
+    """
 
     def __init__(
         self,
@@ -331,7 +334,7 @@
     # Packets from the local backend server
 
     def on_server_packet(self, packet: bytes, now: float) -> None:
-        """Send a reply of the local backend server to its caller."""
+        """Process a packet of the local backend server: a probe's answer or a reply to a caller."""
         self._context.now = now
         parsed = ip.parse_flow_key(packet)
         if isinstance(parsed, Malformed):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -169,6 +169,10 @@
         self._sweep(now)
 
     def _check_unanswered(self, flow: LocalFlow, now: float) -> None:
+        """Probe an unanswered flow, or give up its answer after ``ANSWER_TIMEOUT_S``.
+
+        A TCP flow is probed if its caller has sent repeatedly and the server answers other flows.
+        """
         waited_s = now - flow.awaiting_since
         if waited_s < PROBE_DELAY_S:
             return
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/round_trip_probe.py
@@ -28,7 +28,10 @@
         self._sent_at = float("-inf")
 
     def build(self, endpoint: bytes, now: float) -> bytes | None:
-        """Return the next probe packet to a class's endpoint, or None if none is due."""
+        """Return the next probe packet to a class's endpoint, or None if none is due.
+
+        ``endpoint`` is the packed address, port and protocol: 7 bytes for IPv4.
+        """
         if now - self._sent_at < PROBE_INTERVAL_S:
             return None
         self._probe_count += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/shares.py
@@ -24,6 +24,8 @@
 ) -> SetShares | None:
     """Return the command that sets new shares, or None if the current ones are close enough.
 
+    None also if no server has a measured capacity.
+
     A server without a measured capacity is assumed to have the median capacity per slot of the
     measured ones. Hysteresis keeps small changes of a measurement from moving buckets; the
     fraction of the buckets that one command moves is bounded.
