--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/address_assignment.py
@@ -19,7 +19,10 @@
 def assign_addresses(
     command: AnyCommand, config: Configuration, pools: list[AddressPool]
 ) -> AnyCommand:
-    """Return the command with an address or port from the pools; empty or 0 if none is free."""
+    """Return the command with an address or port from the pools; empty or 0 if none is free.
+
+    Commands that need neither are returned unchanged.
+    """
     if isinstance(command, CreateBooking):
         change = assign_addresses(command.change, config, pools)
         return msgspec.structs.replace(command, change=change)
@@ -31,6 +34,7 @@
 
 
 def _booked_changes(config: Configuration) -> list[AnyCommand]:
+    """Return the changes of unfinished bookings; their addresses and ports count as taken."""
     return [b.change for b in config.bookings_by_id.values() if not b.state.is_final]
 
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
@@ -95,7 +95,10 @@
 
     @property
     def has_tokens_to_grant(self) -> bool:
-        """Return whether tokens are left, or being granted, that another server can take over."""
+        """Return whether this agent has tokens, or grants not acknowledged yet.
+
+        False if the table has no owner that could receive them.
+        """
         has_successors = self.table is not None and self.table.has_owners
         return has_successors and bool(self.tokens_by_bucket or self.outgoing_by_bucket)
 
@@ -106,8 +109,9 @@
     def is_uncertain(self, bucket: int, now: float) -> bool:
         """Return whether an unknown flow may already run on a server whose records are missing.
 
-        True for ``CALLER_RETRY_WINDOW_S`` after a takeover that followed the removal of a member,
-        and after another member reported an incomplete flow table.
+        True for ``CALLER_RETRY_WINDOW_S`` after another member first reported an incomplete flow
+        table. For a bucket that was taken over after the removal of a member, also true until
+        ``CALLER_RETRY_WINDOW_S`` after the removal; a grant passes the rest of that time on.
         """
         if any(
             now - since < CALLER_RETRY_WINDOW_S for since in self.incomplete_since_by_id.values()
@@ -148,6 +152,7 @@
         self._grant_reassigned_buckets(table)
 
     def _discard_members(self, changed_ids: set[str]) -> None:
+        """Discard reports of, and grants to, members that were removed or have restarted."""
         for member in changed_ids:
             self.incomplete_since_by_id.pop(member, None)
         for bucket, outgoing in list(self.outgoing_by_bucket.items()):
@@ -160,6 +165,7 @@
     def _restart_claims(
         self, table: OwnerTable, previous: OwnerTable | None, changed_ids: set[str], now: float
     ) -> None:
+        """Claim the owned buckets whose token is missing; earlier claims' queues are kept."""
         earlier_claims = self.claims_by_bucket
         self.claims_by_bucket = {}
         if self._boot_ids_by_member.get(self._own_id) != self._boot_id:
@@ -171,24 +177,24 @@
             holder = previous.owner_of(bucket) if previous else None
             if earlier is not None:
                 holder = earlier.holder_id
-            is_reachable = bool(holder) and holder != self._own_id and holder not in changed_ids
+            has_holder = bool(holder) and holder != self._own_id and holder not in changed_ids
             claim = BucketClaim(
                 bucket,
                 table.epoch,
-                self._claim_due_at(earlier, is_reachable, now),
+                self._claim_due_at(earlier, has_holder, now),
                 self._other_members(),
-                holder_id=holder if holder and is_reachable else "",
+                holder_id=holder if holder and has_holder else "",
                 queue=earlier.queue if earlier else [],
             )
             self.claims_by_bucket[bucket] = claim
 
     @staticmethod
-    def _claim_due_at(earlier: BucketClaim | None, is_reachable: bool, now: float) -> float:
-        """Return when to send a claim: delayed if the holder is reachable, since it grants unasked.
+    def _claim_due_at(earlier: BucketClaim | None, has_holder: bool, now: float) -> float:
+        """Return when to send a claim: later if a holder is known, since it grants without a claim.
 
         Further table changes don't postpone a claim that is already scheduled.
         """
-        if not is_reachable:
+        if not has_holder:
             return now
         due = now + CLAIM_DELAY_S
         return min(due, earlier.due_at) if earlier is not None else due
@@ -197,6 +203,7 @@
         return {member for member in self._boot_ids_by_member if member != self._own_id}
 
     def _grant_reassigned_buckets(self, table: OwnerTable) -> None:
+        """Grant tokens of buckets that others own, unless received under a newer table."""
         for bucket in list(self.tokens_by_bucket):
             if table.owner_of(bucket) == self._own_id:
                 self.outgoing_by_bucket.pop(bucket, None)
@@ -310,7 +317,7 @@
         return message.epoch == self.table.epoch and message.sender == self.table.owner_of(bucket)
 
     def on_claim_answer(self, message: ClaimAnswer, now: float) -> None:
-        """Record the answers; flows on the member's server become pointers at once."""
+        """Record a member's answers; the flows on its server become pointers at once."""
         if self._boot_ids_by_member.get(message.sender) != message.boot_id:
             self._counters["messages_of_old_incarnation"] += 1
             return
@@ -375,6 +382,11 @@
         )
 
     def _send_grants(self, now: float) -> None:
+        """Send the flow records of each due grant in parts; after their receipt, send the token.
+
+        The token is sent with the last few records. About ``DATAGRAMS_PER_TICK`` datagrams are
+        sent; the other grants wait for the next call.
+        """
         budget = DATAGRAMS_PER_TICK
         batches: dict[tuple[str, int], list[BucketGrant]] = {}
         for outgoing in list(self.outgoing_by_bucket.values()):
@@ -437,7 +449,8 @@
     def on_grant(self, message: Grant, now: float) -> None:
         """Accept the tokens that are newer than any seen, refuse the others, acknowledge all.
 
-        A grant to an earlier incarnation is ignored: this one doesn't know its promises.
+        A grant to an earlier incarnation of this agent is ignored, since the present incarnation
+        does not know which promises the earlier one made.
         """
         if message.recipient_boot_id != self._boot_id:
             self._counters["messages_of_old_incarnation"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -83,8 +83,8 @@
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
-        # Answers without processing say little of the server's speed: they raise the limit only up
-        # to the number of slots.
+        # Answers on held flows cost the server little and say little about its speed: alone, they
+        # raise the limit, which is low on a cold server, only up to the number of slots.
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
@@ -111,7 +111,7 @@
         self._times.reset_slow_streaks()
 
     def on_unresponsive(self) -> None:
-        """Treat a server that has stopped answering its requests as cold."""
+        """Restart slow start for a server that has stopped answering, unless it is cold already."""
         if not self.is_cold:
             self._mark_cold()
 
@@ -129,11 +129,11 @@
         self.limit = max(INITIAL_LIMIT, self.limit * DECREASE_FACTOR)
 
     def _acceptable_response_s(self, class_name: str, target: Target) -> float:
-        queue_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
-        queue_s = max(queue_s, MIN_RESPONSE_S * QUEUE_FACTOR)
+        max_response_s = self._times.baseline_s(class_name) * QUEUE_FACTOR
+        max_response_s = max(max_response_s, MIN_RESPONSE_S * QUEUE_FACTOR)
         if target.kind is TargetKind.RESPONSE_TIME:
-            return min(target.limit / 1_000, queue_s)
-        return queue_s
+            return min(target.limit / 1_000, max_response_s)
+        return max_response_s
 
     def _mark_cold(self) -> None:
         self.cold_events += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
@@ -51,7 +51,10 @@
 
 
 class FlowRouter:
-    """Routing decisions of one agent; owns the flow directory and the parts that use it."""
+    """Routing decisions of one agent; owns the flow directory and the parts that use it.
+
+    ``record_response`` is called with each measured response time in seconds.
+    """
 
     def __init__(
         self,
@@ -104,7 +107,10 @@
     def apply_configuration(
         self, config: Configuration, table: OwnerTable | None, now: float
     ) -> None:
-        """Apply a newer configuration; ``table`` is its owner table, built by the caller."""
+        """Apply a newer configuration.
+
+        ``table`` is the owner table of this agent's service, None if there is none yet.
+        """
         self._context.now = now
         self.view.update(config, now)
         if self.view.had_other_incarnation():
@@ -127,7 +133,7 @@
         self.authority.apply_table(table, boot_ids, self.view.ids_removed_since(known_epoch), now)
 
     def set_isolated(self, is_isolated: bool, now: float) -> None:
-        """Stop or resume all service, if the settings require that an isolated node stops."""
+        """Stop all service while this agent is isolated, or resume it."""
         self.view.set_isolated(is_isolated, now)
 
     def rejoin(self, boot_id: int) -> None:
@@ -144,7 +150,7 @@
     def deliver_if_local(self, packet: bytes, hops: int, now: float) -> bool:
         """Deliver a packet of a flow of the local backend server; return False for any other.
 
-        The caller passes any other packet to ``on_frame``.
+        The code that calls this method passes any other packet to ``on_frame``.
         """
         flow = self.directory.local_flows_by_key.get(ip.parse_flow_key(packet))  # type: ignore[arg-type]
         if flow is None or self.view.is_out_of_service:
@@ -177,7 +183,8 @@
     def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
         """End a flow because the data centre is out of service.
 
-        A record of the flow is kept for a while: its next owner must not start it elsewhere.
+        The flow's record is kept for a while: the bucket's next owner must not start the flow
+        elsewhere.
         """
         self._counters["flows_given_up"] += 1
         if flow.key[-1] == ip.TCP:
@@ -228,11 +235,11 @@
         if self.authority.has_incomplete_flow_table:
             self._recovery.start(frame, key, [])
             return True
-        former_members = self.view.recently_removed_ids(self._context.now)
-        for server_id in former_members:
+        removed_ids = self.view.recently_removed_ids(self._context.now)
+        for server_id in removed_ids:
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-        return bool(former_members)
+        return bool(removed_ids)
 
     # Decisions of the authority
 
@@ -274,7 +281,8 @@
     def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Keep forwarding to a removed member for a while: it may only be out of reach of control.
 
-        A member that is down does not answer; callers get RST once no server can have the flow.
+        A member that is down does not answer; its callers get RST after
+        ``REMOVED_MEMBER_RETENTION_S``, when no server can have the flow any more.
         """
         if server_id in self.view.recently_removed_ids(self._context.now):
             self._counters["packets_to_former_member"] += 1
@@ -326,7 +334,7 @@
     # Packets from the local backend server
 
     def on_server_packet(self, packet: bytes, now: float) -> None:
-        """Send a reply of the local backend server to its caller."""
+        """Process a packet of the local backend server: a probe's answer or a reply to a caller."""
         self._context.now = now
         parsed = ip.parse_flow_key(packet)
         if isinstance(parsed, Malformed):
@@ -422,9 +430,9 @@
         self._rejected_starts.expire(now)
 
     def _send_probe(self, now: float) -> None:
-        if self.view.is_out_of_service or not self.view.own_endpoint:
+        if self.view.is_out_of_service or not self.view.probe_endpoint:
             return
-        probe = self._probe.build(self.view.own_endpoint, now)
+        probe = self._probe.build(self.view.probe_endpoint, now)
         if probe is not None:
             self._packets.deliver(probe)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
@@ -40,7 +40,7 @@
         directory: FlowDirectory,
         limiter: ConcurrencyLimiter,
         slots: int,
-        outbox: PacketOutbox,
+        packets: PacketOutbox,
         counters: Counters,
         record_response: Callable[[float], None],
     ) -> None:
@@ -48,7 +48,7 @@
         self._directory = directory
         self._limiter = limiter
         self._slots = slots
-        self._outbox = outbox
+        self._packets = packets
         self._counters = counters
         self._record_response = record_response
         self._awaiting_by_key: dict[bytes, LocalFlow] = {}
@@ -87,9 +87,9 @@
         flow.last_inbound_at = now
         if flow.traffic_class.protocol is FlowProtocol.UDP:
             self._expect_answer(flow, packet, now)
-            self._outbox.deliver(packet)
+            self._packets.deliver(packet)
             return
-        self._outbox.deliver(packet)
+        self._packets.deliver(packet)
         offset = ip.transport_offset(packet)
         flags = packet[offset + 13]
         if flags & _CONNECTION_FLAGS:
@@ -169,6 +169,10 @@
         self._sweep(now)
 
     def _check_unanswered(self, flow: LocalFlow, now: float) -> None:
+        """Probe an unanswered flow, or give up its answer after ``ANSWER_TIMEOUT_S``.
+
+        A TCP flow is probed if its caller has sent repeatedly and the server answers other flows.
+        """
         waited_s = now - flow.awaiting_since
         if waited_s < PROBE_DELAY_S:
             return
@@ -186,18 +190,19 @@
             self._abandon_answer(flow)
 
     def _probe(self, flow: LocalFlow, now: float) -> None:
+        """Probe whether the server has the flow; after ``MAX_PROBES``, reset and close the flow."""
         if now - flow.probed_at < PROBE_INTERVAL_S:
             return
         probes = self._probe_counts_by_key.get(flow.key, 0)
         if probes >= MAX_PROBES:
             self._counters["silent_flows_reset"] += 1
-            self._outbox.reply(build_reset(flow.last_packet))
+            self._packets.reply(build_reset(flow.last_packet))
             self.close(flow)
             return
         flow.probed_at = now
         self._probe_counts_by_key[flow.key] = probes + 1
         self._counters["silence_probes"] += 1
-        self._outbox.deliver(build_probe(flow.last_packet))
+        self._packets.deliver(build_probe(flow.last_packet))
 
     def _sweep(self, now: float) -> None:
         if not self._sweep_keys:
--- a/tests/coordination/test_bucket_authority.py
+++ b/tests/coordination/test_bucket_authority.py
@@ -39,6 +39,11 @@
 
 
 class BucketAuthorityTest(unittest.TestCase):
+    """Lost, late and duplicate messages must not give a bucket two authorities.
+
+    The agent under test is "a".
+    """
+
     def setUp(self) -> None:
         self.outbox = Outbox()
         self.directory = FlowDirectory()
@@ -55,6 +60,7 @@
         )
 
     def deny(self, member: str, epoch: int, now: float = 0.0) -> None:
+        """Answer the agent's claim: ``member`` denies holding the token."""
         answers = [BucketAnswer(BUCKET, False, [])]
         self.authority.on_claim_answer(ClaimAnswer(member, BOOT_IDS[member], epoch, answers), now)
 
@@ -63,6 +69,7 @@
         self.authority.on_grant(Grant("b", boot_id, grants), 0.0)
 
     def hold(self) -> None:
+        """Make the agent the bucket's authority."""
         self.apply(5, "a")
         self.grant(Generation(4, 0))
         self.assertTrue(self.authority.is_authority(BUCKET))
@@ -86,7 +93,7 @@
                 self.authority.tick(now)
                 self.assertEqual(self.authority.is_authority(BUCKET), is_taken)
 
-    def test_takeover_after_a_loss_is_uncertain_for_the_retry_horizon(self) -> None:
+    def test_takeover_after_a_removal_is_uncertain_for_the_retry_window(self) -> None:
         for removed, is_uncertain in (("c", True), ("", False)):
             with self.subTest(removed=removed):
                 self.setUp()
