--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -54,7 +54,12 @@
 @click.option("--target", type=TARGET, default=None, help="For class-create and class-target.")
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), default="tcp", show_default=True)
 @click.option("--non-idempotent", is_flag=True, help="For class-create.")
-@click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
+@click.option(
+    "--idle-limit",
+    type=click.FloatRange(min=1),
+    default=30.0,
+    help="For class-create: seconds without a packet after which a flow is closed.",
+)
 @click.option("--id", "booking_id", default="", help="Id of the booking; default: random.")
 @command_options
 @pass_console
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/explain.py
@@ -23,7 +23,8 @@
 def explain(flow: str, logs: tuple[BinaryIO, ...]) -> None:
     """Explain what happened to FLOW, from the LOGS of all processes or standard input.
 
-    FLOW is an id from a log line, or "caller:port>route:port". Example:
+    FLOW is an id from a log line, or "caller:port>route:port". The exit status is 1 if the logs
+    have no line about FLOW. Example:
 
     wagtailkeel explain "100.64.0.7:40001>198.18.0.1:443" balancer.log agent-*.log
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/server.py
@@ -29,7 +29,7 @@
     expect_version: int | None,
     wait: bool,
 ) -> None:
-    """Send no new work to a server; its existing flows continue until they end.
+    """Send no new work to a server; its flows continue until they end or the deadline passes.
 
     Example: wagtailkeel server drain desk-3 --wait
     """
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/traffic_class.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/traffic_class.py
@@ -25,7 +25,12 @@
 @click.option("--protocol", type=click.Choice(["tcp", "udp"]), required=True)
 @click.option("--target", type=TARGET, required=True, help="'p99<200ms' or 'held<2000'.")
 @click.option("--non-idempotent", is_flag=True, help="A request must be executed at most once.")
-@click.option("--idle-limit", type=click.FloatRange(min=1), default=30.0, help="Seconds.")
+@click.option(
+    "--idle-limit",
+    type=click.FloatRange(min=1),
+    default=30.0,
+    help="Seconds without a packet after which a flow is closed.",
+)
 @command_options
 @pass_console
 def create(
--- a/packages/wagtailkeel/src/wagtailkeel/console/context.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/context.py
@@ -109,7 +109,7 @@
         "--expect-version",
         type=int,
         default=None,
-        help="Reject unless this is the version of the last operator's change.",
+        help="Apply only if this is the version of the last change by an operator.",
     )(function)
     return click.option(
         "--wait", is_flag=True, help="Wait until the change is in force on all nodes."
--- a/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -117,7 +117,10 @@
         return newest_reply
 
     async def wait_in_force(self, version: int) -> list[str]:
-        """Wait until every node has a version; return the nodes that lack it at the deadline."""
+        """Wait until every node has a version; return the nodes that lack it at the deadline.
+
+        If all nodes have it but control's status is still older, "control" is returned.
+        """
         deadline = time.monotonic() + self._deadline_s
         while True:
             status = await self.status()
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -83,7 +83,14 @@
 
 
 class AgentSettings(_Section):
-    """The agent role; the agent runs next to one backend server."""
+    """The agent role; the agent runs next to one backend server.
+
+    The server processes up to ``slots`` requests concurrently. It receives packets at
+    ``server_host`` and ``server_port`` and sends packets to ``server_side_port``; the agent sends
+    these to the caller gateway. If ``isolated_stop_s`` is above 0, an agent that has received no
+    message for this long stops serving. A planned stop takes up to ``stop_limit_s``, in which the
+    agent hands over its buckets.
+    """
 
     server_id: Name
     service: Name
@@ -102,9 +109,10 @@
 class HandshakeBalancerSettings(_Section):
     """The balancer role for packet formats whose handshake determines a flow's server.
 
-    Callers receive packets at ``caller_port``. A planned stop waits for up to
-    ``stop_wait_limit_s`` while another balancer of the data centre is stopped. The balancer goes
-    on serving for ``stop_delay_s`` after its ready endpoint has reported "not ready".
+    Callers receive packets at ``caller_port``. A planned stop first waits for up to
+    ``stop_wait_limit_s`` while another balancer of the data centre is down for a restart. The
+    ready endpoint then reports "not ready", and the balancer goes on serving for
+    ``stop_delay_s``, until the fabric has noticed.
     """
 
     port: Port
@@ -119,9 +127,10 @@
     """The agent role for packet formats whose handshake determines a flow's server.
 
     The server receives packets at ``server_host`` and ``server_port`` and sends packets to
-    ``server_side_port``. It counts as stopped once it has not reported for ``report_limit_s``.
-    While cold, it gets at most ``cold_factor`` times the rate of its service's policy, plus
-    ``cold_slack``, in openings per second.
+    ``server_side_port``. Without a report for ``report_limit_s``, it gets no openings; it counts
+    as stopped once it has sent neither a report nor a packet for this long. While cold, it gets
+    at most ``cold_factor`` times the rate of its service's policy, plus ``cold_slack``, in
+    openings per second.
     """
 
     service: Name
