Name confirmed restart processes and the timeout of control calls

RestartRounds.process_ids_by_voter holds process ids only when both rounds agree, FORMATION_TIMEOUT_S also limits requests to join as a learner, and rejected_index holds the next index before a reply is known to be a rejection. They are now confirmed_process_ids, CONTROL_CALL_TIMEOUT_S and previous_next_index. Tests named after a table alone (test_leases, test_plans, test_due, test_decisions) now say which condition they check.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -207,5 +207,5 @@
             return
         if not rounds.is_second_round:
             self._send_restart_requests(rounds.start_second_round(), now)
-        elif rounds.process_ids_by_voter:
-            self._campaign(now, rounds.process_ids_by_voter)
+        elif rounds.confirmed_process_ids:
+            self._campaign(now, rounds.confirmed_process_ids)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -437,11 +437,11 @@
             self._on_identity_mismatch(reply, progress, now)
             return
         progress.acknowledged_sent_at = progress.sent_at
-        rejected_index = progress.next_index
+        previous_next_index = progress.next_index
         progress.update(reply.is_matched, reply.match_index, self.log.base_index)
         self._advance_commit_index()
         # A follower whose disk fails rejects the same entries repeatedly: don't resend at once.
-        has_progressed = reply.is_matched or progress.next_index != rejected_index
+        has_progressed = reply.is_matched or progress.next_index != previous_next_index
         if has_progressed and progress.next_index <= self.log.last_index:
             self._replicate(reply.follower_id, now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
@@ -82,7 +82,7 @@
         return bool(self._first_round_process_ids)
 
     @property
-    def process_ids_by_voter(self) -> dict[str, int]:
+    def confirmed_process_ids(self) -> dict[str, int]:
         """Process ids of the voters, or empty if the two rounds had different ones."""
         return self._process_ids if self._process_ids == self._first_round_process_ids else {}
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -25,7 +25,7 @@
     from wagtailkeel_transport import RpcClient
 
 FORMATION_RETRY_S = 0.2
-FORMATION_TIMEOUT_S = 1.0
+CONTROL_CALL_TIMEOUT_S = 1.0
 LEARNER_RETRY_S = 0.5
 
 
@@ -77,7 +77,7 @@
             queried_ids.add(control_id)
             try:
                 reply = await self._rpc_client.call(
-                    address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
+                    address, CONTROL_JOIN, request, CONTROL_CALL_TIMEOUT_S
                 )
             except RpcError:
                 self._counters["control_join_failures"] += 1
@@ -99,8 +99,8 @@
         """Append the first entry of a new cluster once all founders have answered."""
         while not self._raft.voters_by_id:
             replies = await self._query_founders()
-            expected = self._founder_ids
-            voters = find_initial_voters(self._instance_id, self._identity, expected, replies)
+            founder_ids = self._founder_ids
+            voters = find_initial_voters(self._instance_id, self._identity, founder_ids, replies)
             if voters is not None and not self._raft.voters_by_id:
                 self._raft.form(voters)
                 logger.info("formed a cluster with the voters {}", ", ".join(sorted(voters)))
@@ -122,7 +122,7 @@
             request = FormationRequest(self._instance_id, self._identity)
             try:
                 replies.append(
-                    await self._rpc_client.call(address, FORMATION, request, FORMATION_TIMEOUT_S)
+                    await self._rpc_client.call(address, FORMATION, request, CONTROL_CALL_TIMEOUT_S)
                 )
             except RpcError:
                 self._counters["formation_failures"] += 1
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -82,7 +82,7 @@
         self.run_until(2.0, set())
         self.assertEqual(self.membership.find_removals(self.config, 60.0), [])
 
-    def test_leases(self) -> None:
+    def test_lease_needs_the_boot_id_of_the_member(self) -> None:
         epoch = self.config.services_by_name["desk"].table_epoch
         table = [(7, epoch, LEASE_S), (6, epoch, 0.0), (7, epoch - 1, LEASE_S)]
         for boot_id, version, expected in table:
@@ -112,7 +112,7 @@
     def setUp(self) -> None:
         self.config = build_configuration()
 
-    def test_plans(self) -> None:
+    def test_shares_change_only_if_capacities_differ_enough(self) -> None:
         even = dict.fromkeys(SERVERS, 1_000)
         table = {
             "nothing measured": ({}, False),
@@ -143,7 +143,7 @@
 
 
 class BookingClockTest(unittest.TestCase):
-    def test_due(self) -> None:
+    def test_bookings_advance_at_their_start_and_end(self) -> None:
         active, done, lapsed = BookingState.ACTIVE, BookingState.DONE, BookingState.LAPSED
         table = [
             (BookingState.BOOKED, 99.0, []),
@@ -176,7 +176,7 @@
 
 
 class FormationTest(unittest.TestCase):
-    def test_decisions(self) -> None:
+    def test_initial_voters_need_replies_of_all_or_of_a_cluster(self) -> None:
         ids = ["a", "b", "c"]
         unformed_replies = [FormationReply("b", "b1"), FormationReply("c", "c1")]
         voters = {"a": "a1", "b": "b1", "c": "c1"}
--- a/tests/coordination/test_restart_rounds.py
+++ b/tests/coordination/test_restart_rounds.py
@@ -14,7 +14,7 @@
 """Process ids, by voter, of processes that have seen no leader."""
 
 
-def reply(voter: str, round_number: int, process_id: int, **changes: object) -> RestartReply:
+def build_reply(voter: str, round_number: int, process_id: int, **changes: object) -> RestartReply:
     """Return a reply that permits an early election, except for the changed fields."""
     fields: dict[str, object] = {
         "is_leaderless": True,
@@ -37,11 +37,11 @@
         is_complete = False
         for voter, process_id in process_ids.items():
             is_complete = self.rounds.record_reply(
-                reply(voter, round_number, process_id, **changes), VOTERS
+                build_reply(voter, round_number, process_id, **changes), VOTERS
             )
         return is_complete
 
-    def test_first_round(self) -> None:
+    def test_first_round_needs_a_leaderless_reply_from_every_voter(self) -> None:
         cases: dict[str, tuple[dict[str, int], dict[str, object], bool]] = {
             "no voter has seen a leader": (LEADERLESS_PROCESS_IDS, {}, True),
             "one voter has not replied": ({"b": 11}, {}, False),
@@ -62,7 +62,7 @@
                 round_number = self.rounds.start_first_round(10.0)
                 self.assertIs(self.record_replies(round_number, process_ids, **changes), expected)
 
-    def test_second_round(self) -> None:
+    def test_second_round_needs_the_processes_of_the_first(self) -> None:
         cases = {
             "the same processes": (LEADERLESS_PROCESS_IDS, LEADERLESS_PROCESS_IDS),
             # After its first reply it may have received the other's heartbeat and restarted.
@@ -75,7 +75,7 @@
                 round_number = self.rounds.start_second_round()
                 self.assertTrue(self.rounds.is_second_round)
                 self.assertTrue(self.record_replies(round_number, second))
-                self.assertEqual(self.rounds.process_ids_by_voter, expected)
+                self.assertEqual(self.rounds.confirmed_process_ids, expected)
 
     def test_replies_of_an_earlier_round_do_not_count(self) -> None:
         round_number = self.rounds.start_first_round(10.0)
@@ -94,7 +94,7 @@
                 self.record_replies(self.rounds.start_first_round(10.0), LEADERLESS_PROCESS_IDS)
                 self.assertIs(self.rounds.has_newest_log(last_term, last_index), expected)
 
-    def test_when_a_round_is_due(self) -> None:
+    def test_round_is_due_after_an_interval_or_the_start_of_a_voter(self) -> None:
         self.assertTrue(self.rounds.is_round_due(10.0))
         self.rounds.start_first_round(10.0)
         self.assertFalse(self.rounds.is_round_due(10.0))
