State conditions and side effects in the Raft and control texts

Several docstrings of the consensus node, the voter changes and the control role restated the name and left out the condition, the timeout or who acts: for instance that a learner must be available before a voter is removed, that apply() changes the configuration in place, or that None from find_initial_voters() can mean a cluster without this instance. They say so now. Two answers with status UNKNOWN blamed the quorum also when the instance is not the leader, and the log line for a failed disk said "stepped down" also on followers; the texts now cover both cases. No test matches them.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -49,7 +49,11 @@
             self._send_restart_requests(self._restart_rounds.start_first_round(now), now)
 
     def on_leader_contact(self, now: float) -> None:
-        """Record that a leader is alive, or may be."""
+        """Record that a leader exists, or may exist, and restart the election timer.
+
+        From now on, this voter replies in restart rounds that it has seen a leader, and it grants
+        no vote for ELECTION_TIMEOUT_MIN_S.
+        """
         self._restart_rounds.has_seen_leader = True
         self._leader_contact_at = now
         self.reset_timer(now)
@@ -171,7 +175,10 @@
     # Early elections after a restart of all voters
 
     def _send_restart_requests(self, round_number: int, now: float) -> None:
-        """Ask the other voters whether all have restarted; a single voter campaigns at once."""
+        """Ask each other voter whether it has seen a leader since its process started.
+
+        If there is no other voter, campaign at once.
+        """
         if not self._other_voters:
             self._campaign(now, {})
         for voter in self._other_voters:
@@ -195,7 +202,11 @@
         )
 
     def on_restart_reply(self, reply: RestartReply, now: float) -> None:
-        """Campaign once both rounds have shown that no read lease can still be valid."""
+        """Start the second round after the first is complete, and campaign after the second.
+
+        Only the voter with the newest log goes on, and it campaigns only if both rounds were
+        answered by the same processes, which shows that no read lease can still be valid.
+        """
         rounds = self._restart_rounds
         if (
             not rounds.record_reply(reply, self._node.voters_by_id)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/formation.py
@@ -19,7 +19,11 @@
 def find_initial_voters(
     own_id: str, own_identity: str, founder_ids: Iterable[str], replies: list[FormationReply]
 ) -> dict[str, str] | None:
-    """Return the identities of the initial voters by instance id, or None while unknown."""
+    """Return the identities of the initial voters by instance id, or None.
+
+    None means that a founder has not replied, or that a cluster exists in which this instance's
+    identity is no voter.
+    """
     for reply in replies:
         if reply.voters_by_id:
             is_voter = reply.voters_by_id.get(own_id) == own_identity
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -12,6 +12,7 @@
     from wagtailkeel_coordination.raft.raft_node import RaftNode
 
 REPLY_TIMEOUT_S = 1.0
+"""A peer that has not replied for this long is sent a new request and can't become a voter."""
 VOTER_TIMEOUT_S = 4.0
 """A voter that has not answered for longer is replaced if a caught-up learner is available."""
 LEARNER_TIMEOUT_S = 30.0
@@ -19,7 +20,11 @@
 
 
 class Learners:
-    """Instances that replicate the log without a vote, and their promotion to voters."""
+    """Instances that replicate the log without a vote, and their promotion to voters.
+
+    ``instance_ids`` are instances to replicate to and may include voters; ``identities_by_id`` has
+    the identities that instances without a vote sent in their replies.
+    """
 
     def __init__(self, node: RaftNode, instance_ids: Iterable[str], voter_limit: int) -> None:
         self.identities_by_id: dict[str, str] = {}
@@ -68,7 +73,10 @@
                 return
 
     def _remove_unresponsive_voter(self, now: float) -> None:
-        """Remove the voter that has not answered for longest, if a learner can replace it."""
+        """Propose to remove the voter that has not answered for longest; it becomes a learner.
+
+        Nothing is proposed if it answered within VOTER_TIMEOUT_S or if no learner can replace it.
+        """
         if not any(self._can_become_voter(learner, now) for learner in self.identities_by_id):
             return
         unresponsive = [
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
@@ -6,7 +6,11 @@
 
 
 class PeerProgress(msgspec.Struct):
-    """Replication state of one peer; times are monotonic seconds of the leader."""
+    """Replication state of one peer; times are monotonic seconds of the leader.
+
+    ``round`` is the number of the newest request, and ``acknowledged_sent_at`` the time at which
+    the newest acknowledged request was sent.
+    """
 
     next_index: int
     match_index: int = 0
@@ -16,10 +20,14 @@
     is_request_pending: bool = False
 
     def update(self, is_matched: bool, match_index: int, base_index: int) -> None:
-        """Process a peer's append reply; ``base_index`` is the base of the leader's log."""
+        """Process a peer's append reply; ``base_index`` is the base of the leader's log.
+
+        Without ``is_matched``, ``match_index`` is the last index that may match.
+        """
         if is_matched:
             self.match_index = max(self.match_index, match_index)
             self.next_index = self.match_index + 1
             return
         retry_index = min(match_index, self.next_index - 1) + 1
+        # At the base, the entry before ``next_index`` is not in the log: a snapshot is sent next.
         self.next_index = max(1, retry_index, base_index)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -29,7 +29,7 @@
         return self._entries[-1].term if self._entries else self.base_term
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an entry, or None if it is not in the log."""
+        """Return the term of an entry or of the base, or None if the log has no such index."""
         if index == self.base_index:
             return self.base_term
         if not self.base_index < index <= self.last_index:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -50,6 +50,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.15
 LEASE_DRIFT_MARGIN_S = 0.1
+"""The read lease ends this long before a voter may vote again, since clocks drift apart."""
 ENTRIES_PER_APPEND = 200
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
 RETAINED_ENTRIES = 500
@@ -57,7 +58,13 @@
 
 
 class RaftNode:
-    """One instance; ``send`` sends a request to a peer, whose reply is passed to ``on_reply``."""
+    """Consensus state of one control instance.
+
+    ``send`` sends a request to a peer, whose reply is passed to ``on_reply``. ``apply`` applies a
+    committed entry to ``configuration`` in place. If a leader's snapshot replaces the
+    configuration, ``replace_configuration`` gets the new object, to which ``apply`` applies later
+    entries.
+    """
 
     def __init__(
         self,
@@ -129,6 +136,10 @@
         return self._quorum_acknowledged_sent_at(now) >= requested_at
 
     def _quorum_acknowledged_sent_at(self, now: float) -> float:
+        """Return the latest time such that a quorum has answered requests sent then or later.
+
+        This instance counts as having answered at ``now``.
+        """
         sent_times = [
             now if voter == self.instance_id else self.progress_of(voter).acknowledged_sent_at
             for voter in self._voters_by_id
@@ -182,7 +193,7 @@
     def _on_storage_failure(self) -> None:
         """Step down for now: an instance whose disk does not sync is of no use as a voter."""
         self.has_storage_failed = True
-        self._retry_storage_at = float("-inf")
+        self._retry_storage_at = float("-inf")  # The next tick sets the time.
         self.role = RaftRole.FOLLOWER
         self.leader_id = ""
 
@@ -198,7 +209,8 @@
         self.has_storage_failed = False
         if not self.save_vote(self.term, self.voted_for):
             return
-        # While the disk failed, a leader may have counted this voter's replies to its heartbeats.
+        # While the disk failed, a leader may have counted this voter's replies to its heartbeats,
+        # and its read lease may rely on them.
         self._elections.on_leader_contact(now)
 
     def _find_voters(self) -> dict[str, str]:
@@ -446,10 +458,10 @@
             self._replicate(reply.follower_id, now)
 
     def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
-        """Process the reply of an instance whose data folder is not the one of its voter.
+        """Process the reply of an instance that has another identity than the voter of its id.
 
         The log is replicated to the instance, but its replies don't count towards a quorum. Once
-        it has caught up, the voter with the former identity is removed.
+        it has caught up, the leader proposes to remove the voter with the former identity.
         """
         self.learners.identities_by_id[reply.follower_id] = reply.follower_identity
         if reply.is_matched:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/restart_rounds.py
@@ -37,6 +37,7 @@
     """
 
     def __init__(self, instance_id: str, random: Random, now: float) -> None:
+        # Never 0, which a vote request of an ordinary election contains as process id.
         self.process_id = random.getrandbits(PROCESS_ID_BITS) | 1
         self.has_seen_leader = False
         self.round_number = 0
@@ -83,7 +84,7 @@
 
     @property
     def confirmed_process_ids(self) -> dict[str, int]:
-        """Process ids of the voters, or empty if the two rounds had different ones."""
+        """Process ids of the other voters, or empty if the two rounds had different ones."""
         return self._process_ids if self._process_ids == self._first_round_process_ids else {}
 
     def has_newest_log(self, last_term: int, last_index: int) -> bool:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -66,6 +66,10 @@
             await anyio.sleep(LEARNER_RETRY_S)
 
     async def _join_as_learner(self) -> None:
+        """Query the known control instances, and leaders they reply with, until a leader accepts.
+
+        If none accepts, reload the seeds for the next attempt.
+        """
         request = ControlJoinRequest(self._instance_id, self._identity)
         queried_ids: set[str] = {self._instance_id}
         pending_ids = [id_ for id_ in self._address_book.control_ids if id_ not in queried_ids]
@@ -89,7 +93,7 @@
         self._address_book.reload_seeds()
 
     async def on_join_request(self, request: ControlJoinRequest) -> ControlJoinReply:
-        """Start replicating to an instance; a follower replies with the id of the leader."""
+        """Start replicating to an instance if leader; otherwise reply with the leader's id."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
         self._raft.learners.add(request.instance_id, clock.seconds())
@@ -118,7 +122,7 @@
 
         async def query(control_id: str) -> None:
             address = self._address_book.rpc_address(control_id)
-            assert address is not None, "control instances are in the settings"
+            assert address is not None, "founders are seeds or in control_instances"
             request = FormationRequest(self._instance_id, self._identity)
             try:
                 replies.append(
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -90,6 +90,7 @@
 RAFT_CALL_TIMEOUT_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
 COMMIT_POLL_S = 0.2
+"""How often a request that waits for a commit checks that this instance still leads."""
 LEADER_WAIT_TIMEOUT_S = 1.0
 """How long the request of a joining node waits for an election to end."""
 
@@ -270,7 +271,10 @@
         while True:
             self._raft.tick(clock.seconds())
             if self._raft.has_storage_failed and self._disk.last_error:
-                logger.error("stepped down until the disk works again: {}", self._disk.last_error)
+                logger.error(
+                    "this instance neither leads nor votes until its disk works again: {}",
+                    self._disk.last_error,
+                )
                 self._emit(events.StorageFailed(self._disk.last_error))
                 self._disk.last_error = ""
             self._emit_raft_changes()
@@ -304,7 +308,12 @@
                 self.metrics.counters["control_bytes_sent"] += len(datagram)
 
     async def _propose(self, request: CommandRequest) -> CommandAnswer | None:
-        """Return the committed answer, None if not the leader, or UNKNOWN if no commit is seen."""
+        """Propose a command and wait up to COMMIT_TIMEOUT_S until it is committed.
+
+        Returns the committed answer, also that of an earlier command with the same id, None if
+        nothing was proposed (not the leader, or the disk failed), or UNKNOWN if no commit was seen
+        before the timeout or a change of leader.
+        """
         if not self._raft.is_leader:
             return None
         earlier_answer = self._store.configuration.answers_by_command_id.get(request.command_id)
@@ -442,7 +451,7 @@
         """Return whether this instance considers itself the leader."""
         return self._raft.is_leader
 
-    # Operators
+    # RPC requests for commands, entries and state
 
     async def _command(self, request: CommandRequest) -> CommandReply:
         answer = await self._propose(request)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/operator_state.py
@@ -68,7 +68,9 @@
                 if answer.is_accepted:
                     self._emit(events.RoutingCommitted(document.version, answer.index))
                     return answer
-        return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the document in time")
+        return CommandAnswer(
+            AnswerStatus.UNKNOWN, "not the leader, or no quorum confirmed the document in time"
+        )
 
     async def read_routing(self) -> RoutingDocument | None:
         """Return the newest document, or None if no quorum confirms that it is the newest."""
@@ -79,10 +81,17 @@
     async def set_data_centre_state(
         self, name: str, state: DataCentreState, author: str
     ) -> CommandAnswer:
-        """Set the state of a data centre; a state that is already set is confirmed."""
+        """Set the state of a data centre, or confirm that it is set already.
+
+        The last data centre in service may be taken out too. UNKNOWN is returned for the same
+        reasons as by ``replace_routing``.
+        """
         async with self._lock:
             if not await self._confirm_read():
-                return CommandAnswer(AnswerStatus.UNKNOWN, "no quorum confirmed the change in time")
+                return CommandAnswer(
+                    AnswerStatus.UNKNOWN,
+                    "not the leader, or no quorum confirmed the current state in time",
+                )
             data_centre = self._store.configuration.data_centres_by_name.get(name)
             if data_centre is not None and data_centre.state is state:
                 return CommandAnswer(AnswerStatus.ACCEPTED, index=self._store.version)
@@ -91,6 +100,7 @@
         return answer or CommandAnswer(AnswerStatus.UNKNOWN, "this instance is not the leader")
 
     async def _confirm_read(self) -> bool:
+        """Return whether a quorum confirms within READ_TIMEOUT_S that this instance still leads."""
         requested_at = clock.seconds()
         while self._raft.is_leader:
             now = clock.seconds()
--- a/tests/coordination/test_leader_duties.py
+++ b/tests/coordination/test_leader_duties.py
@@ -1,3 +1,5 @@
+"""Commands that the leader proposes itself, leases, address assignment and cluster formation."""
+
 from __future__ import annotations
 
 import unittest
@@ -71,6 +73,7 @@
             (REMOVAL_TIMEOUT_S, {"a"}, set()),
             (REMOVAL_TIMEOUT_S + 1, {"a"}, {"a"}),
             (REMOVAL_TIMEOUT_S + 1, {"a", "b"}, {"a", "b"}),
+            # More than MAX_TIMED_OUT_FRACTION of the nodes: none is removed.
             (REMOVAL_TIMEOUT_S + 9, {"a", "b", "c"}, set()),
         ]
         for end, unresponsive, expected in table:
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -1,3 +1,5 @@
+"""Raft under lost messages, partitions, restarts, and disks that fail or are wiped."""
+
 from __future__ import annotations
 
 import unittest
@@ -327,7 +329,10 @@
         self.assertFalse(vote.is_granted)
 
     def test_voter_whose_disk_failed_is_not_leaderless(self) -> None:
-        """A voter whose disk fails answers heartbeats without following: a lease may rely on it."""
+        """A voter whose disk fails answers heartbeats without recording contact with the leader.
+
+        A read lease may rely on these answers, so the voter must not report that it saw no leader.
+        """
         cluster = FakeRaftCluster(Random(1))
         voter, candidate = cluster.controls["a"], cluster.controls["b"]
         for disk_fails, is_leaderless in ((False, True), (True, False)):
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -149,7 +149,7 @@
         self.assertTrue(leader.node.is_read_confirmed(requested_at, self.cluster.now))
 
     def test_suspended_leader_confirms_no_read(self) -> None:
-        """Others may have elected a leader meanwhile, which the suspended one does not know yet."""
+        """The others may have elected a leader while the former one was suspended."""
         leader = self.cluster.leader
         self.cluster.partitioned.add(leader.name)
         requested_at = self.cluster.now
--- a/tests/coordination/test_restart_rounds.py
+++ b/tests/coordination/test_restart_rounds.py
@@ -65,7 +65,7 @@
     def test_second_round_needs_the_processes_of_the_first(self) -> None:
         cases = {
             "the same processes": (LEADERLESS_PROCESS_IDS, LEADERLESS_PROCESS_IDS),
-            # After its first reply it may have received the other's heartbeat and restarted.
+            # After its first reply, c may have received a heartbeat from b as leader and restarted.
             "one voter has restarted": ({"b": 11, "c": 13}, {}),
         }
         for name, (second, expected) in cases.items():
