Say when the leader sends to a peer and what version 0 of a node means

The list of node statuses said that a node with version 0 "has sent no heartbeat", but only the leader records heartbeats. The cluster of the Raft test says what settle() does.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -294,6 +294,11 @@
     # Replication
 
     def _replicate(self, peer: str, now: float) -> None:
+        """Send a peer new entries, a snapshot if it needs entries before the base, or a heartbeat.
+
+        Nothing is sent while a request is pending for less than REPLY_TIMEOUT_S, nor a heartbeat
+        before HEARTBEAT_INTERVAL_S has passed.
+        """
         progress = self.progress_of(peer)
         if progress.is_request_pending and now - progress.sent_at < REPLY_TIMEOUT_S:
             return
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/node_statuses.py
@@ -14,7 +14,10 @@
 def list_node_statuses(
     config: Configuration, membership: Membership, now: float
 ) -> list[NodeStatus]:
-    """Return all members, sorted by id; version 0 means that a node has sent no heartbeat."""
+    """Return all members, sorted by id.
+
+    Version 0 means that this instance, as leader, has received no heartbeat from the node.
+    """
     nodes = [
         NodeStatus(m.server_id, "agent", m.data_centre, 0, None, m.state.value, m.service)
         for m in config.servers_by_id.values()
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -230,6 +230,7 @@
         self.partitioned = set() if self.partitioned else {self.random.choice(VOTERS)}
 
     def settle(self, seconds: float = 20.0) -> None:
+        """End all partitions and run for ``seconds`` without losing or reordering messages."""
         self.partitioned = set()
         end = self.now + seconds
         while self.now < end:
