--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -25,7 +25,7 @@
     from wagtailkeel_transport import RpcClient
 
 FORMATION_RETRY_S = 0.2
-FORMATION_TIMEOUT_S = 1.0
+CONTROL_CALL_TIMEOUT_S = 1.0
 LEARNER_RETRY_S = 0.5
 
 
@@ -66,6 +66,10 @@
             await anyio.sleep(LEARNER_RETRY_S)
 
     async def _join_as_learner(self) -> None:
+        """Query the known control instances, and leaders they reply with, until a leader accepts.
+
+        If none accepts, reload the seeds for the next attempt.
+        """
         request = ControlJoinRequest(self._instance_id, self._identity)
         queried_ids: set[str] = {self._instance_id}
         pending_ids = [id_ for id_ in self._address_book.control_ids if id_ not in queried_ids]
@@ -77,7 +81,7 @@
             queried_ids.add(control_id)
             try:
                 reply = await self._rpc_client.call(
-                    address, CONTROL_JOIN, request, FORMATION_TIMEOUT_S
+                    address, CONTROL_JOIN, request, CONTROL_CALL_TIMEOUT_S
                 )
             except RpcError:
                 self._counters["control_join_failures"] += 1
@@ -89,7 +93,7 @@
         self._address_book.reload_seeds()
 
     async def on_join_request(self, request: ControlJoinRequest) -> ControlJoinReply:
-        """Start replicating to an instance; a follower replies with the id of the leader."""
+        """Start replicating to an instance if leader; otherwise reply with the leader's id."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
         self._raft.learners.add(request.instance_id, clock.seconds())
@@ -99,8 +103,8 @@
         """Append the first entry of a new cluster once all founders have answered."""
         while not self._raft.voters_by_id:
             replies = await self._query_founders()
-            expected = self._founder_ids
-            voters = find_initial_voters(self._instance_id, self._identity, expected, replies)
+            founder_ids = self._founder_ids
+            voters = find_initial_voters(self._instance_id, self._identity, founder_ids, replies)
             if voters is not None and not self._raft.voters_by_id:
                 self._raft.form(voters)
                 logger.info("formed a cluster with the voters {}", ", ".join(sorted(voters)))
@@ -118,11 +122,11 @@
 
         async def query(control_id: str) -> None:
             address = self._address_book.rpc_address(control_id)
-            assert address is not None, "control instances are in the settings"
+            assert address is not None, "founders are seeds or in control_instances"
             request = FormationRequest(self._instance_id, self._identity)
             try:
                 replies.append(
-                    await self._rpc_client.call(address, FORMATION, request, FORMATION_TIMEOUT_S)
+                    await self._rpc_client.call(address, FORMATION, request, CONTROL_CALL_TIMEOUT_S)
                 )
             except RpcError:
                 self._counters["formation_failures"] += 1
