Roles: names for the GUE header parts, the retained entries and two methods

PREFIX_IPV4, PREFIX_IPV6 and the route's suffix did not say that they are parts of a GUE header; they are now GUE_PREFIX_IPV4, GUE_PREFIX_IPV6 and gue_suffix. The store keeps 500 to 1,000 entries, so its constant is MIN_RETAINED_ENTRIES. The agent's _on_control read as if it concerned the control role; it takes any message datagram, so it is _on_message_datagram. _pull_from_any is _pull_sparing_leader.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -201,7 +201,7 @@
 
     def _on_datagram(self, datagram: bytes) -> None:
         if gue.is_control(datagram):
-            self._on_control(datagram)
+            self._on_message_datagram(datagram)
             return
         # Most packets belong to flows of the local backend server: deliver those without decoding
         # the whole frame.
@@ -219,7 +219,7 @@
             return
         self._router.on_frame(frame, clock.seconds())
 
-    def _on_control(self, datagram: bytes) -> None:
+    def _on_message_datagram(self, datagram: bytes) -> None:
         message = decode_datagram(datagram)
         if isinstance(message, Malformed):
             self.metrics.counters[f"dropped_{message.value}"] += 1
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -14,8 +14,8 @@
 from wagtailkeel.roles.node_link import NodeLink
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel.roles.service_route import ENCODED_BUCKETS
-from wagtailkeel.roles.service_route import PREFIX_IPV4
-from wagtailkeel.roles.service_route import PREFIX_IPV6
+from wagtailkeel.roles.service_route import GUE_PREFIX_IPV4
+from wagtailkeel.roles.service_route import GUE_PREFIX_IPV6
 from wagtailkeel.roles.service_route import ServiceRoute
 from wagtailkeel.roles.table_builder import TableBuilder
 from wagtailkeel_protocol.codec import decode_datagram
@@ -131,10 +131,10 @@
             return
         if len(key) == IPV4_KEY_BYTES:
             route = self._routes_by_endpoint.get(key[4:8] + key[10:])
-            prefix = PREFIX_IPV4
+            prefix = GUE_PREFIX_IPV4
         else:
             route = self._routes_by_endpoint.get(endpoint_of(key))
-            prefix = PREFIX_IPV6
+            prefix = GUE_PREFIX_IPV6
         if route is None:
             self.metrics.counters["dropped_unknown_class"] += 1
             return
@@ -146,7 +146,7 @@
         if address is None:
             self.metrics.counters["dropped_no_server"] += 1
             return
-        self._endpoint.send(prefix + ENCODED_BUCKETS[bucket] + route.suffix + packet, address)
+        self._endpoint.send(prefix + ENCODED_BUCKETS[bucket] + route.gue_suffix + packet, address)
         self._forwarded_packets += 1
 
     # Configuration
--- a/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
@@ -13,7 +13,7 @@
 
     from wagtailkeel_state.commands import LogEntry
 
-RETAINED_ENTRIES = 500
+MIN_RETAINED_ENTRIES = 500
 
 
 class ConfigurationStore:
@@ -64,8 +64,8 @@
     def retain_entry(self, entry: LogEntry) -> None:
         """Keep a recent entry for peers that pull."""
         self._recent_entries.append(entry)
-        if len(self._recent_entries) > 2 * RETAINED_ENTRIES:
-            del self._recent_entries[:RETAINED_ENTRIES]
+        if len(self._recent_entries) > 2 * MIN_RETAINED_ENTRIES:
+            del self._recent_entries[:MIN_RETAINED_ENTRIES]
 
     def replace(self, configuration: Configuration) -> None:
         """Replace the configuration by one from a snapshot that Raft has installed."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -273,14 +273,14 @@
             await self._newer_version_known.wait()
             self._newer_version_known = anyio.Event()
             for peer_id, version in list(self._versions_by_peer_id.items()):
-                if version <= self._store.version or not await self._pull_from_any(peer_id):
+                if version <= self._store.version or not await self._pull_sparing_leader(peer_id):
                     del self._versions_by_peer_id[peer_id]
             if self._versions_by_peer_id:
                 # The delay combines changes in quick succession into one pull.
                 await anyio.sleep(PULL_RETRY_INTERVAL_S)
                 self._newer_version_known.set()
 
-    async def _pull_from_any(self, peer_id: str) -> bool:
+    async def _pull_sparing_leader(self, peer_id: str) -> bool:
         """Pull from a random control instance, to spare the leader; if that fails, from the peer.
 
         A peer that is not a control instance is pulled from directly.
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -16,8 +16,8 @@
 
 MAX_BUCKETS = 65_536
 ENCODED_BUCKETS = tuple(bucket.to_bytes(2, "big") for bucket in range(MAX_BUCKETS))
-PREFIX_IPV4 = gue.header_prefix(4)
-PREFIX_IPV6 = gue.header_prefix(6)
+GUE_PREFIX_IPV4 = gue.header_prefix(4)
+GUE_PREFIX_IPV6 = gue.header_prefix(6)
 
 
 class ServiceRoute(msgspec.Struct):
@@ -25,7 +25,7 @@
 
     positions: memoryview
     addresses: tuple[Address | None, ...]
-    suffix: bytes
+    gue_suffix: bytes
 
     @classmethod
     def from_table(cls, table: OwnerTable, config: Configuration) -> ServiceRoute:
