Roles and logs: conditions and effects that docstrings left out

They say so now, and two log lines say what remains and what the number is. No behaviour changes: black, ruff and mypy pass, as do tests/wagtailkeel and the adapter's processes.

--- a/packages/wagtailkeel/src/wagtailkeel/daemon.py
+++ b/packages/wagtailkeel/src/wagtailkeel/daemon.py
@@ -24,7 +24,7 @@
     """Interface of a role towards the daemon."""
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
-        """Serve until cancelled; report the role as started once it takes part."""
+        """Serve until cancelled; report the role as started, upon which the next one starts."""
 
     async def stop(self) -> None:
         """Hand over the state that other instances need, before the role is cancelled."""
--- a/packages/wagtailkeel/src/wagtailkeel/event_log.py
+++ b/packages/wagtailkeel/src/wagtailkeel/event_log.py
@@ -44,8 +44,8 @@
 class EventLog:
     """Implements the event sink, with a separate rate limit for each kind of event.
 
-    Events over the limit and lines dropped by the writer are counted; the counts are logged at
-    most once a second.
+    Events over the limit and lines dropped by the writer are counted; the counts are logged
+    while events are emitted, at most once a second.
     """
 
     def __init__(self, instance: str, writer: LineWriter) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -41,7 +41,10 @@
 
     @property
     def sort_key(self) -> tuple[bool, int, float, int]:
-        """Sort openings first and by routing version, since the clocks of two nodes may differ."""
+        """Sort key that puts events of openings first, in order of their routing version.
+
+        Their times come second, since the clocks of two nodes may differ.
+        """
         is_after_opening = self.event not in _OPENING_EVENTS
         version = int(self.fields.get("routing_version", 0))
         return is_after_opening, 0 if is_after_opening else version, self.at, self.position
--- a/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/address_book.py
@@ -18,7 +18,8 @@
 class AddressBook:
     """Looks up control instances in the settings or seeds, other nodes in the configuration.
 
-    With seeds, ``control_ids`` lists the voters of the configuration before the seeds.
+    With seeds, an id that is not in the configuration is taken to be the host of a control instance
+    that listens on the ports of the discovery settings.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
 
     @property
     def control_ids(self) -> list[str]:
-        """Ids of the control instances, in the order of the settings, or voters before seeds."""
+        """Ids of the control instances in the settings; with seeds, of the voters, then seeds."""
         if self._discovery is None:
             return list(self._control_instances_by_id)
         voters = self._store.configuration.control_identities_by_id
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -149,15 +149,24 @@
                 await server.close()
 
     async def stop(self) -> None:
-        """Hand over all buckets before a planned stop; the backend server keeps its flows."""
+        """Hand over all buckets before a planned stop; the backend server keeps its flows.
+
+        After ``stop_limit_s`` the agent stops with the buckets that it still has.
+        """
         self._is_stopping = True
         with anyio.move_on_after(self._section.stop_limit_s):
             await self._announce_stop()
             while self._router.authority.has_tokens_to_grant:
                 await anyio.sleep(STOP_POLL_INTERVAL_S)
-        logger.info("handed over all but {} buckets", len(self._router.authority.tokens_by_bucket))
+        logger.info(
+            "handed over the buckets; {} remain", len(self._router.authority.tokens_by_bucket)
+        )
 
     async def _announce_stop(self) -> None:
+        """Request the stop from control until the request is committed.
+
+        The recorded version then makes the agent pull the configuration that has the stop.
+        """
         request = StopRequest(self._section.server_id, self._link.boot_id)
         while True:
             for control_id in [self._link.leader_id, *self._address_book.control_ids]:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -159,6 +159,7 @@
             await self._configuration_changed.wait()
             self._configuration_changed = anyio.Event()
             config = self.store.configuration
+            # Removed servers get no packets while the new tables are built.
             self._refresh_routes(config)
             await self._table_builder.refresh(config, list(config.services_by_name))
             self._refresh_routes(config)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
@@ -34,7 +34,10 @@
         self._listeners.append(listener)
 
     def answer_pull(self, since: int) -> PullReply:
-        """Return the entries after index ``since``, or a snapshot if they are not all retained."""
+        """Return the entries after index ``since``, or a snapshot if they are not all retained.
+
+        The reply is empty if this node has no newer version.
+        """
         if since >= self.version:
             return PullReply()
         entries = [entry for entry in self._recent_entries if entry.index > since]
@@ -68,6 +71,9 @@
             del self._recent_entries[:MIN_RETAINED_ENTRIES]
 
     def replace(self, configuration: Configuration) -> None:
-        """Replace the configuration by one from a snapshot that Raft has installed."""
+        """Replace the configuration by one from a snapshot that Raft has installed.
+
+        Listeners are not called.
+        """
         self.configuration = configuration
         self._recent_entries.clear()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/metrics.py
@@ -36,7 +36,7 @@
         return HdrHistogram(MIN_RESPONSE_US, MAX_RESPONSE_US, SIGNIFICANT_DIGITS)
 
     def record_response(self, response_s: float) -> None:
-        """Record one response time."""
+        """Record one response time; the histogram limits it to between 1 µs and 60 s."""
         self.response_sum_s += response_s
         value = min(max(int(response_s * 1e6), MIN_RESPONSE_US), MAX_RESPONSE_US)
         self._responses.record_value(value)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -100,9 +100,10 @@
         return any(version > self._store.version for version in self._versions_by_peer_id.values())
 
     def is_version_confirmed(self, since: float) -> bool:
-        """Return whether the leader has confirmed this node's version since ``since``.
+        """Return whether the leader has confirmed this node's version since the time ``since``.
 
-        If it has not, send the leader a heartbeat; its acknowledgement confirms the version.
+        It is confirmed if the leader has acknowledged a heartbeat sent at that time or later and no
+        newer version is known. Otherwise send the leader a heartbeat, at most every 50 ms.
         """
         if self._version_confirmed_at >= since and not self.has_newer_version:
             return True
@@ -133,7 +134,7 @@
             if attempts % len(control_ids) == 0:
                 self._address_book.reload_seeds()
             # Pull before joining: other nodes send packets here as soon as the join is logged, and
-            # handling them needs the classes.
+            # handling them needs the traffic classes.
             await self._pull_from(control_id)
             reply = await self._announce_to(control_id)
             if reply is None or not reply.is_joined:
@@ -210,6 +211,7 @@
         self._endpoint.send(datagram, address)
 
     def _switch_to_next_control(self, now: float) -> None:
+        """Switch to the next control instance; it has one heartbeat interval to ack."""
         if self._control_lost_at == float("inf"):
             self._control_lost_at = self.acknowledged_at
             silent_s = round(now - self.acknowledged_at, 1)
@@ -222,7 +224,11 @@
         self.acknowledged_at = now - ACK_TIMEOUT_S + HEARTBEAT_INTERVAL_S
 
     def on_ack(self, message: HeartbeatAck) -> None:
-        """Process the acknowledgement of a heartbeat."""
+        """Process the acknowledgement of a heartbeat.
+
+        A follower's redirects this node to the leader. The leader's renews the lease, or makes this
+        node rejoin if control has removed it.
+        """
         self.record_peer_version(message.sender, message.version)
         if message.leader_id != message.sender:
             self._switch_to_leader(message.leader_id)
@@ -247,7 +253,7 @@
             self._must_rejoin = anyio.Event()
             self.boot_id = generate_boot_id()
             self._metrics.counters["rejoins"] += 1
-            logger.warning("control removed this incarnation; rejoining as {}", self.boot_id)
+            logger.warning("removed by control; rejoining as incarnation {}", self.boot_id)
             if self._on_rejoin is not None:
                 self._on_rejoin(self.boot_id)
             await self._join()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/service_route.py
@@ -21,7 +21,10 @@
 
 
 class ServiceRoute(msgspec.Struct):
-    """Owners by bucket, as positions in ``addresses``, and the last bytes of each GUE header."""
+    """The owners of a service's buckets, and the GUE header bytes that follow the bucket.
+
+    ``positions`` has, for each bucket, the position of its owner in ``addresses``.
+    """
 
     positions: memoryview
     addresses: tuple[Address | None, ...]
