--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -98,7 +98,11 @@
 
 
 class FakeBackend(threading.Thread):
-    """A backend server: accepts flows, answers data with its host, returns other flows' packets."""
+    """A backend server that accepts every flow and answers data with its host.
+
+    It returns packets of flows that it did not accept, flagged as bounced. While ``is_connected``
+    is false, it sends no heartbeats and ignores packets.
+    """
 
     def __init__(
         self, host: str, port: int, outbound_address: tuple[str, int], control_port: int
@@ -195,7 +199,7 @@
         for backend in self.backends:
             backend.start()
         self.replace_configuration(1)
-        wait_until(lambda: self.get_readiness_status() == 200, "the balancer")
+        wait_until(lambda: self.get_readiness_status() == 200, "the balancer to be ready")
 
     def start_process(self, host: str) -> None:
         path = self._folder / f"{host}.toml"
@@ -271,7 +275,7 @@
 """
 
     def replace_configuration(self, version: int) -> None:
-        """Replace the configuration and wait until that is acknowledged."""
+        """Replace the configuration, repeating the request until it is answered with status 200."""
         body = {
             "version": version,
             "routes": [
@@ -289,7 +293,7 @@
         wait_until(
             lambda: http_call(self.control_hosts[0], self.control_port, "POST", path, body)[0]
             == 200,
-            "the acknowledgement of a configuration",
+            "control to accept the configuration",
         )
 
     def get_readiness_status(self) -> int:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -33,7 +33,10 @@
         cls.site.start()
 
     def wait_for_cause(self, port: int, text: str) -> str:
-        """Wait until the cause that the logs alone give for a flow contains a text; return it."""
+        """Wait until the logs alone explain a caller's flow; return the cause.
+
+        The cause must contain ``text``, and ``port`` is the caller's.
+        """
         flow = parse_flow_id(f"127.31.9.1:{port}>{ROUTE}:{ROUTE_PORT}")
 
         def find_cause() -> str:
@@ -74,6 +77,7 @@
         try:
             port = self.open_until_refused(2_001)
         finally:
+            # A new start time makes the agents drop the flows opened above.
             self.site.backends[0]._started_at_ms += 1
             self.site.backends[1]._started_at_ms += 1
             for backend in self.site.backends:
@@ -81,7 +85,10 @@
         self.assertIn("no_server_accepts", self.wait_for_cause(port, "refused"))
 
     def open_until_refused(self, first_port: int) -> int:
-        """Open flows until one is refused: servers accept some until they report their drain."""
+        """Open flows until one is refused, and return its port.
+
+        Servers accept some until they have reported that they drain.
+        """
         ports = iter(range(first_port, first_port + 1_000))
 
         def find_refused() -> int:
@@ -101,12 +108,14 @@
             self.assertTrue(answer[4] & packets.RST)
             self.assertIn("held_nowhere", self.wait_for_cause(3_001, "no server holds the flow"))
         finally:
+            # Bring the server back as a new incarnation that holds no flows.
             backend.flows.clear()
             backend._started_at_ms += 1
             backend.is_connected = True
 
     def test_an_opening_without_a_route_is_explained(self) -> None:
         packet = bytearray(build_packet(packets.SYN, ("127.31.9.1", 4_001), ack=1))
+        # The destination port, which has no route.
         packet[30:32] = (ROUTE_PORT + 1).to_bytes(2, "big")
         answer = wait_until(lambda: self.site.send_and_receive(bytes(packet)), "a refusal")
         self.assertTrue(answer[4] & packets.RST)
--- a/tests/wagtailkeel/test_event_log.py
+++ b/tests/wagtailkeel/test_event_log.py
@@ -20,7 +20,10 @@
 
 @contextmanager
 def log_to_unread_pipe() -> Iterator[tuple[EventLog, LineWriter, int]]:
-    """Yield an event log that writes into a pipe, its writer, and the unread end of the pipe."""
+    """Yield an event log that writes into a pipe, its writer, and the pipe's end for reading.
+
+    Nothing reads the pipe until the test does.
+    """
     reader, descriptor = os.pipe()
     writer = LineWriter(descriptor)
     logger.remove()
