--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -211,7 +211,10 @@
         self._endpoint.send(datagram, address)
 
     def _switch_to_next_control(self, now: float) -> None:
-        """Switch to the next control instance; it has one heartbeat interval to ack."""
+        """Switch to the next control instance; it has one heartbeat interval to ack.
+
+        To that end ``acknowledged_at`` is set to a time at which nothing was acknowledged.
+        """
         if self._control_lost_at == float("inf"):
             self._control_lost_at = self.acknowledged_at
             silent_s = round(now - self.acknowledged_at, 1)
