State conditions and side effects of ten functions in their docstrings

Read without the rest of the code, these functions left questions open: when a check of timeouts starts anew or removes no node, which options a booked change uses, what marks records of a grant as sent, when a search returns no agents, what remains unchanged if the disk fails, and others. Their docstrings and two comments answer them now.

--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -43,7 +43,11 @@
         self._initial_call_bytes = 0
 
     async def run(self) -> Result:
-        """Run all steps and return the result."""
+        """Run all steps and return the result.
+
+        After the steps, callers start no new requests, but open feeds keep sending theirs.
+        ``settled_hops`` is measured after the other results, with this traffic.
+        """
         try:
             await self._site.start(absent=self._scenario.absent)
             await self._set_rules()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -74,7 +74,8 @@
         """Adapt the limit to one answer.
 
         With ``was_queued``, the request arrived when all slots were busy, so its response time
-        includes queueing and is not recorded as a service time.
+        includes queueing and is not recorded as a service time. It lowers the limit all the same
+        if it is too long.
         """
         self.in_flight = max(0, self.in_flight - 1)
         response_s = max(response_s, MIN_RESPONSE_S)
@@ -83,8 +84,8 @@
         if response_s > self._acceptable_response_s(class_name, target):
             self._decrease(now)
             return
-        # Answers without processing say little of the server's speed: they raise the limit only up
-        # to the number of slots.
+        # Answers of held-flows classes cost the server no processing and say little of its speed:
+        # they raise the limit only up to the number of slots.
         if target.kind is TargetKind.RESPONSE_TIME or self.limit < self._slots:
             self._increase()
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_search.py
@@ -45,9 +45,11 @@
     ) -> list[Address]:
         """Start or continue a search; return the agents to send this packet to.
 
-        The first packet goes to all agents. Later, one packet per RETRY_INTERVAL_S goes to the
-        agents with an answer pending, and the others are queued until the flow is found. Packets
-        are dropped when MAX_SEARCHES or MAX_QUEUED_PACKETS is reached.
+        The first packet starts the search and goes to all of ``agents``, which later calls ignore.
+        After that, one packet per RETRY_INTERVAL_S goes to the agents with an answer pending, and
+        all other packets are queued until the flow is found. Packets are dropped when MAX_SEARCHES
+        or MAX_QUEUED_PACKETS is reached. The list is empty if the packet was queued or dropped, or
+        if there is no agent to query.
         """
         search = self.by_key.get(key)
         if search is None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -76,7 +76,12 @@
     def find_removals(
         self, config: Configuration, now: float
     ) -> list[RemoveServer | RemoveBalancer]:
-        """Return the commands that remove nodes which have sent no heartbeat for too long."""
+        """Return the commands that remove nodes which have sent no heartbeat for too long.
+
+        If more than MAX_CHECK_GAP_S passed since the last check, for instance since the leader
+        paused, the timeouts of all nodes start anew. No node is removed if more than one, and more
+        than MAX_TIMED_OUT_FRACTION of all nodes, have timed out at once.
+        """
         if now - self._checked_at > MAX_CHECK_GAP_S:
             self._grace_since = now
         self._checked_at = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/outgoing_grant.py
@@ -40,7 +40,12 @@
         )
 
     def split_unsent(self, records: list[FlowRecord]) -> list[FlowRecord]:
-        """Split records not sent yet into parts; return the rest, which is sent with the token."""
+        """Store full parts of the records not sent yet for sending; return the rest.
+
+        The parts are added to ``parts_by_number`` and their keys to ``sent_keys``. The rest, at
+        most RECORDS_PER_DATAGRAM records, is not marked as sent, so that a later call returns it
+        again; it is sent with the token.
+        """
         unsent = [record for record in records if record.key not in self.sent_keys]
         while len(unsent) > RECORDS_PER_DATAGRAM:
             part, unsent = unsent[:RECORDS_PER_DATAGRAM], unsent[RECORDS_PER_DATAGRAM:]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/peer_view.py
@@ -74,9 +74,10 @@
         return self._pick(candidates, lambda peer: peer.held_ratio)
 
     def has_at_most_mean_held_ratio(self, own: Load, now: float) -> bool:
-        """Return whether the local backend server is at or below its peers' mean of held flows.
+        """Return whether the local backend server has no more held flows than its peers' mean.
 
-        Held flows are compared per unit of capacity.
+        Held flows are compared per unit of capacity: with the total held flows of all peers that
+        have headroom, divided by their total capacity. Return True if no peer has headroom.
         """
         peers = [peer for _, peer in self._candidates((), now) if peer.headroom > 0]
         capacity = sum(max(peer.load.capacity, 1) for peer in peers)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -170,6 +170,11 @@
         return None if self.has_storage_failed else index
 
     def _append(self, entries: list[LogEntry]) -> bool:
+        """Append entries to the log on disk, then in memory; return whether this succeeded.
+
+        If the disk fails, nothing is added in memory and the node steps down. The voters are those
+        of the newest entry that sets them, committed or not.
+        """
         try:
             self._storage.append(entries)
         except StorageFaultError:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -66,10 +66,12 @@
         return shares.get(server_id, DEFAULT_SHARE_PER_SLOT * member.slots)
 
     def table_region(self, service: str, region: str) -> str:
-        """Return the region whose servers serve ``region``.
+        """Return the region whose servers own the buckets in the owner table of ``region``.
 
-        This is the region itself or, if none of its servers is placeable, the next region by name
-        that has such a server.
+        This is the region itself or, if none of the service's servers there is placeable, the next
+        region by name that has such a server, with the first name following the last. If there is
+        none anywhere, it is the region itself, and the table is empty. All nodes with the same
+        configuration compute the same region.
         """
         regions = sorted(
             {
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -96,6 +96,11 @@
     non_idempotent: bool,
     idle_limit: float,
 ) -> BookableCommand:
+    """Return the command to book for ``change``, which is one of CHANGES.
+
+    Only class-create and class-target use ``target``, which they require, and only class-create
+    uses the options after it; for the other changes the options are ignored.
+    """
     if change == "datacentre-out":
         return SetDataCentreState(name=subject, state=DataCentreState.OUT_OF_SERVICE)
     if change == "datacentre-back":
@@ -118,6 +123,7 @@
             is_idempotent=not non_idempotent,
             idle_limit_s=idle_limit,
         )
+    # Only class-target is left, since click accepts no change outside CHANGES.
     return ChangeTarget(service=service, name=name, target=target)
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/event_log.py
+++ b/packages/wagtailkeel/src/wagtailkeel/event_log.py
@@ -56,7 +56,12 @@
         self._summary_written_at = float("-inf")
 
     def emit(self, event: Event) -> None:
-        """Write an event, or count it as omitted."""
+        """Write an event, or count it as omitted if its kind is over the rate limit.
+
+        Then write a summary of the omitted events and of the lines dropped by the writer, if there
+        are any and the last summary is at least SUMMARY_INTERVAL_S old. Otherwise their counts wait
+        for a later event.
+        """
         now = clock.seconds()
         name = event.name()
         if self._token_bucket(event, name, now).try_consume(now):
