Name the hash seeds of owner tables by what they belong to

In _pair_hashes, positions meant values derived from bucket numbers, while everywhere else in the module a position is an index into server_ids; it is bucket_seeds now, next to server_seeds. In a test, the parameter expected is expected_version, like the field it sets.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -107,14 +107,14 @@
     # Imported here since most roles build no table, and numpy is slow to import on small instances.
     import numpy as np
 
-    seeds = np.array(
+    server_seeds = np.array(
         [xxhash.xxh3_64_intdigest(key.encode()) for key in server_ids], dtype=np.uint64
     )
     with np.errstate(over="ignore"):
-        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(
+        bucket_seeds = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(
             _SPLITMIX64_INCREMENT
         )
-        hashes = positions[:, None] ^ seeds[None, :]
+        hashes = bucket_seeds[:, None] ^ server_seeds[None, :]
         hashes = (hashes ^ (hashes >> np.uint64(30))) * np.uint64(_SPLITMIX64_MULTIPLIER_1)
         hashes = (hashes ^ (hashes >> np.uint64(27))) * np.uint64(_SPLITMIX64_MULTIPLIER_2)
     result: NDArray[np.uint64] = hashes ^ (hashes >> np.uint64(31))
--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -51,10 +51,12 @@
         )
 
     def apply(
-        self, command: AnyCommand, command_id: str = "", expected: int | None = None
+        self, command: AnyCommand, command_id: str = "", expected_version: int | None = None
     ) -> CommandAnswer:
         index = self.config.index + 1
-        return apply_entry(self.config, LogEntry(index, 1, command, command_id, "ann", expected))
+        return apply_entry(
+            self.config, LogEntry(index, 1, command, command_id, "ann", expected_version)
+        )
 
     def accept(self, command: AnyCommand) -> None:
         answer = self.apply(command)
