Say what the fields and states of the replicated state mean

Docstrings left out conditions and meanings that only other packages showed: a former member is also an incarnation that was replaced by a restart, a booked change is not undone at the end of its window, what a rejected, conflicting or unknown outcome implies, which entries set the operator version, the units of drain deadlines and cold starts. They are stated where the fields are defined. Two labels of invalid routing documents in a test name the actual error.

--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking.py
@@ -11,7 +11,9 @@
 class Booking(msgspec.Struct):
     """A booked change and its state, of which the leader logs each transition.
 
-    Times are in seconds since the Unix epoch.
+    The change takes effect when the booking becomes active; the end of the window does not undo it.
+    Times are in seconds since the Unix epoch. ``reason`` says why a failed booking could not be
+    applied.
     """
 
     booking_id: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/booking_rules.py
@@ -30,7 +30,11 @@
 
 
 def _find_capacity_conflict(config: Configuration, changes: list[Command]) -> str | None:
-    """Return the reason if all the changes together leave no data centre or server, or None."""
+    """Return why the changes together would leave too little capacity, or None if they do not.
+
+    Changes that take data centres out of service must leave one in service; drains must leave a
+    placeable server to each service that has one now.
+    """
     out_of_service = {
         change.name
         for change in changes
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -68,13 +68,20 @@
 
 
 class ReplaceRouting(Command):
-    """Put a newer routing document in force; a version that is not newer has no effect."""
+    """Put a newer routing document in force; a version that is not newer has no effect.
+
+    The change is rejected if its base version is not the version in force.
+    """
 
     change: RoutingChange
 
 
 class DrainServer(Command):
-    """Stop placing new flows on a server and let it finish its flows."""
+    """Stop placing new flows on a server and let it finish its flows.
+
+    The server goes out of service ``deadline_s`` seconds after its agent has learned of the drain,
+    even if it still has flows.
+    """
 
     server_id: str
     deadline_s: float = 3_600.0
@@ -87,7 +94,7 @@
 
 
 class JoinServer(Command):
-    """Add a server, or record its agent's next incarnation."""
+    """Add a server, or record its agent's next incarnation; a draining server keeps draining."""
 
     member: ServerMember
 
@@ -152,7 +159,11 @@
 
 
 class AdvanceBooking(Command):
-    """Record, as proposed by the leader, that a booking is active, is done or has lapsed."""
+    """Record, as proposed by the leader, that a booking is active, is done or has lapsed.
+
+    When a booking becomes active, its change is applied; the booking fails if the change is
+    rejected.
+    """
 
     booking_id: str
     state: BookingState
@@ -198,7 +209,11 @@
 
 
 class LogEntry(msgspec.Struct, omit_defaults=True):
-    """A command with its position in the log, its author and the version that they expected."""
+    """A command with its position in the log, its author and the version that they expected.
+
+    A command without ``command_id`` is not recognised when it is sent again; a command without
+    ``expected_version`` is applied to any version.
+    """
 
     index: int
     term: int
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -19,7 +19,12 @@
 
 
 class Configuration(msgspec.Struct):
-    """All replicated state; only :func:`apply_entry` modifies it."""
+    """All replicated state; only :func:`apply_entry` modifies it.
+
+    ``index`` and ``term`` are those of the last entry applied. ``operator_version`` is the index at
+    which an operator's command was last accepted or a booking last became active, and
+    ``last_author`` is the author.
+    """
 
     index: int = 0
     term: int = 0
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -45,7 +45,8 @@
 MAX_RETAINED_ANSWERS = 10_000
 MAX_RETAINED_FORMER_MEMBERS = 1_000
 
-# Commands of nodes, not operators: the expected version is not checked.
+# Commands of nodes, not operators: the expected version is not checked, and the operator version
+# does not change, except when AdvanceBooking applies a booked change.
 _SYSTEM_COMMANDS = (
     Noop,
     DefineDataCentre,
@@ -61,9 +62,10 @@
 
 
 def apply_entry(config: Configuration, entry: LogEntry) -> CommandAnswer:
-    """Apply the entry at ``config.index + 1`` and return its answer.
+    """Apply the entry at ``config.index + 1`` to ``config`` in place and return its answer.
 
-    A command whose id was answered before changes nothing and returns its first answer.
+    A command whose id was answered before only advances the index and returns its first answer, as
+    long as that is among the MAX_RETAINED_ANSWERS latest. Raises ValueError for any other index.
     """
     if entry.index != config.index + 1:
         raise ValueError(f"entry {entry.index} does not follow index {config.index}")
@@ -80,6 +82,7 @@
 
 
 def _execute(config: Configuration, entry: LogEntry) -> CommandAnswer:
+    """Apply the entry's command; an operator's command conflicts if it expects another version."""
     is_operator_command = not isinstance(entry.command, _SYSTEM_COMMANDS)
     if is_operator_command and entry.expected_version is not None:
         if entry.expected_version != config.operator_version:
@@ -105,6 +108,7 @@
 
 
 def _set_table_epoch(config: Configuration, index: int, service_name: str) -> None:
+    """Record that the owner tables of a service change at ``index``; nodes then rebuild them."""
     service = config.services_by_name.get(service_name)
     if service is not None:
         service.table_epoch = index
@@ -306,6 +310,10 @@
 
 
 def _retain_former_member(config: Configuration, server_id: str, index: int) -> None:
+    """Record a member's incarnation before the member is removed or replaced at ``index``.
+
+    Only the last such incarnation of each server is kept, for MAX_RETAINED_FORMER_MEMBERS servers.
+    """
     member = config.servers_by_id[server_id]
     former_members = config.former_members_by_id
     former_members.pop(server_id, None)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/enums.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/enums.py
@@ -18,7 +18,11 @@
 
 
 class ServerState(str, Enum):
-    """Life-cycle state of a backend server, as recorded in the replicated log."""
+    """Life-cycle state of a backend server, as recorded in the replicated log.
+
+    New flows are placed only on a serving server. AGENT_STOPPING means that the agent is about to
+    stop as planned while the server keeps its flows; the agent's next incarnation is serving again.
+    """
 
     SERVING = "serving"
     DRAINING = "draining"
@@ -33,7 +37,11 @@
 
 
 class BookingState(str, Enum):
-    """Life-cycle state of a booking."""
+    """Life-cycle state of a booking.
+
+    A booking that did not become active before its window ended has lapsed; a booking whose change
+    was rejected when it became active has failed.
+    """
 
     BOOKED = "booked"
     ACTIVE = "active"
@@ -49,7 +57,12 @@
 
 
 class AnswerStatus(str, Enum):
-    """Outcome of a command."""
+    """Outcome of a command.
+
+    CONFLICT means that the expected version was not in force, REJECTED that the command could not
+    be applied: in both cases it had no effect. UNKNOWN means that no outcome is known: the command
+    may still take effect.
+    """
 
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/flow_directory.py
@@ -55,7 +55,7 @@
         return flows.get(key) if flows else None
 
     def add_remote(self, bucket: int, key: bytes, server_id: str, now: float) -> None:
-        """Record which server has a flow, or that the flow was refused."""
+        """Record which server has a flow, or by REFUSED_SERVER_ID that the flow was refused."""
         flows = self.remote_flows_by_bucket.setdefault(bucket, {})
         flows[key] = RemoteFlow(server_id, now)
 
@@ -68,7 +68,7 @@
             del self.remote_flows_by_bucket[bucket]
 
     def remove_remotes(self, bucket: int) -> None:
-        """Remove all pointers of a bucket after its token was granted to another agent."""
+        """Remove all pointers and refusals of a bucket after its token was granted elsewhere."""
         self.remote_flows_by_bucket.pop(bucket, None)
 
     def records_of(self, bucket: int, own_id: str) -> list[FlowRecord]:
@@ -86,7 +86,10 @@
         ]
 
     def install_records(self, bucket: int, records: Iterable[FlowRecord], now: float) -> None:
-        """Add another agent's records, except for flows that are on the local backend server."""
+        """Add or replace pointers and refusals by another agent's records.
+
+        Records of flows that are on the local backend server are ignored.
+        """
         for record in records:
             if record.key not in self.local_flows_by_key:
                 self.add_remote(bucket, record.key, record.server_id, now)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/local_flow.py
@@ -10,7 +10,9 @@
 class LocalFlow(msgspec.Struct):
     """State of a flow as seen by the agent in both directions; times are in monotonic seconds.
 
-    ``was_queued`` is true if all slots of the server were busy when the unanswered request arrived.
+    ``awaiting_since`` is 0 while no answer is expected. ``was_queued`` is true if all slots of the
+    server were busy when the unanswered request arrived. ``last_packet`` is the caller's last
+    packet that awaits an answer; probes and resets are built from it.
     """
 
     key: bytes
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -38,7 +38,10 @@
 
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
-        """Build the table; the result depends on the arguments alone, not on the servers' order."""
+        """Build the table; a server whose share is 0 owns no bucket.
+
+        The result depends on the arguments alone, not on the servers' order.
+        """
         server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
@@ -124,6 +127,7 @@
 def _assign_buckets(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
     """Return the position of each bucket's owner; ``hashes`` has the shape (buckets, servers)."""
     buckets, servers = hashes.shape
+    # Inverted, since argsort sorts in ascending order; pairs of equal hashes keep their order.
     pairs_by_hash = (~hashes.ravel()).argsort(kind="stable").tolist()
     owners = [-1] * buckets
     remaining_quotas = list(quotas)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
@@ -8,7 +8,7 @@
 
 
 class Vote(msgspec.Struct, frozen=True):
-    """The latest term seen and the candidate that this instance voted for in that term."""
+    """The latest term seen and the candidate that this instance voted for in that term, if any."""
 
     term: int = 0
     voted_for: str = ""
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -36,7 +36,10 @@
 
 
 class ServicePolicy(msgspec.Struct, frozen=True):
-    """Limit of what a service's servers can handle after a start; ``source`` as in Route."""
+    """The openings per second that each server of a service can handle while it is cold.
+
+    A server is cold for a while after its start. ``source`` is as in Route.
+    """
 
     name: str
     cold_starts_per_s: float = 0.0
@@ -44,7 +47,11 @@
 
 
 class RoutingDocument(msgspec.Struct):
-    """All routes of one version; version 0 is the empty document that precedes the first one."""
+    """All routes of one version; version 0 is the empty document that precedes the first one.
+
+    ``source`` holds the document's other fields as the operator wrote them. A flow without packets
+    for ``idle_limit_s`` seconds expires.
+    """
 
     version: int = 0
     routes_by_place: dict[str, Route] = {}
@@ -110,7 +117,10 @@
 
 
 def apply_change(old: RoutingDocument, change: RoutingChange) -> RoutingDocument:
-    """Return the document after a change; ``old`` is not modified."""
+    """Return the document after a change; ``old`` is not modified.
+
+    The caller makes sure that ``old`` has the change's base version.
+    """
     routes = dict(old.routes_by_place)
     for place in change.removed_places:
         routes.pop(place, None)
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -8,7 +8,12 @@
 
 
 class ServerMember(msgspec.Struct):
-    """A backend server announced by its agent; ``boot_id`` identifies the agent's incarnation."""
+    """A backend server announced by its agent; ``boot_id`` identifies the agent's incarnation.
+
+    ``slots`` is the number of requests that the server processes in parallel. ``drain_deadline_s``
+    is how many seconds a drain may take, and ``joined_index`` the log index at which the
+    incarnation joined.
+    """
 
     server_id: str
     service: str
@@ -24,7 +29,11 @@
 
 
 class FormerMember(msgspec.Struct, frozen=True):
-    """A removed member, whose tokens and whose server's flows may still exist."""
+    """The last incarnation that was removed, or replaced by the next incarnation of the agent.
+
+    Its tokens and its server's flows may still exist. ``removed_index`` is the log index of the
+    removal or replacement.
+    """
 
     server_id: str
     service: str
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/service.py
@@ -12,8 +12,8 @@
 class Service(msgspec.Struct):
     """A service with its address, its traffic classes and its servers.
 
-    ``shares_by_server_id`` holds quota weights; ``table_epoch`` is the log index of the last change
-    that affects the service's owner tables.
+    ``server_ids`` is sorted. ``shares_by_server_id`` holds quota weights; ``table_epoch`` is the
+    log index of the last change that affects the service's owner tables.
     """
 
     name: str
--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -124,6 +124,7 @@
         self.assertEqual(restarted.joined_index, self.config.index)
 
     def test_region_without_a_server_uses_the_next_region(self) -> None:
+        """The name "home" comes before "overseas", so that the search by name wraps around."""
         self.accept(DefineDataCentre(name="far", region="overseas"))
         self.assertEqual(self.config.table_region("desk", "overseas"), "home")
         self.assertEqual(set(self.config.table_shares("desk", "overseas")), {"a", "b"})
@@ -161,6 +162,7 @@
             self.assertIn(reason, answer.reason)
 
     def test_booking_state_transitions(self) -> None:
+        """A lapsed booking never becomes active; the end of a window does not undo the change."""
         active, done = BookingState.ACTIVE, BookingState.DONE
         table = [
             ([active], BookingState.ACTIVE, OUT_OF_SERVICE),
--- a/tests/state/test_routing.py
+++ b/tests/state/test_routing.py
@@ -50,9 +50,9 @@
         table = [
             ("version", document(0, [route(1)])),
             ("unknown service", document(1, [route(1, "c")])),
-            ("no weight", document(1, [route(1, weight=0)])),
+            ("only weights of 0", document(1, [route(1, weight=0)])),
             ("negative weight", document(1, [route(1, weight=-1)])),
-            ("no service", document(1, [Route("198.18.0.1", 1, ())])),
+            ("no destinations", document(1, [Route("198.18.0.1", 1, ())])),
         ]
         for name, invalid in table:
             with self.subTest(name):
@@ -117,6 +117,7 @@
 
 class MembersTest(unittest.TestCase):
     def test_removed_member_is_retained_unless_its_server_has_ended(self) -> None:
+        """Flows of a removed member may still be on its server, unless the server has stopped."""
         for has_ended, expected in ((True, set()), (False, {"s1"})):
             with self.subTest(has_ended=has_ended):
                 config = Configuration()
