--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
@@ -74,7 +74,8 @@
         """Adapt the limit to one answer.
 
         With ``was_queued``, the request arrived when all slots were busy, so its response time
-        includes queueing and is not recorded as a service time.
+        includes queueing and is not recorded as a service time. It lowers the limit all the same
+        if it is too long.
         """
         self.in_flight = max(0, self.in_flight - 1)
         response_s = max(response_s, MIN_RESPONSE_S)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/membership.py
@@ -79,8 +79,9 @@
     ) -> list[RemoveServer | RemoveBalancer]:
         """Return the commands that remove nodes which have sent no heartbeat for too long.
 
-        If the last check was more than ``MAX_CHECK_GAP_S`` ago, the leader has paused, and the
-        timeouts of all nodes start again.
+        If more than MAX_CHECK_GAP_S passed since the last check, for instance since the leader
+        paused, the timeouts of all nodes start anew. No node is removed if more than one, and more
+        than MAX_TIMED_OUT_FRACTION of all nodes, have timed out at once.
         """
         if now - self._checked_at > MAX_CHECK_GAP_S:
             self._grace_since = now
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/owner_table.py
@@ -38,7 +38,10 @@
 
     @classmethod
     def build(cls, epoch: int, shares_by_server_id: Mapping[str, int], buckets: int) -> OwnerTable:
-        """Build the table; the result depends on the arguments alone, not on the servers' order."""
+        """Build the table; a server whose share is 0 owns no bucket.
+
+        The result depends on the arguments alone, not on the servers' order.
+        """
         server_ids = _server_ids_with_share(shares_by_server_id)
         if not server_ids:
             return cls.empty(epoch)
@@ -107,14 +110,14 @@
     # Imported here since most roles build no table, and numpy is slow to import on small instances.
     import numpy as np
 
-    seeds = np.array(
+    server_seeds = np.array(
         [xxhash.xxh3_64_intdigest(key.encode()) for key in server_ids], dtype=np.uint64
     )
     with np.errstate(over="ignore"):
-        positions = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(
+        bucket_seeds = (np.arange(buckets, dtype=np.uint64) + np.uint64(1)) * np.uint64(
             _SPLITMIX64_INCREMENT
         )
-        hashes = positions[:, None] ^ seeds[None, :]
+        hashes = bucket_seeds[:, None] ^ server_seeds[None, :]
         hashes = (hashes ^ (hashes >> np.uint64(30))) * np.uint64(_SPLITMIX64_MULTIPLIER_1)
         hashes = (hashes ^ (hashes >> np.uint64(27))) * np.uint64(_SPLITMIX64_MULTIPLIER_2)
     result: NDArray[np.uint64] = hashes ^ (hashes >> np.uint64(31))
@@ -124,6 +127,7 @@
 def _assign_buckets(hashes: NDArray[np.uint64], quotas: list[int]) -> list[int]:
     """Return the position of each bucket's owner; ``hashes`` has the shape (buckets, servers)."""
     buckets, servers = hashes.shape
+    # Inverted, since argsort sorts in ascending order; pairs of equal hashes keep their order.
     pairs_by_hash = (~hashes.ravel()).argsort(kind="stable").tolist()
     owners = [-1] * buckets
     remaining_quotas = list(quotas)
