Name what the bench's maps and counters hold

Maps from requests and flows to server ids were called servers, the id that is compared with the current server's was called the first one although it is replaced after each change, a count of sends was called resends, and a deployment spec was still called a shape in the scenario runner. Renamed to what they hold; the time at which a feed starts opening is now _opening_since, the poll interval of a partitioned link has INTERVAL in its name, and the count of forwarded datagrams says so.

--- a/bench/src/wagtailkeel_bench/scenario/operators.py
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -69,9 +69,9 @@
         self.sent.append(command)
         if self._random.random() < 0.3:
             await self._send_and_abandon(client, change, command)
-        resends = 2 if self._random.random() < 0.3 else 1
+        send_count = 2 if self._random.random() < 0.3 else 1
         answer = None
-        for _ in range(resends):
+        for _ in range(send_count):
             try:
                 answer = await client.send(
                     change, command.command_id, "bench", command.expected_version
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -31,11 +31,11 @@
 
     def __init__(self, scenario: Scenario, seed: int, *, is_stateless: bool = False) -> None:
         self._scenario = scenario
-        shape = msgspec.structs.replace(DEPLOYMENT_SPECS_BY_NAME[scenario.deployment])
-        shape.balancers = scenario.balancers or shape.balancers
-        shape.controls = scenario.controls or shape.controls
+        spec = msgspec.structs.replace(DEPLOYMENT_SPECS_BY_NAME[scenario.deployment])
+        spec.balancers = scenario.balancers or spec.balancers
+        spec.controls = scenario.controls or spec.controls
         self.folder = make_folder()
-        self._site = Site(Deployment(shape, self.folder, seed, is_stateless))
+        self._site = Site(Deployment(spec, self.folder, seed, is_stateless))
         self._operators = Operators(self._site, seed)
         self._actions = Actions(self._site, self._operators)
         self._initial_dumps: dict[str, Result] = {}
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -50,7 +50,7 @@
         self._random = Random(plan.seed)
         self._port = UdpPort(plan.address, self._on_packet)
         self._handlers_by_key: dict[bytes, PacketHandler] = {}
-        self._service_by_endpoint: dict[str, str] = {}
+        self._services_by_endpoint: dict[str, str] = {}
         self._flow_count = 0
         self._request_count = 0
         self._feeds: list[Feed] = []
@@ -92,7 +92,7 @@
 
     def check_service(self, key: bytes, answer: AnswerPayload) -> None:
         """Count an answer as wrong if it is from another service than the flow's endpoint."""
-        if self._service_by_endpoint.get(endpoint_of(key).hex()) != answer.service:
+        if self._services_by_endpoint.get(endpoint_of(key).hex()) != answer.service:
             self.counters["wrong_answers"] += 1
 
     def on_request_end(self, request: Request, key: bytes) -> None:
@@ -124,7 +124,7 @@
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
         """Set the service of each endpoint (hex text)."""
-        self._service_by_endpoint = services_by_endpoint
+        self._services_by_endpoint = services_by_endpoint
         return True
 
     def start_feeds(self, endpoint: str, count: int, interval_s: float, over_s: float) -> bool:
--- a/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
@@ -21,15 +21,15 @@
         self.late_packets = 0
         self.double_runs = 0
         self.multi_server_flows = 0
-        self._servers_by_request_id: dict[int, str] = {}
-        self._service_by_endpoint: dict[bytes, str] = {}
-        self._server_by_flow: dict[bytes, str] = {}
+        self._server_ids_by_request_id: dict[int, str] = {}
+        self._services_by_endpoint: dict[bytes, str] = {}
+        self._server_ids_by_flow: dict[bytes, str] = {}
         self._late_since_by_data_centre: dict[str, float] = {}
         self._late_since_by_server: dict[str, float] = {}
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
         """Set the service of each endpoint (hex text)."""
-        self._service_by_endpoint = {
+        self._services_by_endpoint = {
             bytes.fromhex(key): service for key, service in services_by_endpoint.items()
         }
         return True
@@ -52,22 +52,22 @@
         """
         if key.startswith(PROBE_SOURCE_IPV4):
             return
-        if self._service_by_endpoint.get(endpoint_of(key)) != plan.service:
+        if self._services_by_endpoint.get(endpoint_of(key)) != plan.service:
             self.misrouted_packets += 1
         late_since = self._late_since_by_data_centre.get(plan.data_centre)
         if late_since is not None and asyncio.get_running_loop().time() > late_since:
             self.late_packets += 1
-        first_server_id = self._server_by_flow.setdefault(key, plan.server_id)
-        if first_server_id != plan.server_id:
+        previous_server_id = self._server_ids_by_flow.setdefault(key, plan.server_id)
+        if previous_server_id != plan.server_id:
             self.multi_server_flows += 1
-            self._server_by_flow[key] = plan.server_id
+            self._server_ids_by_flow[key] = plan.server_id
 
     def record_run(self, request: RequestPayload, server_id: str) -> None:
         """Record that a server has accepted a request; count a second run unless idempotent."""
-        if request.request_id in self._servers_by_request_id and not request.is_idempotent:
+        if request.request_id in self._server_ids_by_request_id and not request.is_idempotent:
             self.double_runs += 1
-        self._servers_by_request_id[request.request_id] = server_id
+        self._server_ids_by_request_id[request.request_id] = server_id
 
     def count_runs(self, request_ids: list[int]) -> int:
         """Return how many of the requests a server has accepted to run."""
-        return sum(request_id in self._servers_by_request_id for request_id in request_ids)
+        return sum(request_id in self._server_ids_by_request_id for request_id in request_ids)
--- a/bench/src/wagtailkeel_bench/stand_ins/feed.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/feed.py
@@ -49,7 +49,7 @@
         self._key = callers.new_key(endpoint, self.on_packet)
         self._request_id = 0
         self._requested_at = 0.0
-        self._opened_at = self._now
+        self._opening_since = self._now
 
     @property
     def key(self) -> bytes:
@@ -64,7 +64,7 @@
         """Send a SYN every RESEND_INTERVAL_S until it is answered; give up after OPEN_TIMEOUT_S."""
         if self.state is not FeedState.OPENING:
             return
-        if self._now - self._opened_at > OPEN_TIMEOUT_S:
+        if self._now - self._opening_since > OPEN_TIMEOUT_S:
             self._end(FeedState.NEVER_OPENED)
             return
         self._send(ip.SYN)
--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -17,7 +17,7 @@
 from wagtailkeel_bench.stand_ins.udp_port import Address
 from wagtailkeel_bench.stand_ins.udp_port import UdpPort
 
-CUT_POLL_S = 0.05
+CUT_POLL_INTERVAL_S = 0.05
 CHUNK_BYTES = 65_536
 
 
@@ -57,7 +57,7 @@
         self._rules_by_pair: dict[tuple[str, str], LinkRule] = {}
         self._balancers_by_name: dict[str, Address] = {}
         self._balancers: list[Address] = []
-        self.forwarded = 0
+        self.forwarded_datagrams = 0
         self.rpc_bytes = 0
 
     async def start(self) -> None:
@@ -96,7 +96,7 @@
             self._send_later(self._gateway_port, datagram, self._plan.callers, delay_s)
 
     def _send_later(self, port: UdpPort, datagram: bytes, address: Address, delay_s: float) -> None:
-        self.forwarded += 1
+        self.forwarded_datagrams += 1
         if delay_s <= 0.0:
             port.send(datagram, address)
             return
@@ -152,7 +152,7 @@
 
     async def _wait_while_cut(self, sender: str, receiver: str) -> None:
         while self._rules_by_pair.get((sender, receiver), self._default_rule).is_cut:
-            await asyncio.sleep(CUT_POLL_S)
+            await asyncio.sleep(CUT_POLL_INTERVAL_S)
 
     # Faults
 
@@ -185,7 +185,7 @@
 
     def counters(self) -> dict[str, int]:
         """Return the numbers of forwarded datagrams and of forwarded RPC bytes."""
-        return {"forwarded": self.forwarded, "call_bytes": self.rpc_bytes}
+        return {"forwarded": self.forwarded_datagrams, "call_bytes": self.rpc_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
