State conditions and side effects of the bench's stand-ins and scenarios

Several docstrings left out who acts or under which condition, and a few were wrong: the fabric rule also holds for packets back to callers, connections obey only the cut of a link rule, make run also returns 0 when it is interrupted, and the wait for a balancer's log line ends without an error at its timeout. Functions with a condition or a side effect that their names don't show have a line now: overload of a server, abandoned commands, the actions that partition and restart instances, the rates of resource use, and services that are left out of the imbalance.

--- a/bench/src/wagtailkeel_bench/child_process.py
+++ b/bench/src/wagtailkeel_bench/child_process.py
@@ -93,7 +93,7 @@
         await self.command("ping")
 
     async def command(self, command: str, /, **arguments: Any) -> Any:
-        """Send a command and return its result."""
+        """Send a command and return its result; raise BenchError if the stand-in has exited."""
         process = self._process
         assert process is not None and process.stdin is not None and process.stdout is not None
         request = {"command": command, "arguments": arguments}
--- a/bench/src/wagtailkeel_bench/demonstration.py
+++ b/bench/src/wagtailkeel_bench/demonstration.py
@@ -18,7 +18,7 @@
 
 
 def run_demonstration(seconds: float) -> int:
-    """Run the demonstration; return 0 only if all traffic was handled correctly."""
+    """Run the demonstration; return 0 if all traffic was handled correctly or on Ctrl-C, else 1."""
     try:
         return asyncio.run(_demonstrate(seconds))
     except KeyboardInterrupt:
--- a/bench/src/wagtailkeel_bench/measurements/forward.py
+++ b/bench/src/wagtailkeel_bench/measurements/forward.py
@@ -163,6 +163,7 @@
 
 
 async def _run(system: _SystemUnderTest, keys: list[bytes]) -> float:
+    """Return the packets per second that a system handles under load from another process."""
     packets = system.packets(keys)
     parent_end, child_end = multiprocessing.Pipe()
     context = multiprocessing.get_context("fork")
--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -131,6 +131,7 @@
         self.accepted_changes += 1
 
     async def _cut(self, *names: str) -> None:
+        """Partition the named instances from all other instances and from operators."""
         others = [name for name in self._site.deployment.instances_by_name if name not in names]
         await self._site.network.command(
             "cut", senders=list(names), receivers=[*others, "operator"], is_one_way=False
@@ -174,6 +175,7 @@
             await asyncio.sleep(max(0.0, due_at - loop.time()))
 
     async def _restart_all(self) -> None:
+        """Restart all instances one by one; wait after each until the site is ready."""
         for role in ("balancer", "agent", "control"):
             for instance in self._site.deployment.of_role(role):
                 await self._site.restart_instance(instance.name, is_planned=True)
--- a/bench/src/wagtailkeel_bench/scenario/model.py
+++ b/bench/src/wagtailkeel_bench/scenario/model.py
@@ -17,7 +17,10 @@
 
 
 class FeedTraffic(msgspec.Struct):
-    """Long flows, opened over a span of ``over_s``, with a keep-alive request per interval."""
+    """Long flows, opened over a span of ``over_s``, with a keep-alive request per interval.
+
+    ``class_path`` is SERVICE/CLASS.
+    """
 
     count: int
     class_path: str
--- a/bench/src/wagtailkeel_bench/scenario/operators.py
+++ b/bench/src/wagtailkeel_bench/scenario/operators.py
@@ -85,6 +85,7 @@
     async def _send_and_abandon(
         self, client: ControlClient, change: ChangeTarget, command: SentCommand
     ) -> None:
+        """Send a command, but wait at most ABANDON_TIMEOUT_S and ignore any answer."""
         with anyio.move_on_after(ABANDON_TIMEOUT_S), contextlib.suppress(ControlUnreachableError):
             await client.send(change, command.command_id, "bench", command.expected_version)
 
@@ -155,6 +156,7 @@
 
 
 def _count_double_accepts(accepted: list[SentCommand]) -> int:
+    """Return how many commands were accepted beyond one per expected version."""
     versions = [
         command.expected_version for command in accepted if command.expected_version is not None
     ]
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -85,6 +85,7 @@
         self._initial_call_bytes = counters["call_bytes"]
 
     async def _start_feeds(self, traffic: FeedTraffic) -> None:
+        """Start feeds; wait until all are open, at most OPEN_TIMEOUT_S after the last start."""
         expected = await self._site.callers.command("count_open") + traffic.count
         await self._site.callers.command(
             "start_feeds",
@@ -160,9 +161,10 @@
         }
 
     async def _measure_share_error(self) -> float:
-        """Return the variation of the committed shares relative to the true capacities.
+        """Return how far the committed shares deviate from the true capacities.
 
-        This is the coefficient of variation of the service with the highest one.
+        For each service this is the coefficient of variation of share divided by capacity; the
+        highest value of all services is returned.
         """
         config = (await self._site.client.status()).configuration
         worst = 0.0
@@ -197,6 +199,10 @@
         return rate
 
     async def _measure_resource_use(self) -> Result:
+        """Return mean resource use by role, and the sums of all counters.
+
+        Rates are since the start of the traffic, or since the start of the process if it is later.
+        """
         dumps = await self._site.dumps()
         bytes_by_role: dict[str, list[float]] = {}
         cpu_by_role: dict[str, list[float]] = {}
@@ -235,7 +241,11 @@
 def _measure_imbalance(
     servers: dict[str, Result], feeds_by_server: dict[str, int]
 ) -> dict[str, float]:
-    """Return how unevenly load is spread relative to capacity, at worst over the services."""
+    """Return how unevenly load is spread relative to capacity, at worst over the services.
+
+    Services whose work time per slot, summed over their servers, is at most MIN_LOAD_S are left out
+    of ``imbalance_cv`` and ``imbalance_max_over_mean``.
+    """
     worst = {"imbalance_cv": 0.0, "imbalance_max_over_mean": 1.0, "held_imbalance_cv": 0.0}
     for service in sorted({s["service"] for s in servers.values()}):
         reports_by_id = {key: s for key, s in servers.items() if s["service"] == service}
--- a/bench/src/wagtailkeel_bench/site.py
+++ b/bench/src/wagtailkeel_bench/site.py
@@ -46,7 +46,7 @@
         self.client = self.new_client(COMMAND_DEADLINE_S)
 
     async def start(self, absent: list[str] | None = None) -> None:
-        """Start all processes but the absent, create the services and wait until all are ready."""
+        """Start all instances except ``absent``; create the services; wait until all are ready."""
         for stand_in in (self.network, self.servers, self.callers):
             await stand_in.start()
         for instance in self.deployment.instances_by_name.values():
@@ -84,7 +84,10 @@
             )
 
     async def _wait_for_log_text(self, process: ChildProcess, text: str) -> None:
-        """Wait for a new log line with the text, in place of a fabric's health check."""
+        """Wait for a new log line with the text, in place of a fabric's health check.
+
+        Return without an error if there is none within READY_TIMEOUT_S.
+        """
         deadline = time.monotonic() + READY_TIMEOUT_S
         initial_count = process.log.count(text)
         while process.log.count(text) <= initial_count and time.monotonic() < deadline:
@@ -197,7 +200,11 @@
             await self.network.command("remove_balancer", name=name)
 
     async def restart_instance(self, name: str, *, is_planned: bool) -> None:
-        """Restart a process, after SIGTERM if it is planned, else after SIGKILL."""
+        """Restart a process, after SIGTERM if it is planned, else after SIGKILL.
+
+        A balancer is removed from the fabric before the SIGTERM, but BALANCER_LOSS_DETECTION_S
+        after the SIGKILL.
+        """
         instance = self.deployment.instances_by_name[name]
         if is_planned:
             if instance.role == "balancer":
--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -103,7 +103,7 @@
         )
 
     def turn_cold(self) -> None:
-        """Make the server cold while it runs, without any notice of it."""
+        """Make the server cold while it runs; its agent is not notified."""
         self._requests_since_cold = 0
 
     def set_down(self, is_down: bool) -> None:
@@ -183,6 +183,10 @@
         self._start_queued_requests()
 
     def _check_load(self) -> None:
+        """Count an overload; let the server fail after OVERLOAD_TOLERANCE_S of continuous overload.
+
+        A failed server drops its queue and ignores all packets for OUTAGE_S.
+        """
         load = self._busy_slots + len(self._queue)
         self.max_load_ratio = max(self.max_load_ratio, load / self.max_concurrency)
         if load <= self.max_concurrency:
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -109,6 +109,7 @@
 
     def _on_packet(self, packet: bytes, sender: Address) -> None:
         if packet[9] == ip.ICMP:
+            # The refused packet follows an IP header of 20 bytes and an ICMP header of 8 bytes.
             quoted_packet = packet[28:]
             handler = self._handlers_by_key.get(quoted_packet[12:24] + quoted_packet[9:10])
         else:
@@ -190,7 +191,10 @@
     def report(
         self, lost_servers: list[str], silenced: list[str], max_idle_s: float
     ) -> dict[str, Any]:
-        """Return all measurements; flows of lost servers and silenced flows are counted apart."""
+        """Return all measurements; flows of lost servers and silenced flows are counted apart.
+
+        An open feed is stale if its last answer is more than ``max_idle_s`` seconds old.
+        """
         now = asyncio.get_running_loop().time()
         silent_keys = {bytes.fromhex(key) for key in silenced}
         outcomes: Counter[str] = Counter()
--- a/bench/src/wagtailkeel_bench/stand_ins/feed.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/feed.py
@@ -83,6 +83,7 @@
             self._on_answer(ip.payload_of(packet))
 
     def _on_reset(self) -> None:
+        """End an open feed; give a refused opening a new key, which the next SYN uses."""
         if self.state is FeedState.OPENING:
             self.refusals += 1
             self._callers.remove_key(self._key)
--- a/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/link_rule.py
@@ -8,7 +8,11 @@
 
 
 class LinkRule(msgspec.Struct):
-    """Faults of one link; probabilities are between 0 and 1, delays in milliseconds."""
+    """Faults of one link; probabilities are between 0 and 1, delays in milliseconds.
+
+    ``jitter_ms`` is the maximum random delay that is added to ``delay_ms``. With the probability
+    ``reorder`` a copy is delayed by another 1 to 20 ms, so that later packets can overtake it.
+    """
 
     loss: float = 0.0
     duplicate: float = 0.0
--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -1,7 +1,8 @@
 """The network stand-in: the fabric in front of the balancers, and a fault-injecting proxy.
 
 Every instance listens on its own bind host; the other instances reach it through a proxy host with
-the same ports. The proxy identifies the sender of a datagram or connection by its source host.
+the same ports. The proxy identifies the sender of a datagram or connection by its source host;
+a sender whose host belongs to no instance is identified as ``operator``.
 """
 
 from __future__ import annotations
@@ -46,7 +47,10 @@
 
 
 class Network:
-    """Forwards datagrams and connections according to the rule of each pair of instances."""
+    """Forwards datagrams and connections according to the rule of each pair of instances.
+
+    Datagrams are subject to all faults of the rule, connections only to ``is_cut``.
+    """
 
     def __init__(self, plan: NetworkPlan) -> None:
         self._plan = plan
@@ -157,12 +161,12 @@
     # Faults
 
     def set_fabric_rule(self, **rule: float) -> bool:
-        """Set the faults between callers, fabric and balancers."""
+        """Set the faults of packets from callers to balancers and of packets back to callers."""
         self._fabric_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def set_default_rule(self, **rule: float) -> bool:
-        """Set the faults between all pairs of instances without a rule of their own."""
+        """Set the rule of all pairs of instances that have no rule of their own."""
         self._default_rule = msgspec.convert(rule, LinkRule)
         return True
 
@@ -179,7 +183,7 @@
         return True
 
     def heal(self) -> bool:
-        """Remove the rules of all pairs of instances."""
+        """Remove the rules of single pairs, so that the default rule applies to all."""
         self._rules_by_pair.clear()
         return True
 
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -33,7 +33,7 @@
         }
 
     def turn_cold(self, server_id: str) -> bool:
-        """Make a server cold while it runs, without any notice of it."""
+        """Make a server cold while it runs; its agent is not notified."""
         self._servers_by_id[server_id].turn_cold()
         return True
 
@@ -52,7 +52,7 @@
         return self._servers_by_id[server_id].silence(count)
 
     def reset_load(self) -> bool:
-        """Reset the load measurements of all servers."""
+        """Reset the work time and the number of served requests of all servers."""
         for server in self._servers_by_id.values():
             server.busy_s = 0.0
             server.counters["served"] = 0
--- a/bench/src/wagtailkeel_bench/test_runner.py
+++ b/bench/src/wagtailkeel_bench/test_runner.py
@@ -11,7 +11,7 @@
 
 
 def run_tests(root: Path, pattern: str) -> int:
-    """Run all tests below ``tests``; return the exit status."""
+    """Run all tests below ``tests``; return 1 if none ran or an unlisted one failed, else 0."""
     sys.path.insert(0, str(root))
     suite = unittest.defaultTestLoader.discover(
         str(root / "tests"), pattern=pattern, top_level_dir=str(root)
--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -21,7 +21,7 @@
 
 
 def build_bad_packets() -> dict[str, bytes]:
-    """Return one bad packet for each counter that must count it."""
+    """Return bad packets by the name of the counter that must count each."""
     valid_packet = build_udp(FLOW_KEY, b"body")
     return {
         "dropped_truncated": valid_packet[:-3],
