--- a/bench/src/wagtailkeel_bench/stand_ins/network.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/network.py
@@ -1,7 +1,8 @@
 """The network stand-in: the fabric in front of the balancers, and a fault-injecting proxy.
 
 Every instance listens on its own bind host; the other instances reach it through a proxy host with
-the same ports. The proxy identifies the sender of a datagram or connection by its source host.
+the same ports. The proxy identifies the sender of a datagram or connection by its source host;
+a sender whose host belongs to no instance is identified as ``operator``.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from wagtailkeel_bench.stand_ins.udp_port import Address
 from wagtailkeel_bench.stand_ins.udp_port import UdpPort
 
-CUT_POLL_S = 0.05
+CUT_POLL_INTERVAL_S = 0.05
 CHUNK_BYTES = 65_536
 
 
@@ -46,7 +47,10 @@
 
 
 class Network:
-    """Forwards datagrams and connections according to the rule of each pair of instances."""
+    """Forwards datagrams and connections according to the rule of each pair of instances.
+
+    Datagrams are subject to all faults of the rule, connections only to ``is_cut``.
+    """
 
     def __init__(self, plan: NetworkPlan) -> None:
         self._plan = plan
@@ -57,7 +61,7 @@
         self._rules_by_pair: dict[tuple[str, str], LinkRule] = {}
         self._balancers_by_name: dict[str, Address] = {}
         self._balancers: list[Address] = []
-        self.forwarded = 0
+        self.forwarded_datagrams = 0
         self.rpc_bytes = 0
 
     async def start(self) -> None:
@@ -96,7 +100,7 @@
             self._send_later(self._gateway_port, datagram, self._plan.callers, delay_s)
 
     def _send_later(self, port: UdpPort, datagram: bytes, address: Address, delay_s: float) -> None:
-        self.forwarded += 1
+        self.forwarded_datagrams += 1
         if delay_s <= 0.0:
             port.send(datagram, address)
             return
@@ -152,17 +156,17 @@
 
     async def _wait_while_cut(self, sender: str, receiver: str) -> None:
         while self._rules_by_pair.get((sender, receiver), self._default_rule).is_cut:
-            await asyncio.sleep(CUT_POLL_S)
+            await asyncio.sleep(CUT_POLL_INTERVAL_S)
 
     # Faults
 
     def set_fabric_rule(self, **rule: float) -> bool:
-        """Set the faults between callers, fabric and balancers."""
+        """Set the faults of packets from callers to balancers and of packets back to callers."""
         self._fabric_rule = msgspec.convert(rule, LinkRule)
         return True
 
     def set_default_rule(self, **rule: float) -> bool:
-        """Set the faults between all pairs of instances without a rule of their own."""
+        """Set the rule of all pairs of instances that have no rule of their own."""
         self._default_rule = msgspec.convert(rule, LinkRule)
         return True
 
@@ -179,13 +183,13 @@
         return True
 
     def heal(self) -> bool:
-        """Remove the rules of all pairs of instances."""
+        """Remove the rules of single pairs, so that the default rule applies to all."""
         self._rules_by_pair.clear()
         return True
 
     def counters(self) -> dict[str, int]:
         """Return the numbers of forwarded datagrams and of forwarded RPC bytes."""
-        return {"forwarded": self.forwarded, "call_bytes": self.rpc_bytes}
+        return {"forwarded": self.forwarded_datagrams, "call_bytes": self.rpc_bytes}
 
 
 async def run_network(plan: NetworkPlan) -> None:
