Names in the packet format tests that misled

`found` held the packet format under test, not a result, and "a reset of the flow" did not say who appears to send the reset: the test checks that it comes from the route's address.

--- a/tests/protocol/test_packet_formats.py
+++ b/tests/protocol/test_packet_formats.py
@@ -64,16 +64,16 @@
 
     def test_flags_key_and_payload_size(self) -> None:
         for case in self.cases:
-            found = case.packet_format
+            parser = case.packet_format
             table = [
-                (found.parse_inbound(case.opening), packet_flags.OPENING, 0, True),
-                (found.parse_inbound(case.data), packet_flags.ACK, 4, False),
-                (found.parse_inbound(case.finish), packet_flags.ACK | packet_flags.FIN, 0, False),
-                (found.parse_outbound(case.reply), packet_flags.ACK, 6, False),
-                (found.parse_outbound(case.reset), packet_flags.RESET, 0, False),
+                (parser.parse_inbound(case.opening), packet_flags.OPENING, 0, True),
+                (parser.parse_inbound(case.data), packet_flags.ACK, 4, False),
+                (parser.parse_inbound(case.finish), packet_flags.ACK | packet_flags.FIN, 0, False),
+                (parser.parse_outbound(case.reply), packet_flags.ACK, 6, False),
+                (parser.parse_outbound(case.reset), packet_flags.RESET, 0, False),
             ]
             for header, expected, size, is_opening in table:
-                with self.subTest(packet_format=type(found).__name__, flags=expected):
+                with self.subTest(packet_format=type(parser).__name__, flags=expected):
                     assert isinstance(header, PacketHeader)
                     self.assertEqual(header.key, case.key)
                     self.assertEqual(header.flags, expected)
@@ -87,7 +87,7 @@
                 self.assertEqual(case.packet_format.endpoint_of(case.key), endpoint)
                 self.assertEqual(case.packet_format.caller_host(case.key), CALLER)
 
-    def test_refusal_is_a_reset_of_the_flow(self) -> None:
+    def test_refusal_is_a_reset_from_the_route(self) -> None:
         for case in self.cases:
             for packet in (case.opening, case.data):
                 with self.subTest(packet_format=type(case.packet_format).__name__):
