--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/flow_key.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/flow_key.py
@@ -23,12 +23,12 @@
 
 
 def endpoint_key(address: str, port: int, protocol: int) -> bytes:
-    """Return the part of a key that identifies a class: destination address, port, protocol."""
+    """Return the key part of a traffic class: destination address, destination port, protocol."""
     return ipaddress.ip_address(address).packed + struct.pack("!HB", port, protocol)
 
 
 def endpoint_of(key: FlowKey) -> bytes:
-    """Return the part of a key that identifies its traffic class."""
+    """Return the part of a flow key that identifies its traffic class, see ``endpoint_key``."""
     if len(key) == IPV4_KEY_BYTES:
         return key[4:8] + key[10:]
     return key[16:32] + key[34:]
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -23,7 +23,10 @@
 FLAG_NEW = 0x02
 """The packet opens a flow that was placed on the receiving agent's server."""
 FLAG_REJECTED = 0x04
-"""An agent returned the packet: its server does not have, or accept, the flow."""
+"""An agent returned the packet: its server does not have, or accept, the flow.
+
+The token epoch field then holds the agent's join index, which identifies the agent's incarnation.
+"""
 FLAG_GRANTED = 0x08
 """The sender has granted the bucket's token to the receiver."""
 MAX_HOPS = 4
@@ -36,7 +39,7 @@
 
 
 class DataFrame(msgspec.Struct):
-    """An encapsulated packet and its private data."""
+    """An encapsulated packet and its private data; ``epoch`` is the table epoch."""
 
     packet: bytes
     bucket: int
@@ -86,7 +89,10 @@
 
 
 def peek_flags_and_hops(datagram: bytes) -> tuple[int, int]:
-    """Return the flags and hops of a data datagram; any other datagram counts as rejected."""
+    """Return the flags and hops of a data datagram without decoding the rest.
+
+    For any other datagram, return ``FLAG_REJECTED`` and 0 hops.
+    """
     if len(datagram) < HEADER_BYTES or datagram[0] != _DATA_FIRST_BYTE:
         return FLAG_REJECTED, 0
     return datagram[4], datagram[5]
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/malformed.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/malformed.py
@@ -11,6 +11,7 @@
     TRUNCATED = "truncated"
     OVERSIZED = "oversized"
     FOREIGN = "foreign"
+    """The protocol or the kind of frame is none that wagtailkeel handles."""
     FRAGMENTED = "fragmented"
     WRONG_VERSION = "wrong_version"
     UNDECODABLE = "undecodable"
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -84,7 +84,10 @@
 
 
 class BucketAnswer(msgspec.Struct, array_like=True):
-    """Answer to a claim for one bucket, one of ``parts``; flows of the member's own server."""
+    """Part ``part`` of the ``parts`` in which a member answers a claim for one bucket.
+
+    ``flows`` are flows of the member's own server.
+    """
 
     bucket: int
     is_holder: bool
@@ -190,7 +193,10 @@
 
 
 class BalancerState(Datagram, tag=12):
-    """Sent by a balancer to its data centre's others: it begins a planned stop, or is ready."""
+    """Sent by a balancer to the other balancers of its data centre.
+
+    The sender begins a planned stop (``is_stopping``) or has become ready.
+    """
 
     is_stopping: bool
 
@@ -219,7 +225,11 @@
 
 
 class AnnounceReply(msgspec.Struct):
-    """Whether the request is committed; if not, ``leader_id`` is the instance to query instead."""
+    """Reply to an announcement, a ``StopRequest`` or a ``LeaveRequest``.
+
+    ``is_joined``: the requested change is committed. If it is not, ``reason`` says why control
+    rejected it; without a reason, ``leader_id`` is the instance to send the request to instead.
+    """
 
     is_joined: bool
     index: int = 0
@@ -278,7 +288,7 @@
 
 
 class ControlJoinReply(msgspec.Struct):
-    """Whether the queried instance is the leader and has registered the other as a learner.
+    """Whether the queried instance is the leader and has registered the requester as a learner.
 
     If not, ``leader_id`` is the instance to query instead.
     """
@@ -302,7 +312,11 @@
 
 
 class NodeStatus(msgspec.Struct):
-    """The last state of a node that was reported to control, ``age_s`` seconds ago."""
+    """A node's state, and the version and capacity from its last heartbeat to control.
+
+    An agent's ``state`` is the committed one, a balancer's is always ``serving``. ``age_s``
+    is the age of that heartbeat in seconds, None if control has received none.
+    """
 
     instance_id: str
     role: str
@@ -315,7 +329,7 @@
 
 
 class StatusReply(msgspec.Struct):
-    """The committed version and configuration, and the version that every node has."""
+    """The committed version and configuration, and the status of each node with its own version."""
 
     version: int
     leader_id: str
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_builder.py
@@ -98,7 +98,10 @@
 
 
 def build_probe(packet: bytes) -> bytes:
-    """Return a keep-alive probe to the server; it answers ACK if it has the flow, else RST."""
+    """Return a TCP keep-alive probe in the direction of ``packet``, a caller's packet.
+
+    The server answers ACK if it has the flow, else RST.
+    """
     offset = ip.transport_offset(packet)
     sequence, acknowledgement = struct.unpack_from("!II", packet, offset + 4)
     parsed = ip.parse_flow_key(packet)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -16,6 +16,7 @@
 FIN = 0x04
 RESET = 0x08
 BOUNCED = 0x10
+"""The server returned a caller's packet because it can't use it."""
 
 
 class PacketHeader(msgspec.Struct):
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
@@ -83,9 +83,10 @@
 
 
 class RestartReply(msgspec.Struct, tag=True):
-    """Reply to a ``RestartRequest``, with the last index and term of the voter's own log.
+    """Reply to a ``RestartRequest``, with the last index and term of the replying voter's log.
 
-    ``is_leaderless``: this process has neither led nor had contact with a leader.
+    ``is_leaderless``: the replying process, identified by ``process``, has neither led nor had
+    contact with a leader since it started. ``voter_ids`` are the voters that it knows.
     """
 
     voter_id: str
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
@@ -39,7 +39,10 @@
     NOT_FOUND = KIND_BASE + 5
     """Agent to owner: the agent does not have the flow of this key."""
     REJECTED = KIND_BASE + 6
-    """Agent to owner: returns an opening that no server has."""
+    """Agent to owner: returns an opening that the agent or its server did not accept.
+
+    No server has the flow then.
+    """
     RETURNED = KIND_BASE + 7
     """Agent to owner: returns a later packet, whose flow the agent does not have."""
     BUSY = KIND_BASE + 8
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/rpc.py
@@ -138,7 +138,10 @@
 
 
 class RpcClient:
-    """Calls other processes over one connection each, opened on the first call."""
+    """Calls other processes over one connection each, opened on the first call.
+
+    The connections use ``source_host`` as their source address, if one is given.
+    """
 
     def __init__(self, source_host: str = "") -> None:
         self._source_host = source_host
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -117,7 +117,11 @@
         """
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the snapshot, then remove the segments that are no longer needed."""
+        """Replace the snapshot, then remove segments that are no longer needed.
+
+        The newest segment and those that reach into the last ``RETAINED_ENTRIES`` before the
+        snapshot are kept.
+        """
         self._folder.replace(SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot.configuration))
         oldest_needed_index = snapshot.index - RETAINED_ENTRIES
         try:
