Name all causes in the error text of a damaged record

The error said that the checksum does not match also when the record was incomplete or its length impossible. It now says that there is no complete record with a matching checksum. No test or page matches the old text; the test of a damaged record checks file and offset as before.

--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/data_folder.py
@@ -62,7 +62,7 @@
             return None
         payload = read_record(path.read_bytes(), 0)
         if payload is None:
-            raise DamagedFileError(path, 0, "the checksum does not match")
+            raise DamagedFileError(path, 0, "no complete record with a matching checksum")
         return payload
 
     def sync(self) -> None:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/record_file.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/record_file.py
@@ -46,7 +46,7 @@
         payload = read_record(data, offset)
         if payload is None:
             if not is_last_file or _has_record_after(data, offset):
-                raise DamagedFileError(path, offset, "the checksum does not match")
+                raise DamagedFileError(path, offset, "no complete record with a matching checksum")
             break
         payloads.append(payload)
         offset += HEADER.size + len(payload)
