Review case 1: replace four core machines, two at a time

Planned work alone, with at most as many machines lost as fault-tolerance allows and none lost when machines are stopped. The successors now have rejoin-delay-s before the old machines get SIGTERM.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Three core machines are replaced as planned, one after the other, the leader each time."""
+"""Four core machines are replaced as planned, two at a time."""
 
 from __future__ import annotations
 
@@ -22,11 +22,13 @@
 from small_site import run_case  # noqa: E402
 
 TRAFFIC_STARTS_S = 12.0
-REPLACEMENTS = 3
-SUCCESSOR_LEAD_S = 2.0
-"""The ``x`` of ``replace_core`` with ``how = "planned"`` in the site file."""
+ROUNDS = 2
+MACHINES_AT_ONCE = 2
+"""As fault-tolerance allows."""
 REJOIN_DELAY_S = BOUNDS["rejoin-delay-s"]
 MARGIN_S = 0.1
+SUCCESSOR_LEAD_S = REJOIN_DELAY_S + MARGIN_S
+"""From the start of a successor to SIGTERM: after this time the successor doesn't count as lost."""
 DARK_S = 1.5
 """``for_s`` of ``after_ack_wipe`` is 3 in the site file."""
 RECOVERY_S = BOUNDS["recovery-time-s"]
@@ -52,21 +54,23 @@
     if os.environ.get("VARIANT") == "wipe":
         version = replace_one_and_wipe_two(site, record, operator)
     else:
-        version = replace_leaders(site, record, operator)
+        version = replace_in_pairs(site, record, operator)
     sleep_until(time.monotonic() + RECOVERY_S)
     return not is_read_back(record, operator, version)
 
 
-def replace_leaders(site: Site, record: Record, operator: Operator) -> int:
-    """Replace the machine that acknowledged last, three times; return the version in force."""
+def replace_in_pairs(site: Site, record: Record, operator: Operator) -> int:
+    """Replace two of the first five machines, then two others; return the version in force."""
     version = 1
-    for _ in range(REPLACEMENTS):
+    first_five = list(operator.nodes)
+    for number in range(ROUNDS):
         version += 1
-        leader = change_configuration(operator, version)
-        if not is_disturbed():
-            time.sleep(REJOIN_DELAY_S + MARGIN_S)
-            continue
-        replace(site, record, operator, leader)
+        if is_disturbed():
+            pair = first_five[number * MACHINES_AT_ONCE :][:MACHINES_AT_ONCE]
+            replace(site, record, operator, pair, version)
+        else:
+            change_configuration(operator, version)
+            time.sleep(SUCCESSOR_LEAD_S)
     return version
 
 
@@ -78,24 +82,32 @@
     return next(node for node in operator.nodes if node.ip == address[0])
 
 
-def replace(site: Site, record: Record, operator: Operator, leaving: Node) -> None:
-    """Start the successor, stop the machine 2 s later, wait until neither counts as lost."""
-    staying = [node for node in operator.nodes if node is not leaving]
+def replace(
+    site: Site, record: Record, operator: Operator, leaving: list[Node], version: int
+) -> None:
+    """Start successors, wait until they don't count as lost, then stop the machines that leave.
+
+    Meanwhile a configuration is changed.
+    """
+    staying = [node for node in operator.nodes if node not in leaving]
     site.seed_ips = [node.ip for node in staying[:3]]
-    successor = site.add_node("core", leaving.zone)
-    successor.start()
-    sleep_until(successor.started_at + SUCCESSOR_LEAD_S)
-    leaving.stop()
-    operator.nodes = [*staying, successor]
-    sleep_until(successor.started_at + REJOIN_DELAY_S + MARGIN_S)
-    record.write(f"{successor.name}: started over {REJOIN_DELAY_S} s ago; no machine is lost")
+    successors = [site.add_node("core", node.zone) for node in leaving]
+    for node in successors:
+        node.start()
+    change_configuration(operator, version)
+    sleep_until(successors[-1].started_at + SUCCESSOR_LEAD_S)
+    record.write(f"the successors were started over {REJOIN_DELAY_S} s ago; no machine is lost")
+    for node in leaving:
+        node.stop()
+    operator.nodes = [*staying, *successors]
 
 
 def replace_one_and_wipe_two(site: Site, record: Record, operator: Operator) -> int:
     """The variant: one replacement of a follower, then two machines lose their disks."""
     leader = change_configuration(operator, 2)
-    replace(site, record, operator, next(node for node in operator.nodes if node is not leader))
-    first = change_configuration(operator, 3)
+    follower = next(node for node in operator.nodes if node is not leader)
+    replace(site, record, operator, [follower], 3)
+    first = change_configuration(operator, 4)
     second = next(node for node in operator.nodes if node is not first)
     for node in (first, second):
         node.kill()
@@ -105,7 +117,7 @@
     for node in (first, second):
         node.start()
     record.write("all machines are back")
-    return 3
+    return 4
 
 
 def is_read_back(record: Record, operator: Operator, version: int) -> bool:
