--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,7 @@
     if operator.replace(config(1), 20.0) is None:
         raise NotRunnable("the first configuration was not acknowledged")
     sleep_until(started_at + TRAFFIC_STARTS_S)
-    if os.environ.get("VARIANT") == "wipe":
+    if os.environ.get("VARIANT") == "wipe" and is_disturbed():
         version = replace_one_and_wipe_two(site, record, operator)
     else:
         version = replace_in_pairs(site, record, operator)
