--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,7 +23,7 @@
 TRAFFIC_STARTS_S = 12.0
 ACK_TIMEOUT_S = BOUNDS["ack-timeout-ms"] / 1000
 CALM_S = 20.0
-"""How long the later orders are repeated; nothing else happens meanwhile."""
+"""How long the later change is repeated; nothing else happens meanwhile."""
 LONG_VERSION = 20261205120000000001
 """Date, time and microseconds: 20 digits, more than 2**64."""
 
@@ -43,17 +43,14 @@
     if is_disturbed():
         operator.replace(config(LONG_VERSION), ACK_TIMEOUT_S)
     began_at = time.monotonic()
-    is_change_acknowledged = is_evacuation_acknowledged = False
-    while time.monotonic() - began_at < CALM_S:
-        if not is_change_acknowledged:
-            is_change_acknowledged = operator.replace(config(2), 4.0) is not None
-        if not is_evacuation_acknowledged:
-            path = f"/-/drain/{ZONES[0]}/begin"
-            status, _, address = operator.call("POST", path, b"", 4.0)
-            record.write(f"operator: {path}: last status {status} from {address[0]}")
-            is_evacuation_acknowledged = status == 200
-        if is_change_acknowledged and is_evacuation_acknowledged:
-            break
+    path = f"/-/drain/{ZONES[0]}/begin"
+    # An order other than a configuration is sent again for ack-timeout-ms at most.
+    status, _, address = operator.call("POST", path, b"", ACK_TIMEOUT_S)
+    record.write(f"operator: {path}: last status {status} from {address[0]}")
+    is_evacuation_acknowledged = status == 200
+    is_change_acknowledged = False
+    while not is_change_acknowledged and time.monotonic() - began_at < CALM_S:
+        is_change_acknowledged = operator.replace(config(2), 4.0) is not None
     waited_s = time.monotonic() - began_at
     record.write(
         f"after {waited_s:.1f} s: a valid change is acknowledged: {is_change_acknowledged}, "
