Shared interfaces of queueing, admission, placement and outlier detection; load model with request classes

The optional decisions of an agent are one struct, RouterOptions, filled from settings that are all off by default. Routes carry their timeout and whether their requests may run twice; ServerLoad has the fields that the new parts fill in. The load model gets request classes with routes of their own, flows per request with copies and timeouts as callers send them, surges of a class or a data centre, a power failure, and servers that fail requests; it counts by class and by data centre, refusals while a server had room, and time in a queue while other slots were idle.

--- a/bench/src/wagtailkeel_bench/load_model/model_server.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_server.py
@@ -17,12 +17,22 @@
     from wagtailkeel_bench.load_model.load import Load
 
 HANDSHAKE_DELAY_S = 0.0003
+FIRST_ROUTE_PORT = 443
+"""The port of the first class's route; each further class has the next port."""
 ANSWER_PAYLOAD = b"a"
 SHED_PAYLOAD = b"s"
 
 
+def class_index_of(key: bytes) -> int:
+    """Return the number of the request class to whose route a caller's flow goes."""
+    return int.from_bytes(key[10:12], "big") - FIRST_ROUTE_PORT
+
+
 class ModelServer:
-    """Answers packets from its agent; ``busy_s`` is the total work time of all slots."""
+    """Answers packets from its agent; ``busy_s`` is the total work time of all slots.
+
+    ``has_fault`` is set if the load's server fault concerns this server.
+    """
 
     def __init__(
         self,
@@ -31,8 +41,11 @@
         scheduler: EventScheduler,
         random: Random,
         send: Callable[[bytes], None],
+        *,
+        has_fault: bool,
     ) -> None:
         self.busy_s = 0.0
+        self._fault = load.server_fault if has_fault else None
         self._load = load
         self._speed = speed
         self._scheduler = scheduler
@@ -49,9 +62,31 @@
             self._reply(key, ip.SYN | ip.ACK, b"", HANDSHAKE_DELAY_S)
         elif ip.payload_of(packet):
             self._on_request(key)
+        elif ip.tcp_flags(packet) & ip.FIN:
+            self._reply(key, ip.FIN | ip.ACK, b"", 0.0)
+
+    @property
+    def idle_slots(self) -> int:
+        """The number of requests that would start at once."""
+        return self._load.slots - self._busy_slots
+
+    @property
+    def queued(self) -> int:
+        """The number of requests that wait for a slot."""
+        return len(self._queue)
+
+    def _fails_request(self) -> bool:
+        fault = self._fault
+        if fault is None or not fault.start_s <= self._scheduler.now < fault.end_s:
+            return False
+        return self._random.random() < fault.share
 
     def _on_request(self, key: bytes) -> None:
-        if self._busy_slots < self._load.slots:
+        if self._fails_request():
+            assert self._fault is not None, "without a fault no request fails"
+            if self._fault.how == "reset":
+                self._reply(key, ip.RST, b"", 0.0)
+        elif self._busy_slots < self._load.slots:
             self._start_work(key)
         elif len(self._queue) < self._load.queue_limit:
             self._queue.append(key)
@@ -60,10 +95,13 @@
 
     def _start_work(self, key: bytes) -> None:
         self._busy_slots += 1
-        work_s = self._sample_work_s()
+        work_s = self._sample_work_s() * self._work_factor(key)
         self.busy_s += work_s
         self._scheduler.call_later(work_s, lambda: self._finish_request(key))
 
+    def _work_factor(self, key: bytes) -> float:
+        return self._load.request_classes[class_index_of(key)].work_factor
+
     def _sample_work_s(self) -> float:
         """Return a work time from a log-normal distribution, scaled by speed and slow start.
 
--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
+from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import SampleSize
+from wagtailkeel_coordination.handshake.router_options import DEFAULT_OPTIONS
 from wagtailkeel_coordination.handshake.server_choice import ServerChoice
 from wagtailkeel_coordination.handshake.server_choice import choose_server
 
@@ -24,14 +26,13 @@
     """How a server is chosen and whether openings are rejected while too many requests wait.
 
     ``sample_size`` are the agents whose load is requested for each opening; if it is None, every
-    agent reports its load to all others ten times a second. An opening may wait for
-    ``max_opening_wait_s`` seconds for a cold server.
+    agent reports its load to all others ten times a second.
     """
 
     choose: ServerChoice
     has_queue_limit: bool
     sample_size: SampleSize | None = None
-    max_opening_wait_s: float = 0.0
+    options: RouterOptions = DEFAULT_OPTIONS
 
 
 def choose_random_server(
@@ -54,7 +55,7 @@
         choose_server,
         has_queue_limit=True,
         sample_size=SampleSize(),
-        max_opening_wait_s=MAX_OPENING_WAIT_S,
+        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S),
     ),
 }
-"""``sampled`` is the policy of wagtailkeel."""
+"""``sampled`` is the policy of wagtailkeel without optional decisions."""
--- a/bench/src/wagtailkeel_bench/load_model/results.py
+++ b/bench/src/wagtailkeel_bench/load_model/results.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections import defaultdict
 from statistics import mean
 from statistics import pstdev
 from typing import TYPE_CHECKING
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from wagtailkeel_bench.load_model.load import Load
+    from wagtailkeel_bench.load_model.load import RequestClass
 
 LOWEST_RESPONSE_US = 1
 HIGHEST_RESPONSE_US = 60_000_000
@@ -20,8 +24,33 @@
 BAR_WIDTH_CHARACTERS = 40
 
 
+class Tally(msgspec.Struct):
+    """Outcomes of the requests of one class or one data centre.
+
+    ``refused`` counts attempts that were refused before a server had them, ``refused_with_room``
+    those of them during which a server of the service had an idle slot.
+    """
+
+    in_target: int = 0
+    late: int = 0
+    failed: int = 0
+    attempts: int = 0
+    refused: int = 0
+    refused_with_room: int = 0
+
+    @property
+    def requests(self) -> int:
+        """The number of finished requests."""
+        return self.in_target + self.late + self.failed
+
+
 class Results:
-    """Request counts of one simulation; ``work_s_by_server`` is each server's work time."""
+    """Request counts of one simulation; ``work_s_by_server`` is each server's work time.
+
+    ``idle_while_queued_s`` is the time that requests spent in a server's queue, in request-seconds,
+    while another server had a slot idle for each of them. ``counters`` are the sums of the agents'
+    counters.
+    """
 
     def __init__(self, load: Load) -> None:
         self.in_target = 0
@@ -30,16 +59,34 @@
         self.shed = 0
         self.load_messages = 0
         self.openings = 0
+        self.idle_while_queued_s = 0.0
         self.work_s_by_server: list[float] = []
+        self.counters: Counter[str] = Counter()
+        self.tallies_by_class: defaultdict[str, Tally] = defaultdict(Tally)
+        self.tallies_by_data_centre: defaultdict[int | None, Tally] = defaultdict(Tally)
         self._load = load
         self._histogram = HdrHistogram(LOWEST_RESPONSE_US, HIGHEST_RESPONSE_US, SIGNIFICANT_DIGITS)
         interval_count = int(load.duration_s / PLOT_INTERVAL_S)
         self._in_target_by_interval = [0] * interval_count
         self._requests_by_interval = [0] * interval_count
 
-    def record_request(self, started_at: float, elapsed_s: float, *, is_answered: bool) -> None:
+    def record_request(
+        self,
+        started_at: float,
+        elapsed_s: float,
+        request_class: RequestClass,
+        data_centre: int | None,
+        attempts: int,
+        *,
+        is_answered: bool,
+    ) -> None:
         """Count a finished request in the interval in which it started."""
-        is_in_target = is_answered and elapsed_s <= self._load.target_s
+        is_in_target = is_answered and elapsed_s <= request_class.target_s
+        for tally in self._find_tallies(request_class.name, data_centre):
+            tally.in_target += is_in_target
+            tally.late += is_answered and not is_in_target
+            tally.failed += not is_answered
+            tally.attempts += attempts
         self.in_target += is_in_target
         self.late += is_answered and not is_in_target
         self.failed += not is_answered
@@ -49,6 +96,15 @@
         self._requests_by_interval[interval] += 1
         self._in_target_by_interval[interval] += is_in_target
 
+    def _find_tallies(self, class_name: str, data_centre: int | None) -> tuple[Tally, Tally]:
+        return self.tallies_by_class[class_name], self.tallies_by_data_centre[data_centre]
+
+    def record_refusal(self, class_name: str, data_centre: int | None, *, has_room: bool) -> None:
+        """Count a refused attempt; ``has_room`` if a server of the service had an idle slot."""
+        for tally in self._find_tallies(class_name, data_centre):
+            tally.refused += 1
+            tally.refused_with_room += has_room
+
     def record_no_idle_user(self) -> None:
         """Count a request as failed because all users were busy."""
         self.failed += 1
--- a/bench/src/wagtailkeel_bench/load_model/simulation.py
+++ b/bench/src/wagtailkeel_bench/load_model/simulation.py
@@ -11,6 +11,7 @@
 
 from wagtailkeel_bench.event_scheduler import EventScheduler
 from wagtailkeel_bench.load_model.model_callers import ModelCallers
+from wagtailkeel_bench.load_model.model_server import FIRST_ROUTE_PORT
 from wagtailkeel_bench.load_model.model_server import ModelServer
 from wagtailkeel_bench.load_model.results import Results
 from wagtailkeel_coordination.events import UNLOGGED
@@ -40,7 +41,6 @@
 
 SERVICE = "service"
 ROUTE_ADDRESS = "198.18.0.1"
-ROUTE_PORT = 443
 PEER_PORT = 7_001
 CALLER_DELAY_S = 0.001
 PEER_DELAY_S = 0.0005
@@ -49,6 +49,7 @@
 LOAD_INTERVAL_S = 0.1
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 2.5
+QUEUE_SAMPLE_INTERVAL_S = 0.01
 
 
 class ModelAgent:
@@ -63,7 +64,9 @@
             site.scheduler,
             Random(f"{site.seed}/server/{number}"),
             self._on_server_packet,
+            has_fault=load.server_fault is not None and number < load.server_fault.servers,
         )
+        self.counters: Counter[str] = Counter()
         self._site = site
         self._report_sequence = 0
         self._load = load
@@ -74,14 +77,14 @@
             ServerGate(SERVICE, REPORT_TIMEOUT_S, ColdLimit(slack=load.cold_openings_per_s), 0.0),
             self,
             Random(f"{site.seed}/agent/{number}"),
-            Counter(),
+            self.counters,
             UNLOGGED,
             lambda response_s: None,
             lambda since: True,
             0.0,
             policy.choose,
             policy.sample_size or EVERY_AGENT,
-            policy.max_opening_wait_s,
+            policy.options,
         )
 
     def send_report(self) -> None:
@@ -147,13 +150,14 @@
         self._balancers = [self._build_balancer() for _ in range(load.data_centres)]
         self.callers = ModelCallers(
             load,
-            bytes((198, 18, 0, 1)) + ROUTE_PORT.to_bytes(2, "big"),
+            bytes((198, 18, 0, 1)),
             self.scheduler,
             Random(f"{seed}/callers"),
             self._on_caller_packet,
+            self._has_idle_server,
             results,
         )
-        self._set_up(load.target_s if policy.has_queue_limit else 0.0)
+        self._set_up()
 
     def _build_balancer(self) -> BalancerRouter:
         return BalancerRouter(
@@ -165,10 +169,22 @@
             lambda: True,
         )
 
-    def _set_up(self, target_s: float) -> None:
-        route = Route(ROUTE_ADDRESS, ROUTE_PORT, (WeightedService(SERVICE, 1),), target_s=target_s)
+    def _build_route(self, index: int) -> Route:
+        request_class = self._load.request_classes[index]
+        return Route(
+            ROUTE_ADDRESS,
+            FIRST_ROUTE_PORT + index,
+            (WeightedService(SERVICE, 1),),
+            target_s=request_class.target_s if self._policy.has_queue_limit else 0.0,
+            priority=request_class.priority,
+            timeout_s=request_class.timeout_s,
+            is_idempotent=request_class.is_idempotent,
+        )
+
+    def _set_up(self) -> None:
+        routes = [self._build_route(index) for index in range(len(self._load.request_classes))]
         policies = {SERVICE: ServicePolicy(SERVICE)}
-        document = RoutingDocument(1, {route.place: route}, policies)
+        document = RoutingDocument(1, {route.place: route for route in routes}, policies)
         for number, balancer in enumerate(self._balancers):
             local_agents = self._agents[number :: self._load.data_centres]
             balancer.apply_routing(document)
@@ -179,6 +195,28 @@
             agent.router.set_peers(members, frozenset())
         self._send_reports_forever()
         self._send_loads_forever()
+        self._sample_queues_forever()
+
+    def _has_idle_server(self) -> bool:
+        """Return whether a server that accepts openings has an idle slot."""
+        return self._count_idle_slots() > 0
+
+    def _count_idle_slots(self) -> int:
+        if not self.are_agents_running:
+            return 0
+        now = self.scheduler.now
+        return sum(a.server.idle_slots for a in self._agents if a.router.gate.accepts(now))
+
+    @property
+    def are_agents_running(self) -> bool:
+        """Return whether the agents have started."""
+        return self.scheduler.now >= self._load.agents_start_s
+
+    def _sample_queues_forever(self) -> None:
+        queued = sum(agent.server.queued for agent in self._agents)
+        misplaced = min(queued, self._count_idle_slots())
+        self._results.idle_while_queued_s += misplaced * QUEUE_SAMPLE_INTERVAL_S
+        self.scheduler.call_later(QUEUE_SAMPLE_INTERVAL_S, self._sample_queues_forever)
 
     def _send_reports_forever(self) -> None:
         for agent in self._agents:
@@ -213,17 +251,21 @@
             lambda: requester.router.on_load(load, agent.address, self.scheduler.now),
         )
 
-    def _on_caller_packet(self, packet: bytes) -> None:
+    def _on_caller_packet(self, packet: bytes, data_centre: int | None) -> None:
         key = ip.parse_flow_key(packet)
         assert isinstance(key, bytes), "the model must send only complete packets"
         self._results.openings += bool(ip.tcp_flags(packet) & ip.SYN)
-        balancer = self._balancers[xxhash.xxh3_64_intdigest(key) % len(self._balancers)]
+        if data_centre is None:
+            data_centre = xxhash.xxh3_64_intdigest(key) % len(self._balancers)
+        balancer = self._balancers[data_centre]
         self.scheduler.call_later(CALLER_DELAY_S, partial(balancer.on_packet, packet))
 
     def send_frame(self, frame: bytes, address: Address, source: Address) -> None:
         """Deliver a frame to an agent after the network delay between two nodes."""
         decoded = relay.decode_relay(frame)
         assert not isinstance(decoded, Malformed), "the model must send only complete frames"
+        if not self.are_agents_running:
+            return
         agent = self._agents_by_address[address]
         sender = self._agents_by_address.get(source)
         self.scheduler.call_later(
@@ -235,6 +277,8 @@
         """Run the load to its end; return the work time of each server in seconds."""
         self.callers.start()
         self.scheduler.run_until(self._load.duration_s)
+        for agent in self._agents:
+            self._results.counters += agent.counters
         return [agent.server.busy_s for agent in self._agents]
 
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
@@ -11,6 +11,7 @@
     from wagtailkeel_coordination.handshake.balancer_router import BalancerRouter
     from wagtailkeel_coordination.handshake.load_sample import SampleSize
     from wagtailkeel_coordination.handshake.member import Member
+    from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ColdLimit
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
@@ -20,6 +21,7 @@
     "BalancerRouter",
     "ColdLimit",
     "Member",
+    "RouterOptions",
     "SampleSize",
     "ServerGate",
     "ServerReport",
@@ -32,6 +34,7 @@
         "BalancerRouter": "balancer_router",
         "ColdLimit": "server_gate",
         "Member": "member",
+        "RouterOptions": "router_options",
         "SampleSize": "load_sample",
         "ServerGate": "server_gate",
         "ServerReport": "server_gate",
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.handshake.load_sample import DEFAULT_SAMPLE_SIZE
 from wagtailkeel_coordination.handshake.router_context import ResetReason
 from wagtailkeel_coordination.handshake.router_context import RouterContext
+from wagtailkeel_coordination.handshake.router_options import DEFAULT_OPTIONS
 from wagtailkeel_coordination.handshake.server_choice import choose_server
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -31,6 +32,7 @@
     from wagtailkeel_coordination.handshake.load_sample import SampleSize
     from wagtailkeel_coordination.handshake.member import Member
     from wagtailkeel_coordination.handshake.outbox import RelayOutbox
+    from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_choice import ServerChoice
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
@@ -55,8 +57,7 @@
     """Routing decisions of one agent; time and randomness are passed in.
 
     ``are_members_confirmed`` returns whether control has confirmed the list of members since a
-    given time, and asks control for a confirmation if it has not. An opening may wait for
-    ``max_opening_wait_s`` seconds until a server has room. Searches beyond
+    given time, and asks control for a confirmation if it has not. Searches beyond
     ``search_queries_per_s`` queries a second are left to the searcher of the data centre.
     """
 
@@ -75,14 +76,14 @@
         now: float,
         choose: ServerChoice = choose_server,
         sample_size: SampleSize = DEFAULT_SAMPLE_SIZE,
-        max_opening_wait_s: float = 0.0,
+        options: RouterOptions = DEFAULT_OPTIONS,
         search_queries_per_s: float = DEFAULT_QUERIES_PER_S,
     ) -> None:
         self.gate = gate
         self._context = RouterContext(
             own_address, gate.service, packet_format, outbox, counters, event_sink, now
         )
-        self.holder = FlowHolder(self._context, gate, record_response, max_opening_wait_s)
+        self.holder = FlowHolder(self._context, gate, record_response, options)
         self.owner = DirectoryOwner(
             self._context,
             self.holder,
@@ -92,6 +93,7 @@
             sample_size,
             are_members_confirmed,
             search_queries_per_s,
+            options,
         )
         self.holder.connect_owner(self.owner)
         self.routing = self._context.routing
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -23,6 +23,7 @@
     from wagtailkeel_coordination.handshake.load_sample import SampleSize
     from wagtailkeel_coordination.handshake.member import Member
     from wagtailkeel_coordination.handshake.router_context import RouterContext
+    from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_choice import ServerChoice
     from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_protocol.relay import RelayFrame
@@ -45,10 +46,11 @@
         sample_size: SampleSize,
         are_members_confirmed: Callable[[float], bool],
         search_queries_per_s: float,
+        options: RouterOptions,
     ) -> None:
         self.pointers = FlowPointers()
         self.placer = OpeningPlacer(
-            context, holder, self.pointers, data_centre, random, choose, sample_size
+            context, holder, self.pointers, data_centre, random, choose, sample_size, options
         )
         self.locator = FlowLocator(
             context,
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -29,6 +29,7 @@
 
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
     from wagtailkeel_coordination.handshake.router_context import RouterContext
+    from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_gate import ServerReport
     from wagtailkeel_protocol.packet_format import PacketHeader
@@ -66,13 +67,14 @@
         context: RouterContext,
         gate: ServerGate,
         record_response: Callable[[float], None],
-        max_opening_wait_s: float,
+        options: RouterOptions,
     ) -> None:
         self.gate = gate
-        self.queue = OpeningQueue(max_opening_wait_s)
+        self.queue = OpeningQueue(options.max_opening_wait_s)
         self.held = HeldFlows(record_response)
         self.probes = FlowProbes()
         self._context = context
+        self._options = options
         self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
         self._owner: LocalOwner
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -29,6 +29,7 @@
     from wagtailkeel_coordination.handshake.flow_pointers import FlowPointers
     from wagtailkeel_coordination.handshake.member import Member
     from wagtailkeel_coordination.handshake.router_context import RouterContext
+    from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_choice import PeerLoad
     from wagtailkeel_coordination.handshake.server_choice import ServerChoice
     from wagtailkeel_protocol.messages import ServerLoad
@@ -78,6 +79,7 @@
         random: Random,
         choose: ServerChoice,
         sample_size: SampleSize,
+        options: RouterOptions,
     ) -> None:
         self.loads = PeerLoads()
         self.opening_copies = OpeningCopies()
@@ -87,6 +89,7 @@
         self._data_centre = data_centre
         self._random = random
         self._choose = choose
+        self._options = options
         self._sampler = LoadSampler(data_centre, sample_size, random)
         self._data_centres_by_member: dict[Address, str] = {}
         self._pending_by_key: dict[bytes, _Opening] = {}
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -19,15 +19,14 @@
 
 
 class Destinations(msgspec.Struct, frozen=True):
-    """The services of a route, the running sums of their weights, and the target in seconds.
-
-    The opening with the lowest ``priority`` number is served first.
-    """
+    """The services of a route, the running sums of their weights, and its terms; see Route."""
 
     services: tuple[str, ...]
     cumulative_weights: tuple[int, ...]
     target_s: float = 0.0
     priority: int = 0
+    timeout_s: float = 0.0
+    is_idempotent: bool = False
 
     @classmethod
     def from_route(cls, route: Route) -> Destinations:
@@ -35,7 +34,14 @@
         weighted = [entry for entry in route.destinations if entry.weight > 0]
         cumulative_weights = accumulate(entry.weight for entry in weighted)
         services = tuple(entry.service for entry in weighted)
-        return cls(services, tuple(cumulative_weights), route.target_s, route.priority)
+        return cls(
+            services,
+            tuple(cumulative_weights),
+            route.target_s,
+            route.priority,
+            route.timeout_s,
+            route.is_idempotent,
+        )
 
     def choose(self, key: bytes) -> str:
         """Return the service of a flow; it is the same for every transmission of the opening."""
@@ -94,6 +100,16 @@
         destinations = self._by_endpoint.get(endpoint)
         return destinations.priority if destinations else 0
 
+    def timeout_s(self, endpoint: bytes) -> float:
+        """Return how long callers of a route wait for an answer; 0 if that is not known."""
+        destinations = self._by_endpoint.get(endpoint)
+        return destinations.timeout_s if destinations else 0.0
+
+    def is_idempotent(self, endpoint: bytes) -> bool:
+        """Return whether the requests of a route may run twice; False if there is no route."""
+        destinations = self._by_endpoint.get(endpoint)
+        return destinations is not None and destinations.is_idempotent
+
 
 def endpoint_of_route(route: Route) -> bytes:
     """Return a route's address and port as they are encoded in packets."""
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -16,6 +16,9 @@
 from wagtailkeel_state.generation import Generation
 from wagtailkeel_state.server_member import ServerMember
 
+ANY_PRIORITY = 255
+"""The priority limit of a server that accepts openings of every priority."""
+
 
 class Datagram(msgspec.Struct, array_like=True):
     """Base class of all datagrams."""
@@ -185,7 +188,10 @@
     ``is_leaving``: the agent is about to stop. ``is_unheard``: the agent started so recently
     that the first report of its server may still be on its way. ``room_in_ms`` is the time after
     which an opening that waits at the agent will be delivered, if the server accepts none now; 0
-    if openings can't wait there. ``is_reply``: the report was requested.
+    if openings can't wait there. ``is_reply``: the report was requested. ``opened_flows`` counts
+    the openings delivered to the server since the agent started. ``is_outlier``: the server fails
+    more of its requests than a healthy one would. Openings with a priority number above
+    ``priority_limit`` should be refused.
     """
 
     service_tag: int
@@ -199,6 +205,9 @@
     is_unheard: bool = False
     room_in_ms: float = 0.0
     is_reply: bool = False
+    opened_flows: int = 0
+    is_outlier: bool = False
+    priority_limit: int = ANY_PRIORITY
 
 
 class BalancerState(Datagram, tag=12):
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/routing.py
@@ -21,7 +21,9 @@
 
     ``source`` is the route as the operator wrote it; it is returned unchanged to readers.
     ``target_s`` is the target response time of its requests in seconds, or 0 if none is set. The
-    openings with the lowest ``priority`` number get the room of a cold server first.
+    openings with the lowest ``priority`` number get the room of a cold server first. Callers wait
+    for an answer for up to ``timeout_s`` seconds, or for an unknown time if it is 0. Only a request
+    that ``is_idempotent`` may run twice.
     """
 
     address: str
@@ -30,6 +32,8 @@
     source: bytes = b""
     target_s: float = 0.0
     priority: int = 0
+    timeout_s: float = 0.0
+    is_idempotent: bool = False
 
     @property
     def place(self) -> str:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -20,6 +20,7 @@
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import Member
+from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.codec import decode_datagram
@@ -122,7 +123,13 @@
             self.metrics.record_response,
             self._are_members_confirmed,
             clock.seconds(),
-            max_opening_wait_s=section.max_opening_wait_s,
+            options=RouterOptions(
+                max_opening_wait_s=section.max_opening_wait_s,
+                queue_when_busy=section.queue_when_busy,
+                priority_admission=section.priority_admission,
+                placement=section.placement,
+                outlier_detection=section.outlier_detection,
+            ),
         )
         self.store.subscribe(self._on_configuration)
         address_book = AddressBook.from_settings(settings, self.store, read_seeds)
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from wagtailkeel_coordination.handshake.router_options import PlacementRule
 from wagtailkeel_state.address_pool import AddressPool
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -134,6 +135,11 @@
     than callers wait for an answer to an opening; with 0 they are refused. With
     ``server_accepts_tcp``, the server also listens for TCP connections at its address while it
     runs, so that a refused connection shows that it does not.
+
+    With ``queue_when_busy``, openings also wait for a busy server. With ``priority_admission``,
+    openings of low priority are refused under lasting overload. ``placement`` is the rule by which
+    servers are chosen. With ``outlier_detection``, a server that fails requests gets fewer
+    openings.
     """
 
     service: Name
@@ -148,6 +154,10 @@
     cold_slack: NonNegativeFloat = 0.0
     max_opening_wait_s: NonNegativeFloat = 0.0
     server_accepts_tcp: bool = False
+    queue_when_busy: bool = False
+    priority_admission: bool = False
+    placement: PlacementRule = "least_wait"
+    outlier_detection: bool = False
 
 
 class DataCentreSettings(_Section):
--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -103,6 +103,18 @@
                 self.assertLessEqual(unserved_in_time, 1.1 * (with_all.late + with_all.failed))
                 self.assertLess(sampled.load_messages_per_opening, MAX_LOAD_MESSAGES_PER_OPENING)
 
+    def test_callers_repeat_only_what_no_server_has_run(self) -> None:
+        """A payment that a server has reset may have run."""
+        for name in ("resetting-servers", "power-return"):
+            with self.subTest(name):
+                result = simulate_short(name, "sampled")
+                payments = result.tallies_by_class["payment"]
+                self.assertGreater(payments.failed, 0)
+                resets = result.tallies_by_class["lookup"].attempts - (
+                    result.tallies_by_class["lookup"].requests
+                )
+                self.assertGreater(resets, payments.attempts - payments.requests)
+
     def test_equal_seeds_give_equal_results(self) -> None:
         first, second = (simulate_short("surge", "sampled") for _ in range(2))
         self.assertEqual(format_table({"it": first}), format_table({"it": second}))
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -13,8 +13,10 @@
 from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import Member
+from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake import ServerReport
+from wagtailkeel_coordination.handshake.router_options import DEFAULT_OPTIONS
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -161,7 +163,7 @@
             lambda response_s: None,
             lambda since: self._network.is_control_reachable,
             self._network.now,
-            max_opening_wait_s=self._network.max_opening_wait_s,
+            options=self._network.options,
             search_queries_per_s=self._network.search_queries_per_s,
         )
 
@@ -240,11 +242,11 @@
         services: list[str],
         *,
         cold_starts_per_s: float = 0.0,
-        max_opening_wait_s: float = 0.0,
+        options: RouterOptions = DEFAULT_OPTIONS,
         search_queries_per_s: float = UNLIMITED_QUERIES_PER_S,
     ) -> None:
         self.now = 100.0
-        self.max_opening_wait_s = max_opening_wait_s
+        self.options = options
         self.search_queries_per_s = search_queries_per_s
         self.replies: list[FakePacket] = []
         self.events: list[Event] = []
--- a/tests/coordination/handshake/test_opening_copies.py
+++ b/tests/coordination/handshake/test_opening_copies.py
@@ -6,6 +6,7 @@
 
 from tests.coordination.handshake.fake_network import DESK
 from tests.coordination.handshake.fake_network import FakeNetwork
+from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake.opening_copies import RETENTION_S
 from wagtailkeel_coordination.handshake.opening_copies import SWEEP_INTERVAL_S
 from wagtailkeel_coordination.handshake.opening_copies import OpeningCopies
@@ -45,7 +46,9 @@
     """A queued opening is returned after another owner has placed a copy of it."""
 
     def test_no_reset_of_the_flow_that_the_copy_opened(self) -> None:
-        network = FakeNetwork([DESK] * 3, cold_starts_per_s=1.0, max_opening_wait_s=1.2)
+        network = FakeNetwork(
+            [DESK] * 3, cold_starts_per_s=1.0, options=RouterOptions(max_opening_wait_s=1.2)
+        )
         first, second, third = network.nodes.values()
         for node in network.nodes.values():
             node.report(cold_for_s=0.8)
--- a/tests/coordination/handshake/test_opening_queue.py
+++ b/tests/coordination/handshake/test_opening_queue.py
@@ -6,6 +6,7 @@
 
 from tests.coordination.handshake.fake_network import DESK
 from tests.coordination.handshake.fake_network import FakeNetwork
+from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake.opening_queue import OpeningQueue
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_protocol.relay import RelayFrame
@@ -21,7 +22,7 @@
     network = FakeNetwork(
         [DESK] * server_count,
         cold_starts_per_s=COLD_OPENINGS_PER_S,
-        max_opening_wait_s=MAX_WAIT_S,
+        options=RouterOptions(max_opening_wait_s=MAX_WAIT_S),
     )
     for node in network.nodes.values():
         node.report(cold_for_s=cold_for_s)
--- a/tests/platform/test_routing_body.py
+++ b/tests/platform/test_routing_body.py
@@ -99,6 +99,22 @@
         self.assertEqual(document.policies_by_service["a"].cold_starts_per_s, 4.5)
         self.assertIsNone(find_document_error(document))
 
+    def test_only_types_that_may_run_twice_are_idempotent(self) -> None:
+        """A request that is taken for idempotent by mistake would run twice."""
+        table = [
+            ("idempotent", True),
+            ("download", True),
+            ("non_idempotent", False),
+            ("unheard-of", False),
+            (None, False),
+        ]
+        for route_type, expected in table:
+            with self.subTest(route_type):
+                route = read(replace_value("routes", 0, "type", value=route_type)).routes_by_place[
+                    "198.18.0.1:8443"
+                ]
+                self.assertEqual((route.is_idempotent, route.timeout_s), (expected, 0.5))
+
     def test_encoding_returns_the_body_as_sent(self) -> None:
         body = replace_value("later", value={"x": [1, 2]})
         self.assertEqual(json.loads(encode_routing(read(body))), body)
