wagtailkeel where: explains where an opening would go now

Operators could see where an opening went (explain), not where the next one would go. A balancer names the service and the directory owner of a caller's address, and the owner previews the placement with the functions that place openings: find_candidates, the server choice and the choice of a queue. It reads only the loads that it knows, so nothing is sent and no counter or state changes; without a recent load it says that it would request some.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -14,6 +14,8 @@
 from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
 from wagtailkeel_coordination.handshake.flow_locator import DEFAULT_QUERIES_PER_S
 from wagtailkeel_coordination.handshake.load_sample import DEFAULT_SAMPLE_SIZE
+from wagtailkeel_coordination.handshake.route_explanation import build_flow_key
+from wagtailkeel_coordination.handshake.route_explanation import explain_route
 from wagtailkeel_coordination.handshake.router_context import ResetReason
 from wagtailkeel_coordination.handshake.router_context import RouterContext
 from wagtailkeel_coordination.handshake.router_options import DEFAULT_OPTIONS
@@ -46,6 +48,7 @@
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_protocol.relay import RelayFrame
+    from wagtailkeel_protocol.where_messages import WhereReply
     from wagtailkeel_state.routing import RoutingDocument
 
 Address = tuple[str, int]
@@ -174,6 +177,19 @@
         self._context.now = now
         self.owner.locator.copies.send_all()
 
+    def explain_opening(self, caller: str, route: str, now: float) -> WhereReply:
+        """Return what this agent would do, as the directory owner, with an opening.
+
+        ``caller`` and ``route`` are "host:port"; raise AddressError if one of them is not.
+        """
+        self._context.now = now
+        packet_format = self._context.packet_format
+        key = build_flow_key(packet_format, caller, route)
+        reply = explain_route(self.routing, packet_format, key)
+        if reply.service:
+            reply.preview = self.owner.placer.preview(reply.service)
+        return reply
+
     # Frames
 
     def on_frame(self, frame: RelayFrame, source: Address, now: float) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/balancer_router.py
@@ -7,6 +7,8 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.owner_map import OwnerMap
+from wagtailkeel_coordination.handshake.route_explanation import build_flow_key
+from wagtailkeel_coordination.handshake.route_explanation import explain_route
 from wagtailkeel_coordination.handshake.routing_table import RoutingTable
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -19,6 +21,7 @@
     from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_protocol.packet_format import PacketHeader
+    from wagtailkeel_protocol.where_messages import WhereReply
     from wagtailkeel_state.routing import RoutingDocument
 
 Address = tuple[str, int]
@@ -77,6 +80,16 @@
         frame = relay.encode_relay(RelayKind.FORWARD, 0, self.routing.version, tag, packet)
         self._send(frame, owner)
 
+    def explain_opening(self, caller: str, route: str) -> WhereReply:
+        """Return the service and the directory owner to which an opening would be forwarded.
+
+        ``caller`` and ``route`` are "host:port"; raise AddressError if one of them is not.
+        """
+        key = build_flow_key(self._format, caller, route)
+        reply = explain_route(self.routing, self._format, key)
+        reply.owner_host, reply.owner_port = self.owners.owner_of(key) or ("", 0)
+        return reply
+
     def _on_unknown_route(self, packet: bytes, header: PacketHeader) -> None:
         """Drop an opening to an endpoint without a route, or refuse it.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/load_sample.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/load_sample.py
@@ -61,6 +61,10 @@
             by_tag = self._local_by_tag if is_local else self._remote_by_tag
             by_tag.setdefault(relay.service_tag(member.service), []).append(address)
 
+    def members_of(self, tag: int) -> list[Address]:
+        """Return all agents of a service."""
+        return self._local_by_tag.get(tag, []) + self._remote_by_tag.get(tag, [])
+
     def draw(
         self, tag: int, known: Collection[Address], unresponsive: Collection[Address]
     ) -> list[Address]:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -12,6 +13,7 @@
 from wagtailkeel_coordination.handshake.load_sample import SampleSize
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
 from wagtailkeel_coordination.handshake.opening_copies import OpeningCopies
+from wagtailkeel_coordination.handshake.placement_preview import preview_placement
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import choose_shortest_queue
 from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
@@ -22,7 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
-    from random import Random
 
     from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
     from wagtailkeel_coordination.handshake.flow_pointers import FlowPointer
@@ -35,6 +36,7 @@
     from wagtailkeel_protocol.messages import ServerLoad
     from wagtailkeel_protocol.packet_format import PacketHeader
     from wagtailkeel_protocol.relay import RelayFrame
+    from wagtailkeel_protocol.where_messages import PlacementPreview
 
 Address = tuple[str, int]
 
@@ -135,6 +137,19 @@
         if former_target is None or not self._request_loads(opening, [former_target]):
             self._advance(opening)
 
+    def preview(self, service: str) -> PlacementPreview:
+        """Return what would happen to an opening for a service now; nothing is changed."""
+        return preview_placement(
+            self.loads,
+            self._sampler.members_of(relay.service_tag(service)),
+            self._data_centre,
+            self._choose,
+            Random(0),
+            self._holder.queue.max_wait_s,
+            PLACEMENT_LOAD_AGE_S,
+            self._context.now,
+        )
+
     def on_load(self, address: Address, load: ServerLoad) -> None:
         """Record an agent's load, and place the openings for which enough loads are known."""
         data_centre = self._data_centres_by_member.get(address)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import struct
 from typing import Protocol
 
 import msgspec
@@ -11,6 +13,8 @@
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.packet_builder import build_reset
 
+Address = tuple[str, int]
+
 OPENING = 0x01
 ACK = 0x02
 FIN = 0x04
@@ -59,6 +63,9 @@
     def caller_host(self, key: bytes) -> str:
         """Return the caller's address of a flow key."""
 
+    def build_key(self, caller: Address, route: Address) -> bytes:
+        """Return the flow key of a caller and a route; raise ValueError if they can't have one."""
+
 
 class IpPacketFormat:
     """TCP over IPv4 or IPv6; TCP servers can refuse a packet only by RST, so none is bounced."""
@@ -89,6 +96,13 @@
         """Return the source address of the key."""
         return ip.source_host(key)
 
+    def build_key(self, caller: Address, route: Address) -> bytes:
+        """Return the key; raise ValueError if one address is IPv4 and the other IPv6."""
+        source, destination = (ipaddress.ip_address(host).packed for host, _ in (caller, route))
+        if len(source) != len(destination):
+            raise ValueError(f"{caller[0]} and {route[0]} are not of the same IP version")
+        return source + destination + struct.pack("!HHB", caller[1], route[1], ip.TCP)
+
 
 def _parse_header(packet: bytes, key: bytes) -> PacketHeader | Malformed:
     if key[-1] != ip.TCP:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -4,6 +4,7 @@
 
 from wagtailkeel_protocol import messages
 from wagtailkeel_protocol import raft_messages
+from wagtailkeel_protocol import where_messages
 from wagtailkeel_transport.rpc_method import RpcMethod
 
 ANNOUNCE: RpcMethod[messages.AnnounceRequest, messages.AnnounceReply] = RpcMethod(
@@ -24,6 +25,9 @@
 DUMP: RpcMethod[messages.DumpRequest, messages.DumpReply] = RpcMethod(
     "Dump", messages.DumpRequest, messages.DumpReply
 )
+WHERE: RpcMethod[where_messages.WhereRequest, where_messages.WhereReply] = RpcMethod(
+    "Where", where_messages.WhereRequest, where_messages.WhereReply
+)
 STATUS: RpcMethod[messages.StatusRequest, messages.StatusReply] = RpcMethod(
     "Status", messages.StatusRequest, messages.StatusReply
 )
--- a/packages/wagtailkeel/src/wagtailkeel/console/application.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/application.py
@@ -16,6 +16,7 @@
 from wagtailkeel.console.commands.service import service
 from wagtailkeel.console.commands.status import status
 from wagtailkeel.console.commands.traffic_class import traffic_class
+from wagtailkeel.console.commands.where import where
 from wagtailkeel.console.context import ConsoleContext
 from wagtailkeel.console.control_client import Address
 from wagtailkeel.console.exit_codes import ExitCode
@@ -95,5 +96,6 @@
     service,
     status,
     traffic_class,
+    where,
 ):
     main.add_command(command)
--- a/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/control_client.py
@@ -23,9 +23,12 @@
 from wagtailkeel_transport.methods import COMMAND
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import STATUS
+from wagtailkeel_transport.methods import WHERE
 from wagtailkeel_transport.rpc import RpcClient
 
 if TYPE_CHECKING:
+    from wagtailkeel_protocol.where_messages import WhereReply
+    from wagtailkeel_protocol.where_messages import WhereRequest
     from wagtailkeel_state.commands import AnyCommand
 
 Address = tuple[str, int]
@@ -141,6 +144,16 @@
             raise ControlUnreachableError(str(error)) from error
         return reply.body
 
+    async def where(self, address: Address, request: WhereRequest) -> WhereReply | None:
+        """Return how the balancer or agent at an address would treat an opening.
+
+        Return None if it does not answer.
+        """
+        try:
+            return await self._rpc_client.call(address, WHERE, request)
+        except RpcError:
+            return None
+
 
 def _describe_missing_leader(leader_id: str) -> str:
     if not leader_id:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -22,6 +22,7 @@
 from wagtailkeel_coordination.handshake import Member
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
+from wagtailkeel_coordination.handshake.route_explanation import AddressError
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
@@ -45,12 +46,14 @@
 from wagtailkeel_protocol.messages import SearchRequest
 from wagtailkeel_protocol.messages import ServerLoad
 from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_protocol.where_messages import WhereReply
 from wagtailkeel_state.server_member import ServerMember
 from wagtailkeel_transport import UdpEndpoint
 from wagtailkeel_transport import clock
 from wagtailkeel_transport.deferred_rpc_server import DeferredRpcServer
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import PULL
+from wagtailkeel_transport.methods import WHERE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +66,7 @@
     from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_protocol.where_messages import WhereRequest
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_transport.rpc_method import RpcHandlers
 
@@ -165,7 +169,11 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        handlers: RpcHandlers = {DUMP: self._dump, PULL: self._answer_pull}
+        handlers: RpcHandlers = {
+            DUMP: self._dump,
+            PULL: self._answer_pull,
+            WHERE: self._explain_opening,
+        }
         server = DeferredRpcServer(handlers, self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -389,6 +397,12 @@
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request)
 
+    async def _explain_opening(self, request: WhereRequest) -> WhereReply:
+        try:
+            return self.router.explain_opening(request.caller, request.route, clock.seconds())
+        except AddressError as error:
+            return WhereReply(error=str(error))
+
     async def _dump(self, request: DumpRequest) -> DumpReply:
         router = self.router
         now = clock.seconds()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -15,6 +15,7 @@
 from wagtailkeel.roles.process_dump import build_dump
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import BalancerRouter
+from wagtailkeel_coordination.handshake.route_explanation import AddressError
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.stop_coordinator import StopCoordinator
 from wagtailkeel_protocol.codec import decode_datagram
@@ -33,12 +34,14 @@
 from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import ServerLoad
 from wagtailkeel_protocol.messages import VersionHint
+from wagtailkeel_protocol.where_messages import WhereReply
 from wagtailkeel_state.balancer_member import BalancerMember
 from wagtailkeel_transport import UdpEndpoint
 from wagtailkeel_transport import clock
 from wagtailkeel_transport.deferred_rpc_server import DeferredRpcServer
 from wagtailkeel_transport.methods import DUMP
 from wagtailkeel_transport.methods import PULL
+from wagtailkeel_transport.methods import WHERE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +53,7 @@
     from wagtailkeel.settings import Settings
     from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.packet_format import PacketFormat
+    from wagtailkeel_protocol.where_messages import WhereRequest
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_transport.rpc_method import RpcHandlers
 
@@ -126,7 +130,11 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        handlers: RpcHandlers = {DUMP: self._dump, PULL: self._answer_pull}
+        handlers: RpcHandlers = {
+            DUMP: self._dump,
+            PULL: self._answer_pull,
+            WHERE: self._explain_opening,
+        }
         server = DeferredRpcServer(handlers, self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -262,6 +270,12 @@
     async def _answer_pull(self, request: PullRequest) -> PullReply:
         return self.store.answer_pull(request)
 
+    async def _explain_opening(self, request: WhereRequest) -> WhereReply:
+        try:
+            return self._router.explain_opening(request.caller, request.route)
+        except AddressError as error:
+            return WhereReply(error=str(error))
+
     async def _dump(self, request: DumpRequest) -> DumpReply:
         return build_dump(
             {
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections import deque
+from ipaddress import IPv4Address
 from random import Random
 
 import msgspec
@@ -87,6 +88,9 @@
     def caller_host(self, key: bytes) -> str:
         return key[:-6].decode()
 
+    def build_key(self, caller: Address, route: Address) -> bytes:
+        return caller[0].encode() + IPv4Address(route[0]).packed + route[1].to_bytes(2, "big")
+
 
 class FakeServer:
     """Holds flows; returns openings when it is full, and packets of flows that it does not hold."""
--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -179,7 +179,7 @@
     def __init__(self, folder: Path, control_count: int = 3) -> None:
         ports = free_ports(7)
         self.control_port, self.ready_port, self.packet_port, self.outbound_port = ports[:4]
-        self._internal_port, self._app_port = ports[4], ports[5]
+        self.rpc_port, self._app_port = ports[4], ports[5]
         self._folder = folder
         self.control_hosts = [f"127.31.0.{number + 1}" for number in range(control_count)]
         self._founder_hosts = list(self.control_hosts)
@@ -275,7 +275,7 @@
 region = "home"
 machine-class = "{serves}"
 serves = ["{serves}"]
-internal-port-range = [{self._internal_port}, {self._internal_port + 15}]
+internal-port-range = [{self.rpc_port}, {self.rpc_port + 15}]
 seed-nodes = [{seeds}]
 bootstrap = {"false" if host in self._seeds_by_host else "true"}
 data-dir = "{data_folder}"
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -8,11 +8,16 @@
 from pathlib import Path
 from typing import ClassVar
 
+from click.testing import CliRunner
+
 from tests.platform.fake_site import ROUTE
 from tests.platform.fake_site import ROUTE_PORT
+from tests.platform.fake_site import SERVICE
 from tests.platform.fake_site import FakeSite
 from tests.platform.fake_site import build_packet
 from tests.platform.fake_site import wait_until
+from wagtailkeel.console.application import main
+from wagtailkeel.console.exit_codes import ExitCode
 from wagtailkeel.flow_explanation import explain_flow
 from wagtailkeel.flow_explanation import parse_flow_id
 from wagtailkeel_platform import packet_format as packets
@@ -129,6 +134,26 @@
         )
         self.assertIn("no route", cause)
 
+    def run_where(self, route: str, *options: str) -> tuple[int, str]:
+        control = f"{self.site.control_hosts[0]}:{self.site.rpc_port}"
+        arguments = ["--control", control, "where", "127.31.9.1:6001", route, *options]
+        result = CliRunner().invoke(main, arguments)
+        return result.exit_code, result.output
+
+    def test_where_explains_an_opening_without_sending_it(self) -> None:
+        self.site.open_flow(6_002)
+        table: list[tuple[str, tuple[str, ...], ExitCode, str]] = [
+            (f"{ROUTE}:{ROUTE_PORT}", (), ExitCode.DONE, f"service {SERVICE}"),
+            (f"{ROUTE}:{ROUTE_PORT + 1}", (), ExitCode.FAILURE, "no route"),
+            (f"{ROUTE}:x", (), ExitCode.USAGE, "port"),
+            (f"{ROUTE}:{ROUTE_PORT}", ("--data-centre", "west"), ExitCode.USAGE, "west"),
+        ]
+        for route, options, expected, text in table:
+            with self.subTest(route, options=options):
+                status, output = self.run_where(route, *options)
+                self.assertEqual(status, expected, output)
+                self.assertIn(text, output)
+
     def test_malformed_packets_do_not_prevent_new_flows(self) -> None:
         for packet in (b"", b"x" * 31, b"\xff" * 64, bytes(1_400)):
             self.site.send_and_receive(packet)
