Outlier detection by the agent beside the server

A server that passes its health check but resets or ignores requests looks idle, so placement by load prefers it, and each payment delivered to it is lost.

With outlier_detection, the agent derives outcomes of requests from the packets of its server (request_outcomes), decides by a cumulative sum (outlier_detector), and reports ServerLoad.is_outlier. Owners avoid outliers while fewer than half of the service's known servers are. The agent returns openings placed by older loads, and after a single failure those that are not idempotent, unless it knows of too few better servers. Without the option nothing is watched and nothing changes.

The load model gains the faults "hang" and "flap", three loads and the policy sampled-outliers.

--- a/bench/src/wagtailkeel_bench/load_model/load.py
+++ b/bench/src/wagtailkeel_bench/load_model/load.py
@@ -39,14 +39,22 @@
 class ServerFault(msgspec.Struct, frozen=True, kw_only=True):
     """From ``start_s`` to ``end_s``, the first ``servers`` servers fail a ``share`` of requests.
 
-    They reset the flow or do not answer, and report that they are healthy.
+    They reset the flow ("reset") or do not answer requests ("mute"), ignore openings too ("hang"),
+    or alternate between resetting requests and normal operation ("flap"), each for half of
+    ``period_s``. They report that they are healthy.
     """
 
-    how: Literal["reset", "mute"]
+    how: Literal["reset", "mute", "hang", "flap"]
     servers: int
     start_s: float
     end_s: float
     share: float = 1.0
+    period_s: float = 2.0
+
+    def is_active(self, now: float) -> bool:
+        """Return whether requests fail at a time since the start."""
+        is_up = self.how == "flap" and (now - self.start_s) % self.period_s >= self.period_s / 2
+        return self.start_s <= now < self.end_s and not is_up
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
@@ -194,6 +202,21 @@
         summary="a tenth of the servers leaves half of the requests unanswered for six seconds",
         server_fault=ServerFault(how="mute", servers=4, start_s=3.0, end_s=9.0, share=0.5),
     ),
+    "hanging-servers": msgspec.structs.replace(
+        _LONG_REQUESTS,
+        summary="a tenth of the servers answers neither openings nor requests for five seconds",
+        server_fault=ServerFault(how="hang", servers=4, start_s=3.0, end_s=8.0),
+    ),
+    "flapping-servers": msgspec.structs.replace(
+        _LONG_REQUESTS,
+        summary="a tenth of the servers resets all requests in every other second",
+        server_fault=ServerFault(how="flap", servers=4, start_s=3.0, end_s=9.0),
+    ),
+    "half-resetting": msgspec.structs.replace(
+        _LONG_REQUESTS,
+        summary="half of the servers resets a third of the requests for five seconds",
+        server_fault=ServerFault(how="reset", servers=18, start_s=3.0, end_s=8.0, share=0.33),
+    ),
     "unlike-servers": Load(
         summary="servers of different speeds with one slot each, 45% busy",
         server_speeds=(0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0),
--- a/bench/src/wagtailkeel_bench/load_model/model_server.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_server.py
@@ -58,6 +58,8 @@
         """Process a packet of a caller."""
         key = ip.parse_flow_key(packet)
         assert isinstance(key, bytes), "the model must send only complete packets"
+        if self._fault is not None and self._fault.how == "hang" and self._fails():
+            return
         if ip.tcp_flags(packet) & ip.SYN:
             self._reply(key, ip.SYN | ip.ACK, b"", HANDSHAKE_DELAY_S)
         elif ip.payload_of(packet):
@@ -75,16 +77,16 @@
         """The number of requests that wait for a slot."""
         return len(self._queue)
 
-    def _fails_request(self) -> bool:
+    def _fails(self) -> bool:
         fault = self._fault
-        if fault is None or not fault.start_s <= self._scheduler.now < fault.end_s:
+        if fault is None or not fault.is_active(self._scheduler.now):
             return False
         return self._random.random() < fault.share
 
     def _on_request(self, key: bytes) -> None:
-        if self._fails_request():
+        if self._fails():
             assert self._fault is not None, "without a fault no request fails"
-            if self._fault.how == "reset":
+            if self._fault.how in ("reset", "flap"):
                 self._reply(key, ip.RST, b"", 0.0)
         elif self._busy_slots < self._load.slots:
             self._start_work(key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -201,6 +201,34 @@
     cold_for_s: float
 
 
+class ServerOutlier(Event, tag="server_outlier"):
+    """The local backend server fails too many requests and gets no openings for ``avoided_s``.
+
+    The numbers of requests that it reset, left unanswered and answered, and of openings that it
+    left unanswered, since its failures began.
+    """
+
+    service: str
+    requests_reset: int
+    requests_unanswered: int
+    openings_unanswered: int
+    requests_answered: int
+    avoided_s: float
+
+
+class ServerOutlierEnded(Event, tag="server_outlier_ended"):
+    """The local backend server is no longer an outlier, after ``lasted_s``.
+
+    ``reason`` is ``answers`` after a trial, ``late_answers`` if the server was only slow, or
+    ``restart``.
+    """
+
+    service: str
+    reason: str
+    failed_trials: int
+    lasted_s: float
+
+
 class ServerAbsent(Event, tag="server_absent"):
     """No backend server runs beside this agent, which has just started: connections are refused."""
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -133,6 +133,10 @@
         """Record that the agent at ``source`` does not have the flow."""
         self.locator.on_not_found(key, source)
 
+    def are_most_outliers(self) -> bool:
+        """Return whether at least half of the service's known servers are outliers."""
+        return self.placer.are_most_outliers()
+
     def tick(self) -> None:
         """Process openings and searches that timed out, and remove unused pointers."""
         self.placer.tick()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
+from wagtailkeel_coordination.handshake.server_watch import ServerWatch
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -41,6 +42,8 @@
 SERVER_BUSY = "server_busy"
 MIN_QUEUE_WAIT_S = 0.01
 """Reported while openings wait; 0 would mean that none may."""
+FIRST_PLACEMENT_HOPS = 1
+"""The hops of an opening that an owner places for the first time; a returned one has more."""
 
 
 class LocalOwner(Protocol):
@@ -58,6 +61,12 @@
     def on_not_found(self, key: bytes, source: Address) -> None:
         """Record that the agent at ``source`` does not have the flow."""
 
+    def are_most_outliers(self) -> bool:
+        """Return whether at least half of the service's known servers are outliers.
+
+        The agent's own server counts as one, so this is true if no other server is known.
+        """
+
 
 class FlowHolder:
     """Delivers packets to the agent's backend server, and processes its packets and reports."""
@@ -73,6 +82,7 @@
         self.queue = OpeningQueue(options.max_opening_wait_s)
         self.held = HeldFlows(record_response)
         self.probes = FlowProbes()
+        self.watch = ServerWatch(context, gate) if options.outlier_detection else None
         self._context = context
         self._options = options
         self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
@@ -90,7 +100,10 @@
         if not self.gate.on_report(report, now):
             return False
         self.held.slots = report.slots
-        if known is not None and known.started_at_ms != report.started_at_ms:
+        is_restart = known is not None and known.started_at_ms != report.started_at_ms
+        if self.watch is not None:
+            self.watch.on_report(now, is_restart=is_restart)
+        if is_restart:
             self._context.counters["server_incarnations"] += 1
             self.held.clear()
             self.held.service_s = 0.0
@@ -114,6 +127,7 @@
             self.gate.is_leaving,
             self.gate.is_awaiting_first_report(now),
             room_in_s * 1_000,
+            is_outlier=self.watch is not None and self.watch.is_outlier,
         )
 
     def _find_room_in_s(self, now: float) -> float:
@@ -139,6 +153,8 @@
         if frame.kind is RelayKind.SEARCH:
             self._context.send(source, RelayKind.FOUND, frame, header.key)
         self.held.on_inbound(flow, header, self._context.now)
+        if self.watch is not None:
+            self.watch.on_inbound(header)
         self._context.outbox.deliver(frame.body)
 
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
@@ -146,6 +162,9 @@
         if header.key in self.queue:
             self._context.counters["dropped_copy_of_queued_opening"] += 1
             return
+        if self.withholds(header.key, is_first=frame.hops <= FIRST_PLACEMENT_HOPS):
+            self._context.send(source, RelayKind.BUSY, frame, frame.body)
+            return
         if frame.kind is RelayKind.QUEUE and self.queue_opening(
             frame, header.key, source, frame.wait_limit_s
         ):
@@ -232,6 +251,20 @@
             self._count_rejection(key, SERVER_BUSY)
         return has_capacity
 
+    def withholds(self, key: bytes, *, is_first: bool) -> bool:
+        """Return whether an opening is kept from a failing server, and count its rejection.
+
+        Only the first agent that gets an opening withholds it, and only if it knows better servers,
+        so that no opening is refused because all servers of its service fail.
+        """
+        if self.watch is None or not is_first or not self.watch.detector.is_suspect:
+            return False
+        reason = self.watch.find_return_reason(key)
+        if reason is None or self._owner.are_most_outliers():
+            return False
+        self._count_rejection(key, reason)
+        return True
+
     def admit(self, service: str, key: bytes) -> bool:
         """Admit an opening of a service or count its rejection; return whether it is admitted."""
         reason = self.gate.admit(service, self._context.now)
@@ -254,6 +287,8 @@
         """Deliver an opening that was admitted."""
         self._context.counters["flows_opened"] += 1
         self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
+        if self.watch is not None:
+            self.watch.on_opened(key)
         self._context.outbox.deliver(packet)
 
     def answer_query(self, keys: list[bytes]) -> FlowQueryReply:
@@ -300,6 +335,8 @@
         if isinstance(header, Malformed):
             self._context.counters[f"dropped_reply_{header.value}"] += 1
             return
+        if self.watch is not None:
+            self.watch.on_outbound(header)
         flow = self.held.by_key.get(header.key)
         if header.flags & packet_flags.BOUNCED:
             self._on_bounce(self._context.packet_format.restore_bounced(packet), header, flow)
@@ -379,6 +416,8 @@
         for key, requester in self.probes.pop_expired(now):
             self._on_expired_probe(key, requester)
         self.gate.update_inactivity(now)
+        if self.watch is not None:
+            self.watch.tick()
         self._release_queue()
         self.held.sweep(now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -81,7 +81,7 @@
         sample_size: SampleSize,
         options: RouterOptions,
     ) -> None:
-        self.loads = PeerLoads()
+        self.loads = PeerLoads(avoids_outliers=options.outlier_detection)
         self.opening_copies = OpeningCopies()
         self._context = context
         self._holder = holder
@@ -273,6 +273,8 @@
             self.loads.count_opening(address)
             self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
             return True
+        if self._holder.withholds(key, is_first=not opening.tried):
+            return False
         if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
             return False
         self._holder.open(frame.body, key, address)
@@ -322,6 +324,11 @@
         self._context.relay(address, RelayKind.QUEUE, frame, opening.tag, body)
         return True
 
+    def are_most_outliers(self) -> bool:
+        """Return whether at least half of the service's known servers are outliers."""
+        own_address, own_tag = self._context.own_address, self._context.own_tag
+        return self.loads.are_most_outliers(own_address, own_tag, self._context.now)
+
     def _is_available(self, address: Address) -> bool:
         return self.loads.is_available(address, self._context.now, PLACEMENT_LOAD_AGE_S)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wagtailkeel_coordination.handshake.outlier_detector import are_most_outliers
 from wagtailkeel_protocol.messages import ServerLoad
 
 if TYPE_CHECKING:
@@ -48,10 +49,14 @@
 
 
 class PeerLoads:
-    """Load reports by address of the agent that sent them."""
+    """Load reports by address of the agent that sent them.
 
-    def __init__(self) -> None:
+    With ``avoids_outliers``, servers that are reported as outliers get no openings.
+    """
+
+    def __init__(self, *, avoids_outliers: bool = False) -> None:
         self.by_address: dict[Address, PeerLoad] = {}
+        self._avoids_outliers = avoids_outliers
 
     def on_load(self, address: Address, data_centre: str, load: ServerLoad, now: float) -> None:
         """Record a load report."""
@@ -94,11 +99,19 @@
         self, addresses: Iterable[Address], now: float, max_age_s: float = MAX_LOAD_AGE_S
     ) -> list[PeerLoad]:
         """Return the recent loads of agents that accept openings and have rejected none since."""
-        return [
-            peer
-            for peer in self._find_recent(addresses, now, max_age_s)
-            if peer.load.accepts and not peer.has_rejected
-        ]
+        accepting = [p for p in self._find_recent(addresses, now, max_age_s) if p.load.accepts]
+        if self._avoids_outliers:
+            accepting = self._leave_out_outliers(accepting, now)
+        return [peer for peer in accepting if not peer.has_rejected]
+
+    def _leave_out_outliers(self, peers: list[PeerLoad], now: float) -> list[PeerLoad]:
+        """Return the peers whose servers are not outliers, or all if most of the service are."""
+        trusted = [peer for peer in peers if not peer.load.is_outlier]
+        if len(trusted) == len(peers):
+            return peers
+        known = self._find_accepting(peers[0].load.service_tag, now)
+        outliers = sum(peer.load.is_outlier for peer in known)
+        return peers if are_most_outliers(outliers, len(known)) else trusted
 
     def find_queues(
         self, addresses: Iterable[Address], now: float, max_age_s: float
@@ -110,6 +123,20 @@
             if peer.load.room_in_ms > 0
         ]
 
+    def are_most_outliers(self, own_address: Address, service_tag: int, now: float) -> bool:
+        """Return whether at least half of a service's known servers are outliers.
+
+        The server of the agent itself counts as one.
+        """
+        known = self._find_accepting(service_tag, now)
+        others = [peer.load for peer in known if peer.address != own_address]
+        return are_most_outliers(1 + sum(load.is_outlier for load in others), 1 + len(others))
+
+    def _find_accepting(self, service_tag: int, now: float) -> list[PeerLoad]:
+        """Return the recent loads of a service's agents that accept openings."""
+        recent = self._find_recent(self.by_address, now, MAX_LOAD_AGE_S)
+        return [p for p in recent if p.load.accepts and p.load.service_tag == service_tag]
+
     def _find_recent(
         self, addresses: Iterable[Address], now: float, max_age_s: float
     ) -> list[PeerLoad]:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -391,6 +391,7 @@
 
     async def _dump(self, request: DumpRequest) -> DumpReply:
         router = self.router
+        watch = router.holder.watch
         now = clock.seconds()
         return build_dump(
             {
@@ -409,6 +410,8 @@
                 "searches": len(router.searches.by_key),
                 "in_flight": router.held.in_flight,
                 "service_ms": router.held.service_s * 1_000,
+                "outlier_state": watch.detector.state.value if watch is not None else None,
+                "outlier_score": watch.detector.score if watch is not None else None,
                 "send_failures": self._endpoint.send_failures,
                 "metrics": self.metrics.dump(),
             }
--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -18,6 +18,7 @@
 from wagtailkeel_bench.load_model import Results
 from wagtailkeel_bench.load_model import format_table
 from wagtailkeel_bench.load_model import simulate
+from wagtailkeel_bench.load_model.load import ServerFault
 from wagtailkeel_coordination.handshake.load_sample import DEFAULT_SAMPLE_SIZE
 
 SEED = 1
@@ -34,6 +35,15 @@
     return simulate(chosen, POLICIES_BY_NAME[policy], seed)
 
 
+MUTE_FAULT = ServerFault(how="mute", servers=4, start_s=0.5, end_s=2.5, share=0.5)
+
+
+def simulate_fault(load: str, fault: ServerFault) -> list[Results]:
+    """Simulate a load with failing servers, without and with outlier detection."""
+    chosen = msgspec.structs.replace(LOADS_BY_NAME[load], server_fault=fault, duration_s=4.5)
+    return [simulate(chosen, POLICIES_BY_NAME[p], SEED) for p in ("sampled", "sampled-outliers")]
+
+
 class LoadModelTest(unittest.TestCase):
     def test_least_wait_has_at_most_a_quarter_of_the_late_answers_of_random_placement(
         self,
@@ -115,6 +125,30 @@
                 )
                 self.assertGreater(resets, payments.attempts - payments.requests)
 
+    def test_outlier_detection_saves_what_failing_servers_would_lose(self) -> None:
+        table = [
+            ("long-requests", ServerFault(how="reset", servers=4, start_s=1.0, end_s=4.0), 0.1),
+            ("long-requests", ServerFault(how="flap", servers=4, start_s=1.0, end_s=4.0), 0.1),
+            ("short-requests", MUTE_FAULT, 0.6),
+            ("short-requests", msgspec.structs.replace(MUTE_FAULT, how="hang", share=1.0), 0.6),
+        ]
+        for name, fault, factor in table:
+            with self.subTest(fault.how):
+                before, after = simulate_fault(name, fault)
+                unserved_in_time = after.late + after.failed
+                self.assertLessEqual(unserved_in_time, factor * (before.late + before.failed))
+                self.assertLessEqual(after.tallies_by_class["payment"].failed, 4)
+                self.assertEqual(after.counters["outliers_found"], 4)
+                self.assertEqual(after.counters["openings_refused"], 0)
+
+    def test_half_of_the_servers_look_bad_at_once_and_none_is_avoided(self) -> None:
+        """The other half might not bear the load of all, so the bad ones get their share of it."""
+        fault = ServerFault(how="reset", servers=18, start_s=0.5, end_s=4.0)
+        before, after = simulate_fault("long-requests", fault)
+        self.assertEqual(after.counters["outliers_found"], 18)
+        self.assertGreater(after.failed, 0.75 * before.failed)
+        self.assertEqual(after.counters["openings_refused"], 0)
+
     def test_equal_seeds_give_equal_results(self) -> None:
         first, second = (simulate_short("surge", "sampled") for _ in range(2))
         self.assertEqual(format_table({"it": first}), format_table({"it": second}))
