--- a/tests/coordination/handshake/test_outlier_detector.py
+++ b/tests/coordination/handshake/test_outlier_detector.py
@@ -107,9 +107,10 @@
             node.report()
 
     def test_share_of_outliers_that_is_avoided(self) -> None:
-        for outlier_count, is_avoided in ((1, True), (2, False), (3, False), (4, False)):
-            with self.subTest(outlier_count=outlier_count):
-                network, nodes = build_network(4)
+        table = [(4, 1, True), (4, 2, False), (4, 4, False), (1, 1, False)]
+        for server_count, outlier_count, is_avoided in table:
+            with self.subTest(server_count=server_count, outlier_count=outlier_count):
+                network, nodes = build_network(server_count)
                 for node in nodes[:outlier_count]:
                     fail(network, node)
                 servers = self.open_many(network)
@@ -128,6 +129,13 @@
         for number, server in enumerate(held):
             self.assertEqual(network.request(f"caller-{number}", server), server)
 
+    def test_no_opening_is_refused_because_all_servers_fail_at_once(self) -> None:
+        network, nodes = build_network(5)
+        self.open_many(network)
+        for node in nodes:
+            fail(network, node)
+        self.assertNotIn("", self.open_many(network, "later"))
+
     def test_a_trial_takes_one_opening_at_a_time_and_none_that_must_not_repeat(self) -> None:
         network, nodes = build_network(5)
         fail(network, nodes[0])
@@ -140,6 +148,7 @@
         set_idempotent(network, 4, is_idempotent=True)
         self.advance(network, 0.2)
         self.assertEqual(self.open_many(network, "lookup").count(name), 1)
+        self.assertTrue(nodes[0].router.build_load(network.now).is_outlier)
         set_idempotent(network, 5, is_idempotent=False)
         for prefix, seconds, expected in (("early", 1.0, 0), ("late", 1.1, 1)):
             self.advance(network, seconds)
@@ -207,7 +216,8 @@
     def test_scenarios(self) -> None:
         answered, pending = ("request", 0.02, ANSWER), [("request", 0.01)] * 4
         slow = [("request", wait_s, ANSWER) for wait_s in (0.02, 0.07, 0.2, 0.6, 0.6, 0.02, 0.6)]
-        unopened = [("open", False)] * 3
+        opened, unopened = [("open",)] * 4, [("open", False)] * 3
+        slower = [answered, ("request", 0.01), ("request", 0.3, ANSWER), ("advance", 0.3)]
         drain, leave = ("report", True), ("report", False, True)
         table: list[tuple[str, int, list[tuple[Any, ...]]]] = [
             ("requests reset", 4, [*pending, ("reset_all",)]),
@@ -215,9 +225,11 @@
             ("requests not overtaken", 0, [answered, *pending, ("advance", 0.5), ("report",)]),
             ("no request answered", 4, [answered, *pending, ("advance", 1.2), ("report",)]),
             ("openings unanswered", 3, [*unopened, ("advance", 0.4), ("report",)]),
-            ("openings reset", 0, [*[("open",)] * 4, ("reset_all",)]),
-            ("openings returned", 0, [("fill_server",), *[("open",)] * 4, ("advance", 0.4)]),
+            ("openings reset", 0, [*unopened, ("reset_all",)]),
+            ("openings returned", 0, [("fill_server",), *opened, ("advance", 0.4), ("report",)]),
             ("slow server", 0, [step for entry in slow for step in (entry, ("report",))]),
+            ("server becomes slow", 0, [*slower, ("report",)]),
+            ("leaving server", 0, [*pending, leave, ("reset_all",)]),
             ("draining server", 0, [*pending, drain, ("reset_all",)]),
             ("planned restart", 0, [*pending, leave, ("reset_all",), ("restart_server",)]),
             ("cold server", 0, [("restart_server",), *pending, ("reset_all",)]),
