Split raft_node and learners by job, without import circles

Now RaftState has role, term, log, voters and disk; Replication is the leader's part and LogFollower the follower's; VoterChanges promotes and removes voters; Learners keeps who replicates without a vote; StopRequests has the two periods for which a stop is remembered. RaftNode connects them, and they import only RaftState. Callers use add_learner and hand_over_vote of RaftNode instead of its learners.

test_raft and test_raft_members no longer call update_voters, which RaftNode.tick does.

--- a/bench/src/wagtailkeel_bench/simulation/control_process.py
+++ b/bench/src/wagtailkeel_bench/simulation/control_process.py
@@ -118,7 +118,7 @@
     def on_join(self, name: str) -> None:
         """Start replicating to an instance if leader."""
         if self.node.is_leader:
-            self.node.learners.add(name, self._cluster.scheduler.now)
+            self.node.add_learner(name, self._cluster.scheduler.now)
 
     # Planned stops
 
@@ -158,7 +158,7 @@
 
     def on_handover_request(self, name: str, identity: str) -> VoteHandover:
         """Replace the vote of an instance that is about to stop."""
-        state = self.node.learners.hand_over_vote(name, identity, self._cluster.scheduler.now)
+        state = self.node.hand_over_vote(name, identity, self._cluster.scheduler.now)
         self._cluster.invariants.on_step(self.node)
         return state
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -17,9 +17,11 @@
 from wagtailkeel_protocol.raft_messages import VoteRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
-    from wagtailkeel_coordination.raft.raft_node import RaftNode
+    from wagtailkeel_coordination.raft.raft_state import RaftState
+    from wagtailkeel_protocol.raft_messages import RaftMessage
 
 ELECTION_TIMEOUT_MIN_S = 0.5
 ELECTION_TIMEOUT_MAX_S = 1.0
@@ -31,12 +33,21 @@
     ``leader_contact_at`` is when a leader last contacted this instance, or may have done so.
     """
 
-    def __init__(self, node: RaftNode, random: Random, now: float) -> None:
-        self._node = node
+    def __init__(
+        self,
+        state: RaftState,
+        send: Callable[[str, RaftMessage], None],
+        become_leader: Callable[[float], None],
+        random: Random,
+        now: float,
+    ) -> None:
+        self._state = state
+        self._send = send
+        self._become_leader = become_leader
         self._random = random
         self._votes: set[str] = set()
         self._is_pre_vote = False
-        self._restart_rounds = RestartRounds(node.instance_id, random, now)
+        self._restart_rounds = RestartRounds(state.instance_id, random, now)
         # This voter may have acknowledged, before a restart, a leader that still has its lease.
         self.leader_contact_at = now
         self._election_due_at = now + self._pick_timeout_s()
@@ -59,9 +70,17 @@
         """
         self._restart_rounds.has_seen_leader = True
         self.leader_contact_at = now
-        self.reset_timer(now)
+        self._reset_timer(now)
 
-    def reset_timer(self, now: float) -> None:
+    def step_down(self, term: int, now: float) -> None:
+        """Become a follower in a term that is not older than the current one."""
+        if term > self._state.term and not self._state.save_vote(term, ""):
+            return
+        self._state.role = RaftRole.FOLLOWER
+        self._state.leader_id = ""
+        self._reset_timer(now)
+
+    def _reset_timer(self, now: float) -> None:
         """Restart the election timer, so that others have time for an election."""
         self._election_due_at = now + self._pick_timeout_s()
 
@@ -69,11 +88,11 @@
 
     @property
     def _other_voters(self) -> list[str]:
-        return [voter for voter in self._node.voters_by_id if voter != self._node.instance_id]
+        return [voter for voter in self._state.voters_by_id if voter != self._state.instance_id]
 
     def _start_pre_vote(self, now: float) -> None:
         self._become_candidate(now, is_pre_vote=True)
-        self._request_votes(self._node.term + 1, {})
+        self._request_votes(self._state.term + 1, {})
         self._count_votes(now)
 
     def _campaign(self, now: float, process_ids_by_voter: dict[str, int]) -> None:
@@ -83,50 +102,50 @@
         early vote; it is empty in an ordinary election.
         """
         self._become_candidate(now, is_pre_vote=False)
-        if not self._node.save_vote(self._node.term + 1, self._node.instance_id):
+        if not self._state.save_vote(self._state.term + 1, self._state.instance_id):
             return
-        self._request_votes(self._node.term, process_ids_by_voter)
+        self._request_votes(self._state.term, process_ids_by_voter)
         self._count_votes(now)
 
     def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
-        self.reset_timer(now)
+        self._reset_timer(now)
         self._is_pre_vote = is_pre_vote
-        self._node.leader_id = ""
-        self._node.role = RaftRole.CANDIDATE
-        self._votes = {self._node.instance_id}
+        self._state.leader_id = ""
+        self._state.role = RaftRole.CANDIDATE
+        self._votes = {self._state.instance_id}
 
     def _request_votes(self, term: int, process_ids_by_voter: dict[str, int]) -> None:
         for voter in self._other_voters:
             request = VoteRequest(
                 term,
-                self._node.instance_id,
-                self._node.log.last_index,
-                self._node.log.last_term,
+                self._state.instance_id,
+                self._state.log.last_index,
+                self._state.log.last_term,
                 self._is_pre_vote,
-                self._node.identity,
+                self._state.identity,
                 process_ids_by_voter.get(voter, 0),
             )
-            self._node.send(voter, request)
+            self._send(voter, request)
 
     def _count_votes(self, now: float) -> None:
-        if len(self._votes) < self._node.quorum:
+        if len(self._votes) < self._state.quorum:
             return
         if self._is_pre_vote:
             self._campaign(now, {})
             return
         self._restart_rounds.has_seen_leader = True
-        self._node.become_leader(now)
+        self._become_leader(now)
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote, or step down if the reply is from a newer term."""
-        if reply.term > self._node.term:
-            self._node.step_down(reply.term, now)
+        if reply.term > self._state.term:
+            self.step_down(reply.term, now)
             return
-        if self._node.role is not RaftRole.CANDIDATE or reply.is_pre_vote != self._is_pre_vote:
+        if self._state.role is not RaftRole.CANDIDATE or reply.is_pre_vote != self._is_pre_vote:
             return
-        if not reply.is_pre_vote and reply.term != self._node.term:
+        if not reply.is_pre_vote and reply.term != self._state.term:
             return
-        is_voter = self._node.voters_by_id.get(reply.voter_id) == reply.voter_identity
+        is_voter = self._state.voters_by_id.get(reply.voter_id) == reply.voter_identity
         if reply.is_granted and is_voter:
             self._votes.add(reply.voter_id)
             self._count_votes(now)
@@ -135,20 +154,20 @@
 
     def on_vote_request(self, request: VoteRequest, now: float) -> VoteReply:
         """Grant or refuse this instance's vote; a vote is durable before it is granted."""
-        is_granted = not self._node.has_storage_failed and self._can_grant_vote(request, now)
+        is_granted = not self._state.has_storage_failed and self._can_grant_vote(request, now)
         if is_granted and not request.is_pre_vote:
-            if request.term > self._node.term:
-                self._node.step_down(request.term, now)
-            is_granted = not self._node.has_storage_failed and self._node.save_vote(
+            if request.term > self._state.term:
+                self.step_down(request.term, now)
+            is_granted = not self._state.has_storage_failed and self._state.save_vote(
                 request.term, request.candidate_id
             )
-            self.reset_timer(now)
+            self._reset_timer(now)
         return VoteReply(
-            self._node.term,
-            self._node.instance_id,
+            self._state.term,
+            self._state.instance_id,
             is_granted,
             request.is_pre_vote,
-            self._node.identity,
+            self._state.identity,
         )
 
     def _can_grant_vote(self, request: VoteRequest, now: float) -> bool:
@@ -157,20 +176,20 @@
         The candidate's log may have a newer change of voters; the candidate counts only the votes
         of the identities listed there. Source: section 4.1 of the dissertation.
         """
-        if self._may_have_leader(request, now) or request.term < self._node.term:
+        if self._may_have_leader(request, now) or request.term < self._state.term:
             return False
-        if request.is_pre_vote and request.term == self._node.term:
+        if request.is_pre_vote and request.term == self._state.term:
             return False
-        if request.term == self._node.term and self._node.voted_for not in (
+        if request.term == self._state.term and self._state.voted_for not in (
             "",
             request.candidate_id,
         ):
             return False
-        own_position = (self._node.log.last_term, self._node.log.last_index)
+        own_position = (self._state.log.last_term, self._state.log.last_index)
         return (request.last_term, request.last_index) >= own_position
 
     def _may_have_leader(self, request: VoteRequest, now: float) -> bool:
-        if self._node.is_leader:
+        if self._state.is_leader:
             return True
         if now - self.leader_contact_at >= ELECTION_TIMEOUT_MIN_S:
             return False
@@ -187,22 +206,22 @@
             self._campaign(now, {})
         for voter in self._other_voters:
             request = RestartRequest(
-                self._node.instance_id, round_number, self._restart_rounds.process_id
+                self._state.instance_id, round_number, self._restart_rounds.process_id
             )
-            self._node.send(voter, request)
+            self._send(voter, request)
 
     def on_restart_request(self, request: RestartRequest, now: float) -> RestartReply:
         """Reply whether this process has led or seen a leader since it started."""
         rounds = self._restart_rounds
         rounds.record_process(request.process, now)
         return RestartReply(
-            self._node.instance_id,
+            self._state.instance_id,
             request.round,
             rounds.process_id,
             not rounds.has_seen_leader,
-            self._node.log.last_index,
-            self._node.log.last_term,
-            list(self._node.voters_by_id),
+            self._state.log.last_index,
+            self._state.log.last_term,
+            list(self._state.voters_by_id),
         )
 
     def on_restart_reply(self, reply: RestartReply, now: float) -> None:
@@ -213,12 +232,12 @@
         """
         rounds = self._restart_rounds
         if (
-            not rounds.record_reply(reply, self._node.voters_by_id)
-            or self._node.has_storage_failed
-            or not self._node.is_voter
+            not rounds.record_reply(reply, self._state.voters_by_id)
+            or self._state.has_storage_failed
+            or not self._state.is_voter
         ):
             return
-        if not rounds.has_newest_log(self._node.log.last_term, self._node.log.last_index):
+        if not rounds.has_newest_log(self._state.log.last_term, self._state.log.last_index):
             return
         if not rounds.is_second_round:
             self._send_restart_requests(rounds.start_second_round(), now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/progress.py
@@ -1,9 +1,17 @@
-"""Replication progress of one peer, kept by the leader."""
+"""Replication progress of the peers, kept by the leader."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.raft.raft_log import RaftLog
+
+REPLY_TIMEOUT_S = 1.0
+"""A peer that has not replied for this long is sent a new request and can't become a voter."""
+
 
 class PeerProgress(msgspec.Struct):
     """Replication state of one peer; times are monotonic seconds of the leader.
@@ -31,3 +39,25 @@
         retry_index = min(match_index, self.next_index - 1) + 1
         # At the base, the entry before ``next_index`` is not in the log: a snapshot is sent next.
         self.next_index = max(1, retry_index, base_index)
+
+
+class ProgressTable:
+    """Progress of each peer in the leader's term; a new one starts at the end of the log."""
+
+    def __init__(self, log: RaftLog) -> None:
+        self._log = log
+        self._progress_by_id: dict[str, PeerProgress] = {}
+
+    def of(self, peer: str) -> PeerProgress:
+        """Return the replication progress of another instance."""
+        if peer not in self._progress_by_id:
+            self._progress_by_id[peer] = PeerProgress(self._log.last_index + 1)
+        return self._progress_by_id[peer]
+
+    def remove(self, peer: str) -> None:
+        """Discard the progress of an instance."""
+        del self._progress_by_id[peer]
+
+    def clear(self) -> None:
+        """Discard all progress, which belongs to an earlier term."""
+        self._progress_by_id = {}
--- /dev/null
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -0,0 +1,170 @@
+"""Membership changes of one voter at a time (Ongaro's dissertation, section 4.1)."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
+from wagtailkeel_coordination.raft.stop_requests import StopRequests
+from wagtailkeel_protocol.raft_messages import VoteHandover
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.raft.learners import Learners
+    from wagtailkeel_coordination.raft.progress import ProgressTable
+    from wagtailkeel_coordination.raft.raft_state import RaftState
+    from wagtailkeel_coordination.raft.replication import Replication
+
+VOTER_TIMEOUT_S = 1.5
+"""A voter that has not answered for longer is replaced if a caught-up learner is available."""
+SUCCESSOR_TIMEOUT_S = 3.0
+"""A stopping voter hopes for a learner that was silent for less: as long as a stop waits."""
+LEARNER_SEARCH_S = 1.0
+"""How long after its election a leader may not have heard of all learners yet."""
+UNLIMITED_VOTERS = 1_000
+
+
+class VoterChanges:
+    """The leader's promotion of learners to voters, and the removal of voters.
+
+    A voter that is about to stop hands its vote over to a learner while it still runs: the learner
+    is added first, so that the loss of a minority during the change leaves a quorum.
+    """
+
+    def __init__(
+        self,
+        state: RaftState,
+        progress: ProgressTable,
+        learners: Learners,
+        replication: Replication,
+        voter_limit: int,
+    ) -> None:
+        self._state = state
+        self._progress = progress
+        self._learners = learners
+        self._replication = replication
+        self._voter_limit = voter_limit
+        self._stop_requests = StopRequests()
+        self._leads_since = float("inf")
+
+    def start_term(self, now: float) -> None:
+        """Start to lead: what earlier leaders knew of stops and learners is not known yet."""
+        self._stop_requests.clear()
+        self._leads_since = now
+
+    def on_join(self, instance_id: str) -> None:
+        """Record that an instance wants the log, so it is not about to stop."""
+        self._stop_requests.remove(instance_id)
+
+    # Planned stops
+
+    def hand_over_vote(self, instance_id: str, identity: str, now: float) -> VoteHandover:
+        """Start to replace the vote of an instance that is about to stop; return how far this is.
+
+        The instance repeats the request until its vote is replaced or can't be.
+        """
+        if not self._state.is_leader:
+            return VoteHandover.NOT_LEADER
+        self._stop_requests.record(instance_id, now)
+        self.update_voters(now)
+        if not self._state.has_committed_vote(instance_id, identity):
+            return VoteHandover.COMPLETE
+        if self._state.is_member_change_pending or self._can_replace_voter(now):
+            return VoteHandover.PENDING
+        # The instance ends now: a learner that is added for it would be one voter more.
+        self._stop_requests.remove(instance_id)
+        return VoteHandover.IMPOSSIBLE
+
+    @property
+    def _has_surplus_voter(self) -> bool:
+        return len(self._state.voters_by_id) > self._voter_limit
+
+    def _can_replace_voter(self, now: float) -> bool:
+        """Return whether a learner has replaced a voter, or may do so once it has caught up.
+
+        Below the limit, learners become voters beside the others instead.
+        """
+        if len(self._state.voters_by_id) < self._voter_limit:
+            return False
+        if self._has_surplus_voter or now - self._leads_since < LEARNER_SEARCH_S:
+            return True
+        return any(
+            self._may_become_voter(learner, now, SUCCESSOR_TIMEOUT_S)
+            for learner in self._learners.identities_by_id
+        )
+
+    # Changes
+
+    def update_voters(self, now: float) -> None:
+        """Propose the next change of voters that is due, one at a time.
+
+        A learner that has caught up becomes a voter if there are fewer voters than the limit, or
+        if it replaces a stopping voter. At the limit, a voter that has stopped answering is removed
+        first.
+        """
+        if not self._state.can_change_voters:
+            return
+        stopping_voter = self._find_stopping_voter(now)
+        if stopping_voter and self._has_surplus_voter:
+            self._remove_voter(stopping_voter, now)
+        elif stopping_voter or len(self._state.voters_by_id) < self._voter_limit:
+            self._add_voter(now)
+        else:
+            self._remove_unresponsive_voter(now)
+
+    def _find_stopping_voter(self, now: float) -> str | None:
+        for voter in self._state.voters_by_id:
+            if self._stop_requests.is_waiting(voter, now):
+                return voter
+        return None
+
+    def _add_voter(self, now: float) -> None:
+        """Propose to make a learner that has caught up a voter, if there is one."""
+        for learner, identity in list(self._learners.identities_by_id.items()):
+            if self._state.voters_by_id.get(learner) == identity:
+                del self._learners.identities_by_id[learner]
+                continue
+            if learner in self._state.voters_by_id:
+                continue  # Its former identity has to be removed from the voters first.
+            if self._can_become_voter(learner, now):
+                voters = {**self._state.voters_by_id, learner: identity}
+                self._replication.propose_voters(voters, now)
+                return
+
+    def _remove_unresponsive_voter(self, now: float) -> None:
+        """Propose to remove the voter that has not answered for longest; it becomes a learner.
+
+        Nothing is proposed if it answered within VOTER_TIMEOUT_S, or if no learner can replace it
+        and there are no more voters than the limit.
+        """
+        if not self._has_surplus_voter and not any(
+            self._can_become_voter(learner, now) for learner in self._learners.identities_by_id
+        ):
+            return
+        unresponsive = [
+            voter
+            for voter in self._state.voters_by_id
+            if voter != self._state.instance_id
+            and now - self._progress.of(voter).acknowledged_sent_at > VOTER_TIMEOUT_S
+        ]
+        if not unresponsive:
+            return
+        replaced_voter = min(unresponsive, key=lambda v: self._progress.of(v).acknowledged_sent_at)
+        self._remove_voter(replaced_voter, now)
+
+    def _remove_voter(self, instance_id: str, now: float) -> None:
+        """Propose to remove a voter, which becomes a learner."""
+        voters = {
+            key: value for key, value in self._state.voters_by_id.items() if key != instance_id
+        }
+        self._learners.instance_ids.add(instance_id)
+        self._replication.propose_voters(voters, now)
+
+    def _can_become_voter(self, learner: str, now: float) -> bool:
+        is_caught_up = self._progress.of(learner).match_index >= self._state.commit_index
+        return is_caught_up and self._may_become_voter(learner, now, REPLY_TIMEOUT_S)
+
+    def _may_become_voter(self, learner: str, now: float, silent_for_s: float) -> bool:
+        """Return whether a learner has no vote, is not about to stop, and has answered lately."""
+        if learner in self._state.voters_by_id or self._stop_requests.is_stopping(learner, now):
+            return False
+        return now - self._progress.of(learner).acknowledged_sent_at < silent_for_s
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/cluster_formation.py
@@ -100,7 +100,7 @@
         """Start replicating to an instance if leader; otherwise reply with the leader's id."""
         if not self._raft.is_leader:
             return ControlJoinReply(False, self._raft.leader_id)
-        self._raft.learners.add(request.instance_id, clock.seconds())
+        self._raft.add_learner(request.instance_id, clock.seconds())
         return ControlJoinReply(True, self._instance_id)
 
     async def form(self) -> None:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -26,7 +26,7 @@
 from wagtailkeel_coordination.membership import is_current_incarnation
 from wagtailkeel_coordination.raft import RaftLog
 from wagtailkeel_coordination.raft import RaftNode
-from wagtailkeel_coordination.raft.learners import UNLIMITED_VOTERS
+from wagtailkeel_coordination.raft.voter_changes import UNLIMITED_VOTERS
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/departure.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/departure.py
@@ -83,7 +83,5 @@
 
     async def on_request(self, request: VoteHandoverRequest) -> VoteHandoverReply:
         """Replace the vote of an instance that is about to stop, if this instance leads."""
-        state = self._raft.learners.hand_over_vote(
-            request.instance_id, request.identity, clock.seconds()
-        )
+        state = self._raft.hand_over_vote(request.instance_id, request.identity, clock.seconds())
         return VoteHandoverReply(state)
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -20,8 +20,9 @@
 from wagtailkeel_bench.simulation.history import Kind
 from wagtailkeel_bench.simulation.simulated_disk import SimulatedDisk
 from wagtailkeel_coordination.raft import RaftNode
-from wagtailkeel_coordination.raft import learners
-from wagtailkeel_coordination.raft.learners import Learners
+from wagtailkeel_coordination.raft import voter_changes
+from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
+from wagtailkeel_coordination.raft.voter_changes import VoterChanges
 from wagtailkeel_protocol.raft_messages import VoteHandover
 from wagtailkeel_transport.storage.data_folder import IDENTITY_FILE
 
@@ -121,8 +122,8 @@
     return wipe_disk
 
 
-def may_become_voter(instances: Learners, learner: str, now: float) -> bool:
-    return instances._may_become_voter(learner, now, learners.REPLY_TIMEOUT_S)
+def may_become_voter(changes: VoterChanges, learner: str, now: float) -> bool:
+    return changes._may_become_voter(learner, now, REPLY_TIMEOUT_S)
 
 
 def acknowledge_early(
@@ -166,14 +167,14 @@
     (
         "a voter that has not caught up",
         2,
-        [mock.patch.object(Learners, "_can_become_voter", may_become_voter)],
+        [mock.patch.object(VoterChanges, "_can_become_voter", may_become_voter)],
     ),
     (
         "votes that stay with instances that have left",
         6,
         [
-            mock.patch.object(Learners, "hand_over_vote", lambda *_: VoteHandover.IMPOSSIBLE),
-            mock.patch.object(learners, "VOTER_TIMEOUT_S", 4.0),
+            mock.patch.object(VoterChanges, "hand_over_vote", lambda *_: VoteHandover.IMPOSSIBLE),
+            mock.patch.object(voter_changes, "VOTER_TIMEOUT_S", 4.0),
         ],
     ),
 ]
--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -15,7 +15,7 @@
 from wagtailkeel_coordination.raft import RaftNode
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_coordination.raft.elections import ELECTION_TIMEOUT_MIN_S
-from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
+from wagtailkeel_coordination.raft.raft_state import STORAGE_RETRY_S
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_protocol.raft_messages import RestartReply
 from wagtailkeel_protocol.raft_messages import RestartRequest
@@ -192,7 +192,6 @@
         self.now += self.random.uniform(0.01, 0.5)
         for control in self.controls.values():
             control.node.tick(self.now)
-            control.node.learners.update_voters(self.now)
 
     def propose(self) -> None:
         for control in self.controls.values():
@@ -237,7 +236,6 @@
             self.now += 0.05
             for control in self.controls.values():
                 control.node.tick(self.now)
-                control.node.learners.update_voters(self.now)
             while self.requests or self.replies:
                 self.deliver_request(in_order=True)
                 self.deliver_reply(in_order=True)
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -7,9 +7,9 @@
 
 from tests.coordination.test_raft import FakeDisk
 from wagtailkeel_coordination.raft import RaftNode
-from wagtailkeel_coordination.raft.learners import REPLY_TIMEOUT_S
-from wagtailkeel_coordination.raft.learners import VOTER_TIMEOUT_S
-from wagtailkeel_coordination.raft.raft_node import STORAGE_RETRY_S
+from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
+from wagtailkeel_coordination.raft.raft_state import STORAGE_RETRY_S
+from wagtailkeel_coordination.raft.voter_changes import VOTER_TIMEOUT_S
 from wagtailkeel_protocol.raft_messages import AppendReply
 from wagtailkeel_protocol.raft_messages import RaftMessage
 from wagtailkeel_protocol.raft_messages import VoteHandover
@@ -85,7 +85,7 @@
         for leader in self.members.values():
             if leader.node.is_leader and leader.name not in self.partitioned:
                 for name in learners - self.stopping - self.partitioned:
-                    leader.node.learners.add(name, self.now)
+                    leader.node.add_learner(name, self.now)
 
     def stop(self, name: str) -> VoteHandover:
         """Stop an instance as planned: it ends once its vote is handed over or can't be."""
@@ -93,7 +93,7 @@
         self.stopping.add(name)
         state = VoteHandover.PENDING
         while state is VoteHandover.PENDING:
-            state = self.leader.node.learners.hand_over_vote(name, member.node.identity, self.now)
+            state = self.leader.node.hand_over_vote(name, member.node.identity, self.now)
             self.run(STEP_S)
         del self.members[name]
         return state
@@ -122,7 +122,6 @@
             self._join_learners()
             for member in self.members.values():
                 member.node.tick(self.now)
-                member.node.learners.update_voters(self.now)
             self._deliver()
 
     def _deliver(self) -> None:
@@ -231,7 +230,7 @@
         self.cluster.run(2 * STEP_S)
         leader = self.cluster.leader.node
         follower = self.follower()
-        state = leader.learners.hand_over_vote(follower, f"{follower}0", self.cluster.now)
+        state = leader.hand_over_vote(follower, f"{follower}0", self.cluster.now)
         self.assertIs(state, VoteHandover.PENDING)
         self.cluster.stopping.clear()
         self.assertIs(self.cluster.stop(follower), VoteHandover.COMPLETE)
@@ -243,7 +242,7 @@
         self.cluster.partitioned.add("f")
         self.cluster.run(REPLY_TIMEOUT_S + STEP_S)
         leader, follower = self.cluster.leader.node, self.follower()
-        state = leader.learners.hand_over_vote(follower, f"{follower}0", self.cluster.now)
+        state = leader.hand_over_vote(follower, f"{follower}0", self.cluster.now)
         self.assertIs(state, VoteHandover.PENDING)
         self.cluster.partitioned.clear()
         self.assertIs(self.cluster.stop(follower), VoteHandover.COMPLETE)
@@ -276,7 +275,7 @@
                 self.setUp()
                 leader, follower = self.cluster.leader.node, self.follower()
                 identity = f"{follower}0"
-                state = leader.learners.hand_over_vote(follower, identity, self.cluster.now)
+                state = leader.hand_over_vote(follower, identity, self.cluster.now)
                 self.assertIs(state, VoteHandover.IMPOSSIBLE)
                 self.cluster.run(waited_s)
                 self.cluster.add("f", "f0")
@@ -291,9 +290,9 @@
         first, second = [name for name in "abcde" if name != leader.instance_id][:2]
         self.cluster.stopping.add(first)
         for _ in range(20):
-            leader.learners.hand_over_vote(first, f"{first}0", self.cluster.now)
+            leader.hand_over_vote(first, f"{first}0", self.cluster.now)
             self.cluster.run(STEP_S)
-        state = leader.learners.hand_over_vote(second, f"{second}0", self.cluster.now)
+        state = leader.hand_over_vote(second, f"{second}0", self.cluster.now)
         self.cluster.run(1.0)
         self.assertIs(state, VoteHandover.IMPOSSIBLE)
         self.assertEqual(self.voters(), set("abcdef") - {first})
@@ -323,7 +322,7 @@
         self.cluster.run(CATCH_UP_S)
         leader, stopping = self.cluster.leader, self.follower()
         self.cluster.partitioned.update(set("abcde") - {leader.name})
-        leader.node.learners.hand_over_vote(stopping, f"{stopping}0", self.cluster.now)
+        leader.node.hand_over_vote(stopping, f"{stopping}0", self.cluster.now)
         self.cluster.run(2 * STEP_S)
         self.assertTrue(self.cluster.members["f"].node.is_voter)
         self.cluster.lose(leader.name)
@@ -340,7 +339,7 @@
         node, stopping = self.cluster.leader.node, self.follower()
         reply_round = node.progress_of("f").round
         node.on_reply(AppendReply(node.term, "f", False, 0, reply_round, "fresh"), self.cluster.now)
-        node.learners.hand_over_vote(stopping, f"{stopping}0", self.cluster.now)
+        node.hand_over_vote(stopping, f"{stopping}0", self.cluster.now)
         self.assertNotIn("f", node.voters_by_id)
 
     def test_read_is_confirmed_by_a_quorum_after_its_request(self) -> None:
