Simulation: control_process no longer imports cluster

Instance has a module of its own, without the process, and ControlProcess names in a protocol what it needs of its host.

--- a/bench/src/wagtailkeel_bench/simulation/cluster.py
+++ b/bench/src/wagtailkeel_bench/simulation/cluster.py
@@ -9,11 +9,11 @@
 from wagtailkeel_bench.event_scheduler import EventScheduler
 from wagtailkeel_bench.simulation.control_process import ControlProcess
 from wagtailkeel_bench.simulation.history import VOTERS
+from wagtailkeel_bench.simulation.instance import Instance
 from wagtailkeel_bench.simulation.invariants import ACK_TIMEOUT_S
 from wagtailkeel_bench.simulation.invariants import CALM_S
 from wagtailkeel_bench.simulation.invariants import InvariantError
 from wagtailkeel_bench.simulation.invariants import Invariants
-from wagtailkeel_bench.simulation.simulated_disk import SimulatedDisk
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_coordination.raft.formation import find_initial_voters
 from wagtailkeel_protocol.raft_messages import FormationReply
@@ -31,7 +31,6 @@
 READ_TIMEOUT_S = 0.9
 READ_POLL_S = 0.01
 SLOW_LINK_SHARES = (0.0, 0.3, 0.6)
-MAX_DELAY_S = 0.002
 SLOW_MAX_DELAY_S = 0.03
 DUPLICATE_SHARE = 0.01
 LATE_SHARE = 0.01
@@ -42,25 +41,6 @@
 START_RETRY_S = 0.2
 
 
-class Instance:
-    """A control instance: its disk, its links, and its process while one runs.
-
-    No message reaches an instance that ``is_deaf``, and none leaves one that ``is_mute``. While it
-    ``is_frozen``, messages that arrive are held. One that ``has_left`` never starts again.
-    """
-
-    def __init__(self, name: str, folder: Path) -> None:
-        self.name = name
-        self.disk = SimulatedDisk(folder / name)
-        self.process: ControlProcess | None = None
-        self.max_delay_s = MAX_DELAY_S
-        self.is_frozen = False
-        self.is_deaf = False
-        self.is_mute = False
-        self.has_left = False
-        self.held_calls: list[Callable[[], None]] = []
-
-
 class Cluster:
     """Delivers messages with random delays, and checks the invariants throughout."""
 
@@ -74,6 +54,7 @@
         self.scheduler = EventScheduler()
         self.invariants = Invariants()
         self.instances_by_name: dict[str, Instance] = {}
+        self._processes_by_name: dict[str, ControlProcess] = {}
         self.disturbed_at = 0.0
         self._slow_link_share = self.random.choice(SLOW_LINK_SHARES)
         self._pending_command = ""
@@ -92,9 +73,9 @@
         founders = [f"c{number}" for number in range(1, FOUNDERS + 1)]
         identities_by_id = {}
         for name in founders:
-            identities_by_id[name] = self._process_of(name).node.identity
+            identities_by_id[name] = self._processes_by_name[name].node.identity
         for name in founders:
-            process = self._process_of(name)
+            process = self._processes_by_name[name]
             replies = [
                 FormationReply(other, identity)
                 for other, identity in identities_by_id.items()
@@ -104,10 +85,10 @@
             assert voters is not None, "all founders have replied"
             process.node.form(voters)
 
-    def _process_of(self, name: str) -> ControlProcess:
-        process = self.instances_by_name[name].process
-        assert process is not None, "the process was started"
-        return process
+    def running_process(self, name: str) -> ControlProcess | None:
+        """Return the process of an instance while one runs."""
+        process = self._processes_by_name.get(name)
+        return process if process is not None and process.is_running else None
 
     def start(self, name: str) -> None:
         """Start the process of an instance, unless the instance has left or runs already.
@@ -119,20 +100,19 @@
             instance = self.instances_by_name[name] = Instance(name, self._folder)
             if self.random.random() < self._slow_link_share:
                 instance.max_delay_s = SLOW_MAX_DELAY_S
-        is_running = instance.process is not None and instance.process.is_running
-        if instance.has_left or is_running:
+        if instance.has_left or self.running_process(name) is not None:
             return
         try:
-            instance.process = ControlProcess(self, instance)
+            self._processes_by_name[name] = ControlProcess(self, instance)
         except StorageFaultError:
             self.scheduler.call_later(START_RETRY_S, partial(self.start, name))
 
     def kill(self, name: str) -> None:
         """End the process of an instance at once, maybe during a write."""
-        instance = self.instances_by_name[name]
-        if instance.process is not None and instance.process.is_running:
-            instance.process.end()
-            instance.disk.tear(self.random)
+        process = self.running_process(name)
+        if process is not None:
+            process.end()
+            process.instance.disk.tear(self.random)
 
     def close(self) -> None:
         """End all processes."""
@@ -160,10 +140,10 @@
         source, instance = self.instances_by_name[sender], self.instances_by_name.get(receiver)
         if source.is_mute or instance is None:
             return
-        addressed = instance.process
+        addressed = self._processes_by_name.get(receiver)
 
         def arrive() -> None:
-            process = instance.process
+            process = self._processes_by_name.get(receiver)
             if instance.is_deaf or process is None or process is not addressed:
                 return
             if instance.is_frozen:
@@ -188,7 +168,7 @@
         return DefineDataCentre(name=f"dc-{number}", region=command_id)
 
     def _leaders(self) -> list[ControlProcess]:
-        processes = [instance.process for instance in self.instances_by_name.values()]
+        processes = [self._processes_by_name.get(name) for name in self.instances_by_name]
         return [p for p in processes if p is not None and p.is_awake and p.node.is_leader]
 
     def _send_command(self) -> None:
--- a/bench/src/wagtailkeel_bench/simulation/runner.py
+++ b/bench/src/wagtailkeel_bench/simulation/runner.py
@@ -68,8 +68,8 @@
     def _stop(self, fault: Fault) -> None:
         """Stop the process of an instance for good, once one runs."""
         instance = self._cluster.instances_by_name[fault.target]
-        process = instance.process
-        if process is None or not process.is_running:
+        process = self._cluster.running_process(fault.target)
+        if process is None:
             self._cluster.scheduler.call_later(STOP_RETRY_S, lambda: self._stop(fault))
             return
         instance.has_left = True
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -133,7 +133,7 @@
         last_index = process.node.log.last_index
         propose(process, command_id)
         if process.node.log.last_index > last_index:
-            process._cluster.on_acknowledged(command_id)
+            process._host.on_acknowledged(command_id)
 
     return propose_command
 
