One place each for the address family, control messages, pulls and RETAINED_ENTRIES

address_family() of the transport package chooses IPv4 or IPv6 for the UDP endpoint, the deferred RPC server and the check of the server. ControlMessages receives heartbeat acknowledgements, version hints and call replies for the agent and the balancer of the handshake roles; their other messages are dispatched as before. ConfigurationStore answers the pulls of all five roles itself.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
@@ -12,6 +12,7 @@
 from wagtailkeel_coordination.raft.storage import StorageFaultError
 from wagtailkeel_state.commands import LogEntry
 from wagtailkeel_state.commands import SetControlMembers
+from wagtailkeel_state.persistent_state import RETAINED_ENTRIES
 from wagtailkeel_state.persistent_state import Snapshot
 from wagtailkeel_state.persistent_state import Vote
 
@@ -24,7 +25,6 @@
     from wagtailkeel_state.configuration import Configuration
 
 SNAPSHOT_INTERVAL_ENTRIES = 1_000
-RETAINED_ENTRIES = 500
 STORAGE_RETRY_S = 0.5
 
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/persistent_state.py
@@ -6,6 +6,9 @@
 
 from wagtailkeel_state.configuration import Configuration
 
+RETAINED_ENTRIES = 500
+"""Log entries kept before a snapshot: a peer that lacks only these needs no snapshot."""
+
 
 class Vote(msgspec.Struct, frozen=True):
     """The latest term seen and the candidate that this instance voted for in that term, if any."""
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/deferred_rpc_server.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/deferred_rpc_server.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from wagtailkeel_transport.address_family import address_family
 from wagtailkeel_transport.errors import BindError
 
 if TYPE_CHECKING:
@@ -20,9 +21,8 @@
     """Listens at once, and imports grpclib when the first connection arrives."""
 
     def __init__(self, handlers: RpcHandlers, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._handlers = handlers
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket = socket.socket(address_family(host), socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
         try:
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/storage/log_store.py
@@ -14,6 +14,7 @@
 
 from wagtailkeel_state.commands import LogEntry
 from wagtailkeel_state.configuration import Configuration
+from wagtailkeel_state.persistent_state import RETAINED_ENTRIES
 from wagtailkeel_state.persistent_state import Snapshot
 from wagtailkeel_state.persistent_state import Vote
 from wagtailkeel_transport.errors import StorageError
@@ -29,7 +30,6 @@
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_PREFIX = "log-"
 SEGMENT_RECORDS = 500
-RETAINED_ENTRIES = 500
 
 
 class Segment(msgspec.Struct):
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/udp_endpoint.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
+from wagtailkeel_transport.address_family import address_family
 from wagtailkeel_transport.errors import BindError
 
 if TYPE_CHECKING:
@@ -24,8 +25,7 @@
     """Owns a bound UDP socket and passes received datagrams to one callback, in order."""
 
     def __init__(self, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket = socket.socket(address_family(host), socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         try:
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -33,8 +33,6 @@
 from wagtailkeel_protocol.messages import Gossip
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
-from wagtailkeel_protocol.messages import PullReply
-from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import StopRequest
 from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_state.server_member import ServerMember
@@ -130,7 +128,7 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        server = RpcServer({DUMP: self._dump, PULL: self.store.handle_pull})
         await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -319,9 +317,6 @@
             table = self._table_builder.tables_by_service.get(service)
             self._router.apply_configuration(self.store.configuration, table, clock.seconds())
 
-    async def _answer_pull(self, request: PullRequest) -> PullReply:
-        return self.store.answer_pull(request)
-
     async def _dump(self, request: DumpRequest) -> DumpReply:
         router = self._router
         authority = router.authority
--- a/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/balancer.py
@@ -29,8 +29,6 @@
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import HeartbeatAck
-from wagtailkeel_protocol.messages import PullReply
-from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_protocol.packet import parse_flow_key
 from wagtailkeel_state.balancer_member import BalancerMember
@@ -89,7 +87,7 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        server = RpcServer({DUMP: self._dump, PULL: self._answer_pull})
+        server = RpcServer({DUMP: self._dump, PULL: self.store.handle_pull})
         await server.start(self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -205,9 +203,6 @@
     def _(self, message: VersionHint) -> None:
         self._link.on_version_hint(message)
 
-    async def _answer_pull(self, request: PullRequest) -> PullReply:
-        return self.store.answer_pull(request)
-
     async def _dump(self, request: DumpRequest) -> DumpReply:
         self.metrics.counters["packets_forwarded"] = self._forwarded_packets
         return build_dump(
--- a/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/configuration_store.py
@@ -55,6 +55,10 @@
             return PullReply(snapshot=self.configuration)
         return PullReply(compressed_snapshot=self._compress())
 
+    async def handle_pull(self, request: PullRequest) -> PullReply:
+        """Answer a pull as the handler of a call."""
+        return self.answer_pull(request)
+
     def entries_after(self, index: int) -> list[LogEntry]:
         """Return the log entries after an index; none if they are not all retained."""
         entries = [entry for entry in self._recent_entries if entry.index > index]
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -41,8 +41,6 @@
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
 from wagtailkeel_protocol.messages import LeaveRequest
-from wagtailkeel_protocol.messages import PullReply
-from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import StatusReply
 from wagtailkeel_protocol.messages import StatusRequest
 from wagtailkeel_protocol.messages import StopRequest
@@ -155,7 +153,7 @@
             ANNOUNCE: self._announce,
             STOP_AGENT: self._stop_agent,
             LEAVE: self._leave,
-            PULL: self._answer_pull,
+            PULL: self._store.handle_pull,
         }
         self._call_server = DatagramCallServer(
             self._node_handlers, self._endpoint.send, self.metrics.counters
@@ -451,9 +449,6 @@
         answer = await self._proposer.propose(request)
         return CommandReply(answer, self._raft.leader_id)
 
-    async def _answer_pull(self, request: PullRequest) -> PullReply:
-        return self._store.answer_pull(request)
-
     async def _status(self, request: StatusRequest) -> StatusReply:
         now = clock.seconds()
         return StatusReply(
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -11,6 +11,7 @@
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.datagram_caller import DatagramCaller
+from wagtailkeel.roles.handshake.control_messages import ControlMessages
 from wagtailkeel.roles.handshake.relay_outbox import UdpRelayOutbox
 from wagtailkeel.roles.handshake.server_check import check_server
 from wagtailkeel.roles.metrics import Metrics
@@ -27,24 +28,17 @@
 from wagtailkeel_protocol.codec import encode_datagram
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.messages import AnnounceRequest
-from wagtailkeel_protocol.messages import CallInProgress
-from wagtailkeel_protocol.messages import CallRejected
-from wagtailkeel_protocol.messages import CallReply
 from wagtailkeel_protocol.messages import Datagram
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
 from wagtailkeel_protocol.messages import FlowLocations
 from wagtailkeel_protocol.messages import FlowQuery
 from wagtailkeel_protocol.messages import FlowQueryReply
-from wagtailkeel_protocol.messages import HeartbeatAck
 from wagtailkeel_protocol.messages import LoadRequest
 from wagtailkeel_protocol.messages import LocationRequest
-from wagtailkeel_protocol.messages import PullReply
-from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import SearchReply
 from wagtailkeel_protocol.messages import SearchRequest
 from wagtailkeel_protocol.messages import ServerLoad
-from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_state.server_member import ServerMember
 from wagtailkeel_transport import UdpEndpoint
 from wagtailkeel_transport import clock
@@ -57,7 +51,6 @@
 
     from anyio.abc import TaskStatus
 
-    from wagtailkeel.roles.datagram_caller import AnyCallReply
     from wagtailkeel.settings import HandshakeAgentSettings
     from wagtailkeel.settings import Settings
     from wagtailkeel_coordination.events import EventSink
@@ -145,6 +138,7 @@
             event_sink=event_sink,
             may_join=self._has_report,
         )
+        self._control_messages = ControlMessages(self._link, self._caller, self.metrics.counters)
 
     @classmethod
     def from_settings(
@@ -165,7 +159,7 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        handlers: RpcHandlers = {DUMP: self._dump, PULL: self._answer_pull}
+        handlers: RpcHandlers = {DUMP: self._dump, PULL: self.store.handle_pull}
         server = DeferredRpcServer(handlers, self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -306,21 +300,7 @@
 
     @singledispatchmethod
     def _on_message(self, message: Datagram, source: Address) -> None:
-        self.metrics.counters["dropped_unexpected_message"] += 1
-
-    @_on_message.register
-    def _(self, message: HeartbeatAck, source: Address) -> None:
-        self._link.on_ack(message)
-
-    @_on_message.register
-    def _(self, message: VersionHint, source: Address) -> None:
-        self._link.on_version_hint(message)
-
-    @_on_message.register(CallReply)
-    @_on_message.register(CallInProgress)
-    @_on_message.register(CallRejected)
-    def _(self, message: AnyCallReply, source: Address) -> None:
-        self._caller.on_reply(message)
+        self._control_messages.on_message(message)
 
     @_on_message.register
     def _(self, message: LoadRequest, source: Address) -> None:
@@ -386,9 +366,6 @@
         load.is_reply = True
         self._endpoint.send(encode_datagram(load), address)
 
-    async def _answer_pull(self, request: PullRequest) -> PullReply:
-        return self.store.answer_pull(request)
-
     async def _dump(self, request: DumpRequest) -> DumpReply:
         router = self.router
         now = clock.seconds()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/balancer.py
@@ -10,6 +10,7 @@
 from wagtailkeel.roles.address_book import AddressBook
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.datagram_caller import DatagramCaller
+from wagtailkeel.roles.handshake.control_messages import ControlMessages
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
 from wagtailkeel.roles.process_dump import build_dump
@@ -22,17 +23,10 @@
 from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.messages import AnnounceRequest
 from wagtailkeel_protocol.messages import BalancerState
-from wagtailkeel_protocol.messages import CallInProgress
-from wagtailkeel_protocol.messages import CallRejected
-from wagtailkeel_protocol.messages import CallReply
 from wagtailkeel_protocol.messages import Datagram
 from wagtailkeel_protocol.messages import DumpReply
 from wagtailkeel_protocol.messages import DumpRequest
-from wagtailkeel_protocol.messages import HeartbeatAck
-from wagtailkeel_protocol.messages import PullReply
-from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_protocol.messages import ServerLoad
-from wagtailkeel_protocol.messages import VersionHint
 from wagtailkeel_state.balancer_member import BalancerMember
 from wagtailkeel_transport import UdpEndpoint
 from wagtailkeel_transport import clock
@@ -45,7 +39,6 @@
 
     from anyio.abc import TaskStatus
 
-    from wagtailkeel.roles.datagram_caller import AnyCallReply
     from wagtailkeel.settings import HandshakeBalancerSettings
     from wagtailkeel.settings import Settings
     from wagtailkeel_coordination.events import EventSink
@@ -105,6 +98,7 @@
             self.metrics,
             event_sink=event_sink,
         )
+        self._control_messages = ControlMessages(self._link, self._caller, self.metrics.counters)
 
     @classmethod
     def from_settings(
@@ -126,7 +120,7 @@
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Serve until cancelled."""
-        handlers: RpcHandlers = {DUMP: self._dump, PULL: self._answer_pull}
+        handlers: RpcHandlers = {DUMP: self._dump, PULL: self.store.handle_pull}
         server = DeferredRpcServer(handlers, self._instance.listen_host, self._section.rpc_port)
         try:
             async with anyio.create_task_group() as tasks:
@@ -229,21 +223,7 @@
 
     @singledispatchmethod
     def _on_message(self, message: Datagram, source: Address) -> None:
-        self.metrics.counters["dropped_unexpected_message"] += 1
-
-    @_on_message.register
-    def _(self, message: HeartbeatAck, source: Address) -> None:
-        self._link.on_ack(message)
-
-    @_on_message.register
-    def _(self, message: VersionHint, source: Address) -> None:
-        self._link.on_version_hint(message)
-
-    @_on_message.register(CallReply)
-    @_on_message.register(CallInProgress)
-    @_on_message.register(CallRejected)
-    def _(self, message: AnyCallReply, source: Address) -> None:
-        self._caller.on_reply(message)
+        self._control_messages.on_message(message)
 
     @_on_message.register
     def _(self, message: ServerLoad, source: Address) -> None:
@@ -259,9 +239,6 @@
         else:
             self._stop_coordinator.on_ready(source, now)
 
-    async def _answer_pull(self, request: PullRequest) -> PullReply:
-        return self.store.answer_pull(request)
-
     async def _dump(self, request: DumpRequest) -> DumpReply:
         return build_dump(
             {
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
@@ -14,6 +14,8 @@
 
 import anyio
 
+from wagtailkeel_transport.address_family import address_family
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -44,8 +46,7 @@
 
     A connection that opens is closed at once.
     """
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as connection:
+    with socket.socket(address_family(address[0]), socket.SOCK_STREAM) as connection:
         connection.setblocking(False)
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
