DatagramCallServer: remove old replies without looking through all of them

Each request looked at every retained reply. They are now kept in the order of their last use, and only those that are too old are looked at, and one more. The test counts how often the age of a reply is read: 200 times with the former code, once now; another test holds the order, and fails if a request for parts does not move its reply to the end.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/datagram_call_server.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/datagram_call_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -57,7 +58,8 @@
         self._send_datagram = send
         self._counters = counters
         self._in_progress: set[CallKey] = set()
-        self._replies_by_call: dict[CallKey, _RetainedReply] = {}
+        # In the order of ``sent_at``, so that only the first replies have to be looked at.
+        self._replies_by_call: OrderedDict[CallKey, _RetainedReply] = OrderedDict()
 
     def on_request(self, message: CallRequest, source: Address, tasks: TaskGroup) -> None:
         """Execute a call, unless it is in progress or its reply is retained."""
@@ -77,11 +79,13 @@
 
     def on_parts_request(self, message: CallPartsRequest, source: Address) -> None:
         """Send parts of a retained reply; without the reply, the caller will call again."""
-        retained = self._replies_by_call.get((source, message.call_id))
+        call = (source, message.call_id)
+        retained = self._replies_by_call.get(call)
         if retained is None:
-            self._reject((source, message.call_id), "the reply is not retained any more")
+            self._reject(call, "the reply is not retained any more")
             return
         retained.sent_at = clock.seconds()
+        self._replies_by_call.move_to_end(call)
         self._send_parts(retained, message.parts[:PARTS_IN_FLIGHT], source)
 
     def _execute(self, message: CallRequest, call: CallKey, tasks: TaskGroup) -> None:
@@ -115,12 +119,16 @@
         retained = _RetainedReply(parts, clock.seconds())
         if len(parts) > 1:
             self._replies_by_call[call] = retained
+            self._replies_by_call.move_to_end(call)
         self._send_parts(retained, range(PARTS_IN_FLIGHT), source)
 
     def _remove_old_replies(self) -> None:
         oldest = clock.seconds() - REPLY_RETENTION_S
-        for call in [c for c, r in self._replies_by_call.items() if r.sent_at < oldest]:
-            del self._replies_by_call[call]
+        while self._replies_by_call:
+            first = next(iter(self._replies_by_call.values()))
+            if first.sent_at >= oldest:
+                return
+            self._replies_by_call.popitem(last=False)
 
     def _send_parts(
         self, retained: _RetainedReply, parts: range | list[int], source: Address
--- a/tests/wagtailkeel/test_datagram_calls.py
+++ b/tests/wagtailkeel/test_datagram_calls.py
@@ -13,7 +13,13 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from unittest.mock import Mock
+from unittest.mock import patch
 
+import anyio
+import msgspec
+
+from wagtailkeel.roles import datagram_call_server
+from wagtailkeel.roles.datagram_call_server import REPLY_RETENTION_S
 from wagtailkeel.roles.datagram_call_server import DatagramCallServer
 from wagtailkeel.roles.datagram_caller import DatagramCaller
 from wagtailkeel_protocol.codec import decode_datagram
@@ -26,6 +32,7 @@
 from wagtailkeel_protocol.messages import PullReply
 from wagtailkeel_protocol.messages import PullRequest
 from wagtailkeel_transport import RpcError
+from wagtailkeel_transport import clock
 from wagtailkeel_transport.methods import LEAVE
 from wagtailkeel_transport.methods import PULL
 from wagtailkeel_transport.rpc import RpcServer
@@ -183,5 +190,66 @@
                 self.assertEqual([type(reply) for reply in replies], [CallRejected])
 
 
+class CountingReply(datagram_call_server._RetainedReply):
+    """Counts how often the age of any retained reply is read."""
+
+    __slots__ = ()
+    reads = 0
+
+    def __getattribute__(self, name: str) -> Any:
+        if name == "sent_at":
+            CountingReply.reads += 1
+        return super().__getattribute__(name)
+
+
+class RetainedRepliesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        patches = (
+            patch.object(clock, "seconds", lambda: self.now),
+            patch.object(datagram_call_server, "_RetainedReply", CountingReply),
+        )
+        for replaced in patches:
+            replaced.start()
+            self.addCleanup(replaced.stop)
+        self.sent: list[bytes] = []
+        self.server = DatagramCallServer({PULL: self.answer}, self.record, Counter())
+
+    async def answer(self, request: PullRequest) -> PullReply:
+        return PullReply(compressed_snapshot=Random(1).randbytes(40_000))
+
+    def record(self, datagram: bytes, address: tuple[str, int]) -> None:
+        self.sent.append(datagram)
+
+    async def call(self, call_id: int) -> None:
+        request = CallRequest(call_id, PULL.name, msgspec.msgpack.encode(PullRequest(0)))
+        async with anyio.create_task_group() as tasks:
+            self.server.on_request(request, NODE, tasks)
+
+    def is_retained(self, call_id: int) -> bool:
+        self.sent.clear()
+        self.server.on_parts_request(CallPartsRequest(call_id, [0]), NODE)
+        return isinstance(decode_datagram(self.sent[0]), CallReply)
+
+    async def test_a_request_does_not_look_through_all_retained_replies(self) -> None:
+        """While many nodes join at once, each request took time in proportion to the others."""
+        for call_id in range(200):
+            await self.call(call_id)
+        CountingReply.reads = 0
+        await self.call(1_000)
+        self.assertLessEqual(CountingReply.reads, 1)
+
+    async def test_replies_are_removed_by_the_time_of_their_last_use(self) -> None:
+        """A caller that goes on requesting parts would lose its reply, or the others would stay."""
+        for call_id in (1, 2, 3):
+            await self.call(call_id)
+        self.now += REPLY_RETENTION_S / 2
+        self.assertTrue(self.is_retained(1))
+        self.now += REPLY_RETENTION_S / 2 + 0.1
+        await self.call(4)
+        found = [call_id for call_id in (1, 2, 3, 4) if self.is_retained(call_id)]
+        self.assertEqual(found, [1, 4])
+
+
 if __name__ == "__main__":
     unittest.main()
