Group the modules of the bucket-token router: folders buckets and flows

29 modules stood flat beside handshake/ and raft/, by now 31. buckets/ has the tokens, claims and grants, flows/ the routing by them; what several routers use (counters, events, lease, outbox, token_bucket and others) and the duties of the leader stay where they were. The names that the package exports are the same.

--- a/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.round_trip_probe import PROBE_SOURCE_IPV4
+from wagtailkeel_coordination.flows.round_trip_probe import PROBE_SOURCE_IPV4
 from wagtailkeel_protocol.flow_key import endpoint_of
 
 if TYPE_CHECKING:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/__init__.py
@@ -10,11 +10,11 @@
 from wagtailkeel_state.lazy_exports import lazy_exports
 
 if TYPE_CHECKING:
-    from wagtailkeel_coordination.agent_identity import AgentIdentity
-    from wagtailkeel_coordination.bucket_authority import BucketAuthority
-    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
     from wagtailkeel_coordination.errors import CoordinationError
-    from wagtailkeel_coordination.flow_router import FlowRouter
+    from wagtailkeel_coordination.flows.agent_identity import AgentIdentity
+    from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.flows.flow_router import FlowRouter
     from wagtailkeel_coordination.lease import PlacementLease
 
 __all__ = [
@@ -29,11 +29,11 @@
 __getattr__ = lazy_exports(
     __name__,
     {
-        "AgentIdentity": "agent_identity",
-        "BucketAuthority": "bucket_authority",
-        "ConcurrencyLimiter": "concurrency_limiter",
+        "AgentIdentity": "flows.agent_identity",
+        "BucketAuthority": "buckets.bucket_authority",
+        "ConcurrencyLimiter": "flows.concurrency_limiter",
         "CoordinationError": "errors",
-        "FlowRouter": "flow_router",
+        "FlowRouter": "flows.flow_router",
         "PlacementLease": "lease",
     },
 )
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -16,11 +16,11 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.bucket_claims import BucketClaims
-from wagtailkeel_coordination.bucket_grants import BucketGrants
-from wagtailkeel_coordination.bucket_tokens import BucketTokens
-from wagtailkeel_coordination.claim_answers import pack_answers
-from wagtailkeel_coordination.claim_answers import split_answer
+from wagtailkeel_coordination.buckets.bucket_claims import BucketClaims
+from wagtailkeel_coordination.buckets.bucket_grants import BucketGrants
+from wagtailkeel_coordination.buckets.bucket_tokens import BucketTokens
+from wagtailkeel_coordination.buckets.claim_answers import pack_answers
+from wagtailkeel_coordination.buckets.claim_answers import split_answer
 from wagtailkeel_coordination.lease import LEASE_MARGIN_S
 from wagtailkeel_coordination.lease import LEASE_S
 from wagtailkeel_protocol.messages import BucketReceipt
@@ -33,10 +33,10 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
-    from wagtailkeel_coordination.bucket_claim import BucketClaim
+    from wagtailkeel_coordination.buckets.bucket_claim import BucketClaim
+    from wagtailkeel_coordination.buckets.outgoing_grant import OutgoingGrant
     from wagtailkeel_coordination.counters import Counters
     from wagtailkeel_coordination.outbox import DatagramOutbox
-    from wagtailkeel_coordination.outgoing_grant import OutgoingGrant
     from wagtailkeel_protocol.gue import DataFrame
     from wagtailkeel_protocol.messages import BucketAnswer
     from wagtailkeel_protocol.messages import Claim
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_claims.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_claims.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.bucket_claim import BucketClaim
+from wagtailkeel_coordination.buckets.bucket_claim import BucketClaim
 from wagtailkeel_protocol.messages import Claim
 
 if TYPE_CHECKING:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/bucket_grants.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_grants.py
@@ -8,8 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.outgoing_grant import RECORDS_PER_DATAGRAM
-from wagtailkeel_coordination.outgoing_grant import OutgoingGrant
+from wagtailkeel_coordination.buckets.outgoing_grant import RECORDS_PER_DATAGRAM
+from wagtailkeel_coordination.buckets.outgoing_grant import OutgoingGrant
 from wagtailkeel_protocol.messages import FlowTransfer
 from wagtailkeel_protocol.messages import Grant
 from wagtailkeel_state.generation import Generation
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Set
 
-    from wagtailkeel_coordination.bucket_tokens import BucketTokens
+    from wagtailkeel_coordination.buckets.bucket_tokens import BucketTokens
     from wagtailkeel_coordination.counters import Counters
     from wagtailkeel_coordination.outbox import DatagramOutbox
     from wagtailkeel_protocol.messages import BucketGrant
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/claim_answers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/claim_answers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.outgoing_grant import RECORDS_PER_DATAGRAM
+from wagtailkeel_coordination.buckets.outgoing_grant import RECORDS_PER_DATAGRAM
 from wagtailkeel_protocol.messages import BucketAnswer
 
 if TYPE_CHECKING:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.service_view import index_classes
+from wagtailkeel_coordination.flows.service_view import index_classes
 from wagtailkeel_protocol.flow_key import endpoint_of
 from wagtailkeel_state.enums import ServerState
 
 if TYPE_CHECKING:
-    from wagtailkeel_coordination.agent_identity import AgentIdentity
+    from wagtailkeel_coordination.flows.agent_identity import AgentIdentity
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_state.server_member import ServerMember
     from wagtailkeel_state.traffic_class import TrafficClass
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/concurrency_limiter.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/concurrency_limiter.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.service_times import ServiceTimes
+from wagtailkeel_coordination.flows.service_times import ServiceTimes
 from wagtailkeel_state.target import TargetKind
 
 if TYPE_CHECKING:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_context.py
@@ -11,10 +11,10 @@
 from wagtailkeel_protocol.packet_builder import build_reset
 
 if TYPE_CHECKING:
-    from wagtailkeel_coordination.agent_view import AgentView
-    from wagtailkeel_coordination.bucket_authority import BucketAuthority
+    from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
     from wagtailkeel_coordination.counters import Counters
-    from wagtailkeel_coordination.local_flows import LocalFlows
+    from wagtailkeel_coordination.flows.agent_view import AgentView
+    from wagtailkeel_coordination.flows.local_flows import LocalFlows
     from wagtailkeel_coordination.outbox import PacketOutbox
     from wagtailkeel_state.flow_directory import FlowDirectory
     from wagtailkeel_state.traffic_class import TrafficClass
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -5,18 +5,18 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.agent_view import AgentView
-from wagtailkeel_coordination.bucket_authority import BucketAuthority
-from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
-from wagtailkeel_coordination.flow_context import FlowContext
-from wagtailkeel_coordination.flow_context import is_start
-from wagtailkeel_coordination.local_flows import LocalFlows
-from wagtailkeel_coordination.peer_view import PeerView
-from wagtailkeel_coordination.placement import Placement
-from wagtailkeel_coordination.recovery import FlowRecovery
-from wagtailkeel_coordination.rejected_starts import RejectedStarts
-from wagtailkeel_coordination.remote_flows import RemoteFlowSweeper
-from wagtailkeel_coordination.round_trip_probe import RoundTripProbe
+from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
+from wagtailkeel_coordination.flows.agent_view import AgentView
+from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
+from wagtailkeel_coordination.flows.flow_context import FlowContext
+from wagtailkeel_coordination.flows.flow_context import is_start
+from wagtailkeel_coordination.flows.local_flows import LocalFlows
+from wagtailkeel_coordination.flows.peer_view import PeerView
+from wagtailkeel_coordination.flows.placement import Placement
+from wagtailkeel_coordination.flows.recovery import FlowRecovery
+from wagtailkeel_coordination.flows.rejected_starts import RejectedStarts
+from wagtailkeel_coordination.flows.remote_flows import RemoteFlowSweeper
+from wagtailkeel_coordination.flows.round_trip_probe import RoundTripProbe
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.flow_key import hash_flow
@@ -36,8 +36,8 @@
     from collections.abc import Callable
     from random import Random
 
-    from wagtailkeel_coordination.agent_identity import AgentIdentity
     from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.flows.agent_identity import AgentIdentity
     from wagtailkeel_coordination.lease import PlacementLease
     from wagtailkeel_coordination.outbox import DatagramOutbox
     from wagtailkeel_coordination.outbox import PacketOutbox
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/local_flows.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
     from wagtailkeel_coordination.counters import Counters
+    from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
     from wagtailkeel_coordination.outbox import PacketOutbox
     from wagtailkeel_state.flow_directory import FlowDirectory
     from wagtailkeel_state.traffic_class import TrafficClass
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/placement.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.admission_queue import AdmissionQueue
-from wagtailkeel_coordination.bucket_authority import CALLER_RETRY_WINDOW_S
-from wagtailkeel_coordination.flow_context import is_start
+from wagtailkeel_coordination.buckets.bucket_authority import CALLER_RETRY_WINDOW_S
+from wagtailkeel_coordination.flows.admission_queue import AdmissionQueue
+from wagtailkeel_coordination.flows.flow_context import is_start
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.gue import DataFrame
 from wagtailkeel_protocol.messages import Load
@@ -16,11 +16,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wagtailkeel_coordination.admission_queue import QueuedStart
-    from wagtailkeel_coordination.concurrency_limiter import ConcurrencyLimiter
-    from wagtailkeel_coordination.flow_context import FlowContext
+    from wagtailkeel_coordination.flows.admission_queue import QueuedStart
+    from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
+    from wagtailkeel_coordination.flows.flow_context import FlowContext
+    from wagtailkeel_coordination.flows.peer_view import PeerView
     from wagtailkeel_coordination.lease import PlacementLease
-    from wagtailkeel_coordination.peer_view import PeerView
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.traffic_class import TrafficClass
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -16,7 +16,7 @@
 from wagtailkeel_protocol.gue import DataFrame
 
 if TYPE_CHECKING:
-    from wagtailkeel_coordination.flow_context import FlowContext
+    from wagtailkeel_coordination.flows.flow_context import FlowContext
 
 RECOVERY_TIMEOUT_S = 5.0
 
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/flows/test_admission.py
@@ -4,9 +4,9 @@
 from random import Random
 
 from wagtailkeel_coordination import ConcurrencyLimiter
-from wagtailkeel_coordination.concurrency_limiter import QUEUE_FACTOR
-from wagtailkeel_coordination.peer_view import PEER_REPORT_TIMEOUT_S
-from wagtailkeel_coordination.peer_view import PeerView
+from wagtailkeel_coordination.flows.concurrency_limiter import QUEUE_FACTOR
+from wagtailkeel_coordination.flows.peer_view import PEER_REPORT_TIMEOUT_S
+from wagtailkeel_coordination.flows.peer_view import PeerView
 from wagtailkeel_protocol.messages import Load
 from wagtailkeel_state import Target
 
--- a/tests/coordination/test_flow_invariants.py
+++ b/tests/coordination/flows/test_flow_invariants.py
@@ -8,10 +8,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from tests.coordination.fake_cluster import BUCKETS
-from tests.coordination.fake_cluster import FakeCluster
-from tests.coordination.fake_cluster import data_centre_of
-from tests.coordination.fake_cluster import flow_key
+from tests.coordination.flows.fake_cluster import BUCKETS
+from tests.coordination.flows.fake_cluster import FakeCluster
+from tests.coordination.flows.fake_cluster import data_centre_of
+from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_builder import build_udp
--- a/tests/coordination/test_flow_router.py
+++ b/tests/coordination/flows/test_flow_router.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from tests.coordination.fake_cluster import FakeCluster
-from tests.coordination.fake_cluster import data_centre_of
-from tests.coordination.fake_cluster import flow_key
+from tests.coordination.flows.fake_cluster import FakeCluster
+from tests.coordination.flows.fake_cluster import data_centre_of
+from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_builder import build_udp
--- a/tests/coordination/test_foreign_messages.py
+++ b/tests/coordination/flows/test_foreign_messages.py
@@ -6,9 +6,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from tests.coordination.fake_cluster import BUCKETS
-from tests.coordination.fake_cluster import FakeCluster
-from tests.coordination.fake_cluster import flow_key
+from tests.coordination.flows.fake_cluster import BUCKETS
+from tests.coordination.flows.fake_cluster import FakeCluster
+from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_protocol import DataFrame
 from wagtailkeel_protocol import Malformed
 from wagtailkeel_protocol import decode_datagram
