BucketUncertainty: the periods in which a flow may run unrecorded, out of BucketAuthority

Run: tests/coordination (185 passed), black, ruff, mypy. Trial: 15 random runs of test_flow_invariants send the same messages and packets as before this work.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -19,6 +19,7 @@
 from wagtailkeel_coordination.buckets.bucket_claims import BucketClaims
 from wagtailkeel_coordination.buckets.bucket_grants import BucketGrants
 from wagtailkeel_coordination.buckets.bucket_tokens import BucketTokens
+from wagtailkeel_coordination.buckets.bucket_uncertainty import BucketUncertainty
 from wagtailkeel_coordination.buckets.claim_answers import pack_answers
 from wagtailkeel_coordination.buckets.claim_answers import split_answer
 from wagtailkeel_coordination.lease import LEASE_MARGIN_S
@@ -45,8 +46,6 @@
     from wagtailkeel_state.flow_directory import FlowDirectory
     from wagtailkeel_state.owner_table import OwnerTable
 
-CALLER_RETRY_WINDOW_S = 10.0
-
 
 class BucketAuthority:
     """Tokens, claims, grants and promises of one agent for one service.
@@ -63,7 +62,6 @@
         counters: Counters,
         replay_frames: Callable[[list[DataFrame]], None],
     ) -> None:
-        self.incomplete_since_by_id: dict[str, float] = {}
         self.has_incomplete_flow_table = False
         self.table: OwnerTable | None = None
         self._own_id = own_id
@@ -72,11 +70,13 @@
         self._outbox = outbox
         self._counters = counters
         self._tokens = BucketTokens()
-        self._grants = BucketGrants(own_id, self._tokens, directory, outbox, counters)
+        self._uncertainty = BucketUncertainty()
+        self._grants = BucketGrants(
+            own_id, self._tokens, self._uncertainty, directory, outbox, counters
+        )
         self._claims = BucketClaims(own_id, directory, outbox, counters, replay_frames)
         self._boot_ids_by_member: dict[str, int] = {}
         self._takeover_not_before = float("-inf")
-        self._uncertain_until = float("-inf")
 
     @property
     def tokens_by_bucket(self) -> Mapping[int, Generation]:
@@ -98,6 +98,11 @@
         """Grants that successors have not acknowledged yet."""
         return self._grants.outgoing_by_bucket
 
+    @property
+    def incomplete_since_by_id(self) -> Mapping[str, float]:
+        """When members first reported an incomplete flow table."""
+        return self._uncertainty.incomplete_since_by_id
+
     @property
     def has_tokens_to_grant(self) -> bool:
         """Return whether this agent has tokens, or grants not acknowledged yet.
@@ -116,17 +121,8 @@
         return self._tokens.is_placement_stale(bucket, token_epoch)
 
     def is_uncertain(self, bucket: int, now: float) -> bool:
-        """Return whether an unknown flow may already run on a server whose records are missing.
-
-        True for ``CALLER_RETRY_WINDOW_S`` after another member first reported an incomplete flow
-        table. For a bucket that was taken over after the removal of a member, also true until
-        ``CALLER_RETRY_WINDOW_S`` after the removal; a grant passes the rest of that time on.
-        """
-        if any(
-            now - since < CALLER_RETRY_WINDOW_S for since in self.incomplete_since_by_id.values()
-        ):
-            return True
-        return now < self._tokens.uncertain_until_by_bucket.get(bucket, now)
+        """Return whether an unknown flow may already run on a server whose records are missing."""
+        return self._uncertainty.is_uncertain(bucket, now)
 
     # Members and tables
 
@@ -157,7 +153,7 @@
         if removed_ids - {self._own_id}:
             # Retransmissions of flows that this agent's own former incarnation placed on the local
             # backend server reach the same server again, so its own removal causes no uncertainty.
-            self._uncertain_until = now + CALLER_RETRY_WINDOW_S
+            self._uncertainty.record_removal(now)
         self._discard_members(changed_ids)
         self._restart_claims(table, previous, changed_ids, now)
         self._grant_reassigned_buckets(table)
@@ -168,8 +164,7 @@
 
     def _discard_members(self, changed_ids: set[str]) -> None:
         """Discard reports of, and grants to, members that were removed or have restarted."""
-        for member in changed_ids:
-            self.incomplete_since_by_id.pop(member, None)
+        self._uncertainty.discard_reports(changed_ids)
         self._grants.cancel_all_to(changed_ids)
         self._tokens.remove_successors(changed_ids)
 
@@ -226,8 +221,7 @@
             if self._tokens.is_stale(claim.bucket, generation):
                 continue
             self._counters["takeovers"] += 1
-            if now < self._uncertain_until:
-                self._tokens.uncertain_until_by_bucket[claim.bucket] = self._uncertain_until
+            self._uncertainty.on_takeover(claim.bucket, now)
             self._accept_token(claim.bucket, generation, claim.epoch, now)
 
     def on_claim(self, message: Claim, now: float) -> None:
@@ -278,7 +272,7 @@
             self._counters["messages_of_old_incarnation"] += 1
             return
         if message.has_lost_memory:
-            self.incomplete_since_by_id.setdefault(message.sender, now)
+            self._uncertainty.record_incomplete(message.sender, now)
         self._claims.on_answer(message, now)
 
     # Tokens
@@ -308,8 +302,7 @@
                 self._counters["grants_refused"] += 1
                 continue
             self._counters["grants_taken"] += 1
-            if grant.uncertain_s > 0:
-                self._tokens.uncertain_until_by_bucket[grant.bucket] = now + grant.uncertain_s
+            self._uncertainty.on_grant(grant.bucket, grant.uncertain_s, now)
             self._directory.install_records(grant.bucket, grant.flows, now)
             self._accept_token(grant.bucket, grant.generation, grant.epoch, now)
         self._outbox.send(message.sender, GrantAck(self._own_id, receipts))
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_grants.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_grants.py
@@ -18,6 +18,7 @@
     from collections.abc import Set
 
     from wagtailkeel_coordination.buckets.bucket_tokens import BucketTokens
+    from wagtailkeel_coordination.buckets.bucket_uncertainty import BucketUncertainty
     from wagtailkeel_coordination.counters import Counters
     from wagtailkeel_coordination.outbox import DatagramOutbox
     from wagtailkeel_protocol.messages import BucketGrant
@@ -38,6 +39,7 @@
         self,
         own_id: str,
         tokens: BucketTokens,
+        uncertainty: BucketUncertainty,
         directory: FlowDirectory,
         outbox: DatagramOutbox,
         counters: Counters,
@@ -45,6 +47,7 @@
         self.outgoing_by_bucket: dict[int, OutgoingGrant] = {}
         self._own_id = own_id
         self._tokens = tokens
+        self._uncertainty = uncertainty
         self._directory = directory
         self._outbox = outbox
         self._counters = counters
@@ -135,9 +138,8 @@
         """Give up the token, to be sent with ``records``: this agent is no longer the authority."""
         outgoing.final_records = records
         outgoing.is_released = True
-        outgoing.uncertain_until = self._tokens.release(
-            outgoing.bucket, outgoing.successor_id, outgoing.generation
-        )
+        outgoing.uncertain_until = self._uncertainty.release(outgoing.bucket)
+        self._tokens.release(outgoing.bucket, outgoing.successor_id, outgoing.generation)
         self._directory.remove_remotes(outgoing.bucket)
         self._counters["grants_released"] += 1
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_tokens.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_tokens.py
@@ -18,15 +18,12 @@
 class BucketTokens:
     """Tokens, successors and promises by bucket.
 
-    ``successors_by_bucket`` are the agents to which tokens held here before were granted, and
-    ``uncertain_until_by_bucket`` the times before which an unknown flow of a bucket may already run
-    on a server that was removed.
+    ``successors_by_bucket`` are the agents to which tokens held here before were granted.
     """
 
     def __init__(self) -> None:
         self.tokens_by_bucket: dict[int, Generation] = {}
         self.successors_by_bucket: dict[int, str] = {}
-        self.uncertain_until_by_bucket: dict[int, float] = {}
         self._received_epochs_by_bucket: dict[int, int] = {}
         self._min_generations_by_bucket: dict[int, Generation] = {}
         self._promised_epochs_by_bucket: dict[int, int] = {}
@@ -46,12 +43,11 @@
         self.successors_by_bucket.pop(bucket, None)
         self._raise_min_generation(bucket, generation.successor)
 
-    def release(self, bucket: int, successor_id: str, generation: Generation) -> float:
-        """Give up a token, granted as ``generation``; return until when its bucket is uncertain."""
+    def release(self, bucket: int, successor_id: str, generation: Generation) -> None:
+        """Give up a token, granted as ``generation``."""
         self._raise_min_generation(bucket, generation.successor)
         del self.tokens_by_bucket[bucket]
         self.successors_by_bucket[bucket] = successor_id
-        return self.uncertain_until_by_bucket.pop(bucket, 0.0)
 
     def clear(self) -> None:
         """Discard all tokens; promises are kept."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/placement.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.buckets.bucket_authority import CALLER_RETRY_WINDOW_S
+from wagtailkeel_coordination.buckets.bucket_uncertainty import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.flows.admission_queue import AdmissionQueue
 from wagtailkeel_coordination.flows.flow_context import is_start
 from wagtailkeel_protocol import gue
--- a/tests/coordination/buckets/test_bucket_authority.py
+++ b/tests/coordination/buckets/test_bucket_authority.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from wagtailkeel_coordination import BucketAuthority
-from wagtailkeel_coordination.buckets.bucket_authority import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.buckets.bucket_claims import CLAIM_DELAY_S
+from wagtailkeel_coordination.buckets.bucket_uncertainty import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.lease import LEASE_MARGIN_S
 from wagtailkeel_coordination.lease import LEASE_S
 from wagtailkeel_protocol.messages import AnyDatagram
