Raft histories start with a leader; a failed flow test shows the packet and the logs

RaftTest.test_histories elected no leader and committed nothing in any of its 40 histories, since the random moves began before the first election; so its checks held for nothing. The histories now start after 3 s of settled time, and a test fails if they commit no command or elect no second leader.

Not traced: the answer had no data, and nothing told which packet it was. Its failure message now has the flags and the logs.

--- a/tests/coordination/test_raft.py
+++ b/tests/coordination/test_raft.py
@@ -31,6 +31,8 @@
 
 VOTERS = ["a", "b", "c"]
 STEPS = 400
+FIRST_ELECTION_S = 3.0
+COMMITTING_HISTORIES = 20
 EXAMPLES = 40
 
 
@@ -241,6 +243,15 @@
                 self.deliver_reply(in_order=True)
 
 
+def play_history(random: Random) -> FakeRaftCluster:
+    """Play random moves on a cluster that has elected its first leader."""
+    cluster = FakeRaftCluster(random)
+    cluster.settle(FIRST_ELECTION_S)
+    for _ in range(STEPS):
+        cluster.step()
+    return cluster
+
+
 class RaftTest(unittest.TestCase):
     @settings(
         max_examples=EXAMPLES,
@@ -250,9 +261,7 @@
     )
     @given(st.randoms(use_true_random=False))
     def test_histories(self, random: Random) -> None:
-        cluster = FakeRaftCluster(random)
-        for _ in range(STEPS):
-            cluster.step()
+        cluster = play_history(random)
         accepted = set(cluster.accepted)
         cluster.settle()
         configs = [control.config for control in cluster.controls.values()]
@@ -262,6 +271,13 @@
             self.assertLessEqual(accepted, found, "an accepted command is never lost")
             self.assertEqual(len(config.control_identities_by_id), len(VOTERS))
 
+    def test_histories_commit_commands(self) -> None:
+        """Histories without a leader would check nothing."""
+        clusters = [play_history(Random(seed)) for seed in range(COMMITTING_HISTORIES)]
+        self.assertGreater(sum(len(cluster.accepted) for cluster in clusters), 0)
+        terms = {c.node.term for cluster in clusters for c in cluster.controls.values()}
+        self.assertGreater(len(terms), 1, "no history elects a second leader")
+
     def test_wiped_voter_does_not_vote_and_returns_as_a_learner(self) -> None:
         cluster = FakeRaftCluster(Random(1))
         cluster.settle()
--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -341,14 +341,24 @@
             answer = self.send_and_receive(build_packet(packets.SYN, caller, ack=attempt))
             if answer is not None and answer[4] & packets.SYN:
                 return
-        lines = b"\n".join(self.logs()[-FAILURE_LOG_LINES:]).decode(errors="replace")
-        raise AssertionError(f"no server accepted the opening; the last log lines:\n{lines}")
+        raise AssertionError(f"no server accepted the opening; {self.last_log_lines()}")
 
     def send_request(self, port: int) -> bytes:
         """Send data on a flow until it is answered; return the answer: data, or a reset."""
         packet = build_packet(packets.ACK, ("127.31.9.1", port), ack=1, data=b"request")
         return bytes(wait_until(lambda: self.send_and_receive(packet), "an answer"))
 
+    def last_log_lines(self) -> str:
+        """Return the last log lines of all processes, to explain a failure."""
+        lines = b"\n".join(self.logs()[-FAILURE_LOG_LINES:]).decode(errors="replace")
+        return f"the last log lines:\n{lines}"
+
+    def describe(self, packet: bytes) -> str:
+        """Return the flags of an unexpected packet and the log lines that may explain it."""
+        return (
+            f"packet with flags {packet[4]:#04x} and {len(packet)} bytes; {self.last_log_lines()}"
+        )
+
     def logs(self) -> list[bytes]:
         """Return the log lines of all processes."""
         return [
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -58,7 +58,8 @@
         self.site.kill(server)
         self.site.start_process(server)
         for _ in range(3):
-            self.assertEqual(self.site.send_request(1_001)[HEADER_BYTES:].decode(), server)
+            answer = self.site.send_request(1_001)
+            self.assertEqual(answer[HEADER_BYTES:].decode(), server, self.site.describe(answer))
 
     def test_operator_api_keeps_newest_configuration_and_rejects_bad_calls(self) -> None:
         self.site.replace_configuration(7)
