Aged loads: report open flows only, and robust service times by route

Cause: a load report counted flows that had closed up to 3 s before, each as a quarter of a request. Where each request opens a flow this outweighed the requests in flight. Service times were one average over about ten requests of all routes, which follows each long request, and stood still while no request found a free slot.

Change, with placement = "aged_loads" only: closed flows are not reported, first requests of new flows count as in flight, and each route has an average of its own over 32 requests, in which one request counts as at most four times the average. A request that waited counts from the end of the request on whose slot it waited; a request that a full server sheds never counts. Reports carry opened_flows under every setting.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
+from wagtailkeel_coordination.handshake.route_times import RouteTimes
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.malformed import Malformed
@@ -71,7 +72,10 @@
     ) -> None:
         self.gate = gate
         self.queue = OpeningQueue(options.max_opening_wait_s)
-        self.held = HeldFlows(record_response)
+        self._uses_aged_loads = options.placement == "aged_loads"
+        route_times = RouteTimes(context.packet_format.endpoint_of)
+        self.held = HeldFlows(record_response, route_times if self._uses_aged_loads else None)
+        self._opened_flows = 0
         self.probes = FlowProbes()
         self._context = context
         self._options = options
@@ -103,19 +107,33 @@
         """Return the load of the backend server to report to peers."""
         accepts = self.gate.accepts(now) and not self.queue
         room_in_s = 0.0 if accepts else self._find_room_in_s(now)
+        in_flight, held_flows = self._count_work(now)
         return ServerLoad(
             self._context.own_tag,
             accepts,
-            self.held.in_flight,
-            len(self.held.by_key),
+            in_flight,
+            held_flows,
             self.held.slots,
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
             self.gate.is_leaving,
             self.gate.is_awaiting_first_report(now),
             room_in_s * 1_000,
+            opened_flows=self._opened_flows,
         )
 
+    def _count_work(self, now: float) -> tuple[int, int]:
+        """Return the requests in flight and the held flows to report.
+
+        With the rule for aged loads, the first requests of new flows count as in flight, and only
+        the other flows that are open as held. Where each request opens a flow, closed flows that
+        still linger would outweigh the requests.
+        """
+        if not self._uses_aged_loads:
+            return self.held.in_flight, len(self.held.by_key)
+        in_flight = self.held.count_expected_requests(now)
+        return in_flight, max(0, self.held.open_count - in_flight)
+
     def _find_room_in_s(self, now: float) -> float:
         """Return the time until an opening queued now is delivered; 0 if none may be queued."""
         is_room_expected = self.gate.accepts(now) or self.gate.is_limited_by_cold_start(now)
@@ -253,6 +271,7 @@
     def open(self, packet: bytes, key: bytes, owner: Address) -> None:
         """Deliver an opening that was admitted."""
         self._context.counters["flows_opened"] += 1
+        self._opened_flows += 1
         self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
         self._context.outbox.deliver(packet)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wagtailkeel_coordination.handshake.route_times import RouteTimes
     from wagtailkeel_protocol.packet_format import PacketHeader
 
 Address = tuple[str, int]
@@ -31,8 +33,9 @@
     request without an answer (0 for none). ``is_established`` is set once the server has sent more
     than the answer to the opening, so the caller has chosen this server. ``has_free_slot`` is set
     if the server had a slot free for that request, so that its response time is the server's work
-    alone. ``finished_ends`` has a bit for each end that has closed the flow; ``closed_at`` is 0
-    until the flow is closed.
+    alone. ``started_at`` is when the server began to work on that request, as far as the agent can
+    tell; 0 before, or if this is not measured. ``finished_ends`` has a bit for each end that has
+    closed the flow; ``closed_at`` is 0 until the flow is closed.
     """
 
     key: bytes
@@ -42,6 +45,7 @@
     is_established: bool = False
     awaiting_since: float = 0.0
     has_free_slot: bool = False
+    started_at: float = 0.0
     finished_ends: int = 0
     closed_at: float = 0.0
 
@@ -54,9 +58,14 @@
     """Keeps the state of the backend server's flows, updated with each of their packets.
 
     ``service_s`` is the smoothed response time of requests that found a slot free; 0 if unknown.
+    With ``route_times`` it is their average instead. They also include requests that waited, from
+    the end of the request on whose slot they waited. A request that a full server sheds is answered
+    while it waits, so it never counts.
     """
 
-    def __init__(self, record_response: Callable[[float], None]) -> None:
+    def __init__(
+        self, record_response: Callable[[float], None], route_times: RouteTimes | None = None
+    ) -> None:
         self.by_key: dict[bytes, HeldFlow] = {}
         self.idle_limit_s = 60.0
         self.slots = 1
@@ -64,6 +73,9 @@
         self._awaiting_by_key: dict[bytes, HeldFlow] = {}
         self._opened_at_by_key: dict[bytes, float] = {}
         self._record_response = record_response
+        self._route_times = route_times
+        self._waiting: deque[HeldFlow] = deque()
+        self._closed_count = 0
         self._swept_at = float("-inf")
 
     @property
@@ -71,6 +83,11 @@
         """The number of flows with a request that the server has not answered."""
         return len(self._awaiting_by_key)
 
+    @property
+    def open_count(self) -> int:
+        """The number of flows that are not closed."""
+        return len(self.by_key) - self._closed_count
+
     def count_expected_requests(self, now: float) -> int:
         """Return the number of requests in flight plus that of expected first requests."""
         opened = self._opened_at_by_key
@@ -90,7 +107,8 @@
 
     def remove(self, flow: HeldFlow) -> None:
         """Stop tracking a flow."""
-        self.by_key.pop(flow.key, None)
+        if self.by_key.pop(flow.key, None) is not None and flow.closed_at:
+            self._closed_count -= 1
         self._awaiting_by_key.pop(flow.key, None)
         self._opened_at_by_key.pop(flow.key, None)
 
@@ -99,6 +117,10 @@
         self.by_key.clear()
         self._awaiting_by_key.clear()
         self._opened_at_by_key.clear()
+        self._waiting.clear()
+        self._closed_count = 0
+        if self._route_times is not None:
+            self._route_times.clear()
 
     def on_inbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
         """Update a flow for a packet that is about to be delivered to the server."""
@@ -108,6 +130,7 @@
             flow.has_free_slot = len(self._awaiting_by_key) < self.slots
             self._awaiting_by_key[flow.key] = flow
             self._opened_at_by_key.pop(flow.key, None)
+            self._start_or_wait(flow, now)
         if header.flags & (packet_flags.FIN | packet_flags.RESET):
             self._record_close(flow, header, _CALLER_FINISHED, now)
 
@@ -128,19 +151,43 @@
             header.flags & packet_flags.RESET
             or flow.finished_ends == _CALLER_FINISHED | _SERVER_FINISHED
         ):
+            self._closed_count += not flow.closed_at
             flow.closed_at = flow.closed_at or now
-            self._clear_awaiting(flow)
+            self._clear_awaiting(flow, now)
 
     def _record_answer(self, flow: HeldFlow, now: float) -> None:
         response_s = now - flow.awaiting_since
         self._record_response(response_s)
-        if flow.has_free_slot:
+        if self._route_times is not None:
+            if flow.started_at:
+                self._route_times.record(flow.key, now - flow.started_at)
+                self.service_s = self._route_times.mean_s
+        elif flow.has_free_slot:
             self.service_s = _smooth(self.service_s, response_s)
-        self._clear_awaiting(flow)
+        self._clear_awaiting(flow, now)
 
-    def _clear_awaiting(self, flow: HeldFlow) -> None:
+    def _clear_awaiting(self, flow: HeldFlow, now: float) -> None:
         flow.awaiting_since = 0.0
         self._awaiting_by_key.pop(flow.key, None)
+        if flow.started_at:
+            flow.started_at = 0.0
+            self._start_next(now)
+
+    def _start_or_wait(self, flow: HeldFlow, now: float) -> None:
+        if self._route_times is None:
+            return
+        if flow.has_free_slot:
+            flow.started_at = now
+        else:
+            self._waiting.append(flow)
+
+    def _start_next(self, now: float) -> None:
+        """Record that the oldest waiting request gets the slot of a finished one."""
+        while self._waiting:
+            flow = self._waiting.popleft()
+            if flow.awaiting_since and not flow.started_at:
+                flow.started_at = now
+                return
 
     def sweep(self, now: float) -> None:
         """Remove closed and idle flows, and stop waiting for overdue answers."""
@@ -149,7 +196,7 @@
         self._swept_at = now
         for flow in list(self._awaiting_by_key.values()):
             if now - flow.awaiting_since > ANSWER_TIMEOUT_S:
-                self._clear_awaiting(flow)
+                self._clear_awaiting(flow, now)
         for flow in [f for f in self.by_key.values() if self._is_expired(f, now)]:
             self.remove(flow)
 
