Aged loads: rate of openings by age, measured crossing, offers that a full server declines once

Cause: owners use a load for up to 0.25 s and add only their own openings to it, so many owners choose the same server. Where an opening still meets a full server, it waits there while others are idle.

Change, with placement = "aged_loads" only: an owner adds the rate of all openings at the server, from opened_flows in two reports, times the age of the load. Crossing between data centres costs the measured extra round trip instead of 3 ms. The first time, an opening is offered; an agent whose slots are all taken declines one and then none until a slot was free, and the owner places it for good by the loads that it knows. Agents that do not report opened_flows get no offers. Counters of the ages of loads (under every setting) and of declined openings.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -50,7 +50,8 @@
 
 Address = tuple[str, int]
 
-_RETURN_KINDS = (RelayKind.REJECTED, RelayKind.RETURNED, RelayKind.BUSY)
+_RETURN_KINDS = (RelayKind.REJECTED, RelayKind.RETURNED, RelayKind.BUSY, RelayKind.DECLINED)
+_PLACE_KINDS = (RelayKind.PLACE, RelayKind.QUEUE, RelayKind.OFFER)
 
 
 class AgentRouter:
@@ -212,13 +213,13 @@
         kind = frame.kind
         if kind is RelayKind.FORWARD:
             self.owner.on_forward(frame, header)
-        elif kind in (RelayKind.PLACE, RelayKind.QUEUE):
+        elif kind in _PLACE_KINDS:
             self.holder.on_place(frame, header, source)
         elif kind is RelayKind.DELIVER:
             self.holder.on_unknown_flow(frame, header, source, RelayKind.RETURNED, frame.body)
         elif kind is RelayKind.SEARCH:
             self.holder.on_unknown_flow(frame, header, source, RelayKind.NOT_FOUND, header.key)
-        elif kind in (RelayKind.REJECTED, RelayKind.BUSY):
+        elif kind in (RelayKind.REJECTED, RelayKind.BUSY, RelayKind.DECLINED):
             self.owner.on_rejected(frame, header, source)
         else:
             self.owner.on_returned(frame, header, source)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -76,6 +76,7 @@
         route_times = RouteTimes(context.packet_format.endpoint_of)
         self.held = HeldFlows(record_response, route_times if self._uses_aged_loads else None)
         self._opened_flows = 0
+        self._has_declined = False
         self.probes = FlowProbes()
         self._context = context
         self._options = options
@@ -168,6 +169,10 @@
             frame, header.key, source, frame.wait_limit_s
         ):
             return
+        if self._declines(frame):
+            self._context.counters["openings_declined"] += 1
+            self._context.send(source, RelayKind.DECLINED, frame, frame.body)
+            return
         service = self._context.resolve_service(frame, header.key)
         if not self.has_room(header.key):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
@@ -176,6 +181,20 @@
         else:
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
+    def _declines(self, frame: RelayFrame) -> bool:
+        """Return whether an offered opening goes back to its owner, since all slots are taken.
+
+        At most one opening does until an opening finds a free slot again. If the server stays full,
+        so do the others in general, and an owner finds no better place.
+        """
+        if self.held.count_expected_requests(self._context.now) < self.held.slots:
+            self._has_declined = False
+            return False
+        if frame.kind is not RelayKind.OFFER or self._has_declined:
+            return False
+        self._has_declined = self.gate.accepts(self._context.now)
+        return self._has_declined
+
     def queue_opening(
         self, frame: RelayFrame, key: bytes, owner: Address, wait_limit_s: float
     ) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -8,6 +8,8 @@
 
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.aged_load import AgedLoadChoice
+from wagtailkeel_coordination.handshake.crossing_cost import CrossingCost
 from wagtailkeel_coordination.handshake.load_sample import LoadSampler
 from wagtailkeel_coordination.handshake.load_sample import SampleSize
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
@@ -43,7 +45,11 @@
 """A load this recent is not requested again: the openings placed since are counted."""
 PLACEMENT_LOAD_AGE_S = 0.25
 """The age up to which a load counts in a placement that waited for other answers."""
+CURRENT_LOAD_S = 0.01
+"""A load that was requested for an opening is at most this old when the opening is placed."""
 LOAD_TIMEOUT_S = 0.03
+MAX_OFFERED_OPENINGS = 256
+"""An offered opening is declined within milliseconds or not at all."""
 UNRESPONSIVE_S = 1.0
 """An agent that did not answer is left out of samples for this long."""
 
@@ -53,7 +59,7 @@
 
     ``sampled`` are the agents whose load was requested or known, ``pending`` those of them that
     have not answered. ``former_target`` is the agent that got an earlier transmission, until its
-    load is known.
+    load is known. ``is_declined`` is set once an agent has declined the opening.
     """
 
     frame: RelayFrame
@@ -65,6 +71,7 @@
     sampled: list[Address] = msgspec.field(default_factory=list)
     pending: set[Address] = msgspec.field(default_factory=set)
     requested_at: float = 0.0
+    is_declined: bool = False
 
 
 class OpeningPlacer:
@@ -90,6 +97,11 @@
         self._random = random
         self._choose = choose
         self._options = options
+        self._aged: AgedLoadChoice | None = None
+        if options.placement == "aged_loads":
+            self._aged = AgedLoadChoice(CrossingCost(data_centre), lambda: context.now)
+            self._choose = self._aged
+        self._offered_by_key: dict[bytes, _Opening] = {}
         self._sampler = LoadSampler(data_centre, sample_size, random)
         self._data_centres_by_member: dict[Address, str] = {}
         self._pending_by_key: dict[bytes, _Opening] = {}
@@ -99,6 +111,8 @@
     def set_members(self, members: Mapping[Address, Member]) -> None:
         """Set the agents that may get openings."""
         self.loads.retain(members)
+        if self._aged is not None:
+            self._aged.rates.retain(members)
         self._sampler.set_members(members)
         self._data_centres_by_member = {a: m.data_centre for a, m in members.items()}
         for by_address in (self._requested_at_by_address, self._unanswered_at_by_address):
@@ -141,7 +155,11 @@
         if data_centre is None:
             return
         self.loads.on_load(address, data_centre, load, self._context.now)
-        self._requested_at_by_address.pop(address, None)
+        requested_at = self._requested_at_by_address.pop(address, None)
+        if self._aged is not None:
+            self._aged.rates.record(address, load.opened_flows, self._context.now)
+            if requested_at is not None:
+                self._aged.crossing.record(data_centre, self._context.now - requested_at)
         self._unanswered_at_by_address.pop(address, None)
         for opening in list(self._pending_by_key.values()):
             if address not in opening.pending:
@@ -245,6 +263,7 @@
             if peer is None:
                 return False
             self._emit_placement(peer, opening.key, len(candidates))
+            self._count_age(peer)
             self._point_to(peer.address, opening)
             if self._offer(opening, peer.address):
                 return True
@@ -270,14 +289,29 @@
         """
         frame, key = opening.frame, opening.key
         if address != self._context.own_address:
+            kind = self._choose_kind(opening, address)
             self.loads.count_opening(address)
-            self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
+            self._context.relay(address, kind, frame, opening.tag, frame.body)
             return True
         if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
             return False
         self._holder.open(frame.body, key, address)
         return True
 
+    def _choose_kind(self, opening: _Opening, address: Address) -> RelayKind:
+        """Return whether an opening is placed, or offered to an agent that may decline it once.
+
+        An agent that does not report ``opened_flows`` may be of a release that takes no offers.
+        """
+        peer = self.loads.by_address.get(address)
+        is_known = peer is not None and peer.load.opened_flows > 0
+        if self._aged is None or opening.is_declined or opening.tried or not is_known:
+            return RelayKind.PLACE
+        self._offered_by_key[opening.key] = opening
+        if len(self._offered_by_key) > MAX_OFFERED_OPENINGS:
+            del self._offered_by_key[next(iter(self._offered_by_key))]
+        return RelayKind.OFFER
+
     def _on_unplaced(self, opening: _Opening) -> None:
         """Queue or refuse an opening that no server accepts, unless a server may still take it."""
         now = self._context.now
@@ -342,11 +376,26 @@
                 peer.address[0],
                 self._context.routing.version,
                 candidate_count,
-                round(expected_wait_ms(peer, self._data_centre), 1),
+                round(self._expected_wait_ms(peer), 1),
                 round((self._context.now - peer.received_at) * 1_000, 1),
             )
         )
 
+    def _expected_wait_ms(self, peer: PeerLoad) -> float:
+        if self._aged is not None:
+            return self._aged.expected_wait_ms(peer, self._data_centre)
+        return expected_wait_ms(peer, self._data_centre)
+
+    def _count_age(self, peer: PeerLoad) -> None:
+        """Count the age of a load by which an opening is placed."""
+        age_s = self._context.now - peer.received_at
+        if age_s <= CURRENT_LOAD_S:
+            self._context.counters["placed_by_current_load"] += 1
+        elif age_s <= FRESH_LOAD_S:
+            self._context.counters["placed_by_recent_load"] += 1
+        else:
+            self._context.counters["placed_by_old_load"] += 1
+
     def _refuse(self, opening: _Opening) -> None:
         """Refuse an opening that no server has seen, so that the caller learns it at once."""
         self._context.counters["openings_refused"] += 1
@@ -373,8 +422,25 @@
         tried.add(source)
         if frame.kind is RelayKind.REJECTED:
             self.loads.record_rejection(source)
-        if header.key not in self._holder.held.by_key:
-            self.place(frame, header, tried)
+        if header.key in self._holder.held.by_key:
+            return
+        offered = self._offered_by_key.pop(header.key, None)
+        if frame.kind is RelayKind.DECLINED:
+            tried.discard(source)
+            self.loads.record_full(source, self._context.now)
+            if offered is not None and header.key not in self._pending_by_key:
+                self._place_declined(offered, frame)
+                return
+        self.place(frame, header, tried)
+
+    def _place_declined(self, opening: _Opening, frame: RelayFrame) -> None:
+        """Place an opening for good by the loads that are known; no more are requested for it.
+
+        The server that declined it may still get it, if all others are expected to be slower.
+        """
+        opening.frame = frame
+        opening.is_declined = True
+        self._advance(opening)
 
 
 def _is_overdue(requested_at: float, now: float) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -69,6 +69,15 @@
         if peer is not None:
             peer.has_rejected = True
 
+    def record_full(self, address: Address, now: float) -> None:
+        """Record that all slots of an agent's server are taken now."""
+        peer = self.by_address.get(address)
+        if peer is not None:
+            in_flight = max(peer.load.in_flight, peer.load.slots)
+            peer.load = msgspec.structs.replace(peer.load, in_flight=in_flight)
+            peer.openings_since_report = 0
+            peer.received_at = now
+
     def remove(self, address: Address) -> None:
         """Remove an agent whose load is unknown, since it did not answer a request."""
         self.by_address.pop(address, None)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/relay.py
@@ -51,6 +51,10 @@
     """Agent to owner: returns an opening because requests wait too long at the agent's server."""
     QUEUE = KIND_BASE + 9
     """Owner to agent: accept this opening, now or within its wait limit, or return it."""
+    OFFER = KIND_BASE + 10
+    """Owner to agent: accept this opening, or decline it if no slot of the server is free."""
+    DECLINED = KIND_BASE + 11
+    """Agent to owner: returns an offered opening; the agent still accepts it if it is placed."""
 
 
 class RelayFrame(msgspec.Struct):
--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -103,6 +103,19 @@
                 self.assertLessEqual(unserved_in_time, 1.1 * (with_all.late + with_all.failed))
                 self.assertLess(sampled.load_messages_per_opening, MAX_LOAD_MESSAGES_PER_OPENING)
 
+    def test_aged_loads_leave_fewer_servers_idle_while_others_queue(self) -> None:
+        """Owners must not gather at the servers that an old report shows idle."""
+        for name in ("long-requests", "short-requests"):
+            with self.subTest(name):
+                load = msgspec.structs.replace(LOADS_BY_NAME[name], duration_s=3.0)
+                by_report = simulate(load, POLICIES_BY_NAME["sampled"], SEED)
+                by_age = simulate(load, POLICIES_BY_NAME["aged-loads"], SEED)
+                self.assertGreater(by_report.idle_while_queued_s, 1.0)
+                self.assertLess(by_age.idle_while_queued_s, by_report.idle_while_queued_s / 4)
+                self.assertLessEqual(
+                    by_age.load_messages_per_opening, 1.01 * by_report.load_messages_per_opening
+                )
+
     def test_callers_repeat_only_what_no_server_has_run(self) -> None:
         """A payment that a server has reset may have run."""
         for name in ("resetting-servers", "power-return"):
