--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -63,5 +63,11 @@
         sample_size=SampleSize(),
         options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, outlier_detection=True),
     ),
+    "aged-loads": Policy(
+        choose_server,
+        has_queue_limit=True,
+        sample_size=SampleSize(),
+        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, placement="aged_loads"),
+    ),
 }
 """``sampled`` is the policy of wagtailkeel without optional decisions."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
+from wagtailkeel_coordination.handshake.route_times import RouteTimes
 from wagtailkeel_coordination.handshake.server_watch import ServerWatch
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
@@ -80,7 +81,11 @@
     ) -> None:
         self.gate = gate
         self.queue = OpeningQueue(options.max_opening_wait_s)
-        self.held = HeldFlows(record_response)
+        self._uses_aged_loads = options.placement == "aged_loads"
+        route_times = RouteTimes(context.packet_format.endpoint_of)
+        self.held = HeldFlows(record_response, route_times if self._uses_aged_loads else None)
+        self._opened_flows = 0
+        self._has_declined = False
         self.probes = FlowProbes()
         self.watch = ServerWatch(context, gate) if options.outlier_detection else None
         self._context = context
@@ -116,11 +121,12 @@
         """Return the load of the backend server to report to peers."""
         accepts = self.gate.accepts(now) and not self.queue
         room_in_s = 0.0 if accepts else self._find_room_in_s(now)
+        in_flight, held_flows = self._count_work(now)
         return ServerLoad(
             self._context.own_tag,
             accepts,
-            self.held.in_flight,
-            len(self.held.by_key),
+            in_flight,
+            held_flows,
             self.held.slots,
             self.held.service_s * 1_000,
             self.gate.is_cold(now),
@@ -128,8 +134,21 @@
             self.gate.is_awaiting_first_report(now),
             room_in_s * 1_000,
             is_outlier=self.watch is not None and self.watch.is_outlier,
+            opened_flows=self._opened_flows,
         )
 
+    def _count_work(self, now: float) -> tuple[int, int]:
+        """Return the requests in flight and the held flows to report.
+
+        With the rule for aged loads, the first requests of new flows count as in flight, and only
+        the other flows that are open as held. Where each request opens a flow, closed flows that
+        still linger would outweigh the requests.
+        """
+        if not self._uses_aged_loads:
+            return self.held.in_flight, len(self.held.by_key)
+        in_flight = self.held.count_expected_requests(now)
+        return in_flight, max(0, self.held.open_count - in_flight)
+
     def _find_room_in_s(self, now: float) -> float:
         """Return the time until an opening queued now is delivered; 0 if none may be queued."""
         is_room_expected = self.gate.accepts(now) or self.gate.is_limited_by_cold_start(now)
@@ -169,6 +188,10 @@
             frame, header.key, source, frame.wait_limit_s
         ):
             return
+        if self._declines(frame):
+            self._context.counters["openings_declined"] += 1
+            self._context.send(source, RelayKind.DECLINED, frame, frame.body)
+            return
         service = self._context.resolve_service(frame, header.key)
         if not self.has_room(header.key):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
@@ -177,6 +200,20 @@
         else:
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
+    def _declines(self, frame: RelayFrame) -> bool:
+        """Return whether an offered opening goes back to its owner, since all slots are taken.
+
+        At most one opening does until an opening finds a free slot again. If the server stays full,
+        so do the others in general, and an owner finds no better place.
+        """
+        if self.held.count_expected_requests(self._context.now) < self.held.slots:
+            self._has_declined = False
+            return False
+        if frame.kind is not RelayKind.OFFER or self._has_declined:
+            return False
+        self._has_declined = self.gate.accepts(self._context.now)
+        return self._has_declined
+
     def queue_opening(
         self, frame: RelayFrame, key: bytes, owner: Address, wait_limit_s: float
     ) -> bool:
@@ -286,6 +323,7 @@
     def open(self, packet: bytes, key: bytes, owner: Address) -> None:
         """Deliver an opening that was admitted."""
         self._context.counters["flows_opened"] += 1
+        self._opened_flows += 1
         self.held.expect_request(self.held.open(key, owner, self._context.now), self._context.now)
         if self.watch is not None:
             self.watch.on_opened(key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/placement_preview.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/placement_preview.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination.handshake.server_choice import choose_shortest_queue
-from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
 from wagtailkeel_protocol.where_messages import KnownServer
 from wagtailkeel_protocol.where_messages import Outcome
 from wagtailkeel_protocol.where_messages import PlacementPreview
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from random import Random
 
@@ -36,6 +36,7 @@
     members: Collection[Address],
     data_centre: str,
     choose: ServerChoice,
+    expected_wait_ms: Callable[[PeerLoad], float],
     random: Random,
     max_wait_s: float,
     max_age_s: float,
@@ -43,13 +44,15 @@
 ) -> PlacementPreview:
     """Return what an owner would do with an opening for a service with the given members.
 
-    An opening may wait for ``max_wait_s`` seconds; loads older than ``max_age_s`` are not used.
+    ``choose`` decides by ``expected_wait_ms``. An opening may wait for ``max_wait_s`` seconds.
+    Loads older than ``max_age_s`` are not used.
     """
     candidates = loads.find_candidates(members, now, max_age_s)
     queues = loads.find_queues(members, now, max_age_s)
     order = _rank(candidates, data_centre, choose, random)
     servers = [
-        _describe(peer, data_centre, max_age_s, now) for peer in _sort_known(loads, members, order)
+        _describe(peer, expected_wait_ms(peer), max_age_s, now)
+        for peer in _sort_known(loads, members, order)
     ]
     if order:
         return _build(Outcome.PLACED, order[0].address, "", members, servers)
@@ -81,14 +84,14 @@
     return order + [peer for peer in others if peer.address not in ranked]
 
 
-def _describe(peer: PeerLoad, data_centre: str, max_age_s: float, now: float) -> KnownServer:
+def _describe(peer: PeerLoad, expected_ms: float, max_age_s: float, now: float) -> KnownServer:
     load = peer.load
     return KnownServer(
         peer.address[0],
         peer.data_centre,
         _find_state(peer, max_age_s, now),
         round((now - peer.received_at) * 1_000, 1),
-        round(expected_wait_ms(peer, data_centre), 1),
+        round(expected_ms, 1),
         round(load.room_in_ms, 1),
         load.in_flight,
         load.is_cold,
