Queue openings for busy servers with queue_when_busy

A service that gets more openings than its servers can handle refused them at once, and the callers used up their retries within 0.3 s. An unknown service time counted as 0, so cold servers queued openings that expired.

With queue_when_busy an agent keeps its server's own queue short and orders what waits: priority with a reserved share, in time before late, data centres in turn, oldest first. The wait is estimated in that order by measured capacity and the measured rate of openings in time; an unknown service time counts as the route's target. Openings without hope, and all of them when the agent stops, are returned to their owners. Without the option nothing changes.

An owner offers an opening to at most two servers that report room and then to at most two queues.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -99,7 +99,7 @@
 
 
 class OpeningQueued(Event, tag="opening_queued"):
-    """An opening waits at an agent until its cold server has room.
+    """An opening waits at an agent until its cold or busy server has room.
 
     ``queued`` is the number of openings that wait there, ``expected_ms`` the expected wait.
     """
@@ -125,6 +125,18 @@
     routing_version: int
 
 
+class OpeningReturned(Event, tag="opening_returned"):
+    """An agent returned a queued opening to its directory owner; no server has run it.
+
+    ``queued`` openings wait there still.
+    """
+
+    flow: str
+    reason: str
+    queued: int
+    routing_version: int
+
+
 class RouteMissing(Event, tag="route_missing"):
     """A balancer has no route for an opening and refuses it if ``is_refused``, else drops it."""
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -125,6 +125,7 @@
     ) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
         self.owner.set_peers(members, former_members)
+        self.holder.data_centres_by_agent = {a: m.data_centre for a, m in members.items()}
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Process a status report of the backend server; return whether it was accepted."""
@@ -169,6 +170,11 @@
         self._context.now = now
         self.owner.locator.on_search_reply(reply)
 
+    def return_queue(self, now: float) -> None:
+        """Return all queued openings to their owners, before this agent stops."""
+        self._context.now = now
+        self.holder.return_queue()
+
     def send_copies(self, now: float) -> None:
         """Send copies of this agent's directory entries to their next owners, before it stops."""
         self._context.now = now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -15,6 +15,8 @@
 from wagtailkeel_coordination.handshake.opening_queue import OpeningQueue
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
+from wagtailkeel_coordination.handshake.queue_admission import QueueAdmission
+from wagtailkeel_coordination.handshake.queue_admission import short_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
     from wagtailkeel_coordination.handshake.router_context import RouterContext
@@ -41,6 +44,9 @@
 SERVER_BUSY = "server_busy"
 MIN_QUEUE_WAIT_S = 0.01
 """Reported while openings wait; 0 would mean that none may."""
+UNSERVABLE = "unservable"
+NOT_ADMITTED = "not_admitted"
+STOPPING = "stopping"
 
 
 class LocalOwner(Protocol):
@@ -73,6 +79,10 @@
         self.queue = OpeningQueue(options.max_opening_wait_s)
         self.held = HeldFlows(record_response)
         self.probes = FlowProbes()
+        self.admission: QueueAdmission | None = None
+        if options.queue_when_busy and options.max_opening_wait_s:
+            self.admission = QueueAdmission(self.queue, gate, self.held, context.now)
+        self.data_centres_by_agent: Mapping[Address, str] = {}
         self._context = context
         self._options = options
         self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
@@ -94,6 +104,8 @@
             self._context.counters["server_incarnations"] += 1
             self.held.clear()
             self.held.service_s = 0.0
+            if self.admission is not None:
+                self.admission.on_server_restart(now)
         if known is None and report.sequence <= 1:
             # The server has just started too, so it has no flows that this agent does not know.
             self._incomplete_until = now
@@ -101,12 +113,11 @@
 
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
-        accepts = self.gate.accepts(now) and not self.queue
-        room_in_s = 0.0 if accepts else self._find_room_in_s(now)
+        accepts, room_in_s, queued = self._find_room(now)
         return ServerLoad(
             self._context.own_tag,
             accepts,
-            self.held.in_flight,
+            self.held.in_flight + queued,
             len(self.held.by_key),
             self.held.slots,
             self.held.service_s * 1_000,
@@ -116,6 +127,18 @@
             room_in_s * 1_000,
         )
 
+    def _find_room(self, now: float) -> tuple[bool, float, int]:
+        """Return whether openings are accepted, how long they wait else, and how many count."""
+        accepts = self.gate.accepts(now)
+        if self.admission is None:
+            accepts = accepts and not self.queue
+            return accepts, 0.0 if accepts else self._find_room_in_s(now), 0
+        if not accepts and not self.gate.is_limited_by_cold_start(now):
+            return False, 0.0, len(self.queue)
+        has_room, wait_s = self.admission.forecast(now)
+        room_in_s = 0.0 if wait_s is None else max(wait_s, MIN_QUEUE_WAIT_S)
+        return accepts and has_room, room_in_s, len(self.queue)
+
     def _find_room_in_s(self, now: float) -> float:
         """Return the time until an opening queued now is delivered; 0 if none may be queued."""
         is_room_expected = self.gate.accepts(now) or self.gate.is_limited_by_cold_start(now)
@@ -139,6 +162,8 @@
         if frame.kind is RelayKind.SEARCH:
             self._context.send(source, RelayKind.FOUND, frame, header.key)
         self.held.on_inbound(flow, header, self._context.now)
+        if self.admission is not None:
+            self.admission.observe(self._context.now)
         self._context.outbox.deliver(frame.body)
 
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
@@ -146,6 +171,12 @@
         if header.key in self.queue:
             self._context.counters["dropped_copy_of_queued_opening"] += 1
             return
+        if self.admission is not None:
+            service = self._context.resolve_service(frame, header.key)
+            answer = self.accept(frame, header.key, service, source, frame.wait_limit_s)
+            if answer is not None:
+                self._context.send(source, answer, frame, frame.body)
+            return
         if frame.kind is RelayKind.QUEUE and self.queue_opening(
             frame, header.key, source, frame.wait_limit_s
         ):
@@ -158,6 +189,74 @@
         else:
             self._context.send(source, RelayKind.REJECTED, frame, frame.body)
 
+    def accept(
+        self,
+        frame: RelayFrame,
+        key: bytes,
+        service: str | None,
+        owner: Address,
+        wait_limit_s: float = 0.0,
+    ) -> RelayKind | None:
+        """Deliver or queue an opening; return how it is to be returned if it is not accepted.
+
+        Without a wait limit, the owner would rather place it at a server that has room sooner.
+        """
+        assert self.admission is not None, "the caller checks the option"
+        now = self._context.now
+        may_wait_for_cold = wait_limit_s > 0 and self.gate.is_limited_by_cold_start(now)
+        if service != self.gate.service or not (self.gate.accepts(now) or may_wait_for_cold):
+            if service is not None:
+                self.admit(service, key)
+            return RelayKind.REJECTED
+        opening = self._describe(frame, key, owner, wait_limit_s)
+        if not self.queue and not may_wait_for_cold and self.admission.has_room(now):
+            self.admission.record_demand(opening, now)
+            self.admit(service, key)
+            self.open(frame.body, key, owner)
+            return None
+        limit_s = wait_limit_s or short_wait_s(opening, self.queue.max_wait_s)
+        wait_s = self.admission.find_wait_s(opening, limit_s, now)
+        if wait_s is None:
+            self._count_rejection(key, SERVER_BUSY)
+            return RelayKind.REJECTED if wait_limit_s else RelayKind.BUSY
+        self._add_to_queue(opening, wait_s)
+        self.admission.record_demand(opening, now)
+        return None
+
+    def _describe(
+        self, frame: RelayFrame, key: bytes, owner: Address, wait_limit_s: float
+    ) -> QueuedOpening:
+        assert self.admission is not None, "the caller checks the option"
+        endpoint = self._context.packet_format.endpoint_of(key)
+        routing = self._context.routing
+        opening = QueuedOpening(
+            frame,
+            key,
+            owner,
+            routing.priority(endpoint),
+            0.0,
+            0.0,
+            routing.target_s(endpoint),
+            routing.timeout_s(endpoint),
+            self.data_centres_by_agent.get(owner, ""),
+        )
+        # An owner deducts from the limit what the opening has waited since its first transmission.
+        waited_s = max(0.0, self.queue.max_wait_s - wait_limit_s) if wait_limit_s else 0.0
+        self.admission.set_times(opening, waited_s, self._context.now)
+        return opening
+
+    def _add_to_queue(self, opening: QueuedOpening, expected_s: float) -> None:
+        self.queue.add(opening)
+        self._context.counters["openings_queued"] += 1
+        self._context.emit(
+            events.OpeningQueued(
+                flow_id(opening.key),
+                len(self.queue),
+                round(expected_s * 1_000, 1),
+                self._context.routing.version,
+            )
+        )
+
     def queue_opening(
         self, frame: RelayFrame, key: bytes, owner: Address, wait_limit_s: float
     ) -> bool:
@@ -169,22 +268,45 @@
         endpoint = self._context.packet_format.endpoint_of(key)
         routing = self._context.routing
         late_from = now + routing.target_s(endpoint) - self.held.service_s
-        self.queue.add(
-            QueuedOpening(
-                frame, key, owner, routing.priority(endpoint), late_from, now + wait_limit_s
-            )
-        )
-        self._context.counters["openings_queued"] += 1
-        self._context.emit(
-            events.OpeningQueued(
-                flow_id(key), len(self.queue), round(room_in_s * 1_000, 1), routing.version
-            )
+        opening = QueuedOpening(
+            frame, key, owner, routing.priority(endpoint), late_from, now + wait_limit_s
         )
+        self._add_to_queue(opening, room_in_s)
         return True
 
+    def _return_unservable(self, admission: QueueAdmission) -> None:
+        """Return the queued openings that will not be delivered before they expire."""
+        for opening in admission.find_unservable(self._context.now):
+            self.queue.remove(opening)
+            self._return_opening(opening, UNSERVABLE)
+
+    def _release_in_order(self, admission: QueueAdmission) -> None:
+        """Deliver the queued openings for which the server has room now, in the serving order."""
+        now = self._context.now
+        while not self.gate.is_limited_by_cold_start(now):
+            opening = admission.order.find_next(self.queue.openings, now)
+            if opening is None or (self.gate.accepts(now) and not admission.has_room(now)):
+                return
+            self.queue.remove(opening)
+            admission.order.record_delivery(opening, self.queue.openings)
+            self._release(opening)
+
+    def return_queue(self) -> None:
+        """Return all queued openings to their owners, since this agent is about to stop."""
+        if self.admission is None:
+            return
+        for opening in list(self.queue.openings):
+            self.queue.remove(opening)
+            self._return_opening(opening, STOPPING)
+
     def _release_queue(self) -> None:
         """Deliver the queued openings for which the server has room now."""
         now = self._context.now
+        if self.admission is not None:
+            self.admission.observe(now)
+            self._return_unservable(self.admission)
+            self._release_in_order(self.admission)
+            return
         for expired in self.queue.pop_expired(now):
             self._context.counters["openings_expired"] += 1
             version = self._context.routing.version
@@ -206,7 +328,21 @@
             self.open(frame.body, key, opening.owner)
             version = self._context.routing.version
             self._context.emit(events.OpeningReleased(flow_id(key), len(self.queue), version))
-            return
+        elif self.admission is not None:
+            self._return_opening(opening, NOT_ADMITTED)
+        else:
+            self._send_back(opening)
+
+    def _return_opening(self, opening: QueuedOpening, reason: str) -> None:
+        """Return an opening that was queued to its owner, which places it elsewhere."""
+        self._context.counters[f"openings_returned_{reason}"] += 1
+        version = self._context.routing.version
+        event = events.OpeningReturned(flow_id(opening.key), reason, len(self.queue), version)
+        self._context.emit(event)
+        self._send_back(opening)
+
+    def _send_back(self, opening: QueuedOpening) -> None:
+        frame = opening.frame
         rejection = RelayFrame(
             RelayKind.REJECTED, frame.hops, frame.routing_version, frame.service_tag, frame.body
         )
@@ -309,8 +445,12 @@
             return
         if flow is None:
             flow = self._adopt(header.key)
+        in_flight = self.held.in_flight
         self.held.on_outbound(flow, header, self._context.now)
         self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
+        if self.admission is not None and self.held.in_flight < in_flight:
+            self.admission.observe(self._context.now, answers=in_flight - self.held.in_flight)
+            self._release_in_order(self.admission)
 
     def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
         """Forward a reset to its caller, unless it answers a probe.
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -39,6 +39,10 @@
 Address = tuple[str, int]
 
 MAX_PLACEMENT_ATTEMPTS = 4
+MAX_ATTEMPTS_BEFORE_QUEUE = 2
+"""With ``queue_when_busy``, an opening that this many servers did not take at once is queued."""
+MAX_QUEUE_ATTEMPTS = 2
+"""With ``queue_when_busy``, so many agents may reject an opening that was to be queued there."""
 FRESH_LOAD_S = 0.1
 """A load this recent is not requested again: the openings placed since are counted."""
 PLACEMENT_LOAD_AGE_S = 0.25
@@ -52,8 +56,9 @@
     """An opening that is being placed; ``tag`` identifies ``service`` in frames.
 
     ``sampled`` are the agents whose load was requested or known, ``pending`` those of them that
-    have not answered. ``former_target`` is the agent that got an earlier transmission, until its
-    load is known.
+    have not answered. ``tried`` are the agents that have rejected it, ``queue_tried`` those of them
+    that do not queue it either. ``former_target`` is the agent that got an earlier transmission,
+    until its load is known.
     """
 
     frame: RelayFrame
@@ -61,6 +66,7 @@
     service: str
     tag: int
     tried: set[Address]
+    queue_tried: set[Address]
     former_target: Address | None = None
     sampled: list[Address] = msgspec.field(default_factory=list)
     pending: set[Address] = msgspec.field(default_factory=set)
@@ -90,6 +96,9 @@
         self._random = random
         self._choose = choose
         self._options = options
+        self._max_attempts_without_queue = MAX_PLACEMENT_ATTEMPTS
+        if options.queue_when_busy:
+            self._max_attempts_without_queue = MAX_ATTEMPTS_BEFORE_QUEUE
         self._sampler = LoadSampler(data_centre, sample_size, random)
         self._data_centres_by_member: dict[Address, str] = {}
         self._pending_by_key: dict[bytes, _Opening] = {}
@@ -113,7 +122,7 @@
 
     def place_again(self, frame: RelayFrame, header: PacketHeader, pointer: FlowPointer) -> None:
         """Send a later transmission to the agent that got an earlier one, if it still answers."""
-        self._start(frame, header, pointer.tried, pointer.target)
+        self._start(frame, header, pointer.tried, pointer.target, pointer.queue_tried)
 
     def _start(
         self,
@@ -121,6 +130,7 @@
         header: PacketHeader,
         tried: set[Address],
         former_target: Address | None,
+        queue_tried: set[Address] | None = None,
     ) -> None:
         key = header.key
         if key in self._pending_by_key:
@@ -131,7 +141,9 @@
             self._context.counters["dropped_route_changed"] += 1
             return
         tag = relay.service_tag(service)
-        opening = _Opening(frame, key, service, tag, tried, former_target)
+        if queue_tried is None or not self._options.queue_when_busy:
+            queue_tried = tried
+        opening = _Opening(frame, key, service, tag, tried, queue_tried, former_target)
         if former_target is None or not self._request_loads(opening, [former_target]):
             self._advance(opening)
 
@@ -180,7 +192,7 @@
         if opening.former_target is not None and self._return_to_former_target(opening):
             return
         while not self._try_candidates(opening):
-            may_try_more = len(opening.tried) < MAX_PLACEMENT_ATTEMPTS
+            may_try_more = self._may_try_more(opening)
             sample = self._draw_sample(opening) if may_try_more else []
             if may_try_more and not sample and opening.pending:
                 self._pending_by_key[opening.key] = opening
@@ -191,6 +203,15 @@
             if self._request_loads(opening, sample):
                 return
 
+    def _may_try_more(self, opening: _Opening) -> bool:
+        """Return whether the loads of more agents may be requested for an opening.
+
+        To queue it, loads of agents that have not rejected it must be known.
+        """
+        if self._options.queue_when_busy and opening.tried.issuperset(opening.sampled):
+            return len(opening.queue_tried) < MAX_QUEUE_ATTEMPTS
+        return len(opening.tried) < self._max_attempts_without_queue
+
     def _return_to_former_target(self, opening: _Opening) -> bool:
         """Send an opening to the agent that got an earlier transmission; return False if it died.
 
@@ -240,7 +261,7 @@
     def _try_candidates(self, opening: _Opening) -> bool:
         """Offer an opening to the best sampled servers; return whether one of them got it."""
         candidates = self._find_candidates(opening)
-        while len(opening.tried) < MAX_PLACEMENT_ATTEMPTS:
+        while len(opening.tried) < self._max_attempts_without_queue:
             peer = self._choose(candidates, self._data_centre, opening.tried, self._random)
             if peer is None:
                 return False
@@ -262,6 +283,7 @@
     def _point_to(self, address: Address, opening: _Opening) -> None:
         pointer = self._pointers.set_target(opening.key, address, self._context.now)
         pointer.tried = opening.tried
+        pointer.queue_tried = opening.queue_tried
 
     def _offer(self, opening: _Opening, address: Address) -> bool:
         """Send an opening to an agent, or open its flow here.
@@ -273,6 +295,8 @@
             self.loads.count_opening(address)
             self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
             return True
+        if self._holder.admission is not None:
+            return self._holder.accept(frame, key, opening.service, address) is None
         if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
             return False
         self._holder.open(frame.body, key, address)
@@ -301,20 +325,27 @@
         now = self._context.now
         waited_s = now - self.opening_copies.first_received_at(opening.key, now)
         wait_limit_s = self._holder.queue.max_wait_s - waited_s
-        if wait_limit_s <= 0:
+        is_tried_enough = len(opening.queue_tried) >= MAX_QUEUE_ATTEMPTS
+        if wait_limit_s <= 0 or (self._options.queue_when_busy and is_tried_enough):
             return False
         queues = self.loads.find_queues(opening.sampled, now, PLACEMENT_LOAD_AGE_S)
         while True:
-            peer = choose_shortest_queue(queues, wait_limit_s * 1_000, opening.tried, self._random)
+            peer = choose_shortest_queue(
+                queues, wait_limit_s * 1_000, opening.queue_tried, self._random
+            )
             if peer is None:
                 return False
             self._point_to(peer.address, opening)
             if self._offer_queue(opening, peer.address, wait_limit_s):
                 return True
             opening.tried.add(peer.address)
+            opening.queue_tried.add(peer.address)
 
     def _offer_queue(self, opening: _Opening, address: Address, wait_limit_s: float) -> bool:
         frame = opening.frame
+        if address == self._context.own_address and self._holder.admission is not None:
+            answer = self._holder.accept(frame, opening.key, opening.service, address, wait_limit_s)
+            return answer is None
         if address == self._context.own_address:
             return self._holder.queue_opening(frame, opening.key, address, wait_limit_s)
         self.loads.count_opening(address)
@@ -370,11 +401,17 @@
             self._context.counters["dropped_late_rejection"] += 1
             return
         tried = pointer.tried if pointer is not None else set()
+        queue_tried = (pointer.queue_tried if pointer is not None else None) or set()
         tried.add(source)
         if frame.kind is RelayKind.REJECTED:
+            queue_tried.add(source)
+        if frame.kind is RelayKind.REJECTED or self._options.queue_when_busy:
             self.loads.record_rejection(source)
+        if self._options.queue_when_busy:
+            # The agents tried bound the transmissions, and each of them takes two hops.
+            frame.hops = 0
         if header.key not in self._holder.held.by_key:
-            self.place(frame, header, tried)
+            self._start(frame, header, tried, None, queue_tried)
 
 
 def _is_overdue(requested_at: float, now: float) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_queue.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_queue.py
@@ -17,6 +17,8 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from collections.abc import ValuesView
+
     from wagtailkeel_protocol.relay import RelayFrame
 
 Address = tuple[str, int]
@@ -26,7 +28,9 @@
     """An opening that waits; ``owner`` is the agent that placed it here, ``priority`` its route's.
 
     Delivered by ``late_from``, its first request can be answered within the route's target. From
-    ``expires_at`` on, its caller no longer waits for an answer. Times are in seconds.
+    ``expires_at`` on, its caller no longer waits for an answer. ``target_s`` and ``timeout_s`` are
+    its route's, 0 if it has none. ``data_centre`` is that of the owner and of the caller, empty if
+    it is not known. Times are in seconds.
     """
 
     frame: RelayFrame
@@ -35,6 +39,13 @@
     priority: int
     late_from: float
     expires_at: float
+    target_s: float = 0.0
+    timeout_s: float = 0.0
+    data_centre: str = ""
+
+    def is_late(self, now: float) -> bool:
+        """Return whether its first request can't be answered within the route's target any more."""
+        return self.late_from < now
 
 
 class OpeningQueue:
@@ -54,6 +65,11 @@
     def __contains__(self, key: bytes) -> bool:
         return key in self._by_key
 
+    @property
+    def openings(self) -> ValuesView[QueuedOpening]:
+        """The queued openings in order of arrival."""
+        return self._by_key.values()
+
     def add(self, opening: QueuedOpening) -> None:
         """Add an opening."""
         self._by_key[opening.key] = opening
@@ -69,7 +85,7 @@
         before late ones, else the oldest first.
         """
         openings = self._by_key.values()
-        return min(openings, key=lambda o: (o.priority, o.late_from < now), default=None)
+        return min(openings, key=lambda o: (o.priority, o.is_late(now)), default=None)
 
     def pop_expired(self, now: float) -> list[QueuedOpening]:
         """Remove and return the openings whose callers no longer wait."""
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -196,6 +196,7 @@
         If its server has left, the agent leaves the cluster first.
         """
         self.router.gate.is_leaving = True
+        self.router.return_queue(clock.seconds())
         report = self.router.gate.report
         if report is not None and report.has_left:
             with anyio.move_on_after(LEAVE_TIMEOUT_S):
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -176,13 +176,18 @@
             self.report()
 
     def report(
-        self, *, is_draining: bool = False, has_left: bool = False, cold_for_s: float = 0.0
+        self,
+        *,
+        is_draining: bool = False,
+        has_left: bool = False,
+        cold_for_s: float = 0.0,
+        started_at_ms: int = 1,
     ) -> None:
         self.report_count += 1
         report = ServerReport(
             f"server-{self.address[0]}",
             self.service,
-            1,
+            started_at_ms,
             self.report_count,
             1,
             is_draining,
