Outlier detection: only a flow's first request is watched

After a cut link, callers repeat requests that are answered already; a healthy server ignores or resets the copies, which counted as failures. An owner that samples only outliers places openings on them.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/request_outcomes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/request_outcomes.py
@@ -1,12 +1,15 @@
 """Derives from the packets of an agent's server what becomes of its requests.
 
-A flow is watched from its opening to the first byte of an answer. Answers are missing only if the
-server has shown itself alive since: times are measured up to its last packet or report. So neither
-a cut link nor a stopped server makes requests count as unanswered.
+A flow is watched from its opening to the first byte of its first answer. Later data of the caller
+may be copies of an answered request, sent because a link was cut, which a healthy server ignores or
+resets. Answers are missing only if the server has shown itself alive since: times are measured up
+to its last packet or report. So neither a cut link nor a stopped server makes requests count as
+unanswered.
 """
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -29,79 +32,102 @@
 """The limit for a route of which the server has answered no request yet."""
 OPENING_SILENCE_S = 0.3
 """A server answers an opening without working on it."""
-LATE_ANSWER_LIMIT_S = 30.0
+RETENTION_S = 30.0
+"""Flows that wait for their caller, or for a late answer, are watched for this long."""
 USUAL_DECAY = 0.1
 
 
-class _Pending(msgspec.Struct):
-    """An opening or a request without an answer; ``is_counted`` once it was judged unanswered."""
+class _Stage(Enum):
+    """What the last packet of a watched flow was."""
+
+    OPENING = "opening"
+    OPEN = "open"
+    REQUEST = "request"
+
+
+class _WatchedFlow(msgspec.Struct):
+    """A flow without an answer; ``is_counted`` once its opening or request was judged unanswered.
+
+    ``since`` is when its stage began, in seconds.
+    """
 
     route: bytes
     since: float
-    is_opening: bool
+    stage: _Stage = _Stage.OPENING
     is_counted: bool = False
 
+    def enter(self, stage: _Stage, now: float) -> None:
+        """Begin the next stage."""
+        self.stage = stage
+        self.since = now
+        self.is_counted = False
+
 
 class RequestOutcomes:
-    """The unanswered openings and requests of a server, by flow key; times are in seconds."""
+    """The flows of a server without an answer, by flow key; times are in seconds."""
 
     def __init__(self) -> None:
-        self._pending_by_key: dict[bytes, _Pending] = {}
+        self._flows_by_key: dict[bytes, _WatchedFlow] = {}
         self._usual_s_by_route: dict[bytes, float] = {}
         self._last_answered_since = float("-inf")
 
-    def __contains__(self, key: bytes) -> bool:
-        return key in self._pending_by_key
+    def is_awaited(self, key: bytes) -> bool:
+        """Return whether the server has an opening or a request of a flow to answer."""
+        flow = self._flows_by_key.get(key)
+        return flow is not None and flow.stage is not _Stage.OPEN
 
     def add_opening(self, key: bytes, route: bytes, now: float) -> None:
         """Watch an opening that is being delivered."""
-        self._pending_by_key[key] = _Pending(route, now, is_opening=True)
+        self._flows_by_key[key] = _WatchedFlow(route, now)
 
-    def add_request(self, key: bytes, route: bytes, now: float) -> None:
-        """Watch a flow's request, from its first packet on."""
-        pending = self._pending_by_key.get(key)
-        if pending is None or pending.is_opening:
-            self._pending_by_key[key] = _Pending(route, now, is_opening=False)
+    def on_request(self, key: bytes, now: float) -> None:
+        """Watch a flow's first request, from its first packet on."""
+        flow = self._flows_by_key.get(key)
+        if flow is not None and flow.stage is not _Stage.REQUEST:
+            flow.enter(_Stage.REQUEST, now)
 
     def remove(self, key: bytes) -> None:
         """Stop to watch a flow that its caller has reset, or that the server has returned."""
-        self._pending_by_key.pop(key, None)
+        self._flows_by_key.pop(key, None)
 
-    def forget_pending(self) -> None:
+    def forget_flows(self) -> None:
         """Stop to watch all flows, since what happens to them says nothing about the server."""
-        self._pending_by_key.clear()
+        self._flows_by_key.clear()
 
     def on_outbound(self, header: PacketHeader, now: float) -> Outcome | None:
         """Return what a packet of the server means for its flow's request or opening."""
-        pending = self._pending_by_key.get(header.key)
-        if pending is None:
+        flow = self._flows_by_key.get(header.key)
+        if flow is None:
             return None
         if header.flags & packet_flags.RESET:
-            del self._pending_by_key[header.key]
-            is_failure = not pending.is_opening and not pending.is_counted
+            del self._flows_by_key[header.key]
+            is_failure = flow.stage is _Stage.REQUEST and not flow.is_counted
             return Outcome.RESET if is_failure else None
-        if not pending.is_opening and not header.payload_bytes:
-            if header.flags & packet_flags.FIN:
-                del self._pending_by_key[header.key]
-            return None
-        del self._pending_by_key[header.key]
-        if not pending.is_opening:
-            self._record_response(pending, now)
-        if pending.is_counted:
-            return Outcome.LATE_ANSWER
-        return None if pending.is_opening else Outcome.ANSWERED
-
-    def _record_response(self, pending: _Pending, now: float) -> None:
+        was_counted = flow.is_counted
+        if header.payload_bytes:
+            del self._flows_by_key[header.key]
+            if flow.stage is not _Stage.REQUEST:
+                return None
+            self._record_response(flow, now)
+            return Outcome.LATE_ANSWER if was_counted else Outcome.ANSWERED
+        if header.flags & packet_flags.FIN:
+            del self._flows_by_key[header.key]
+        elif flow.stage is _Stage.OPENING:
+            flow.enter(_Stage.OPEN, now)
+            return Outcome.LATE_ANSWER if was_counted else None
+        return None
+
+    def _record_response(self, flow: _WatchedFlow, now: float) -> None:
         """Update the usual response time: it rises to a slow one at once and declines slowly.
 
         This is the peak-sensitive moving average of Finagle's load balancer ("Peak EWMA"). It lets
         the limit follow a server that becomes slow.
         """
-        response_s = now - pending.since
-        usual_s = self._usual_s_by_route.get(pending.route, response_s)
+        response_s = now - flow.since
+        usual_s = self._usual_s_by_route.get(flow.route, response_s)
         declined_s = usual_s + USUAL_DECAY * (response_s - usual_s)
-        self._usual_s_by_route[pending.route] = max(response_s, declined_s)
-        self._last_answered_since = max(self._last_answered_since, pending.since)
+        self._usual_s_by_route[flow.route] = max(response_s, declined_s)
+        self._last_answered_since = max(self._last_answered_since, flow.since)
 
     def judge(self, heard_at: float, *, is_on_trial: bool) -> dict[bytes, Outcome]:
         """Return the flows whose answer is missing for too long, each only once.
@@ -110,23 +136,23 @@
         few other requests, so none has to be answered before.
         """
         outcomes: dict[bytes, Outcome] = {}
-        for key, pending in list(self._pending_by_key.items()):
-            waited_s = heard_at - pending.since
-            if pending.is_counted:
-                if waited_s > LATE_ANSWER_LIMIT_S:
-                    del self._pending_by_key[key]
-            elif waited_s > self._find_limit_s(pending, is_on_trial=is_on_trial):
-                pending.is_counted = True
-                outcomes[key] = Outcome.UNOPENED if pending.is_opening else Outcome.SILENT
+        for key, flow in list(self._flows_by_key.items()):
+            waited_s = heard_at - flow.since
+            if flow.is_counted or flow.stage is _Stage.OPEN:
+                if waited_s > RETENTION_S:
+                    del self._flows_by_key[key]
+            elif waited_s > self._find_limit_s(flow, is_on_trial=is_on_trial):
+                flow.is_counted = True
+                outcomes[key] = Outcome.UNOPENED if flow.stage is _Stage.OPENING else Outcome.SILENT
         return outcomes
 
-    def _find_limit_s(self, pending: _Pending, *, is_on_trial: bool) -> float:
-        if pending.is_opening:
+    def _find_limit_s(self, flow: _WatchedFlow, *, is_on_trial: bool) -> float:
+        if flow.stage is _Stage.OPENING:
             return OPENING_SILENCE_S
-        usual_s = self._usual_s_by_route.get(pending.route)
+        usual_s = self._usual_s_by_route.get(flow.route)
         if usual_s is None:
             return UNKNOWN_SILENCE_S
         silence_s = max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s)
-        if is_on_trial or pending.since < self._last_answered_since:
+        if is_on_trial or flow.since < self._last_answered_since:
             return silence_s
         return max(MIN_STALL_S, STALL_FACTOR * silence_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -107,7 +107,7 @@
     def _leave_out_outliers(self, peers: list[PeerLoad], now: float) -> list[PeerLoad]:
         """Return the peers whose servers are not outliers, or all if most of the service are."""
         trusted = [peer for peer in peers if not peer.load.is_outlier]
-        if len(trusted) == len(peers):
+        if not trusted or len(trusted) == len(peers):
             return peers
         known = self._find_accepting(peers[0].load.service_tag, now)
         outliers = sum(peer.load.is_outlier for peer in known)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_watch.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_watch.py
@@ -58,7 +58,7 @@
         if self._trial_key is None:
             return False
         is_recent = self._context.now - self._trial_opened_at < TRIAL_REQUEST_TIMEOUT_S
-        return is_recent or self._trial_key in self._outcomes
+        return is_recent or self._outcomes.is_awaited(self._trial_key)
 
     def find_return_reason(self, key: bytes) -> str | None:
         """Return why an opening should be placed on another server; None if it may stay here."""
@@ -91,7 +91,7 @@
         if header.flags & packet_flags.RESET:
             self._outcomes.remove(header.key)
         elif header.payload_bytes:
-            self._outcomes.add_request(header.key, self._route_of(header.key), self._context.now)
+            self._outcomes.on_request(header.key, self._context.now)
 
     def on_outbound(self, header: PacketHeader) -> None:
         """Record the outcome of a request from a packet of the server."""
@@ -138,7 +138,7 @@
         self._called_at = now
         is_in_normal_operation = self._is_in_normal_operation(now)
         if was_suspended or not is_in_normal_operation:
-            self._outcomes.forget_pending()
+            self._outcomes.forget_flows()
         return is_in_normal_operation
 
     def _is_in_normal_operation(self, now: float) -> bool:
--- a/tests/coordination/handshake/test_outlier_detector.py
+++ b/tests/coordination/handshake/test_outlier_detector.py
@@ -196,6 +196,13 @@
     def fill_server(self) -> None:
         self.node.server.is_full = True
 
+    def repeat_requests(self) -> None:
+        self.node.has_server = False
+        for number in range(1, self.count + 1):
+            packet = FakePacket(self.key(number), ANSWER, self.node.server.name, 1)
+            self.network.send_packet(packet)
+        self.node.has_server = True
+
     def restart_server(self) -> None:
         report = self.node.router.gate.report
         assert report is not None
@@ -217,6 +224,7 @@
         answered, pending = ("request", 0.02, ANSWER), [("request", 0.01)] * 4
         slow = [("request", wait_s, ANSWER) for wait_s in (0.02, 0.07, 0.2, 0.6, 0.6, 0.02, 0.6)]
         opened, unopened = [("open",)] * 4, [("open", False)] * 3
+        copies = [answered, answered, answered, ("repeat_requests",)]
         slower = [answered, ("request", 0.01), ("request", 0.3, ANSWER), ("advance", 0.3)]
         drain, leave = ("report", True), ("report", False, True)
         table: list[tuple[str, int, list[tuple[Any, ...]]]] = [
@@ -234,6 +242,7 @@
             ("planned restart", 0, [*pending, leave, ("reset_all",), ("restart_server",)]),
             ("cold server", 0, [("restart_server",), *pending, ("reset_all",)]),
             ("link to the server cut", 0, [answered, *pending, *unopened, ("advance", 1.9)]),
+            ("link to callers cut", 0, [*copies, ("advance", 1.2), answered, ("reset_all",)]),
             ("agent suspended", 0, [answered, *pending, ("suspend_agent", 1.0), answered]),
         ]
         for name, failures, steps in table:
