--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -43,7 +43,10 @@
 MIN_QUEUE_WAIT_S = 0.01
 """Reported while openings wait; 0 would mean that none may."""
 FIRST_PLACEMENT_HOPS = 1
-"""The hops of an opening that an owner places for the first time; a returned one has more."""
+"""The hops of an opening that an owner places for the first time.
+
+One that was returned, or that is placed on an outlier for want of a better server, has more.
+"""
 
 
 class LocalOwner(Protocol):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -8,6 +8,7 @@
 
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
+from wagtailkeel_coordination.handshake.flow_holder import FIRST_PLACEMENT_HOPS
 from wagtailkeel_coordination.handshake.load_sample import LoadSampler
 from wagtailkeel_coordination.handshake.load_sample import SampleSize
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
@@ -246,6 +247,9 @@
                 return False
             self._emit_placement(peer, opening.key, len(candidates))
             self._point_to(peer.address, opening)
+            if peer.load.is_outlier:
+                # No better server is known, so its agent must not return the opening.
+                opening.frame.hops = max(opening.frame.hops, FIRST_PLACEMENT_HOPS)
             if self._offer(opening, peer.address):
                 return True
             opening.tried.add(peer.address)
@@ -273,7 +277,8 @@
             self.loads.count_opening(address)
             self._context.relay(address, RelayKind.PLACE, frame, opening.tag, frame.body)
             return True
-        if self._holder.withholds(key, is_first=not opening.tried):
+        is_first = not opening.tried and frame.hops < FIRST_PLACEMENT_HOPS
+        if self._holder.withholds(key, is_first=is_first):
             return False
         if not self._holder.has_room(key) or not self._holder.admit(opening.service, key):
             return False
--- a/tests/coordination/handshake/test_outlier_detector.py
+++ b/tests/coordination/handshake/test_outlier_detector.py
@@ -20,8 +20,10 @@
 from wagtailkeel_coordination.handshake.outlier_detector import Outcome
 from wagtailkeel_coordination.handshake.outlier_detector import OutlierDetector
 from wagtailkeel_coordination.handshake.outlier_detector import OutlierState
+from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_watch import ServerWatch
 from wagtailkeel_protocol import packet_format as packet_flags
+from wagtailkeel_protocol.messages import ServerLoad
 
 OUTCOMES = {"a": Outcome.ANSWERED, "r": Outcome.RESET, "s": Outcome.SILENT}
 OUTCOMES |= {"l": Outcome.LATE_ANSWER, "u": Outcome.UNOPENED}
@@ -136,6 +138,24 @@
             fail(network, node)
         self.assertNotIn("", self.open_many(network, "later"))
 
+    def test_an_owner_that_sampled_only_outliers_uses_them(self) -> None:
+        loads = PeerLoads(avoids_outliers=True)
+        for number in range(5):
+            load = ServerLoad(1, True, 0, 0, 1, 20.0, is_outlier=number < 2)
+            loads.on_load((str(number), 1), "east", load, 0.0)
+        for sampled, expected in (((0, 1, 2), [2]), ((0, 1), [0, 1])):
+            found = loads.find_candidates([(str(number), 1) for number in sampled], 0.1)
+            self.assertEqual([int(peer.address[0]) for peer in found], expected)
+
+    def test_an_outlier_serves_while_all_others_drain(self) -> None:
+        network, nodes = build_network(4)
+        self.open_many(network)
+        fail(network, nodes[0])
+        network.advance(0.3)
+        for node in nodes[1:]:
+            node.report(is_draining=True)
+        self.assertEqual(set(self.open_many(network, "later")), {nodes[0].server.name})
+
     def test_a_trial_takes_one_opening_at_a_time_and_none_that_must_not_repeat(self) -> None:
         network, nodes = build_network(5)
         fail(network, nodes[0])
