--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -11,6 +11,7 @@
 from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.aged_load import AgedLoadChoice
 from wagtailkeel_coordination.handshake.crossing_cost import CrossingCost
+from wagtailkeel_coordination.handshake.flow_holder import FIRST_PLACEMENT_HOPS
 from wagtailkeel_coordination.handshake.load_sample import LoadSampler
 from wagtailkeel_coordination.handshake.load_sample import SampleSize
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
@@ -304,6 +305,9 @@
             self._emit_placement(peer, opening.key, len(candidates))
             self._count_age(peer)
             self._point_to(peer.address, opening)
+            if peer.load.is_outlier:
+                # No better server is known, so its agent must not return the opening.
+                opening.frame.hops = max(opening.frame.hops, FIRST_PLACEMENT_HOPS)
             if self._offer(opening, peer.address):
                 return True
             opening.tried.add(peer.address)
@@ -333,7 +337,8 @@
             self.loads.count_opening(address)
             self._context.relay(address, kind, frame, opening.tag, frame.body)
             return True
-        if self._holder.withholds(key, is_first=not opening.tried):
+        is_first = not opening.tried and frame.hops < FIRST_PLACEMENT_HOPS
+        if self._holder.withholds(key, is_first=is_first):
             return False
         if self._holder.admission is not None:
             return self._holder.accept(frame, key, opening.service, address) is None
--- a/tests/coordination/handshake/test_outlier_detector.py
+++ b/tests/coordination/handshake/test_outlier_detector.py
@@ -20,8 +20,10 @@
 from wagtailkeel_coordination.handshake.outlier_detector import Outcome
 from wagtailkeel_coordination.handshake.outlier_detector import OutlierDetector
 from wagtailkeel_coordination.handshake.outlier_detector import OutlierState
+from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_watch import ServerWatch
 from wagtailkeel_protocol import packet_format as packet_flags
+from wagtailkeel_protocol.messages import ServerLoad
 
 OUTCOMES = {"a": Outcome.ANSWERED, "r": Outcome.RESET, "s": Outcome.SILENT}
 OUTCOMES |= {"l": Outcome.LATE_ANSWER, "u": Outcome.UNOPENED}
@@ -136,6 +138,24 @@
             fail(network, node)
         self.assertNotIn("", self.open_many(network, "later"))
 
+    def test_an_owner_that_sampled_only_outliers_uses_them(self) -> None:
+        loads = PeerLoads(avoids_outliers=True)
+        for number in range(5):
+            load = ServerLoad(1, True, 0, 0, 1, 20.0, is_outlier=number < 2)
+            loads.on_load((str(number), 1), "east", load, 0.0)
+        for sampled, expected in (((0, 1, 2), [2]), ((0, 1), [0, 1])):
+            found = loads.find_candidates([(str(number), 1) for number in sampled], 0.1)
+            self.assertEqual([int(peer.address[0]) for peer in found], expected)
+
+    def test_an_outlier_serves_while_all_others_drain(self) -> None:
+        network, nodes = build_network(4)
+        self.open_many(network)
+        fail(network, nodes[0])
+        network.advance(0.3)
+        for node in nodes[1:]:
+            node.report(is_draining=True)
+        self.assertEqual(set(self.open_many(network, "later")), {nodes[0].server.name})
+
     def test_a_trial_takes_one_opening_at_a_time_and_none_that_must_not_repeat(self) -> None:
         network, nodes = build_network(5)
         fail(network, nodes[0])
@@ -196,6 +216,13 @@
     def fill_server(self) -> None:
         self.node.server.is_full = True
 
+    def repeat_requests(self) -> None:
+        self.node.has_server = False
+        for number in range(1, self.count + 1):
+            packet = FakePacket(self.key(number), ANSWER, self.node.server.name, 1)
+            self.network.send_packet(packet)
+        self.node.has_server = True
+
     def restart_server(self) -> None:
         report = self.node.router.gate.report
         assert report is not None
@@ -217,6 +244,7 @@
         answered, pending = ("request", 0.02, ANSWER), [("request", 0.01)] * 4
         slow = [("request", wait_s, ANSWER) for wait_s in (0.02, 0.07, 0.2, 0.6, 0.6, 0.02, 0.6)]
         opened, unopened = [("open",)] * 4, [("open", False)] * 3
+        copies = [answered, answered, answered, ("repeat_requests",)]
         slower = [answered, ("request", 0.01), ("request", 0.3, ANSWER), ("advance", 0.3)]
         drain, leave = ("report", True), ("report", False, True)
         table: list[tuple[str, int, list[tuple[Any, ...]]]] = [
@@ -234,6 +262,7 @@
             ("planned restart", 0, [*pending, leave, ("reset_all",), ("restart_server",)]),
             ("cold server", 0, [("restart_server",), *pending, ("reset_all",)]),
             ("link to the server cut", 0, [answered, *pending, *unopened, ("advance", 1.9)]),
+            ("link to callers cut", 0, [*copies, ("advance", 1.2), answered, ("reset_all",)]),
             ("agent suspended", 0, [answered, *pending, ("suspend_agent", 1.0), answered]),
         ]
         for name, failures, steps in table:
