--- a/bench/src/wagtailkeel_bench/placement_comparison.py
+++ b/bench/src/wagtailkeel_bench/placement_comparison.py
@@ -68,7 +68,9 @@
     parser.add_argument("--servers", nargs="+", type=int, default=[10, 42, 109])
     parser.add_argument("--busy", nargs="+", type=float, default=[0.25, 0.6, 0.9])
     arguments = parser.parse_args()
-    print("load        servers busy rule       idle%   late  failed  p50 ms  p99 ms opening request")
+    print(
+        "load        servers busy rule       idle%   late  failed  p50 ms  p99 ms opening request"
+    )
     for name in arguments.loads:
         for server_count in arguments.servers:
             for busy_share in arguments.busy:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_times.py
@@ -23,6 +23,7 @@
 MAX_FACTOR = 4.0
 MIN_REQUESTS = 4
 """Before so many requests are measured, the average may itself be that of a long request."""
+REMAINING_SHARE = 1.0 - 1.0 / AVERAGED_REQUESTS
 MIN_WEIGHT = 0.01
 """A route with a smaller share of the recent requests is forgotten."""
 
@@ -48,8 +49,10 @@
     @property
     def mean_s(self) -> float:
         """The average over the recent mix of routes; 0 if unknown."""
-        total = sum(route.weight for route in self._by_endpoint.values())
-        weighted = sum(route.weight * route.mean_s for route in self._by_endpoint.values())
+        total = weighted = 0.0
+        for route in self._by_endpoint.values():
+            total += route.weight
+            weighted += route.weight * route.mean_s
         return weighted / total if total else 0.0
 
     def route_mean_s(self, key: bytes) -> float:
@@ -71,8 +74,11 @@
         self._record_share(route)
 
     def _record_share(self, recorded: RouteTime) -> None:
-        for endpoint, route in list(self._by_endpoint.items()):
-            route.weight *= 1.0 - 1.0 / AVERAGED_REQUESTS
-            if route.weight < MIN_WEIGHT and route is not recorded:
-                del self._by_endpoint[endpoint]
-        recorded.weight += 1.0 / AVERAGED_REQUESTS
+        has_rare = False
+        for route in self._by_endpoint.values():
+            route.weight *= REMAINING_SHARE
+            has_rare |= route.weight < MIN_WEIGHT
+        recorded.weight += 1.0 - REMAINING_SHARE
+        if has_rare:
+            kept = {e: r for e, r in self._by_endpoint.items() if r.weight >= MIN_WEIGHT}
+            self._by_endpoint = kept
