--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -103,6 +103,32 @@
                 self.assertLessEqual(unserved_in_time, 1.1 * (with_all.late + with_all.failed))
                 self.assertLess(sampled.load_messages_per_opening, MAX_LOAD_MESSAGES_PER_OPENING)
 
+    def test_a_surge_leaves_no_class_or_data_centre_behind(self) -> None:
+        """One data centre's callers send ten times as much; without a queue all others suffer."""
+        surge = LOADS_BY_NAME["data-centre-surge"]
+        load = msgspec.structs.replace(surge, duration_s=4.0)
+        before = simulate(load, POLICIES_BY_NAME["sampled"], SEED)
+        after = simulate(load, POLICIES_BY_NAME["sampled-queued"], SEED)
+        self.assertGreater(after.in_target_share, before.in_target_share)
+        self.assertLess(after.shed, before.shed / 100)
+        others = [after.tallies_by_data_centre[number] for number in (1, 2)]
+        for tally in (*others, after.tallies_by_class["payment"]):
+            self.assertGreater(tally.in_target / tally.requests, 0.95)
+
+    def test_no_queued_opening_expires_when_all_servers_return(self) -> None:
+        """An estimate that took an unknown service time for 0 let a fifth of them expire.
+
+        One that is too high would refuse callers whom a server could still answer. The few answers
+        fewer are those of callers who came again after an expiry instead of being refused at once.
+        """
+        load = msgspec.structs.replace(LOADS_BY_NAME["power-return"], duration_s=4.5)
+        before = simulate(load, POLICIES_BY_NAME["sampled"], SEED)
+        after = simulate(load, POLICIES_BY_NAME["sampled-queued"], SEED)
+        self.assertGreater(before.counters["openings_expired"], 100)
+        self.assertEqual(after.counters["openings_expired"], 0)
+        answered = [result.in_target + result.late for result in (before, after)]
+        self.assertGreater(answered[1], 0.9 * answered[0])
+
     def test_callers_repeat_only_what_no_server_has_run(self) -> None:
         """A payment that a server has reset may have run."""
         for name in ("resetting-servers", "power-return"):
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -176,18 +176,13 @@
             self.report()
 
     def report(
-        self,
-        *,
-        is_draining: bool = False,
-        has_left: bool = False,
-        cold_for_s: float = 0.0,
-        started_at_ms: int = 1,
+        self, *, is_draining: bool = False, has_left: bool = False, cold_for_s: float = 0.0
     ) -> None:
         self.report_count += 1
         report = ServerReport(
             f"server-{self.address[0]}",
             self.service,
-            started_at_ms,
+            1,
             self.report_count,
             1,
             is_draining,
