Priority admission under sustained overload

The hop limit dropped copies of openings after three rejections.

With priority_admission, an owner offers openings only to sampled servers with room by their loads, and extends its sample until one takes the opening or none is left. Agents derive ServerLoad.priority_limit from how long openings wait for their warm server; owners refuse openings above the median of fresh limits at once while no load shows that a server may have room.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -125,6 +125,17 @@
     routing_version: int
 
 
+class PriorityLimitChanged(Event, tag="priority_limit_changed"):
+    """An agent has changed the highest priority number that its service should admit.
+
+    ``wait_ms`` is the time that an opening has to wait for the agent's server.
+    """
+
+    service: str
+    limit: int
+    wait_ms: float
+
+
 class RouteMissing(Event, tag="route_missing"):
     """A balancer has no route for an opening and refuses it if ``is_refused``, else drops it."""
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -117,6 +117,7 @@
             self._context.services_by_tag[relay.service_tag(service)] = service
         policy = document.policies_by_service.get(self.gate.service)
         self.gate.cold_starts_per_s = policy.cold_starts_per_s if policy else 0.0
+        self.holder.priority_limit.set_priorities(self.routing.priorities_of(self.gate.service))
         self.held.idle_limit_s = document.idle_limit_s
         self.pointers.idle_limit_s = document.idle_limit_s
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -15,6 +15,8 @@
 from wagtailkeel_coordination.handshake.opening_queue import OpeningQueue
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
+from wagtailkeel_coordination.handshake.priority_admission import PriorityLimit
+from wagtailkeel_coordination.handshake.queue_limit import expected_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
@@ -73,6 +75,8 @@
         self.queue = OpeningQueue(options.max_opening_wait_s)
         self.held = HeldFlows(record_response)
         self.probes = FlowProbes()
+        self.priority_limit = PriorityLimit()
+        self._cold_at = float("-inf")
         self._context = context
         self._options = options
         self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
@@ -101,6 +105,7 @@
 
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
+        self._update_priority_limit(now)
         accepts = self.gate.accepts(now) and not self.queue
         room_in_s = 0.0 if accepts else self._find_room_in_s(now)
         return ServerLoad(
@@ -114,8 +119,28 @@
             self.gate.is_leaving,
             self.gate.is_awaiting_first_report(now),
             room_in_s * 1_000,
+            priority_limit=self.priority_limit.value,
         )
 
+    def _update_priority_limit(self, now: float) -> None:
+        """Adjust the priority limit to the time that an opening has to wait now.
+
+        A cold server has room within its cold time, so that openings wait for it meanwhile. They
+        are still being delivered when it is warm.
+        """
+        if not self._options.priority_admission:
+            return
+        if self.gate.is_cold(now):
+            self._cold_at = now
+        is_recovering = now - self._cold_at <= self.queue.max_wait_s
+        limit = self.priority_limit
+        waiting = self.held.count_expected_requests(now) + len(self.queue)
+        wait_s = expected_wait_s(waiting, self.held.slots, self.held.service_s)
+        if limit.lift() if is_recovering else limit.on_wait(wait_s, now):
+            self._context.counters["priority_limit_changes"] += 1
+            wait_ms = round(wait_s * 1_000, 1)
+            self._context.emit(events.PriorityLimitChanged(self.gate.service, limit.value, wait_ms))
+
     def _find_room_in_s(self, now: float) -> float:
         """Return the time until an opening queued now is delivered; 0 if none may be queued."""
         is_room_expected = self.gate.accepts(now) or self.gate.is_limited_by_cold_start(now)
@@ -146,6 +171,7 @@
         if header.key in self.queue:
             self._context.counters["dropped_copy_of_queued_opening"] += 1
             return
+        self._update_priority_limit(self._context.now)
         if frame.kind is RelayKind.QUEUE and self.queue_opening(
             frame, header.key, source, frame.wait_limit_s
         ):
@@ -380,6 +406,7 @@
             self._on_expired_probe(key, requester)
         self.gate.update_inactivity(now)
         self._release_queue()
+        self._update_priority_limit(now)
         self.held.sweep(now)
 
     def _on_expired_probe(self, key: bytes, requester: Address) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -12,10 +12,15 @@
 from wagtailkeel_coordination.handshake.load_sample import SampleSize
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
 from wagtailkeel_coordination.handshake.opening_copies import OpeningCopies
+from wagtailkeel_coordination.handshake.priority_admission import LIMIT_AGE_S
+from wagtailkeel_coordination.handshake.priority_admission import exceeds_limit
+from wagtailkeel_coordination.handshake.priority_admission import has_room
+from wagtailkeel_coordination.handshake.priority_admission import is_surely_full
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import choose_shortest_queue
 from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
 from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.messages import ANY_PRIORITY
 from wagtailkeel_protocol.messages import LoadRequest
 from wagtailkeel_protocol.relay import RelayKind
 
@@ -41,6 +46,11 @@
 MAX_PLACEMENT_ATTEMPTS = 4
 FRESH_LOAD_S = 0.1
 """A load this recent is not requested again: the openings placed since are counted."""
+FULL_LOAD_AGE_S = 0.2
+"""With priority admission, the load of an agent without room is not requested again for this long.
+
+It must still count in a placement that waits for other answers.
+"""
 PLACEMENT_LOAD_AGE_S = 0.25
 """The age up to which a load counts in a placement that waited for other answers."""
 LOAD_TIMEOUT_S = 0.03
@@ -51,6 +61,8 @@
 class _Opening(msgspec.Struct):
     """An opening that is being placed; ``tag`` identifies ``service`` in frames.
 
+    ``target_s`` is its route's target response time in seconds.
+
     ``sampled`` are the agents whose load was requested or known, ``pending`` those of them that
     have not answered. ``former_target`` is the agent that got an earlier transmission, until its
     load is known.
@@ -61,6 +73,7 @@
     service: str
     tag: int
     tried: set[Address]
+    target_s: float
     former_target: Address | None = None
     sampled: list[Address] = msgspec.field(default_factory=list)
     pending: set[Address] = msgspec.field(default_factory=set)
@@ -90,6 +103,10 @@
         self._random = random
         self._choose = choose
         self._options = options
+        self._max_attempts = (
+            sample_size.limit if options.priority_admission else MAX_PLACEMENT_ATTEMPTS
+        )
+        self._limited_at_by_tag: dict[int, float] = {}
         self._sampler = LoadSampler(data_centre, sample_size, random)
         self._data_centres_by_member: dict[Address, str] = {}
         self._pending_by_key: dict[bytes, _Opening] = {}
@@ -131,7 +148,11 @@
             self._context.counters["dropped_route_changed"] += 1
             return
         tag = relay.service_tag(service)
-        opening = _Opening(frame, key, service, tag, tried, former_target)
+        endpoint = self._context.packet_format.endpoint_of(key)
+        target_s = self._context.routing.target_s(endpoint)
+        opening = _Opening(frame, key, service, tag, tried, target_s, former_target)
+        if former_target is None and self._refuse_by_priority(opening, endpoint):
+            return
         if former_target is None or not self._request_loads(opening, [former_target]):
             self._advance(opening)
 
@@ -141,6 +162,8 @@
         if data_centre is None:
             return
         self.loads.on_load(address, data_centre, load, self._context.now)
+        if load.priority_limit < ANY_PRIORITY:
+            self._limited_at_by_tag[load.service_tag] = self._context.now
         self._requested_at_by_address.pop(address, None)
         self._unanswered_at_by_address.pop(address, None)
         for opening in list(self._pending_by_key.values()):
@@ -180,7 +203,7 @@
         if opening.former_target is not None and self._return_to_former_target(opening):
             return
         while not self._try_candidates(opening):
-            may_try_more = len(opening.tried) < MAX_PLACEMENT_ATTEMPTS
+            may_try_more = self._may_try_more(opening)
             sample = self._draw_sample(opening) if may_try_more else []
             if may_try_more and not sample and opening.pending:
                 self._pending_by_key[opening.key] = opening
@@ -219,9 +242,7 @@
         now = self._context.now
         for address in sample:
             opening.sampled.append(address)
-            if address == self._context.own_address or self.loads.is_fresh(
-                address, now, FRESH_LOAD_S
-            ):
+            if address == self._context.own_address or self._knows_load(opening, address):
                 continue
             opening.pending.add(address)
             if address in self._requested_at_by_address:
@@ -235,12 +256,28 @@
         self._pending_by_key[opening.key] = opening
         return True
 
+    def _knows_load(self, opening: _Opening, address: Address) -> bool:
+        """Return whether an agent's last load is recent enough for an opening."""
+        now = self._context.now
+        if self.loads.is_fresh(address, now, FRESH_LOAD_S):
+            return True
+        if not self._options.priority_admission:
+            return False
+        is_recent = self.loads.is_fresh(address, now, FULL_LOAD_AGE_S)
+        return is_recent and is_surely_full(self.loads.by_address[address], opening.target_s, now)
+
     # Placement
 
+    def _may_try_more(self, opening: _Opening) -> bool:
+        """Return whether an opening may be offered to one more agent."""
+        return len(opening.tried) < self._max_attempts
+
     def _try_candidates(self, opening: _Opening) -> bool:
         """Offer an opening to the best sampled servers; return whether one of them got it."""
         candidates = self._find_candidates(opening)
-        while len(opening.tried) < MAX_PLACEMENT_ATTEMPTS:
+        if self._options.priority_admission:
+            candidates = [peer for peer in candidates if has_room(peer, opening.target_s)]
+        while self._may_try_more(opening):
             peer = self._choose(candidates, self._data_centre, opening.tried, self._random)
             if peer is None:
                 return False
@@ -291,7 +328,7 @@
             # A server may have room: the caller's next retransmission reaches it.
             self._context.counters["openings_deferred"] += 1
         elif may_refuse:
-            self._refuse(opening)
+            self._refuse_unplaced(opening)
         else:
             # Another owner may have placed an earlier transmission, so the flow may be open.
             self._context.counters["dropped_copy_of_opening"] += 1
@@ -347,11 +384,33 @@
             )
         )
 
-    def _refuse(self, opening: _Opening) -> None:
-        """Refuse an opening that no server has seen, so that the caller learns it at once."""
-        self._context.counters["openings_refused"] += 1
+    def _refuse_by_priority(self, opening: _Opening, endpoint: bytes) -> bool:
+        """Refuse an opening above the priority limit of its service; return False if it is not."""
+        now = self._context.now
+        limited_at = self._limited_at_by_tag.get(opening.tag, float("-inf"))
+        if not self._options.priority_admission or now - limited_at > LIMIT_AGE_S:
+            return False
+        priority = self._context.routing.priority(endpoint)
+        peers = self.loads.find_recent_of_service(opening.tag, now, LIMIT_AGE_S)
+        if not exceeds_limit(priority, peers, opening.target_s, now):
+            return False
+        if not self.opening_copies.are_all_here(opening.key, now):
+            return False
+        self._pointers.remove(opening.key)
+        self._context.counters["openings_refused_by_priority"] += 1
+        self._refuse(opening, "low_priority")
+        return True
+
+    def _refuse_unplaced(self, opening: _Opening) -> None:
         candidate_count = len(self._find_candidates(opening))
         reason = "all_tried" if candidate_count else "no_server_accepts"
+        if candidate_count and self._options.priority_admission:
+            reason = "no_room"
+        self._refuse(opening, reason, candidate_count)
+
+    def _refuse(self, opening: _Opening, reason: str, candidate_count: int = 0) -> None:
+        """Refuse an opening that no server has seen, so that the caller learns it at once."""
+        self._context.counters["openings_refused"] += 1
         self._context.emit(
             events.OpeningRefused(
                 flow_id(opening.key),
@@ -373,6 +432,12 @@
         tried.add(source)
         if frame.kind is RelayKind.REJECTED:
             self.loads.record_rejection(source)
+        elif self._options.priority_admission:
+            endpoint = self._context.packet_format.endpoint_of(header.key)
+            self.loads.record_busy(source, self._context.routing.target_s(endpoint))
+        if pointer is not None and self._options.priority_admission:
+            # The set of agents that were tried bounds the number of further attempts.
+            frame.hops = min(frame.hops, 1)
         if header.key not in self._holder.held.by_key:
             self.place(frame, header, tried)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_limit.py
@@ -20,5 +20,10 @@
     """
     if not target_s or not service_s:
         return True
+    return expected_wait_s(in_flight, slots, service_s) <= MAX_WAIT_FRACTION * target_s
+
+
+def expected_wait_s(in_flight: int, slots: int, service_s: float) -> float:
+    """Return the time in seconds after which one more request would start."""
     waiting = max(0, in_flight + 1 - slots)
-    return service_s * waiting / max(1, slots) <= MAX_WAIT_FRACTION * target_s
+    return service_s * waiting / max(1, slots)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -100,6 +100,10 @@
         destinations = self._by_endpoint.get(endpoint)
         return destinations.priority if destinations else 0
 
+    def priorities_of(self, service: str) -> set[int]:
+        """Return the priorities of the routes that send new flows to a service."""
+        return {d.priority for d in self._by_endpoint.values() if service in d.services}
+
     def timeout_s(self, endpoint: bytes) -> float:
         """Return how long callers of a route wait for an answer; 0 if that is not known."""
         destinations = self._by_endpoint.get(endpoint)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -37,7 +37,10 @@
 
 
 class PeerLoad(msgspec.Struct):
-    """The last load report of an agent and the openings sent to the agent since."""
+    """The last load report of an agent and the openings sent to the agent since.
+
+    The agent has rejected openings of routes with targets up to ``busy_target_s`` as busy since.
+    """
 
     address: Address
     data_centre: str
@@ -45,6 +48,7 @@
     received_at: float
     openings_since_report: int = 0
     has_rejected: bool = False
+    busy_target_s: float = 0.0
 
 
 class PeerLoads:
@@ -69,6 +73,12 @@
         if peer is not None:
             peer.has_rejected = True
 
+    def record_busy(self, address: Address, target_s: float) -> None:
+        """Record that an agent's server was too busy for a route with this target."""
+        peer = self.by_address.get(address)
+        if peer is not None:
+            peer.busy_target_s = max(peer.busy_target_s, target_s)
+
     def remove(self, address: Address) -> None:
         """Remove an agent whose load is unknown, since it did not answer a request."""
         self.by_address.pop(address, None)
@@ -110,6 +120,11 @@
             if peer.load.room_in_ms > 0
         ]
 
+    def find_recent_of_service(self, tag: int, now: float, max_age_s: float) -> list[PeerLoad]:
+        """Return the recent loads of the agents of the service with a tag."""
+        recent = self._find_recent(self.by_address, now, max_age_s)
+        return [peer for peer in recent if peer.load.service_tag == tag]
+
     def _find_recent(
         self, addresses: Iterable[Address], now: float, max_age_s: float
     ) -> list[PeerLoad]:
