--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -57,5 +57,11 @@
         sample_size=SampleSize(),
         options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S),
     ),
+    "sampled-admission": Policy(
+        choose_server,
+        has_queue_limit=True,
+        sample_size=SampleSize(),
+        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, priority_admission=True),
+    ),
 }
 """``sampled`` is the policy of wagtailkeel without optional decisions."""
--- a/tests/bench/test_load_model.py
+++ b/tests/bench/test_load_model.py
@@ -18,6 +18,7 @@
 from wagtailkeel_bench.load_model import Results
 from wagtailkeel_bench.load_model import format_table
 from wagtailkeel_bench.load_model import simulate
+from wagtailkeel_bench.load_model.load import Surge
 from wagtailkeel_coordination.handshake.load_sample import DEFAULT_SAMPLE_SIZE
 
 SEED = 1
@@ -115,6 +116,20 @@
                 )
                 self.assertGreater(resets, payments.attempts - payments.requests)
 
+    def test_overload_is_refused_only_where_no_server_has_room(self) -> None:
+        """Lookups come ten times as often; they must not fill the servers that payments need."""
+        surge = Surge(start_s=0.5, end_s=2.0, factor=10.0, request_class="lookup")
+        load = msgspec.structs.replace(
+            LOADS_BY_NAME["class-surge"], surges=(surge,), duration_s=3.0
+        )
+        before = simulate(load, POLICIES_BY_NAME["sampled"], SEED)
+        after = simulate(load, POLICIES_BY_NAME["sampled-admission"], SEED)
+        payment, lookup = (after.tallies_by_class[name] for name in ("payment", "lookup"))
+        self.assertGreater(after.counters["openings_refused_by_priority"], 100)
+        self.assertLess(lookup.refused_with_room, lookup.refused / 100)
+        self.assertLess(payment.failed, before.tallies_by_class["payment"].failed)
+        self.assertGreater(lookup.in_target, before.tallies_by_class["lookup"].in_target)
+
     def test_equal_seeds_give_equal_results(self) -> None:
         first, second = (simulate_short("surge", "sampled") for _ in range(2))
         self.assertEqual(format_table({"it": first}), format_table({"it": second}))
