--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -15,8 +15,10 @@
 from wagtailkeel_coordination.handshake.opening_queue import OpeningQueue
 from wagtailkeel_coordination.handshake.opening_queue import QueuedOpening
 from wagtailkeel_coordination.handshake.opening_queue import estimate_warm_wait_s
+from wagtailkeel_coordination.handshake.priority_admission import PriorityLimit
 from wagtailkeel_coordination.handshake.queue_admission import QueueAdmission
 from wagtailkeel_coordination.handshake.queue_admission import short_wait_s
+from wagtailkeel_coordination.handshake.queue_limit import expected_wait_s
 from wagtailkeel_coordination.handshake.queue_limit import has_room
 from wagtailkeel_coordination.handshake.route_times import RouteTimes
 from wagtailkeel_coordination.handshake.server_watch import ServerWatch
@@ -101,6 +103,8 @@
         if options.queue_when_busy and options.max_opening_wait_s:
             self.admission = QueueAdmission(self.queue, gate, self.held, context.now)
         self.data_centres_by_agent: Mapping[Address, str] = {}
+        self.priority_limit = PriorityLimit()
+        self._cold_at = float("-inf")
         self._context = context
         self._options = options
         self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
@@ -134,6 +138,7 @@
 
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
+        self._update_priority_limit(now)
         in_flight, held_flows = self._count_work(now)
         accepts, room_in_s, queued = self._find_room(now)
         return ServerLoad(
@@ -149,6 +154,7 @@
             room_in_s * 1_000,
             is_outlier=self.watch is not None and self.watch.is_outlier,
             opened_flows=self._opened_flows,
+            priority_limit=self.priority_limit.value,
         )
 
     def _count_work(self, now: float) -> tuple[int, int]:
@@ -175,6 +181,25 @@
         room_in_s = 0.0 if wait_s is None else max(wait_s, MIN_QUEUE_WAIT_S)
         return accepts and has_room, room_in_s, len(self.queue)
 
+    def _update_priority_limit(self, now: float) -> None:
+        """Adjust the priority limit to the time that an opening has to wait now.
+
+        A cold server has room within its cold time, so that openings wait for it meanwhile. They
+        are still being delivered when it is warm.
+        """
+        if not self._options.priority_admission:
+            return
+        if self.gate.is_cold(now):
+            self._cold_at = now
+        is_recovering = now - self._cold_at <= self.queue.max_wait_s
+        limit = self.priority_limit
+        waiting = self.held.count_expected_requests(now) + len(self.queue)
+        wait_s = expected_wait_s(waiting, self.held.slots, self.held.service_s)
+        if limit.lift() if is_recovering else limit.on_wait(wait_s, now):
+            self._context.counters["priority_limit_changes"] += 1
+            wait_ms = round(wait_s * 1_000, 1)
+            self._context.emit(events.PriorityLimitChanged(self.gate.service, limit.value, wait_ms))
+
     def _find_room_in_s(self, now: float) -> float:
         """Return the time until an opening queued now is delivered; 0 if none may be queued."""
         is_room_expected = self.gate.accepts(now) or self.gate.is_limited_by_cold_start(now)
@@ -209,6 +234,7 @@
         if header.key in self.queue:
             self._context.counters["dropped_copy_of_queued_opening"] += 1
             return
+        self._update_priority_limit(self._context.now)
         if self.withholds(header.key, is_first=frame.hops <= FIRST_PLACEMENT_HOPS):
             self._context.send(source, RelayKind.BUSY, frame, frame.body)
             return
@@ -600,6 +626,7 @@
         if self.watch is not None:
             self.watch.tick()
         self._release_queue()
+        self._update_priority_limit(now)
         self.held.sweep(now)
 
     def _on_expired_probe(self, key: bytes, requester: Address) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -17,10 +17,15 @@
 from wagtailkeel_coordination.handshake.load_sample import may_place_without
 from wagtailkeel_coordination.handshake.opening_copies import OpeningCopies
 from wagtailkeel_coordination.handshake.placement_preview import preview_placement
+from wagtailkeel_coordination.handshake.priority_admission import LIMIT_AGE_S
+from wagtailkeel_coordination.handshake.priority_admission import exceeds_limit
+from wagtailkeel_coordination.handshake.priority_admission import has_room
+from wagtailkeel_coordination.handshake.priority_admission import is_surely_full
 from wagtailkeel_coordination.handshake.server_choice import PeerLoads
 from wagtailkeel_coordination.handshake.server_choice import choose_shortest_queue
 from wagtailkeel_coordination.handshake.server_choice import expected_wait_ms
 from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.messages import ANY_PRIORITY
 from wagtailkeel_protocol.messages import LoadRequest
 from wagtailkeel_protocol.relay import RelayKind
 
@@ -50,6 +55,11 @@
 """With ``queue_when_busy``, so many agents may reject an opening that was to be queued there."""
 FRESH_LOAD_S = 0.1
 """A load this recent is not requested again: the openings placed since are counted."""
+FULL_LOAD_AGE_S = 0.2
+"""With priority admission, the load of an agent without room is not requested again for this long.
+
+It must still count in a placement that waits for other answers.
+"""
 PLACEMENT_LOAD_AGE_S = 0.25
 """The age up to which a load counts in a placement that waited for other answers."""
 RETURNED_HOPS = 1
@@ -70,6 +80,7 @@
     have not answered. ``tried`` are the agents that have rejected it, ``queue_tried`` those of them
     that do not queue it either. ``former_target`` is the agent that got an earlier transmission,
     until its load is known. ``is_declined`` is set once an agent has declined the opening.
+    ``target_s`` is its route's target response time in seconds.
     """
 
     frame: RelayFrame
@@ -78,6 +89,7 @@
     tag: int
     tried: set[Address]
     queue_tried: set[Address]
+    target_s: float
     former_target: Address | None = None
     sampled: list[Address] = msgspec.field(default_factory=list)
     pending: set[Address] = msgspec.field(default_factory=set)
@@ -113,9 +125,12 @@
             self._aged = AgedLoadChoice(CrossingCost(data_centre), lambda: context.now)
             self._choose = self._aged
         self._offered_by_key: dict[bytes, _Opening] = {}
-        self._max_attempts_without_queue = MAX_PLACEMENT_ATTEMPTS
+        # Where openings queue at busy agents, an owner need not look for the one that has room.
+        self._looks_for_room = options.priority_admission and not options.queue_when_busy
+        self._max_attempts = sample_size.limit if self._looks_for_room else MAX_PLACEMENT_ATTEMPTS
         if options.queue_when_busy:
-            self._max_attempts_without_queue = MAX_ATTEMPTS_BEFORE_QUEUE
+            self._max_attempts = MAX_ATTEMPTS_BEFORE_QUEUE
+        self._limited_at_by_tag: dict[int, float] = {}
         self._sampler = LoadSampler(data_centre, sample_size, random)
         self._data_centres_by_member: dict[Address, str] = {}
         self._pending_by_key: dict[bytes, _Opening] = {}
@@ -160,9 +175,13 @@
             self._context.counters["dropped_route_changed"] += 1
             return
         tag = relay.service_tag(service)
+        endpoint = self._context.packet_format.endpoint_of(key)
+        target_s = self._context.routing.target_s(endpoint)
         if queue_tried is None or not self._options.queue_when_busy:
             queue_tried = tried
-        opening = _Opening(frame, key, service, tag, tried, queue_tried, former_target)
+        opening = _Opening(frame, key, service, tag, tried, queue_tried, target_s, former_target)
+        if former_target is None and self._refuse_by_priority(opening, endpoint):
+            return
         if former_target is None or not self._request_loads(opening, [former_target]):
             self._advance(opening)
 
@@ -191,6 +210,8 @@
             self._aged.rates.record(address, load.opened_flows, self._context.now)
             if requested_at is not None:
                 self._aged.crossing.record(data_centre, self._context.now - requested_at)
+        if load.priority_limit < ANY_PRIORITY:
+            self._limited_at_by_tag[load.service_tag] = self._context.now
         self._unanswered_at_by_address.pop(address, None)
         for opening in list(self._pending_by_key.values()):
             if address not in opening.pending:
@@ -247,7 +268,7 @@
         """
         if self._options.queue_when_busy and opening.tried.issuperset(opening.sampled):
             return len(opening.queue_tried) < MAX_QUEUE_ATTEMPTS
-        return len(opening.tried) < self._max_attempts_without_queue
+        return len(opening.tried) < self._max_attempts
 
     def _return_to_former_target(self, opening: _Opening) -> bool:
         """Send an opening to the agent that got an earlier transmission; return False if it died.
@@ -277,9 +298,7 @@
         now = self._context.now
         for address in sample:
             opening.sampled.append(address)
-            if address == self._context.own_address or self.loads.is_fresh(
-                address, now, FRESH_LOAD_S
-            ):
+            if address == self._context.own_address or self._knows_load(opening, address):
                 continue
             opening.pending.add(address)
             if address in self._requested_at_by_address:
@@ -293,12 +312,24 @@
         self._pending_by_key[opening.key] = opening
         return True
 
+    def _knows_load(self, opening: _Opening, address: Address) -> bool:
+        """Return whether an agent's last load is recent enough for an opening."""
+        now = self._context.now
+        if self.loads.is_fresh(address, now, FRESH_LOAD_S):
+            return True
+        if not self._looks_for_room:
+            return False
+        is_recent = self.loads.is_fresh(address, now, FULL_LOAD_AGE_S)
+        return is_recent and is_surely_full(self.loads.by_address[address], opening.target_s, now)
+
     # Placement
 
     def _try_candidates(self, opening: _Opening) -> bool:
         """Offer an opening to the best sampled servers; return whether one of them got it."""
         candidates = self._find_candidates(opening)
-        while len(opening.tried) < self._max_attempts_without_queue:
+        if self._looks_for_room:
+            candidates = [peer for peer in candidates if has_room(peer, opening.target_s)]
+        while len(opening.tried) < self._max_attempts:
             peer = self._choose(candidates, self._data_centre, opening.tried, self._random)
             if peer is None:
                 return False
@@ -374,7 +405,7 @@
             # A server may have room: the caller's next retransmission reaches it.
             self._context.counters["openings_deferred"] += 1
         elif may_refuse:
-            self._refuse(opening)
+            self._refuse_unplaced(opening)
         else:
             # Another owner may have placed an earlier transmission, so the flow may be open.
             self._context.counters["dropped_copy_of_opening"] += 1
@@ -456,11 +487,33 @@
         else:
             self._context.counters["placed_by_old_load"] += 1
 
-    def _refuse(self, opening: _Opening) -> None:
-        """Refuse an opening that no server has seen, so that the caller learns it at once."""
-        self._context.counters["openings_refused"] += 1
+    def _refuse_by_priority(self, opening: _Opening, endpoint: bytes) -> bool:
+        """Refuse an opening above the priority limit of its service; return False if it is not."""
+        now = self._context.now
+        limited_at = self._limited_at_by_tag.get(opening.tag, float("-inf"))
+        if not self._options.priority_admission or now - limited_at > LIMIT_AGE_S:
+            return False
+        priority = self._context.routing.priority(endpoint)
+        peers = self.loads.find_recent_of_service(opening.tag, now, LIMIT_AGE_S)
+        if not exceeds_limit(priority, peers, opening.target_s, now):
+            return False
+        if not self.opening_copies.are_all_here(opening.key, now):
+            return False
+        self._pointers.remove(opening.key)
+        self._context.counters["openings_refused_by_priority"] += 1
+        self._refuse(opening, "low_priority")
+        return True
+
+    def _refuse_unplaced(self, opening: _Opening) -> None:
         candidate_count = len(self._find_candidates(opening))
         reason = "all_tried" if candidate_count else "no_server_accepts"
+        if candidate_count and self._looks_for_room:
+            reason = "no_room"
+        self._refuse(opening, reason, candidate_count)
+
+    def _refuse(self, opening: _Opening, reason: str, candidate_count: int = 0) -> None:
+        """Refuse an opening that no server has seen, so that the caller learns it at once."""
+        self._context.counters["openings_refused"] += 1
         self._context.emit(
             events.OpeningRefused(
                 flow_id(opening.key),
@@ -486,7 +539,11 @@
         is_busy = frame.kind is RelayKind.BUSY and self._options.queue_when_busy
         if frame.kind is RelayKind.REJECTED or is_busy:
             self.loads.record_rejection(source)
-        if frame.kind is not RelayKind.DECLINED and self._options.queue_when_busy:
+        elif self._looks_for_room and frame.kind is RelayKind.BUSY:
+            endpoint = self._context.packet_format.endpoint_of(header.key)
+            self.loads.record_busy(source, self._context.routing.target_s(endpoint))
+        bounds_attempts = self._options.queue_when_busy or self._looks_for_room
+        if frame.kind is not RelayKind.DECLINED and bounds_attempts:
             # The agents tried bound the transmissions, and each of them takes two hops.
             frame.hops = RETURNED_HOPS
         if header.key in self._holder.held.by_key:
