Routing by handshake: plainer names, one scoring of candidates, types for forecasts

where_messages.Outcome is renamed to PlacementOutcome, since outlier_detector has an Outcome too. The least-wait choice and the time of a server's work stood twice.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/aged_load.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/aged_load.py
@@ -20,9 +20,9 @@
 
 import msgspec
 
-from wagtailkeel_coordination.handshake.server_choice import COLD_SERVICE_TIME_FACTOR
-from wagtailkeel_coordination.handshake.server_choice import DEFAULT_SERVICE_MS
 from wagtailkeel_coordination.handshake.server_choice import HELD_FLOW_WEIGHT
+from wagtailkeel_coordination.handshake.server_choice import find_least
+from wagtailkeel_coordination.handshake.server_choice import work_time_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,9 +39,10 @@
 MIN_RATE_PERIOD_S = 0.05
 """Over a shorter time, the count of openings says little about their rate."""
 RATE_SMOOTHING_S = 1.0
+"""The time constant of the exponential average of a server's opening rate."""
 
 
-class _Count(msgspec.Struct):
+class _OpeningCount(msgspec.Struct):
     """A server's count of openings at a time, and their smoothed rate per second until then."""
 
     counted_at: float
@@ -53,18 +54,19 @@
     """The rates of all openings at servers, from the counts in their agents' reports."""
 
     def __init__(self) -> None:
-        self._by_address: dict[Address, _Count] = {}
+        self._by_address: dict[Address, _OpeningCount] = {}
 
     def record(self, address: Address, opened_flows: int, now: float) -> None:
         """Record a reported count; it starts anew if the agent has restarted."""
         last = self._by_address.get(address)
         if last is None or opened_flows < last.opened_flows:
-            self._by_address[address] = _Count(now, opened_flows)
+            self._by_address[address] = _OpeningCount(now, opened_flows)
             return
         period_s = now - last.counted_at
         if period_s < MIN_RATE_PERIOD_S:
             return
         rate = (opened_flows - last.opened_flows) / period_s
+        # The first rate is taken as it is: an average with 0 would be too low for a second.
         gain = -math.expm1(-period_s / RATE_SMOOTHING_S) if last.rate else 1.0
         last.rate += gain * (rate - last.rate)
         last.counted_at = now
@@ -97,22 +99,16 @@
         random: Random,
     ) -> PeerLoad | None:
         """Return the best candidate that was not tried, ties broken at random, or None."""
-        scored = [
-            (self.expected_wait_ms(peer, data_centre), random.random(), peer)
-            for peer in candidates
-            if peer.address not in tried
-        ]
-        return min(scored, key=lambda entry: entry[:2])[2] if scored else None
+        return find_least(
+            candidates, tried, random, lambda peer: self.expected_wait_ms(peer, data_centre)
+        )
 
     def expected_wait_ms(self, peer: PeerLoad, data_centre: str) -> float:
         """Return the expected time of a new flow's first request, by the age of the load."""
         load = peer.load
         age_s = self._get_now() - peer.received_at
         work = estimate_work(load, peer.openings_since_report, age_s, self.rates.find(peer.address))
-        service_ms = load.service_ms or DEFAULT_SERVICE_MS
-        if load.is_cold:
-            service_ms *= COLD_SERVICE_TIME_FACTOR
-        wait_ms = service_ms * work / max(1, load.slots)
+        wait_ms = work_time_ms(load, work)
         if peer.data_centre == data_centre:
             return wait_ms
         return wait_ms + self.crossing.cost_ms(peer.data_centre)
@@ -121,8 +117,9 @@
 def estimate_work(load: ServerLoad, own_openings: int, age_s: float, rate: float) -> float:
     """Return the requests at a server, including a new one, from a load of ``age_s`` seconds.
 
-    ``own_openings`` were sent since by this owner, ``rate`` are those of all owners per second.
-    The sum counts the own ones twice, so an owner's openings spread before a new report shows them.
+    ``own_openings`` is the number that this owner has sent since, ``rate`` that of all owners per
+    second. The owner's openings are in both, so it spreads them over several servers before a new
+    report shows them.
     """
     since = own_openings + rate * max(0.0, age_s)
     return load.in_flight + since + HELD_FLOW_WEIGHT * load.held_flows + 1.0
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/crossing_cost.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/crossing_cost.py
@@ -1,14 +1,14 @@
 """Estimates what a flow into another data centre costs, from the times of load requests.
 
 Load pattern: data centres whose servers are busy at different times, and network times between them
-from half a millisecond to several. A constant cost keeps openings at busy servers nearby where the
-way is short, and sends them away for little gain where it is long.
+from half a millisecond to several. A constant cost keeps openings at busy servers of the own data
+centre where the network time is short, and sends them to others for little gain where it is long.
 
 A request's packets cross twice on their way to the server, the opening and the request itself, so
 a crossing costs as much as the round trip takes longer than one within the data centre. A late
-answer of a busy agent says nothing about the way, so the estimate follows shorter times faster than
-longer ones. Since it does not rise with the load of a data centre, several that overflow at once do
-not send openings to and fro.
+answer of a busy agent says nothing about the network, so the estimate follows shorter times faster
+than longer ones. Since it does not rise with the load of a data centre, several that overflow at
+once do not send openings back and forth.
 """
 
 from __future__ import annotations
@@ -16,8 +16,9 @@
 from wagtailkeel_coordination.handshake.server_choice import REMOTE_PENALTY_MS
 
 FALL_GAIN = 0.2
+"""Shorter times are followed within about 5 load requests."""
 RISE_GAIN = 0.02
-"""A way that becomes longer is followed within about 50 load requests."""
+"""Longer times are followed within about 50 load requests."""
 
 
 class CrossingCost:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_queue.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_queue.py
@@ -82,7 +82,8 @@
         """Return the opening to deliver next, or None if none waits.
 
         The lowest priority number goes first. Of equal ones, those that can be answered in time go
-        before late ones, else the oldest first.
+        before late ones, else the oldest first. ``ServingOrder`` replaces this order with the
+        option ``queue_when_busy``.
         """
         openings = self._by_key.values()
         return min(openings, key=lambda o: (o.priority, o.is_late(now)), default=None)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/outlier_detector.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/outlier_detector.py
@@ -31,9 +31,11 @@
 """Failures count for this long if nothing follows them."""
 MIN_AVOIDED_S = 2.0
 MAX_AVOIDED_S = 16.0
+"""How long an outlier gets no openings: the time is doubled with each failed trial."""
 AVOIDED_RETENTION_S = 60.0
 """A server that becomes an outlier again within this time is avoided for twice as long."""
 TRIAL_ANSWERS = 5
+"""A trial ends after so many answers in a row."""
 
 
 class Outcome(Enum):
@@ -83,7 +85,7 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Return whether the server has failed a request too recently to risk one that matters."""
+        """Return whether the server has failed too recently for requests that aren't idempotent."""
         return self.is_outlier or self.score > SUSPECT_SCORE
 
     def record(self, outcome: Outcome, now: float) -> None:
@@ -140,6 +142,7 @@
     def _end(self, now: float) -> None:
         self.state = OutlierState.TRUSTED
         self.score = 0.0
+        self.counts.clear()
         self._ended_at = now
 
     def advance(self, now: float) -> None:
@@ -155,6 +158,6 @@
 def are_most_outliers(outliers: int, servers: int) -> bool:
     """Return whether so many servers fail that the cause is likely elsewhere.
 
-    Then none is avoided, like the panic threshold of service meshes.
+    None is avoided then, as with the panic threshold of service meshes.
     """
     return 2 * outliers >= servers
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/placement_preview.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/placement_preview.py
@@ -2,6 +2,7 @@
 
 It uses the functions that place openings. The loads are those that the owner knows now: the owner
 of a real opening would first request the loads of some agents if it knows too few recent ones.
+The priority limit is not applied, nor what the agents decide: an agent may still return an opening.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 
 from wagtailkeel_coordination.handshake.server_choice import choose_shortest_queue
 from wagtailkeel_protocol.where_messages import KnownServer
-from wagtailkeel_protocol.where_messages import Outcome
+from wagtailkeel_protocol.where_messages import PlacementOutcome
 from wagtailkeel_protocol.where_messages import PlacementPreview
 
 if TYPE_CHECKING:
@@ -24,12 +25,17 @@
 
 Address = tuple[str, int]
 
+# States of a server in the reply.
 ACCEPTS = "accepts"
 HAS_REJECTED = "has_rejected"
 CLOSED = "closed"
 LEAVING = "agent_leaving"
 OUTDATED = "load_outdated"
 
+# Reasons why an opening is not placed.
+NO_RECENT_LOAD = "no_recent_load"
+NO_SERVER_ACCEPTS = "no_server_accepts"
+
 
 def preview_placement(
     loads: PeerLoads,
@@ -55,13 +61,13 @@
         for peer in _sort_known(loads, members, order)
     ]
     if order:
-        return _build(Outcome.PLACED, order[0].address, "", members, servers)
+        return _build(PlacementOutcome.PLACED, order[0].address, "", members, servers)
     if not any(loads.is_available(address, now, max_age_s) for address in members):
-        return _build(Outcome.LOADS_REQUESTED, None, "no_recent_load", members, servers)
+        return _build(PlacementOutcome.LOADS_REQUESTED, None, NO_RECENT_LOAD, members, servers)
     queue = choose_shortest_queue(queues, max_wait_s * 1_000, (), random)
     if queue is not None:
-        return _build(Outcome.QUEUED, queue.address, "no_server_accepts", members, servers)
-    return _build(Outcome.REFUSED, None, "no_server_accepts", members, servers)
+        return _build(PlacementOutcome.QUEUED, queue.address, NO_SERVER_ACCEPTS, members, servers)
+    return _build(PlacementOutcome.REFUSED, None, NO_SERVER_ACCEPTS, members, servers)
 
 
 def _rank(
@@ -110,7 +116,7 @@
 
 
 def _build(
-    outcome: Outcome,
+    outcome: PlacementOutcome,
     address: Address | None,
     reason: str,
     members: Collection[Address],
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/priority_admission.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/priority_admission.py
@@ -29,11 +29,13 @@
 OVERLOAD_WAIT_S = 0.03
 """Short bursts and single long requests make openings wait too, but not for OVERLOAD_TIME_S."""
 OVERLOAD_TIME_S = 0.1
+"""The limit falls by a step each time that the wait was longer than OVERLOAD_WAIT_S for so long."""
 RAISE_INTERVAL_S = 0.02
 """The limit rises faster than it falls, since idle servers are worse than short queues."""
 LIMIT_AGE_S = 1.0
 """The age up to which a load counts as fresh."""
 MIN_LIMITS = 3
+"""With fewer fresh loads nothing is refused, since one wrong limit would decide."""
 ROOM_FRACTION = 0.25
 """A wait above this fraction of the longest one that agents admit is left to higher priorities."""
 
@@ -68,7 +70,7 @@
         return now - overloaded_since >= OVERLOAD_TIME_S and self._step(-1, now)
 
     def lift(self) -> bool:
-        """Admit every priority, since the server is cold; return whether the limit changed."""
+        """Admit every priority, since the server is or was cold; return whether that is new."""
         has_changed = self.value != ANY_PRIORITY
         self.value = ANY_PRIORITY
         self._busy_since = None
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_admission.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/queue_admission.py
@@ -10,15 +10,16 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 
 from wagtailkeel_coordination.handshake.queue_limit import MAX_WAIT_FRACTION
+from wagtailkeel_coordination.handshake.serving_order import RESERVED_SHARE
 from wagtailkeel_coordination.handshake.serving_order import ServingOrder
 from wagtailkeel_coordination.handshake.serving_order import count_ahead
 from wagtailkeel_coordination.handshake.serving_order import sort_by_turn
 from wagtailkeel_coordination.handshake.waiting_estimate import NEVER
-from wagtailkeel_coordination.handshake.waiting_estimate import RESERVED_SHARE
 from wagtailkeel_coordination.handshake.waiting_estimate import CapacityMeter
 from wagtailkeel_coordination.handshake.waiting_estimate import Demand
 from wagtailkeel_coordination.handshake.waiting_estimate import ServerRoom
@@ -41,6 +42,25 @@
 """An opening is delivered this long before a slot is free, since its caller has to answer first."""
 
 
+class RoomForecast(NamedTuple):
+    """What an agent reports to owners about the next opening, by the last ones.
+
+    ``has_room``: an opening of the lowest recent priority would hardly wait. ``wait_s`` is its
+    wait, or that of the highest recent priority if it would not be served; None if that would not
+    be served either.
+    """
+
+    has_room: bool
+    wait_s: float | None
+
+
+class _LastOpening(NamedTuple):
+    """The last opening of a priority that was delivered or queued, and when it was."""
+
+    opening: QueuedOpening
+    came_at: float
+
+
 class QueueAdmission:
     """Estimates the wait of openings in a queue by its serving order; times are in seconds."""
 
@@ -52,7 +72,7 @@
         self._demand = Demand(now)
         self._capacity = CapacityMeter(now)
         self._is_measured_cold = True
-        self._last_by_priority: dict[int, tuple[QueuedOpening, float]] = {}
+        self._last_by_priority: dict[int, _LastOpening] = {}
 
     # Measurements
 
@@ -68,7 +88,7 @@
 
     def record_demand(self, opening: QueuedOpening, now: float) -> None:
         """Count an opening that is delivered at once or queued."""
-        self._last_by_priority[opening.priority] = (opening, now)
+        self._last_by_priority[opening.priority] = _LastOpening(opening, now)
         if not opening.is_late(now) and not self._gate.is_cold(now):
             self._demand.record(opening.priority, now)
 
@@ -111,30 +131,30 @@
         has_place = len(self._queue) < MAX_QUEUED_OPENINGS
         return has_place and now + wait_s <= newcomer.expires_at
 
-    def forecast(self, now: float) -> tuple[bool, float | None]:
-        """Return whether an opening of the lowest recent priority would hardly wait, and its wait.
-
-        If it would not be served, the wait is that of the highest recent priority; None if that
-        would not be served either.
-        """
+    def forecast(self, now: float) -> RoomForecast:
+        """Return whether the agent has room for the openings that it may expect, and their wait."""
         max_wait_s = self._queue.max_wait_s
-        recent = [p for p, (_, at) in self._last_by_priority.items() if now - at < RECENT_S]
+        recent = [
+            priority
+            for priority, last in self._last_by_priority.items()
+            if now - last.came_at < RECENT_S
+        ]
         if not recent:
-            return self.has_room(now), 0.0
+            return RoomForecast(self.has_room(now), 0.0)
         lowest, highest = max(recent), min(recent)
         for priority in dict.fromkeys((lowest, highest)):
             newcomer = self._expect(priority, now)
             wait_s = self.wait_s(newcomer, now)
             if self._is_served(newcomer, wait_s, now):
                 is_short = wait_s <= short_wait_s(newcomer, max_wait_s)
-                return priority == lowest and is_short, wait_s
-        return False, None
+                return RoomForecast(priority == lowest and is_short, wait_s)
+        return RoomForecast(False, None)
 
     def find_unservable(self, now: float) -> list[QueuedOpening]:
         """Return the queued openings that will not be delivered before they expire.
 
-        Openings still to come are left out of account, so that only those without hope are
-        returned: each placement of a returned opening costs its owner messages.
+        Openings still to come are not counted, so that only those are returned that certainly
+        expire by the estimate: placing a returned opening again costs its owner messages.
         """
         room = self._describe_room(now)
         unservable = []
@@ -182,11 +202,14 @@
 
     def _expect(self, priority: int, now: float) -> QueuedOpening:
         """Return an opening like the last one of a priority, as if it came now."""
-        expected = msgspec.structs.replace(self._last_by_priority[priority][0])
+        expected = msgspec.structs.replace(self._last_by_priority[priority].opening)
         self.set_times(expected, 0.0, now)
         return expected
 
 
 def short_wait_s(opening: QueuedOpening, max_wait_s: float) -> float:
-    """Return how long an opening may wait that its owner would rather place at an idle server."""
+    """Return how long an opening may wait if its owner gave no wait limit.
+
+    The owner tries other servers before it asks for a longer wait.
+    """
     return MAX_WAIT_FRACTION * opening.target_s or max_wait_s
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/request_outcomes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/request_outcomes.py
@@ -20,11 +20,12 @@
 if TYPE_CHECKING:
     from wagtailkeel_protocol.packet_format import PacketHeader
 
-MIN_SILENCE_S = 0.25
 SILENCE_FACTOR = 4.0
-"""A request that later ones have overtaken counts as unanswered after this many times the usual
-response time of its route.
+"""A request counts as unanswered after this many times the usual response time of its route, if one
+that was delivered later has been answered.
 """
+MIN_SILENCE_S = 0.25
+"""The least of these times; with 0.15 s, ``short-requests`` of the load model had late answers."""
 STALL_FACTOR = 4.0
 """This many times longer if the server has answered no later request, since it may be slow."""
 MIN_STALL_S = 1.0
@@ -35,6 +36,7 @@
 RETENTION_S = 30.0
 """Flows that wait for their caller, or for a late answer, are watched for this long."""
 USUAL_DECAY = 0.1
+"""The share of the difference by which a faster answer lowers the usual response time."""
 
 
 class _Stage(Enum):
@@ -69,7 +71,8 @@
     def __init__(self) -> None:
         self._flows_by_key: dict[bytes, _WatchedFlow] = {}
         self._usual_s_by_route: dict[bytes, float] = {}
-        self._last_answered_since = float("-inf")
+        # When the newest of the answered requests was delivered.
+        self._newest_answered_since = float("-inf")
 
     def is_awaited(self, key: bytes) -> bool:
         """Return whether the server has an opening or a request of a flow to answer."""
@@ -87,11 +90,11 @@
             flow.enter(_Stage.REQUEST, now)
 
     def remove(self, key: bytes) -> None:
-        """Stop to watch a flow that its caller has reset, or that the server has returned."""
+        """Stop watching a flow that its caller has reset, or that the server has returned."""
         self._flows_by_key.pop(key, None)
 
     def forget_flows(self) -> None:
-        """Stop to watch all flows, since what happens to them says nothing about the server."""
+        """Stop watching all flows, since what happens to them says nothing about the server."""
         self._flows_by_key.clear()
 
     def on_outbound(self, header: PacketHeader, now: float) -> Outcome | None:
@@ -127,7 +130,7 @@
         usual_s = self._usual_s_by_route.get(flow.route, response_s)
         declined_s = usual_s + USUAL_DECAY * (response_s - usual_s)
         self._usual_s_by_route[flow.route] = max(response_s, declined_s)
-        self._last_answered_since = max(self._last_answered_since, flow.since)
+        self._newest_answered_since = max(self._newest_answered_since, flow.since)
 
     def judge(self, heard_at: float, *, is_on_trial: bool) -> dict[bytes, Outcome]:
         """Return the flows whose answer is missing for too long, each only once.
@@ -153,6 +156,6 @@
         if usual_s is None:
             return UNKNOWN_SILENCE_S
         silence_s = max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s)
-        if is_on_trial or flow.since < self._last_answered_since:
+        if is_on_trial or flow.since < self._newest_answered_since:
             return silence_s
         return max(MIN_STALL_S, STALL_FACTOR * silence_s)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_explanation.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_explanation.py
@@ -41,7 +41,7 @@
 
 
 def explain_route(routing: RoutingTable, packet_format: PacketFormat, key: bytes) -> WhereReply:
-    """Return the service and the terms of the route of an opening."""
+    """Return the service of an opening, and the priority, target and timeout of its route."""
     destinations = routing.find(packet_format.endpoint_of(key))
     if destinations is None:
         return WhereReply(routing.version)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/routing_table.py
@@ -19,7 +19,7 @@
 
 
 class Destinations(msgspec.Struct, frozen=True):
-    """The services of a route, the running sums of their weights, and its terms; see Route."""
+    """The services of a route, the running sums of their weights, and its settings; see Route."""
 
     services: tuple[str, ...]
     cumulative_weights: tuple[int, ...]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -16,6 +16,7 @@
 from wagtailkeel_protocol.messages import ServerLoad
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
     from random import Random
@@ -35,6 +36,7 @@
 COLD_SERVICE_TIME_FACTOR = 2.0
 """A cold server is expected to need this many times its measured service time."""
 DEFAULT_SERVICE_MS = 20.0
+"""The service time of a server that has not reported one yet."""
 
 
 class PeerLoad(msgspec.Struct):
@@ -197,24 +199,35 @@
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
     """Return the expected time of a new flow's first request; held flows add parts of a request."""
     load = peer.load
+    work = load.in_flight + peer.openings_since_report + HELD_FLOW_WEIGHT * load.held_flows + 1.0
+    wait_ms = work_time_ms(load, work)
+    return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
+
+
+def work_time_ms(load: ServerLoad, work: float) -> float:
+    """Return the time that all slots of a server together need for a number of requests."""
     service_ms = load.service_ms or DEFAULT_SERVICE_MS
     if load.is_cold:
         service_ms *= COLD_SERVICE_TIME_FACTOR
-    work = load.in_flight + peer.openings_since_report + HELD_FLOW_WEIGHT * load.held_flows + 1.0
-    wait_ms = service_ms * work / max(1, load.slots)
-    return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
+    return service_ms * work / max(1, load.slots)
+
+
+def find_least(
+    peers: Iterable[PeerLoad],
+    tried: Collection[Address],
+    random: Random,
+    wait_ms: Callable[[PeerLoad], float],
+) -> PeerLoad | None:
+    """Return the untried agent with the least ``wait_ms``, ties broken at random, or None."""
+    scored = [(wait_ms(peer), random.random(), peer) for peer in peers if peer.address not in tried]
+    return min(scored, key=lambda entry: entry[:2])[2] if scored else None
 
 
 def choose_server(
     candidates: Iterable[PeerLoad], data_centre: str, tried: Collection[Address], random: Random
 ) -> PeerLoad | None:
     """Return the untried candidate with the least expected wait, ties broken at random, or None."""
-    scored = [
-        (expected_wait_ms(peer, data_centre), random.random(), peer)
-        for peer in candidates
-        if peer.address not in tried
-    ]
-    return min(scored, key=lambda entry: entry[:2])[2] if scored else None
+    return find_least(candidates, tried, random, lambda peer: expected_wait_ms(peer, data_centre))
 
 
 def choose_shortest_queue(
@@ -224,13 +237,8 @@
 
     Return None if no agent will deliver it within ``wait_limit_ms``.
     """
-    scored = [
-        (_queue_wait_ms(peer), random.random(), peer)
-        for peer in queues
-        if peer.address not in tried
-    ]
-    best = min(scored, key=lambda entry: entry[:2], default=None)
-    return best[2] if best is not None and best[0] <= wait_limit_ms else None
+    best = find_least(queues, tried, random, _queue_wait_ms)
+    return best if best is not None and _queue_wait_ms(best) <= wait_limit_ms else None
 
 
 def _queue_wait_ms(peer: PeerLoad) -> float:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_watch.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_watch.py
@@ -42,7 +42,7 @@
         self._heard_at = float("-inf")
         self._trial_key: bytes | None = None
         self._trial_opened_at = float("-inf")
-        self._idempotent_until = float("-inf")
+        self._idempotent_only_until = float("-inf")
 
     # Openings
 
@@ -61,18 +61,21 @@
         return is_recent or self._outcomes.is_awaited(self._trial_key)
 
     def find_return_reason(self, key: bytes) -> str | None:
-        """Return why an opening should be placed on another server; None if it may stay here."""
-        is_risky = not self._context.routing.is_idempotent(self._route_of(key))
+        """Return why an opening should be placed on another server; None if it may stay here.
+
+        The server is suspect. Requests that are not idempotent would be lost if it failed them.
+        """
+        is_idempotent = self._context.routing.is_idempotent(self._route_of(key))
         if not self.detector.is_outlier:
-            return SERVER_SUSPECT if is_risky else None
+            return None if is_idempotent else SERVER_SUSPECT
         if self.detector.state is OutlierState.ON_TRIAL and not self._is_trial_running:
-            may_risk = self._context.now > self._idempotent_until
-            return SERVER_OUTLIER if is_risky and not may_risk else None
+            may_try_any = self._context.now > self._idempotent_only_until
+            return None if is_idempotent or may_try_any else SERVER_OUTLIER
         return SERVER_OUTLIER
 
     def on_opened(self, key: bytes) -> None:
         """Watch an opening that is being delivered."""
-        if not self._is_judging():
+        if not self._begin_event():
             return
         self._outcomes.add_opening(key, self._route_of(key), self._context.now)
         if self.detector.state is OutlierState.ON_TRIAL and not self._is_trial_running:
@@ -86,7 +89,7 @@
 
     def on_inbound(self, header: PacketHeader) -> None:
         """Watch a request that is being delivered to the server."""
-        if not self._is_judging():
+        if not self._begin_event():
             return
         if header.flags & packet_flags.RESET:
             self._outcomes.remove(header.key)
@@ -95,7 +98,7 @@
 
     def on_outbound(self, header: PacketHeader) -> None:
         """Record the outcome of a request from a packet of the server."""
-        if not self._is_judging():
+        if not self._begin_event():
             return
         self._heard_at = self._context.now
         if header.flags & packet_flags.BOUNCED:
@@ -117,7 +120,7 @@
     def tick(self) -> None:
         """Judge requests without an answer, and start the trial of an avoided server."""
         now = self._context.now
-        if self._is_judging():
+        if self._begin_event():
             is_on_trial = self.detector.state is OutlierState.ON_TRIAL
             overdue = self._outcomes.judge(self._heard_at, is_on_trial=is_on_trial)
             for key, outcome in overdue.items():
@@ -126,12 +129,12 @@
         self.detector.advance(now)
         if state is not self.detector.state:
             self._trial_key = None
-            self._idempotent_until = now + IDEMPOTENT_TRIAL_WAIT_S
+            self._idempotent_only_until = now + IDEMPOTENT_TRIAL_WAIT_S
 
-    def _is_judging(self) -> bool:
-        """Return whether outcomes say something about the server; if not, forget its requests.
+    def _begin_event(self) -> bool:
+        """Return whether outcomes say something about the server: not while it is cold or leaving.
 
-        They don't while it is starting, leaving or silent, or after the agent was suspended.
+        If they don't, or the agent was suspended before this event, watched flows are forgotten.
         """
         now = self._context.now
         was_suspended = now - self._called_at > MAX_EVENT_GAP_S
@@ -154,7 +157,7 @@
         self.detector.record(outcome, self._context.now)
         if key == self._trial_key:
             self._trial_key = None
-            self._idempotent_until = self._context.now + IDEMPOTENT_TRIAL_WAIT_S
+            self._idempotent_only_until = self._context.now + IDEMPOTENT_TRIAL_WAIT_S
         if outcome is Outcome.RESET:
             self._context.counters["requests_reset"] += 1
         elif outcome is Outcome.SILENT:
@@ -190,4 +193,3 @@
         self._context.emit(
             events.ServerOutlierEnded(self._gate.service, reason, detector.failed_trials, lasted_s)
         )
-        detector.counts.clear()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/serving_order.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/serving_order.py
@@ -1,7 +1,7 @@
 """The order in which the openings that wait at an agent are delivered.
 
 Load patterns: one class of requests comes ten times as often as usual, or one data centre's callers
-send ten times as much. Served in order of arrival, these would take the room of all others.
+send ten times as much. Served in order of arrival, they would take most of a server's capacity.
 """
 
 from __future__ import annotations
@@ -17,10 +17,12 @@
 
 RESERVED_INTERVAL = 8
 """While openings of higher priority wait, one of this many deliveries goes to a lower one."""
+RESERVED_SHARE = 1 / RESERVED_INTERVAL
+"""The share of a server's capacity that each lower priority gets while higher ones wait too."""
 
 
 class ServingOrder:
-    """Picks the next opening; keeps whose turn it is.
+    """Chooses the opening to deliver next, and records whose turn it was.
 
     The lowest priority number goes first, except for the reserved turns of higher numbers. Of equal
     ones, those that can be answered in time go before late ones. Of these, the callers' data
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/waiting_estimate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/waiting_estimate.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-MEMORY_S = 1.0
+AVERAGING_TIME_S = 1.0
 """Rates are averaged over about this time, which is shorter than the bursts to be handled."""
 MIN_SATURATED_S = 0.2
 """The capacity counts as measured once the server was saturated for this long."""
@@ -26,8 +26,8 @@
 """Time between two observations beyond this is left out, since the agent was suspended then."""
 UNKNOWN_SERVICE_S = 1.0
 """Assumed where neither a response time nor the route's target is known."""
-RESERVED_SHARE = 1 / 8
-"""The share of a server's room that each lower priority gets while higher ones wait too."""
+MIN_COUNT = 0.01
+"""A priority whose averaged count of openings is below this is removed."""
 NEVER = math.inf
 
 
@@ -45,7 +45,7 @@
         """Record the answers since the last observation, and whether all slots are busy now."""
         if self._is_saturated:
             elapsed_s = min(now - self._observed_at, MAX_STEP_S)
-            decay = math.exp(-elapsed_s / MEMORY_S)
+            decay = math.exp(-elapsed_s / AVERAGING_TIME_S)
             self._answers = self._answers * decay + answers
             self._saturated_s = self._saturated_s * decay + elapsed_s
             self._saturated_at = now
@@ -84,14 +84,14 @@
             for other, count in self._counts.items()
             if other < priority or (is_late and other == priority)
         )
-        return count / MEMORY_S
+        return count / AVERAGING_TIME_S
 
     def _decay(self, now: float) -> None:
-        decay = math.exp(-(now - self._counted_at) / MEMORY_S)
+        decay = math.exp(-(now - self._counted_at) / AVERAGING_TIME_S)
         self._counted_at = now
         for priority, count in list(self._counts.items()):
             self._counts[priority] = count * decay
-            if self._counts[priority] < 0.01:
+            if self._counts[priority] < MIN_COUNT:
                 del self._counts[priority]
 
 
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/where_messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/where_messages.py
@@ -14,7 +14,7 @@
     route: str
 
 
-class Outcome(Enum):
+class PlacementOutcome(Enum):
     """What a directory owner would do with an opening by the loads that it knows."""
 
     PLACED = "placed"
@@ -49,7 +49,7 @@
     ``agent`` is the agent that would get the opening; it is empty if none would.
     """
 
-    outcome: Outcome
+    outcome: PlacementOutcome
     agent: str
     reason: str
     members: int
--- a/tests/coordination/handshake/test_placement_preview.py
+++ b/tests/coordination/handshake/test_placement_preview.py
@@ -9,7 +9,7 @@
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake.route_explanation import AddressError
 from wagtailkeel_coordination.handshake.route_explanation import parse_address
-from wagtailkeel_protocol.where_messages import Outcome
+from wagtailkeel_protocol.where_messages import PlacementOutcome
 from wagtailkeel_protocol.where_messages import PlacementPreview
 
 MAX_WAIT_S = 1.3
@@ -27,10 +27,10 @@
 class PlacementPreviewTest(unittest.TestCase):
     def test_outcome(self) -> None:
         table = [
-            ("no load is known", None, Outcome.LOADS_REQUESTED),
-            ("servers accept", {}, Outcome.PLACED),
-            ("servers drain", {"is_draining": True}, Outcome.REFUSED),
-            ("servers are cold and full", {"cold_for_s": 0.9}, Outcome.QUEUED),
+            ("no load is known", None, PlacementOutcome.LOADS_REQUESTED),
+            ("servers accept", {}, PlacementOutcome.PLACED),
+            ("servers drain", {"is_draining": True}, PlacementOutcome.REFUSED),
+            ("servers are cold and full", {"cold_for_s": 0.9}, PlacementOutcome.QUEUED),
         ]
         for name, report, expected in table:
             with self.subTest(name):
@@ -47,7 +47,10 @@
                         network.open(f"caller-{number}")
                 found = preview(network)
                 self.assertEqual(found.outcome, expected)
-                self.assertEqual(bool(found.agent), expected in (Outcome.PLACED, Outcome.QUEUED))
+                self.assertEqual(
+                    bool(found.agent),
+                    expected in (PlacementOutcome.PLACED, PlacementOutcome.QUEUED),
+                )
                 self.assertEqual(found.members, 3)
 
     def test_nothing_changes(self) -> None:
