--- a/bench/src/wagtailkeel_bench/load_model/model_callers.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_callers.py
@@ -25,7 +25,9 @@
 COPY_DELAYS_S = (0.2, 0.6)
 """When an opening is sent again, from its first transmission on."""
 OPENING_TIMEOUT_S = 1.4
+"""A caller gives up an opening that has had no answer for this long."""
 MAX_RETRY_DELAY_S = 0.1
+"""Callers with a flow for each request wait up to this long before the next attempt, at random."""
 FIRST_PORT = 1_024
 PORTS_PER_HOST = 60_000
 REQUEST_PAYLOAD = b"q"
--- a/bench/src/wagtailkeel_bench/load_model/model_server.py
+++ b/bench/src/wagtailkeel_bench/load_model/model_server.py
@@ -24,7 +24,10 @@
 
 
 def class_index_of(key: bytes) -> int:
-    """Return the number of the request class to whose route a caller's flow goes."""
+    """Return the number of the request class to whose route a caller's flow goes.
+
+    The callers are IPv4: the key has two addresses of four bytes, the source port, the route's.
+    """
     return int.from_bytes(key[10:12], "big") - FIRST_ROUTE_PORT
 
 
--- a/bench/src/wagtailkeel_bench/load_model/policy.py
+++ b/bench/src/wagtailkeel_bench/load_model/policy.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec.structs import replace
 
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import SampleSize
@@ -44,42 +45,26 @@
 
 
 MAX_OPENING_WAIT_S = 1.3
+"""Callers give up an opening after 1.4 s, so one that is delivered later is answered in vain."""
+
+
+def _build_sampled(options: RouterOptions) -> Policy:
+    """Return the policy of wagtailkeel with optional decisions."""
+    return Policy(choose_server, has_queue_limit=True, sample_size=SampleSize(), options=options)
+
+
+_QUEUE_WHEN_COLD = RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S)
 
 POLICIES_BY_NAME = {
     "random": Policy(choose_random_server, has_queue_limit=False),
     "least-wait": Policy(choose_server, has_queue_limit=False),
     "least-wait-limited": Policy(choose_server, has_queue_limit=True),
     "sampled-2": Policy(choose_server, has_queue_limit=True, sample_size=SampleSize(1, 1)),
-    "sampled-unqueued": Policy(choose_server, has_queue_limit=True, sample_size=SampleSize()),
-    "sampled": Policy(
-        choose_server,
-        has_queue_limit=True,
-        sample_size=SampleSize(),
-        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S),
-    ),
-    "sampled-outliers": Policy(
-        choose_server,
-        has_queue_limit=True,
-        sample_size=SampleSize(),
-        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, outlier_detection=True),
-    ),
-    "aged-loads": Policy(
-        choose_server,
-        has_queue_limit=True,
-        sample_size=SampleSize(),
-        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, placement="aged_loads"),
-    ),
-    "sampled-queued": Policy(
-        choose_server,
-        has_queue_limit=True,
-        sample_size=SampleSize(),
-        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, queue_when_busy=True),
-    ),
-    "sampled-admission": Policy(
-        choose_server,
-        has_queue_limit=True,
-        sample_size=SampleSize(),
-        options=RouterOptions(max_opening_wait_s=MAX_OPENING_WAIT_S, priority_admission=True),
-    ),
+    "sampled-unqueued": _build_sampled(DEFAULT_OPTIONS),
+    "sampled": _build_sampled(_QUEUE_WHEN_COLD),
+    "sampled-outliers": _build_sampled(replace(_QUEUE_WHEN_COLD, outlier_detection=True)),
+    "aged-loads": _build_sampled(replace(_QUEUE_WHEN_COLD, placement="aged_loads")),
+    "sampled-queued": _build_sampled(replace(_QUEUE_WHEN_COLD, queue_when_busy=True)),
+    "sampled-admission": _build_sampled(replace(_QUEUE_WHEN_COLD, priority_admission=True)),
 }
 """``sampled`` is the policy of wagtailkeel without optional decisions."""
--- a/bench/src/wagtailkeel_bench/placement_comparison.py
+++ b/bench/src/wagtailkeel_bench/placement_comparison.py
@@ -48,7 +48,7 @@
         results = [simulate(load, POLICIES_BY_NAME[policy], seed) for seed in SEEDS]
         requests = sum(result.requests for result in results)
         work_s = sum(sum(result.work_s_by_server) for result in results)
-        misplaced = 100 * sum(result.idle_while_queued_s for result in results) / work_s
+        idle_percent = 100 * sum(result.idle_while_queued_s for result in results) / work_s
         late = 1_000 * sum(result.late for result in results) / requests
         failed = 1_000 * sum(result.failed for result in results) / requests
         median_ms = fmean(result.percentile_ms(50) for result in results)
@@ -56,7 +56,7 @@
         messages = fmean(result.load_messages_per_opening for result in results)
         messages_per_request = sum(result.load_messages for result in results) / requests
         print(
-            f"{name:15s}{server_count:5d}{busy_share:5.2f} {policy:11s}{misplaced:7.2f}"
+            f"{name:15s}{server_count:5d}{busy_share:5.2f} {policy:11s}{idle_percent:7.2f}"
             f"{late:7.2f}{failed:7.2f}{median_ms:8.1f}{high_ms:8.1f}{messages:8.2f}"
             f"{messages_per_request:8.2f}",
             flush=True,
@@ -70,9 +70,7 @@
     parser.add_argument("--servers", nargs="+", type=int, default=[10, 42, 109])
     parser.add_argument("--busy", nargs="+", type=float, default=[0.25, 0.6, 0.9])
     arguments = parser.parse_args()
-    print(
-        "load        servers busy rule       idle%   late  failed  p50 ms  p99 ms opening request"
-    )
+    print(HEADER)
     for name in arguments.loads:
         for server_count in arguments.servers:
             for busy_share in arguments.busy:
--- a/bench/src/wagtailkeel_bench/simulation/cluster.py
+++ b/bench/src/wagtailkeel_bench/simulation/cluster.py
@@ -138,13 +138,13 @@
     ) -> None:
         """Call ``on_arrival`` with the process that runs at the receiver when a message arrives."""
         source, instance = self.instances_by_name[sender], self.instances_by_name.get(receiver)
-        if source.is_mute or instance is None:
+        if source.drops_outbound or instance is None:
             return
         addressed = self._processes_by_name.get(receiver)
 
         def arrive() -> None:
             process = self._processes_by_name.get(receiver)
-            if instance.is_deaf or process is None or process is not addressed:
+            if instance.drops_inbound or process is None or process is not addressed:
                 return
             if instance.is_frozen:
                 instance.held_calls.append(arrive)
--- a/bench/src/wagtailkeel_bench/simulation/instance.py
+++ b/bench/src/wagtailkeel_bench/simulation/instance.py
@@ -11,13 +11,14 @@
     from pathlib import Path
 
 MAX_DELAY_S = 0.002
+"""The longest network delay of a message between instances that are not slow."""
 
 
 class Instance:
     """The disk and the links of a control instance.
 
-    No message reaches an instance that ``is_deaf``, and none leaves one that ``is_mute``. While it
-    ``is_frozen``, messages that arrive are held. One that ``has_left`` never starts again.
+    An instance that ``drops_inbound`` gets no message, and one that ``drops_outbound`` sends none.
+    While it ``is_frozen``, messages that arrive are held. One that ``has_left`` never starts again.
     """
 
     def __init__(self, name: str, folder: Path) -> None:
@@ -25,7 +26,7 @@
         self.disk = SimulatedDisk(folder / name)
         self.max_delay_s = MAX_DELAY_S
         self.is_frozen = False
-        self.is_deaf = False
-        self.is_mute = False
+        self.drops_inbound = False
+        self.drops_outbound = False
         self.has_left = False
         self.held_calls: list[Callable[[], None]] = []
--- a/bench/src/wagtailkeel_bench/simulation/runner.py
+++ b/bench/src/wagtailkeel_bench/simulation/runner.py
@@ -30,9 +30,9 @@
             Kind.KILL: lambda fault: cluster.kill(fault.target),
             Kind.WIPE: self._wipe,
             Kind.FREEZE: lambda fault: self._set(fault, "is_frozen"),
-            Kind.CUT: lambda fault: self._set(fault, "is_deaf", "is_mute"),
-            Kind.CUT_IN: lambda fault: self._set(fault, "is_deaf"),
-            Kind.CUT_OUT: lambda fault: self._set(fault, "is_mute"),
+            Kind.CUT: lambda fault: self._set(fault, "drops_inbound", "drops_outbound"),
+            Kind.CUT_IN: lambda fault: self._set(fault, "drops_inbound"),
+            Kind.CUT_OUT: lambda fault: self._set(fault, "drops_outbound"),
             Kind.DISK: lambda fault: self._set_disk(fault, is_failing=True),
             Kind.REPLACE: lambda fault: cluster.start(fault.successor),
             Kind.ABANDON: lambda fault: cluster.start(fault.successor),
@@ -63,7 +63,7 @@
             instance.has_left = True
             cluster.kill(fault.target)
         else:
-            instance.is_deaf = instance.is_mute = False
+            instance.drops_inbound = instance.drops_outbound = False
 
     def _stop(self, fault: Fault) -> None:
         """Stop the process of an instance for good, once one runs."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/stop_requests.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/stop_requests.py
@@ -4,7 +4,7 @@
 
 STOP_REQUEST_TIMEOUT_S = 1.0
 """A voter that has not repeated its request for this long no longer waits for a successor."""
-STOP_MEMORY_S = 10.0
+STOP_RETENTION_S = 10.0
 """An instance is no successor for this long after its last request: longer than a stop takes."""
 
 
@@ -19,9 +19,9 @@
         self._requested_at_by_id: dict[str, float] = {}
 
     def record(self, instance_id: str, now: float) -> None:
-        """Record a request, and discard those older than STOP_MEMORY_S."""
+        """Record a request, and discard those older than STOP_RETENTION_S."""
         for key, requested_at in list(self._requested_at_by_id.items()):
-            if now - requested_at >= STOP_MEMORY_S:
+            if now - requested_at >= STOP_RETENTION_S:
                 del self._requested_at_by_id[key]
         self._requested_at_by_id[instance_id] = now
 
@@ -39,7 +39,7 @@
 
     def is_stopping(self, instance_id: str, now: float) -> bool:
         """Return whether an instance is about to stop, so that it can't succeed another."""
-        return self._elapsed_s(instance_id, now) < STOP_MEMORY_S
+        return self._elapsed_s(instance_id, now) < STOP_RETENTION_S
 
     def _elapsed_s(self, instance_id: str, now: float) -> float:
         return now - self._requested_at_by_id.get(instance_id, float("-inf"))
