--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -17,7 +17,7 @@
 class FlowPointer(msgspec.Struct):
     """The agent of a flow, ``target``; ``tried`` are agents that did not take its opening.
 
-    ``queue_tried`` are those of them that did not queue it either; None if none was asked to.
+    ``queue_tried`` are those of them that did not queue it either; None until it is placed.
     ``is_copy`` is set while only another owner has got packets of the flow, ``is_closing`` once the
     caller has closed it, and ``is_denied`` once ``target`` has answered that it does not have it.
     ``copied_at`` is when the pointer was last sent to the agent that would own it next. Times are
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_options.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_options.py
@@ -12,7 +12,8 @@
 class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Which decisions an agent makes; see the settings of the same names.
 
-    Openings wait for up to ``max_opening_wait_s`` seconds; 0 means that none waits.
+    Openings wait for up to ``max_opening_wait_s`` seconds for a cold server, and for a busy one
+    with ``queue_when_busy``; 0 means that none waits.
     """
 
     max_opening_wait_s: float = 0.0
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/replication.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/replication.py
@@ -25,6 +25,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.15
 ENTRIES_PER_APPEND = 200
+"""The most log entries of one request."""
 
 
 class Replication:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -190,8 +190,8 @@
     which an opening that waits at the agent will be delivered, if the server accepts none now; 0
     if openings can't wait there. ``is_reply``: the report was requested. ``opened_flows`` counts
     the openings delivered to the server since the agent started. ``is_outlier``: the server fails
-    more of its requests than a healthy one would. Openings with a priority number above
-    ``priority_limit`` should be refused.
+    more of its requests than a healthy one would, and no trial opening may be sent to it now.
+    Openings with a priority number above ``priority_limit`` should be refused.
     """
 
     service_tag: int
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/where.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/where.py
@@ -78,28 +78,28 @@
         out_of_service=[name for name in data_centres if not config.is_in_service(name)]
     )
     if data_centre and data_centre not in data_centres:
-        return _stop(explanation, ExitCode.USAGE, f"unknown data centre {data_centre}")
+        return _fail(explanation, ExitCode.USAGE, f"unknown data centre {data_centre}")
     balancers = [b for b in config.balancers_by_id.values() if _is_in(b, data_centre)]
     route = await _ask_balancers(client, balancers, request, explanation)
     if route is None:
-        return _stop(explanation, ExitCode.UNREACHABLE, "no balancer answered")
+        return _fail(explanation, ExitCode.UNREACHABLE, "no balancer answered")
     if route.error:
-        return _stop(explanation, ExitCode.USAGE, route.error)
+        return _fail(explanation, ExitCode.USAGE, route.error)
     if not route.service:
         error = f"no route to {request.route} in routing version {route.routing_version}"
-        return _stop(explanation, ExitCode.FAILURE, error)
+        return _fail(explanation, ExitCode.FAILURE, error)
     owner = _find_owner(config, route)
     if owner is None:
-        return _stop(explanation, ExitCode.UNREACHABLE, "the balancer knows no directory owner")
+        return _fail(explanation, ExitCode.UNREACHABLE, "the balancer knows no directory owner")
     explanation.owner = owner.server_id
     explanation.placement = await client.where((owner.host, owner.rpc_port), request)
     if explanation.placement is None:
         error = f"the directory owner {owner.server_id} does not answer"
-        return _stop(explanation, ExitCode.UNREACHABLE, error)
+        return _fail(explanation, ExitCode.UNREACHABLE, error)
     return explanation
 
 
-def _stop(explanation: _Explanation, exit_code: ExitCode, error: str) -> _Explanation:
+def _fail(explanation: _Explanation, exit_code: ExitCode, error: str) -> _Explanation:
     explanation.exit_code = exit_code
     explanation.error = error
     return explanation
--- a/packages/wagtailkeel/src/wagtailkeel/settings/model.py
+++ b/packages/wagtailkeel/src/wagtailkeel/settings/model.py
@@ -137,8 +137,8 @@
     runs, so that a refused connection shows that it does not.
 
     With ``queue_when_busy``, openings also wait for a busy server. With ``priority_admission``,
-    openings of low priority are refused under lasting overload. ``placement`` is the rule by which
-    servers are chosen. With ``outlier_detection``, a server that fails requests gets fewer
+    openings of low priority are refused under sustained overload. ``placement`` is the rule by
+    which servers are chosen. With ``outlier_detection``, a server that fails requests gets fewer
     openings.
     """
 
