Split the flow holder and the opening placer by job

Behaviour, counters, events, messages and dump fields are unchanged.

Of the flow holder: server_state.py (flows, queue and decisions of a server), server_openings.py (admission and delivery), waiting_openings.py (queueing, release, return), load_reporter.py (load and priority limit) and owner_link.py (answers to owners). Of the opening placer: pending_opening.py, load_requests.py (samples, answers, timeouts), opening_offers.py (sending to agents), opening_refusals.py and placement_rule.py.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -121,7 +121,8 @@
             self._context.services_by_tag[relay.service_tag(service)] = service
         policy = document.policies_by_service.get(self.gate.service)
         self.gate.cold_starts_per_s = policy.cold_starts_per_s if policy else 0.0
-        self.holder.priority_limit.set_priorities(self.routing.priorities_of(self.gate.service))
+        priorities = self.routing.priorities_of(self.gate.service)
+        self.holder.load_reporter.priority_limit.set_priorities(priorities)
         self.held.idle_limit_s = document.idle_limit_s
         self.pointers.idle_limit_s = document.idle_limit_s
 
@@ -130,7 +131,7 @@
     ) -> None:
         """Set the agents that may hold flows: the members and those removed recently."""
         self.owner.set_peers(members, former_members)
-        self.holder.data_centres_by_agent = {a: m.data_centre for a, m in members.items()}
+        self.holder.waiting.data_centres_by_agent = {a: m.data_centre for a, m in members.items()}
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Process a status report of the backend server; return whether it was accepted."""
@@ -138,7 +139,7 @@
 
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
-        return self.holder.build_load(now)
+        return self.holder.load_reporter.build(now)
 
     def on_load(self, load: ServerLoad, source: Address, now: float) -> None:
         """Process the load report of another agent."""
@@ -178,7 +179,7 @@
     def return_queue(self, now: float) -> None:
         """Return all queued openings to their owners, before this agent stops."""
         self._context.now = now
-        self.holder.return_queue()
+        self.holder.waiting.return_all()
 
     def send_copies(self, now: float) -> None:
         """Send copies of this agent's directory entries to their next owners, before it stops."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_options.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_options.py
@@ -21,5 +21,13 @@
     placement: PlacementRule = "least_wait"
     outlier_detection: bool = False
 
+    @property
+    def looks_for_room(self) -> bool:
+        """Return whether owners look for an agent that has room.
+
+        Where openings queue at busy agents, they need not.
+        """
+        return self.priority_admission and not self.queue_when_busy
+
 
 DEFAULT_OPTIONS = RouterOptions()
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -398,7 +398,7 @@
                 "accepts": router.gate.accepts(now),
                 "held_flows": len(router.held.by_key),
                 "queued_openings": len(router.holder.queue),
-                "priority_limit": router.holder.priority_limit.value,
+                "priority_limit": router.holder.load_reporter.priority_limit.value,
                 "pointers": len(router.pointers.by_key),
                 "searches": len(router.searches.by_key),
                 "in_flight": router.held.in_flight,
