Fake site of the tests: a refused caller waits before it tries again

Traced in one logged run: open_flow repeated a refused opening at once, so that its 150 attempts were over after 40 ms, before the agent had joined. It now waits 0.2 s after a refusal, as after silence. Suspected for the runs in which an answer had no data: the server's answer to a repeated opening came after the flow was open, and was taken for the answer to a request; it is dropped now, as a caller drops it. Resets are still returned and still fail the tests.

--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -25,6 +25,7 @@
 WAIT_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 6.0
+REFUSED_RETRY_S = 0.2
 FAILURE_LOG_LINES = 60
 PACKET_HEADER = struct.Struct("!IBBIIIH4s4sHH")
 
@@ -341,12 +342,23 @@
             answer = self.send_and_receive(build_packet(packets.SYN, caller, ack=attempt))
             if answer is not None and answer[4] & packets.SYN:
                 return
+            if answer is not None:
+                # A refusal comes at once; a caller does not use up its attempts in milliseconds.
+                time.sleep(REFUSED_RETRY_S)
         raise AssertionError(f"no server accepted the opening; {self.last_log_lines()}")
 
     def send_request(self, port: int) -> bytes:
-        """Send data on a flow until it is answered; return the answer: data, or a reset."""
+        """Send data on a flow until it is answered; return the answer: data, or a reset.
+
+        The server's answer to a repeated opening may come after the flow is open; it is dropped.
+        """
         packet = build_packet(packets.ACK, ("127.31.9.1", port), ack=1, data=b"request")
-        return bytes(wait_until(lambda: self.send_and_receive(packet), "an answer"))
+
+        def receive_answer() -> bytes | None:
+            answer = self.send_and_receive(packet)
+            return None if answer is not None and answer[4] & packets.SYN else answer
+
+        return bytes(wait_until(receive_answer, "an answer"))
 
     def last_log_lines(self) -> str:
         """Return the last log lines of all processes, to explain a failure."""
