Handshake: one selection of a service's loads, no unused code, no statistics module at start

Found on reading the release once more: - PeerLoads._find_accepting repeated the selection of find_recent_of_service; it calls it now. - The requests in flight with the openings sent since stood in three places; PeerLoad.in_flight has them. - RouteTimes.route_mean_s was never called. - ServerState built RouteTimes also where no option uses it. - priority_admission imported statistics, and with it decimal and fractions, at each start of an agent: 2.4 ms of some 230 ms of processor time. It is imported at the first refusal under overload.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/priority_admission.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/priority_admission.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-from statistics import median_high
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination.handshake import queue_limit
@@ -90,8 +89,7 @@
     load = peer.load
     if not load.accepts or peer.has_rejected or 0 < target_s <= peer.busy_target_s:
         return False
-    in_flight = load.in_flight + peer.openings_since_report
-    return queue_limit.has_room(in_flight, load.slots, load.service_ms / 1_000, target_s)
+    return queue_limit.has_room(peer.in_flight, load.slots, load.service_ms / 1_000, target_s)
 
 
 def is_surely_full(peer: PeerLoad, target_s: float, now: float) -> bool:
@@ -111,6 +109,9 @@
     """
     if len(peers) < MIN_LIMITS:
         return False
+    # Imported here since it would delay the start of each agent, and only overload needs it.
+    from statistics import median_high
+
     if priority <= median_high(peer.load.priority_limit for peer in peers):
         return False
     return not any(_may_have_room(peer, target_s, now) for peer in peers)
@@ -134,6 +135,5 @@
     Without the age, owners that refuse openings by old loads would leave servers idle.
     """
     load = peer.load
-    in_flight = load.in_flight + peer.openings_since_report
-    wait_s = queue_limit.expected_wait_s(in_flight, load.slots, load.service_ms / 1_000)
+    wait_s = queue_limit.expected_wait_s(peer.in_flight, load.slots, load.service_ms / 1_000)
     return wait_s - (now - peer.received_at)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_times.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/route_times.py
@@ -55,11 +55,6 @@
             weighted += route.weight * route.mean_s
         return weighted / total if total else 0.0
 
-    def route_mean_s(self, key: bytes) -> float:
-        """Return the average of a flow's route, or that of all routes if it is unknown."""
-        route = self._by_endpoint.get(self._endpoint_of(key))
-        return route.mean_s if route is not None else self.mean_s
-
     def clear(self) -> None:
         """Forget all times, since the server has restarted."""
         self._by_endpoint.clear()
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_choice.py
@@ -53,6 +53,11 @@
     has_rejected: bool = False
     busy_target_s: float = 0.0
 
+    @property
+    def in_flight(self) -> int:
+        """The reported requests in flight and the openings sent since."""
+        return self.load.in_flight + self.openings_since_report
+
 
 class PeerLoads:
     """Load reports by address of the agent that sent them.
@@ -155,8 +160,8 @@
 
     def _find_accepting(self, service_tag: int, now: float) -> list[PeerLoad]:
         """Return the recent loads of a service's agents that accept openings."""
-        recent = self._find_recent(self.by_address, now, MAX_LOAD_AGE_S)
-        return [p for p in recent if p.load.accepts and p.load.service_tag == service_tag]
+        recent = self.find_recent_of_service(service_tag, now, MAX_LOAD_AGE_S)
+        return [peer for peer in recent if peer.load.accepts]
 
     def find_recent_of_service(self, tag: int, now: float, max_age_s: float) -> list[PeerLoad]:
         """Return the recent loads of the agents of the service with a tag."""
@@ -199,7 +204,7 @@
 def expected_wait_ms(peer: PeerLoad, data_centre: str) -> float:
     """Return the expected time of a new flow's first request; held flows add parts of a request."""
     load = peer.load
-    work = load.in_flight + peer.openings_since_report + HELD_FLOW_WEIGHT * load.held_flows + 1.0
+    work = peer.in_flight + HELD_FLOW_WEIGHT * load.held_flows + 1.0
     wait_ms = work_time_ms(load, work)
     return wait_ms if peer.data_centre == data_centre else wait_ms + REMOTE_PENALTY_MS
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
@@ -35,8 +35,10 @@
         self.gate = gate
         self.queue = OpeningQueue(options.max_opening_wait_s)
         self.uses_aged_loads = options.placement == "aged_loads"
-        route_times = RouteTimes(context.packet_format.endpoint_of)
-        self.held = HeldFlows(record_response, route_times if self.uses_aged_loads else None)
+        route_times = None
+        if self.uses_aged_loads:
+            route_times = RouteTimes(context.packet_format.endpoint_of)
+        self.held = HeldFlows(record_response, route_times)
         self.watch = ServerWatch(context, gate) if options.outlier_detection else None
         self.admission: QueueAdmission | None = None
         if options.queue_when_busy and options.max_opening_wait_s:
