--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -137,6 +137,24 @@
     routing_version: int
 
 
+class OpeningRepeated(Event, tag="opening_repeated"):
+    """An opening was delivered for a flow that the agent holds already.
+
+    ``age_ms`` is how long the agent has tracked the flow; ``is_retransmission`` tells whether the
+    opening has the sequence number of the one that began the flow. ``is_established`` and
+    ``finished_ends`` (bits: 1 the caller, 2 the server) are the state of that flow. ``gate`` is the
+    reason why a new opening would be rejected, empty if it would not.
+    """
+
+    flow: str
+    age_ms: int
+    is_retransmission: bool
+    is_established: bool
+    finished_ends: int
+    gate: str
+    routing_version: int
+
+
 class PriorityLimitChanged(Event, tag="priority_limit_changed"):
     """An agent has changed the highest priority number that its service should admit.
 
@@ -214,7 +232,10 @@
 
 
 class ServerChanged(Event, tag="server_changed"):
-    """A status report of the local backend server changed its state as seen by this agent."""
+    """A status report of the local backend server changed its state as seen by this agent.
+
+    The first report after a start of the agent is such a change.
+    """
 
     server: str
     sequence: int
@@ -224,6 +245,21 @@
     cold_for_s: float
 
 
+class ReportDropped(Event, tag="report_dropped"):
+    """A status report of the local backend server was not used: it is not newer than another.
+
+    ``known_sequence`` and ``known_started_at_ms`` are those of the newest report.
+    """
+
+    server: str
+    sequence: int
+    started_at_ms: int
+    is_draining: bool
+    known_server: str
+    known_sequence: int
+    known_started_at_ms: int
+
+
 class ServerOutlier(Event, tag="server_outlier"):
     """The local backend server fails too many requests and gets no openings for ``avoided_s``.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -97,6 +97,8 @@
         flow.owner = self._context.own_address if frame.kind is RelayKind.FORWARD else source
         if frame.kind is RelayKind.SEARCH:
             self._context.send(source, RelayKind.FOUND, frame, header.key)
+        if header.is_opening:
+            self._record_repeated_opening(flow, header)
         self.held.on_inbound(flow, header, self._context.now)
         if self.watch is not None:
             self.watch.on_inbound(header)
@@ -104,6 +106,22 @@
             self.admission.observe(self._context.now)
         self._context.outbox.deliver(frame.body)
 
+    def _record_repeated_opening(self, flow: HeldFlow, header: PacketHeader) -> None:
+        now = self._context.now
+        gate_reason = self.gate.find_rejection_reason(now)
+        self._context.counters["openings_repeated"] += 1
+        self._context.emit(
+            events.OpeningRepeated(
+                flow_id(header.key),
+                round((now - flow.opened_at) * 1_000),
+                header.initial_sequence == flow.initial_sequence,
+                flow.is_established,
+                flow.finished_ends,
+                gate_reason.value if gate_reason is not None else "",
+                self._context.routing.version,
+            )
+        )
+
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Deliver or queue an opening that an owner has placed here, or return it to the owner."""
         if header.key in self.queue:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -29,7 +29,9 @@
 class HeldFlow(msgspec.Struct):
     """A flow of the backend server; times are in seconds.
 
-    ``owner`` is the agent that sent the flow's last packet here, ``awaiting_since`` the time of a
+    ``opened_at`` is when the agent began to track it, and ``initial_sequence`` that of the opening
+    that was delivered, None if the agent has not seen it. ``owner`` is the agent that sent the
+    flow's last packet here, ``awaiting_since`` the time of a
     request without an answer (0 for none). ``is_established`` is set once the server has sent more
     than the answer to the opening, so the caller has chosen this server. ``has_free_slot`` is set
     if the server had a slot free for that request, so that its response time is the server's work
@@ -40,7 +42,9 @@
 
     key: bytes
     owner: Address
+    opened_at: float
     last_seen_at: float
+    initial_sequence: int | None = None
     has_reply: bool = False
     is_established: bool = False
     awaiting_since: float = 0.0
@@ -95,9 +99,11 @@
             del opened[oldest]
         return self.in_flight + len(opened)
 
-    def open(self, key: bytes, owner: Address, now: float) -> HeldFlow:
+    def open(
+        self, key: bytes, owner: Address, now: float, initial_sequence: int | None = None
+    ) -> HeldFlow:
         """Start to track a flow."""
-        flow = HeldFlow(key, owner, now)
+        flow = HeldFlow(key, owner, now, now, initial_sequence)
         self.by_key[key] = flow
         return flow
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -156,7 +156,7 @@
 
     def accepts(self, now: float) -> bool:
         """Return whether peers should send openings to this agent."""
-        return self._find_rejection_reason(now) is None
+        return self.find_rejection_reason(now) is None
 
     def is_awaiting_first_report(self, now: float) -> bool:
         """Return whether openings are rejected only because the server's first report is pending.
@@ -164,18 +164,19 @@
         The report counts as pending until the agent has run for the report timeout.
         """
         is_report_pending = self.report is None and now - self._started_at <= self._report_timeout_s
-        return is_report_pending and self._find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
+        return is_report_pending and self.find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
 
     def admit(self, service: str, now: float) -> GateReason | None:
         """Admit and count an opening and return None, or return the reason why it is rejected."""
         if service != self.service:
             return GateReason.WRONG_SERVICE
-        reason = self._find_rejection_reason(now)
+        reason = self.find_rejection_reason(now)
         if reason is None and self.is_cold(now):
             self._cold_opening_times.append(now)
         return reason
 
-    def _find_rejection_reason(self, now: float) -> GateReason | None:
+    def find_rejection_reason(self, now: float) -> GateReason | None:
+        """Return why an opening of the server's service would be rejected, None if it would not."""
         if self.is_leaving:
             return GateReason.LEAVING
         if not self.is_in_service:
@@ -190,7 +191,7 @@
 
     def is_limited_by_cold_start(self, now: float) -> bool:
         """Return whether openings are rejected only because the server is cold."""
-        return self._find_rejection_reason(now) is GateReason.COLD
+        return self.find_rejection_reason(now) is GateReason.COLD
 
     def warm_in_s(self, now: float) -> float:
         """Return the time until the server is warm; 0 if it is."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_openings.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_openings.py
@@ -7,6 +7,7 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.queue_limit import has_room
+from wagtailkeel_protocol.malformed import Malformed
 from wagtailkeel_protocol.relay import RelayKind
 
 if TYPE_CHECKING:
@@ -102,9 +103,11 @@
     def open(self, packet: bytes, key: bytes, owner: Address) -> None:
         """Deliver an opening that was admitted."""
         held, now = self._server.held, self._context.now
+        header = self._context.packet_format.parse_inbound(packet)
+        assert not isinstance(header, Malformed), "only parsed openings are admitted"
         self._context.counters["flows_opened"] += 1
         self.opened_flows += 1
-        held.expect_request(held.open(key, owner, now), now)
+        held.expect_request(held.open(key, owner, now, header.initial_sequence), now)
         if self._server.watch is not None:
             self._server.watch.on_opened(key)
         self._context.outbox.deliver(packet)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet.py
@@ -26,6 +26,7 @@
 _TCP_HEADER_BYTES = 20
 _UDP_HEADER_BYTES = 8
 _FRAGMENT_MASK = 0x3FFF
+_unpack_sequence = struct.Struct("!I").unpack_from
 _unpack_ipv4_fields = struct.Struct("!BxHxxHxB").unpack_from
 
 
@@ -112,6 +113,12 @@
     return packet[transport_offset(packet) + 13]
 
 
+def tcp_sequence(packet: bytes) -> int:
+    """Return the sequence number of a TCP packet that has been parsed before."""
+    sequence: int = _unpack_sequence(packet, transport_offset(packet) + 4)[0]
+    return sequence
+
+
 def payload_of(packet: bytes) -> bytes:
     """Return the bytes after the TCP or UDP header."""
     offset = transport_offset(packet)
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/packet_format.py
@@ -29,12 +29,15 @@
     ``key`` identifies the flow, caller first, in both directions. ``flags`` is a set of this
     module's constants. ``payload_bytes`` counts application data. ``attempt`` is 0 for the first
     transmission of an opening, and in formats that do not distinguish retransmissions.
+    ``initial_sequence`` is the sequence number of an opening, which all its transmissions share; 0
+    in other packets.
     """
 
     key: bytes
     flags: int
     payload_bytes: int
     attempt: int = 0
+    initial_sequence: int = 0
 
     @property
     def is_opening(self) -> bool:
@@ -117,4 +120,7 @@
         flags |= FIN
     if tcp_flags & ip.RST:
         flags |= RESET
-    return PacketHeader(key, flags, len(ip.payload_of(packet)))
+    header = PacketHeader(key, flags, len(ip.payload_of(packet)))
+    if header.is_opening:
+        header.initial_sequence = ip.tcp_sequence(packet)
+    return header
--- a/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
+++ b/packages/wagtailkeel/src/wagtailkeel/flow_explanation.py
@@ -24,6 +24,7 @@
     "opening_queued",
     "opening_rejected",
     "opening_released",
+    "opening_repeated",
     "opening_expired",
     "opening_refused",
 )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -101,7 +101,7 @@
         self._seen_at_by_peer: dict[Address, float] = {}
         self._emit = event_sink.emit
         self._last_removal_index = -1
-        self._has_accepted = False
+        self._reported_state: tuple[bool, bool] | None = None
         self._has_report = anyio.Event()
         self.router = AgentRouter(
             (settings.instance.host, section.port),
@@ -212,11 +212,13 @@
         """Process a status report of the server; return whether it was accepted."""
         now = clock.seconds()
         if not self.router.on_report(report, now):
+            self._emit_dropped_report(report)
             return False
         self._has_report.set()
         accepts = self.router.gate.accepts(now)
-        if self._has_accepted != accepts:
-            self._has_accepted = accepts
+        state = (accepts, report.is_draining)
+        if self._reported_state != state:
+            self._reported_state = state
             self._emit(
                 events.ServerChanged(
                     report.server_id,
@@ -229,6 +231,22 @@
             )
         return True
 
+    def _emit_dropped_report(self, report: ServerReport) -> None:
+        known = self.router.gate.report
+        if known is None:
+            return
+        self._emit(
+            events.ReportDropped(
+                report.server_id,
+                report.sequence,
+                report.started_at_ms,
+                report.is_draining,
+                known.server_id,
+                known.sequence,
+                known.started_at_ms,
+            )
+        )
+
     def _on_absent_server(self) -> None:
         self._emit(events.ServerAbsent())
         self.router.gate.record_absence()
--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -51,7 +51,8 @@
 class FakePacket(msgspec.Struct, array_like=True):
     """A packet: its flow, its flags, the server that it acknowledges, and its data.
 
-    ``attempt`` is 0 for the first transmission of an opening.
+    ``attempt`` is 0 for the first transmission of an opening, and ``sequence`` is its initial
+    sequence number.
     """
 
     key: bytes
@@ -59,6 +60,7 @@
     server: str = ""
     data: int = 0
     attempt: int = 0
+    sequence: int = 0
 
 
 class FakeFormat:
@@ -69,7 +71,9 @@
             decoded = msgspec.msgpack.decode(packet, type=FakePacket)
         except msgspec.MsgspecError:
             return Malformed.UNDECODABLE
-        return PacketHeader(decoded.key, decoded.flags, decoded.data, decoded.attempt)
+        return PacketHeader(
+            decoded.key, decoded.flags, decoded.data, decoded.attempt, decoded.sequence
+        )
 
     parse_outbound = parse_inbound
 
@@ -137,6 +141,7 @@
         decoded.server,
         decoded.data,
         decoded.attempt,
+        decoded.sequence,
     )
 
 
--- a/tests/platform/test_packet_format.py
+++ b/tests/platform/test_packet_format.py
@@ -32,6 +32,7 @@
             PlatformPacketFormat(),
             KEY,
             OPENING,
+            0x11223344,
             build(platform.ACK, ack=3, data=b"data"),
             build(platform.ACK | platform.FIN),
             build(platform.ACK, is_reply=True, data=b"answer"),
--- a/tests/protocol/test_packet_formats.py
+++ b/tests/protocol/test_packet_formats.py
@@ -32,6 +32,7 @@
     packet_format: PacketFormat
     key: bytes
     opening: bytes
+    opening_sequence: int
     data: bytes
     finish: bytes
     reply: bytes
@@ -50,6 +51,7 @@
         IpPacketFormat(),
         key,
         build_tcp(key, 1, 0, ip.SYN),
+        1,
         build_tcp(key, 2, 9, ip.ACK, b"data"),
         build_tcp(key, 6, 9, ip.ACK | ip.FIN),
         build_tcp(reply_key, 9, 6, ip.ACK, b"answer"),
@@ -80,6 +82,15 @@
                     self.assertEqual(header.payload_bytes, size)
                     self.assertEqual(header.is_opening, is_opening)
 
+    def test_only_openings_have_an_initial_sequence_number(self) -> None:
+        for case in self.cases:
+            parser = case.packet_format
+            for packet, expected in ((case.opening, case.opening_sequence), (case.data, 0)):
+                with self.subTest(packet_format=type(parser).__name__, expected=expected):
+                    header = parser.parse_inbound(packet)
+                    assert isinstance(header, PacketHeader)
+                    self.assertEqual(header.initial_sequence, expected)
+
     def test_endpoint_and_caller_host(self) -> None:
         for case in self.cases:
             with self.subTest(packet_format=type(case.packet_format).__name__):
