--- a/tests/coordination/handshake/fake_network.py
+++ b/tests/coordination/handshake/fake_network.py
@@ -404,10 +404,13 @@
         self.run()
         return list(self.replies)
 
-    def open(self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0) -> str:
+    def open(
+        self, name: str, endpoint: bytes = DESK_ENDPOINT, attempt: int = 0, sequence: int = 0
+    ) -> str:
         """Open a flow; return the server's name, or "" if the opening was refused or dropped."""
         key = name.encode() + endpoint
-        answers = self.send_packet(FakePacket(key, packet_flags.OPENING, attempt=attempt))
+        opening = FakePacket(key, packet_flags.OPENING, attempt=attempt, sequence=sequence)
+        answers = self.send_packet(opening)
         return answers[0].server if answers else ""
 
     def request(self, name: str, server: str, endpoint: bytes = DESK_ENDPOINT) -> str:
--- a/tests/coordination/handshake/test_agent_router.py
+++ b/tests/coordination/handshake/test_agent_router.py
@@ -300,34 +300,6 @@
         self.assertEqual((answered, self.network.resets), (other.server.name, 0))
 
 
-class PortReuseTest(unittest.TestCase):
-    """A caller uses the port of a flow that has ended again, for a new flow."""
-
-    def setUp(self) -> None:
-        self.network = FakeNetwork([DESK] * 2)
-        self.server = self.network.open("caller")
-        self.network.request("caller", self.server)
-        nodes = self.network.nodes.values()
-        self.holder = next(n for n in nodes if n.server.name == self.server)
-        self.other = next(n for n in nodes if n is not self.holder)
-        self.network.close("caller", self.server)
-        self.holder.close_flow(b"caller" + DESK_ENDPOINT)
-        self.network.run()
-
-    def test_the_new_flow_does_not_go_to_a_server_that_drains(self) -> None:
-        self.holder.report(is_draining=True)
-        for owner in (self.holder, self.other):
-            with self.subTest(owner=owner.address):
-                self.network.balancer.owners.update([owner.address])
-                self.assertEqual(self.network.open("caller"), self.other.server.name)
-
-    def test_packets_of_the_new_flow_go_to_its_server(self) -> None:
-        self.holder.report(is_draining=True)
-        server = self.network.open("caller")
-        for _ in range(2):
-            self.assertEqual(self.network.request("caller", server), server)
-
-
 class SearchScopeTest(unittest.TestCase):
     """Only agents of the services that a route has named since it was added may have its flows."""
 
--- /dev/null
+++ b/tests/coordination/handshake/test_port_reuse.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import unittest
+from enum import Enum
+from enum import auto
+
+from tests.coordination.handshake.fake_network import DESK
+from tests.coordination.handshake.fake_network import DESK_ENDPOINT
+from tests.coordination.handshake.fake_network import FakeNetwork
+
+CALLER = "caller"
+KEY = CALLER.encode() + DESK_ENDPOINT
+FIRST_SEQUENCE = 7
+SECOND_SEQUENCE = 8
+SHORTEST_DRAIN_PERIOD_S = 3.0
+
+
+class EarlierFlow(Enum):
+    """What became of the flow whose port the caller uses again."""
+
+    UNANSWERED = auto()
+    ABANDONED = auto()
+    CLOSED_BY_CALLER = auto()
+    CLOSED_BY_SERVER = auto()
+    CLOSED_BY_BOTH = auto()
+
+
+class PortReuseTest(unittest.TestCase):
+    """A caller uses the port of a flow that has ended again, for a new flow."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork([DESK] * 2)
+        self.server = self.network.open("caller")
+        self.network.request("caller", self.server)
+        nodes = self.network.nodes.values()
+        self.holder = next(n for n in nodes if n.server.name == self.server)
+        self.other = next(n for n in nodes if n is not self.holder)
+        self.network.close("caller", self.server)
+        self.holder.close_flow(b"caller" + DESK_ENDPOINT)
+        self.network.run()
+
+    def test_the_new_flow_does_not_go_to_a_server_that_drains(self) -> None:
+        self.holder.report(is_draining=True)
+        for owner in (self.holder, self.other):
+            with self.subTest(owner=owner.address):
+                self.network.balancer.owners.update([owner.address])
+                self.assertEqual(self.network.open("caller"), self.other.server.name)
+
+    def test_packets_of_the_new_flow_go_to_its_server(self) -> None:
+        self.holder.report(is_draining=True)
+        server = self.network.open("caller")
+        for _ in range(2):
+            self.assertEqual(self.network.request("caller", server), server)
+
+
+class DrainingServerTest(unittest.TestCase):
+    """Openings reached a server that drained, as packets of a flow that its agent held still."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork([DESK] * 2)
+
+    def open_earlier_flow(self, state: EarlierFlow) -> None:
+        """Open a flow and bring it to a state; its server then drains."""
+        server = self.network.open(CALLER, sequence=FIRST_SEQUENCE)
+        nodes = self.network.nodes.values()
+        self.holder = next(n for n in nodes if n.server.name == server)
+        self.other = next(n for n in nodes if n is not self.holder)
+        if state is not EarlierFlow.UNANSWERED:
+            self.network.request(CALLER, server)
+        if state in (EarlierFlow.CLOSED_BY_CALLER, EarlierFlow.CLOSED_BY_BOTH):
+            self.network.close(CALLER, server)
+        if state in (EarlierFlow.CLOSED_BY_SERVER, EarlierFlow.CLOSED_BY_BOTH):
+            self.holder.close_flow(KEY)
+        self.network.run()
+        self.holder.report(is_draining=True)
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.5)):
+            self.network.pass_time(0.5)
+
+    def test_a_new_opening_reaches_no_server_that_drains(self) -> None:
+        for state in EarlierFlow:
+            for passed_s in (0.0, 1.0, 6.0):
+                for owner_is_holder in (False, True):
+                    with self.subTest(state, passed_s=passed_s, owner_is_holder=owner_is_holder):
+                        self.setUp()
+                        self.open_earlier_flow(state)
+                        self.pass_time(passed_s)
+                        owner = self.holder if owner_is_holder else self.other
+                        self.network.balancer.owners.update([owner.address])
+                        openings = len(self.holder.server.openings)
+                        server = self.network.open(CALLER, sequence=SECOND_SEQUENCE)
+                        self.assertEqual(len(self.holder.server.openings), openings)
+                        self.assertEqual(server, self.other.server.name)
+                        self.assertEqual(self.network.request(CALLER, server), server)
+
+    def test_a_late_copy_of_an_opening_reaches_no_server_that_drains(self) -> None:
+        for state in EarlierFlow:
+            with self.subTest(state):
+                self.setUp()
+                self.open_earlier_flow(state)
+                self.pass_time(SHORTEST_DRAIN_PERIOD_S)
+                openings = len(self.holder.server.openings)
+                self.network.open(CALLER, attempt=2, sequence=FIRST_SEQUENCE)
+                self.assertEqual(len(self.holder.server.openings), openings)
+
+    def test_a_late_copy_of_an_opening_does_not_move_its_flow(self) -> None:
+        self.open_earlier_flow(EarlierFlow.ABANDONED)
+        self.pass_time(SHORTEST_DRAIN_PERIOD_S)
+        server = self.holder.server.name
+        self.network.open(CALLER, attempt=2, sequence=FIRST_SEQUENCE)
+        for _ in range(2):
+            self.assertEqual(self.network.request(CALLER, server), server)
+
+    def test_a_copy_of_an_opening_that_was_admitted_reaches_its_server(self) -> None:
+        self.open_earlier_flow(EarlierFlow.UNANSWERED)
+        self.network.pass_time(0.6)
+        server = self.network.open(CALLER, attempt=2, sequence=FIRST_SEQUENCE)
+        self.assertEqual(server, self.holder.server.name)
+
+
+class ColdServerTest(unittest.TestCase):
+    """The same openings went past the limit of a server that had turned cold."""
+
+    def test_new_openings_on_held_ports_count_for_the_limit(self) -> None:
+        network = FakeNetwork([DESK], cold_starts_per_s=3.0)
+        node = next(iter(network.nodes.values()))
+        for number in range(10):
+            network.open(f"caller-{number}", sequence=FIRST_SEQUENCE)
+        openings = len(node.server.openings)
+        node.report(cold_for_s=5.0)
+        for number in range(10):
+            network.open(f"caller-{number}", sequence=SECOND_SEQUENCE)
+        self.assertEqual(len(node.server.openings), openings + 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
