--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -138,17 +138,18 @@
 
 
 class OpeningRepeated(Event, tag="opening_repeated"):
-    """An opening was delivered for a flow that the agent holds already.
+    """An agent got an opening whose addresses and ports are those of a flow that it holds.
 
-    ``age_ms`` is how long the agent has tracked the flow; ``is_retransmission`` tells whether the
-    opening has the sequence number of the one that began the flow. ``is_established`` and
-    ``finished_ends`` (bits: 1 the caller, 2 the server) are the state of that flow. ``gate`` is the
-    reason why a new opening would be rejected, empty if it would not.
+    ``outcome`` is "retransmission" if it was delivered to the server again, "outdated" if it was
+    dropped, and "new" if it was treated as the opening of another flow. ``age_ms`` is how long the
+    agent has tracked the flow; ``is_established`` and ``finished_ends`` (bits: 1 the caller, 2 the
+    server) are the flow's state. ``gate`` is the reason why a new opening would be rejected, empty
+    if it would not.
     """
 
     flow: str
+    outcome: str
     age_ms: int
-    is_retransmission: bool
     is_established: bool
     finished_ends: int
     gate: str
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -14,6 +14,7 @@
 from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
 from wagtailkeel_coordination.handshake.flow_locator import DEFAULT_QUERIES_PER_S
 from wagtailkeel_coordination.handshake.load_sample import DEFAULT_SAMPLE_SIZE
+from wagtailkeel_coordination.handshake.repeated_opening import RepeatedOpening
 from wagtailkeel_coordination.handshake.route_explanation import build_flow_key
 from wagtailkeel_coordination.handshake.route_explanation import explain_route
 from wagtailkeel_coordination.handshake.router_context import ResetReason
@@ -217,12 +218,12 @@
         if isinstance(header, Malformed):
             self._context.counters[f"dropped_{header.value}"] += 1
             return
+        is_returned = frame.kind in _RETURN_KINDS
+        if header.is_opening and not is_returned:
+            if self.holder.on_repeated_opening(header) is RepeatedOpening.OUTDATED:
+                return
         flow = self.held.by_key.get(header.key)
-        if flow is not None and flow.closed_at and header.is_opening:
-            # The caller uses the port again: the gate decides about the new flow.
-            self.held.remove(flow)
-            flow = None
-        if flow is None or frame.kind in _RETURN_KINDS:
+        if flow is None or is_returned:
             self._route(frame, header, source)
         elif not self.gate.has_stopped:
             self.holder.deliver_held(flow, frame, header, source)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -12,6 +12,7 @@
 from wagtailkeel_coordination.handshake.flow_probe import FlowProbes
 from wagtailkeel_coordination.handshake.load_reporter import LoadReporter
 from wagtailkeel_coordination.handshake.owner_link import OwnerLink
+from wagtailkeel_coordination.handshake.repeated_opening import RepeatedOpening
 from wagtailkeel_coordination.handshake.server_openings import ServerOpenings
 from wagtailkeel_coordination.handshake.server_state import ServerState
 from wagtailkeel_coordination.handshake.waiting_openings import WaitingOpenings
@@ -90,6 +91,37 @@
 
     # Packets to the server
 
+    def on_repeated_opening(self, header: PacketHeader) -> RepeatedOpening | None:
+        """Classify an opening whose key is that of a held flow; return None if no flow has it.
+
+        The held flow is forgotten if the opening requests a new one.
+        """
+        flow = self.held.by_key.get(header.key)
+        if flow is None:
+            return None
+        repeated = RepeatedOpening.classify(flow, header, self._context.now)
+        self._emit_repeated_opening(flow, repeated)
+        if repeated is RepeatedOpening.OUTDATED:
+            self._context.counters["dropped_outdated_opening"] += 1
+        elif repeated is RepeatedOpening.NEW:
+            self.held.remove(flow)
+        return repeated
+
+    def _emit_repeated_opening(self, flow: HeldFlow, repeated: RepeatedOpening) -> None:
+        gate_reason = self.gate.find_rejection_reason(self._context.now)
+        self._context.counters["openings_repeated"] += 1
+        self._context.emit(
+            events.OpeningRepeated(
+                flow_id(flow.key),
+                repeated.value,
+                round((self._context.now - flow.opened_at) * 1_000),
+                flow.is_established,
+                flow.finished_ends,
+                gate_reason.value if gate_reason is not None else "",
+                self._context.routing.version,
+            )
+        )
+
     def deliver_held(
         self, flow: HeldFlow, frame: RelayFrame, header: PacketHeader, source: Address
     ) -> None:
@@ -97,8 +129,6 @@
         flow.owner = self._context.own_address if frame.kind is RelayKind.FORWARD else source
         if frame.kind is RelayKind.SEARCH:
             self._context.send(source, RelayKind.FOUND, frame, header.key)
-        if header.is_opening:
-            self._record_repeated_opening(flow, header)
         self.held.on_inbound(flow, header, self._context.now)
         if self.watch is not None:
             self.watch.on_inbound(header)
@@ -106,22 +136,6 @@
             self.admission.observe(self._context.now)
         self._context.outbox.deliver(frame.body)
 
-    def _record_repeated_opening(self, flow: HeldFlow, header: PacketHeader) -> None:
-        now = self._context.now
-        gate_reason = self.gate.find_rejection_reason(now)
-        self._context.counters["openings_repeated"] += 1
-        self._context.emit(
-            events.OpeningRepeated(
-                flow_id(header.key),
-                round((now - flow.opened_at) * 1_000),
-                header.initial_sequence == flow.initial_sequence,
-                flow.is_established,
-                flow.finished_ends,
-                gate_reason.value if gate_reason is not None else "",
-                self._context.routing.version,
-            )
-        )
-
     def on_place(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Deliver or queue an opening that an owner has placed here, or return it to the owner."""
         if header.key in self.queue:
--- a/tests/coordination/handshake/test_port_reuse.py
+++ b/tests/coordination/handshake/test_port_reuse.py
@@ -3,10 +3,20 @@
 import unittest
 from enum import Enum
 from enum import auto
+from random import Random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from tests.coordination.handshake.fake_network import DESK
 from tests.coordination.handshake.fake_network import DESK_ENDPOINT
 from tests.coordination.handshake.fake_network import FakeNetwork
+from wagtailkeel_coordination.handshake.held_flows import HeldFlow
+from wagtailkeel_coordination.handshake.repeated_opening import RETRANSMISSION_TIMEOUT_S
+from wagtailkeel_coordination.handshake.repeated_opening import RepeatedOpening
+from wagtailkeel_protocol import packet_format as packet_flags
+from wagtailkeel_protocol.packet_format import PacketHeader
 
 CALLER = "caller"
 KEY = CALLER.encode() + DESK_ENDPOINT
@@ -119,6 +129,69 @@
         self.assertEqual(server, self.holder.server.name)
 
 
+class RandomPortReuseTest(unittest.TestCase):
+    """Agents restart, servers drain, owners change: no draining server gets a new opening."""
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_openings_at_servers_that_drain(self, seed: int) -> None:
+        random = Random(seed)
+        network = FakeNetwork([DESK] * 4)
+        draining: set[str] = set()
+        for sequence in range(1, 60):
+            self._change(network, random, draining)
+            before = {n.server.name: len(n.server.openings) for n in network.nodes.values()}
+            name = f"caller-{random.randrange(8)}"
+            server = network.open(name, sequence=sequence)
+            after = {n.server.name: len(n.server.openings) for n in network.nodes.values()}
+            self.assertEqual([s for s in draining if after[s] > before[s]], [])
+            if server and random.random() < 0.7:
+                network.request(name, server)
+            if server and random.random() < 0.3:
+                network.close(name, server)
+
+    def _change(self, network: FakeNetwork, random: Random, draining: set[str]) -> None:
+        node = random.choice(list(network.nodes.values()))
+        choice = random.randrange(3)
+        if choice == 0 and node.server.name not in draining:
+            node.restart()
+            node.router.apply_routing(network.balancer_document)
+        elif choice == 1:
+            network.balancer.owners.update(random.sample(list(network.nodes), 2))
+        elif len(draining) < 3:
+            node.report(is_draining=True)
+            draining.add(node.server.name)
+        network.pass_time(random.choice([0.01, 0.3, 1.5]))
+        network.share_state()
+
+
+class RepeatedOpeningTest(unittest.TestCase):
+    def test_classification(self) -> None:
+        recent_s, late_s = RETRANSMISSION_TIMEOUT_S, RETRANSMISSION_TIMEOUT_S + 0.1
+        retransmission = RepeatedOpening.RETRANSMISSION
+        outdated, new = RepeatedOpening.OUTDATED, RepeatedOpening.NEW
+        # The sequence number of the held flow, its state and age, that of the opening.
+        table = [
+            (FIRST_SEQUENCE, False, recent_s, FIRST_SEQUENCE, retransmission),
+            (FIRST_SEQUENCE, True, recent_s, FIRST_SEQUENCE, retransmission),
+            (FIRST_SEQUENCE, False, late_s, FIRST_SEQUENCE, new),
+            (FIRST_SEQUENCE, True, late_s, FIRST_SEQUENCE, outdated),
+            (FIRST_SEQUENCE, True, recent_s, SECOND_SEQUENCE, new),
+            (FIRST_SEQUENCE, False, late_s, SECOND_SEQUENCE, new),
+            (None, True, recent_s, FIRST_SEQUENCE, outdated),
+            (None, True, late_s, FIRST_SEQUENCE, new),
+        ]
+        for held_sequence, is_established, age_s, sequence, expected in table:
+            for closed_at in (0.0, 100.0):
+                with self.subTest(held_sequence, age_s=age_s, sequence=sequence, at=closed_at):
+                    flow = HeldFlow(KEY, ("10.0.0.1", 1), 100.0, 100.0, held_sequence)
+                    flow.is_established = is_established
+                    flow.closed_at = closed_at
+                    header = PacketHeader(KEY, packet_flags.OPENING, 0, 0, sequence)
+                    found = RepeatedOpening.classify(flow, header, 100.0 + age_s)
+                    self.assertIs(found, new if closed_at else expected)
+
+
 class ColdServerTest(unittest.TestCase):
     """The same openings went past the limit of a server that had turned cold."""
 
