--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -96,6 +96,8 @@
             return
         pointer = self._find_pointer(header.key)
         if pointer is not None:
+            if pointer.initial_sequence != header.initial_sequence:
+                pointer.forget_attempts()
             self.placer.place_again(frame, header, pointer)
         else:
             self.placer.place(frame, header, set())
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_pointers.py
@@ -18,6 +18,7 @@
     """The agent of a flow, ``target``; ``tried`` are agents that did not take its opening.
 
     ``queue_tried`` are those of them that did not queue it either; None until it is placed.
+    ``initial_sequence`` is that of the opening; None if another owner has placed it.
     ``is_copy`` is set while only another owner has got packets of the flow, ``is_closing`` once the
     caller has closed it, and ``is_denied`` once ``target`` has answered that it does not have it.
     ``copied_at`` is when the pointer was last sent to the agent that would own it next. Times are
@@ -33,6 +34,12 @@
     is_denied: bool = False
     copied_at: float = float("-inf")
     queue_tried: set[Address] | None = None
+    initial_sequence: int | None = None
+
+    def forget_attempts(self) -> None:
+        """Forget which agents did not take the opening, since a new flow has its key."""
+        self.tried = set()
+        self.queue_tried = None
 
 
 class FlowPointers:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -124,7 +124,15 @@
         if queue_tried is None or not self._options.queue_when_busy:
             queue_tried = tried
         opening = PendingOpening(
-            frame, key, service, tag, tried, queue_tried, target_s, former_target
+            frame,
+            key,
+            header.initial_sequence,
+            service,
+            tag,
+            tried,
+            queue_tried,
+            target_s,
+            former_target,
         )
         if former_target is None and self._refuse_by_priority(opening):
             return
@@ -231,6 +239,7 @@
 
     def _point_to(self, address: Address, opening: PendingOpening) -> None:
         pointer = self._pointers.set_target(opening.key, address, self._context.now)
+        pointer.initial_sequence = opening.initial_sequence
         pointer.tried = opening.tried
         pointer.queue_tried = opening.queue_tried
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
@@ -24,6 +24,7 @@
 
     frame: RelayFrame
     key: bytes
+    initial_sequence: int
     service: str
     tag: int
     tried: set[Address]
--- a/tests/coordination/handshake/test_port_reuse.py
+++ b/tests/coordination/handshake/test_port_reuse.py
@@ -129,6 +129,21 @@
         self.assertEqual(server, self.holder.server.name)
 
 
+class RejectedOpeningTest(unittest.TestCase):
+    """A new opening was refused by the rejections of an earlier one from the same port."""
+
+    def test_a_new_opening_may_go_to_a_server_that_rejected_the_earlier_one(self) -> None:
+        network = FakeNetwork([DESK] * 2)
+        first, second = network.nodes.values()
+        network.balancer.owners.update([first.address])
+        first.server.is_full = True
+        self.assertEqual(network.open(CALLER, sequence=FIRST_SEQUENCE), second.server.name)
+        first.server.is_full = False
+        second.report(is_draining=True)
+        network.pass_time(0.5)
+        self.assertEqual(network.open(CALLER, sequence=SECOND_SEQUENCE), first.server.name)
+
+
 class RandomPortReuseTest(unittest.TestCase):
     """Agents restart, servers drain, owners change: no draining server gets a new opening."""
 
