--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -90,7 +90,9 @@
             self.locator.search(frame.body, header.key, exclude=denied_by)
 
     def _on_opening(self, frame: RelayFrame, header: PacketHeader) -> None:
-        self.placer.opening_copies.record(header.key, header.attempt, self._context.now)
+        self.placer.opening_copies.record(
+            header.key, header.initial_sequence, header.attempt, self._context.now
+        )
         if header.key in self._holder.queue:
             self._context.counters["dropped_copy_of_queued_opening"] += 1
             return
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_copies.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_copies.py
@@ -20,9 +20,10 @@
 class _Copies(msgspec.Struct):
     """The copies of an opening received, in order from the first; ``is_complete`` if none misses.
 
-    Times are in seconds.
+    All copies of an opening have the same ``initial_sequence``. Times are in seconds.
     """
 
+    initial_sequence: int
     first_at: float
     last_at: float
     count: int
@@ -36,11 +37,11 @@
         self._by_key: dict[bytes, _Copies] = {}
         self._swept_at = float("-inf")
 
-    def record(self, key: bytes, number: int, now: float) -> None:
+    def record(self, key: bytes, initial_sequence: int, number: int, now: float) -> None:
         """Record a copy of an opening; the first transmission has number 0."""
         copies = self._by_key.get(key)
-        if copies is None or number == 0:
-            self._by_key[key] = _Copies(now, now, number + 1, number == 0)
+        if copies is None or copies.initial_sequence != initial_sequence or number == 0:
+            self._by_key[key] = _Copies(initial_sequence, now, now, number + 1, number == 0)
             return
         copies.is_complete = copies.is_complete and number <= copies.count
         copies.count = max(copies.count, number + 1)
--- a/tests/coordination/handshake/test_opening_copies.py
+++ b/tests/coordination/handshake/test_opening_copies.py
@@ -12,6 +12,7 @@
 from wagtailkeel_coordination.handshake.opening_copies import OpeningCopies
 
 KEY = b"caller"
+SEQUENCE = 7
 
 
 class OpeningCopiesTest(unittest.TestCase):
@@ -32,12 +33,12 @@
             with self.subTest(name):
                 copies = OpeningCopies()
                 for number, at in received:
-                    copies.record(KEY, number, at)
+                    copies.record(KEY, SEQUENCE, number, at)
                 self.assertIs(copies.are_all_here(KEY, now), expected)
 
     def test_records_are_removed(self) -> None:
         copies = OpeningCopies()
-        copies.record(KEY, 0, 1.0)
+        copies.record(KEY, SEQUENCE, 0, 1.0)
         copies.sweep(1.0 + RETENTION_S + SWEEP_INTERVAL_S)
         self.assertEqual(copies.first_received_at(KEY, 9.0), 9.0)
 
--- a/tests/coordination/handshake/test_port_reuse.py
+++ b/tests/coordination/handshake/test_port_reuse.py
@@ -144,6 +144,24 @@
         self.assertEqual(network.open(CALLER, sequence=SECOND_SEQUENCE), first.server.name)
 
 
+class UnfoundedRefusalTest(unittest.TestCase):
+    """An owner refused a new opening by its record of an earlier one from the same port."""
+
+    def test_no_refusal_of_an_opening_whose_first_transmission_went_to_another_owner(self) -> None:
+        network = FakeNetwork([DESK] * 2)
+        first, second = network.nodes.values()
+        network.balancer.owners.update([first.address])
+        network.open(CALLER, sequence=FIRST_SEQUENCE)
+        network.balancer.owners.update([second.address])
+        self.assertNotEqual(network.open(CALLER, sequence=SECOND_SEQUENCE), "")
+        for node in network.nodes.values():
+            node.report(is_draining=True)
+            node.router.held.clear()
+        network.balancer.owners.update([first.address])
+        network.open(CALLER, attempt=1, sequence=SECOND_SEQUENCE)
+        self.assertEqual(network.resets, 0)
+
+
 class RandomPortReuseTest(unittest.TestCase):
     """Agents restart, servers drain, owners change: no draining server gets a new opening."""
 
