--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -44,6 +44,11 @@
         """The sort key of reports; a late report, or one of an earlier incarnation, is dropped."""
         return self.started_at_ms, self.sequence
 
+    def covers(self, earlier: ServerReport) -> bool:
+        """Return whether all that holds by an earlier report still holds by this one."""
+        is_same_incarnation = self.started_at_ms == earlier.started_at_ms
+        return is_same_incarnation and (self.is_draining or not earlier.is_draining)
+
 
 class ColdLimit(msgspec.Struct, frozen=True):
     """The openings a second that a cold server gets.
