--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -41,7 +41,7 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """The sort key of reports; a late report, or one of an earlier incarnation, is dropped."""
+        """The sort key of reports: those of an incarnation that started later are newer."""
         return self.started_at_ms, self.sequence
 
     def covers(self, earlier: ServerReport) -> bool:
@@ -100,10 +100,7 @@
 
     def on_report(self, report: ServerReport, now: float) -> bool:
         """Process a report; return False if it is late or of another service."""
-        known = self.report
-        if known is not None and report.order <= known.order:
-            return False
-        if report.service != self.service:
+        if report.service != self.service or self._is_late(report, now):
             return False
         self.report = report
         self.report_received_at = now
@@ -111,6 +108,17 @@
         self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
         return True
 
+    def _is_late(self, report: ServerReport, now: float) -> bool:
+        """Return whether a report is older than the newest one.
+
+        A server whose clock was set back before it started again is known by the silence of its
+        earlier incarnation.
+        """
+        known = self.report
+        if known is None or report.order > known.order:
+            return False
+        return report.started_at_ms == known.started_at_ms or self.has_recent_report(now)
+
     def set_in_service(self, is_in_service: bool, now: float) -> None:
         """Set whether the data centre is in service."""
         if is_in_service and not self.is_in_service:
