--- a/tests/coordination/handshake/test_port_reuse.py
+++ b/tests/coordination/handshake/test_port_reuse.py
@@ -225,6 +225,27 @@
                     self.assertIs(found, new if closed_at else expected)
 
 
+class DataCentreOutOfServiceTest(unittest.TestCase):
+    """The same openings reached servers of a data centre that was out of service."""
+
+    def test_no_opening_on_a_held_port_reaches_its_server(self) -> None:
+        # The sequence number and the attempt of the opening, and when it comes after the earlier.
+        table = [
+            ("new", SECOND_SEQUENCE, 0, 0.5),
+            ("late copy", FIRST_SEQUENCE, 2, SHORTEST_DRAIN_PERIOD_S),
+        ]
+        for name, sequence, attempt, passed_s in table:
+            with self.subTest(name):
+                network = FakeNetwork([DESK])
+                node = next(iter(network.nodes.values()))
+                network.open(CALLER, sequence=FIRST_SEQUENCE)
+                node.router.gate.set_in_service(False, network.now)
+                network.pass_time(passed_s)
+                openings = len(node.server.openings)
+                network.open(CALLER, attempt=attempt, sequence=sequence)
+                self.assertEqual(len(node.server.openings), openings)
+
+
 class ColdServerTest(unittest.TestCase):
     """The same openings went past the limit of a server that had turned cold."""
 
