--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -29,15 +29,15 @@
 class HeldFlow(msgspec.Struct):
     """A flow of the backend server; times are in seconds.
 
-    ``opened_at`` is when the agent began to track it, and ``initial_sequence`` that of the opening
-    that was delivered, None if the agent has not seen it. ``owner`` is the agent that sent the
-    flow's last packet here, ``awaiting_since`` the time of a
-    request without an answer (0 for none). ``is_established`` is set once the server has sent more
-    than the answer to the opening, so the caller has chosen this server. ``has_free_slot`` is set
-    if the server had a slot free for that request, so that its response time is the server's work
-    alone. ``started_at`` is when the server began to work on that request, as far as the agent can
-    tell; 0 before, or if this is not measured. ``finished_ends`` has a bit for each end that has
-    closed the flow; ``closed_at`` is 0 until the flow is closed.
+    ``opened_at`` is when the agent began to track it, and ``initial_sequence`` the sequence number
+    of its opening, None if the agent has not seen that. ``owner`` is the agent that sent the flow's
+    last packet here, ``awaiting_since`` the time of a request without an answer (0 for none).
+    ``is_established`` is set once the server has sent more than the answer to the opening, so the
+    caller has chosen this server. ``has_free_slot`` is set if the server had a slot free for that
+    request, so that its response time is the server's work alone. ``started_at`` is when the server
+    began to work on that request, as far as the agent can tell; 0 before, or if this is not
+    measured. ``finished_ends`` has a bit for each end that has closed the flow; ``closed_at`` is 0
+    until the flow is closed.
     """
 
     key: bytes
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
@@ -15,11 +15,12 @@
 class PendingOpening(msgspec.Struct):
     """An opening that is being placed; ``tag`` identifies ``service`` in frames.
 
-    ``sampled`` are the agents whose load was requested or known, ``pending`` those of them that
-    have not answered. ``tried`` are the agents that have rejected it, ``queue_tried`` those of them
-    that do not queue it either. ``former_target`` is the agent that got an earlier transmission,
-    until its load is known. ``is_declined`` is set once an agent has declined the opening.
-    ``target_s`` is its route's target response time in seconds.
+    All its transmissions have the same ``initial_sequence``. ``sampled`` are the agents whose load
+    was requested or known, ``pending`` those of them that have not answered. ``tried`` are the
+    agents that have rejected it, ``queue_tried`` those of them that do not queue it either.
+    ``former_target`` is the agent that got an earlier transmission, until its load is known.
+    ``is_declined`` is set once an agent has declined the opening. ``target_s`` is its route's
+    target response time in seconds.
     """
 
     frame: RelayFrame
