--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -37,7 +37,7 @@
 RESTART_DELAY_S = 0.2
 CALL_TIMEOUT_S = 1.0
 ROUTE_PORT = 8443
-ROUTE_HOST = "198.18.0.1"
+ROUTE_HOST = "127.19.0.1"  # Only a field of packets and configurations; nothing is sent to it.
 
 
 class CannotRun(Exception):
