Control: an event says why an election failed

Change: `election_failed` lists who granted, refused, was silent, or has answered with another data folder, and how many votes were needed; it is written when the answers differ from the last. Vote requests carry the number of their round, so that a late reply doesn't count as evidence of a lost folder. The answers of a round have a class of their own, and the events of consensus have left `control.py`.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -341,6 +341,19 @@
     voters: list[str]
 
 
+class ElectionFailed(Event, tag="election_failed"):
+    """A round of vote requests elected no leader; written when the answers differ from the last.
+
+    ``quorum`` votes were needed. ``lost`` are voters that have answered with a new data folder.
+    """
+
+    granted: list[str]
+    refused: list[str]
+    silent: list[str]
+    lost: list[str]
+    quorum: int
+
+
 class VoteHandedOver(Event, tag="vote_handed_over"):
     """A control instance that is about to stop has asked for a successor of its vote.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -11,6 +11,7 @@
 
 from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
 from wagtailkeel_coordination.raft.role import RaftRole
+from wagtailkeel_coordination.raft.vote_count import VoteCount
 from wagtailkeel_protocol.raft_messages import RestartReply
 from wagtailkeel_protocol.raft_messages import RestartRequest
 from wagtailkeel_protocol.raft_messages import VoteReply
@@ -31,6 +32,7 @@
     """Requests, counts and grants votes for one instance; times in seconds.
 
     ``leader_contact_at`` is when a leader last contacted this instance, or may have done so.
+    ``failed_count`` are the answers to the last round that elected nobody.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         self._send = send
         self._become_leader = become_leader
         self._random = random
-        self._votes: set[str] = set()
+        self.failed_count: VoteCount | None = None
+        self._count: VoteCount | None = None
+        self._round = 0
         self._is_pre_vote = False
         self._restart_rounds = RestartRounds(state.instance_id, random, now)
         # This voter may have acknowledged, before a restart, a leader that still has its lease.
@@ -58,6 +62,8 @@
     def tick(self, now: float) -> None:
         """Start an election once its timeout has passed, or a restart round once it is due."""
         if now >= self._election_due_at:
+            if self._state.role is RaftRole.CANDIDATE:
+                self.failed_count = self._count
             self._start_pre_vote(now)
         elif self._restart_rounds.is_round_due(now):
             self._send_restart_requests(self._restart_rounds.start_first_round(now), now)
@@ -112,7 +118,10 @@
         self._is_pre_vote = is_pre_vote
         self._state.leader_id = ""
         self._state.role = RaftRole.CANDIDATE
-        self._votes = {self._state.instance_id}
+        self._round += 1
+        self._count = VoteCount(
+            self._round, self._state.voters_by_id, self._state.instance_id, self._state.quorum
+        )
 
     def _request_votes(self, term: int, process_ids_by_voter: dict[str, int]) -> None:
         for voter in self._other_voters:
@@ -124,11 +133,13 @@
                 self._is_pre_vote,
                 self._state.identity,
                 process_ids_by_voter.get(voter, 0),
+                self._round,
             )
             self._send(voter, request)
 
     def _count_votes(self, now: float) -> None:
-        if len(self._votes) < self._state.quorum:
+        assert self._count is not None, "a candidate counts votes"
+        if len(self._count.granted) < self._count.quorum:
             return
         if self._is_pre_vote:
             self._campaign(now, {})
@@ -145,10 +156,9 @@
             return
         if not reply.is_pre_vote and reply.term != self._state.term:
             return
-        is_voter = self._state.voters_by_id.get(reply.voter_id) == reply.voter_identity
-        if reply.is_granted and is_voter:
-            self._votes.add(reply.voter_id)
-            self._count_votes(now)
+        assert self._count is not None, "a candidate counts votes"
+        self._count.record(reply)
+        self._count_votes(now)
 
     # Granting votes
 
@@ -168,6 +178,7 @@
             is_granted,
             request.is_pre_vote,
             self._state.identity,
+            request.round,
         )
 
     def _can_grant_vote(self, request: VoteRequest, now: float) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -39,6 +39,7 @@
 
     from wagtailkeel_coordination.raft.raft_log import RaftLog
     from wagtailkeel_coordination.raft.storage import RaftStorage
+    from wagtailkeel_coordination.raft.vote_count import VoteCount
     from wagtailkeel_protocol.raft_messages import RaftMessage
     from wagtailkeel_protocol.raft_messages import VoteHandover
     from wagtailkeel_state.commands import AnyCommand
@@ -133,6 +134,13 @@
         """Send new entries now instead of with the next heartbeat."""
         self._replication.flush(now)
 
+    # Elections
+
+    @property
+    def failed_vote_count(self) -> VoteCount | None:
+        """The answers to the last round of vote requests that elected nobody."""
+        return self._elections.failed_count
+
     # Members
 
     def progress_of(self, peer: str) -> PeerProgress:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/raft_messages.py
@@ -14,7 +14,8 @@
 
     ``voter_process`` is not 0 if the candidate knows that no leader's lease can still be valid: it
     identifies the process of the voter that reported so (see ``RestartReply``). Voters of earlier
-    releases grant a vote only if they list ``candidate_identity``.
+    releases grant a vote only if they list ``candidate_identity``. ``round`` numbers the rounds of
+    requests of one process of the candidate.
     """
 
     term: int
@@ -24,16 +25,18 @@
     is_pre_vote: bool
     candidate_identity: str = ""
     voter_process: int = 0
+    round: int = 0
 
 
 class VoteReply(msgspec.Struct, tag=True):
-    """Sent by a voter to the candidate."""
+    """Sent by a voter to the candidate; ``round`` is 0 from voters of earlier releases."""
 
     term: int
     voter_id: str
     is_granted: bool
     is_pre_vote: bool
     voter_identity: str = ""
+    round: int = 0
 
 
 class AppendRequest(msgspec.Struct, tag=True):
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -18,6 +18,7 @@
 from wagtailkeel.roles.control.operator_state import OperatorState
 from wagtailkeel.roles.control.proposer import Proposer
 from wagtailkeel.roles.control.raft_disk import RaftDisk
+from wagtailkeel.roles.control.raft_events import RaftEvents
 from wagtailkeel.roles.datagram_call_server import DatagramCallServer
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.process_dump import build_dump
@@ -106,9 +107,7 @@
     ) -> None:
         self.metrics = Metrics()
         self._emit = event_sink.emit
-        self._known_leader = ""
         self._leader_changed = anyio.Event()
-        self._known_voters: list[str] = []
         self._settings = settings
         self._section = section
         self._instance_id = settings.instance.id
@@ -121,6 +120,7 @@
         self._store.configuration = self._log_store.configuration
         self._address_book = AddressBook.from_settings(settings, self._store, read_seeds)
         self._raft = self._build_raft()
+        self._raft_events = RaftEvents(self._raft, event_sink)
         self._proposer = Proposer(self._raft, self._store, section.pools)
         self._duties = LeaderDuties.from_settings(section, self.metrics, clock.seconds())
         self._formation = ClusterFormation(
@@ -310,15 +310,9 @@
             await anyio.sleep(TICK_INTERVAL_S)
 
     def _emit_raft_changes(self) -> None:
-        if self._raft.leader_id != self._known_leader:
-            self._known_leader = self._raft.leader_id
+        if self._raft_events.emit_changes():
             self._leader_changed.set()
             self._leader_changed = anyio.Event()
-            self._emit(events.LeaderChanged(self._known_leader, self._raft.term))
-        voters = sorted(self._raft.voters_by_id)
-        if voters != self._known_voters:
-            self._known_voters = voters
-            self._emit(events.VotersChanged(voters))
 
     def _send_version_hints(self) -> None:
         version, now = self._store.version, clock.seconds()
