Control: an acknowledged change outlives a removal without notice and two lost disks

From then on every read and every change gets 503 for good, though five instances run.

Cause: the successor had no vote as long as the one that was gone kept its own, which ends only when it has been silent for a time and the leader still leads. Of five votes two were left. `election_failed` (commit before) shows it: granted 2, refused 0, silent 1, lost 2, quorum 3. A shorter time would only narrow the window: with a pause of 0 there is none.

Change: - A learner that has caught up becomes a voter at once, beside the others; nobody can know which of them it will succeed. Voters above the limit that are gone or stop are removed. Nine voters at most. - Three of six voters are no majority. But an instance that answers with a new data folder shows that the former identity is gone for good, and a majority of the voters without it is one vote smaller. A candidate that learned so before it requests votes needs three of those five, and removes the lost voter with its first entry. `quorum.py` has the argument and its three conditions. - For these conditions a change of voters needs a quorum of the voters before it, too, also for leases and for going on to lead; and a leader repeats a change once it is committed, so that a log shows this also after a loss of power.

Why it works: with any order of one removal, the acknowledgement and two lost disks, four of six had the entry, so one of the three that are left has it, and the three elect the one with the newest log. No time limit takes part in it.

Tests: `test_raft_lost_disks.py` plays three orders and a loss of power on top, removed leader or follower, pauses from 0 to 3 s. Without the quorum of the voters before a change, without the check that the newest change is committed, or without the smaller majority, the tests of these fail.

Changed tests: `test_sixth_instance_stays_a_learner` demanded what the fault was made of; it is replaced by the nine voters at most and by the removal of those that are gone. Three others had five voters where six are right now; one prepares a learner by its replies, since a caught-up learner is a voter by the next tick. The simulation's check of changes in flight allows a leader's change after one that its log shows to be committed, and no other.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -39,7 +39,7 @@
         self,
         state: RaftState,
         send: Callable[[str, RaftMessage], None],
-        become_leader: Callable[[float], None],
+        become_leader: Callable[[float, str | None], None],
         random: Random,
         now: float,
     ) -> None:
@@ -50,6 +50,7 @@
         self.failed_count: VoteCount | None = None
         self._count: VoteCount | None = None
         self._round = 0
+        self._spare_voter: str | None = None
         self._is_pre_vote = False
         self._restart_rounds = RestartRounds(state.instance_id, random, now)
         # This voter may have acknowledged, before a restart, a leader that still has its lease.
@@ -97,31 +98,36 @@
         return [voter for voter in self._state.voters_by_id if voter != self._state.instance_id]
 
     def _start_pre_vote(self, now: float) -> None:
-        self._become_candidate(now, is_pre_vote=True)
+        self._become_candidate(now, None, is_pre_vote=True)
         self._request_votes(self._state.term + 1, {})
         self._count_votes(now)
 
-    def _campaign(self, now: float, process_ids_by_voter: dict[str, int]) -> None:
+    def _campaign(
+        self, now: float, process_ids_by_voter: dict[str, int], spare_voter: str | None = None
+    ) -> None:
         """Request votes in a new term.
 
         ``process_ids_by_voter`` identifies the processes whose replies in restart rounds allow an
-        early vote; it is empty in an ordinary election.
+        early vote; it is empty in an ordinary election. ``spare_voter`` has lost its disk and is no
+        voter of this election; see ``quorum``.
         """
-        self._become_candidate(now, is_pre_vote=False)
+        self._become_candidate(now, spare_voter, is_pre_vote=False)
         if not self._state.save_vote(self._state.term + 1, self._state.instance_id):
             return
         self._request_votes(self._state.term, process_ids_by_voter)
         self._count_votes(now)
 
-    def _become_candidate(self, now: float, *, is_pre_vote: bool) -> None:
+    def _become_candidate(self, now: float, spare_voter: str | None, *, is_pre_vote: bool) -> None:
         self._reset_timer(now)
         self._is_pre_vote = is_pre_vote
         self._state.leader_id = ""
         self._state.role = RaftRole.CANDIDATE
         self._round += 1
-        self._count = VoteCount(
-            self._round, self._state.voters_by_id, self._state.instance_id, self._state.quorum
-        )
+        self._spare_voter = spare_voter
+        identities_by_id = dict(self._state.voters_by_id)
+        if spare_voter is not None:
+            del identities_by_id[spare_voter]
+        self._count = VoteCount(self._round, identities_by_id, self._state.instance_id)
 
     def _request_votes(self, term: int, process_ids_by_voter: dict[str, int]) -> None:
         for voter in self._other_voters:
@@ -139,13 +145,18 @@
 
     def _count_votes(self, now: float) -> None:
         assert self._count is not None, "a candidate counts votes"
-        if len(self._count.granted) < self._count.quorum:
-            return
+        if self._count.has_quorum:
+            self._on_quorum(now, self._spare_voter)
+        elif self._is_pre_vote and self._count.has_quorum_without_lost:
+            if self._state.find_unconfirmed_change() is None:
+                self._on_quorum(now, self._count.spare_voter)
+
+    def _on_quorum(self, now: float, spare_voter: str | None) -> None:
         if self._is_pre_vote:
-            self._campaign(now, {})
+            self._campaign(now, {}, spare_voter)
             return
         self._restart_rounds.has_seen_leader = True
-        self._become_leader(now)
+        self._become_leader(now, spare_voter)
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote, or step down if the reply is from a newer term."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from wagtailkeel_coordination.raft.progress import ProgressTable
     from wagtailkeel_coordination.raft.raft_state import RaftState
@@ -25,6 +26,7 @@
     ) -> None:
         self.instance_ids = set(instance_ids)
         self.identities_by_id: dict[str, str] = {}
+        self._identified_at_by_id: dict[str, float] = {}
         self._state = state
         self._progress = progress
 
@@ -34,12 +36,25 @@
             self.instance_ids.add(instance_id)
             self._progress.of(instance_id).acknowledged_sent_at = now
 
-    def on_reply(self, instance_id: str, identity: str) -> None:
+    def start_term(self) -> None:
+        """Discard the identities, which may have changed since an earlier term."""
+        self.identities_by_id.clear()
+
+    def record_identity(self, instance_id: str, identity: str, now: float) -> None:
         """Record the identity of an instance without a vote; a new one has an empty disk."""
         if self.identities_by_id.get(instance_id) != identity:
             self.identities_by_id[instance_id] = identity
+            self._identified_at_by_id[instance_id] = now
             self._progress.of(instance_id).match_index = 0
 
+    def find_lost(self, identities_by_id: Mapping[str, str]) -> dict[str, float]:
+        """Return which of these instances have lost their disk, and since when this is known."""
+        return {
+            instance_id: self._identified_at_by_id[instance_id]
+            for instance_id, identity in identities_by_id.items()
+            if self.identities_by_id.get(instance_id, identity) != identity
+        }
+
     def remove_unresponsive(self, now: float) -> None:
         """Stop replicating to learners that have not answered for LEARNER_TIMEOUT_S."""
         for instance_id in (
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from wagtailkeel_state.commands import SetControlMembers
 
@@ -10,6 +11,13 @@
     from wagtailkeel_state.commands import LogEntry
 
 
+class VoterChange(NamedTuple):
+    """A log entry that sets the voters: its index, and their identities by instance id."""
+
+    log_index: int
+    identities_by_id: dict[str, str]
+
+
 class RaftLog:
     """Entries by index; ``base_index`` is the last index that is only in the snapshot."""
 
@@ -53,6 +61,15 @@
                 return dict(command.identities_by_id)
         return None
 
+    def find_voter_changes(self, after: int) -> list[VoterChange]:
+        """Return the entries after ``after`` that set the voters, oldest first."""
+        changes = []
+        for index in range(max(after, self.base_index) + 1, self.last_index + 1):
+            command = self.entry_at(index).command
+            if isinstance(command, SetControlMembers):
+                changes.append(VoterChange(index, dict(command.identities_by_id)))
+        return changes
+
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries at the end."""
         self._entries.extend(entries)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -196,12 +196,17 @@
         self._voter_changes.update_voters(now)
         self._replication.tick(now)
 
-    def become_leader(self, now: float) -> None:
-        """Become the leader of the current term."""
+    def become_leader(self, now: float, lost_voter: str | None = None) -> None:
+        """Become the leader of the current term.
+
+        Without the vote of ``lost_voter`` the election had a quorum, and so have its entries.
+        """
         self.role = RaftRole.LEADER
         self.leader_id = self.instance_id
         self._voter_changes.start_term(now)
         self._replication.start_term(now)
+        if lost_voter is not None:
+            self._voter_changes.remove_voter(lost_voter, now)
         self.propose(Noop())
         self.flush(now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
+from wagtailkeel_coordination.raft.quorum import majority_of
+from wagtailkeel_coordination.raft.raft_log import VoterChange
 from wagtailkeel_coordination.raft.role import RaftRole
 from wagtailkeel_coordination.raft.storage import StorageFaultError
 from wagtailkeel_state.commands import LogEntry
@@ -28,6 +31,13 @@
 STORAGE_RETRY_S = 0.5
 
 
+class UnconfirmedChange(NamedTuple):
+    """A change of voters that may not be committed: its index, and the voters before it."""
+
+    log_index: int
+    previous_identities_by_id: dict[str, str]
+
+
 class RaftState:
     """Role, term, log, voters and committed configuration of one instance.
 
@@ -91,7 +101,7 @@
     @property
     def quorum(self) -> int:
         """Number of voters that form a majority."""
-        return len(self._voters_by_id) // 2 + 1
+        return majority_of(len(self._voters_by_id))
 
     @property
     def is_member_change_pending(self) -> bool:
@@ -108,6 +118,21 @@
         """
         return self.is_leader and self.has_committed_in_term and not self.is_member_change_pending
 
+    def find_unconfirmed_change(self) -> UnconfirmedChange | None:
+        """Return the newest change of voters, unless this instance knows that it is committed.
+
+        It knows so once the entry is applied, or if the log has the entry twice: a leader repeats
+        a change as soon as it is committed.
+        """
+        changes = self.log.find_voter_changes(after=self.commit_index)
+        if not changes:
+            return None
+        applied = VoterChange(self.commit_index, self.configuration.control_identities_by_id)
+        previous, newest = [applied, *changes][-2:]
+        if previous.identities_by_id == newest.identities_by_id:
+            return None
+        return UnconfirmedChange(newest.log_index, dict(previous.identities_by_id))
+
     def _find_voters(self) -> dict[str, str]:
         voters = self.log.find_voters(after=self.configuration.index)
         return dict(self.configuration.control_identities_by_id) if voters is None else voters
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination.raft.quorum import find_spare_voter
+from wagtailkeel_coordination.raft.quorum import majority_of
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -17,12 +20,11 @@
     they have lost their disk, so neither can they vote any more nor can what they stored be read.
     """
 
-    __slots__ = ("_identities_by_id", "_round", "granted", "lost", "quorum", "refused")
+    __slots__ = ("_identities_by_id", "_round", "granted", "lost", "refused")
 
     def __init__(
-        self, round_number: int, identities_by_id: Mapping[str, str], candidate_id: str, quorum: int
+        self, round_number: int, identities_by_id: Mapping[str, str], candidate_id: str
     ) -> None:
-        self.quorum = quorum
         self.granted = {candidate_id}
         self.refused: set[str] = set()
         self.lost: set[str] = set()
@@ -46,6 +48,26 @@
         else:
             self.refused.add(reply.voter_id)
 
+    @property
+    def quorum(self) -> int:
+        """Number of voters that form a majority."""
+        return majority_of(len(self._identities_by_id))
+
+    @property
+    def has_quorum(self) -> bool:
+        """Return whether a majority has granted its vote."""
+        return len(self.granted) >= self.quorum
+
+    @property
+    def spare_voter(self) -> str | None:
+        """A lost voter without which a majority is one vote smaller, or None."""
+        return find_spare_voter(self._identities_by_id, self.lost)
+
+    @property
+    def has_quorum_without_lost(self) -> bool:
+        """Return whether the votes are a majority if a lost voter is left out."""
+        return self.spare_voter is not None and len(self.granted) >= self.quorum - 1
+
     @property
     def silent(self) -> set[str]:
         """Voters that have not answered."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -15,7 +15,7 @@
     from wagtailkeel_coordination.raft.replication import Replication
 
 VOTER_TIMEOUT_S = 1.5
-"""A voter that has not answered for longer is replaced if a caught-up learner is available."""
+"""A voter that has not answered for longer is removed if there are more than the limit."""
 SUCCESSOR_TIMEOUT_S = 3.0
 """A stopping voter hopes for a learner that was silent for less: as long as a stop waits."""
 LEARNER_SEARCH_S = 1.0
@@ -26,8 +26,9 @@
 class VoterChanges:
     """The leader's promotion of learners to voters, and the removal of voters.
 
-    A voter that is about to stop hands its vote over to a learner while it still runs: the learner
-    is added first, so that the loss of a minority during the change leaves a quorum.
+    A learner becomes a voter as soon as it has caught up, beside the others, as it may be the
+    successor of any of them, and which one is known only once that has gone. The voters that are
+    gone or stop are removed down to the limit, which is the number of voters without a successor.
     """
 
     def __init__(
@@ -43,6 +44,9 @@
         self._learners = learners
         self._replication = replication
         self._voter_limit = voter_limit
+        # With more, the voters up to the limit would be no majority without all the others.
+        self._voter_maximum = 2 * voter_limit - 1
+        self._confirmed_voters: dict[str, str] = {}
         self._stop_requests = StopRequests()
         self._leads_since = float("inf")
 
@@ -50,6 +54,7 @@
         """Start to lead: what earlier leaders knew of stops and learners is not known yet."""
         self._stop_requests.clear()
         self._leads_since = now
+        self._confirmed_voters = {}
 
     def on_join(self, instance_id: str) -> None:
         """Record that an instance wants the log, so it is not about to stop."""
@@ -97,19 +102,26 @@
     def update_voters(self, now: float) -> None:
         """Propose the next change of voters that is due, one at a time.
 
-        A learner that has caught up becomes a voter if there are fewer voters than the limit, or
-        if it replaces a stopping voter. At the limit, a voter that has stopped answering is removed
-        first.
+        A change that is committed is proposed again, so that each log shows that it is. Where there
+        are more voters than the limit, a voter that stops or does not answer is removed. A learner
+        that has caught up becomes a voter; see ``_voter_maximum``.
         """
         if not self._state.can_change_voters:
             return
-        stopping_voter = self._find_stopping_voter(now)
-        if stopping_voter and self._has_surplus_voter:
-            self._remove_voter(stopping_voter, now)
-        elif stopping_voter or len(self._state.voters_by_id) < self._voter_limit:
+        if self._state.voters_by_id != self._confirmed_voters:
+            self._confirmed_voters = dict(self._state.voters_by_id)
+            self._replication.propose_voters(self._confirmed_voters, now)
+            return
+        leaving_voter = self._find_leaving_voter(now)
+        if leaving_voter is not None:
+            self.remove_voter(leaving_voter, now)
+        elif len(self._state.voters_by_id) < self._voter_maximum:
             self._add_voter(now)
-        else:
-            self._remove_unresponsive_voter(now)
+
+    def _find_leaving_voter(self, now: float) -> str | None:
+        if not self._has_surplus_voter:
+            return None
+        return self._find_stopping_voter(now) or self._find_unresponsive_voter(now)
 
     def _find_stopping_voter(self, now: float) -> str | None:
         for voter in self._state.voters_by_id:
@@ -130,16 +142,8 @@
                 self._replication.propose_voters(voters, now)
                 return
 
-    def _remove_unresponsive_voter(self, now: float) -> None:
-        """Propose to remove the voter that has not answered for longest; it becomes a learner.
-
-        Nothing is proposed if it answered within VOTER_TIMEOUT_S, or if no learner can replace it
-        and there are no more voters than the limit.
-        """
-        if not self._has_surplus_voter and not any(
-            self._can_become_voter(learner, now) for learner in self._learners.identities_by_id
-        ):
-            return
+    def _find_unresponsive_voter(self, now: float) -> str | None:
+        """Return the voter that has not answered for longest, and for VOTER_TIMEOUT_S at least."""
         unresponsive = [
             voter
             for voter in self._state.voters_by_id
@@ -147,11 +151,10 @@
             and now - self._progress.of(voter).acknowledged_sent_at > VOTER_TIMEOUT_S
         ]
         if not unresponsive:
-            return
-        replaced_voter = min(unresponsive, key=lambda v: self._progress.of(v).acknowledged_sent_at)
-        self._remove_voter(replaced_voter, now)
+            return None
+        return min(unresponsive, key=lambda voter: self._progress.of(voter).acknowledged_sent_at)
 
-    def _remove_voter(self, instance_id: str, now: float) -> None:
+    def remove_voter(self, instance_id: str, now: float) -> None:
         """Propose to remove a voter, which becomes a learner."""
         voters = {
             key: value for key, value in self._state.voters_by_id.items() if key != instance_id
