Control: votes don't split when a wiped instance answers, and its new leader needs no answer of it

In the slow runs all three candidates had the votes of the pre-vote and went on in the same moment, when the wiped instance answered; each then had one vote of three. And a leader that had been elected stepped down after 1.0 s, since the wiped instance, slow after its start, had not answered it: only that answer allowed to commit its removal with three of the former six.

Change: a voter is left out as lost from the round after the one that showed it, so that the random timers decide again who asks first. The leader knows from its election which voter is lost, and that this was so before its term, so all answers in its term count.

Tests: `test_leader_needs_no_further_answer_of_a_wiped_instance` and `test_lost_voter_is_left_out_from_the_next_round_on`; the first fails without the change (no command is committed), the second is about the new rule.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -123,11 +123,14 @@
         self._state.leader_id = ""
         self._state.role = RaftRole.CANDIDATE
         self._round += 1
+        lost_identities = self._count.all_lost_identities if self._count is not None else set()
         self._spare_voter = spare_voter
         identities_by_id = dict(self._state.voters_by_id)
         if spare_voter is not None:
             del identities_by_id[spare_voter]
-        self._count = VoteCount(self._round, identities_by_id, self._state.instance_id)
+        self._count = VoteCount(
+            self._round, identities_by_id, self._state.instance_id, lost_identities
+        )
 
     def _request_votes(self, term: int, process_ids_by_voter: dict[str, int]) -> None:
         for voter in self._other_voters:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -27,6 +27,7 @@
         self.instance_ids = set(instance_ids)
         self.identities_by_id: dict[str, str] = {}
         self._identified_at_by_id: dict[str, float] = {}
+        self._lost_since_by_identity: dict[str, float] = {}
         self._state = state
         self._progress = progress
 
@@ -39,6 +40,11 @@
     def start_term(self) -> None:
         """Discard the identities, which may have changed since an earlier term."""
         self.identities_by_id.clear()
+        self._lost_since_by_identity.clear()
+
+    def record_lost(self, identity: str, now: float) -> None:
+        """Record that an identity has lost its disk."""
+        self._lost_since_by_identity[identity] = now
 
     def record_identity(self, instance_id: str, identity: str, now: float) -> None:
         """Record the identity of an instance without a vote; a new one has an empty disk."""
@@ -49,11 +55,13 @@
 
     def find_lost(self, identities_by_id: Mapping[str, str]) -> dict[str, float]:
         """Return which of these instances have lost their disk, and since when this is known."""
-        return {
-            instance_id: self._identified_at_by_id[instance_id]
-            for instance_id, identity in identities_by_id.items()
-            if self.identities_by_id.get(instance_id, identity) != identity
-        }
+        lost_since_by_id = {}
+        for instance_id, identity in identities_by_id.items():
+            if identity in self._lost_since_by_identity:
+                lost_since_by_id[instance_id] = self._lost_since_by_identity[identity]
+            elif self.identities_by_id.get(instance_id, identity) != identity:
+                lost_since_by_id[instance_id] = self._identified_at_by_id[instance_id]
+        return lost_since_by_id
 
     def remove_unresponsive(self, now: float) -> None:
         """Stop replicating to learners that have not answered for LEARNER_TIMEOUT_S."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -206,7 +206,7 @@
         self._voter_changes.start_term(now)
         self._replication.start_term(now)
         if lost_voter is not None:
-            self._voter_changes.remove_voter(lost_voter, now)
+            self._voter_changes.remove_lost_voter(lost_voter, now)
         self.propose(Noop())
         self.flush(now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
@@ -8,6 +8,7 @@
 from wagtailkeel_coordination.raft.quorum import majority_of
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
 
     from wagtailkeel_protocol.raft_messages import VoteReply
@@ -18,18 +19,26 @@
 
     ``lost`` are the voters at whose address an instance with another data folder has answered:
     they have lost their disk, so neither can they vote any more nor can what they stored be read.
+    A voter is left out only if an earlier round has shown that its identity is among
+    ``lost_identities``: otherwise all candidates would go on at the moment when the lost voter
+    answers, and split the votes.
     """
 
-    __slots__ = ("_identities_by_id", "_round", "granted", "lost", "refused")
+    __slots__ = ("_identities_by_id", "_lost_identities", "_round", "granted", "lost", "refused")
 
     def __init__(
-        self, round_number: int, identities_by_id: Mapping[str, str], candidate_id: str
+        self,
+        round_number: int,
+        identities_by_id: Mapping[str, str],
+        candidate_id: str,
+        lost_identities: Collection[str] = (),
     ) -> None:
         self.granted = {candidate_id}
         self.refused: set[str] = set()
         self.lost: set[str] = set()
         self._round = round_number
         self._identities_by_id = dict(identities_by_id)
+        self._lost_identities = set(lost_identities)
 
     def record(self, reply: VoteReply) -> None:
         """Record the reply of an instance that was sent a request; other instances don't count.
@@ -60,8 +69,18 @@
 
     @property
     def spare_voter(self) -> str | None:
-        """A lost voter without which a majority is one vote smaller, or None."""
-        return find_spare_voter(self._identities_by_id, self.lost)
+        """A voter that was lost before this round, and without which a majority is smaller."""
+        known_lost = [
+            voter
+            for voter, identity in self._identities_by_id.items()
+            if identity in self._lost_identities
+        ]
+        return find_spare_voter(self._identities_by_id, known_lost)
+
+    @property
+    def all_lost_identities(self) -> set[str]:
+        """Identities that are known to be lost after this round."""
+        return self._lost_identities | {self._identities_by_id[voter] for voter in self.lost}
 
     @property
     def has_quorum_without_lost(self) -> bool:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -114,7 +114,7 @@
             return
         leaving_voter = self._find_leaving_voter(now)
         if leaving_voter is not None:
-            self.remove_voter(leaving_voter, now)
+            self._remove_voter(leaving_voter, now)
         elif len(self._state.voters_by_id) < self._voter_maximum:
             self._add_voter(now)
 
@@ -154,7 +154,12 @@
             return None
         return min(unresponsive, key=lambda voter: self._progress.of(voter).acknowledged_sent_at)
 
-    def remove_voter(self, instance_id: str, now: float) -> None:
+    def remove_lost_voter(self, instance_id: str, now: float) -> None:
+        """Propose to remove a voter that was known to have lost its disk before the election."""
+        self._learners.record_lost(self._state.voters_by_id[instance_id], now)
+        self._remove_voter(instance_id, now)
+
+    def _remove_voter(self, instance_id: str, now: float) -> None:
         """Propose to remove a voter, which becomes a learner."""
         voters = {
             key: value for key, value in self._state.voters_by_id.items() if key != instance_id
