--- a/tests/coordination/test_raft_lost_disks.py
+++ b/tests/coordination/test_raft_lost_disks.py
@@ -43,6 +43,10 @@
         else:
             self.wiped = followers[:2]
 
+    def is_sound(self, name: str) -> bool:
+        """Return whether an instance is neither removed nor loses its disk."""
+        return name not in (self.removed, *self.wiped)
+
     def remove(self) -> None:
         """Remove an instance for good, without a planned stop."""
         self.cluster.lose(self.removed)
@@ -136,6 +140,25 @@
             node.on_reply(stored, cluster.now)
         self.assertTrue(node.has_committed_in_term)
 
+    def test_two_removals_within_the_voter_timeout_and_two_lost_disks(self) -> None:
+        """Of seven voters three are left, less than a majority of any six of them."""
+        for between_s, pause_s in itertools.product((0.0, 0.5, 1.0), PAUSES_S):
+            with self.subTest(between_s=between_s, pause_s=pause_s):
+                replacement = Replacement("follower", is_leader_wiped=True)
+                cluster = replacement.cluster
+                cluster.add("g", "g0")
+                cluster.run(CATCH_UP_S)
+                second = next(name for name in "abcde" if replacement.is_sound(name))
+                replacement.remove()
+                cluster.run(between_s)
+                cluster.lose(second)
+                cluster.run(pause_s)
+                replacement.commit()
+                replacement.wipe()
+                replacement.return_wiped()
+                cluster.wait_for_leader()
+                self.assertIn("x", cluster.leader.config.answers_by_command_id)
+
     def test_three_instances_removed_at_once_whose_successors_are_voters(self) -> None:
         """The successors had no votes: two of five were left, and no disk was lost."""
         for pause_s in (0.0, 0.3, 1.0):
