--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -211,6 +211,19 @@
             self.cluster.run(STEP_S)
             self.assertEqual(self.voters(), set("abcdef"))
 
+    def test_votes_do_not_gather_with_the_instances_that_were_up(self) -> None:
+        """The votes of two that were dark for a moment stayed with those that stood in for them."""
+        for name in "fg":
+            self.cluster.add(name, f"{name}0")
+        self.cluster.run(CATCH_UP_S)
+        dark = set([name for name in "abcde" if name != self.cluster.leader.name][:2])
+        self.cluster.partitioned.update(dark)
+        self.cluster.run(VOTER_TIMEOUT_S + CATCH_UP_S)
+        self.assertEqual(self.voters(), set("abcdefg") - dark)
+        self.cluster.partitioned.clear()
+        self.cluster.run(CATCH_UP_S)
+        self.assertEqual(self.voters(), set("abcdefg"))
+
     def test_planned_replacement_of_most_voters_keeps_a_quorum(self) -> None:
         """Stopped instances kept their votes: two pairs in turn left no quorum for good."""
         for leaving, successors in (("ab", "fg"), ("cd", "hi")):
