Control: an uncommitted change that added the lost voter doesn't stop elections

Three of the six were left, the lost disk was known, but the change was not committed, so that nobody was left out: no quorum for good.

Change: a lost voter may also be left out if it is the one that the uncommitted change added. The voters without it are those before the change, which differ by one from whatever followed either.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination.raft.quorum import find_spare_voter
 from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
 from wagtailkeel_coordination.raft.role import RaftRole
 from wagtailkeel_coordination.raft.vote_count import VoteCount
@@ -150,9 +151,18 @@
         assert self._count is not None, "a candidate counts votes"
         if self._count.has_quorum:
             self._on_quorum(now, self._spare_voter)
-        elif self._is_pre_vote and self._count.has_quorum_without_lost:
-            if self._state.find_unconfirmed_change() is None:
-                self._on_quorum(now, self._count.spare_voter)
+        elif self._is_pre_vote and self._count.has_quorum_without_one:
+            spare_voter = self._find_spare_voter(self._count.known_lost)
+            if spare_voter is not None:
+                self._on_quorum(now, spare_voter)
+
+    def _find_spare_voter(self, lost: set[str]) -> str | None:
+        """Return a lost voter that may be left out; see ``quorum`` for the conditions."""
+        voters = self._state.voters_by_id
+        change = self._state.find_unconfirmed_change()
+        if change is not None:
+            lost = lost & (set(voters) - set(change.previous_identities_by_id))
+        return find_spare_voter(voters, lost)
 
     def _on_quorum(self, now: float, spare_voter: str | None) -> None:
         if self._is_pre_vote:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/quorum.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/quorum.py
@@ -11,8 +11,8 @@
 - The lost voter can't vote for another candidate of the same term, so it was known to be lost
   before the votes were requested. An instance that answers with a new data folder shows that the
   former one is gone.
-- The candidate knows that its newest change of voters is committed; otherwise the voters without
-  the lost one may differ by two from those of another leader.
+- The candidate knows that its newest change of voters is committed, or that change added the lost
+  voter; otherwise the voters without the lost one may differ by two from those of another leader.
 - A change of voters is committed only when a quorum of the voters before it has it, too. Otherwise
   later entries could be committed by voters of which none elects the candidate.
 """
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/vote_count.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.raft.quorum import find_spare_voter
 from wagtailkeel_coordination.raft.quorum import majority_of
 
 if TYPE_CHECKING:
@@ -68,25 +67,24 @@
         return len(self.granted) >= self.quorum
 
     @property
-    def spare_voter(self) -> str | None:
-        """A voter that was lost before this round, and without which a majority is smaller."""
-        known_lost = [
+    def has_quorum_without_one(self) -> bool:
+        """Return whether the votes are a majority of the voters without one that is lost."""
+        return len(self.granted) >= majority_of(len(self._identities_by_id) - 1)
+
+    @property
+    def known_lost(self) -> set[str]:
+        """Voters that were known to be lost before this round."""
+        return {
             voter
             for voter, identity in self._identities_by_id.items()
             if identity in self._lost_identities
-        ]
-        return find_spare_voter(self._identities_by_id, known_lost)
+        }
 
     @property
     def all_lost_identities(self) -> set[str]:
         """Identities that are known to be lost after this round."""
         return self._lost_identities | {self._identities_by_id[voter] for voter in self.lost}
 
-    @property
-    def has_quorum_without_lost(self) -> bool:
-        """Return whether the votes are a majority if a lost voter is left out."""
-        return self.spare_voter is not None and len(self.granted) >= self.quorum - 1
-
     @property
     def silent(self) -> set[str]:
         """Voters that have not answered."""
