--- a/tests/coordination/test_raft_lost_disks.py
+++ b/tests/coordination/test_raft_lost_disks.py
@@ -6,10 +6,10 @@
 import unittest
 from collections.abc import Callable
 
-from tests.coordination.test_raft_members import CATCH_UP_S
-from tests.coordination.test_raft_members import STEP_S
-from tests.coordination.test_raft_members import VOTER_LIMIT
-from tests.coordination.test_raft_members import Cluster
+from tests.coordination.raft_cluster import CATCH_UP_S
+from tests.coordination.raft_cluster import STEP_S
+from tests.coordination.raft_cluster import VOTER_LIMIT
+from tests.coordination.raft_cluster import Cluster
 from wagtailkeel_coordination.raft.quorum import find_spare_voter
 from wagtailkeel_coordination.raft.quorum import majority_of
 from wagtailkeel_coordination.raft.voter_changes import VOTER_TIMEOUT_S
