Simulation: histories of partitions, and a check of which side acknowledges

A command is not acknowledged on one side while most of all instances, which have run for the rejoin delay, reach each other on the other and lack it; and the side with most instances has applied what was acknowledged 3 s before.

--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -23,6 +23,7 @@
 from wagtailkeel_bench.scenario.runner import run_scenario
 from wagtailkeel_bench.simulation import InvariantError
 from wagtailkeel_bench.simulation import draw_history
+from wagtailkeel_bench.simulation import draw_partition_history
 from wagtailkeel_bench.simulation import play
 from wagtailkeel_bench.simulation import shrink as shrink_history
 from wagtailkeel_bench.soak import Schedule
@@ -138,15 +139,17 @@
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--runs", type=click.IntRange(min=1), default=100, help="Number of histories.")
 @click.option("--strict", is_flag=True, help="Draw also what control is known not to bear.")
-def simulate_command(seed: int, runs: int, strict: bool) -> None:
+@click.option("--partitions", is_flag=True, help="Draw partitions after losses and additions.")
+def simulate_command(seed: int, runs: int, strict: bool, partitions: bool) -> None:
     """Play histories of faults against the consensus of control, in virtual time.
 
     A history that breaks an invariant is shrunk and printed as a list of faults; the exit status
     is 1 then.
     """
+    draw = draw_partition_history if partitions else draw_history
     broken = 0
     for number in range(seed, seed + runs):
-        history = draw_history(number, is_strict=strict)
+        history = draw(number, is_strict=strict)
         try:
             play(history)
         except InvariantError as error:
--- a/bench/src/wagtailkeel_bench/simulation/cluster.py
+++ b/bench/src/wagtailkeel_bench/simulation/cluster.py
@@ -8,12 +8,14 @@
 
 from wagtailkeel_bench.event_scheduler import EventScheduler
 from wagtailkeel_bench.simulation.control_process import ControlProcess
+from wagtailkeel_bench.simulation.history import REJOIN_DELAY_S
 from wagtailkeel_bench.simulation.history import VOTERS
 from wagtailkeel_bench.simulation.instance import Instance
 from wagtailkeel_bench.simulation.invariants import ACK_TIMEOUT_S
 from wagtailkeel_bench.simulation.invariants import CALM_S
 from wagtailkeel_bench.simulation.invariants import InvariantError
 from wagtailkeel_bench.simulation.invariants import Invariants
+from wagtailkeel_bench.simulation.majority_check import MajorityCheck
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_coordination.raft.formation import find_initial_voters
 from wagtailkeel_protocol.raft_messages import FormationReply
@@ -21,8 +23,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from pathlib import Path
 
+    from wagtailkeel_bench.simulation.history import History
     from wagtailkeel_state.commands import AnyCommand
 
 FOUNDERS = 3
@@ -30,6 +34,7 @@
 READ_INTERVAL_S = 0.3
 READ_TIMEOUT_S = 0.9
 READ_POLL_S = 0.01
+MAJORITY_CHECK_INTERVAL_S = 0.1
 SLOW_LINK_SHARES = (0.0, 0.3, 0.6)
 SLOW_MAX_DELAY_S = 0.03
 DUPLICATE_SHARE = 0.01
@@ -46,13 +51,15 @@
 
     voter_limit = VOTERS
 
-    def __init__(self, seed: int, folder: Path, *, has_unruly_links: bool = False) -> None:
-        self.random = Random(seed)
+    def __init__(self, history: History, folder: Path) -> None:
+        self.random = Random(history.seed)
         self._folder = folder
-        self._has_unruly_links = has_unruly_links
-        self._late_by_s = UNRULY_LATE_BY_S if has_unruly_links else LATE_BY_S
+        self._may_suspend = history.has_unruly_links or history.may_suspend
+        self._late_by_s = UNRULY_LATE_BY_S if history.has_unruly_links else LATE_BY_S
         self.scheduler = EventScheduler()
         self.invariants = Invariants()
+        self._majority_check = MajorityCheck()
+        self._partitioned_names: frozenset[str] = frozenset()
         self.instances_by_name: dict[str, Instance] = {}
         self._processes_by_name: dict[str, ControlProcess] = {}
         self.disturbed_at = 0.0
@@ -65,6 +72,7 @@
         self._form()
         self.scheduler.call_later(1.0, self._send_command)
         self.scheduler.call_later(1.0, self._read)
+        self.scheduler.call_later(1.0, self._check_majority)
 
     # Instances
 
@@ -102,6 +110,7 @@
                 instance.max_delay_s = SLOW_MAX_DELAY_S
         if instance.has_left or self.running_process(name) is not None:
             return
+        instance.restored_at = self.scheduler.now
         try:
             self._processes_by_name[name] = ControlProcess(self, instance)
         except StorageFaultError:
@@ -131,6 +140,38 @@
         for call in held_calls:
             call()
 
+    # Partitions
+
+    def partition(self, names: Collection[str]) -> None:
+        """Let no message pass between these instances and the others, until the next call."""
+        self._partitioned_names = frozenset(names)
+
+    def _is_partitioned(self, sender: str, receiver: str) -> bool:
+        return (sender in self._partitioned_names) != (receiver in self._partitioned_names)
+
+    def _find_majority(self) -> set[str]:
+        """Return the instances that count and reach each other, if they are most of all."""
+        instances = [i for i in self.instances_by_name.values() if not i.has_left]
+        names = {instance.name for instance in instances if self._counts(instance)}
+        for side in (names & self._partitioned_names, names - self._partitioned_names):
+            if 2 * len(side) > len(instances):
+                return side
+        return set()
+
+    def _counts(self, instance: Instance) -> bool:
+        if instance.has_fault or self.running_process(instance.name) is None:
+            return False
+        return self.scheduler.now - instance.restored_at >= REJOIN_DELAY_S
+
+    def _check_majority(self) -> None:
+        self.scheduler.call_later(MAJORITY_CHECK_INTERVAL_S, self._check_majority)
+        now, majority = self.scheduler.now, self._find_majority()
+        if self._partitioned_names and not majority:
+            self.disturbed_at = now  # Neither side may go on.
+        if now - self.disturbed_at >= CALM_S and not self._may_suspend:
+            processes = [self._processes_by_name[name] for name in majority]
+            self._majority_check.check_majority(processes, now)
+
     # Messages
 
     def deliver(
@@ -138,7 +179,7 @@
     ) -> None:
         """Call ``on_arrival`` with the process that runs at the receiver when a message arrives."""
         source, instance = self.instances_by_name[sender], self.instances_by_name.get(receiver)
-        if source.drops_outbound or instance is None:
+        if source.drops_outbound or instance is None or self._is_partitioned(sender, receiver):
             return
         addressed = self._processes_by_name.get(receiver)
 
@@ -146,6 +187,8 @@
             process = self._processes_by_name.get(receiver)
             if instance.drops_inbound or process is None or process is not addressed:
                 return
+            if self._is_partitioned(sender, receiver):
+                return
             if instance.is_frozen:
                 instance.held_calls.append(arrive)
             elif process.is_running:
@@ -179,15 +222,19 @@
             self._pending_command = f"order-{self._commands}"
             self._command_sent_at = self.scheduler.now
         due_at = max(self._command_sent_at, self.disturbed_at + CALM_S) + ACK_TIMEOUT_S
-        if self.scheduler.now > due_at and not self._has_unruly_links:
+        if self.scheduler.now > due_at and not self._may_suspend:
             raise InvariantError(f"{self._pending_command} is not acknowledged in time")
         leaders = self._leaders()
         if leaders:
             self.random.choice(leaders).propose(self._pending_command)
 
-    def on_acknowledged(self, command_id: str) -> None:
-        """Record that the operator was told that a command is in force."""
+    def on_acknowledged(self, name: str, command_id: str) -> None:
+        """Record that an instance told the operator that a command is in force."""
         self.invariants.acknowledged.add(command_id)
+        majority = [self._processes_by_name[other] for other in self._find_majority()]
+        if not any(self._is_partitioned(name, process.instance.name) for process in majority):
+            majority = []
+        self._majority_check.on_acknowledged(name, command_id, self.scheduler.now, majority)
         if command_id == self._pending_command:
             self._pending_command = ""
 
--- a/bench/src/wagtailkeel_bench/simulation/control_process.py
+++ b/bench/src/wagtailkeel_bench/simulation/control_process.py
@@ -58,8 +58,8 @@
     def build_command(command_id: str) -> AnyCommand:
         """Return a command that the state accepts any number of times."""
 
-    def on_acknowledged(self, command_id: str) -> None:
-        """Record that the operator was told that a command is in force."""
+    def on_acknowledged(self, name: str, command_id: str) -> None:
+        """Record that an instance told the operator that a command is in force."""
 
 
 class ControlProcess:
@@ -208,12 +208,23 @@
         self.node.flush(self._host.scheduler.now)
         self._host.invariants.on_step(self.node)
 
+    def acknowledge(self, command_id: str) -> None:
+        """Tell the operator that a command is in force."""
+        self._host.on_acknowledged(self.instance.name, command_id)
+
+    def has_stored(self, command_id: str) -> bool:
+        """Return whether a command is in the log or has been applied."""
+        log = self.node.log
+        entries = log.entries_after(log.base_index, log.last_index - log.base_index)
+        is_in_log = any(entry.command_id == command_id for entry in entries)
+        return is_in_log or command_id in self.config.answers_by_command_id
+
     def _apply(self, entry: LogEntry) -> CommandAnswer:
         self._host.invariants.on_apply(entry)
         answer = apply_entry(self.config, entry)
         term, command_id = self._commands_by_index.pop(entry.index, (0, ""))
         if command_id and term == entry.term:
-            self._host.on_acknowledged(command_id)
+            self.acknowledge(command_id)
         return answer
 
     def _replace_configuration(self, config: Configuration) -> None:
--- a/bench/src/wagtailkeel_bench/simulation/history.py
+++ b/bench/src/wagtailkeel_bench/simulation/history.py
@@ -47,10 +47,24 @@
     ABANDON = "abandon"
     """A successor starts; ``lasts_s`` later the instance ends at once, for good."""
     KILL_ALL = "kill all"
+    ADD = "add"
+    """The instance ``successor`` starts, and replaces nobody."""
+    SPLIT = "split"
+    """The instances of ``group`` and the others don't reach each other."""
 
 
 LEAVES = (Kind.REPLACE, Kind.ABANDON)
-ONE_INSTANCE_KINDS = tuple(kind for kind in Kind if kind is not Kind.KILL_ALL)
+ONE_INSTANCE_KINDS = (
+    Kind.KILL,
+    Kind.WIPE,
+    Kind.FREEZE,
+    Kind.CUT,
+    Kind.CUT_IN,
+    Kind.CUT_OUT,
+    Kind.DISK,
+    Kind.REPLACE,
+    Kind.ABANDON,
+)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -61,10 +75,12 @@
     target: str = ""
     lasts_s: float = 0.0
     successor: str = ""
+    group: tuple[str, ...] = ()
 
     def __str__(self) -> str:
         successor = f" by {self.successor}" if self.successor else ""
-        return f"{self.at_s:.3f} {self.kind.value} {self.target}{successor} {self.lasts_s:.3f}"
+        names = self.target or ", ".join(self.group)
+        return f"{self.at_s:.3f} {self.kind.value} {names}{successor} {self.lasts_s:.3f}"
 
 
 class History(msgspec.Struct, frozen=True):
@@ -74,6 +90,8 @@
     faults: tuple[Fault, ...]
     has_unruly_links: bool = False
     """Some messages are late by seconds; commands are then due only after the recovery time."""
+    may_suspend: bool = False
+    """More is lost at once than promised; commands are then due only after the recovery time."""
 
     @property
     def duration_s(self) -> float:
--- a/bench/src/wagtailkeel_bench/simulation/instance.py
+++ b/bench/src/wagtailkeel_bench/simulation/instance.py
@@ -19,6 +19,7 @@
 
     An instance that ``drops_inbound`` gets no message, and one that ``drops_outbound`` sends none.
     While it ``is_frozen``, messages that arrive are held. One that ``has_left`` never starts again.
+    ``restored_at`` is when its last start or the end of its last fault was.
     """
 
     def __init__(self, name: str, folder: Path) -> None:
@@ -29,4 +30,10 @@
         self.drops_inbound = False
         self.drops_outbound = False
         self.has_left = False
+        self.restored_at = 0.0
         self.held_calls: list[Callable[[], None]] = []
+
+    @property
+    def has_fault(self) -> bool:
+        """Return whether the instance is suspended, cut off, or without a disk that works."""
+        return self.is_frozen or self.drops_inbound or self.drops_outbound or self.disk.is_failing
--- a/bench/src/wagtailkeel_bench/simulation/runner.py
+++ b/bench/src/wagtailkeel_bench/simulation/runner.py
@@ -37,6 +37,8 @@
             Kind.REPLACE: lambda fault: cluster.start(fault.successor),
             Kind.ABANDON: lambda fault: cluster.start(fault.successor),
             Kind.KILL_ALL: self._kill_all,
+            Kind.ADD: lambda fault: cluster.start(fault.successor),
+            Kind.SPLIT: lambda fault: cluster.partition(fault.group),
         }
 
     def begin(self, fault: Fault) -> None:
@@ -48,9 +50,12 @@
     def _end(self, fault: Fault) -> None:
         cluster = self._cluster
         cluster.disturbed_at = cluster.scheduler.now
-        if fault.kind is Kind.KILL_ALL:
+        if fault.kind is Kind.SPLIT:
+            cluster.partition(())
+        if not fault.target:
             return
         instance = cluster.instances_by_name[fault.target]
+        instance.restored_at = cluster.scheduler.now
         if fault.kind in KILLS:
             cluster.start(fault.target)
         elif fault.kind is Kind.FREEZE:
@@ -98,7 +103,7 @@
 def play(history: History) -> None:
     """Play a history; raise InvariantError, whose message begins with the virtual time."""
     with tempfile.TemporaryDirectory(prefix="wagtailkeel-simulation-") as folder:
-        cluster = Cluster(history.seed, Path(folder), has_unruly_links=history.has_unruly_links)
+        cluster = Cluster(history, Path(folder))
         try:
             _play(history, cluster)
         except InvariantError as error:
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -10,10 +10,12 @@
 from wagtailkeel_bench.simulation import History
 from wagtailkeel_bench.simulation import InvariantError
 from wagtailkeel_bench.simulation import draw_history
+from wagtailkeel_bench.simulation import draw_partition_history
 from wagtailkeel_bench.simulation import play
 from wagtailkeel_bench.simulation import shrink
 from wagtailkeel_bench.simulation.control_process import ControlProcess
 from wagtailkeel_bench.simulation.history import FAULT_TOLERANCE
+from wagtailkeel_bench.simulation.history import FIRST_FAULT_AT_S
 from wagtailkeel_bench.simulation.history import LEAVES
 from wagtailkeel_bench.simulation.history import REJOIN_DELAY_S
 from wagtailkeel_bench.simulation.history import Fault
@@ -31,6 +33,7 @@
     from contextlib import AbstractContextManager
 
 HISTORIES = range(60)
+PARTITION_HISTORIES = range(20)
 DRAWN = range(300)
 
 
@@ -40,7 +43,9 @@
         self.assertNotEqual(draw_history(5), draw_history(6))
 
     def test_all_kinds_are_drawn(self) -> None:
-        kinds = {fault.kind for seed in DRAWN for fault in draw_history(seed).faults}
+        histories = [draw_history(seed) for seed in DRAWN]
+        histories += [draw_partition_history(seed) for seed in DRAWN]
+        kinds = {fault.kind for history in histories for fault in history.faults}
         self.assertEqual(kinds, set(Kind))
 
     def test_most_histories_reach_the_limit_and_none_goes_beyond_it(self) -> None:
@@ -61,6 +66,15 @@
             at_limit += most == FAULT_TOLERANCE
         self.assertGreater(at_limit, len(DRAWN) / 2)
 
+    def test_no_instance_counts_as_lost_when_a_partition_begins(self) -> None:
+        for seed in DRAWN:
+            sound_at_s = FIRST_FAULT_AT_S
+            for fault in draw_partition_history(seed).faults:
+                if fault.kind is Kind.SPLIT:
+                    self.assertGreaterEqual(fault.at_s, sound_at_s, f"seed {seed}")
+                delay_s = 0.0 if fault.kind in LEAVES else REJOIN_DELAY_S
+                sound_at_s = max(sound_at_s, fault.at_s + fault.lasts_s + delay_s)
+
 
 FAILED_ONCE = [
     (
@@ -110,6 +124,12 @@
             with self.subTest(seed=seed):
                 play(draw_history(seed))
 
+    def test_no_partition_history_breaks_an_invariant(self) -> None:
+        """A side with most votes, but not most instances, acknowledged (review/7)."""
+        for seed in PARTITION_HISTORIES:
+            with self.subTest(seed=seed):
+                play(draw_partition_history(seed))
+
 
 def wipe_but_keep_identity(
     wipe: Callable[[SimulatedDisk], None],
@@ -133,70 +153,96 @@
         last_index = process.node.log.last_index
         propose(process, command_id)
         if process.node.log.last_index > last_index:
-            process._host.on_acknowledged(command_id)
+            process.acknowledge(command_id)
 
     return propose_command
 
 
-PLANTED: list[tuple[str, int, list[AbstractContextManager[object]]]] = [
+def add_voter_up_to_limit(
+    add_voter: Callable[[VoterChanges, float], None],
+) -> Callable[[VoterChanges, float], None]:
+    def add_voter_below_limit(changes: VoterChanges, now: float) -> None:
+        if len(changes._state.voters_by_id) < changes._voter_limit:
+            add_voter(changes, now)
+
+    return add_voter_below_limit
+
+
+def find_replaceable_voter(changes: VoterChanges, now: float) -> str | None:
+    learners = changes._learners.identities_by_id
+    if not any(changes._can_become_voter(learner, now) for learner in learners):
+        return None
+    return changes._find_stopping_voter(now) or changes._find_unresponsive_voter(now)
+
+
+PLANTED: list[tuple[str, History, list[AbstractContextManager[object]]]] = [
     (
         "a vote that is not synced",
-        4,
+        draw_history(4),
         [mock.patch.object(SimulatedDisk, "save_vote", lambda disk, vote: None)],
     ),
     (
         "a read without a quorum's word",
-        11,
+        draw_history(11),
         [mock.patch.object(RaftNode, "is_read_confirmed", lambda node, *_: node.is_leader)],
     ),
     (
         "a second change of voters before the first is committed",
-        6,
+        draw_history(6),
         [mock.patch.object(RaftNode, "can_change_voters", property(lambda node: node.is_leader))],
     ),
     (
         "an early acknowledgement",
-        1,
+        draw_history(1),
         [mock.patch.object(ControlProcess, "propose", acknowledge_early(ControlProcess.propose))],
     ),
     (
         "an identity kept by an empty disk",
-        2,
+        draw_history(2),
         [mock.patch.object(SimulatedDisk, "wipe", wipe_but_keep_identity(SimulatedDisk.wipe))],
     ),
     (
         "a voter that has not caught up",
-        0,
+        draw_history(0),
         [mock.patch.object(VoterChanges, "_can_become_voter", may_become_voter)],
     ),
     (
         "votes that stay with instances that have left",
-        6,
+        draw_history(6),
         [
             mock.patch.object(VoterChanges, "hand_over_vote", lambda *_: VoteHandover.IMPOSSIBLE),
             mock.patch.object(voter_changes, "VOTER_TIMEOUT_S", 4.0),
         ],
     ),
+    (
+        "votes that go from silent instances to others, and don't go back",
+        draw_partition_history(10),
+        [
+            mock.patch.object(
+                VoterChanges, "_add_voter", add_voter_up_to_limit(VoterChanges._add_voter)
+            ),
+            mock.patch.object(VoterChanges, "_find_leaving_voter", find_replaceable_voter),
+        ],
+    ),
 ]
-"""Faults that the histories must find: what, a seed that does, how it is planted."""
+"""Faults that the histories must find: what, a history that does, how it is planted."""
 SHRUNK = PLANTED[2]
 
 
 class PlantedFaultsTest(unittest.TestCase):
     def test_planted_faults_are_found(self) -> None:
-        for fault, seed, patches in PLANTED:
+        for fault, history, patches in PLANTED:
             with self.subTest(fault), contextlib.ExitStack() as stack:
                 for patch in patches:
                     stack.enter_context(patch)
                 with self.assertRaises(InvariantError):
-                    play(draw_history(seed))
+                    play(history)
 
     def test_a_failing_history_is_shrunk(self) -> None:
-        _, seed, patches = SHRUNK
+        _, history, patches = SHRUNK
         with contextlib.ExitStack() as stack:
             for patch in patches:
                 stack.enter_context(patch)
-            history = draw_history(seed)
             smaller = shrink(history)
             self.assertLess(len(smaller.faults), len(history.faults) / 2)
             with self.assertRaises(InvariantError):
