Control: the request of a voter for the log confirms no read

What callers could see: a leader that is cut off answers a read with an older configuration.

Cause: a voter that no leader has contacted for 2 s asks for the log, and the leader took this for an answer to a request of its own. The voter may have elected another leader before. It needs links that fail in one direction, and counts once for each voter.

The test fails before the change (a read was confirmed without any answer) and holds with it.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -32,10 +32,14 @@
         self._progress = progress
 
     def add(self, instance_id: str, now: float) -> None:
-        """Start replicating to an instance without a vote."""
+        """Start replicating to an instance without a vote.
+
+        A voter may ask for it, too, but only its answers to the leader count towards a quorum.
+        """
         if instance_id not in self.instance_ids:
             self.instance_ids.add(instance_id)
-            self._progress.of(instance_id).acknowledged_sent_at = now
+            if instance_id not in self._state.voters_by_id:
+                self._progress.of(instance_id).acknowledged_sent_at = now
 
     def start_term(self) -> None:
         """Discard the identities, which may have changed since an earlier term."""
--- a/tests/coordination/test_raft_members.py
+++ b/tests/coordination/test_raft_members.py
@@ -266,6 +266,17 @@
         self.cluster.run(0.5)
         self.assertTrue(leader.node.is_read_confirmed(requested_at, self.cluster.now))
 
+    def test_the_request_of_a_voter_for_the_log_confirms_no_read(self) -> None:
+        """It counted as an answer, though the voter may have elected another leader meanwhile."""
+        leader = self.cluster.leader
+        others = self.voters() - {leader.name}
+        self.cluster.partitioned.update(others)
+        self.cluster.run(STEP_S)
+        requested_at = self.cluster.now
+        for name in others:
+            leader.node.add_learner(name, requested_at + STEP_S)
+        self.assertFalse(leader.node.is_read_confirmed(requested_at, requested_at + STEP_S))
+
     def test_suspended_leader_confirms_no_read(self) -> None:
         """The others may have elected a leader while the former one was suspended."""
         leader = self.cluster.leader
