Control: a change is acknowledged once most instances have it, with or without a vote

Cause: an acknowledgement asked for a quorum of votes, whatever instances ran beside it.

Evidence: the history VOTES_WITH_THE_MINORITY (two of seven instances have lost their votes and are back, at once three of the five voters are cut off) breaks: "c1 acknowledges order-81, but c2, c3, c5, c6, which are most of the instances, reach each other without it".

Change: the entry that sets the voters lists the instances without a vote that may run; what operators change is acknowledged once half of voters and learners have stored it, also where it is in force already. The removal of a wiped voter moved from Replication to VoterChanges, beside the other changes.

--- a/bench/src/wagtailkeel_bench/simulation/control_process.py
+++ b/bench/src/wagtailkeel_bench/simulation/control_process.py
@@ -70,6 +70,7 @@
         self.is_running = True
         self._host = host
         self._commands_by_index: dict[int, tuple[int, str]] = {}
+        self._unconfirmed_commands_by_index: dict[int, str] = {}
         self._handover_wait: HandoverWait | None = None
         self._handover_state = VoteHandover.NOT_LEADER
         identity, vote, self.config, log = instance.disk.open()
@@ -104,6 +105,7 @@
         if self.is_awake:
             self.node.tick(self._host.scheduler.now)
             self._host.invariants.on_step(self.node)
+            self._acknowledge_stored()
 
     # Messages among instances
 
@@ -115,6 +117,7 @@
                 return
             self.node.on_reply(copy_message(reply), self._host.scheduler.now)
             self._host.invariants.on_step(self.node)
+            self._acknowledge_stored()
 
         def on_request(receiver: ControlProcess) -> None:
             reply = receiver.answer(copy_message(message))
@@ -200,7 +203,10 @@
     # Commands
 
     def propose(self, command_id: str) -> None:
-        """Propose a command as leader; it is acknowledged once it is committed in this term."""
+        """Propose a command as leader.
+
+        It is acknowledged once it is committed in this term and stored by most instances.
+        """
         index = self.node.propose(self._host.build_command(command_id), command_id)
         if index is None:
             return
@@ -208,6 +214,14 @@
         self.node.flush(self._host.scheduler.now)
         self._host.invariants.on_step(self.node)
 
+    def _acknowledge_stored(self) -> None:
+        """Acknowledge what most instances have stored; a former leader leaves it to the next."""
+        if not self.node.is_leader:
+            self._unconfirmed_commands_by_index.clear()
+        for index in list(self._unconfirmed_commands_by_index):
+            if self.node.is_stored_by_most(index):
+                self.acknowledge(self._unconfirmed_commands_by_index.pop(index))
+
     def acknowledge(self, command_id: str) -> None:
         """Tell the operator that a command is in force."""
         self._host.on_acknowledged(self.instance.name, command_id)
@@ -224,7 +238,7 @@
         answer = apply_entry(self.config, entry)
         term, command_id = self._commands_by_index.pop(entry.index, (0, ""))
         if command_id and term == entry.term:
-            self.acknowledge(command_id)
+            self._unconfirmed_commands_by_index[entry.index] = command_id
         return answer
 
     def _replace_configuration(self, config: Configuration) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -336,9 +336,13 @@
 
 
 class VotersChanged(Event, tag="voters_changed"):
-    """The voters of control, as of the newest entry in the log."""
+    """The members of control, as of the newest entry in the log.
+
+    ``learners`` have no vote but may run; they count where a change is acknowledged.
+    """
 
     voters: list[str]
+    learners: list[str] = []
 
 
 class ElectionFailed(Event, tag="election_failed"):
@@ -354,6 +358,17 @@
     quorum: int
 
 
+class AcknowledgementWithheld(Event, tag="acknowledgement_withheld"):
+    """A committed change was not acknowledged: ``holders`` are too few of ``members`` to do so.
+
+    The others may be most of those that run, on the other side of a partition.
+    """
+
+    log_index: int
+    holders: list[str]
+    members: list[str]
+
+
 class VoteHandedOver(Event, tag="vote_handed_over"):
     """A control instance that is about to stop has asked for a successor of its vote.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -69,9 +69,7 @@
 
     def remove_unresponsive(self, now: float) -> None:
         """Stop replicating to learners that have not answered for LEARNER_TIMEOUT_S."""
-        for instance_id in (
-            self.instance_ids - set(self._state.voters_by_id) - {self._state.instance_id}
-        ):
+        for instance_id in self.instance_ids - self._state.member_ids - {self._state.instance_id}:
             if now - self._progress.of(instance_id).acknowledged_sent_at > LEARNER_TIMEOUT_S:
                 self.instance_ids.discard(instance_id)
                 self.identities_by_id.pop(instance_id, None)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_log.py
@@ -53,12 +53,12 @@
         start = index - self.base_index
         return self._entries[start : start + limit]
 
-    def find_voters(self, after: int) -> dict[str, str] | None:
-        """Return the voters set by the newest entry after ``after``, or None if no entry does."""
+    def find_members(self, after: int) -> SetControlMembers | None:
+        """Return the newest command after ``after`` that sets the members, or None."""
         for index in range(self.last_index, after, -1):
             command = self.entry_at(index).command
             if isinstance(command, SetControlMembers):
-                return dict(command.identities_by_id)
+                return command
         return None
 
     def find_voter_changes(self, after: int) -> list[VoterChange]:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -15,6 +15,7 @@
 from wagtailkeel_coordination.raft.elections import Elections
 from wagtailkeel_coordination.raft.learners import Learners
 from wagtailkeel_coordination.raft.log_follower import LogFollower
+from wagtailkeel_coordination.raft.member_majority import MemberMajority
 from wagtailkeel_coordination.raft.progress import PeerProgress
 from wagtailkeel_coordination.raft.progress import ProgressTable
 from wagtailkeel_coordination.raft.proposal import Proposal
@@ -85,8 +86,9 @@
         self._progress = ProgressTable(log)
         self._learners = Learners(self, self._progress, instance_ids)
         self._replication = Replication(self, self._progress, self._learners, send)
+        self._majority = MemberMajority(self, self._progress)
         self._voter_changes = VoterChanges(
-            self, self._progress, self._learners, self._replication, voter_limit
+            self, self._progress, self._learners, self._replication, self._majority, voter_limit
         )
         self._elections = Elections(self, send, self.become_leader, random, now)
         self._follower = LogFollower(self, self._elections)
@@ -109,6 +111,20 @@
             return False
         return self._replication.quorum_acknowledged_sent_at(now) >= requested_at
 
+    # Acknowledgements
+
+    def is_stored_by_most(self, index: int) -> bool:
+        """Return whether most instances have stored an entry, so that it may be acknowledged.
+
+        A committed entry is durable, but the quorum that has it need not be the majority of the
+        instances that run; see ``member_majority``. Only a leader knows.
+        """
+        return self.is_leader and self._majority.has_stored(index)
+
+    def list_holders(self, index: int) -> list[str]:
+        """Return the voters and learners that are known to this leader to have stored an entry."""
+        return self._majority.list_holders(index)
+
     # Proposals
 
     def propose(
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_state.py
@@ -70,19 +70,29 @@
         self._retry_storage_at = float("inf")
         self._apply = apply
         self._replace_configuration = replace_configuration
-        self._voters_by_id = self._find_voters()
+        self._members = self._find_members()
 
-    # Voters
+    # Members
 
     @property
     def voters_by_id(self) -> dict[str, str]:
         """Identities of the voters by instance id, as of the newest entry in the log."""
-        return self._voters_by_id
+        return self._members.identities_by_id
+
+    @property
+    def learner_ids(self) -> list[str]:
+        """Instances without a vote that may run, as of the newest entry in the log."""
+        return self._members.learner_ids
+
+    @property
+    def member_ids(self) -> set[str]:
+        """All instances that may run, with or without a vote, as far as the log tells."""
+        return {*self.voters_by_id, *self.learner_ids}
 
     @property
     def is_voter(self) -> bool:
         """Return whether the identity of this data folder is a voter."""
-        return self._voters_by_id.get(self.instance_id) == self.identity
+        return self.voters_by_id.get(self.instance_id) == self.identity
 
     def has_committed_vote(self, instance_id: str, identity: str) -> bool:
         """Return whether an identity is a voter as of the newest committed entry."""
@@ -101,12 +111,12 @@
     @property
     def quorum(self) -> int:
         """Number of voters that form a majority."""
-        return majority_of(len(self._voters_by_id))
+        return majority_of(len(self.voters_by_id))
 
     @property
     def is_member_change_pending(self) -> bool:
-        """Return whether a change of voters is in the log but not committed."""
-        return self.log.find_voters(after=self.commit_index) is not None
+        """Return whether a change of members is in the log but not committed."""
+        return self.log.find_members(after=self.commit_index) is not None
 
     @property
     def can_change_voters(self) -> bool:
@@ -133,9 +143,12 @@
             return None
         return UnconfirmedChange(newest.log_index, dict(previous.identities_by_id))
 
-    def _find_voters(self) -> dict[str, str]:
-        voters = self.log.find_voters(after=self.configuration.index)
-        return dict(self.configuration.control_identities_by_id) if voters is None else voters
+    def _find_members(self) -> SetControlMembers:
+        config = self.configuration
+        return self.log.find_members(after=config.index) or SetControlMembers(
+            identities_by_id=dict(config.control_identities_by_id),
+            learner_ids=list(config.control_learner_ids),
+        )
 
     # Vote and log
 
@@ -166,7 +179,7 @@
             self._on_storage_failure()
             return False
         self.log.append(entries)
-        self._voters_by_id = self._find_voters()
+        self._members = self._find_members()
         return True
 
     def truncate_from(self, index: int) -> bool:
@@ -179,7 +192,7 @@
             self._on_storage_failure()
             return False
         self.log.truncate_from(index)
-        self._voters_by_id = self._find_voters()
+        self._members = self._find_members()
         return True
 
     def install_snapshot(self, configuration: Configuration) -> bool:
@@ -194,7 +207,7 @@
         self.log.reset(configuration.index, configuration.term)
         self.commit_index = configuration.index
         self.configuration = configuration
-        self._voters_by_id = self._find_voters()
+        self._members = self._find_members()
         self._replace_configuration(configuration)
         return True
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/replication.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/replication.py
@@ -12,7 +12,6 @@
 from wagtailkeel_coordination.raft.quorum import majority_of
 from wagtailkeel_protocol.raft_messages import AppendRequest
 from wagtailkeel_protocol.raft_messages import SnapshotRequest
-from wagtailkeel_state.commands import SetControlMembers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +25,7 @@
     from wagtailkeel_coordination.raft.raft_state import UnconfirmedChange
     from wagtailkeel_protocol.raft_messages import AppendReply
     from wagtailkeel_protocol.raft_messages import RaftMessage
+    from wagtailkeel_state.commands import SetControlMembers
 
 HEARTBEAT_INTERVAL_S = 0.15
 ENTRIES_PER_APPEND = 200
@@ -113,9 +113,9 @@
         self._advance_commit_index()
         return not state.has_storage_failed
 
-    def propose_voters(self, identities_by_id: dict[str, str], now: float) -> None:
-        """Propose a change of voters, and send it at once."""
-        self.propose_all([Proposal(SetControlMembers(identities_by_id=identities_by_id))])
+    def propose_members(self, members: SetControlMembers, now: float) -> None:
+        """Propose a change of members, and send it at once."""
+        self.propose_all([Proposal(members)])
         self.flush(now)
 
     def _advance_commit_index(self) -> None:
@@ -182,7 +182,7 @@
 
     def _targets(self) -> list[str]:
         """Return all other instances; those without a vote replicate the log as learners."""
-        targets = set(self._state.voters_by_id) | self._learners.instance_ids
+        targets = self._state.member_ids | self._learners.instance_ids
         return sorted(targets - {self._state.instance_id})
 
     def _replicate(self, peer: str, now: float) -> None:
@@ -252,8 +252,7 @@
     def _on_identity_mismatch(self, reply: AppendReply, progress: PeerProgress, now: float) -> None:
         """Process the reply of an instance that has another identity than the voter of its id.
 
-        The log is replicated to the instance, but its replies don't count towards a quorum. Once
-        it has caught up, the leader proposes to remove the voter with the former identity.
+        The log is replicated to the instance, but its replies don't count towards a quorum.
         """
         self._learners.record_identity(reply.follower_id, reply.follower_identity, now)
         if reply.is_matched:
@@ -261,8 +260,3 @@
         else:
             progress.update(reply.is_matched, reply.match_index, self._state.log.base_index)
         progress.match_index = 0
-        is_caught_up = reply.is_matched and reply.match_index >= self._state.commit_index
-        if is_caught_up and self._state.can_change_voters:
-            voters = dict(self._state.voters_by_id)
-            del voters[reply.follower_id]
-            self.propose_voters(voters, now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -7,9 +7,14 @@
 from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
 from wagtailkeel_coordination.raft.stop_requests import StopRequests
 from wagtailkeel_protocol.raft_messages import VoteHandover
+from wagtailkeel_state.commands import SetControlMembers
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
     from wagtailkeel_coordination.raft.learners import Learners
+    from wagtailkeel_coordination.raft.member_majority import MemberMajority
     from wagtailkeel_coordination.raft.progress import ProgressTable
     from wagtailkeel_coordination.raft.raft_state import RaftState
     from wagtailkeel_coordination.raft.replication import Replication
@@ -20,6 +25,8 @@
 """A stopping voter hopes for a learner that was silent for less: as long as a stop waits."""
 LEARNER_SEARCH_S = 1.0
 """How long after its election a leader may not have heard of all learners yet."""
+LEARNER_ABSENCE_S = 9.0
+"""Longer than a loss of power lasts mostly; shorter than two replacements in turn take."""
 UNLIMITED_VOTERS = 1_000
 
 
@@ -37,12 +44,14 @@
         progress: ProgressTable,
         learners: Learners,
         replication: Replication,
+        majority: MemberMajority,
         voter_limit: int,
     ) -> None:
         self._state = state
         self._progress = progress
         self._learners = learners
         self._replication = replication
+        self._majority = majority
         self._voter_limit = voter_limit
         # With more, the voters up to the limit would be no majority without all the others.
         self._voter_maximum = 2 * voter_limit - 1
@@ -100,28 +109,47 @@
     # Changes
 
     def update_voters(self, now: float) -> None:
-        """Propose the next change of voters that is due, one at a time.
+        """Propose the next change of members that is due, one at a time.
 
         A change that is committed is proposed again, so that each log shows that it is. Where there
         are more voters than the limit, a voter that stops or does not answer is removed. A learner
-        that has caught up becomes a voter; see ``_voter_maximum``.
+        that has caught up becomes a voter; see ``_voter_maximum``. Where that can't be, and where a
+        voter is removed without a stop, the instance is listed as a learner.
         """
         if not self._state.can_change_voters:
             return
-        if self._state.voters_by_id != self._confirmed_voters:
-            self._confirmed_voters = dict(self._state.voters_by_id)
-            self._replication.propose_voters(self._confirmed_voters, now)
-            return
-        leaving_voter = self._find_leaving_voter(now)
-        if leaving_voter is not None:
-            self._remove_voter(leaving_voter, now)
-        elif len(self._state.voters_by_id) < self._voter_maximum:
-            self._add_voter(now)
+        members = (
+            self._repeat_change()
+            or self._remove_leaving_voter(now)
+            or self._add_voter(now)
+            or self._remove_wiped_voter()
+            or self._list_learner(now)
+            or self._drop_learner(now)
+        )
+        if members is not None:
+            self._replication.propose_members(members, now)
+
+    def _repeat_change(self) -> SetControlMembers | None:
+        if self._state.voters_by_id == self._confirmed_voters:
+            return None
+        self._confirmed_voters = dict(self._state.voters_by_id)
+        return self._build_members(self._confirmed_voters, self._state.learner_ids)
 
-    def _find_leaving_voter(self, now: float) -> str | None:
+    @staticmethod
+    def _build_members(voters: Mapping[str, str], learners: Iterable[str]) -> SetControlMembers:
+        learner_ids = sorted(set(learners) - set(voters))
+        return SetControlMembers(identities_by_id=dict(voters), learner_ids=learner_ids)
+
+    # Removal of voters
+
+    def _remove_leaving_voter(self, now: float) -> SetControlMembers | None:
         if not self._has_surplus_voter:
             return None
-        return self._find_stopping_voter(now) or self._find_unresponsive_voter(now)
+        stopping_voter = self._find_stopping_voter(now)
+        if stopping_voter is not None:
+            return self._remove_voter(stopping_voter, may_run=False)
+        unresponsive_voter = self._find_unresponsive_voter(now)
+        return self._remove_voter(unresponsive_voter) if unresponsive_voter else None
 
     def _find_stopping_voter(self, now: float) -> str | None:
         for voter in self._state.voters_by_id:
@@ -129,19 +157,6 @@
                 return voter
         return None
 
-    def _add_voter(self, now: float) -> None:
-        """Propose to make a learner that has caught up a voter, if there is one."""
-        for learner, identity in list(self._learners.identities_by_id.items()):
-            if self._state.voters_by_id.get(learner) == identity:
-                del self._learners.identities_by_id[learner]
-                continue
-            if learner in self._state.voters_by_id:
-                continue  # Its former identity has to be removed from the voters first.
-            if self._can_become_voter(learner, now):
-                voters = {**self._state.voters_by_id, learner: identity}
-                self._replication.propose_voters(voters, now)
-                return
-
     def _find_unresponsive_voter(self, now: float) -> str | None:
         """Return the voter that has not answered for longest, and for VOTER_TIMEOUT_S at least."""
         unresponsive = [
@@ -154,18 +169,70 @@
             return None
         return min(unresponsive, key=lambda voter: self._progress.of(voter).acknowledged_sent_at)
 
+    def _remove_wiped_voter(self) -> SetControlMembers | None:
+        """Remove the former identity of an instance that has caught up after a lost disk.
+
+        Learners become voters first: with several lost disks at once, few voters would be left.
+        """
+        for voter, identity in self._state.voters_by_id.items():
+            if self._learners.identities_by_id.get(voter, identity) == identity:
+                continue
+            if self._progress.of(voter).next_index > self._state.commit_index:
+                return self._remove_voter(voter)
+        return None
+
     def remove_lost_voter(self, instance_id: str, now: float) -> None:
         """Propose to remove a voter that was known to have lost its disk before the election."""
         self._learners.record_lost(self._state.voters_by_id[instance_id], now)
-        self._remove_voter(instance_id, now)
-
-    def _remove_voter(self, instance_id: str, now: float) -> None:
-        """Propose to remove a voter, which becomes a learner."""
-        voters = {
-            key: value for key, value in self._state.voters_by_id.items() if key != instance_id
-        }
+        self._replication.propose_members(self._remove_voter(instance_id), now)
+
+    def _remove_voter(self, instance_id: str, *, may_run: bool = True) -> SetControlMembers:
+        """Return the members without a voter, which becomes a learner if it may still run."""
+        voters = dict(self._state.voters_by_id)
+        del voters[instance_id]
+        learners = set(self._state.learner_ids) - {instance_id}
+        if may_run:
+            learners.add(instance_id)
         self._learners.instance_ids.add(instance_id)
-        self._replication.propose_voters(voters, now)
+        return self._build_members(voters, learners)
+
+    # Learners
+
+    def _add_voter(self, now: float) -> SetControlMembers | None:
+        """Make a learner that has caught up a voter, if there is one."""
+        if len(self._state.voters_by_id) >= self._voter_maximum:
+            return None
+        for learner, identity in list(self._learners.identities_by_id.items()):
+            if self._state.voters_by_id.get(learner) == identity:
+                del self._learners.identities_by_id[learner]
+            elif self._can_become_voter(learner, now):
+                voters = {**self._state.voters_by_id, learner: identity}
+                return self._build_members(voters, self._state.learner_ids)
+        return None
+
+    def _list_learner(self, now: float) -> SetControlMembers | None:
+        """List a learner that can't become a voter, as there are too many."""
+        if len(self._state.voters_by_id) < self._voter_maximum:
+            return None
+        for learner in self._learners.identities_by_id:
+            if learner not in self._state.learner_ids and self._can_become_voter(learner, now):
+                learners = [*self._state.learner_ids, learner]
+                return self._build_members(self._state.voters_by_id, learners)
+        return None
+
+    def _drop_learner(self, now: float) -> SetControlMembers | None:
+        """Forget a learner that has been silent for long, as it may be gone for good.
+
+        That takes the answers of most members: otherwise it may run on the other side of a
+        partition, with the majority.
+        """
+        if not self._majority.has_answered(now - VOTER_TIMEOUT_S):
+            return None
+        for learner in self._state.learner_ids:
+            if now - self._progress.of(learner).acknowledged_sent_at > LEARNER_ABSENCE_S:
+                learners = set(self._state.learner_ids) - {learner}
+                return self._build_members(self._state.voters_by_id, learners)
+        return None
 
     def _can_become_voter(self, learner: str, now: float) -> bool:
         is_caught_up = self._progress.of(learner).match_index >= self._state.commit_index
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -107,9 +107,15 @@
 
 
 class SetControlMembers(Command):
-    """Set the voters of control: the identity of each voter's data folder, by instance id."""
+    """Set the voters of control: the identity of each voter's data folder, by instance id.
+
+    ``learner_ids`` are instances without a vote that may run all the same, such as those that have
+    lost their vote since they were silent. A change that operators make is acknowledged only once
+    most of the voters and these instances have stored it.
+    """
 
     identities_by_id: dict[str, str]
+    learner_ids: list[str] = []
 
 
 class RemoveServer(Command):
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -37,6 +37,7 @@
     data_centres_by_name: dict[str, DataCentre] = {}
     bookings_by_id: dict[str, Booking] = {}
     control_identities_by_id: dict[str, str] = {}
+    control_learner_ids: list[str] = []
     answers_by_command_id: dict[str, CommandAnswer] = {}
     routing: RoutingDocument = msgspec.field(default_factory=RoutingDocument)
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -289,6 +289,7 @@
 @apply_command.register
 def _(command: SetControlMembers, config: Configuration, entry: LogEntry) -> str | None:
     config.control_identities_by_id = dict(command.identities_by_id)
+    config.control_learner_ids = list(command.learner_ids)
     return None
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -440,7 +440,7 @@
     # RPC requests for commands, entries and state
 
     async def _command(self, request: CommandRequest) -> CommandReply:
-        answer = await self._proposer.propose(request)
+        answer = await self.operator_state.execute(request)
         return CommandReply(answer, self._raft.leader_id)
 
     async def _status(self, request: StatusRequest) -> StatusReply:
@@ -465,6 +465,7 @@
                 "leader": raft.leader_id,
                 "is_voter": raft.is_voter,
                 "voters": sorted(raft.voters_by_id),
+                "learners": raft.learner_ids,
                 "version": self._store.version,
                 "commit_index": raft.commit_index,
                 "last_index": raft.log.last_index,
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_events.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_events.py
@@ -19,7 +19,7 @@
         self._raft = raft
         self._emit = event_sink.emit
         self._leader_id = ""
-        self._voters: list[str] = []
+        self._voters_changed = events.VotersChanged([])
         self._failed_count: VoteCount | None = None
         self._election_failed: events.ElectionFailed | None = None
 
@@ -39,10 +39,10 @@
         return True
 
     def _emit_voters(self) -> None:
-        voters = sorted(self._raft.voters_by_id)
-        if voters != self._voters:
-            self._voters = voters
-            self._emit(events.VotersChanged(voters))
+        event = events.VotersChanged(sorted(self._raft.voters_by_id), self._raft.learner_ids)
+        if event != self._voters_changed:
+            self._voters_changed = event
+            self._emit(event)
 
     def _emit_failed_election(self) -> None:
         count = self._raft.failed_vote_count
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import unittest
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -26,10 +27,10 @@
 from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
 from wagtailkeel_coordination.raft.voter_changes import VoterChanges
 from wagtailkeel_protocol.raft_messages import VoteHandover
+from wagtailkeel_state.commands import SetControlMembers
 from wagtailkeel_transport.storage.data_folder import IDENTITY_FILE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from contextlib import AbstractContextManager
 
 HISTORIES = range(60)
@@ -76,6 +77,18 @@
                 sound_at_s = max(sound_at_s, fault.at_s + fault.lasts_s + delay_s)
 
 
+VOTES_WITH_THE_MINORITY = History(
+    1,
+    (
+        Fault(6.0, Kind.ADD, successor="c6"),
+        Fault(10.0, Kind.ADD, successor="c7"),
+        Fault(14.0, Kind.SPLIT, lasts_s=3.0, group=("c2", "c5")),
+        Fault(17.0, Kind.SPLIT, lasts_s=10.0, group=("c1", "c4", "c7")),
+    ),
+    may_suspend=True,
+)
+"""Two of seven instances have lost their votes, and reach two others when a partition begins."""
+
 FAILED_ONCE = [
     (
         "a stopping voter gave up when its successor was silent for a moment",
@@ -109,6 +122,10 @@
             ),
         ),
     ),
+    (
+        "a side with most votes acknowledged while most instances reached each other without it",
+        VOTES_WITH_THE_MINORITY,
+    ),
 ]
 """Histories that broke an invariant until its cause was mended."""
 
@@ -158,21 +175,27 @@
     return propose_command
 
 
-def add_voter_up_to_limit(
-    add_voter: Callable[[VoterChanges, float], None],
-) -> Callable[[VoterChanges, float], None]:
-    def add_voter_below_limit(changes: VoterChanges, now: float) -> None:
-        if len(changes._state.voters_by_id) < changes._voter_limit:
-            add_voter(changes, now)
+VoterChange = Callable[[VoterChanges, float], SetControlMembers | None]
+
+
+def add_voter_up_to_limit(add_voter: VoterChange) -> VoterChange:
+    def add_voter_below_limit(changes: VoterChanges, now: float) -> SetControlMembers | None:
+        has_room = len(changes._state.voters_by_id) < changes._voter_limit
+        return add_voter(changes, now) if has_room else None
 
     return add_voter_below_limit
 
 
-def find_replaceable_voter(changes: VoterChanges, now: float) -> str | None:
+def remove_replaceable_voter(changes: VoterChanges, now: float) -> SetControlMembers | None:
     learners = changes._learners.identities_by_id
     if not any(changes._can_become_voter(learner, now) for learner in learners):
         return None
-    return changes._find_stopping_voter(now) or changes._find_unresponsive_voter(now)
+    voter = changes._find_stopping_voter(now) or changes._find_unresponsive_voter(now)
+    return changes._remove_voter(voter) if voter else None
+
+
+def acknowledge_by_votes() -> AbstractContextManager[object]:
+    return mock.patch.object(RaftNode, "is_stored_by_most", lambda node, _: node.is_leader)
 
 
 PLANTED: list[tuple[str, History, list[AbstractContextManager[object]]]] = [
@@ -208,7 +231,7 @@
     ),
     (
         "votes that stay with instances that have left",
-        draw_history(6),
+        draw_history(70),
         [
             mock.patch.object(VoterChanges, "hand_over_vote", lambda *_: VoteHandover.IMPOSSIBLE),
             mock.patch.object(voter_changes, "VOTER_TIMEOUT_S", 4.0),
@@ -221,9 +244,15 @@
             mock.patch.object(
                 VoterChanges, "_add_voter", add_voter_up_to_limit(VoterChanges._add_voter)
             ),
-            mock.patch.object(VoterChanges, "_find_leaving_voter", find_replaceable_voter),
+            mock.patch.object(VoterChanges, "_remove_leaving_voter", remove_replaceable_voter),
+            acknowledge_by_votes(),
         ],
     ),
+    (
+        "an acknowledgement by most votes while most instances are elsewhere",
+        VOTES_WITH_THE_MINORITY,
+        [acknowledge_by_votes()],
+    ),
 ]
 """Faults that the histories must find: what, a history that does, how it is planted."""
 SHRUNK = PLANTED[2]
--- a/tests/wagtailkeel/test_raft_events.py
+++ b/tests/wagtailkeel/test_raft_events.py
@@ -36,16 +36,19 @@
 
 class RaftEventsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.raft = SimpleNamespace(leader_id="", term=1, voters_by_id={}, failed_vote_count=None)
+        self.raft = SimpleNamespace(
+            leader_id="", term=1, voters_by_id={}, learner_ids=[], failed_vote_count=None
+        )
         self.sink = RecordedEvents()
         self.events = RaftEvents(cast("RaftNode", self.raft), self.sink)
 
     def test_leader_and_voters(self) -> None:
         self.raft.leader_id = "b"
         self.raft.voters_by_id = {"c": "c0", "b": "b0"}
+        self.raft.learner_ids = ["d"]
         self.assertTrue(self.events.emit_changes())
         self.assertFalse(self.events.emit_changes())
-        expected = [events.LeaderChanged("b", 1), events.VotersChanged(["b", "c"])]
+        expected = [events.LeaderChanged("b", 1), events.VotersChanged(["b", "c"], ["d"])]
         self.assertEqual(self.sink.events, expected)
 
     def test_failed_election_is_written_again_only_if_the_answers_differ(self) -> None:
