Control: what a quorum has answered and stored stands in a module of its own

No change of behaviour. Replication sent the log and worked out twice which voters count while a change of voters is pending; QuorumProgress does the latter now. `spare_voter` is `excluded_voter`.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/elections.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_coordination.raft.quorum import find_spare_voter
+from wagtailkeel_coordination.raft.quorum import find_excluded_voter
 from wagtailkeel_coordination.raft.restart_rounds import RestartRounds
 from wagtailkeel_coordination.raft.role import RaftRole
 from wagtailkeel_coordination.raft.vote_count import VoteCount
@@ -51,7 +51,7 @@
         self.failed_count: VoteCount | None = None
         self._count: VoteCount | None = None
         self._round = 0
-        self._spare_voter: str | None = None
+        self._excluded_voter: str | None = None
         self._is_pre_vote = False
         self._restart_rounds = RestartRounds(state.instance_id, random, now)
         # This voter may have acknowledged, before a restart, a leader that still has its lease.
@@ -104,31 +104,33 @@
         self._count_votes(now)
 
     def _campaign(
-        self, now: float, process_ids_by_voter: dict[str, int], spare_voter: str | None = None
+        self, now: float, process_ids_by_voter: dict[str, int], excluded_voter: str | None = None
     ) -> None:
         """Request votes in a new term.
 
         ``process_ids_by_voter`` identifies the processes whose replies in restart rounds allow an
-        early vote; it is empty in an ordinary election. ``spare_voter`` has lost its disk and is no
-        voter of this election; see ``quorum``.
+        early vote; it is empty in an ordinary election. ``excluded_voter`` has lost its disk and is
+        no voter of this election; see ``quorum``.
         """
-        self._become_candidate(now, spare_voter, is_pre_vote=False)
+        self._become_candidate(now, excluded_voter, is_pre_vote=False)
         if not self._state.save_vote(self._state.term + 1, self._state.instance_id):
             return
         self._request_votes(self._state.term, process_ids_by_voter)
         self._count_votes(now)
 
-    def _become_candidate(self, now: float, spare_voter: str | None, *, is_pre_vote: bool) -> None:
+    def _become_candidate(
+        self, now: float, excluded_voter: str | None, *, is_pre_vote: bool
+    ) -> None:
         self._reset_timer(now)
         self._is_pre_vote = is_pre_vote
         self._state.leader_id = ""
         self._state.role = RaftRole.CANDIDATE
         self._round += 1
         lost_identities = self._count.all_lost_identities if self._count is not None else set()
-        self._spare_voter = spare_voter
+        self._excluded_voter = excluded_voter
         identities_by_id = dict(self._state.voters_by_id)
-        if spare_voter is not None:
-            del identities_by_id[spare_voter]
+        if excluded_voter is not None:
+            del identities_by_id[excluded_voter]
         self._count = VoteCount(
             self._round, identities_by_id, self._state.instance_id, lost_identities
         )
@@ -150,26 +152,26 @@
     def _count_votes(self, now: float) -> None:
         assert self._count is not None, "a candidate counts votes"
         if self._count.has_quorum:
-            self._on_quorum(now, self._spare_voter)
+            self._on_quorum(now, self._excluded_voter)
         elif self._is_pre_vote and self._count.has_quorum_without_one:
-            spare_voter = self._find_spare_voter(self._count.known_lost)
-            if spare_voter is not None:
-                self._on_quorum(now, spare_voter)
+            excluded_voter = self._find_excluded_voter(self._count.known_lost)
+            if excluded_voter is not None:
+                self._on_quorum(now, excluded_voter)
 
-    def _find_spare_voter(self, lost: set[str]) -> str | None:
+    def _find_excluded_voter(self, lost: set[str]) -> str | None:
         """Return a lost voter that may be left out; see ``quorum`` for the conditions."""
         voters = self._state.voters_by_id
         change = self._state.find_unconfirmed_change()
         if change is not None:
             lost = lost & (set(voters) - set(change.previous_identities_by_id))
-        return find_spare_voter(voters, lost)
+        return find_excluded_voter(voters, lost)
 
-    def _on_quorum(self, now: float, spare_voter: str | None) -> None:
+    def _on_quorum(self, now: float, excluded_voter: str | None) -> None:
         if self._is_pre_vote:
-            self._campaign(now, {}, spare_voter)
+            self._campaign(now, {}, excluded_voter)
             return
         self._restart_rounds.has_seen_leader = True
-        self._become_leader(now, spare_voter)
+        self._become_leader(now, excluded_voter)
 
     def on_vote_reply(self, reply: VoteReply, now: float) -> None:
         """Count a granted vote, or step down if the reply is from a newer term."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/quorum.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/quorum.py
@@ -30,7 +30,7 @@
     return voter_count // 2 + 1
 
 
-def find_spare_voter(voter_ids: Collection[str], lost_ids: Collection[str]) -> str | None:
+def find_excluded_voter(voter_ids: Collection[str], lost_ids: Collection[str]) -> str | None:
     """Return a lost voter without which a majority is one vote smaller, or None."""
     lost_voters = sorted(set(voter_ids) & set(lost_ids))
     if not lost_voters or len(voter_ids) % 2:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -19,6 +19,7 @@
 from wagtailkeel_coordination.raft.progress import PeerProgress
 from wagtailkeel_coordination.raft.progress import ProgressTable
 from wagtailkeel_coordination.raft.proposal import Proposal
+from wagtailkeel_coordination.raft.quorum_progress import QuorumProgress
 from wagtailkeel_coordination.raft.raft_state import RaftState
 from wagtailkeel_coordination.raft.replication import Replication
 from wagtailkeel_coordination.raft.role import RaftRole
@@ -85,7 +86,8 @@
         )
         self._progress = ProgressTable(log)
         self._learners = Learners(self, self._progress, instance_ids)
-        self._replication = Replication(self, self._progress, self._learners, send)
+        self._quorum = QuorumProgress(self, self._progress, self._learners)
+        self._replication = Replication(self, self._progress, self._learners, self._quorum, send)
         self._majority = MemberMajority(self, self._progress)
         self._voter_changes = VoterChanges(
             self, self._progress, self._learners, self._replication, self._majority, voter_limit
@@ -100,7 +102,7 @@
         if not self.is_leader or not self.has_committed_in_term:
             return False
         lease_s = ELECTION_TIMEOUT_MIN_S - LEASE_DRIFT_MARGIN_S
-        return now < self._replication.quorum_acknowledged_sent_at(now) + lease_s
+        return now < self._quorum.acknowledged_sent_at(now) + lease_s
 
     def is_read_confirmed(self, requested_at: float, now: float) -> bool:
         """Return whether a quorum has answered a request sent after ``requested_at``.
@@ -109,7 +111,7 @@
         """
         if not self.is_leader or not self.has_committed_in_term:
             return False
-        return self._replication.quorum_acknowledged_sent_at(now) >= requested_at
+        return self._quorum.acknowledged_sent_at(now) >= requested_at
 
     # Acknowledgements
 
@@ -201,7 +203,7 @@
             self._elections.tick(now)
 
     def _tick_as_leader(self, now: float) -> None:
-        if now - self._replication.quorum_acknowledged_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
+        if now - self._quorum.acknowledged_sent_at(now) > ELECTION_TIMEOUT_MAX_S:
             self._elections.step_down(self.term, now)
             return
         if not self.is_voter and not self.is_member_change_pending:
--- a/tests/coordination/test_raft_lost_disks.py
+++ b/tests/coordination/test_raft_lost_disks.py
@@ -10,7 +10,7 @@
 from tests.coordination.raft_cluster import STEP_S
 from tests.coordination.raft_cluster import VOTER_LIMIT
 from tests.coordination.raft_cluster import Cluster
-from wagtailkeel_coordination.raft.quorum import find_spare_voter
+from wagtailkeel_coordination.raft.quorum import find_excluded_voter
 from wagtailkeel_coordination.raft.quorum import majority_of
 from wagtailkeel_coordination.raft.voter_changes import VOTER_TIMEOUT_S
 from wagtailkeel_protocol.raft_messages import AppendReply
@@ -223,7 +223,7 @@
 
 
 class QuorumTest(unittest.TestCase):
-    def test_spare_voter(self) -> None:
+    def test_excluded_voter(self) -> None:
         cases = [
             ("abcdef", "", None),
             ("abcdef", "cb", "b"),
@@ -233,7 +233,7 @@
         ]
         for voters, lost, expected in cases:
             with self.subTest(voters=voters, lost=lost):
-                self.assertEqual(find_spare_voter(voters, lost), expected)
+                self.assertEqual(find_excluded_voter(voters, lost), expected)
 
     def test_majorities_with_and_without_one_voter_have_a_voter_in_common(self) -> None:
         for count in range(2, 10):
