Control: instances that are gone for good don't hold up acknowledgements for long

Cause: an instance without a vote was dropped only while half of all answered, and each new leader waited anew. Where half never answered again, nothing would have been acknowledged for good.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/learners.py
@@ -28,6 +28,7 @@
         self.identities_by_id: dict[str, str] = {}
         self._identified_at_by_id: dict[str, float] = {}
         self._lost_since_by_identity: dict[str, float] = {}
+        self._listed_at_by_id: dict[str, float] = {}
         self._state = state
         self._progress = progress
 
@@ -67,6 +68,22 @@
                 lost_since_by_id[instance_id] = self._identified_at_by_id[instance_id]
         return lost_since_by_id
 
+    def update_listed(self, now: float) -> None:
+        """Record since when the log lists an instance without a vote; followers do so, too."""
+        self._listed_at_by_id = {
+            learner: self._listed_at_by_id.get(learner, now) for learner in self._state.learner_ids
+        }
+
+    def silent_since(self, instance_id: str) -> float:
+        """Return when an instance that the log lists has answered last, or when it was listed.
+
+        The latter counts as long as it has not answered in this leader's term, so that each new
+        leader does not begin anew to wait for an instance that is gone.
+        """
+        if instance_id in self.identities_by_id:
+            return self._progress.of(instance_id).acknowledged_sent_at
+        return self._listed_at_by_id.get(instance_id, float("inf"))
+
     def remove_unresponsive(self, now: float) -> None:
         """Stop replicating to learners that have not answered for LEARNER_TIMEOUT_S."""
         for instance_id in self.instance_ids - self._state.member_ids - {self._state.instance_id}:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/member_majority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/member_majority.py
@@ -33,12 +33,12 @@
 
     def has_answered(self, since: float) -> bool:
         """Return whether at least half of the members have answered requests sent since a time."""
-        answered = [
-            member
-            for member in self._state.member_ids
-            if self._is_self(member) or self._progress.of(member).acknowledged_sent_at >= since
-        ]
-        return self._is_half(len(answered))
+        answers = [self._has_answered(member, since) for member in self._state.member_ids]
+        return self._is_half(sum(answers))
+
+    def have_voters_answered(self, since: float) -> bool:
+        """Return whether all voters have answered requests sent since a time."""
+        return all(self._has_answered(voter, since) for voter in self._state.voters_by_id)
 
     def _is_half(self, count: int) -> bool:
         return 2 * count >= len(self._state.member_ids)
@@ -46,5 +46,8 @@
     def _is_self(self, member: str) -> bool:
         return member == self._state.instance_id
 
+    def _has_answered(self, member: str, since: float) -> bool:
+        return self._is_self(member) or self._progress.of(member).acknowledged_sent_at >= since
+
     def _holds(self, member: str, index: int) -> bool:
         return self._is_self(member) or self._progress.of(member).match_index >= index
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/raft_node.py
@@ -191,6 +191,7 @@
 
     def tick(self, now: float) -> None:
         """Start elections, send heartbeats, and step down without a quorum."""
+        self._learners.update_listed(now)
         if self.has_storage_failed:
             if self.retry_storage(now):
                 # While the disk failed, a leader may have counted this voter's replies to its
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination.raft.learners import LEARNER_TIMEOUT_S
 from wagtailkeel_coordination.raft.progress import REPLY_TIMEOUT_S
 from wagtailkeel_coordination.raft.stop_requests import StopRequests
 from wagtailkeel_protocol.raft_messages import VoteHandover
@@ -25,7 +26,7 @@
 """A stopping voter hopes for a learner that was silent for less: as long as a stop waits."""
 LEARNER_SEARCH_S = 1.0
 """How long after its election a leader may not have heard of all learners yet."""
-LEARNER_ABSENCE_S = 9.0
+LEARNER_ABSENCE_S = 8.0
 """Longer than a loss of power lasts mostly; shorter than two replacements in turn take."""
 UNLIMITED_VOTERS = 1_000
 
@@ -124,7 +125,7 @@
             or self._add_voter(now)
             or self._remove_wiped_voter()
             or self._list_learner(now)
-            or self._drop_learner(now)
+            or self._drop_learners(now)
         )
         if members is not None:
             self._replication.propose_members(members, now)
@@ -220,19 +221,24 @@
                 return self._build_members(self._state.voters_by_id, learners)
         return None
 
-    def _drop_learner(self, now: float) -> SetControlMembers | None:
-        """Forget a learner that has been silent for long, as it may be gone for good.
+    def _drop_learners(self, now: float) -> SetControlMembers | None:
+        """Forget learners that have been silent for long, as they may be gone for good.
 
-        That takes the answers of most members: otherwise it may run on the other side of a
-        partition, with the majority.
+        They may also be on the other side of a partition with the majority, so this takes the
+        answers of half of the members or of all voters, or else LEARNER_TIMEOUT_S.
         """
-        if not self._majority.has_answered(now - VOTER_TIMEOUT_S):
+        since = now - VOTER_TIMEOUT_S
+        majority = self._majority
+        has_support = majority.has_answered(since) or majority.have_voters_answered(since)
+        absence_s = LEARNER_ABSENCE_S if has_support else LEARNER_TIMEOUT_S
+        learners = [
+            learner
+            for learner in self._state.learner_ids
+            if now - self._learners.silent_since(learner) <= absence_s
+        ]
+        if len(learners) == len(self._state.learner_ids):
             return None
-        for learner in self._state.learner_ids:
-            if now - self._progress.of(learner).acknowledged_sent_at > LEARNER_ABSENCE_S:
-                learners = set(self._state.learner_ids) - {learner}
-                return self._build_members(self._state.voters_by_id, learners)
-        return None
+        return self._build_members(self._state.voters_by_id, learners)
 
     def _can_become_voter(self, learner: str, now: float) -> bool:
         is_caught_up = self._progress.of(learner).match_index >= self._state.commit_index
--- a/tests/coordination/test_member_majority.py
+++ b/tests/coordination/test_member_majority.py
@@ -9,6 +9,7 @@
 from tests.coordination.raft_cluster import CATCH_UP_S
 from tests.coordination.raft_cluster import STEP_S
 from tests.coordination.raft_cluster import Cluster
+from wagtailkeel_coordination.raft.learners import LEARNER_TIMEOUT_S
 from wagtailkeel_coordination.raft.member_majority import MemberMajority
 from wagtailkeel_coordination.raft.progress import ProgressTable
 from wagtailkeel_coordination.raft.raft_log import RaftLog
@@ -43,6 +44,17 @@
                 self.assertIs(majority.has_stored(7), expected)
                 self.assertIs(majority.has_answered(since=3.0), expected)
 
+    def test_voters_that_have_answered(self) -> None:
+        for answered, expected in [("bc", True), ("b", False), ("bd", False)]:
+            with self.subTest(answered=answered):
+                progress = ProgressTable(RaftLog(0, 0, []))
+                for name in answered:
+                    progress.of(name).acknowledged_sent_at = 3.0
+                state = SimpleNamespace(instance_id="a", voters_by_id=dict.fromkeys("abc", ""))
+                majority = MemberMajority(cast("RaftState", state), progress)
+                self.assertIs(majority.have_voters_answered(since=3.0), expected)
+                self.assertFalse(majority.have_voters_answered(since=3.1))
+
 
 class MembersTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -95,6 +107,25 @@
         self.cluster.run(CATCH_UP_S)
         self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
 
+    def test_new_leader_does_not_wait_anew_for_instances_that_are_gone(self) -> None:
+        """With six leaving one after the other, nothing was acknowledged for 9 s after the last."""
+        self.darken_two()
+        self.cluster.run(LEARNER_ABSENCE_S / 2)
+        self.cluster.lose(self.cluster.leader.name)
+        self.cluster.wait_for_leader()
+        self.cluster.run(LEARNER_ABSENCE_S / 2)
+        self.assertEqual(self.cluster.leader.node.learner_ids, [])
+
+    def test_a_minority_of_the_instances_goes_on_in_the_end(self) -> None:
+        """The others may be gone for good; without a limit nothing would be acknowledged again."""
+        self.darken_two()
+        self.cluster.partitioned.update(self.followers[2:4])
+        index = self.propose()
+        self.cluster.run(LEARNER_TIMEOUT_S - VOTER_TIMEOUT_S)
+        self.assertFalse(self.cluster.leader.node.is_stored_by_most(index))
+        self.cluster.run(2 * VOTER_TIMEOUT_S)
+        self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
+
     def test_new_leader_finds_the_instances_without_a_vote(self) -> None:
         """It did not know them until they had asked for it, 2 s and more after their return."""
         dark = self.darken_two()
