--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -122,6 +122,19 @@
             ),
         ),
     ),
+    (
+        "votes of two that were down for a moment stayed with others, and gathered on one side",
+        History(
+            7,
+            (
+                Fault(6.0, Kind.ADD, successor="c6"),
+                Fault(6.0, Kind.ADD, successor="c7"),
+                Fault(11.5, Kind.KILL, "c2", 2.5),
+                Fault(11.5, Kind.KILL, "c5", 2.5),
+                Fault(19.0, Kind.SPLIT, lasts_s=10.0, group=("c1", "c4", "c7")),
+            ),
+        ),
+    ),
     (
         "a side with most votes acknowledged while most instances reached each other without it",
         VOTES_WITH_THE_MINORITY,
