--- a/tests/coordination/test_member_majority.py
+++ b/tests/coordination/test_member_majority.py
@@ -17,6 +17,7 @@
 from wagtailkeel_coordination.raft.voter_changes import LEARNER_ABSENCE_S
 from wagtailkeel_coordination.raft.voter_changes import VOTER_TIMEOUT_S
 from wagtailkeel_state.commands import DefineDataCentre
+from wagtailkeel_state.persistent_state import Snapshot
 
 ELECTION_S = 3.0
 
@@ -138,6 +139,13 @@
         self.cluster.run(CATCH_UP_S)
         self.assertLessEqual(dark, set(self.cluster.leader.node.voters_by_id))
 
+    def test_snapshot_keeps_the_instances_without_a_vote(self) -> None:
+        dark = self.darken_two()
+        leader = self.cluster.leader
+        leader.disk.save_snapshot(Snapshot(leader.config))
+        self.cluster.restart(leader.name)
+        self.assertEqual(self.cluster.members[leader.name].node.learner_ids, sorted(dark))
+
     def test_two_lost_disks_leave_four_voters(self) -> None:
         """With both former identities removed at once, two of three votes would be a quorum."""
         for steps in range(10):
--- a/tests/wagtailkeel/test_operator_state.py
+++ b/tests/wagtailkeel/test_operator_state.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from tests.wagtailkeel.recorded_events import RecordedEvents
 from wagtailkeel.roles.configuration_store import ConfigurationStore
 from wagtailkeel.roles.control import operator_state
 from wagtailkeel.roles.control.operator_state import OperatorState
@@ -46,16 +47,6 @@
 ]
 
 
-class RecordedEvents:
-    """Keeps events in a list."""
-
-    def __init__(self) -> None:
-        self.events: list[events.Event] = []
-
-    def emit(self, event: events.Event) -> None:
-        self.events.append(event)
-
-
 class OperatorStateTest(unittest.TestCase):
     def setUp(self) -> None:
         self.holders = ["a", "b", "c"]
--- a/tests/wagtailkeel/test_raft_events.py
+++ b/tests/wagtailkeel/test_raft_events.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 from typing import cast
 
+from tests.wagtailkeel.recorded_events import RecordedEvents
 from wagtailkeel.roles.control.raft_events import RaftEvents
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.raft import RaftNode
@@ -16,16 +17,6 @@
 ROUND = 7
 
 
-class RecordedEvents:
-    """Keeps events in a list."""
-
-    def __init__(self) -> None:
-        self.events: list[events.Event] = []
-
-    def emit(self, event: events.Event) -> None:
-        self.events.append(event)
-
-
 def count_replies(replies: list[VoteReply]) -> VoteCount:
     """Return the count of replies to a round of requests of voter ``a``."""
     count = VoteCount(ROUND, IDENTITIES_BY_ID, "a")
