Control: a leader drops no instance right after its election

Cause: at the start of a term all members count as having answered, so that a leader that is elected on the side with three of seven instances dropped the others after 8 s instead of 30 s, and could acknowledge alone.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -27,7 +27,7 @@
 LEARNER_SEARCH_S = 1.0
 """How long after its election a leader may not have heard of all learners yet."""
 LEARNER_ABSENCE_S = 8.0
-"""Longer than a loss of power lasts mostly; shorter than two replacements in turn take."""
+"""Longer than most losses of power last, and shorter than two replacements in turn take."""
 UNLIMITED_VOTERS = 1_000
 
 
@@ -173,7 +173,8 @@
     def _remove_wiped_voter(self) -> SetControlMembers | None:
         """Remove the former identity of an instance that has caught up after a lost disk.
 
-        Learners become voters first: with several lost disks at once, few voters would be left.
+        Only one at a time: learners become voters first, so that several disks that are lost at
+        once don't leave few voters.
         """
         for voter, identity in self._state.voters_by_id.items():
             if self._learners.identities_by_id.get(voter, identity) == identity:
@@ -225,9 +226,12 @@
         """Forget learners that have been silent for long, as they may be gone for good.
 
         They may also be on the other side of a partition with the majority, so this takes the
-        answers of half of the members or of all voters, or else LEARNER_TIMEOUT_S.
+        answers of half of the members or of all voters, or else LEARNER_TIMEOUT_S. At the start of
+        a term all count as having answered.
         """
         since = now - VOTER_TIMEOUT_S
+        if self._leads_since >= since:
+            return None
         majority = self._majority
         has_support = majority.has_answered(since) or majority.have_voters_answered(since)
         absence_s = LEARNER_ABSENCE_S if has_support else LEARNER_TIMEOUT_S
--- a/tests/coordination/test_member_majority.py
+++ b/tests/coordination/test_member_majority.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.raft.raft_state import RaftState
 from wagtailkeel_coordination.raft.voter_changes import LEARNER_ABSENCE_S
 from wagtailkeel_coordination.raft.voter_changes import VOTER_TIMEOUT_S
+from wagtailkeel_protocol.raft_messages import AppendReply
 from wagtailkeel_state.commands import DefineDataCentre
 from wagtailkeel_state.persistent_state import Snapshot
 
@@ -127,6 +128,18 @@
         self.cluster.run(2 * VOTER_TIMEOUT_S)
         self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
 
+    def test_a_minority_drops_nobody_after_an_election(self) -> None:
+        """All members count as having answered a leader that has just been elected."""
+        dark = self.darken_two()
+        self.cluster.partitioned.update(self.followers[2:4])
+        self.cluster.run(2 * LEARNER_ABSENCE_S)
+        leader = self.cluster.leader.node
+        leader.on_reply(AppendReply(leader.term + 1, "", False, 0, 0, ""), self.cluster.now)
+        self.assertFalse(leader.is_leader)
+        self.cluster.wait_for_leader()
+        self.cluster.run(ELECTION_S)
+        self.assertEqual(self.cluster.leader.node.learner_ids, sorted(dark))
+
     def test_new_leader_finds_the_instances_without_a_vote(self) -> None:
         """It did not know them until they had asked for it, 2 s and more after their return."""
         dark = self.darken_two()
