Control: a leader drops no instance right after it was cut off

Cause: whether half of the members answer was judged by the last 1.5 s, so that a leader that had been cut off for less dropped instances when their 8 s were over, and could acknowledge with few.

Change: the answers have to be to requests sent after the 8 s had passed.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/raft/voter_changes.py
@@ -223,27 +223,36 @@
         return None
 
     def _drop_learners(self, now: float) -> SetControlMembers | None:
-        """Forget learners that have been silent for long, as they may be gone for good.
+        """Forget learners that may be gone for good; not at the start of a term.
 
-        They may also be on the other side of a partition with the majority, so this takes the
-        answers of half of the members or of all voters, or else LEARNER_TIMEOUT_S. At the start of
-        a term all count as having answered.
+        All members count as having answered a leader that has just been elected.
         """
-        since = now - VOTER_TIMEOUT_S
-        if self._leads_since >= since:
+        if now - self._leads_since <= VOTER_TIMEOUT_S:
             return None
-        majority = self._majority
-        has_support = majority.has_answered(since) or majority.have_voters_answered(since)
-        absence_s = LEARNER_ABSENCE_S if has_support else LEARNER_TIMEOUT_S
         learners = [
             learner
             for learner in self._state.learner_ids
-            if now - self._learners.silent_since(learner) <= absence_s
+            if not self._may_be_gone_for_good(learner, now)
         ]
         if len(learners) == len(self._state.learner_ids):
             return None
         return self._build_members(self._state.voters_by_id, learners)
 
+    def _may_be_gone_for_good(self, learner: str, now: float) -> bool:
+        """Return whether a learner has been silent for long, and others are not.
+
+        It may also be on the other side of a partition with the majority. So this takes the answers
+        of half of the members or of all voters to requests sent after LEARNER_ABSENCE_S had passed,
+        or else LEARNER_TIMEOUT_S.
+        """
+        silent_since = self._learners.silent_since(learner)
+        if now - silent_since > LEARNER_TIMEOUT_S:
+            return True
+        since = max(silent_since + LEARNER_ABSENCE_S, now - VOTER_TIMEOUT_S)
+        if now < since:
+            return False
+        return self._majority.has_answered(since) or self._majority.have_voters_answered(since)
+
     def _can_become_voter(self, learner: str, now: float) -> bool:
         is_caught_up = self._progress.of(learner).match_index >= self._state.commit_index
         return is_caught_up and self._may_become_voter(learner, now, REPLY_TIMEOUT_S)
--- a/tests/coordination/test_member_majority.py
+++ b/tests/coordination/test_member_majority.py
@@ -21,6 +21,8 @@
 from wagtailkeel_state.persistent_state import Snapshot
 
 ELECTION_S = 3.0
+LEARNER_ABSENCE_STEPS_S = 5 * STEP_S
+"""From the end of the absence that a leader waits for until it drops a learner, and some more."""
 
 
 class MemberMajorityTest(unittest.TestCase):
@@ -128,6 +130,21 @@
         self.cluster.run(2 * VOTER_TIMEOUT_S)
         self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
 
+    def test_a_minority_drops_nobody_right_after_it_was_cut_off(self) -> None:
+        """The answers of the others, from before, still counted."""
+        dark = self.darken_two()
+        while self.cluster.leader.node.learner_ids:
+            self.cluster.run(STEP_S)
+        dropped_at = self.cluster.now
+        for pause_s in (0.1, 0.5, 1.0):
+            with self.subTest(pause_s=pause_s):
+                self.setUp()
+                self.darken_two()
+                self.cluster.run(dropped_at - self.cluster.now - LEARNER_ABSENCE_STEPS_S - pause_s)
+                self.cluster.partitioned.update(self.followers[2:4])
+                self.cluster.run(2 * LEARNER_ABSENCE_S)
+                self.assertEqual(self.cluster.leader.node.learner_ids, sorted(dark))
+
     def test_a_minority_drops_nobody_after_an_election(self) -> None:
         """All members count as having answered a leader that has just been elected."""
         dark = self.darken_two()
