--- a/tests/coordination/test_member_majority.py
+++ b/tests/coordination/test_member_majority.py
@@ -21,8 +21,8 @@
 from wagtailkeel_state.persistent_state import Snapshot
 
 ELECTION_S = 3.0
-LEARNER_ABSENCE_STEPS_S = 5 * STEP_S
-"""From the end of the absence that a leader waits for until it drops a learner, and some more."""
+ANSWER_LAG_S = 5 * STEP_S
+"""Longer than half of the members take to answer requests that are sent from now on."""
 
 
 class MemberMajorityTest(unittest.TestCase):
@@ -74,17 +74,17 @@
         assert index is not None
         return index
 
-    def darken_two(self) -> set[str]:
+    def partition_two(self) -> set[str]:
         """Partition two voters from the others until they have lost their votes."""
-        dark = set(self.followers[:2])
-        self.cluster.partitioned.update(dark)
+        partitioned = set(self.followers[:2])
+        self.cluster.partitioned.update(partitioned)
         self.cluster.run(VOTER_TIMEOUT_S + CATCH_UP_S)
-        self.assertEqual(self.cluster.leader.node.learner_ids, sorted(dark))
-        return dark
+        self.assertEqual(self.cluster.leader.node.learner_ids, sorted(partitioned))
+        return partitioned
 
     def test_most_votes_acknowledge_nothing_while_most_instances_may_be_elsewhere(self) -> None:
         """Three of five votes acknowledged while four of seven instances reached each other."""
-        self.darken_two()
+        self.partition_two()
         self.cluster.partitioned.update(self.followers[2:4])
         index = self.propose()
         self.cluster.run(2 * LEARNER_ABSENCE_S)
@@ -95,15 +95,15 @@
         self.cluster.run(CATCH_UP_S)
         self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
 
-    def test_five_instances_acknowledge_while_two_are_dark(self) -> None:
-        self.darken_two()
+    def test_five_instances_acknowledge_while_two_are_away(self) -> None:
+        self.partition_two()
         index = self.propose()
         self.cluster.run(2 * STEP_S)
         self.assertTrue(self.cluster.leader.node.is_stored_by_most(index))
 
     def test_instances_that_are_gone_for_long_count_no_more(self) -> None:
         """Two that have gone for good, each with a successor, must not weigh on later losses."""
-        self.darken_two()
+        self.partition_two()
         self.cluster.run(LEARNER_ABSENCE_S)
         self.assertEqual(self.cluster.leader.node.learner_ids, [])
         self.cluster.partitioned.update(self.followers[2:4])
@@ -113,7 +113,7 @@
 
     def test_new_leader_does_not_wait_anew_for_instances_that_are_gone(self) -> None:
         """With six leaving one after the other, nothing was acknowledged for 9 s after the last."""
-        self.darken_two()
+        self.partition_two()
         self.cluster.run(LEARNER_ABSENCE_S / 2)
         self.cluster.lose(self.cluster.leader.name)
         self.cluster.wait_for_leader()
@@ -122,7 +122,7 @@
 
     def test_a_minority_of_the_instances_goes_on_in_the_end(self) -> None:
         """The others may be gone for good; without a limit nothing would be acknowledged again."""
-        self.darken_two()
+        self.partition_two()
         self.cluster.partitioned.update(self.followers[2:4])
         index = self.propose()
         self.cluster.run(LEARNER_TIMEOUT_S - VOTER_TIMEOUT_S)
@@ -132,22 +132,22 @@
 
     def test_a_minority_drops_nobody_right_after_it_was_cut_off(self) -> None:
         """The answers of the others, from before, still counted."""
-        dark = self.darken_two()
+        partitioned = self.partition_two()
         while self.cluster.leader.node.learner_ids:
             self.cluster.run(STEP_S)
         dropped_at = self.cluster.now
         for pause_s in (0.1, 0.5, 1.0):
             with self.subTest(pause_s=pause_s):
                 self.setUp()
-                self.darken_two()
-                self.cluster.run(dropped_at - self.cluster.now - LEARNER_ABSENCE_STEPS_S - pause_s)
+                self.partition_two()
+                self.cluster.run(dropped_at - self.cluster.now - ANSWER_LAG_S - pause_s)
                 self.cluster.partitioned.update(self.followers[2:4])
                 self.cluster.run(2 * LEARNER_ABSENCE_S)
-                self.assertEqual(self.cluster.leader.node.learner_ids, sorted(dark))
+                self.assertEqual(self.cluster.leader.node.learner_ids, sorted(partitioned))
 
     def test_a_minority_drops_nobody_after_an_election(self) -> None:
         """All members count as having answered a leader that has just been elected."""
-        dark = self.darken_two()
+        partitioned = self.partition_two()
         self.cluster.partitioned.update(self.followers[2:4])
         self.cluster.run(2 * LEARNER_ABSENCE_S)
         leader = self.cluster.leader.node
@@ -155,26 +155,26 @@
         self.assertFalse(leader.is_leader)
         self.cluster.wait_for_leader()
         self.cluster.run(ELECTION_S)
-        self.assertEqual(self.cluster.leader.node.learner_ids, sorted(dark))
+        self.assertEqual(self.cluster.leader.node.learner_ids, sorted(partitioned))
 
     def test_new_leader_finds_the_instances_without_a_vote(self) -> None:
         """It did not know them until they had asked for it, 2 s and more after their return."""
-        dark = self.darken_two()
+        partitioned = self.partition_two()
         former = self.cluster.leader.name
         self.cluster.lose(former)
         self.cluster.partitioned.clear()
-        for name in dark:
+        for name in partitioned:
             self.cluster.restart(name)
         self.cluster.wait_for_leader()
         self.cluster.run(CATCH_UP_S)
-        self.assertLessEqual(dark, set(self.cluster.leader.node.voters_by_id))
+        self.assertLessEqual(partitioned, set(self.cluster.leader.node.voters_by_id))
 
     def test_snapshot_keeps_the_instances_without_a_vote(self) -> None:
-        dark = self.darken_two()
+        partitioned = self.partition_two()
         leader = self.cluster.leader
         leader.disk.save_snapshot(Snapshot(leader.config))
         self.cluster.restart(leader.name)
-        self.assertEqual(self.cluster.members[leader.name].node.learner_ids, sorted(dark))
+        self.assertEqual(self.cluster.members[leader.name].node.learner_ids, sorted(partitioned))
 
     def test_two_lost_disks_leave_four_voters(self) -> None:
         """With both former identities removed at once, two of three votes would be a quorum."""
