--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 LOAD ?= surge
 RUNS ?= 100
 
-.PHONY: run test lint bench load-model soak simulate format
+.PHONY: run test lint bench load-model soak simulate simulate-agent format
 
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -37,6 +37,9 @@
 simulate: $(VENV)/.installed
 	$(PYTHON) -m wagtailkeel_bench simulate --seed $(SEED) --runs $(RUNS)
 
+simulate-agent: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench simulate-agent --seed $(SEED) --runs $(RUNS)
+
 lint: $(VENV)/.installed
 	$(VENV)/bin/black --check --quiet $(SOURCES)
 	$(VENV)/bin/ruff check --quiet $(SOURCES)
--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -8,6 +8,10 @@
 import click
 import msgspec
 
+from wagtailkeel_bench.agent_simulation import ServerCheckError
+from wagtailkeel_bench.agent_simulation import draw_agent_history
+from wagtailkeel_bench.agent_simulation import play_agent_history
+from wagtailkeel_bench.agent_simulation import shrink_agent_history
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
@@ -161,6 +165,29 @@
     raise SystemExit(1 if broken else 0)
 
 
+@main.command(name="simulate-agent")
+@click.option("--seed", type=int, default=1, help="First seed.")
+@click.option("--runs", type=click.IntRange(min=1), default=100, help="Number of histories.")
+def simulate_agent_command(seed: int, runs: int) -> None:
+    """Play histories of one agent and its server in virtual time, judged at the server's end.
+
+    A history that fails a check is shrunk and printed as a list of faults; the exit status is 1
+    then.
+    """
+    broken = 0
+    for number in range(seed, seed + runs):
+        history = draw_agent_history(number)
+        try:
+            play_agent_history(history)
+        except ServerCheckError as error:
+            broken += 1
+            click.echo(f"seed {number}: {error}")
+            for fault in shrink_agent_history(history).faults:
+                click.echo(f"  {fault}")
+    click.echo(f"{runs} histories, {broken} broken")
+    raise SystemExit(1 if broken else 0)
+
+
 @main.command(name="load-model")
 @click.argument("load", type=click.Choice(sorted(LOADS_BY_NAME)))
 @click.option("--seed", type=int, default=1)
--- /dev/null
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
@@ -0,0 +1,197 @@
+"""The agent of the simulation: its processes, and what control has recorded and told it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+from wagtailkeel_coordination.events import UNLOGGED
+from wagtailkeel_coordination.handshake import AgentRouter
+from wagtailkeel_coordination.handshake import ColdLimit
+from wagtailkeel_coordination.handshake import RouterOptions
+from wagtailkeel_coordination.handshake import ServerGate
+from wagtailkeel_protocol import relay
+from wagtailkeel_protocol.packet_format import IpPacketFormat
+from wagtailkeel_protocol.relay import RelayFrame
+from wagtailkeel_protocol.relay import RelayKind
+from wagtailkeel_state.routing import Route
+from wagtailkeel_state.routing import RoutingDocument
+from wagtailkeel_state.routing import ServicePolicy
+from wagtailkeel_state.routing import WeightedService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_bench.event_scheduler import Action
+    from wagtailkeel_bench.event_scheduler import EventScheduler
+    from wagtailkeel_coordination.handshake import ServerReport
+    from wagtailkeel_protocol.messages import AnyDatagram
+
+Address = tuple[str, int]
+
+SERVICE = "service"
+DATA_CENTRE = "east"
+ROUTE_ADDRESS = "198.18.0.1"
+ROUTE_PORT = 443
+AGENT_ADDRESS = ("10.0.0.1", 7_001)
+OWNER_ADDRESS = ("10.0.0.2", 7_001)
+REPORT_TIMEOUT_S = 1.925
+START_S = 0.3
+CALL_S = 0.02
+"""A call of control, with the commit of what it asks for."""
+CALL_RETRY_S = 0.3
+LOST_CALL_SHARE = 0.2
+TICK_INTERVAL_S = 0.05
+COLD_SLACK = 5.0
+OPTIONS = RouterOptions(max_opening_wait_s=1.3, queue_when_busy=True, placement="aged_loads")
+
+
+class SimulatedControl:
+    """What the instances of control have committed; the agent may not reach them."""
+
+    def __init__(self) -> None:
+        self.is_reachable = True
+        self.is_in_service = True
+
+
+class AgentProcess:
+    """One process of the agent; implements the relay outbox."""
+
+    def __init__(
+        self,
+        scheduler: EventScheduler,
+        control: SimulatedControl,
+        seed: int,
+        deliver: Callable[[bytes], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._control = control
+        self._deliver = deliver
+        self._is_running = True
+        self._has_pulled = False
+        self._random = Random(seed)
+        self._waiting: list[Action] | None = None
+        self.router = AgentRouter(
+            AGENT_ADDRESS,
+            DATA_CENTRE,
+            IpPacketFormat(),
+            ServerGate(SERVICE, REPORT_TIMEOUT_S, ColdLimit(slack=COLD_SLACK), scheduler.now),
+            self,
+            self._random,
+            Counter(),
+            UNLOGGED,
+            lambda response_s: None,
+            lambda since: True,
+            scheduler.now,
+            options=OPTIONS,
+        )
+        self.router.apply_routing(_build_routing())
+        self._tick()
+        self._pull()
+
+    def end(self) -> None:
+        """End at once; what waits in the sockets is lost."""
+        self._is_running = False
+
+    def freeze(self) -> None:
+        """Stop to handle anything until :meth:`thaw`."""
+        if self._waiting is None:
+            self._waiting = []
+
+    def thaw(self) -> None:
+        """Handle what has arrived since, in its order."""
+        waiting, self._waiting = self._waiting, None
+        for action in waiting or []:
+            action()
+
+    def _handle(self, action: Action) -> None:
+        if not self._is_running:
+            return
+        if self._waiting is None:
+            action()
+        else:
+            self._waiting.append(action)
+
+    def _tick(self) -> None:
+        if not self._is_running:
+            return
+        if self._waiting is None:
+            self.router.tick(self._scheduler.now)
+        self._scheduler.call_later(TICK_INTERVAL_S, self._tick)
+
+    # Control
+
+    def _pull(self) -> None:
+        """Learn what is in force; a call that is lost is made again."""
+        if not self._is_running:
+            return
+        is_lost = self._random.random() < LOST_CALL_SHARE
+        if self._control.is_reachable and not is_lost:
+            self._scheduler.call_later(CALL_S, lambda: self._handle(self._on_pulled))
+        else:
+            self._scheduler.call_later(CALL_RETRY_S, self._pull)
+
+    def _on_pulled(self) -> None:
+        self._has_pulled = True
+        self.apply_configuration()
+
+    def apply_configuration(self) -> None:
+        """Apply what control has committed, if it is reachable."""
+        if not self._has_pulled or not self._control.is_reachable:
+            return
+        now = self._scheduler.now
+        self.router.gate.set_in_service(self._control.is_in_service, now)
+
+    def on_change(self) -> None:
+        """Handle a notice of control that something has changed."""
+        self._handle(self.apply_configuration)
+
+    # The server's calls
+
+    def on_report(self, report: ServerReport, respond: Callable[[bool], None]) -> None:
+        """Handle a report; respond whether it is acknowledged."""
+        self._handle(lambda: respond(self._acknowledges(report)))
+
+    def _acknowledges(self, report: ServerReport) -> bool:
+        if self.router.on_report(report, self._scheduler.now):
+            return True
+        known = self.router.gate.report
+        return known is not None and known.covers(report)
+
+    # Packets
+
+    def on_opening(self, packet: bytes) -> None:
+        """Handle an opening that a directory owner has placed here."""
+        frame = RelayFrame(RelayKind.PLACE, 1, 1, relay.service_tag(SERVICE), packet)
+        self._handle(lambda: self.router.on_frame(frame, OWNER_ADDRESS, self._scheduler.now))
+
+    def on_server_packet(self, packet: bytes) -> None:
+        """Handle a packet of the server."""
+        self._handle(lambda: self.router.on_server_packet(packet, self._scheduler.now))
+
+    def deliver(self, packet: bytes) -> None:
+        """Deliver a packet to the server."""
+        self._deliver(packet)
+
+    def reply(self, packet: bytes, caller_host: str) -> None:
+        """Drop the packet: callers are not simulated."""
+
+    def relay(
+        self,
+        address: Address,
+        kind: RelayKind,
+        hops: int,
+        routing_version: int,
+        service_tag: int,
+        body: bytes,
+    ) -> None:
+        """Drop the frame: other agents are not simulated."""
+
+    def send_message(self, address: Address, message: AnyDatagram) -> None:
+        """Drop the message: other agents are not simulated."""
+
+
+def _build_routing() -> RoutingDocument:
+    route = Route(ROUTE_ADDRESS, ROUTE_PORT, (WeightedService(SERVICE, 1),))
+    return RoutingDocument(1, {route.place: route}, {SERVICE: ServicePolicy(SERVICE)})
