Agent: a start of the server that was followed never counts as running again

A late report of an earlier start, whose clock was ahead or after a silence, ended a drain that was acknowledged; the reports of the start that runs were refused.

An unknown start now counts only once it has reported twice in a row while the known one has missed its report, or the whole report limit if it drains or the clock went back; meanwhile the gate is closed. A start that was followed or has left is refused for good, a drain lasts as long as its start, and a heartbeat without its start is invalid where others had one.

--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
@@ -9,6 +9,7 @@
 from wagtailkeel_coordination.events import UNLOGGED
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
+from wagtailkeel_coordination.handshake import ReportOutcome
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_protocol import relay
@@ -154,10 +155,11 @@
         self._handle(lambda: respond(self._acknowledges(report)))
 
     def _acknowledges(self, report: ServerReport) -> bool:
-        if self.router.on_report(report, self._scheduler.now):
+        if report.has_left:
+            self.router.gate.on_leave(report.incarnation, self._scheduler.now)
             return True
-        known = self.router.gate.report
-        return known is not None and known.covers(report)
+        outcome = self.router.on_report(report, self._scheduler.now)
+        return outcome is not ReportOutcome.REFUSED
 
     # Packets
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -247,9 +247,11 @@
 
 
 class ReportDropped(Event, tag="report_dropped"):
-    """A status report of the local backend server was not used: it is not newer than another.
+    """A status report of the local backend server was not used.
 
-    ``known_sequence`` and ``known_started_at_ms`` are those of the newest report.
+    ``outcome`` is "outdated" if it is late, but holds, and "refused" if it does not hold or may be
+    from a start of the server that has ended. ``known_sequence`` and ``known_started_at_ms`` are
+    those of the last report that was used.
     """
 
     server: str
@@ -259,6 +261,14 @@
     known_server: str
     known_sequence: int
     known_started_at_ms: int
+    outcome: str
+
+
+class LeaveNoticeDropped(Event, tag="leave_notice_dropped"):
+    """A start of the local backend server that is not known to run says that it has ended."""
+
+    server: str
+    started_at_ms: int
 
 
 class ServerOutlier(Event, tag="server_outlier"):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
@@ -14,13 +14,15 @@
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ColdLimit
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
-    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_coordination.handshake.server_report import ReportOutcome
+    from wagtailkeel_coordination.handshake.server_report import ServerReport
 
 __all__ = [
     "AgentRouter",
     "BalancerRouter",
     "ColdLimit",
     "Member",
+    "ReportOutcome",
     "RouterOptions",
     "SampleSize",
     "ServerGate",
@@ -37,6 +39,7 @@
         "RouterOptions": "router_options",
         "SampleSize": "load_sample",
         "ServerGate": "server_gate",
-        "ServerReport": "server_gate",
+        "ReportOutcome": "server_report",
+        "ServerReport": "server_report",
     },
 )
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -38,7 +38,8 @@
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_choice import ServerChoice
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
-    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_coordination.handshake.server_report import ReportOutcome
+    from wagtailkeel_coordination.handshake.server_report import ServerReport
     from wagtailkeel_protocol.messages import FlowLocations
     from wagtailkeel_protocol.messages import FlowQuery
     from wagtailkeel_protocol.messages import FlowQueryReply
@@ -134,8 +135,8 @@
         self.owner.set_peers(members, former_members)
         self.holder.waiting.data_centres_by_agent = {a: m.data_centre for a, m in members.items()}
 
-    def on_report(self, report: ServerReport, now: float) -> bool:
-        """Process a status report of the backend server; return whether it was accepted."""
+    def on_report(self, report: ServerReport, now: float) -> ReportOutcome:
+        """Process a status report of the backend server."""
         return self.holder.on_report(report, now)
 
     def build_load(self, now: float) -> ServerLoad:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -14,6 +14,7 @@
 from wagtailkeel_coordination.handshake.owner_link import OwnerLink
 from wagtailkeel_coordination.handshake.repeated_opening import RepeatedOpening
 from wagtailkeel_coordination.handshake.server_openings import ServerOpenings
+from wagtailkeel_coordination.handshake.server_report import ReportOutcome
 from wagtailkeel_coordination.handshake.server_state import ServerState
 from wagtailkeel_coordination.handshake.waiting_openings import WaitingOpenings
 from wagtailkeel_protocol import packet_format as packet_flags
@@ -31,7 +32,7 @@
     from wagtailkeel_coordination.handshake.router_context import RouterContext
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
-    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_coordination.handshake.server_report import ServerReport
     from wagtailkeel_protocol.packet_format import PacketHeader
 
 Address = tuple[str, int]
@@ -75,19 +76,20 @@
         """Set the directory owner of the same process."""
         self._owners.connect(owner)
 
-    def on_report(self, report: ServerReport, now: float) -> bool:
-        """Process a status report of the backend server; return whether it was accepted."""
+    def on_report(self, report: ServerReport, now: float) -> ReportOutcome:
+        """Process a status report of the backend server."""
         known = self.gate.report
-        if not self.gate.on_report(report, now):
-            return False
-        is_restart = known is not None and known.started_at_ms != report.started_at_ms
+        outcome = self.gate.on_report(report, now)
+        if outcome is not ReportOutcome.APPLIED:
+            return outcome
+        is_restart = known is not None and known.incarnation != report.incarnation
         self.server.apply_report(report, now, is_restart=is_restart)
         if is_restart:
             self._context.counters["server_incarnations"] += 1
         if known is None and report.sequence <= 1:
             # The server has just started too, so it has no flows that this agent does not know.
             self._incomplete_until = now
-        return True
+        return outcome
 
     # Packets to the server
 
@@ -100,6 +102,9 @@
         if flow is None:
             return None
         repeated = RepeatedOpening.classify(flow, header, self._context.now)
+        if self.gate.may_have_restarted and repeated is RepeatedOpening.RETRANSMISSION:
+            # The first transmission was admitted to an incarnation that may have ended.
+            repeated = RepeatedOpening.OUTDATED
         self._emit_repeated_opening(flow, repeated)
         if repeated is RepeatedOpening.OUTDATED:
             self._context.counters["dropped_outdated_opening"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -9,9 +9,17 @@
 
 from collections import deque
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from wagtailkeel_coordination.handshake.server_incarnations import ServerIncarnations
+from wagtailkeel_coordination.handshake.server_report import ReportOutcome
+
+if TYPE_CHECKING:
+    from wagtailkeel_coordination.handshake.server_report import ServerReport
+    from wagtailkeel_state.server_member import ServerIncarnation
+
 COLD_WINDOW_S = 1.05
 """The limit applies to any span of 1 s; the remaining time covers the transit to the server."""
 MAX_INACTIVITY_STEP_S = 0.2
@@ -23,33 +31,6 @@
 """
 
 
-class ServerReport(msgspec.Struct, frozen=True):
-    """A status report of a backend server.
-
-    ``started_at_ms`` identifies the server's incarnation and ``sequence`` orders its reports.
-    ``cold_for_s`` is how long the server stays slow. ``has_left`` is set in its last report.
-    """
-
-    server_id: str
-    service: str
-    started_at_ms: int
-    sequence: int
-    slots: int
-    is_draining: bool = False
-    has_left: bool = False
-    cold_for_s: float = 0.0
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """The sort key of reports: those of an incarnation that started later are newer."""
-        return self.started_at_ms, self.sequence
-
-    def covers(self, earlier: ServerReport) -> bool:
-        """Return whether all that holds by an earlier report still holds by this one."""
-        is_same_incarnation = self.started_at_ms == earlier.started_at_ms
-        return is_same_incarnation and (self.is_draining or not earlier.is_draining)
-
-
 class ColdLimit(msgspec.Struct, frozen=True):
     """The openings a second that a cold server gets.
 
@@ -69,6 +50,8 @@
     """The reason why an opening was not admitted."""
 
     NO_RECENT_REPORT = "server_unheard"
+    RESTARTED = "server_restarted"
+    """The server may have started again: it is not clear yet what holds for it."""
     WRONG_SERVICE = "wrong_service"
     DRAINING = "server_draining"
     OUT_OF_SERVICE = "data_centre_out_of_service"
@@ -83,8 +66,6 @@
         self, service: str, report_timeout_s: float, cold_limit: ColdLimit, now: float
     ) -> None:
         self.service = service
-        self.report: ServerReport | None = None
-        self.report_received_at = float("-inf")
         self.is_in_service = True
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
@@ -93,31 +74,40 @@
         self._inactive_s = 0.0
         self._is_absent = False
         self._report_timeout_s = report_timeout_s
+        self._incarnations = ServerIncarnations(report_timeout_s)
         self._cold_limit = cold_limit
         self._cold_until = float("-inf")
         self._back_in_service_at = float("-inf")
         self._cold_opening_times: deque[float] = deque()
 
-    def on_report(self, report: ServerReport, now: float) -> bool:
-        """Process a report; return False if it is late or of another service."""
-        if report.service != self.service or self._is_late(report, now):
-            return False
-        self.report = report
-        self.report_received_at = now
-        self.record_packet()
-        self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
-        return True
-
-    def _is_late(self, report: ServerReport, now: float) -> bool:
-        """Return whether a report is older than the newest one.
-
-        A server whose clock was set back before it started again is known by the silence of its
-        earlier incarnation.
-        """
+    @property
+    def report(self) -> ServerReport | None:
+        """The last report of the incarnation that runs."""
+        return self._incarnations.current
+
+    def on_report(self, report: ServerReport, now: float) -> ReportOutcome:
+        """Process a report; it is refused if it is of another service."""
+        if report.service != self.service:
+            return ReportOutcome.REFUSED
+        outcome = self._incarnations.on_report(report, now)
+        if outcome is ReportOutcome.APPLIED:
+            self.record_packet()
+            self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
+        return outcome
+
+    def on_leave(self, incarnation: ServerIncarnation, now: float) -> ReportOutcome:
+        """Process the notice that an incarnation ends; none of its reports counts after that."""
         known = self.report
-        if known is None or report.order > known.order:
-            return False
-        return report.started_at_ms == known.started_at_ms or self.has_recent_report(now)
+        if known is None or known.incarnation != incarnation:
+            self._incarnations.end(incarnation)
+            return ReportOutcome.OUTDATED
+        last_report = msgspec.structs.replace(known, sequence=known.sequence + 1, has_left=True)
+        return self.on_report(last_report, now)
+
+    @property
+    def may_have_restarted(self) -> bool:
+        """Return whether another incarnation of the server may run by now."""
+        return self._incarnations.candidate is not None
 
     def set_in_service(self, is_in_service: bool, now: float) -> None:
         """Set whether the data centre is in service."""
@@ -130,7 +120,7 @@
 
         Without recent reports, its address may belong to another server by now.
         """
-        return self.report is not None and now - self.report_received_at <= self._report_timeout_s
+        return self._incarnations.is_recent(now)
 
     def record_packet(self) -> None:
         """Record that the server has sent a packet, so it is running."""
@@ -162,7 +152,7 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server is slow, or may have become so while it was out of service."""
-        is_report_outdated = self.report_received_at < self._back_in_service_at
+        is_report_outdated = self._incarnations.heard_at < self._back_in_service_at
         return now < self._cold_until or (
             is_report_outdated and now - self._back_in_service_at < RETURN_COLD_S
         )
@@ -196,8 +186,10 @@
             return GateReason.OUT_OF_SERVICE
         if self.report is None or not self.has_recent_report(now):
             return GateReason.NO_RECENT_REPORT
-        if self.report.is_draining or self.report.has_left:
+        if not self.report.takes_openings:
             return GateReason.DRAINING
+        if self.may_have_restarted:
+            return GateReason.RESTARTED
         if self.is_cold(now) and not self._has_cold_capacity(now):
             return GateReason.COLD
         return None
@@ -209,7 +201,7 @@
     def warm_in_s(self, now: float) -> float:
         """Return the time until the server is warm; 0 if it is."""
         outdated_cold_until = float("-inf")
-        if self.report_received_at < self._back_in_service_at:
+        if self._incarnations.heard_at < self._back_in_service_at:
             outdated_cold_until = self._back_in_service_at + RETURN_COLD_S
         return max(0.0, self._cold_until - now, outdated_cold_until - now)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
@@ -16,7 +16,7 @@
     from wagtailkeel_coordination.handshake.router_context import RouterContext
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
-    from wagtailkeel_coordination.handshake.server_gate import ServerReport
+    from wagtailkeel_coordination.handshake.server_report import ServerReport
 
 
 class ServerState:
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/__init__.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/__init__.py
@@ -26,6 +26,7 @@
     from wagtailkeel_state.local_flow import LocalFlow
     from wagtailkeel_state.owner_table import OwnerTable
     from wagtailkeel_state.remote_flow import RemoteFlow
+    from wagtailkeel_state.server_member import ServerIncarnation
     from wagtailkeel_state.server_member import ServerMember
     from wagtailkeel_state.service import Service
     from wagtailkeel_state.target import Target
@@ -50,6 +51,7 @@
     "LogEntry",
     "OwnerTable",
     "RemoteFlow",
+    "ServerIncarnation",
     "ServerMember",
     "ServerState",
     "Service",
@@ -79,6 +81,7 @@
         "LogEntry": "commands",
         "OwnerTable": "owner_table",
         "RemoteFlow": "remote_flow",
+        "ServerIncarnation": "server_member",
         "ServerMember": "server_member",
         "ServerState": "enums",
         "Service": "service",
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -28,6 +28,16 @@
     joined_index: int = 0
 
 
+class ServerIncarnation(msgspec.Struct, frozen=True):
+    """One start of a backend server; ``started_at_ms`` is by the server's clock, 0 if unknown.
+
+    A server may start again under its id, and its clock may be set between two starts.
+    """
+
+    server_id: str
+    started_at_ms: int
+
+
 class FormerMember(msgspec.Struct, frozen=True):
     """The last incarnation that was removed, or replaced by the next incarnation of the agent.
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -21,6 +21,7 @@
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import Member
+from wagtailkeel_coordination.handshake import ReportOutcome
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake.route_explanation import AddressError
@@ -61,6 +62,7 @@
     from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_protocol.where_messages import WhereRequest
     from wagtailkeel_state.configuration import Configuration
+    from wagtailkeel_state.server_member import ServerIncarnation
     from wagtailkeel_transport.rpc_method import RpcHandlers
 
 Address = tuple[str, int]
@@ -208,12 +210,19 @@
             self._report_to_balancers()
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
-    def on_report(self, report: ServerReport) -> bool:
-        """Process a status report of the server; return whether it was accepted."""
+    def on_leave(self, incarnation: ServerIncarnation) -> None:
+        """Process the notice of an incarnation of the server that it ends."""
+        outcome = self.router.gate.on_leave(incarnation, clock.seconds())
+        if outcome is not ReportOutcome.APPLIED:
+            self._emit(events.LeaveNoticeDropped(incarnation.server_id, incarnation.started_at_ms))
+
+    def on_report(self, report: ServerReport) -> ReportOutcome:
+        """Process a status report of the server."""
         now = clock.seconds()
-        if not self.router.on_report(report, now):
-            self._emit_dropped_report(report)
-            return False
+        outcome = self.router.on_report(report, now)
+        if outcome is not ReportOutcome.APPLIED:
+            self._emit_dropped_report(report, outcome)
+            return outcome
         self._has_report.set()
         accepts = self.router.gate.accepts(now)
         state = (accepts, report.is_draining)
@@ -229,9 +238,9 @@
                     report.cold_for_s,
                 )
             )
-        return True
+        return outcome
 
-    def _emit_dropped_report(self, report: ServerReport) -> None:
+    def _emit_dropped_report(self, report: ServerReport, outcome: ReportOutcome) -> None:
         known = self.router.gate.report
         if known is None:
             return
@@ -244,6 +253,7 @@
                 known.server_id,
                 known.sequence,
                 known.started_at_ms,
+                outcome.value,
             )
         )
 
--- a/tests/platform/test_report_body.py
+++ b/tests/platform/test_report_body.py
@@ -35,7 +35,7 @@
 class ReportBodyTest(unittest.TestCase):
     def test_heartbeat_is_decoded(self) -> None:
         report = decode_report("i-1", json.dumps(BODY).encode(), ADDRESS)
-        self.assertEqual(report.order, (1_700_000_000_000, 4))
+        self.assertEqual((report.started_at_ms, report.sequence), (1_700_000_000_000, 4))
         self.assertEqual((report.service, report.slots), ("a", 2))
         self.assertEqual(report.cold_for_s, 1.5)
         self.assertFalse(report.is_draining)
--- a/tests/platform/test_server_api.py
+++ b/tests/platform/test_server_api.py
@@ -16,7 +16,9 @@
 
 if TYPE_CHECKING:
     from wagtailkeel.roles.handshake import HandshakeAgent
+    from wagtailkeel_coordination.handshake import ReportOutcome
     from wagtailkeel_coordination.handshake import ServerReport
+    from wagtailkeel_state import ServerIncarnation
 
 SERVICE = "desk"
 ADDRESS = "10.0.0.1:8080"
@@ -31,12 +33,16 @@
         gate = ServerGate(SERVICE, 2.0, ColdLimit(), NOW)
         self.router = SimpleNamespace(gate=gate)
 
-    def on_report(self, report: ServerReport) -> bool:
-        return bool(self.router.gate.on_report(report, NOW))
+    def on_report(self, report: ServerReport) -> ReportOutcome:
+        outcome: ReportOutcome = self.router.gate.on_report(report, NOW)
+        return outcome
+
+    def on_leave(self, incarnation: ServerIncarnation) -> None:
+        self.router.gate.on_leave(incarnation, NOW)
 
 
 class HeartbeatAnswerTest(unittest.TestCase):
-    """A server took a drain for known that its agent had dropped as late."""
+    """A server took a drain for known that its agent had dropped."""
 
     def setUp(self) -> None:
         self.agent = FakeAgent()
@@ -73,6 +79,10 @@
                 self.assertEqual(self.beat(*first), HTTPStatus.OK)
                 self.assertEqual(self.beat(*second), expected)
 
+    def test_a_heartbeat_without_its_start_is_invalid_where_others_have_one(self) -> None:
+        self.assertEqual(self.beat(1, 1, "healthy"), HTTPStatus.OK)
+        self.assertEqual(self.beat(0, 2, "healthy"), HTTPStatus.BAD_REQUEST)
+
 
 if __name__ == "__main__":
     unittest.main()
