Agent: what it acknowledges binds its later processes

Cause: the acknowledgement of a drain was kept in the agent's process alone. The same cause: until its first pull, a restarted agent took its data centre for in service.

Control now records the drain, and the starts that have ended, in its log before the agent acknowledges it (503 until then). A process of the agent admits openings only once it has joined: all that was acknowledged precedes the join in the log. Events drain_unrecorded and the gate's reason agent_unconfirmed tell what waits for control.

--- a/bench/src/wagtailkeel_bench/agent_simulation/player.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/player.py
@@ -9,6 +9,7 @@
 from wagtailkeel_bench.agent_simulation.agent_history import AgentFaultKind
 from wagtailkeel_bench.agent_simulation.server_checks import ServerCheckError
 from wagtailkeel_bench.agent_simulation.server_checks import ServerChecks
+from wagtailkeel_bench.agent_simulation.simulated_agent import DATA_CENTRE
 from wagtailkeel_bench.agent_simulation.simulated_agent import ROUTE_PORT
 from wagtailkeel_bench.agent_simulation.simulated_agent import START_S
 from wagtailkeel_bench.agent_simulation.simulated_agent import AgentProcess
@@ -17,6 +18,8 @@
 from wagtailkeel_bench.event_scheduler import EventScheduler
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.enums import DataCentreState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -158,7 +161,8 @@
         self._notify_agent()
 
     def _set_in_service(self, is_in_service: bool) -> None:
-        self._control.is_in_service = is_in_service
+        state = DataCentreState.IN_SERVICE if is_in_service else DataCentreState.OUT_OF_SERVICE
+        self._control.propose(SetDataCentreState(name=DATA_CENTRE, state=state, may_be_last=True))
         self.checks.out_of_service_at = float("inf") if is_in_service else self.scheduler.now
         self.checks.last_opening_at = self.scheduler.now
         self._notify_agent()
--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
@@ -9,6 +9,7 @@
 from wagtailkeel_coordination.events import UNLOGGED
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
+from wagtailkeel_coordination.handshake import RecordedServer
 from wagtailkeel_coordination.handshake import ReportOutcome
 from wagtailkeel_coordination.handshake import RouterOptions
 from wagtailkeel_coordination.handshake import ServerGate
@@ -16,10 +17,17 @@
 from wagtailkeel_protocol.packet_format import IpPacketFormat
 from wagtailkeel_protocol.relay import RelayFrame
 from wagtailkeel_protocol.relay import RelayKind
+from wagtailkeel_state.commands import DefineDataCentre
+from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import LogEntry
+from wagtailkeel_state.commands import RecordServer
+from wagtailkeel_state.configuration import Configuration
+from wagtailkeel_state.configuration_machine import apply_entry
 from wagtailkeel_state.routing import Route
 from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.routing import ServicePolicy
 from wagtailkeel_state.routing import WeightedService
+from wagtailkeel_state.server_member import ServerMember
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +36,9 @@
     from wagtailkeel_bench.event_scheduler import EventScheduler
     from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_protocol.messages import AnyDatagram
+    from wagtailkeel_state.commands import AnyCommand
+    from wagtailkeel_state.commands import CommandAnswer
+    from wagtailkeel_state.server_member import ServerRecord
 
 Address = tuple[str, int]
 
@@ -35,6 +46,7 @@
 DATA_CENTRE = "east"
 ROUTE_ADDRESS = "198.18.0.1"
 ROUTE_PORT = 443
+AGENT_ID = "agent"
 AGENT_ADDRESS = ("10.0.0.1", 7_001)
 OWNER_ADDRESS = ("10.0.0.2", 7_001)
 REPORT_TIMEOUT_S = 1.925
@@ -53,7 +65,18 @@
 
     def __init__(self) -> None:
         self.is_reachable = True
-        self.is_in_service = True
+        self.configuration = Configuration()
+        self.propose(DefineDataCentre(name=DATA_CENTRE, region=DATA_CENTRE))
+
+    def propose(self, command: AnyCommand) -> CommandAnswer:
+        """Commit a command and return its answer."""
+        index = self.configuration.index + 1
+        return apply_entry(self.configuration, LogEntry(index, 1, command))
+
+    @property
+    def is_in_service(self) -> bool:
+        """Return whether the data centre takes traffic."""
+        return self.configuration.is_in_service(DATA_CENTRE)
 
 
 class AgentProcess:
@@ -69,15 +92,21 @@
         self._scheduler = scheduler
         self._control = control
         self._deliver = deliver
+        self._boot_id = seed
+        self._random = Random(seed)
         self._is_running = True
         self._has_pulled = False
-        self._random = Random(seed)
+        self._is_recording = False
         self._waiting: list[Action] | None = None
+        self._unanswered: list[Callable[[bool], None]] = []
+        gate = ServerGate(SERVICE, REPORT_TIMEOUT_S, ColdLimit(slack=COLD_SLACK), scheduler.now)
+        gate.begin_recovery(scheduler.now)
+        self._recorded = RecordedServer(gate)
         self.router = AgentRouter(
             AGENT_ADDRESS,
             DATA_CENTRE,
             IpPacketFormat(),
-            ServerGate(SERVICE, REPORT_TIMEOUT_S, ColdLimit(slack=COLD_SLACK), scheduler.now),
+            gate,
             self,
             self._random,
             Counter(),
@@ -89,7 +118,7 @@
         )
         self.router.apply_routing(_build_routing())
         self._tick()
-        self._pull()
+        self._call_control(self._on_pulled)
 
     def end(self) -> None:
         """End at once; what waits in the sockets is lost."""
@@ -123,43 +152,85 @@
 
     # Control
 
-    def _pull(self) -> None:
-        """Learn what is in force; a call that is lost is made again."""
+    def _call_control(self, on_reply: Action, command: AnyCommand | None = None) -> None:
+        """Make a call, with a command to commit; it is repeated until control is reachable."""
         if not self._is_running:
             return
-        is_lost = self._random.random() < LOST_CALL_SHARE
-        if self._control.is_reachable and not is_lost:
-            self._scheduler.call_later(CALL_S, lambda: self._handle(self._on_pulled))
-        else:
-            self._scheduler.call_later(CALL_RETRY_S, self._pull)
+        if not self._control.is_reachable or self._random.random() < LOST_CALL_SHARE:
+            self._scheduler.call_later(CALL_RETRY_S, lambda: self._call_control(on_reply, command))
+            return
+        if command is not None:
+            self._control.propose(command)
+        self._scheduler.call_later(CALL_S, lambda: self._handle(on_reply))
 
     def _on_pulled(self) -> None:
         self._has_pulled = True
         self.apply_configuration()
+        self._join()
+
+    def _join(self) -> None:
+        """Join once the server has reported."""
+        if not self._is_running:
+            return
+        if self.router.gate.report is None:
+            self._scheduler.call_later(TICK_INTERVAL_S, self._join)
+            return
+        member = ServerMember(AGENT_ID, SERVICE, DATA_CENTRE, *AGENT_ADDRESS, 0, self._boot_id, 2)
+        self._call_control(self._on_joined, JoinServer(member=member))
+
+    def _on_joined(self) -> None:
+        self.apply_configuration()
+        record = self._control.configuration.server_records_by_agent_id.get(AGENT_ID)
+        self._recorded.restore(record, self._scheduler.now)
+        self._record()
 
     def apply_configuration(self) -> None:
         """Apply what control has committed, if it is reachable."""
-        if not self._has_pulled or not self._control.is_reachable:
-            return
-        now = self._scheduler.now
-        self.router.gate.set_in_service(self._control.is_in_service, now)
+        if self._has_pulled and self._control.is_reachable:
+            self.router.gate.set_in_service(self._control.is_in_service, self._scheduler.now)
 
     def on_change(self) -> None:
         """Handle a notice of control that something has changed."""
         self._handle(self.apply_configuration)
 
+    def _record(self) -> None:
+        """Let control record what is to be acknowledged, and answer the server's calls then."""
+        if self._recorded.is_up_to_date:
+            for respond in self._unanswered:
+                respond(True)
+            self._unanswered.clear()
+        record = self._recorded.build()
+        if record is None or self._recorded.is_up_to_date or self._is_recording:
+            return
+        if not self.router.gate.is_confirmed:
+            return
+        self._is_recording = True
+        command = RecordServer(agent_id=AGENT_ID, boot_id=self._boot_id, record=record)
+        self._call_control(lambda: self._on_recorded(record), command)
+
+    def _on_recorded(self, record: ServerRecord) -> None:
+        self._is_recording = False
+        self._recorded.on_recorded(record)
+        self._record()
+
     # The server's calls
 
     def on_report(self, report: ServerReport, respond: Callable[[bool], None]) -> None:
         """Handle a report; respond whether it is acknowledged."""
-        self._handle(lambda: respond(self._acknowledges(report)))
+        self._handle(lambda: self._on_report(report, respond))
 
-    def _acknowledges(self, report: ServerReport) -> bool:
+    def _on_report(self, report: ServerReport, respond: Callable[[bool], None]) -> None:
+        now = self._scheduler.now
         if report.has_left:
-            self.router.gate.on_leave(report.incarnation, self._scheduler.now)
-            return True
-        outcome = self.router.on_report(report, self._scheduler.now)
-        return outcome is not ReportOutcome.REFUSED
+            self.router.gate.on_leave(report.incarnation, now)
+        elif self.router.on_report(report, now) is ReportOutcome.REFUSED:
+            respond(False)
+            return
+        if report.is_draining:
+            self._unanswered.append(respond)
+        else:
+            respond(True)
+        self._record()
 
     # Packets
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -271,6 +271,14 @@
     started_at_ms: int
 
 
+class DrainUnrecorded(Event, tag="drain_unrecorded"):
+    """The local backend server drains, which is not acknowledged: control has not recorded it."""
+
+    server: str
+    sequence: int
+    started_at_ms: int
+
+
 class ServerOutlier(Event, tag="server_outlier"):
     """The local backend server fails too many requests and gets no openings for ``avoided_s``.
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
@@ -11,6 +11,7 @@
     from wagtailkeel_coordination.handshake.balancer_router import BalancerRouter
     from wagtailkeel_coordination.handshake.load_sample import SampleSize
     from wagtailkeel_coordination.handshake.member import Member
+    from wagtailkeel_coordination.handshake.recorded_server import RecordedServer
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ColdLimit
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
@@ -22,6 +23,7 @@
     "BalancerRouter",
     "ColdLimit",
     "Member",
+    "RecordedServer",
     "ReportOutcome",
     "RouterOptions",
     "SampleSize",
@@ -36,6 +38,7 @@
         "BalancerRouter": "balancer_router",
         "ColdLimit": "server_gate",
         "Member": "member",
+        "RecordedServer": "recorded_server",
         "RouterOptions": "router_options",
         "SampleSize": "load_sample",
         "ServerGate": "server_gate",
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -17,6 +17,8 @@
 from wagtailkeel_coordination.handshake.server_report import ReportOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wagtailkeel_coordination.handshake.server_report import ServerReport
     from wagtailkeel_state.server_member import ServerIncarnation
 
@@ -50,6 +52,8 @@
     """The reason why an opening was not admitted."""
 
     NO_RECENT_REPORT = "server_unheard"
+    UNCONFIRMED = "agent_unconfirmed"
+    """The agent has just started, and what earlier processes of it have acknowledged is unknown."""
     RESTARTED = "server_restarted"
     """The server may have started again: it is not clear yet what holds for it."""
     WRONG_SERVICE = "wrong_service"
@@ -59,13 +63,20 @@
     LEAVING = "agent_leaving"
 
 
+_FIRST_REPORT_REASONS = (GateReason.NO_RECENT_REPORT, GateReason.UNCONFIRMED)
+
+
 class ServerGate:
-    """Admits openings by the state of the backend server; times are in seconds."""
+    """Admits openings by the state of the backend server; times are in seconds.
+
+    ``is_confirmed`` is false until the agent knows what earlier processes of it have acknowledged.
+    """
 
     def __init__(
         self, service: str, report_timeout_s: float, cold_limit: ColdLimit, now: float
     ) -> None:
         self.service = service
+        self.is_confirmed = True
         self.is_in_service = True
         self.is_leaving = False
         self.cold_starts_per_s = 0.0
@@ -85,6 +96,11 @@
         """The last report of the incarnation that runs."""
         return self._incarnations.current
 
+    @property
+    def ended_incarnations(self) -> tuple[ServerIncarnation, ...]:
+        """The incarnations of the server that have ended."""
+        return tuple(self._incarnations.ended)
+
     def on_report(self, report: ServerReport, now: float) -> ReportOutcome:
         """Process a report; it is refused if it is of another service."""
         if report.service != self.service:
@@ -104,6 +120,25 @@
         last_report = msgspec.structs.replace(known, sequence=known.sequence + 1, has_left=True)
         return self.on_report(last_report, now)
 
+    def begin_recovery(self, now: float) -> None:
+        """Admit no openings until :meth:`confirm`: the agent may have restarted."""
+        self.is_confirmed = False
+
+    def confirm(
+        self, restored: ServerReport | None, ended: Iterable[ServerIncarnation], now: float
+    ) -> None:
+        """Admit openings from now on, by what earlier processes of the agent have acknowledged.
+
+        ``restored`` is the report that they have acknowledged last, if it still binds.
+        """
+        self.is_confirmed = True
+        if restored is None:
+            return
+        first_report = self.report
+        self._incarnations.restore(restored, ended, now)
+        if first_report is not None:
+            self.on_report(first_report, now)
+
     @property
     def may_have_restarted(self) -> bool:
         """Return whether another incarnation of the server may run by now."""
@@ -166,8 +201,9 @@
 
         The report counts as pending until the agent has run for the report timeout.
         """
-        is_report_pending = self.report is None and now - self._started_at <= self._report_timeout_s
-        return is_report_pending and self.find_rejection_reason(now) is GateReason.NO_RECENT_REPORT
+        is_pending = self.report is None or not self.is_confirmed
+        is_report_pending = is_pending and now - self._started_at <= self._report_timeout_s
+        return is_report_pending and self.find_rejection_reason(now) in _FIRST_REPORT_REASONS
 
     def admit(self, service: str, now: float) -> GateReason | None:
         """Admit and count an opening and return None, or return the reason why it is rejected."""
@@ -188,6 +224,8 @@
             return GateReason.NO_RECENT_REPORT
         if not self.report.takes_openings:
             return GateReason.DRAINING
+        if not self.is_confirmed:
+            return GateReason.UNCONFIRMED
         if self.may_have_restarted:
             return GateReason.RESTARTED
         if self.is_cold(now) and not self._has_cold_capacity(now):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_incarnations.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_incarnations.py
@@ -16,6 +16,8 @@
 from wagtailkeel_coordination.handshake.server_report import ReportOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wagtailkeel_coordination.handshake.server_report import ServerReport
     from wagtailkeel_state.server_member import ServerIncarnation
 
@@ -47,6 +49,17 @@
         """Return whether the incarnation that runs has reported within the report timeout."""
         return self.current is not None and now - self.heard_at <= self._report_timeout_s
 
+    def restore(self, report: ServerReport, ended: Iterable[ServerIncarnation], now: float) -> None:
+        """Take over what an earlier process of the agent knew.
+
+        Only a drain counts as heard now: nothing else holds until the server reports.
+        """
+        for incarnation in ended:
+            self.end(incarnation)
+        self.current = report
+        self.candidate = None
+        self.heard_at = float("-inf") if report.takes_openings else now
+
     def end(self, incarnation: ServerIncarnation) -> None:
         """Record that an incarnation has ended."""
         if incarnation not in self.ended:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -15,6 +15,7 @@
 from wagtailkeel_state.flow_record import FlowRecord
 from wagtailkeel_state.generation import Generation
 from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_state.server_member import ServerRecord
 
 ANY_PRIORITY = 255
 """The priority limit of a server that accepts openings of every priority."""
@@ -366,7 +367,7 @@
 
 
 class AnnounceReply(msgspec.Struct):
-    """Reply to an announcement, a ``StopRequest`` or a ``LeaveRequest``.
+    """Reply to an announcement, or to a request that changes a member.
 
     ``is_joined``: the requested change is committed. If it is not, ``reason`` says why control
     rejected it; without a reason, ``leader_id`` is the instance to send the request to instead.
@@ -392,6 +393,18 @@
     boot_id: int
 
 
+class RecordServerRequest(msgspec.Struct):
+    """Sent by an agent before it acknowledges to its backend server what the record says.
+
+    ``number`` rises with each record of an incarnation of the agent.
+    """
+
+    agent_id: str
+    boot_id: int
+    number: int
+    record: ServerRecord
+
+
 class PullRequest(msgspec.Struct):
     """Requests the log entries committed after index ``since``.
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/__init__.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/__init__.py
@@ -28,6 +28,7 @@
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.server_member import ServerIncarnation
     from wagtailkeel_state.server_member import ServerMember
+    from wagtailkeel_state.server_member import ServerRecord
     from wagtailkeel_state.service import Service
     from wagtailkeel_state.target import Target
     from wagtailkeel_state.target import TargetKind
@@ -53,6 +54,7 @@
     "RemoteFlow",
     "ServerIncarnation",
     "ServerMember",
+    "ServerRecord",
     "ServerState",
     "Service",
     "Target",
@@ -83,6 +85,7 @@
         "RemoteFlow": "remote_flow",
         "ServerIncarnation": "server_member",
         "ServerMember": "server_member",
+        "ServerRecord": "server_member",
         "ServerState": "enums",
         "Service": "service",
         "Target": "target",
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/commands.py
@@ -11,6 +11,7 @@
 from wagtailkeel_state.enums import FlowProtocol
 from wagtailkeel_state.routing import RoutingChange
 from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_state.server_member import ServerRecord
 from wagtailkeel_state.target import Target
 
 
@@ -106,6 +107,14 @@
     boot_id: int
 
 
+class RecordServer(Command):
+    """Record what the agent of this incarnation has acknowledged to its backend server."""
+
+    agent_id: str
+    boot_id: int
+    record: ServerRecord
+
+
 class SetControlMembers(Command):
     """Set the voters of control: the identity of each voter's data folder, by instance id.
 
@@ -190,6 +199,7 @@
     | RestoreServer
     | JoinServer
     | StopAgent
+    | RecordServer
     | SetControlMembers
     | RemoveServer
     | JoinBalancer
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration.py
@@ -13,6 +13,7 @@
 from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.server_member import FormerMember
 from wagtailkeel_state.server_member import ServerMember
+from wagtailkeel_state.server_member import ServerRecord
 from wagtailkeel_state.service import Service
 
 DEFAULT_SHARE_PER_SLOT = 1_000
@@ -33,6 +34,7 @@
     services_by_name: dict[str, Service] = {}
     servers_by_id: dict[str, ServerMember] = {}
     former_members_by_id: dict[str, FormerMember] = {}
+    server_records_by_agent_id: dict[str, ServerRecord] = {}
     balancers_by_id: dict[str, BalancerMember] = {}
     data_centres_by_name: dict[str, DataCentre] = {}
     bookings_by_id: dict[str, Booking] = {}
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -23,6 +23,7 @@
 from wagtailkeel_state.commands import JoinServer
 from wagtailkeel_state.commands import LogEntry
 from wagtailkeel_state.commands import Noop
+from wagtailkeel_state.commands import RecordServer
 from wagtailkeel_state.commands import RemoveBalancer
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import ReplaceRouting
@@ -44,6 +45,7 @@
 
 MAX_RETAINED_ANSWERS = 10_000
 MAX_RETAINED_FORMER_MEMBERS = 1_000
+MAX_RETAINED_SERVER_RECORDS = 2_000
 
 # Commands of nodes, not operators: the expected version is not checked, and the operator version
 # does not change, except when AdvanceBooking applies a booked change.
@@ -57,6 +59,7 @@
     SetControlMembers,
     SetShares,
     StopAgent,
+    RecordServer,
     AdvanceBooking,
 )
 
@@ -286,6 +289,19 @@
     return None
 
 
+@apply_command.register
+def _(command: RecordServer, config: Configuration, entry: LogEntry) -> str | None:
+    member = config.servers_by_id.get(command.agent_id)
+    if member is None or member.boot_id != command.boot_id:
+        return f"agent {command.agent_id} with boot id {command.boot_id} is not a member"
+    records = config.server_records_by_agent_id
+    records.pop(command.agent_id, None)
+    records[command.agent_id] = command.record
+    while len(records) > MAX_RETAINED_SERVER_RECORDS:
+        del records[next(iter(records))]
+    return None
+
+
 @apply_command.register
 def _(command: SetControlMembers, config: Configuration, entry: LogEntry) -> str | None:
     config.control_identities_by_id = dict(command.identities_by_id)
@@ -300,6 +316,7 @@
         return f"server {command.server_id} with boot id {command.boot_id} is not a member"
     if command.has_ended:
         config.former_members_by_id.pop(command.server_id, None)
+        config.server_records_by_agent_id.pop(command.server_id, None)
     else:
         _retain_former_member(config, command.server_id, entry.index)
     del config.servers_by_id[command.server_id]
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/server_member.py
@@ -38,6 +38,19 @@
     started_at_ms: int
 
 
+class ServerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What an agent has acknowledged to its backend server, which binds its later processes.
+
+    ``incarnation`` is the one that runs, and ``sequence`` the number of its report that led to this
+    record. ``ended`` are other incarnations, whose reports may still arrive.
+    """
+
+    incarnation: ServerIncarnation
+    sequence: int
+    is_draining: bool = False
+    ended: tuple[ServerIncarnation, ...] = ()
+
+
 class FormerMember(msgspec.Struct, frozen=True):
     """The last incarnation that was removed, or replaced by the next incarnation of the agent.
 
--- a/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
+++ b/packages/wagtailkeel-transport/src/wagtailkeel_transport/methods.py
@@ -16,6 +16,9 @@
 LEAVE: RpcMethod[messages.LeaveRequest, messages.AnnounceReply] = RpcMethod(
     "Leave", messages.LeaveRequest, messages.AnnounceReply
 )
+RECORD_SERVER: RpcMethod[messages.RecordServerRequest, messages.AnnounceReply] = RpcMethod(
+    "RecordServer", messages.RecordServerRequest, messages.AnnounceReply
+)
 PULL: RpcMethod[messages.PullRequest, messages.PullReply] = RpcMethod(
     "Pull", messages.PullRequest, messages.PullReply
 )
--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/control.py
@@ -42,6 +42,7 @@
 from wagtailkeel_protocol.messages import Heartbeat
 from wagtailkeel_protocol.messages import HeartbeatAck
 from wagtailkeel_protocol.messages import LeaveRequest
+from wagtailkeel_protocol.messages import RecordServerRequest
 from wagtailkeel_protocol.messages import StatusReply
 from wagtailkeel_protocol.messages import StatusRequest
 from wagtailkeel_protocol.messages import StopRequest
@@ -49,6 +50,7 @@
 from wagtailkeel_state.commands import CommandAnswer
 from wagtailkeel_state.commands import JoinBalancer
 from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import RecordServer
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import StopAgent
 from wagtailkeel_state.configuration import Configuration
@@ -65,6 +67,7 @@
 from wagtailkeel_transport.methods import LEAVE
 from wagtailkeel_transport.methods import PULL
 from wagtailkeel_transport.methods import RAFT
+from wagtailkeel_transport.methods import RECORD_SERVER
 from wagtailkeel_transport.methods import STATUS
 from wagtailkeel_transport.methods import STOP_AGENT
 from wagtailkeel_transport.methods import VOTE_HANDOVER
@@ -153,6 +156,7 @@
             ANNOUNCE: self._announce,
             STOP_AGENT: self._stop_agent,
             LEAVE: self._leave,
+            RECORD_SERVER: self._record_server,
             PULL: self._store.handle_pull,
         }
         self._call_server = DatagramCallServer(
@@ -410,6 +414,14 @@
             command, f"leave/{request.server_id}/{request.boot_id}"
         )
 
+    async def _record_server(self, request: RecordServerRequest) -> AnnounceReply:
+        command = RecordServer(
+            agent_id=request.agent_id, boot_id=request.boot_id, record=request.record
+        )
+        return await self._propose_member_change(
+            command, f"server/{request.agent_id}/{request.boot_id}/{request.number}"
+        )
+
     async def _propose_member_change(self, command: AnyCommand, command_id: str) -> AnnounceReply:
         await self._wait_for_leader()
         answer = await self._proposer.propose(CommandRequest(command, command_id, "node"))
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -14,6 +14,7 @@
 from wagtailkeel.roles.handshake.control_messages import ControlMessages
 from wagtailkeel.roles.handshake.relay_outbox import UdpRelayOutbox
 from wagtailkeel.roles.handshake.server_check import check_server
+from wagtailkeel.roles.handshake.server_recorder import ServerRecorder
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
 from wagtailkeel.roles.process_dump import build_dump
@@ -130,6 +131,7 @@
                 outlier_detection=section.outlier_detection,
             ),
         )
+        self.router.gate.begin_recovery(clock.seconds())
         self.store.subscribe(self._on_configuration)
         address_book = AddressBook.from_settings(settings, self.store, read_seeds)
         self._caller = DatagramCaller(address_book, self._endpoint.send, host)
@@ -144,6 +146,7 @@
             event_sink=event_sink,
             may_join=self._has_report,
         )
+        self._recorder = ServerRecorder(self.router.gate, self._link.record_server)
         self._control_messages = ControlMessages(self._link, self._caller, self.metrics.counters)
 
     @classmethod
@@ -176,6 +179,8 @@
                 tasks.start_soon(self._endpoint.receive_from, self._on_datagram)
                 tasks.start_soon(self._server_endpoint.receive, self._on_server_packet)
                 tasks.start_soon(self._link.run)
+                tasks.start_soon(self._confirm_once_joined)
+                tasks.start_soon(self._recorder.run)
                 if self._section.server_accepts_tcp:
                     tasks.start_soon(
                         check_server,
@@ -210,16 +215,36 @@
             self._report_to_balancers()
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
+    async def _confirm_once_joined(self) -> None:
+        """Admit openings once the agent has joined.
+
+        All that was acknowledged before, such as a drain or a data centre that is out of service,
+        precedes the join in the log of control.
+        """
+        await self._link.is_joined.wait()
+        record = self.store.configuration.server_records_by_agent_id.get(self._agent_id)
+        self._recorder.restore(record, clock.seconds())
+
+    async def may_acknowledge_drain(self, report: ServerReport) -> bool:
+        """Return whether control has recorded that the server drains; wait a little for it."""
+        if await self._recorder.wait_until_recorded():
+            return True
+        self.metrics.counters["drains_unrecorded"] += 1
+        self._emit(events.DrainUnrecorded(report.server_id, report.sequence, report.started_at_ms))
+        return False
+
     def on_leave(self, incarnation: ServerIncarnation) -> None:
         """Process the notice of an incarnation of the server that it ends."""
         outcome = self.router.gate.on_leave(incarnation, clock.seconds())
         if outcome is not ReportOutcome.APPLIED:
             self._emit(events.LeaveNoticeDropped(incarnation.server_id, incarnation.started_at_ms))
+        self._recorder.update()
 
     def on_report(self, report: ServerReport) -> ReportOutcome:
         """Process a status report of the server."""
         now = clock.seconds()
         outcome = self.router.on_report(report, now)
+        self._recorder.update()
         if outcome is not ReportOutcome.APPLIED:
             self._emit_dropped_report(report, outcome)
             return outcome
--- a/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/node_link.py
@@ -5,6 +5,7 @@
 from random import Random
 from random import SystemRandom
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import anyio
 
@@ -18,6 +19,7 @@
 from wagtailkeel_protocol.messages import LeaveRequest
 from wagtailkeel_protocol.messages import PullReply
 from wagtailkeel_protocol.messages import PullRequest
+from wagtailkeel_protocol.messages import RecordServerRequest
 from wagtailkeel_protocol.snapshot_codec import decompress_entries
 from wagtailkeel_transport import RpcError
 from wagtailkeel_transport import clock
@@ -25,6 +27,7 @@
 from wagtailkeel_transport.methods import ANNOUNCE
 from wagtailkeel_transport.methods import LEAVE
 from wagtailkeel_transport.methods import PULL
+from wagtailkeel_transport.methods import RECORD_SERVER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,14 +38,18 @@
     from wagtailkeel.roles.metrics import Metrics
     from wagtailkeel_coordination.events import EventSink
     from wagtailkeel_protocol.messages import VersionHint
+    from wagtailkeel_state.server_member import ServerRecord
     from wagtailkeel_transport import UdpEndpoint
+    from wagtailkeel_transport.rpc_method import RpcMethod
+
+Request = TypeVar("Request")
 
 HEARTBEAT_INTERVAL_S = 0.5
 ACK_TIMEOUT_S = 1.5
 ANNOUNCE_RETRY_INTERVAL_S = 0.3
 ANNOUNCE_TIMEOUT_S = 3.0
-LEAVE_TIMEOUT_S = 0.5
-LEAVE_RETRY_INTERVAL_S = 0.1
+CHANGE_TIMEOUT_S = 0.5
+CHANGE_RETRY_INTERVAL_S = 0.1
 PULL_TIMEOUT_S = 2.0
 PULL_RETRY_INTERVAL_S = 0.2
 VERSION_POLL_INTERVAL_S = 0.02
@@ -183,17 +190,35 @@
         The caller sets a time limit. Control removes an agent that sends no heartbeats anyway, but
         then searches go on asking it for flows.
         """
-        request = LeaveRequest(self._instance_id, self.boot_id)
+        await self._repeat(LEAVE, LeaveRequest(self._instance_id, self.boot_id), "leave_failures")
+
+    async def record_server(self, number: int, record: ServerRecord) -> bool:
+        """Let control record what this agent acknowledges; repeat this until control answers.
+
+        Wait until the agent has joined; return whether control has recorded it.
+        """
+        await self.is_joined.wait()
+        request = RecordServerRequest(self._instance_id, self.boot_id, number, record)
+        reply = await self._repeat(RECORD_SERVER, request, "record_failures")
+        return reply.is_joined
+
+    async def _repeat(
+        self,
+        method: RpcMethod[Request, AnnounceReply],
+        request: Request,
+        failure_counter: str,
+    ) -> AnnounceReply:
+        """Send a request to one control instance after the other until one has decided on it."""
         while True:
             for control_id in dict.fromkeys([self.leader_id, *self._address_book.control_ids]):
                 try:
-                    reply = await self._caller.call(control_id, LEAVE, request, LEAVE_TIMEOUT_S)
+                    reply = await self._caller.call(control_id, method, request, CHANGE_TIMEOUT_S)
                 except RpcError:
-                    self._metrics.counters["leave_failures"] += 1
+                    self._metrics.counters[failure_counter] += 1
                     continue
                 if reply.is_joined or reply.reason:
-                    return
-            await anyio.sleep(LEAVE_RETRY_INTERVAL_S)
+                    return reply
+            await anyio.sleep(CHANGE_RETRY_INTERVAL_S)
 
     async def _heartbeat_forever(self) -> None:
         while True:
--- a/tests/coordination/handshake/test_server_gate.py
+++ b/tests/coordination/handshake/test_server_gate.py
@@ -3,10 +3,12 @@
 import unittest
 
 from wagtailkeel_coordination.handshake import ColdLimit
+from wagtailkeel_coordination.handshake import RecordedServer
 from wagtailkeel_coordination.handshake import ReportOutcome
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake import ServerReport
 from wagtailkeel_state import ServerIncarnation
+from wagtailkeel_state import ServerRecord
 
 REPORT_TIMEOUT_S = 2.0
 STARTED_AT_MS = 5_000
@@ -93,5 +95,31 @@
         self.assertFalse(self.gate.accepts(1.1))
 
 
+class RestartedAgentTest(unittest.TestCase):
+    """A restarted agent admitted openings by a report of before the drain."""
+
+    def test_what_the_record_of_control_says_holds(self) -> None:
+        drained = ServerIncarnation("server", STARTED_AT_MS)
+        ended = ServerIncarnation("server", STARTED_AT_MS + 1)
+        # The record, the first report as (start, number), whether openings are admitted then.
+        table: list[tuple[str, ServerRecord | None, tuple[int, int], bool]] = [
+            ("nothing recorded", None, (STARTED_AT_MS, 1), True),
+            ("drain", ServerRecord(drained, 5, True), (STARTED_AT_MS, 9), False),
+            ("before the drain", ServerRecord(drained, 5, True), (STARTED_AT_MS, 3), False),
+            ("earlier start", ServerRecord(drained, 5, True), (STARTED_AT_MS - 1, 9), False),
+            ("later start", ServerRecord(drained, 5, True), (STARTED_AT_MS + 2, 1), False),
+            ("ended", ServerRecord(drained, 5, False, (ended,)), (STARTED_AT_MS + 1, 9), False),
+            ("runs", ServerRecord(drained, 5, False, (ended,)), (STARTED_AT_MS, 9), True),
+        ]
+        for name, record, (started_at_ms, sequence), expected in table:
+            with self.subTest(name):
+                gate = ServerGate("desk", REPORT_TIMEOUT_S, ColdLimit(), 0.0)
+                gate.begin_recovery(0.0)
+                gate.on_report(ServerReport("server", "desk", started_at_ms, sequence, 1), 0.1)
+                self.assertFalse(gate.accepts(0.1))
+                RecordedServer(gate).restore(record, 0.2)
+                self.assertEqual(gate.accepts(0.2), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_server_api.py
+++ b/tests/platform/test_server_api.py
@@ -29,6 +29,7 @@
     """An agent's gate, without its sockets."""
 
     def __init__(self) -> None:
+        self.is_control_reachable = True
         self.metrics = Metrics()
         gate = ServerGate(SERVICE, 2.0, ColdLimit(), NOW)
         self.router = SimpleNamespace(gate=gate)
@@ -40,9 +41,12 @@
     def on_leave(self, incarnation: ServerIncarnation) -> None:
         self.router.gate.on_leave(incarnation, NOW)
 
+    async def may_acknowledge_drain(self, report: ServerReport) -> bool:
+        return self.is_control_reachable
+
 
 class HeartbeatAnswerTest(unittest.TestCase):
-    """A server took a drain for known that its agent had dropped."""
+    """A server took a drain for known that its agent had dropped, or would forget."""
 
     def setUp(self) -> None:
         self.agent = FakeAgent()
@@ -79,6 +83,15 @@
                 self.assertEqual(self.beat(*first), HTTPStatus.OK)
                 self.assertEqual(self.beat(*second), expected)
 
+    def test_a_drain_is_acknowledged_only_once_control_has_recorded_it(self) -> None:
+        table = [("healthy", HTTPStatus.OK), ("draining", HTTPStatus.SERVICE_UNAVAILABLE)]
+        self.agent.is_control_reachable = False
+        for number, (state, expected) in enumerate(table, start=1):
+            with self.subTest(state):
+                self.assertEqual(self.beat(1, number, state), expected)
+        self.agent.is_control_reachable = True
+        self.assertEqual(self.beat(1, 3, "draining"), HTTPStatus.OK)
+
     def test_a_heartbeat_without_its_start_is_invalid_where_others_have_one(self) -> None:
         self.assertEqual(self.beat(1, 1, "healthy"), HTTPStatus.OK)
         self.assertEqual(self.beat(0, 2, "healthy"), HTTPStatus.BAD_REQUEST)
