Agent: a restarted agent doesn't let a cold server have its limit twice

Cause: the times of the openings are kept in the agent's process. A process that has just started now takes the window of the limit for used up.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -88,6 +88,7 @@
         self._incarnations = ServerIncarnations(report_timeout_s)
         self._cold_limit = cold_limit
         self._cold_until = float("-inf")
+        self._earlier_openings_until = float("-inf")
         self._back_in_service_at = float("-inf")
         self._cold_opening_times: deque[float] = deque()
 
@@ -121,8 +122,12 @@
         return self.on_report(last_report, now)
 
     def begin_recovery(self, now: float) -> None:
-        """Admit no openings until :meth:`confirm`: the agent may have restarted."""
+        """Admit no openings until :meth:`confirm`: the agent may have restarted.
+
+        A cold server may have got the openings that it can handle from an earlier process.
+        """
         self.is_confirmed = False
+        self._earlier_openings_until = now + COLD_WINDOW_S
 
     def confirm(
         self, restored: ServerReport | None, ended: Iterable[ServerIncarnation], now: float
@@ -249,13 +254,15 @@
         self._forget_past_openings(now)
         occupied = position - (limit - len(self._cold_opening_times))
         if occupied < 0:
-            return 0.0
+            return max(0.0, self._earlier_openings_until - now)
         if not self._cold_opening_times:
             return COLD_WINDOW_S * (1 + occupied // limit)
         rounds, index = divmod(occupied, len(self._cold_opening_times))
         return self._cold_opening_times[index] + COLD_WINDOW_S * (1 + rounds) - now
 
     def _has_cold_capacity(self, now: float) -> bool:
+        if now < self._earlier_openings_until:
+            return False
         self._forget_past_openings(now)
         return len(self._cold_opening_times) < self._cold_limit.max_openings(self.cold_starts_per_s)
 
