Tests: a drain outlives its agent, with real processes and in the soak

The soak restarts agents of servers that drain, and counts new flows at these servers as the servers see them; planned schedules must have none.

--- a/bench/src/wagtailkeel_bench/scenario/actions.py
+++ b/bench/src/wagtailkeel_bench/scenario/actions.py
@@ -89,8 +89,12 @@
     async def _drain(self, server_id: str) -> None:
         await self._site.send_command(DrainServer(server_id=server_id))
         self.accepted_changes += 1
+        await self._site.servers.command(
+            "close_server", server_id=server_id, grace_s=LATE_PACKET_GRACE_S
+        )
 
     async def _restore(self, server_id: str) -> None:
+        await self._site.servers.command("open_server", server_id=server_id)
         await self._site.send_command(RestoreServer(server_id=server_id))
         self.accepted_changes += 1
 
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -149,6 +149,7 @@
             "false_refusals": false_refusals,
             "wrong_answers": callers.get("wrong_answers", 0),
             "late_packets": servers["late_packets"],
+            "late_openings": servers["late_openings"],
             "requests_refused": callers.get("requests_refused", 0),
             "requests_unanswered": callers.get("requests_unanswered", 0),
             "answered_share": callers.get("requests_answered", 0) / sent if sent else 1.0,
--- a/bench/src/wagtailkeel_bench/soak/runner.py
+++ b/bench/src/wagtailkeel_bench/soak/runner.py
@@ -86,6 +86,7 @@
     expectations.append(Expectation("in_force_s", "<=", IN_FORCE_LIMIT_S))
     if schedule.is_planned:
         expectations.append(Expectation("broken_flows", "==", 0))
+        expectations.append(Expectation("late_openings", "==", 0))
     return Scenario(
         deployment=schedule.deployment,
         controls=CONTROLS,
--- a/bench/src/wagtailkeel_bench/soak/schedule.py
+++ b/bench/src/wagtailkeel_bench/soak/schedule.py
@@ -90,6 +90,7 @@
         return [
             partial(self._restart, "restart", True),
             self._drain,
+            self._drain_and_restart,
             self._commands,
             self._race,
         ]
@@ -116,6 +117,18 @@
         actions = (TimedAction(0.0, "drain", (name,)), TimedAction(lasts_s, "restore", (name,)))
         return Fault("drain", at_s, lasts_s, (name,), actions, True)
 
+    def _drain_and_restart(self, at_s: float) -> Fault:
+        """Restart the agent of a server that drains; its drain holds on."""
+        name = self._random.choice(self._servers)
+        restarts_after_s = self._random.uniform(0.2, 1.5)
+        lasts_s = restarts_after_s + self._random.uniform(2.0, 3.5)
+        actions = (
+            TimedAction(0.0, "drain", (name,)),
+            TimedAction(restarts_after_s, "restart", (name,)),
+            TimedAction(lasts_s, "restore", (name,)),
+        )
+        return Fault("drain-and-restart", at_s, lasts_s, (name,), actions, True)
+
     def _commands(self, at_s: float) -> Fault:
         count, over_s = self._random.randint(5, 60), self._random.uniform(0.5, 4.0)
         action = TimedAction(0.0, "commands", (str(count), str(over_s)))
--- a/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/delivery_checker.py
@@ -19,12 +19,14 @@
     def __init__(self) -> None:
         self.misrouted_packets = 0
         self.late_packets = 0
+        self.late_openings = 0
         self.double_runs = 0
         self.multi_server_flows = 0
         self._server_ids_by_request_id: dict[int, str] = {}
         self._services_by_endpoint: dict[bytes, str] = {}
         self._server_ids_by_flow: dict[bytes, str] = {}
         self._late_since_by_data_centre: dict[str, float] = {}
+        self._late_since_by_server_id: dict[str, float] = {}
 
     def set_endpoints(self, services_by_endpoint: dict[str, str]) -> bool:
         """Set the service of each endpoint (hex text)."""
@@ -43,6 +45,16 @@
         self._late_since_by_data_centre.pop(name, None)
         return True
 
+    def close_server(self, server_id: str, grace_s: float) -> bool:
+        """Count new flows at a server as late, starting ``grace_s`` seconds from now."""
+        self._late_since_by_server_id[server_id] = asyncio.get_running_loop().time() + grace_s
+        return True
+
+    def open_server(self, server_id: str) -> bool:
+        """Stop counting new flows at a server as late."""
+        self._late_since_by_server_id.pop(server_id, None)
+        return True
+
     def check_arrival(self, plan: ServerPlan, key: bytes) -> None:
         """Count a caller's packet if it is misrouted or late, or if its flow has changed servers.
 
@@ -56,6 +68,10 @@
         late_since = self._late_since_by_data_centre.get(plan.data_centre)
         if late_since is not None and asyncio.get_running_loop().time() > late_since:
             self.late_packets += 1
+        late_since = self._late_since_by_server_id.get(plan.server_id)
+        is_new = key not in self._server_ids_by_flow
+        if is_new and late_since is not None and asyncio.get_running_loop().time() > late_since:
+            self.late_openings += 1
         previous_server_id = self._server_ids_by_flow.setdefault(key, plan.server_id)
         if previous_server_id != plan.server_id:
             self.multi_server_flows += 1
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -63,6 +63,7 @@
         return {
             "misrouted_packets": self.checker.misrouted_packets,
             "late_packets": self.checker.late_packets,
+            "late_openings": self.checker.late_openings,
             "double_runs": self.checker.double_runs,
             "multi_server_flows": self.checker.multi_server_flows,
             "servers": {
@@ -89,6 +90,8 @@
         "set_endpoints": servers.checker.set_endpoints,
         "close_data_centre": servers.checker.close_data_centre,
         "open_data_centre": servers.checker.open_data_centre,
+        "close_server": servers.checker.close_server,
+        "open_server": servers.checker.open_server,
         "count_runs": servers.checker.count_runs,
         "turn_cold": servers.turn_cold,
         "set_down": servers.set_down,
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -37,7 +37,7 @@
         schedules = [draw_schedule(seed, DURATION_S) for seed in range(60)]
         names = {fault.name for schedule in schedules for fault in schedule.faults}
         expected = {"restart", "drain", "commands", "race", "crash", "pause", "cut-pair"}
-        self.assertEqual(names, expected | {"cut-one-way", "wipe", "cold"})
+        self.assertEqual(names, expected | {"cut-one-way", "wipe", "cold", "drain-and-restart"})
         self.assertTrue(any(schedule.is_planned for schedule in schedules))
         overlapping = [
             (one, other)
--- a/tests/platform/fake_site.py
+++ b/tests/platform/fake_site.py
@@ -103,7 +103,8 @@
     """A backend server that accepts every flow and answers data with its host.
 
     It returns packets of flows that it did not accept, flagged as bounced. While ``is_connected``
-    is false, it sends no heartbeats and ignores packets.
+    is false, it sends no heartbeats and ignores packets. ``acknowledged_state`` is that of the last
+    heartbeat with an answer of status 200.
     """
 
     def __init__(
@@ -113,6 +114,9 @@
         self.host = host
         self.state = "healthy"
         self.is_connected = True
+        self.sends_heartbeats = True
+        self.acknowledged_state = ""
+        self.openings = 0
         self.flows: set[bytes] = set()
         self._port = port
         self._outbound_address = outbound_address
@@ -126,7 +130,8 @@
     def run(self) -> None:
         last_heartbeat_at = 0.0
         while True:
-            if self.is_connected and time.monotonic() - last_heartbeat_at > HEARTBEAT_INTERVAL_S:
+            is_due = time.monotonic() - last_heartbeat_at > HEARTBEAT_INTERVAL_S
+            if self.is_connected and self.sends_heartbeats and is_due:
                 last_heartbeat_at = time.monotonic()
                 self._send_heartbeat()
             try:
@@ -140,26 +145,32 @@
 
     def _send_heartbeat(self) -> None:
         self._sequence += 1
+        state = self.state
+        if self.call_agent(state, self._sequence) == 200:
+            self.acknowledged_state = state
+
+    def call_agent(self, state: str, sequence: int) -> int:
+        """Send a heartbeat with a state and a number; return the status of the answer."""
         body = {
             "service": SERVICE,
             "address": f"{self.host}:{self._port}",
             "zone": "east",
             "version": "v1",
             "capacity": 2,
-            "state": self.state,
+            "state": state,
             "warmup-left-ms": 0,
-            "seq": self._sequence,
+            "seq": sequence,
             "born": self._started_at_ms,
         }
-        http_call(
-            self.host, self._control_port, "POST", f"/-/instances/i-{self.host}/heartbeat", body
-        )
+        path = f"/-/instances/i-{self.host}/heartbeat"
+        return http_call(self.host, self._control_port, "POST", path, body)[0]
 
     def _handle_packet(self, packet: bytes) -> None:
         flags, caller = packet[4], (socket.inet_ntoa(packet[24:28]), 0)
         caller = (caller[0], struct.unpack_from("!H", packet, 28)[0])
         key = packet[24:32]
         if flags & packets.SYN:
+            self.openings += 1
             self.flows.add(key)
             self._send(build_packet(packets.SYN | packets.ACK, caller, is_reply=True))
         elif key not in self.flows:
