Agent: nothing is recorded before the earlier record is known

Found by a new test, which did not end: a draining server's first report to a restarted agent was recorded before the agent had read what earlier processes had recorded, so that a late report could take the place of a drain. Tests of the recorder, of control's records, and of faults planted into the simulation.

--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_recorder.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_recorder.py
@@ -32,6 +32,7 @@
         gate: ServerGate,
         record_server: Callable[[int, ServerRecord], Awaitable[bool]],
     ) -> None:
+        self._gate = gate
         self._record_server = record_server
         self._server = RecordedServer(gate)
         self._number = 0
@@ -45,8 +46,8 @@
         self.update()
 
     def update(self) -> None:
-        """Let control record what has changed, if anything has."""
-        if not self._server.is_up_to_date:
+        """Let control record what has changed; what it has is unknown until :meth:`restore`."""
+        if self._gate.is_confirmed and not self._server.is_up_to_date:
             self._changed.set()
 
     async def wait_until_recorded(self) -> bool:
--- a/tests/bench/test_agent_simulation.py
+++ b/tests/bench/test_agent_simulation.py
@@ -3,15 +3,31 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import msgspec
 
 from wagtailkeel_bench.agent_simulation import AgentHistory
 from wagtailkeel_bench.agent_simulation import draw_agent_history
 from wagtailkeel_bench.agent_simulation import play_agent_history
 from wagtailkeel_bench.agent_simulation.agent_history import AgentFault
 from wagtailkeel_bench.agent_simulation.agent_history import AgentFaultKind
+from wagtailkeel_bench.agent_simulation.player import is_broken
+from wagtailkeel_coordination.handshake import RecordedServer
+from wagtailkeel_coordination.handshake import ReportOutcome
+from wagtailkeel_coordination.handshake import ServerGate
+from wagtailkeel_coordination.handshake.server_incarnations import ServerIncarnations
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wagtailkeel_coordination.handshake import ServerReport
+    from wagtailkeel_state import ServerRecord
 
 HISTORIES = range(40)
 DRAWN = range(100)
+PLANTED_SEEDS = range(40)
 
 FAILED_ONCE = [
     (
@@ -109,5 +125,39 @@
                 play_agent_history(draw_agent_history(seed))
 
 
+class PlantedFaultTest(unittest.TestCase):
+    """The checks find what they are there for, by the histories that failed."""
+
+    def test_faults_are_found(self) -> None:
+        # What is put in place of a method, and the number of the history that finds it.
+        table: list[tuple[str, type, str, Callable[..., object], int]] = [
+            ("no record is read", RecordedServer, "restore", restore_nothing, 0),
+            ("a start follows at once", ServerIncarnations, "_on_other", follow_at_once, 1),
+            ("openings before the join", ServerGate, "begin_recovery", begin_nothing, 3),
+        ]
+        for name, owner, method, replacement, number in table:
+            history = FAILED_ONCE[number][1]
+            with self.subTest(name), mock.patch.object(owner, method, replacement):
+                seeds = (msgspec.structs.replace(history, seed=seed) for seed in PLANTED_SEEDS)
+                self.assertTrue(any(is_broken(seeded) for seeded in seeds))
+
+
+def restore_nothing(recorded: RecordedServer, record: ServerRecord | None, now: float) -> None:
+    """Admit openings by what this process of the agent knows alone."""
+    recorded._gate.confirm(None, (), now)
+
+
+def follow_at_once(
+    incarnations: ServerIncarnations, known: ServerReport, report: ServerReport, now: float
+) -> ReportOutcome:
+    """Take each report of another start for one of the start that runs."""
+    incarnations._apply(report, now)
+    return ReportOutcome.APPLIED
+
+
+def begin_nothing(gate: ServerGate, now: float) -> None:
+    """Admit openings from the first report on."""
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -9,7 +9,9 @@
 from wagtailkeel_state import DataCentreState
 from wagtailkeel_state import FlowProtocol
 from wagtailkeel_state import LogEntry
+from wagtailkeel_state import ServerIncarnation
 from wagtailkeel_state import ServerMember
+from wagtailkeel_state import ServerRecord
 from wagtailkeel_state import Target
 from wagtailkeel_state import apply_entry
 from wagtailkeel_state.commands import AdvanceBooking
@@ -22,6 +24,7 @@
 from wagtailkeel_state.commands import DefineDataCentre
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import RecordServer
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import SetDataCentreState
 from wagtailkeel_state.enums import ServerState
@@ -44,6 +47,31 @@
         self.accept(JoinServer(member=member("a")))
         self.accept(JoinServer(member=member("b")))
 
+    def test_which_records_of_servers_are_kept(self) -> None:
+        """A drain was forgotten with the process of the agent that had acknowledged it."""
+        record = ServerRecord(ServerIncarnation("server", 5), 2, True)
+        rejoin = JoinServer(member=member("a", boot_id=2))
+        # What follows the record of agent a, and whether control still has it then.
+        table: list[tuple[str, list[AnyCommand], bool]] = [
+            ("nothing", [], True),
+            ("restart", [rejoin], True),
+            ("removed, as it was silent", [RemoveServer(server_id="a", boot_id=1), rejoin], True),
+            ("server has ended", [RemoveServer(server_id="a", boot_id=1, has_ended=True)], False),
+        ]
+        for name, commands, is_kept in table:
+            with self.subTest(name):
+                self.setUp()
+                self.accept(RecordServer(agent_id="a", boot_id=1, record=record))
+                for command in commands:
+                    self.accept(command)
+                self.assertEqual("a" in self.config.server_records_by_agent_id, is_kept)
+
+    def test_a_record_of_an_earlier_process_of_the_agent_is_rejected(self) -> None:
+        record = ServerRecord(ServerIncarnation("server", 5), 2, True)
+        self.accept(JoinServer(member=member("a", boot_id=2)))
+        late = RecordServer(agent_id="a", boot_id=1, record=record)
+        self.assertFalse(self.apply(late).is_accepted)
+
     @staticmethod
     def create_class(name: str, port: int, service: str = "desk") -> CreateClass:
         return CreateClass(
