--- a/bench/src/wagtailkeel_bench/agent_simulation/player.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/player.py
@@ -175,7 +175,7 @@
         self.scheduler.call_later(NOTICE_S, notify)
 
     def _cut_server(self, fault: AgentFault) -> None:
-        self._server.held_until = max(self._server.held_until, self.scheduler.now + fault.lasts_s)
+        self._server.cut_until = max(self._server.cut_until, self.scheduler.now + fault.lasts_s)
 
     def _repeat_calls(self, fault: AgentFault) -> None:
         self._server.repeat(fault.position, self.scheduler.now + fault.lasts_s)
--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_server.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_server.py
@@ -47,7 +47,7 @@
     ) -> None:
         self.start: ServerStart | None = None
         self.reports: list[ServerReport] = []
-        self.held_until = float("-inf")
+        self.cut_until = float("-inf")
         self._scheduler = scheduler
         self._random = random
         self._checks = checks
@@ -130,8 +130,8 @@
     def _call(self, report: ServerReport, on_answer: Callable[[bool], None]) -> None:
         now = self._scheduler.now
         delay_s = LINK_DELAY_S
-        if now < self.held_until:
-            delay_s = self.held_until - now + self._random.uniform(0.0, MAX_LATE_S)
+        if now < self.cut_until:
+            delay_s = self.cut_until - now + self._random.uniform(0.0, MAX_LATE_S)
         self._scheduler.call_later(delay_s, lambda: self._call_agent(report, on_answer))
 
     def repeat(self, position: float, until: float) -> None:
@@ -166,7 +166,7 @@
         start = self.start
         key = ip.parse_flow_key(packet)
         assert isinstance(key, bytes), "the simulation sends only complete packets"
-        is_cut = self._scheduler.now < self.held_until
+        is_cut = self._scheduler.now < self.cut_until
         if start is None or is_cut or not ip.tcp_flags(packet) & ip.SYN:
             return
         self._checks.on_opening(start, packet, self._scheduler.now)
