Agent: it denies a flow only by its server's word or end

Callers saw a reset on an open flow while its server held it. The agent beside that server had denied the flow on grounds that don't show that the server lacks it:

- Nothing was heard of the server for the report limit.
A server whose calls failed while its agent was away waits before the next, and an idle one sends no packets.
The agent denied its flows, and reset those that it held itself.
- A first report with sequence 0 or 1 ended the time in which unknown flows are looked up at the server.
It may be late, or an earlier process may have opened flows since.
- Another incarnation of the server was confirmed: flows that it had opened before its first report were forgotten with those of the one before it.
- A record was removed by an idle limit that rose again, or was closed by a late packet of an earlier flow of the same caller and port.
- The record of an earlier flow whose server had ended, while the port was used again for a flow at another server: the agent reset that flow itself.

Now a server has ended only if it has said so or its port refuses connections, which is checked whenever nothing is heard of it (before: only until the first report). Flows whose record was removed are looked up at the server for a minute. All resets of open flows come from one place, a search that all agents have denied. A server's reset of a flow that it is not known to hold, such as a late answer to a packet that only asked, is not forwarded. An agent that is stopped leaves the cluster if its server's port is closed, so that its silence is not waited for. A delivery to the wrong server comes back with its packet, so that the search does not wait for the caller's next one.

Counters flows_denied_* tell the grounds apart, which no log line or counter did.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/events.py
@@ -308,7 +308,7 @@
 
 
 class ServerAbsent(Event, tag="server_absent"):
-    """No backend server runs beside this agent, which has just started: connections are refused."""
+    """No backend server runs beside this agent: its port refuses connections."""
 
 
 class DataCentreChanged(Event, tag="data_centre_changed"):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -17,7 +17,6 @@
 from wagtailkeel_coordination.handshake.repeated_opening import RepeatedOpening
 from wagtailkeel_coordination.handshake.route_explanation import build_flow_key
 from wagtailkeel_coordination.handshake.route_explanation import explain_route
-from wagtailkeel_coordination.handshake.router_context import ResetReason
 from wagtailkeel_coordination.handshake.router_context import RouterContext
 from wagtailkeel_coordination.handshake.router_options import DEFAULT_OPTIONS
 from wagtailkeel_coordination.handshake.server_choice import choose_server
@@ -139,6 +138,11 @@
         """Process a status report of the backend server."""
         return self.holder.on_report(report, now)
 
+    def on_absent_server(self, now: float) -> None:
+        """Process that no server process runs beside this agent."""
+        self._context.now = now
+        self.holder.on_absent_server(now)
+
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
         return self.holder.load_reporter.build(now)
@@ -226,14 +230,12 @@
         flow = self.held.by_key.get(header.key)
         if flow is None or is_returned:
             self._route(frame, header, source)
-        elif not self.gate.has_stopped:
-            self.holder.deliver_held(flow, frame, header, source)
-        elif flow.is_established and not header.is_opening:
-            # The flow ended with its server: no other server can have it.
-            self._context.reset_lost_flow(frame.body, header, ResetReason.SERVER_STOPPED)
-        else:
-            self.held.remove(flow)
+        elif self.gate.has_ended or (flow.closed_at and frame.kind is RelayKind.SEARCH):
+            # A later flow of the same caller and port may be on another server.
+            self.held.remove(flow, now)
             self._route(frame, header, source)
+        else:
+            self.holder.deliver_held(flow, frame, header, source)
 
     def _route(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         kind = frame.kind
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wagtailkeel_coordination.handshake.flow_probe import FlowProbe
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
     from wagtailkeel_coordination.handshake.owner_link import LocalOwner
     from wagtailkeel_coordination.handshake.router_context import RouterContext
@@ -38,7 +39,7 @@
 Address = tuple[str, int]
 
 INCOMPLETE_FLOW_TABLE_S = 60.0
-"""A restarted agent may not know some flows of its server for as long as a flow may last."""
+"""A restarted agent does not know a flow of its server until the server sends a packet of it."""
 FIRST_PLACEMENT_HOPS = 1
 """The hops of an opening that an owner places for the first time.
 
@@ -86,11 +87,14 @@
         self.server.apply_report(report, now, is_restart=is_restart)
         if is_restart:
             self._context.counters["server_incarnations"] += 1
-        if known is None and report.sequence <= 1:
-            # The server has just started too, so it has no flows that this agent does not know.
-            self._incomplete_until = now
         return outcome
 
+    def on_absent_server(self, now: float) -> None:
+        """Process that no server process runs: later flows are opened through this agent."""
+        if self.gate.record_absence():
+            self.held.on_server_ended()
+            self._incomplete_until = now
+
     # Packets to the server
 
     def on_repeated_opening(self, header: PacketHeader) -> RepeatedOpening | None:
@@ -109,7 +113,7 @@
         if repeated is RepeatedOpening.OUTDATED:
             self._context.counters["dropped_outdated_opening"] += 1
         elif repeated is RepeatedOpening.NEW:
-            self.held.remove(flow)
+            self.held.remove(flow, self._context.now)
         return repeated
 
     def _emit_repeated_opening(self, flow: HeldFlow, repeated: RepeatedOpening) -> None:
@@ -174,18 +178,35 @@
 
     def answer_query(self, keys: list[bytes]) -> FlowQueryReply:
         """Return which of some flows the server has, and which it does not have."""
-        held = [] if self.gate.has_stopped else [key for key in keys if key in self.held.by_key]
-        denied = [] if self.has_incomplete_flow_table else [k for k in keys if k not in held]
+        held = [key for key in keys if self._is_open(key)]
+        denied = [key for key in keys if key not in held and not self.may_have(key)]
+        self._count_denials(len(denied))
         return FlowQueryReply(held, denied)
 
-    @property
-    def has_incomplete_flow_table(self) -> bool:
-        """Return whether the server may have flows that this agent does not know.
+    def _count_denials(self, count: int) -> None:
+        """Count flows that this agent denies without asking its server."""
+        ground = "server_ended" if self.gate.has_ended else "not_opened_here"
+        self._context.counters[f"flows_denied_{ground}"] += count
+
+    def _is_open(self, key: bytes) -> bool:
+        flow = self.held.by_key.get(key)
+        return flow is not None and not flow.closed_at and not self.gate.has_ended
 
-        A server that has stopped has none, so the agent of a server that did not come back after a
-        power failure denies flows at once, and no search has to wait for it.
+    def may_have(self, key: bytes) -> bool:
+        """Return whether the server may have a flow that this agent does not track.
+
+        A server that has ended has none, so the agent of a server that did not come back after a
+        power failure denies flows at once, and no search has to wait for it. Otherwise, it has only
+        flows that were opened through this agent, unless the agent has restarted.
         """
-        return self._context.now < self._incomplete_until and not self.gate.has_stopped
+        if self.gate.has_ended:
+            return False
+        now = self._context.now
+        return (
+            now < self._incomplete_until
+            or key in self.held.by_key
+            or self.held.forgotten.may_include(key, now)
+        )
 
     def on_unknown_flow(
         self,
@@ -196,22 +217,25 @@
         body: bytes,
     ) -> None:
         """Answer that a flow is not here, or probe the server first if it may have the flow."""
-        if not self.has_incomplete_flow_table or header.is_opening:
+        if header.is_opening or not self.may_have(header.key):
+            self._count_denials(1)
             self._context.send(source, answer, frame, body)
             return
-        self.probe(header.key, frame.body, source)
+        self.probe(header.key, frame.body, source, is_delivery=answer is RelayKind.RETURNED)
 
-    def probe(self, key: bytes, packet: bytes, requester: Address) -> None:
+    def probe(
+        self, key: bytes, packet: bytes, requester: Address, *, is_delivery: bool = False
+    ) -> None:
         """Deliver a packet to learn whether the server has a flow that this agent does not know."""
         self._context.counters["memory_probes"] += 1
-        self.probes.add(key, requester, self._context.now)
+        self.probes.add(key, requester, self._context.now, is_delivery=is_delivery)
         self._context.outbox.deliver(packet)
 
     # Packets from the server
 
     def on_server_packet(self, packet: bytes) -> None:
         """Forward a packet of the server to its caller, or process a packet that it returned."""
-        self.gate.record_packet()
+        self.gate.record_activity()
         header = self._context.packet_format.parse_outbound(packet)
         if isinstance(header, Malformed):
             self._context.counters[f"dropped_reply_{header.value}"] += 1
@@ -222,8 +246,10 @@
         if header.flags & packet_flags.BOUNCED:
             self._on_bounce(self._context.packet_format.restore_bounced(packet), header, flow)
             return
-        if flow is None and header.flags & packet_flags.RESET:
-            self._on_unknown_reset(packet, header)
+        if header.flags & packet_flags.RESET and (
+            flow is None or flow.is_presumed or flow.closed_at
+        ):
+            self._on_unknown_reset(header, flow)
             return
         if flow is None:
             flow = self._adopt(header.key)
@@ -233,37 +259,44 @@
         if self.held.in_flight < in_flight:
             self.waiting.on_answers(in_flight - self.held.in_flight)
 
-    def _on_unknown_reset(self, packet: bytes, header: PacketHeader) -> None:
-        """Forward a reset to its caller, unless it answers a probe.
+    def _on_unknown_reset(self, header: PacketHeader, flow: HeldFlow | None) -> None:
+        """Process a reset of a flow that the server is not known to hold; its caller gets none.
 
-        The server resets a probe if it does not have the flow, which may be on another server.
+        The server answers so if it does not have the flow, which may be on another server.
         """
-        requester = self.probes.remove(header.key)
-        if requester is None:
-            self._context.outbox.reply(packet, self._context.packet_format.caller_host(header.key))
-            return
-        self._context.counters["probes_reset"] += 1
-        self._owners.answer(requester, RelayKind.NOT_FOUND, header.key)
+        probe = self.probes.remove(header.key)
+        self.held.forgotten.discard(header.key)
+        if flow is not None:
+            self.held.on_returned(flow)
+            self._owners.answer(flow.owner, RelayKind.NOT_FOUND, header.key)
+        elif probe is not None:
+            self._context.counters["flows_denied_by_server"] += 1
+            self._owners.answer(probe.requester, RelayKind.NOT_FOUND, header.key)
+        else:
+            self._context.counters["dropped_reset_of_unknown_flow"] += 1
 
     def _adopt(self, key: bytes) -> HeldFlow:
         """Start to track an unknown flow on which the server has sent a packet."""
         self._context.counters["flows_adopted"] += 1
         self._context.emit(events.FlowAdopted(flow_id(key)))
-        requester = self.probes.remove(key)
-        flow = self.held.open(key, requester or self._context.own_address, self._context.now)
-        if requester is not None:
-            self._owners.answer(requester, RelayKind.FOUND, key)
+        probe = self.probes.remove(key)
+        owner = probe.requester if probe is not None else self._context.own_address
+        flow = self.held.open(key, owner, self._context.now)
+        if probe is not None:
+            self._owners.answer(owner, RelayKind.FOUND, key)
         return flow
 
     def _on_bounce(self, packet: bytes, header: PacketHeader, flow: HeldFlow | None) -> None:
         self._context.counters["bounces"] += 1
-        requester = self.probes.remove(header.key)
-        if requester is not None:
-            self._owners.answer(requester, RelayKind.NOT_FOUND, header.key)
+        probe = self.probes.remove(header.key)
+        if flow is None and not header.is_opening:
+            self.held.forgotten.discard(header.key)
+        if probe is not None:
+            self._answer_returned_probe(probe, packet, header)
             return
         if flow is None or (header.is_opening and flow.has_reply):
             return
-        self.held.remove(flow)
+        self.held.on_returned(flow)
         if header.is_opening:
             self.openings.emit_rejection(header.key, "server_full")
         else:
@@ -275,6 +308,15 @@
             frame.service_tag = self._context.own_tag
         self._owners.return_packet(flow.owner, frame, header)
 
+    def _answer_returned_probe(self, probe: FlowProbe, packet: bytes, header: PacketHeader) -> None:
+        """Answer that the server does not have a flow, with the packet if its sender needs it."""
+        self._context.counters["flows_denied_by_server"] += 1
+        if probe.is_delivery:
+            frame = RelayFrame(RelayKind.RETURNED, 0, 0, relay.NO_SERVICE, packet)
+            self._owners.return_packet(probe.requester, frame, header)
+        else:
+            self._owners.answer(probe.requester, RelayKind.NOT_FOUND, header.key)
+
     # Timers
 
     def tick(self) -> None:
@@ -293,10 +335,11 @@
         """Answer a probe whose packet the server has not returned.
 
         A server that has reported recently has the flow, or it would have returned the packet. A
-        server that has stopped has no flows. Otherwise, the requester gets no answer.
+        server that has ended has no flows. Otherwise, the requester gets no answer.
         """
         if self.gate.has_recent_report(self._context.now):
-            self.held.open(key, requester, self._context.now)
+            if key not in self.held.by_key:
+                self.held.open(key, requester, self._context.now).is_presumed = True
             self._owners.answer(requester, RelayKind.FOUND, key)
-        elif self.gate.has_stopped:
+        elif self.gate.has_ended:
             self._owners.answer(requester, RelayKind.NOT_FOUND, key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_locator.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_locator.py
@@ -12,7 +12,6 @@
 from wagtailkeel_coordination.events import flow_id
 from wagtailkeel_coordination.handshake.directory_copies import DirectoryCopies
 from wagtailkeel_coordination.handshake.flow_search import FlowSearches
-from wagtailkeel_coordination.handshake.router_context import ResetReason
 from wagtailkeel_coordination.handshake.search_batches import SearchBatches
 from wagtailkeel_coordination.handshake.search_batches import hash_agents
 from wagtailkeel_coordination.token_bucket import TokenBucket
@@ -108,7 +107,7 @@
         now = self._context.now
         agent_count = len(self._find_possible_holders(key))
         if (
-            self._holder.has_incomplete_flow_table
+            self._holder.may_have(key)
             or self._query_budget.try_consume(now, agent_count)
             or not self.batches.request(key)
         ):
@@ -147,7 +146,7 @@
             for address in self.peers
             if address not in services or may_have_flows(endpoint, services[address])
         }
-        if self._holder.has_incomplete_flow_table:
+        if self._holder.may_have(key):
             agents.add(self._context.own_address)
         return agents
 
@@ -291,7 +290,7 @@
         self._emit_search_ended(key, "nowhere", "", 0)
         header = self._context.packet_format.parse_inbound(packet)
         if not isinstance(header, Malformed):
-            self._context.reset_lost_flow(packet, header, ResetReason.HELD_NOWHERE)
+            self._context.reset_lost_flow(packet, header)
 
     def _emit_search_ended(
         self, key: bytes, outcome: str, server_agent: str, unanswered: int
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_probe.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_probe.py
@@ -11,10 +11,15 @@
 
 
 class FlowProbe(msgspec.Struct):
-    """The agent that asked for the flow, and when the packet was delivered to the server."""
+    """A packet that was delivered to the server, and the agent that sent it.
+
+    If it ``is_delivery``, that agent took the server for the flow's own and gets the packet back;
+    otherwise it only asked for the flow.
+    """
 
     requester: Address
     sent_at: float
+    is_delivery: bool
 
 
 class FlowProbes:
@@ -23,14 +28,13 @@
     def __init__(self) -> None:
         self._by_key: dict[bytes, FlowProbe] = {}
 
-    def add(self, key: bytes, requester: Address, now: float) -> None:
+    def add(self, key: bytes, requester: Address, now: float, *, is_delivery: bool = False) -> None:
         """Record that a packet of the flow was delivered to the server."""
-        self._by_key[key] = FlowProbe(requester, now)
+        self._by_key[key] = FlowProbe(requester, now, is_delivery)
 
-    def remove(self, key: bytes) -> Address | None:
-        """End a probe; return its requester, or None if there was no probe."""
-        probe = self._by_key.pop(key, None)
-        return probe.requester if probe else None
+    def remove(self, key: bytes) -> FlowProbe | None:
+        """End and return a probe; return None if there was none."""
+        return self._by_key.pop(key, None)
 
     def pop_expired(self, now: float) -> list[tuple[bytes, Address]]:
         """End probes whose packet was not returned in time; return their keys and requesters."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wagtailkeel_coordination.handshake.forgotten_flows import ForgottenFlows
 from wagtailkeel_protocol import packet_format as packet_flags
 
 if TYPE_CHECKING:
@@ -37,7 +38,8 @@
     request, so that its response time is the server's work alone. ``started_at`` is when the server
     began to work on that request, as far as the agent can tell; 0 before, or if this is not
     measured. ``finished_ends`` has a bit for each end that has closed the flow; ``closed_at`` is 0
-    until the flow is closed.
+    until the flow is closed. ``is_presumed`` is set while the server has only failed to return a
+    packet of the flow.
     """
 
     key: bytes
@@ -52,6 +54,7 @@
     started_at: float = 0.0
     finished_ends: int = 0
     closed_at: float = 0.0
+    is_presumed: bool = False
 
 
 _CALLER_FINISHED = 1
@@ -64,13 +67,14 @@
     ``service_s`` is the smoothed response time of requests that found a slot free; 0 if unknown.
     With ``route_times`` it is their average instead. They also include requests that waited, from
     the end of the request on whose slot they waited. A request that a full server sheds is answered
-    while it waits, so it never counts.
+    while it waits, so it never counts. ``forgotten`` are flows that are not tracked any more.
     """
 
     def __init__(
         self, record_response: Callable[[float], None], route_times: RouteTimes | None = None
     ) -> None:
         self.by_key: dict[bytes, HeldFlow] = {}
+        self.forgotten = ForgottenFlows()
         self.idle_limit_s = 60.0
         self.slots = 1
         self.service_s = 0.0
@@ -111,15 +115,37 @@
         """Count a flow whose opening is being delivered as an expected request."""
         self._opened_at_by_key[flow.key] = now
 
-    def remove(self, flow: HeldFlow) -> None:
-        """Stop tracking a flow."""
+    def remove(self, flow: HeldFlow, now: float) -> None:
+        """Stop tracking a flow that the server may still hold."""
+        self._remove(flow)
+        self.forgotten.add(flow.key, now)
+
+    def on_returned(self, flow: HeldFlow) -> None:
+        """Stop tracking a flow of which the server has returned or reset a packet."""
+        self._remove(flow)
+        self.forgotten.discard(flow.key)
+
+    def _remove(self, flow: HeldFlow) -> None:
         if self.by_key.pop(flow.key, None) is not None and flow.closed_at:
             self._closed_count -= 1
         self._awaiting_by_key.pop(flow.key, None)
         self._opened_at_by_key.pop(flow.key, None)
 
-    def clear(self) -> None:
-        """Stop tracking all flows, since the server has restarted."""
+    def clear(self, now: float) -> None:
+        """Stop tracking all flows, since another incarnation of the server runs.
+
+        It may hold some of them, which were opened before its first report.
+        """
+        for key in self.by_key:
+            self.forgotten.add(key, now)
+        self._clear()
+
+    def on_server_ended(self) -> None:
+        """Stop tracking all flows, since the server process that held them has ended."""
+        self._clear()
+        self.forgotten.clear()
+
+    def _clear(self) -> None:
         self.by_key.clear()
         self._awaiting_by_key.clear()
         self._opened_at_by_key.clear()
@@ -144,6 +170,7 @@
         """Update a flow for a packet that the server has sent."""
         flow.last_seen_at = now
         flow.has_reply = True
+        flow.is_presumed = False
         if not header.flags & (packet_flags.OPENING | packet_flags.RESET):
             flow.is_established = True
         if header.payload_bytes and flow.awaiting_since:
@@ -204,7 +231,7 @@
             if now - flow.awaiting_since > ANSWER_TIMEOUT_S:
                 self._clear_awaiting(flow, now)
         for flow in [f for f in self.by_key.values() if self._is_expired(f, now)]:
-            self.remove(flow)
+            self.remove(flow, now)
 
     def _is_expired(self, flow: HeldFlow, now: float) -> bool:
         if flow.closed_at and now - flow.closed_at > CLOSED_LINGER_S:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/router_context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination import events
@@ -22,12 +21,8 @@
 
 Address = tuple[str, int]
 
-
-class ResetReason(Enum):
-    """The reason why a caller's open flow was reset."""
-
-    HELD_NOWHERE = "held_nowhere"
-    SERVER_STOPPED = "server_stopped"
+HELD_NOWHERE = "held_nowhere"
+"""The reason why an open flow is reset: all agents that may have it have denied it."""
 
 
 class RouterContext:
@@ -69,14 +64,14 @@
         if refusal is not None:
             self.outbox.reply(refusal, self.packet_format.caller_host(key))
 
-    def reset_lost_flow(self, packet: bytes, header: PacketHeader, reason: ResetReason) -> None:
+    def reset_lost_flow(self, packet: bytes, header: PacketHeader) -> None:
         """Reset a flow that ended with its server, if its caller repeats the packet until answered.
 
         Other packets of the flow are dropped.
         """
         is_repeated = header.payload_bytes or header.flags & packet_flags.FIN
         if is_repeated and not header.flags & packet_flags.RESET:
-            self.emit(events.FlowReset(flow_id(header.key), reason.value))
+            self.emit(events.FlowReset(flow_id(header.key), HELD_NOWHERE))
             self.send_reset(packet, header.key)
 
     def send(self, address: Address, kind: RelayKind, frame: RelayFrame, body: bytes) -> None:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -82,7 +82,7 @@
         self.cold_starts_per_s = 0.0
         self._started_at = now
         self._inactivity_updated_at = now
-        self._inactive_s = 0.0
+        self._inactive_s = float("inf")
         self._is_absent = False
         self._report_timeout_s = report_timeout_s
         self._incarnations = ServerIncarnations(report_timeout_s)
@@ -106,9 +106,9 @@
         """Process a report; it is refused if it is of another service."""
         if report.service != self.service:
             return ReportOutcome.REFUSED
+        self.record_activity()
         outcome = self._incarnations.on_report(report, now)
         if outcome is ReportOutcome.APPLIED:
-            self.record_packet()
             self._cold_until = now + report.cold_for_s if report.cold_for_s > 0 else float("-inf")
         return outcome
 
@@ -162,14 +162,26 @@
         """
         return self._incarnations.is_recent(now)
 
-    def record_packet(self) -> None:
-        """Record that the server has sent a packet, so it is running."""
+    def record_activity(self) -> None:
+        """Record that the server has sent something or accepts connections, so it is running."""
         self._inactive_s = 0.0
         self._is_absent = False
 
-    def record_absence(self) -> None:
-        """Record that no server runs beside the agent, which has just started."""
-        self._is_absent = self.report is None
+    def record_absence(self) -> bool:
+        """Record that no server process runs beside the agent; return whether this holds.
+
+        It does not if the server has been active meanwhile.
+        """
+        self._is_absent = self.is_inactive
+        return self._is_absent
+
+    @property
+    def is_inactive(self) -> bool:
+        """Return whether nothing was heard of the server for the report timeout, or ever.
+
+        This does not mean that it has ended: it may have failed to reach an agent that was away.
+        """
+        return self._inactive_s > self._report_timeout_s
 
     def update_inactivity(self, now: float) -> None:
         """Add the time since the last call to the server's inactivity.
@@ -180,15 +192,12 @@
         self._inactivity_updated_at = now
 
     @property
-    def has_stopped(self) -> bool:
-        """Return whether the server is absent or has sent nothing for too long to be running."""
+    def has_ended(self) -> bool:
+        """Return whether the server process has ended: it has said so, or its port is closed."""
         if self._is_absent:
             return True
         has_left = self.report is not None and self.report.has_left
-        limit_s = (
-            min(CLOSING_TIMEOUT_S, self._report_timeout_s) if has_left else self._report_timeout_s
-        )
-        return self._inactive_s > limit_s
+        return has_left and self._inactive_s > min(CLOSING_TIMEOUT_S, self._report_timeout_s)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server is slow, or may have become so while it was out of service."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_state.py
@@ -51,7 +51,7 @@
             self.watch.on_report(now, is_restart=is_restart)
         if not is_restart:
             return
-        self.held.clear()
+        self.held.clear(now)
         self.held.service_s = 0.0
         if self.admission is not None:
             self.admission.on_server_restart(now)
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -13,7 +13,9 @@
 from wagtailkeel.roles.datagram_caller import DatagramCaller
 from wagtailkeel.roles.handshake.control_messages import ControlMessages
 from wagtailkeel.roles.handshake.relay_outbox import UdpRelayOutbox
-from wagtailkeel.roles.handshake.server_check import check_server
+from wagtailkeel.roles.handshake.server_check import PortState
+from wagtailkeel.roles.handshake.server_check import ServerCheck
+from wagtailkeel.roles.handshake.server_check import check_port
 from wagtailkeel.roles.handshake.server_recorder import ServerRecorder
 from wagtailkeel.roles.metrics import Metrics
 from wagtailkeel.roles.node_link import NodeLink
@@ -182,12 +184,7 @@
                 tasks.start_soon(self._confirm_once_joined)
                 tasks.start_soon(self._recorder.run)
                 if self._section.server_accepts_tcp:
-                    tasks.start_soon(
-                        check_server,
-                        (self._section.server_host, self._section.server_port),
-                        self._has_report,
-                        self._on_absent_server,
-                    )
+                    tasks.start_soon(self._build_server_check().run)
                 tasks.start_soon(server.serve)
                 tasks.start_soon(self._tick_forever)
                 tasks.start_soon(self._report_forever)
@@ -206,8 +203,7 @@
         """
         self.router.gate.is_leaving = True
         self.router.return_queue(clock.seconds())
-        report = self.router.gate.report
-        if report is not None and report.has_left:
+        if await self._has_server_ended():
             with anyio.move_on_after(LEAVE_TIMEOUT_S):
                 await self._link.leave()
         self.router.send_copies(clock.seconds())
@@ -215,6 +211,25 @@
             self._report_to_balancers()
             await anyio.sleep(LEAVING_NOTICE_INTERVAL_S)
 
+    async def _has_server_ended(self) -> bool:
+        """Return whether the server has left, or no process listens at its port."""
+        report = self.router.gate.report
+        if self.router.gate.has_ended or (report is not None and report.has_left):
+            return True
+        if not self._section.server_accepts_tcp:
+            return False
+        address = (self._section.server_host, self._section.server_port)
+        return await check_port(address) is PortState.CLOSED
+
+    def _build_server_check(self) -> ServerCheck:
+        gate = self.router.gate
+        return ServerCheck(
+            (self._section.server_host, self._section.server_port),
+            lambda: gate.is_inactive and not gate.has_ended,
+            gate.record_activity,
+            self._on_absent_server,
+        )
+
     async def _confirm_once_joined(self) -> None:
         """Admit openings once the agent has joined.
 
@@ -284,7 +299,7 @@
 
     def _on_absent_server(self) -> None:
         self._emit(events.ServerAbsent())
-        self.router.gate.record_absence()
+        self.router.on_absent_server(clock.seconds())
 
     def _build_announcement(self, boot_id: int) -> AnnounceRequest:
         return AnnounceRequest(
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
@@ -1,15 +1,16 @@
-"""Finds out whether a backend server runs, for an agent that has just started.
+"""Finds out whether the process of a backend server runs.
 
 Load pattern: the power returns, and callers send data on flows that ended with their servers. Some
 servers were about to leave and do not come back. Until their agents deny these flows, no search for
-a flow can end, and an agent that only waits for a report notices a missing server after several
-report intervals.
+a flow can end. Missing reports do not show that a server has ended, since it may have failed to
+reach its agent; a port that is closed does.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,22 +28,53 @@
 """In a row; a server that has been starting in the meantime has no flows either."""
 
 
-async def check_server(
-    address: Address, has_report: anyio.Event, on_absent: Callable[[], None]
-) -> None:
-    """Call ``on_absent`` if the server's address refuses connections before its first report."""
-    refusals = 0
-    while not has_report.is_set():
-        refusals = refusals + 1 if await refuses_connections(address) else 0
-        if refusals >= REQUIRED_REFUSALS:
-            on_absent()
-            return
-        with anyio.move_on_after(CHECK_INTERVAL_S):
-            await has_report.wait()
+class PortState(Enum):
+    """What an attempt to connect to a server's port shows."""
 
+    OPEN = "open"
+    CLOSED = "closed"
+    UNKNOWN = "unknown"
 
-async def refuses_connections(address: Address) -> bool:
-    """Return whether no process of the instance listens at a TCP address.
+
+class ServerCheck:
+    """Checks the port of a backend server while its agent does not hear of it.
+
+    ``is_due`` returns whether the agent does not know if the server runs. ``on_present`` is called
+    if the port is open, ``on_absent`` if it is closed in REQUIRED_REFUSALS checks in a row.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        is_due: Callable[[], bool],
+        on_present: Callable[[], None],
+        on_absent: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._is_due = is_due
+        self._on_present = on_present
+        self._on_absent = on_absent
+        self._refusals = 0
+
+    async def run(self) -> None:
+        """Check the port until cancelled."""
+        while True:
+            if self._is_due():
+                await self._check()
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def _check(self) -> None:
+        state = await check_port(self._address)
+        self._refusals = self._refusals + 1 if state is PortState.CLOSED else 0
+        if state is PortState.OPEN:
+            self._on_present()
+        elif self._refusals >= REQUIRED_REFUSALS and self._is_due():
+            self._refusals = 0
+            self._on_absent()
+
+
+async def check_port(address: Address) -> PortState:
+    """Return whether a process of the instance listens at a TCP address.
 
     A connection that opens is closed at once.
     """
@@ -52,8 +84,8 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().sock_connect(connection, address)
         except ConnectionRefusedError:
-            return True
+            return PortState.CLOSED
         except OSError:
             # This includes a timeout, which shows nothing.
-            return False
-    return False
+            return PortState.UNKNOWN
+    return PortState.OPEN
