Agent: a server that left may close its flows after a restart of its agent

An agent that started again and found the recorded leave of its server took the server for ended at once, since it had not heard of it yet, and would have denied the flows that the server was still closing. Whether the server was heard is kept apart from how long it is inactive.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -82,7 +82,8 @@
         self.cold_starts_per_s = 0.0
         self._started_at = now
         self._inactivity_updated_at = now
-        self._inactive_s = float("inf")
+        self._inactive_s = 0.0
+        self._is_heard = False
         self._is_absent = False
         self._report_timeout_s = report_timeout_s
         self._incarnations = ServerIncarnations(report_timeout_s)
@@ -165,6 +166,7 @@
     def record_activity(self) -> None:
         """Record that the server has sent something or accepts connections, so it is running."""
         self._inactive_s = 0.0
+        self._is_heard = True
         self._is_absent = False
 
     def record_absence(self) -> bool:
@@ -181,7 +183,7 @@
 
         This does not mean that it has ended: it may have failed to reach an agent that was away.
         """
-        return self._inactive_s > self._report_timeout_s
+        return not self._is_heard or self._inactive_s > self._report_timeout_s
 
     def update_inactivity(self, now: float) -> None:
         """Add the time since the last call to the server's inactivity.
--- a/tests/wagtailkeel/test_server_check.py
+++ b/tests/wagtailkeel/test_server_check.py
@@ -16,6 +16,7 @@
 from wagtailkeel_coordination.handshake import ColdLimit
 from wagtailkeel_coordination.handshake import ServerGate
 from wagtailkeel_coordination.handshake import ServerReport
+from wagtailkeel_coordination.handshake.server_gate import CLOSING_TIMEOUT_S
 from wagtailkeel_coordination.handshake.server_gate import MAX_INACTIVITY_STEP_S
 
 HOST = "127.0.0.1"
@@ -103,6 +104,17 @@
         self.assertTrue(gate.record_absence())
         self.assertTrue(gate.has_ended)
 
+    def test_a_server_that_left_has_time_to_close_its_flows_after_a_restart_of_its_agent(
+        self,
+    ) -> None:
+        gate = ServerGate("desk", REPORT_TIMEOUT_S, ColdLimit(), 0.0)
+        gate.begin_recovery(0.0)
+        gate.confirm(ServerReport("s", "desk", 1, 5, 1, has_left=True), [], 0.1)
+        self.assertFalse(gate.has_ended)
+        for step in range(1 + round(CLOSING_TIMEOUT_S / MAX_INACTIVITY_STEP_S)):
+            gate.update_inactivity((step + 1) * MAX_INACTIVITY_STEP_S)
+        self.assertTrue(gate.has_ended)
+
 
 if __name__ == "__main__":
     unittest.main()
