Agent and owner: an answer about an earlier flow says nothing about a later one

A flow that both ends have closed is not looked up any more, and an answer after the end of a search does not replace an agent that has not denied the flow, as one after a probe without an answer did (LostProbeTest). - A search for a late packet of an earlier flow outlived the reuse of its port: a denial from before the new flow reset it (OutlivedSearchTest). An opening ends the search of its key, and queries are numbered. - A server's reset of a flow that it has only half opened was forwarded (UnopenedFlowTest). - An agent looked up flows for 60 s after its start, however long the idle limit was (LongFlowTest).

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/agent_router.py
@@ -112,6 +112,11 @@
         """The address at which this agent receives frames."""
         return self._context.own_address
 
+    @property
+    def flow_retention_s(self) -> float:
+        """How long in seconds a flow may be idle without being forgotten by its server."""
+        return self.held.forgotten.retention_s
+
     # Configuration and reports
 
     def apply_routing(self, document: RoutingDocument) -> None:
@@ -124,7 +129,7 @@
         self.gate.cold_starts_per_s = policy.cold_starts_per_s if policy else 0.0
         priorities = self.routing.priorities_of(self.gate.service)
         self.holder.load_reporter.priority_limit.set_priorities(priorities)
-        self.held.idle_limit_s = document.idle_limit_s
+        self.held.set_idle_limit(document.idle_limit_s)
         self.pointers.idle_limit_s = document.idle_limit_s
 
     def set_peers(
@@ -138,10 +143,15 @@
         """Process a status report of the backend server."""
         return self.holder.on_report(report, now)
 
+    def on_closed_port(self, now: float) -> None:
+        """Process that no server process listens beside this agent at the moment."""
+        self._context.now = now
+        self.holder.on_closed_port()
+
     def on_absent_server(self, now: float) -> None:
         """Process that no server process runs beside this agent."""
         self._context.now = now
-        self.holder.on_absent_server(now)
+        self.holder.on_absent_server()
 
     def build_load(self, now: float) -> ServerLoad:
         """Return the load of the backend server to report to peers."""
@@ -165,7 +175,7 @@
     def on_flow_query(self, query: FlowQuery, source: Address, now: float) -> None:
         """Answer an agent that searches for flows."""
         self._context.now = now
-        self._context.outbox.send_message(source, self.holder.answer_query(query.keys))
+        self._context.outbox.send_message(source, self.holder.answer_query(query))
 
     def on_flow_query_reply(self, reply: FlowQueryReply, source: Address, now: float) -> None:
         """Process an agent's answer to a query for flows."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/directory_owner.py
@@ -90,6 +90,7 @@
             self.locator.search(frame.body, header.key, exclude=denied_by)
 
     def _on_opening(self, frame: RelayFrame, header: PacketHeader) -> None:
+        self.locator.on_opening(header.key)
         self.placer.opening_copies.record(
             header.key, header.initial_sequence, header.attempt, self._context.now
         )
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -34,12 +34,11 @@
     from wagtailkeel_coordination.handshake.router_options import RouterOptions
     from wagtailkeel_coordination.handshake.server_gate import ServerGate
     from wagtailkeel_coordination.handshake.server_report import ServerReport
+    from wagtailkeel_protocol.messages import FlowQuery
     from wagtailkeel_protocol.packet_format import PacketHeader
 
 Address = tuple[str, int]
 
-INCOMPLETE_FLOW_TABLE_S = 60.0
-"""A restarted agent does not know a flow of its server until the server sends a packet of it."""
 FIRST_PLACEMENT_HOPS = 1
 """The hops of an opening that an owner places for the first time.
 
@@ -71,7 +70,7 @@
             context, self.server, self.openings, self.waiting, options
         )
         self._context = context
-        self._incomplete_until = context.now + INCOMPLETE_FLOW_TABLE_S
+        self._incomplete_since: float | None = context.now
 
     def connect_owner(self, owner: LocalOwner) -> None:
         """Set the directory owner of the same process."""
@@ -89,11 +88,25 @@
             self._context.counters["server_incarnations"] += 1
         return outcome
 
-    def on_absent_server(self, now: float) -> None:
-        """Process that no server process runs: later flows are opened through this agent."""
-        if self.gate.record_absence():
+    def on_closed_port(self) -> None:
+        """Process that no server process listens: later flows are opened through this agent."""
+        if self.gate.is_inactive:
             self.held.on_server_ended()
-            self._incomplete_until = now
+            self._incomplete_since = None
+
+    def on_absent_server(self) -> None:
+        """Process that no server process runs."""
+        self.on_closed_port()
+        self.gate.record_absence()
+
+    @property
+    def _has_incomplete_table(self) -> bool:
+        """Return whether the server may have flows from before the start of this agent.
+
+        The agent does not know them until the server sends a packet of them.
+        """
+        since = self._incomplete_since
+        return since is not None and self._context.now - since < self.held.forgotten.retention_s
 
     # Packets to the server
 
@@ -176,12 +189,12 @@
         self.openings.open(frame.body, key, owner)
         return None
 
-    def answer_query(self, keys: list[bytes]) -> FlowQueryReply:
+    def answer_query(self, query: FlowQuery) -> FlowQueryReply:
         """Return which of some flows the server has, and which it does not have."""
-        held = [key for key in keys if self._is_open(key)]
-        denied = [key for key in keys if key not in held and not self.may_have(key)]
+        held = [key for key in query.keys if self._is_open(key)]
+        denied = [key for key in query.keys if key not in held and not self.may_have(key)]
         self._count_denials(len(denied))
-        return FlowQueryReply(held, denied)
+        return FlowQueryReply(held, denied, query.number)
 
     def _count_denials(self, count: int) -> None:
         """Count flows that this agent denies without asking its server."""
@@ -203,7 +216,7 @@
             return False
         now = self._context.now
         return (
-            now < self._incomplete_until
+            self._has_incomplete_table
             or key in self.held.by_key
             or self.held.forgotten.may_include(key, now)
         )
@@ -246,9 +259,7 @@
         if header.flags & packet_flags.BOUNCED:
             self._on_bounce(self._context.packet_format.restore_bounced(packet), header, flow)
             return
-        if header.flags & packet_flags.RESET and (
-            flow is None or flow.is_presumed or flow.closed_at
-        ):
+        if header.flags & packet_flags.RESET and not _has_answered(flow):
             self._on_unknown_reset(header, flow)
             return
         if flow is None:
@@ -343,3 +354,14 @@
             self._owners.answer(requester, RelayKind.FOUND, key)
         elif self.gate.has_ended:
             self._owners.answer(requester, RelayKind.NOT_FOUND, key)
+
+
+def _has_answered(flow: HeldFlow | None) -> bool:
+    """Return whether a reset of the server is an answer on its own flow.
+
+    It may refuse an opening, or abort a flow on which it has sent more than the answer to the
+    opening. Otherwise, its caller may have the flow with another server.
+    """
+    if flow is None or flow.is_presumed or flow.closed_at:
+        return False
+    return flow.is_established or not flow.has_reply
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_locator.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_locator.py
@@ -246,7 +246,12 @@
 
     def on_found(self, key: bytes, source: Address) -> None:
         """End a search; the agent at ``source`` has the flow and gets the queued packets."""
-        if key in self.searches.by_key:
+        is_searched = key in self.searches.by_key
+        pointer = self._pointers.by_key.get(key)
+        if not is_searched and pointer is not None and not pointer.is_denied:
+            # The flow was found meanwhile, at an agent whose server has sent a packet of it.
+            return
+        if is_searched:
             self._emit_search_ended(key, "found", source[0])
         self._send_queued(key, source)
 
@@ -260,6 +265,10 @@
             else:
                 self._context.relay_packet(target, RelayKind.DELIVER, packet)
 
+    def on_opening(self, key: bytes) -> None:
+        """End a search for an earlier flow: denials of it say nothing about the new flow."""
+        self.searches.by_key.pop(key, None)
+
     def on_not_found(self, key: bytes, source: Address) -> None:
         """Record that the agent at ``source`` does not have the flow."""
         pointer = self._pointers.by_key.get(key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/forgotten_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/forgotten_flows.py
@@ -10,19 +10,20 @@
 
 from collections import deque
 
-RETENTION_S = 60.0
-"""A flow that is in use for so long has a packet of its server by then, which is tracked again."""
+MIN_RETENTION_S = 60.0
 MAX_FLOWS = 20_000
 """With more flows, the table counts as incomplete instead."""
 
 
 class ForgottenFlows:
-    """The flows by key, each until RETENTION_S after its last record was removed.
+    """The flows by key, each until ``retention_s`` after its last record was removed.
 
+    A flow that is not idle for so long has a packet of its server by then, and is tracked again.
     Times are in seconds.
     """
 
     def __init__(self) -> None:
+        self.retention_s = MIN_RETENTION_S
         self._forgotten_at_by_key: dict[bytes, float] = {}
         self._removals: deque[tuple[float, bytes]] = deque()
         self._incomplete_until = float("-inf")
@@ -33,7 +34,7 @@
         if len(self._removals) >= MAX_FLOWS:
             self._forgotten_at_by_key.clear()
             self._removals.clear()
-            self._incomplete_until = now + RETENTION_S
+            self._incomplete_until = now + self.retention_s
         self._forgotten_at_by_key[key] = now
         self._removals.append((now, key))
 
@@ -53,7 +54,7 @@
         return key in self._forgotten_at_by_key or now < self._incomplete_until
 
     def _expire(self, now: float) -> None:
-        while self._removals and now - self._removals[0][0] > RETENTION_S:
+        while self._removals and now - self._removals[0][0] > self.retention_s:
             removed_at, key = self._removals.popleft()
             if self._forgotten_at_by_key.get(key) == removed_at:
                 del self._forgotten_at_by_key[key]
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wagtailkeel_coordination.handshake.forgotten_flows import MIN_RETENTION_S
 from wagtailkeel_coordination.handshake.forgotten_flows import ForgottenFlows
 from wagtailkeel_protocol import packet_format as packet_flags
 
@@ -59,6 +60,7 @@
 
 _CALLER_FINISHED = 1
 _SERVER_FINISHED = 2
+_BOTH_FINISHED = _CALLER_FINISHED | _SERVER_FINISHED
 
 
 class HeldFlows:
@@ -75,7 +77,7 @@
     ) -> None:
         self.by_key: dict[bytes, HeldFlow] = {}
         self.forgotten = ForgottenFlows()
-        self.idle_limit_s = 60.0
+        self.idle_limit_s = MIN_RETENTION_S
         self.slots = 1
         self.service_s = 0.0
         self._awaiting_by_key: dict[bytes, HeldFlow] = {}
@@ -86,6 +88,11 @@
         self._closed_count = 0
         self._swept_at = float("-inf")
 
+    def set_idle_limit(self, limit_s: float) -> None:
+        """Set the time in seconds after which a flow without packets expires."""
+        self.idle_limit_s = limit_s
+        self.forgotten.retention_s = max(limit_s, MIN_RETENTION_S)
+
     @property
     def in_flight(self) -> int:
         """The number of flows with a request that the server has not answered."""
@@ -116,9 +123,10 @@
         self._opened_at_by_key[flow.key] = now
 
     def remove(self, flow: HeldFlow, now: float) -> None:
-        """Stop tracking a flow that the server may still hold."""
+        """Stop tracking a flow, which the server may still hold unless both ends have closed it."""
         self._remove(flow)
-        self.forgotten.add(flow.key, now)
+        if flow.finished_ends != _BOTH_FINISHED:
+            self.forgotten.add(flow.key, now)
 
     def on_returned(self, flow: HeldFlow) -> None:
         """Stop tracking a flow of which the server has returned or reset a packet."""
@@ -180,10 +188,7 @@
 
     def _record_close(self, flow: HeldFlow, header: PacketHeader, end: int, now: float) -> None:
         flow.finished_ends |= end
-        if (
-            header.flags & packet_flags.RESET
-            or flow.finished_ends == _CALLER_FINISHED | _SERVER_FINISHED
-        ):
+        if header.flags & packet_flags.RESET or flow.finished_ends == _BOTH_FINISHED:
             self._closed_count += not flow.closed_at
             flow.closed_at = flow.closed_at or now
             self._clear_awaiting(flow, now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/search_batches.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/search_batches.py
@@ -49,12 +49,17 @@
 
 
 class _BatchedSearch(msgspec.Struct):
-    """A flow that is searched for: who asked, and the agents that have not denied it yet."""
+    """A flow that is searched for: who asked, and the agents that have not denied it yet.
+
+    ``number`` is that of the queries for it. Only answers to these count: the caller may have used
+    its port again since an earlier one.
+    """
 
     requesters: set[Address]
     pending: set[Address]
     agents_hash: int
     queried_at: float
+    number: int
 
 
 class SearchBatches:
@@ -68,7 +73,7 @@
         self,
         context: RouterContext,
         find_possible_holders: Callable[[bytes], frozenset[Address]],
-        answer_query: Callable[[list[bytes]], FlowQueryReply],
+        answer_query: Callable[[FlowQuery], FlowQueryReply],
     ) -> None:
         self.by_key: dict[bytes, _BatchedSearch] = {}
         self._context = context
@@ -80,6 +85,7 @@
         self._collected: dict[bytes, set[Address]] = {}
         self._silent_agents = SilentAgents()
         self._sent_at = float("-inf")
+        self._number = 0
 
     # As an owner
 
@@ -131,17 +137,21 @@
         self._silent_agents.record_answer(source)
         results = []
         for key in reply.held:
-            if key in self.by_key:
+            if self._is_answered_by(key, reply):
                 results += self._end(key, source)
         for key in reply.denied:
-            search = self.by_key.get(key)
-            if search is None:
+            if not self._is_answered_by(key, reply):
                 continue
+            search = self.by_key[key]
             search.pending.discard(source)
             if not search.pending:
                 results += self._end(key, None)
         return results
 
+    def _is_answered_by(self, key: bytes, reply: FlowQueryReply) -> bool:
+        search = self.by_key.get(key)
+        return search is not None and search.number == reply.number
+
     def tick(self) -> list[tuple[Address, SearchReply]]:
         """Send the queries that are due; return the results of searches that timed out."""
         now = self._context.now
@@ -167,18 +177,22 @@
             del self._collected[key]
         keys_by_agent: defaultdict[Address, list[bytes]] = defaultdict(list)
         own_address = self._context.own_address
+        self._number += 1
         for key, requesters in collected.items():
             agents = self._find_possible_holders(key)
             self.by_key[key] = _BatchedSearch(
-                requesters, set(agents), hash_agents(agents), self._context.now
+                requesters, set(agents), hash_agents(agents), self._context.now, self._number
             )
             for agent in agents - {own_address}:
                 keys_by_agent[agent].append(key)
-        results = self.on_query_reply(self._answer_query(list(collected)), own_address)
+        results = self.on_query_reply(
+            self._answer_query(FlowQuery(list(collected), self._number)), own_address
+        )
         for agent, keys in keys_by_agent.items():
             for start in range(0, len(keys), MAX_KEYS):
                 self._context.counters["search_queries"] += 1
-                self._context.outbox.send_message(agent, FlowQuery(keys[start : start + MAX_KEYS]))
+                query = FlowQuery(keys[start : start + MAX_KEYS], self._number)
+                self._context.outbox.send_message(agent, query)
         return results
 
     def _end(self, key: bytes, holder: Address | None) -> list[tuple[Address, SearchReply]]:
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/server_gate.py
@@ -169,13 +169,9 @@
         self._is_heard = True
         self._is_absent = False
 
-    def record_absence(self) -> bool:
-        """Record that no server process runs beside the agent; return whether this holds.
-
-        It does not if the server has been active meanwhile.
-        """
+    def record_absence(self) -> None:
+        """Record that no server process runs, unless the server has been active meanwhile."""
         self._is_absent = self.is_inactive
-        return self._is_absent
 
     @property
     def is_inactive(self) -> bool:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -255,19 +255,25 @@
 
 
 class FlowQuery(Datagram, tag=16):
-    """Sent by an agent that searches for flows: does the receiver's server have some of them?"""
+    """Sent by an agent that searches for flows: does the receiver's server have some of them?
+
+    ``number`` identifies the query among those of the sender.
+    """
 
     keys: list[bytes]
+    number: int = 0
 
 
 class FlowQueryReply(Datagram, tag=17):
     """The flows of a query that the sender's server has, and those that it does not have.
 
-    Flows in neither list may be on the server without the agent knowing it.
+    Flows in neither list may be on the server without the agent knowing it. ``number`` is that of
+    the query; 0 from an agent of a release without it.
     """
 
     held: list[bytes]
     denied: list[bytes]
+    number: int = 0
 
 
 class SearchRequest(Datagram, tag=18):
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -227,6 +227,7 @@
             (self._section.server_host, self._section.server_port),
             lambda: gate.is_inactive and not gate.has_ended,
             gate.record_activity,
+            lambda: self.router.on_closed_port(clock.seconds()),
             self._on_absent_server,
         )
 
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/server_check.py
@@ -40,7 +40,8 @@
     """Checks the port of a backend server while its agent does not hear of it.
 
     ``is_due`` returns whether the agent does not know if the server runs. ``on_present`` is called
-    if the port is open, ``on_absent`` if it is closed in REQUIRED_REFUSALS checks in a row.
+    if the port is open, ``on_closed_port`` if it is closed, and ``on_absent`` if it is so in
+    REQUIRED_REFUSALS checks in a row.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         address: Address,
         is_due: Callable[[], bool],
         on_present: Callable[[], None],
+        on_closed_port: Callable[[], None],
         on_absent: Callable[[], None],
     ) -> None:
         self._address = address
         self._is_due = is_due
         self._on_present = on_present
+        self._on_closed_port = on_closed_port
         self._on_absent = on_absent
         self._refusals = 0
 
@@ -68,7 +71,12 @@
         self._refusals = self._refusals + 1 if state is PortState.CLOSED else 0
         if state is PortState.OPEN:
             self._on_present()
-        elif self._refusals >= REQUIRED_REFUSALS and self._is_due():
+        elif state is PortState.CLOSED:
+            self._on_refusal()
+
+    def _on_refusal(self) -> None:
+        self._on_closed_port()
+        if self._refusals >= REQUIRED_REFUSALS and self._is_due():
             self._refusals = 0
             self._on_absent()
 
