Agent: a removed agent is a former member from its removal on

An owner kept a removed agent as a possible holder of flows for 60 s from the last change of the configuration that named it as a member, not from its removal. Where no change had come for a minute, an agent that control removed counted at once as one that had left together with its server: a search passed it over, and open flows of its server were reset. With no later change, a former member stayed one for ever, and nothing was reset.

The time now runs from the update in which the removal came, and ends by a timer.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/__init__.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from wagtailkeel_coordination.handshake.agent_router import AgentRouter
     from wagtailkeel_coordination.handshake.balancer_router import BalancerRouter
+    from wagtailkeel_coordination.handshake.former_members import FormerMembers
     from wagtailkeel_coordination.handshake.load_sample import SampleSize
     from wagtailkeel_coordination.handshake.member import Member
     from wagtailkeel_coordination.handshake.recorded_server import RecordedServer
@@ -22,6 +23,7 @@
     "AgentRouter",
     "BalancerRouter",
     "ColdLimit",
+    "FormerMembers",
     "Member",
     "RecordedServer",
     "ReportOutcome",
@@ -37,6 +39,7 @@
         "AgentRouter": "agent_router",
         "BalancerRouter": "balancer_router",
         "ColdLimit": "server_gate",
+        "FormerMembers": "former_members",
         "Member": "member",
         "RecordedServer": "recorded_server",
         "RouterOptions": "router_options",
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/configuration_machine.py
@@ -331,6 +331,7 @@
     """Record a member's incarnation before the member is removed or replaced at ``index``.
 
     Only the last such incarnation of each server is kept, for MAX_RETAINED_FORMER_MEMBERS servers.
+    Those of servers that are members again are dropped first: their agents answer for themselves.
     """
     member = config.servers_by_id[server_id]
     former_members = config.former_members_by_id
@@ -339,7 +340,8 @@
         server_id, member.service, member.boot_id, index, member.host, member.port
     )
     while len(former_members) > MAX_RETAINED_FORMER_MEMBERS:
-        del former_members[next(iter(former_members))]
+        is_back = (former_id for former_id in former_members if former_id in config.servers_by_id)
+        del former_members[next(is_back, next(iter(former_members)))]
 
 
 @apply_command.register
--- a/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/handshake/agent.py
@@ -23,6 +23,7 @@
 from wagtailkeel_coordination import events
 from wagtailkeel_coordination.handshake import AgentRouter
 from wagtailkeel_coordination.handshake import ColdLimit
+from wagtailkeel_coordination.handshake import FormerMembers
 from wagtailkeel_coordination.handshake import Member
 from wagtailkeel_coordination.handshake import ReportOutcome
 from wagtailkeel_coordination.handshake import RouterOptions
@@ -72,8 +73,6 @@
 
 TICK_INTERVAL_S = 0.05
 LOAD_INTERVAL_S = 0.5
-FORMER_PEER_RETENTION_S = 60.0
-"""A removed agent may still hold flows and serve them during a network partition."""
 LEAVE_TIMEOUT_S = 3.0
 """Covers an election of control."""
 LEAVING_NOTICE_COUNT = 3
@@ -103,9 +102,9 @@
         host = settings.instance.listen_host
         self._endpoint = UdpEndpoint(host, section.port)
         self._server_endpoint = UdpEndpoint(host, section.server_side_port)
-        self._seen_at_by_peer: dict[Address, float] = {}
+        self._members: dict[Address, Member] = {}
+        self._former_members = FormerMembers()
         self._emit = event_sink.emit
-        self._last_removal_index = -1
         self._reported_state: tuple[bool, bool] | None = None
         self._has_report = anyio.Event()
         self.router = AgentRouter(
@@ -324,28 +323,16 @@
             self._emit(events.RoutingAdopted(config.routing.version, config.index))
         self.router.apply_routing(config.routing)
         self._apply_data_centre_state(config, now)
-        for member in config.servers_by_id.values():
-            address = (member.host, member.port)
-            self._seen_at_by_peer[address] = now
-        self._record_removed_members(config, now)
-        former_members = {(m.host, m.port) for m in config.former_members_by_id.values()}
-        for address, seen_at in list(self._seen_at_by_peer.items()):
-            is_unlisted = seen_at < now and address not in former_members
-            if is_unlisted or now - seen_at > FORMER_PEER_RETENTION_S:
-                del self._seen_at_by_peer[address]
-        members = {
+        self._former_members.update(config, now)
+        self._members = {
             (m.host, m.port): Member(m.service, m.data_centre)
             for m in config.servers_by_id.values()
         }
-        self.router.set_peers(members, frozenset(self._seen_at_by_peer))
+        self._set_peers()
 
-    def _record_removed_members(self, config: Configuration, now: float) -> None:
-        """Keep members removed since the last update, since they may still serve flows."""
-        known_index = self._last_removal_index
-        for member in config.former_members_by_id.values():
-            if member.removed_index > known_index:
-                self._last_removal_index = max(self._last_removal_index, member.removed_index)
-                self._seen_at_by_peer.setdefault((member.host, member.port), now)
+    def _set_peers(self) -> None:
+        """Set the agents that may hold flows."""
+        self.router.set_peers(self._members, self._former_members.addresses)
 
     def _are_members_confirmed(self, since: float) -> bool:
         return self._link.is_version_confirmed(since)
@@ -429,6 +416,8 @@
     async def _report_forever(self) -> None:
         while True:
             self._report_to_balancers()
+            if self._former_members.expire(clock.seconds(), self.router.flow_retention_s):
+                self._set_peers()
             await anyio.sleep(LOAD_INTERVAL_S)
 
     def _report_to_balancers(self) -> None:
--- a/tests/coordination/handshake/test_reset_review.py
+++ b/tests/coordination/handshake/test_reset_review.py
@@ -12,11 +12,20 @@
 from tests.coordination.handshake.fake_network import FakePacket
 from tests.coordination.handshake.fake_network import FakeServer
 from tests.coordination.handshake.test_reset_grounds import History
+from wagtailkeel_coordination.handshake import FormerMembers
 from wagtailkeel_coordination.handshake.flow_probe import BOUNCE_TIMEOUT_S
 from wagtailkeel_coordination.handshake.forgotten_flows import MIN_RETENTION_S
 from wagtailkeel_protocol import packet_format as packet_flags
 from wagtailkeel_protocol import relay
+from wagtailkeel_state.commands import AnyCommand
+from wagtailkeel_state.commands import JoinServer
+from wagtailkeel_state.commands import LogEntry
+from wagtailkeel_state.commands import RemoveServer
+from wagtailkeel_state.configuration import Configuration
+from wagtailkeel_state.configuration_machine import MAX_RETAINED_FORMER_MEMBERS
+from wagtailkeel_state.configuration_machine import apply_entry
 from wagtailkeel_state.routing import RoutingDocument
+from wagtailkeel_state.server_member import ServerMember
 
 CALLER = "caller"
 KEY = CALLER.encode() + DESK_ENDPOINT
@@ -24,6 +33,11 @@
 SEARCH_S = 1.0
 
 
+def member(number: int, boot_id: int = 1) -> ServerMember:
+    host = f"10.1.{number // 250}.{number % 250}"
+    return ServerMember(f"desk@{number}", DESK, "east", host, 7_001, 7_002, boot_id, 1)
+
+
 class EndedFlowsHistory(History):
     """A history whose servers remember which flows have ended at them."""
 
@@ -140,6 +154,63 @@
         self.assertGreater(answers, 0)
 
 
+class FormerMembersTest(unittest.TestCase):
+    """An agent that control has removed counts as left with its server too early."""
+
+    def test_it_was_removed_after_a_long_time_without_a_change(self) -> None:
+        """The retention ran from the last change that named it as a member."""
+        former_members, config = FormerMembers(), Configuration()
+        for number in (1, 2):
+            apply_entry(config, LogEntry(number, 1, JoinServer(member=member(number)), ""))
+        now = 100.0
+        former_members.update(config, now)
+        apply_entry(config, LogEntry(3, 1, RemoveServer(server_id="desk@1", boot_id=1), ""))
+        now += MIN_RETENTION_S + 1.0
+        former_members.update(config, now)
+        former_members.expire(now, MIN_RETENTION_S)
+        self.assertEqual(former_members.addresses, {(member(1).host, 7_001)})
+
+    def test_it_is_a_former_member_for_the_retention_time_only(self) -> None:
+        former_members, config = FormerMembers(), Configuration()
+        apply_entry(config, LogEntry(1, 1, JoinServer(member=member(1)), ""))
+        apply_entry(config, LogEntry(2, 1, RemoveServer(server_id="desk@1", boot_id=1), ""))
+        former_members.update(config, 100.0)
+        self.assertFalse(former_members.expire(100.0 + MIN_RETENTION_S, MIN_RETENTION_S))
+        self.assertTrue(former_members.expire(101.0 + MIN_RETENTION_S, MIN_RETENTION_S))
+        self.assertEqual(former_members.addresses, frozenset())
+
+    def test_it_is_none_once_it_is_back_or_has_left(self) -> None:
+        table: list[tuple[str, AnyCommand]] = [
+            ("back", JoinServer(member=member(1, 2))),
+            ("left", RemoveServer(server_id="desk@1", boot_id=2, has_ended=True)),
+        ]
+        former_members, config = FormerMembers(), Configuration()
+        apply_entry(config, LogEntry(1, 1, JoinServer(member=member(1)), ""))
+        apply_entry(config, LogEntry(2, 1, RemoveServer(server_id="desk@1", boot_id=1), ""))
+        former_members.update(config, 100.0)
+        self.assertEqual(former_members.addresses, {(member(1).host, 7_001)})
+        for index, (name, command) in enumerate(table, 3):
+            with self.subTest(name):
+                apply_entry(config, LogEntry(index, 1, command, ""))
+                former_members.update(config, 101.0)
+                self.assertEqual(former_members.addresses, frozenset())
+
+    def test_other_agents_restarted_after_its_removal(self) -> None:
+        """Their earlier processes, at the same addresses, displaced it from the list."""
+        config = Configuration()
+        count = MAX_RETAINED_FORMER_MEMBERS + 2
+        index = 0
+        for number in range(count):
+            index += 1
+            apply_entry(config, LogEntry(index, 1, JoinServer(member=member(number)), ""))
+        index += 1
+        apply_entry(config, LogEntry(index, 1, RemoveServer(server_id="desk@0", boot_id=1), ""))
+        for number in range(1, count):
+            index += 1
+            apply_entry(config, LogEntry(index, 1, JoinServer(member=member(number, 2)), ""))
+        self.assertTrue("desk@0" in config.former_members_by_id)
+
+
 class LostProbeTest(unittest.TestCase):
     """A server that did not return a packet in time was taken for the one that has the flow."""
 
