Directory owner: it refuses no opening of which a server may have a copy

An agent that had restarted returned a later copy of an opening, since its server drained by then, and the owner refused it, although the server had taken an earlier copy and opened the flow. An owner now records which agents have got copies and not returned them, and drops a copy that it can't place while there is one. An agent that returns a copy has dropped the later ones, which it got while that one waited there.

No open flow takes a refusal, which has sequence number 0.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_copies.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_copies.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+Address = tuple[str, int]
+
 MIN_COPY_DELAY_S = 0.2
 """A caller sends a copy of its opening no earlier than this after the previous one."""
 RETENTION_S = 5.0
@@ -20,7 +22,8 @@
 class _Copies(msgspec.Struct):
     """The copies of an opening received, in order from the first; ``is_complete`` if none misses.
 
-    All copies of an opening have the same ``initial_sequence``. Times are in seconds.
+    ``agents_by_number`` are the agents that have got a copy and not returned it. All copies of an
+    opening have the same ``initial_sequence``. Times are in seconds.
     """
 
     initial_sequence: int
@@ -28,6 +31,7 @@
     last_at: float
     count: int
     is_complete: bool
+    agents_by_number: dict[int, Address]
 
 
 class OpeningCopies:
@@ -41,7 +45,7 @@
         """Record a copy of an opening; the first transmission has number 0."""
         copies = self._by_key.get(key)
         if copies is None or copies.initial_sequence != initial_sequence or number == 0:
-            self._by_key[key] = _Copies(initial_sequence, now, now, number + 1, number == 0)
+            self._by_key[key] = _Copies(initial_sequence, now, now, number + 1, number == 0, {})
             return
         copies.is_complete = copies.is_complete and number <= copies.count
         copies.count = max(copies.count, number + 1)
@@ -54,6 +58,29 @@
             return False
         return now - copies.last_at < MIN_COPY_DELAY_S
 
+    def record_sent(self, key: bytes, number: int, agent: Address) -> None:
+        """Record that an agent has got a copy of an opening, for its server."""
+        copies = self._by_key.get(key)
+        if copies is not None:
+            copies.agents_by_number[number] = agent
+
+    def record_returned(self, key: bytes, number: int, agent: Address) -> None:
+        """Record that an agent has returned a copy, which its server has not got.
+
+        It has dropped later copies, which it got while this one waited there.
+        """
+        copies = self._by_key.get(key)
+        if copies is None:
+            return
+        for sent, holder in list(copies.agents_by_number.items()):
+            if sent >= number and holder == agent:
+                del copies.agents_by_number[sent]
+
+    def is_any_sent(self, key: bytes) -> bool:
+        """Return whether a server may have got a copy of an opening, and opened its flow."""
+        copies = self._by_key.get(key)
+        return copies is not None and bool(copies.agents_by_number)
+
     def first_received_at(self, key: bytes, now: float) -> float:
         """Return when the first copy of an opening was received; ``now`` if that is not known."""
         copies = self._by_key.get(key)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/opening_placer.py
@@ -127,6 +127,7 @@
             frame,
             key,
             header.initial_sequence,
+            header.attempt,
             service,
             tag,
             tried,
@@ -205,6 +206,7 @@
         assert target is not None, "the caller checks for it"
         opening.former_target = None
         if self._is_available(target):
+            self._record_sent(opening, target)
             self._context.send(target, RelayKind.PLACE, opening.frame, opening.frame.body)
             return True
         opening.tried.add(target)
@@ -225,6 +227,7 @@
                 # No better server is known, so its agent must not return the opening.
                 opening.frame.hops = max(opening.frame.hops, FIRST_PLACEMENT_HOPS)
             if self._offers.offer(opening, peer.address):
+                self._record_sent(opening, peer.address)
                 return True
             opening.tried.add(peer.address)
         return False
@@ -237,6 +240,17 @@
             self.loads.on_load(self._context.own_address, self._data_centre, own_load, now)
         return self.loads.find_candidates(opening.sampled, now, PLACEMENT_LOAD_AGE_S)
 
+    def _record_sent(self, opening: PendingOpening, address: Address) -> None:
+        self.opening_copies.record_sent(opening.key, opening.attempt, address)
+
+    def _may_refuse(self, key: bytes) -> bool:
+        """Return whether no server can have got a copy of an opening.
+
+        The refusal of a copy would otherwise reach a caller whose flow is open.
+        """
+        copies = self.opening_copies
+        return copies.are_all_here(key, self._context.now) and not copies.is_any_sent(key)
+
     def _point_to(self, address: Address, opening: PendingOpening) -> None:
         pointer = self._pointers.set_target(opening.key, address, self._context.now)
         pointer.initial_sequence = opening.initial_sequence
@@ -247,24 +261,23 @@
         """Queue or refuse an opening that no server accepts, unless a server may still take it."""
         now = self._context.now
         self._pointers.remove(opening.key)
-        may_refuse = self.opening_copies.are_all_here(opening.key, now)
-        if may_refuse and self._queue(opening):
+        if self.opening_copies.are_all_here(opening.key, now) and self._queue(opening):
             return
         is_unknown = self.loads.has_unreported_server(opening.sampled, now)
         if is_unknown or not self._is_sample_available(opening):
             # A server may have room: the caller's next retransmission reaches it.
             self._context.counters["openings_deferred"] += 1
-        elif may_refuse:
+        elif self._may_refuse(opening.key):
             self._refusals.refuse_unplaced(opening, len(self._find_candidates(opening)))
         else:
-            # Another owner may have placed an earlier transmission, so the flow may be open.
+            # A server may have got an earlier transmission, so the flow may be open.
             self._context.counters["dropped_copy_of_opening"] += 1
 
     def _refuse_by_priority(self, opening: PendingOpening) -> bool:
         """Refuse an opening above the priority limit of its service; return False if it is not."""
         if not self._refusals.exceeds_limit(opening):
             return False
-        if not self.opening_copies.are_all_here(opening.key, self._context.now):
+        if not self._may_refuse(opening.key):
             return False
         self._pointers.remove(opening.key)
         self._refusals.refuse_by_priority(opening)
@@ -286,6 +299,7 @@
                 return False
             self._point_to(peer.address, opening)
             if self._offers.offer_queue(opening, peer.address, wait_limit_s):
+                self._record_sent(opening, peer.address)
                 return True
             opening.tried.add(peer.address)
             opening.queue_tried.add(peer.address)
@@ -307,6 +321,7 @@
 
     def on_rejected(self, frame: RelayFrame, header: PacketHeader, source: Address) -> None:
         """Place a rejected opening on another server."""
+        self.opening_copies.record_returned(header.key, header.attempt, source)
         pointer = self._pointers.by_key.get(header.key)
         if pointer is not None and pointer.target != source:
             self._context.counters["dropped_late_rejection"] += 1
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/pending_opening.py
@@ -15,7 +15,8 @@
 class PendingOpening(msgspec.Struct):
     """An opening that is being placed; ``tag`` identifies ``service`` in frames.
 
-    All its transmissions have the same ``initial_sequence``. ``sampled`` are the agents whose load
+    All its transmissions have the same ``initial_sequence``; ``attempt`` is the number of this one,
+    from 0 on. ``sampled`` are the agents whose load
     was requested or known, ``pending`` those of them that have not answered. ``tried`` are the
     agents that have rejected it, ``queue_tried`` those of them that do not queue it either.
     ``former_target`` is the agent that got an earlier transmission, until its load is known.
@@ -26,6 +27,7 @@
     frame: RelayFrame
     key: bytes
     initial_sequence: int
+    attempt: int
     service: str
     tag: int
     tried: set[Address]
--- a/tests/coordination/handshake/test_reset_review.py
+++ b/tests/coordination/handshake/test_reset_review.py
@@ -8,10 +8,13 @@
 
 from tests.coordination.handshake.fake_network import DESK
 from tests.coordination.handshake.fake_network import DESK_ENDPOINT
+from tests.coordination.handshake.fake_network import FakeFormat
 from tests.coordination.handshake.fake_network import FakeNetwork
+from tests.coordination.handshake.fake_network import FakeNode
 from tests.coordination.handshake.fake_network import FakePacket
 from tests.coordination.handshake.fake_network import FakeServer
 from tests.coordination.handshake.test_reset_grounds import History
+from wagtailkeel_coordination.handshake import BalancerRouter
 from wagtailkeel_coordination.handshake import FormerMembers
 from wagtailkeel_coordination.handshake.flow_probe import BOUNCE_TIMEOUT_S
 from wagtailkeel_coordination.handshake.forgotten_flows import MIN_RETENTION_S
@@ -154,6 +157,91 @@
         self.assertGreater(answers, 0)
 
 
+class RefusedCopyTest(unittest.TestCase):
+    """A copy of an opening was refused although a server had taken another copy."""
+
+    def setUp(self) -> None:
+        self.network = FakeNetwork([DESK] * 3)
+        self.network.pass_time(0.5)
+        self.nodes = list(self.network.nodes.values())
+        self.owner = self.nodes[0]
+        self.network.balancer.owners.update([self.owner.address])
+
+    def node_of(self, server: str) -> FakeNode:
+        return next(n for n in self.nodes if n.server.name == server)
+
+    def drain_all(self) -> None:
+        for node in self.nodes:
+            node.report(is_draining=True)
+
+    def test_its_server_has_begun_to_drain(self) -> None:
+        server = self.network.open(CALLER, sequence=1)
+        self.assertEqual(self.network.request(CALLER, server), server)
+        self.network.advance(COPY_DELAY_S)
+        self.drain_all()
+        self.network.open(CALLER, attempt=1, sequence=1)
+        self.network.advance(0.5)
+        self.assertEqual(self.network.resets, 0)
+
+    def test_its_server_has_begun_to_drain_beside_an_agent_that_restarted(self) -> None:
+        """The agent does not know that its server has taken a copy before."""
+        server = self.network.open(CALLER, sequence=1)
+        self.assertEqual(self.network.request(CALLER, server), server)
+        holder = self.node_of(server)
+        self.network.advance(COPY_DELAY_S)
+        holder.restart(reports=False)
+        holder.router.apply_routing(self.network.document(1))
+        self.network.share_members()
+        self.drain_all()
+        self.network.open(CALLER, attempt=1, sequence=1)
+        self.network.advance(0.5)
+        self.assertEqual(self.network.resets, 0)
+
+    def test_it_was_handled_late(self) -> None:
+        """The owner had been slow, so that later copies went to another owner."""
+        late = msgspec.msgpack.encode(FakePacket(KEY, packet_flags.OPENING, sequence=1))
+        other = self.nodes[1]
+        self.network.balancer.owners.update([other.address])
+        server = self.network.open(CALLER, attempt=1, sequence=1)
+        self.assertEqual(self.network.request(CALLER, server), server)
+        self.network.pass_time(0.5)
+        self.drain_all()
+        self.network.replies.clear()
+        frame = relay.RelayFrame(relay.RelayKind.FORWARD, 0, 1, relay.service_tag(DESK), late)
+        slow = next(n for n in self.nodes if n is not other and n.server.name != server)
+        slow.router.on_frame(frame, ("10.0.9.9", 7_001), self.network.now)
+        self.network.run()
+        self.network.advance(0.5)
+        self.assertEqual(self.network.resets, 0)
+
+
+class OutdatedBalancerTest(unittest.TestCase):
+    """A balancer without the newest routes refused a copy of an opening that had opened a flow."""
+
+    def test_a_copy_of_an_opening_whose_route_is_new_is_not_refused(self) -> None:
+        network = FakeNetwork([DESK] * 3)
+        network.pass_time(0.5)
+        outdated = BalancerRouter(
+            FakeFormat(),
+            lambda frame, address: network.send(frame, address, ("10.0.9.8", 7_001)),
+            lambda packet, host: network.replies.append(
+                msgspec.msgpack.decode(packet, type=FakePacket)
+            ),
+            network.counters,
+            network,
+            # Control acknowledged a heartbeat before it logged the new route.
+            lambda: True,
+        )
+        outdated.apply_routing(network.document(1, has_desk=False))
+        network.apply_routing(network.document(2))
+        server = network.open(CALLER, attempt=1, sequence=1)
+        self.assertEqual(network.request(CALLER, server), server)
+        network.replies.clear()
+        copy = FakePacket(KEY, packet_flags.OPENING, attempt=2, sequence=1)
+        outdated.on_packet(msgspec.msgpack.encode(copy))
+        self.assertEqual(network.resets, 0)
+
+
 class FormerMembersTest(unittest.TestCase):
     """An agent that control has removed counts as left with its server too early."""
 
