--- a/tests/state/test_configuration_machine.py
+++ b/tests/state/test_configuration_machine.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import get_args
 
 from wagtailkeel_state import AnswerStatus
 from wagtailkeel_state import BookingState
@@ -27,6 +28,7 @@
 from wagtailkeel_state.commands import RecordServer
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import SetDataCentreState
+from wagtailkeel_state.configuration_machine import apply_command
 from wagtailkeel_state.enums import ServerState
 
 TARGET = Target.parse("p99<200ms")
@@ -90,6 +92,11 @@
         answer = self.apply(command)
         self.assertTrue(answer.is_accepted, answer.reason)
 
+    def test_each_command_has_a_rule(self) -> None:
+        """A committed command whose module is not imported would end every replica."""
+        missing = set(get_args(AnyCommand)) - set(apply_command.registry)
+        self.assertEqual(missing, set())
+
     def test_rejection_has_a_reason_and_keeps_the_version(self) -> None:
         """A rejected command must not make the expected version of other operators outdated."""
         change = ChangeTarget(service="desk", name="none", target=TARGET)
