--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/former_members.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/former_members.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from wagtailkeel_state.configuration_machine import MAX_RETAINED_FORMER_MEMBERS
+from wagtailkeel_state.configuration_machine.former_members import MAX_RETAINED_FORMER_MEMBERS
 
 if TYPE_CHECKING:
     from wagtailkeel_state.configuration import Configuration
--- a/tests/coordination/handshake/test_reset_review.py
+++ b/tests/coordination/handshake/test_reset_review.py
@@ -25,8 +25,8 @@
 from wagtailkeel_state.commands import LogEntry
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.configuration import Configuration
-from wagtailkeel_state.configuration_machine import MAX_RETAINED_FORMER_MEMBERS
 from wagtailkeel_state.configuration_machine import apply_entry
+from wagtailkeel_state.configuration_machine.former_members import MAX_RETAINED_FORMER_MEMBERS
 from wagtailkeel_state.routing import RoutingDocument
 from wagtailkeel_state.server_member import ServerMember
 
