Agent simulation: its agent and server can be used by other simulations

A simulation of several agents needs the same agent process, with its recovery, join and suspension, and the same server calls. The agent takes its id, address and packet format, and timers, the confirmation of members, the first report and the delay between reports can be overridden.

--- a/bench/src/wagtailkeel_bench/agent_simulation/player.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/player.py
@@ -16,6 +16,7 @@
 from wagtailkeel_bench.agent_simulation.simulated_agent import SimulatedControl
 from wagtailkeel_bench.agent_simulation.simulated_server import SimulatedServer
 from wagtailkeel_bench.event_scheduler import EventScheduler
+from wagtailkeel_bench.fault_shrinking import shrink_faults
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_state.commands import SetDataCentreState
@@ -226,8 +227,4 @@
 
 def shrink_agent_history(history: AgentHistory) -> AgentHistory:
     """Leave out faults one by one while the history still fails a check."""
-    for fault in reversed(history.faults):
-        smaller = history.without(fault)
-        if is_broken(smaller):
-            history = smaller
-    return history
+    return shrink_faults(history, is_broken)
--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
@@ -36,6 +36,7 @@
     from wagtailkeel_bench.event_scheduler import EventScheduler
     from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_protocol.messages import AnyDatagram
+    from wagtailkeel_protocol.packet_format import PacketFormat
     from wagtailkeel_state.commands import AnyCommand
     from wagtailkeel_state.commands import CommandAnswer
     from wagtailkeel_state.server_member import ServerRecord
@@ -57,6 +58,7 @@
 LOST_CALL_SHARE = 0.2
 TICK_INTERVAL_S = 0.05
 COLD_SLACK = 5.0
+IP_PACKET_FORMAT = IpPacketFormat()
 OPTIONS = RouterOptions(max_opening_wait_s=1.3, queue_when_busy=True, placement="aged_loads")
 
 
@@ -88,10 +90,15 @@
         control: SimulatedControl,
         seed: int,
         deliver: Callable[[bytes], None],
+        *,
+        agent_id: str = AGENT_ID,
+        address: Address = AGENT_ADDRESS,
+        packet_format: PacketFormat = IP_PACKET_FORMAT,
     ) -> None:
         self._scheduler = scheduler
         self._control = control
         self._deliver = deliver
+        self._agent_id = agent_id
         self._boot_id = seed
         self._random = Random(seed)
         self._is_running = True
@@ -103,20 +110,20 @@
         gate.begin_recovery(scheduler.now)
         self._recorded = RecordedServer(gate)
         self.router = AgentRouter(
-            AGENT_ADDRESS,
+            address,
             DATA_CENTRE,
-            IpPacketFormat(),
+            packet_format,
             gate,
             self,
             self._random,
             Counter(),
             UNLOGGED,
             lambda response_s: None,
-            lambda since: True,
+            self.are_members_confirmed,
             scheduler.now,
             options=OPTIONS,
         )
-        self.router.apply_routing(_build_routing())
+        self.router.apply_routing(build_routing())
         self._tick()
         self._call_control(self._on_pulled)
 
@@ -147,16 +154,29 @@
         if not self._is_running:
             return
         if self._waiting is None:
-            self.router.tick(self._scheduler.now)
+            self.on_tick()
         self._scheduler.call_later(TICK_INTERVAL_S, self._tick)
 
+    def on_tick(self) -> None:
+        """Run the timers that are due."""
+        self.router.tick(self._scheduler.now)
+
     # Control
 
+    @property
+    def reaches_control(self) -> bool:
+        """Return whether calls reach control."""
+        return self._control.is_reachable
+
+    def are_members_confirmed(self, since: float) -> bool:
+        """Return whether control has confirmed the list of members since a given time."""
+        return True
+
     def _call_control(self, on_reply: Action, command: AnyCommand | None = None) -> None:
         """Make a call, with a command to commit; it is repeated until control is reachable."""
         if not self._is_running:
             return
-        if not self._control.is_reachable or self._random.random() < LOST_CALL_SHARE:
+        if not self.reaches_control or self._random.random() < LOST_CALL_SHARE:
             self._scheduler.call_later(CALL_RETRY_S, lambda: self._call_control(on_reply, command))
             return
         if command is not None:
@@ -175,18 +195,21 @@
         if self.router.gate.report is None:
             self._scheduler.call_later(TICK_INTERVAL_S, self._join)
             return
-        member = ServerMember(AGENT_ID, SERVICE, DATA_CENTRE, *AGENT_ADDRESS, 0, self._boot_id, 2)
+        address = self.router.own_address
+        member = ServerMember(
+            self._agent_id, SERVICE, DATA_CENTRE, *address, 0, self._boot_id, 2
+        )
         self._call_control(self._on_joined, JoinServer(member=member))
 
     def _on_joined(self) -> None:
         self.apply_configuration()
-        record = self._control.configuration.server_records_by_agent_id.get(AGENT_ID)
+        record = self._control.configuration.server_records_by_agent_id.get(self._agent_id)
         self._recorded.restore(record, self._scheduler.now)
         self._record()
 
     def apply_configuration(self) -> None:
         """Apply what control has committed, if it is reachable."""
-        if self._has_pulled and self._control.is_reachable:
+        if self._has_pulled and self.reaches_control:
             self.router.gate.set_in_service(self._control.is_in_service, self._scheduler.now)
 
     def on_change(self) -> None:
@@ -205,7 +228,7 @@
         if not self.router.gate.is_confirmed:
             return
         self._is_recording = True
-        command = RecordServer(agent_id=AGENT_ID, boot_id=self._boot_id, record=record)
+        command = RecordServer(agent_id=self._agent_id, boot_id=self._boot_id, record=record)
         self._call_control(lambda: self._on_recorded(record), command)
 
     def _on_recorded(self, record: ServerRecord) -> None:
@@ -265,6 +288,8 @@
         """Drop the message: other agents are not simulated."""
 
 
-def _build_routing() -> RoutingDocument:
+def build_routing(version: int = 1, idle_limit_s: float = 60.0) -> RoutingDocument:
+    """Return a routing document with the only route."""
     route = Route(ROUTE_ADDRESS, ROUTE_PORT, (WeightedService(SERVICE, 1),))
-    return RoutingDocument(1, {route.place: route}, {SERVICE: ServicePolicy(SERVICE)})
+    policies = {SERVICE: ServicePolicy(SERVICE)}
+    return RoutingDocument(version, {route.place: route}, policies, idle_limit_s)
--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_server.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_server.py
@@ -73,7 +73,11 @@
         cold_until = now + COLD_S if self._starts > 1 else now
         self.start = ServerStart(self._server_id, started_at_ms, now + LINK_DELAY_S, cold_until)
         self._checks.last_opening_at = now
-        self._report(self.start)
+        self.begin_reports(self.start)
+
+    def begin_reports(self, start: ServerStart) -> None:
+        """Send the first report of a start."""
+        self._report(start)
 
     def crash(self) -> None:
         """End at once."""
@@ -124,9 +128,13 @@
     def _on_answer(self, start: ServerStart, report: ServerReport, is_acknowledged: bool) -> None:
         if is_acknowledged and report.is_draining:
             start.drain_acknowledged_at = min(start.drain_acknowledged_at, self._scheduler.now)
-        delay_s = REPORT_INTERVAL_S if is_acknowledged else RETRY_S
+        delay_s = self.report_delay_s(is_acknowledged)
         self._scheduler.call_later(delay_s, lambda: self._report(start))
 
+    def report_delay_s(self, is_acknowledged: bool) -> float:
+        """Return the time from the answer to a report, or its failure, to the next report."""
+        return REPORT_INTERVAL_S if is_acknowledged else RETRY_S
+
     def _call(self, report: ServerReport, on_answer: Callable[[bool], None]) -> None:
         now = self._scheduler.now
         delay_s = LINK_DELAY_S
