Simulation of flows: agents, servers, balancers and callers in virtual time

The simulation draws faults from a seed and fails a history in which a caller is reset while a running server holds the flow; packets of a flow that only reach other servers are counted. The shrinker now repeats its pass until no fault can be left out.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 LOAD ?= surge
 RUNS ?= 100
 
-.PHONY: run test lint bench load-model soak simulate simulate-agent format
+.PHONY: run test lint bench load-model soak simulate simulate-agent simulate-flows format
 
 $(VENV)/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -40,6 +40,9 @@
 simulate-agent: $(VENV)/.installed
 	$(PYTHON) -m wagtailkeel_bench simulate-agent --seed $(SEED) --runs $(RUNS)
 
+simulate-flows: $(VENV)/.installed
+	$(PYTHON) -m wagtailkeel_bench simulate-flows --seed $(SEED) --runs $(RUNS)
+
 lint: $(VENV)/.installed
 	$(VENV)/bin/black --check --quiet $(SOURCES)
 	$(VENV)/bin/ruff check --quiet $(SOURCES)
--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 import click
@@ -15,6 +16,10 @@
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
+from wagtailkeel_bench.flow_simulation import FlowCheckError
+from wagtailkeel_bench.flow_simulation import draw_flow_history
+from wagtailkeel_bench.flow_simulation import play_flow_history
+from wagtailkeel_bench.flow_simulation import shrink_flow_history
 from wagtailkeel_bench.load_model import LOADS_BY_NAME
 from wagtailkeel_bench.load_model import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model import format_table
@@ -188,6 +193,32 @@
     raise SystemExit(1 if broken else 0)
 
 
+@main.command(name="simulate-flows")
+@click.option("--seed", type=int, default=1, help="First seed.")
+@click.option("--runs", type=click.IntRange(min=1), default=100, help="Number of histories.")
+def simulate_flows_command(seed: int, runs: int) -> None:
+    """Play histories of agents, servers, balancers and callers in virtual time.
+
+    A history in which a caller is reset although its flow's server holds the flow is shrunk and
+    printed as a list of faults; the exit status is 1 then.
+    """
+    broken = 0
+    totals: Counter[str] = Counter()
+    for number in range(seed, seed + runs):
+        history = draw_flow_history(number)
+        try:
+            totals.update(play_flow_history(history).count())
+        except FlowCheckError as error:
+            broken += 1
+            returns = "returned" if history.returns_packets else "reset"
+            click.echo(f"seed {number}, unknown packets are {returns}: {error}")
+            for fault in shrink_flow_history(history).faults:
+                click.echo(f"  {fault}")
+    click.echo(" ".join(f"{name}={count}" for name, count in sorted(totals.items())))
+    click.echo(f"{runs} histories, {broken} broken")
+    raise SystemExit(1 if broken else 0)
+
+
 @main.command(name="load-model")
 @click.argument("load", type=click.Choice(sorted(LOADS_BY_NAME)))
 @click.option("--seed", type=int, default=1)
--- a/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
+++ b/bench/src/wagtailkeel_bench/agent_simulation/simulated_agent.py
@@ -127,6 +127,11 @@
         self._tick()
         self._call_control(self._on_pulled)
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended; it may be suspended."""
+        return self._is_running
+
     def end(self) -> None:
         """End at once; what waits in the sockets is lost."""
         self._is_running = False
@@ -196,9 +201,7 @@
             self._scheduler.call_later(TICK_INTERVAL_S, self._join)
             return
         address = self.router.own_address
-        member = ServerMember(
-            self._agent_id, SERVICE, DATA_CENTRE, *address, 0, self._boot_id, 2
-        )
+        member = ServerMember(self._agent_id, SERVICE, DATA_CENTRE, *address, 0, self._boot_id, 2)
         self._call_control(self._on_joined, JoinServer(member=member))
 
     def _on_joined(self) -> None:
--- a/bench/src/wagtailkeel_bench/fault_shrinking.py
+++ b/bench/src/wagtailkeel_bench/fault_shrinking.py
@@ -27,9 +27,10 @@
 
 
 def shrink_faults(history: _History, is_broken: Callable[[_History], bool]) -> _History:
-    """Leave out faults one by one while the history still fails a check."""
+    """Leave out faults one by one, until the history fails its check with all that are left."""
+    known = history
     for fault in reversed(history.faults):
         smaller = history.without(fault)
         if is_broken(smaller):
             history = smaller
-    return history
+    return history if history is known else shrink_faults(history, is_broken)
