Simulation of flows: callers ignore resets of earlier flows, delays by link

A reset built from a late packet of an earlier flow of the port reached callers whose new flow was open; its sequence number is far outside of theirs, so TCP ignores it: counted apart as outdated.

--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_agent.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_agent.py
@@ -12,6 +12,7 @@
 from wagtailkeel.roles.handshake.server_check import CHECK_INTERVAL_S
 from wagtailkeel.roles.handshake.server_check import REQUIRED_REFUSALS
 from wagtailkeel_bench.agent_simulation.simulated_agent import AgentProcess
+from wagtailkeel_bench.flow_simulation.flow_network import CONTROL
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
@@ -166,7 +167,8 @@
             return
         sent_at = self._scheduler.now
         self._scheduler.call_later(
-            self._network.draw_delay_s(), lambda: self._on_heartbeat_received(sent_at)
+            self._network.draw_delay_s(self._address, CONTROL),
+            lambda: self._on_heartbeat_received(sent_at),
         )
 
     def _on_heartbeat_received(self, sent_at: float) -> None:
@@ -174,7 +176,8 @@
             self._flow_control.on_heartbeat(self._agent_id)
         view = self._flow_control.build_view()
         self._scheduler.call_later(
-            self._network.draw_delay_s(), lambda: self._handle(lambda: self._on_view(view, sent_at))
+            self._network.draw_delay_s(CONTROL, self._address),
+            lambda: self._handle(lambda: self._on_view(view, sent_at)),
         )
 
     def _on_view(self, view: ControlView, sent_at: float) -> None:
@@ -286,7 +289,7 @@
 
     def reply(self, packet: bytes, caller_host: str) -> None:
         """Send a packet to its caller."""
-        self._network.pass_on(self._address, lambda: self._send_to_caller(packet))
+        self._network.send_to_caller(self._address, lambda: self._send_to_caller(packet))
 
     def relay(
         self,
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_balancer.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_balancer.py
@@ -52,7 +52,7 @@
         self._router = BalancerRouter(
             packet_format,
             lambda frame, destination: network.send(frame, destination, address),
-            lambda packet, host: network.pass_on(address, lambda: send_to_caller(packet)),
+            lambda packet, host: network.send_to_caller(address, lambda: send_to_caller(packet)),
             Counter(),
             UNLOGGED,
             lambda: True,
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_callers.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_callers.py
@@ -41,6 +41,8 @@
 SHORT_PAUSE_S = 0.5
 LONG_PAUSE_S = 9.0
 LONG_PAUSE_SHARE = 0.1
+RESET_WINDOW = 76_800
+"""A reset whose sequence number is further off is not one of the open flow."""
 VANISH_SHARE = 0.15
 LATE_COPY_SHARE = 0.05
 MAX_LATE_S = 3.0
@@ -201,9 +203,15 @@
             self._on_answer(flow, packet, flags)
 
     def _on_reset(self, flow: CallerFlow, packet: bytes) -> None:
-        # A reset of a server has its start's number as sequence, one of the system's has no ACK
-        # or the sequence 0.
-        writer = ip.tcp_sequence(packet) if ip.tcp_flags(packet) & ip.ACK else 0
+        sequence, acknowledgement = ip.tcp_sequence(packet), acknowledgement_of(packet)
+        # A server's reset acknowledges the number of its start, and has a sequence number. The
+        # system's has no acknowledgement number, or, for an opening, no sequence number.
+        writer = acknowledgement if ip.tcp_flags(packet) & ip.ACK and sequence else 0
+        is_of_opening = not sequence and acknowledgement == flow.initial_sequence + 1
+        is_of_flow = is_of_opening or abs(sequence - flow.acknowledgement) <= RESET_WINDOW
+        if flow.state is not _State.OPENING and not is_of_flow:
+            self.outcomes.outdated_resets += 1
+            return
         self._checks.on_reset(flow.key, flow.initial_sequence, writer, self._scheduler.now)
         if flow.state is _State.OPENING:
             self.outcomes.unopened += 1
