--- a/bench/src/wagtailkeel_bench/flow_simulation/player.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/player.py
@@ -38,6 +38,8 @@
 OTHER_BALANCER_SHARE = 0.1
 """The share of packets that don't take the balancer of their flow."""
 MIN_AGENTS = 2
+SERVERS_START_AT_S = 1.0
+CALLERS_START_AT_S = 2.0
 LOW_IDLE_LIMIT_S = 1.0
 
 
@@ -189,11 +191,13 @@
         }
 
     def start(self) -> None:
-        """Start all processes and the callers."""
+        """Start all processes and the callers; agents find that no server runs yet."""
         for node in self._nodes:
             node.start_agent()
+        self.scheduler.run_until(SERVERS_START_AT_S)
+        for node in self._nodes:
             node.server.begin()
-        self.scheduler.run_until(1.0)
+        self.scheduler.run_until(CALLERS_START_AT_S)
         self.callers.open_forever()
 
     def begin(self, fault: FlowFault) -> None:
