Tests: histories of flows that hold, and planted faults that the simulation finds

Six faults are put back one at a time, with a short history each: a silent removed agent counts as denying, inactivity as the end of the server, a restarted agent's table as complete at once, another incarnation's report and a lower idle limit make the agent deny flows, a late reset of a server is forwarded.

--- a/tests/bench/test_flow_simulation.py
+++ b/tests/bench/test_flow_simulation.py
@@ -4,8 +4,11 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from typing import Any
 from unittest import mock
 
+import msgspec
+
 from wagtailkeel_bench.flow_simulation import FlowHistory
 from wagtailkeel_bench.flow_simulation import draw_flow_history
 from wagtailkeel_bench.flow_simulation.flow_checks import FlowCheckError
@@ -17,20 +20,19 @@
 from wagtailkeel_bench.flow_simulation.player import is_broken
 from wagtailkeel_bench.flow_simulation.player import play_flow_history
 from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
-from wagtailkeel_coordination.handshake.flow_search import FlowSearches
+from wagtailkeel_coordination.handshake.flow_locator import FlowLocator
 from wagtailkeel_coordination.handshake.held_flows import HeldFlows
 from wagtailkeel_coordination.handshake.server_gate import ServerGate
+from wagtailkeel_protocol import packet_format as packet_flags
+from wagtailkeel_protocol.malformed import Malformed
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Collection
-
+    from wagtailkeel_coordination.handshake import ReportOutcome
+    from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
-    from wagtailkeel_protocol.packet_format import PacketHeader
 
 HISTORIES = range(12)
 DRAWN = range(100)
-PLANTED_SEEDS = range(12)
 KEY = b"key"
 SEQUENCE = 7
 
@@ -51,7 +53,7 @@
 
     def test_resets(self) -> None:
         # What is said of the flow, who wrote the reset (2 is the flow's start), and the verdict.
-        table = [
+        table: list[tuple[str, dict[str, Any], int, bool]] = [
             ("of the system", {}, 0, True),
             ("of another server", {}, 3, True),
             ("of the flow's server", {}, 2, False),
@@ -65,7 +67,8 @@
                 flow = ServerFlow(KEY, SEQUENCE, 1, 99.0, is_open=True)
                 for attribute, value in changes.items():
                     setattr(flow, attribute, value)
-                checks = FlowChecks(lambda f=flow: [HoldingStart(2, "server", {KEY: f})])
+                start = HoldingStart(2, "server", {KEY: flow})
+                checks = FlowChecks([start].copy)
                 if is_violation:
                     with self.assertRaises(FlowCheckError):
                         checks.on_reset(KEY, SEQUENCE, writer, 100.0)
@@ -76,7 +79,8 @@
         for times, spans in (([0.0, 1.0, 2.0], 1), ([0.0, 2.0], 0), ([0.0, 0.5, 1.0], 0)):
             with self.subTest(times=times):
                 flow = ServerFlow(KEY, SEQUENCE, 1, 0.0, is_open=True)
-                checks = FlowChecks(lambda f=flow: [HoldingStart(2, "server", {KEY: f})])
+                start = HoldingStart(2, "server", {KEY: flow})
+                checks = FlowChecks([start].copy)
                 for now in times:
                     checks.on_stray_packet(KEY, 1, now)
                 self.assertEqual(checks.stray_spans, spans)
@@ -92,18 +96,150 @@
                 self.assertGreater(outcomes.answered, outcomes.unanswered)
 
 
-PLANTED_FAULTS: list[tuple[str, type, str, Callable[..., object], tuple[FlowFault, ...], bool]] = []
+def end_searches_without_former_members(locator: FlowLocator) -> None:
+    """Count a removed agent that is silent as denying the flow."""
+    _tick_locator(locator)
+    now = locator._context.now
+    for key, search in list(locator.searches.by_key.items()):
+        is_overdue = not search.is_locating and now - search.queried_at > 0.5
+        if is_overdue and search.pending <= locator.former_members:
+            locator._end_exhausted(key)
+
+
+def complete_table_by_first_report(
+    holder: FlowHolder, report: ServerReport, now: float
+) -> ReportOutcome:
+    """Take the table of a restarted agent for complete once its server reports."""
+    is_first = holder.gate.report is None
+    outcome = _process_report(holder, report, now)
+    if is_first:
+        holder._incomplete_until = now
+    return outcome
+
+
+def deny_all(held: HeldFlows, now: float) -> None:
+    """Deny the flows of before, with another incarnation of the server."""
+    held._clear()
+
+
+def deny(held: HeldFlows, flow: HeldFlow, now: float) -> None:
+    """Deny a flow that is not tracked any more."""
+    held._remove(flow)
+
+
+def forward_late_reset(holder: FlowHolder, packet: bytes) -> None:
+    """Pass on the reset of a server that was only asked for the flow, if it comes late."""
+    header = holder._context.packet_format.parse_outbound(packet)
+    assert not isinstance(header, Malformed)
+    is_reset = header.flags & packet_flags.RESET and header.key not in holder.held.by_key
+    if is_reset and holder.probes.remove(header.key) is None:
+        holder._context.outbox.reply(packet, "")
+    else:
+        _process_server_packet(holder, packet)
+
+
+_tick_locator = FlowLocator.tick
+_process_report = FlowHolder.on_report
+_process_server_packet = FlowHolder.on_server_packet
+_has_ended_or_is_inactive = property(lambda gate: gate._is_absent or gate.is_inactive)
+
+
+class PlantedFault(msgspec.Struct):
+    """What is put in place of a method, and histories that find it but hold without it."""
+
+    name: str
+    owner: type
+    method: str
+    replacement: object
+    faults: tuple[FlowFault, ...]
+    seeds: tuple[int, ...] = (2, 4, 7)
+    returns_packets: bool = True
+
+
+PLANTED_FAULTS = [
+    PlantedFault(
+        "a removed agent that is silent counts as denying",
+        FlowLocator,
+        "tick",
+        end_searches_without_former_members,
+        (
+            FlowFault(6.0, FlowFaultKind.FREEZE_AGENT, 1, 4.5),
+            FlowFault(6.2, FlowFaultKind.STOP_AGENT, 0, 3.0),
+            FlowFault(8.6, FlowFaultKind.STOP_AGENT, 2, 2.0),
+        ),
+    ),
+    PlantedFault(
+        "inactivity is taken for the end of the server",
+        ServerGate,
+        "has_ended",
+        _has_ended_or_is_inactive,
+        (
+            FlowFault(6.0, FlowFaultKind.FAIL_REPORTS, 1, 6.0),
+            FlowFault(6.2, FlowFaultKind.STOP_AGENT, 1, 1.0),
+            FlowFault(8.5, FlowFaultKind.STOP_AGENT, 0, 2.0),
+        ),
+    ),
+    PlantedFault(
+        "the table of a restarted agent counts as complete at once",
+        FlowHolder,
+        "on_report",
+        complete_table_by_first_report,
+        (
+            FlowFault(6.0, FlowFaultKind.KILL_AGENT, 1, 0.5),
+            FlowFault(6.1, FlowFaultKind.STOP_AGENT, 0, 1.0),
+        ),
+    ),
+    PlantedFault(
+        "another incarnation's report lets the agent deny the flows of before",
+        HeldFlows,
+        "clear",
+        deny_all,
+        (
+            FlowFault(6.0, FlowFaultKind.CRASH_SERVER, 1, 0.02, late_report_s=1.2),
+            FlowFault(7.5, FlowFaultKind.STOP_AGENT, 0, 2.0),
+            FlowFault(8.5, FlowFaultKind.STOP_AGENT, 2, 2.0),
+        ),
+        seeds=(4, 7, 8),
+    ),
+    PlantedFault(
+        "the agent denies flows that were idle for longer than a lower limit",
+        HeldFlows,
+        "remove",
+        deny,
+        (
+            FlowFault(6.0, FlowFaultKind.IDLE_LIMIT, 0, 2.5),
+            FlowFault(8.6, FlowFaultKind.STOP_AGENT, 0, 1.0),
+            FlowFault(8.8, FlowFaultKind.STOP_AGENT, 2, 2.0),
+        ),
+    ),
+    PlantedFault(
+        "a server's late reset is forwarded",
+        FlowHolder,
+        "on_server_packet",
+        forward_late_reset,
+        (
+            FlowFault(6.0, FlowFaultKind.STOP_AGENT, 1, 0.3),
+            FlowFault(6.6, FlowFaultKind.SLOW_SERVER, 1, 4.0),
+            FlowFault(6.8, FlowFaultKind.STOP_AGENT, 0, 1.0),
+            FlowFault(7.6, FlowFaultKind.STOP_AGENT, 2, 1.0),
+        ),
+        returns_packets=False,
+    ),
+]
 
 
 class PlantedFaultTest(unittest.TestCase):
     """The checks find what they are there for."""
 
     def test_faults_are_found(self) -> None:
-        for name, owner, method, replacement, faults, returns_packets in PLANTED_FAULTS:
-            histories = [FlowHistory(seed, faults, returns_packets) for seed in PLANTED_SEEDS]
-            with self.subTest(name), mock.patch.object(owner, method, replacement):
+        for planted in PLANTED_FAULTS:
+            histories = [
+                FlowHistory(seed, planted.faults, planted.returns_packets) for seed in planted.seeds
+            ]
+            patch = mock.patch.object(planted.owner, planted.method, planted.replacement)
+            with self.subTest(planted.name), patch:
                 self.assertTrue(any(is_broken(history) for history in histories))
-            with self.subTest(f"without {name}"):
+            with self.subTest(f"without: {planted.name}"):
                 self.assertFalse(is_broken(histories[0]))
 
 
