--- a/bench/src/wagtailkeel_bench/soak/runner.py
+++ b/bench/src/wagtailkeel_bench/soak/runner.py
@@ -4,6 +4,10 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+from typing import Self
+from typing import TypeVar
 
 import msgspec
 
@@ -116,9 +120,23 @@
     return {name: value for name, value in measured.items() if name != "counters"}
 
 
+class ShrinkableSchedule(Protocol):
+    """A schedule from which faults can be left out."""
+
+    @property
+    def faults(self) -> tuple[Any, ...]:
+        """All faults."""
+
+    def without(self, fault: Any) -> Self:
+        """Return the schedule without one fault."""
+
+
+AnySchedule = TypeVar("AnySchedule", bound=ShrinkableSchedule)
+
+
 async def shrink(
-    schedule: Schedule, fails: Callable[[Schedule], Awaitable[bool]], max_runs: int
-) -> Schedule:
+    schedule: AnySchedule, fails: Callable[[AnySchedule], Awaitable[bool]], max_runs: int
+) -> AnySchedule:
     """Leave out faults one by one while the schedule still fails, in at most ``max_runs`` runs."""
     for fault in schedule.faults:
         if max_runs <= 0:
