Soak of the handshake roles, in which servers judge the resets

The soak ran only the roles agent and balancer, and no run with real processes compared the resets that callers got with what the servers held.

Servers and callers record what happens; a reset of a flow that the flow's server holds at that time, and did not write, fails the run.

--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -15,6 +15,9 @@
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
+from wagtailkeel_bench.handshake_soak import HandshakeSchedule
+from wagtailkeel_bench.handshake_soak import draw_handshake_schedule
+from wagtailkeel_bench.handshake_soak import run_handshake_soak
 from wagtailkeel_bench.load_model import LOADS_BY_NAME
 from wagtailkeel_bench.load_model import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model import format_table
@@ -97,24 +100,43 @@
     "--deployment",
     type=click.Choice(sorted(DEPLOYMENT_SPECS_BY_NAME)),
     default="marshals",
-    help="Site to run.",
+    help="Site to run; without effect on the handshake roles.",
+)
+@click.option(
+    "--roles",
+    type=click.Choice(["directory", "handshake"]),
+    default="directory",
+    help="Roles to run: agent and balancer, or handshake_agent and handshake_balancer.",
 )
 @click.option("--shrink-runs", type=int, default=0, help="Runs spent on shrinking a failure.")
 @click.option(
     "--results", type=click.Path(path_type=Path), default=Path("run/soak"), help="Result folder."
 )
 def soak_command(
-    seed: int, seeds: int, seconds: float, deployment: str, shrink_runs: int, results: Path
+    seed: int,
+    seeds: int,
+    seconds: float,
+    deployment: str,
+    roles: str,
+    shrink_runs: int,
+    results: Path,
 ) -> None:
     """Run random schedules of faults against real processes; print one line a seed.
 
     The exit status is 1 if an expectation failed and 2 if a run itself failed. The result file
     names the folder of the logs.
     """
-    statuses = {
-        run_soak_seed(draw_schedule(number, seconds, deployment), shrink_runs, results)
-        for number in range(seed, seed + seeds)
-    }
+    numbers = range(seed, seed + seeds)
+    if roles == "handshake":
+        statuses = {
+            run_handshake_seed(draw_handshake_schedule(number, seconds), shrink_runs, results)
+            for number in numbers
+        }
+    else:
+        statuses = {
+            run_soak_seed(draw_schedule(number, seconds, deployment), shrink_runs, results)
+            for number in numbers
+        }
     raise SystemExit(max(statuses))
 
 
@@ -139,6 +161,32 @@
     return 1 if result.failed else 0
 
 
+def run_handshake_seed(schedule: HandshakeSchedule, shrink_runs: int, results: Path) -> int:
+    """Run one schedule of the handshake roles and print its result; return the exit status."""
+
+    async def fails(smaller: HandshakeSchedule) -> bool:
+        return bool((await run_handshake_soak(smaller)).failed)
+
+    try:
+        result = asyncio.run(run_handshake_soak(schedule))
+        if result.failed and shrink_runs:
+            schedule = asyncio.run(shrink(schedule, fails, shrink_runs))
+    except (BenchError, ExceptionGroup) as error:
+        click.echo(f"seed {schedule.seed}: the run failed: {error!r}")
+        return 2
+    judgement = result.judgement
+    click.echo(
+        f"seed {schedule.seed}: {'failed' if result.failed else 'ok'}; flows"
+        f" {judgement.opened_flows}, resets of held ones {len(judgement.broken_flows)}, of lost"
+        f" ones {judgement.resets_of_lost_flows}, of openings {judgement.resets_of_openings}; "
+        + " ".join(str(fault) for fault in schedule.faults)
+    )
+    for failed in result.failed:
+        click.echo(f"  {failed}")
+    click.echo(f"  {result.save(results)} {result.folder}")
+    return 1 if result.failed else 0
+
+
 @main.command(name="simulate")
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--runs", type=click.IntRange(min=1), default=100, help="Number of histories.")
--- a/bench/src/wagtailkeel_bench/stand_ins/udp_port.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/udp_port.py
@@ -30,6 +30,11 @@
         except OSError:
             return
 
+    def close(self) -> None:
+        """Close the socket."""
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+
     def _read(self) -> None:
         for _ in range(BATCH_DATAGRAMS):
             try:
