--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -178,7 +178,8 @@
     click.echo(
         f"seed {schedule.seed}: {'failed' if result.failed else 'ok'}; flows"
         f" {judgement.opened_flows}, resets of held ones {len(judgement.broken_flows)}, of lost"
-        f" ones {judgement.resets_of_lost_flows}, of openings {judgement.resets_of_openings}; "
+        f" ones {judgement.resets_of_lost_flows}, of openings {judgement.resets_of_openings};"
+        f" late by up to {result.counters['max_lag_ms']} ms; "
         + " ".join(str(fault) for fault in schedule.faults)
     )
     for failed in result.failed:
