Soak: resets of flows that their servers hold are counted for the older roles too

broken_by_cause said how many feeds were reset, not whether their servers still held them. The servers now list when they opened, closed and lost TCP connections, and the resets of feeds are judged by that as those of the handshake soak are. A feed that got no answer yet, or that its server was told to ignore, is left out.

A caller that has accepted a server is judged by this server alone: another one that got a copy of the opening may keep an entry.

--- a/bench/src/wagtailkeel_bench/handshake_soak/flow_records.py
+++ b/bench/src/wagtailkeel_bench/flow_records.py
@@ -88,10 +88,14 @@
         elif record.kind is RecordKind.ENDED:
             flows.clear()
 
-    def find_holder(self, name: FlowName) -> str:
-        """Return the server that holds a flow, or ""; servers of a caller's refusal included."""
-        holders = (server for server, flows in self._opened_at_by_server.items() if name in flows)
-        return next(holders, "")
+    def find_holder(self, name: FlowName, accepted_server: str) -> str:
+        """Return the flow's server if it holds the flow, or "".
+
+        If the caller has accepted no server yet, each server that holds the flow is its server.
+        Otherwise a copy of the opening may have left an unused entry at another one.
+        """
+        servers = [accepted_server] if accepted_server else self._opened_at_by_server
+        return next((s for s in servers if name in self._opened_at_by_server.get(s, {})), "")
 
     def opened_at(self, server: str, name: FlowName) -> float:
         """Return when a server that holds the flow has opened it."""
@@ -120,7 +124,7 @@
     record: FlowRecord, tables: _FlowTables, judgement: Judgement, opened: set[FlowName]
 ) -> None:
     name = (record.flow, record.connection)
-    holder = tables.find_holder(name)
+    holder = tables.find_holder(name, record.server)
     if name not in opened:
         judgement.resets_of_openings += 1
     elif record.writer and record.writer == (holder or record.server):
--- a/bench/src/wagtailkeel_bench/handshake_soak/callers.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/callers.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from wagtailkeel_bench.handshake_soak.flow_records import RecordKind
+from wagtailkeel_bench.flow_records import RecordKind
 from wagtailkeel_bench.handshake_soak.soak_packet import SoakPacket
 from wagtailkeel_bench.handshake_soak.soak_packet import SoakPacketFormat
 from wagtailkeel_bench.handshake_soak.soak_packet import decode_packet
--- a/bench/src/wagtailkeel_bench/handshake_soak/record_file.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/record_file.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from wagtailkeel_bench.handshake_soak.flow_records import FlowRecord
-from wagtailkeel_bench.handshake_soak.flow_records import RecordKind
+from wagtailkeel_bench.flow_records import FlowRecord
+from wagtailkeel_bench.flow_records import RecordKind
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/bench/src/wagtailkeel_bench/handshake_soak/runner.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/runner.py
@@ -12,8 +12,8 @@
 
 from wagtailkeel.flow_explanation import explain_flow
 from wagtailkeel.flow_explanation import parse_flow_id
-from wagtailkeel_bench.handshake_soak.flow_records import Judgement
-from wagtailkeel_bench.handshake_soak.flow_records import judge
+from wagtailkeel_bench.flow_records import Judgement
+from wagtailkeel_bench.flow_records import judge
 from wagtailkeel_bench.handshake_soak.record_file import RecordFile
 from wagtailkeel_bench.handshake_soak.schedule import AGENTS
 from wagtailkeel_bench.handshake_soak.schedule import FaultKind
--- a/bench/src/wagtailkeel_bench/handshake_soak/server.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/server.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wagtailkeel_bench.handshake_soak.flow_records import RecordKind
+from wagtailkeel_bench.flow_records import RecordKind
 from wagtailkeel_bench.handshake_soak.report_sender import ReportSender
 from wagtailkeel_bench.handshake_soak.soak_packet import SoakPacket
 from wagtailkeel_bench.handshake_soak.soak_packet import decode_packet
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -12,6 +12,8 @@
 
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
 from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.flow_records import FlowRecord
+from wagtailkeel_bench.flow_records import judge
 from wagtailkeel_bench.scenario.actions import Actions
 from wagtailkeel_bench.scenario.model import FeedTraffic
 from wagtailkeel_bench.scenario.model import Scenario
@@ -139,6 +141,7 @@
             "feeds": callers["feeds"],
             "broken_flows": sum(broken_by_cause.values()),
             "broken_by_cause": broken_by_cause,
+            "resets_of_held_flows": await self._count_resets_of_held_flows(),
             "given_up_flows": outcomes.get("given_up", 0),
             "silenced_flows": outcomes.get("silenced", 0),
             "silenced_untold": outcomes.get("silenced", 0) - outcomes.get("silenced_told", 0),
@@ -165,6 +168,15 @@
             "share_error_cv": await self._measure_share_error(),
         }
 
+    async def _count_resets_of_held_flows(self) -> int:
+        """Return how many feeds were reset while the server that answered them held them."""
+        resets = await self._site.callers.command(
+            "list_resets", silenced=self._actions.silenced_flow_keys
+        )
+        tables = await self._site.servers.command("list_flow_records")
+        records = msgspec.convert([*tables, *resets], list[FlowRecord])
+        return len(judge(records).broken_flows)
+
     async def _measure_share_error(self) -> float:
         """Return how far the committed shares deviate from the true capacities.
 
--- a/bench/src/wagtailkeel_bench/soak/runner.py
+++ b/bench/src/wagtailkeel_bench/soak/runner.py
@@ -42,6 +42,7 @@
     "answers_changed",
     "double_winners",
     "version_reversals",
+    "resets_of_held_flows",
 )
 """Counts of broken promises that no fault excuses."""
 
--- a/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/backend_server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections import deque
 from random import Random
@@ -13,6 +14,8 @@
 
 import msgspec
 
+from wagtailkeel_bench.flow_records import FlowRecord
+from wagtailkeel_bench.flow_records import RecordKind
 from wagtailkeel_bench.stand_ins.payload import AnswerPayload
 from wagtailkeel_bench.stand_ins.payload import RequestPayload
 from wagtailkeel_bench.stand_ins.payload import decode_payload
@@ -57,6 +60,7 @@
         self._checker = checker
         self._random = random
         self._port = UdpPort(plan.address, self._on_packet)
+        self.flow_records: list[FlowRecord] = []
         self._connections: set[bytes] = set()
         self._silent_keys: set[bytes] = set()
         self._is_answered_by_request: dict[tuple[bytes, int], bool] = {}
@@ -99,6 +103,7 @@
         """Stop or start the server; it starts cold and without connections."""
         self._is_down = is_down
         self._connections.clear()
+        self._record(RecordKind.ENDED)
         self._is_answered_by_request.clear()
         self._queue.clear()
         self._busy_slots = 0
@@ -130,10 +135,12 @@
     def _on_tcp(self, packet: bytes, key: bytes) -> None:
         flags = ip.tcp_flags(packet)
         if flags & ip.RST:
-            self._connections.discard(key)
+            self._close(key)
             return
         if flags & ip.SYN:
-            self._connections.add(key)
+            if key not in self._connections:
+                self._connections.add(key)
+                self._record(RecordKind.OPENED, key)
             self._send_tcp(key, ip.SYN | ip.ACK)
             return
         if key not in self._connections:
@@ -141,7 +148,7 @@
             self._send(build_reset(packet))
             return
         if flags & ip.FIN:
-            self._connections.discard(key)
+            self._close(key)
             self._send_tcp(key, ip.FIN | ip.ACK)
             return
         body = ip.payload_of(packet)
@@ -153,6 +160,14 @@
         if isinstance(request, RequestPayload):
             self._on_request(key, request)
 
+    def _close(self, key: bytes) -> None:
+        if key in self._connections:
+            self._connections.discard(key)
+            self._record(RecordKind.CLOSED, key)
+
+    def _record(self, kind: RecordKind, key: bytes = b"") -> None:
+        self.flow_records.append(FlowRecord(time.monotonic(), kind, self.plan.server_id, key.hex()))
+
     def _on_request(self, key: bytes, request: RequestPayload) -> None:
         is_answered = self._is_answered_by_request.get((key, request.request_id))
         if is_answered is not None:
--- a/bench/src/wagtailkeel_bench/stand_ins/callers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/callers.py
@@ -13,6 +13,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from wagtailkeel_bench.flow_records import FlowRecord
+from wagtailkeel_bench.flow_records import RecordKind
 from wagtailkeel_bench.stand_ins.command_loop import serve_commands
 from wagtailkeel_bench.stand_ins.feed import Feed
 from wagtailkeel_bench.stand_ins.feed import FeedState
@@ -189,6 +191,19 @@
         """Return the number of open feeds."""
         return sum(feed.state is FeedState.OPEN for feed in self._feeds)
 
+    def list_resets(self, silenced: list[str]) -> list[Any]:
+        """Return when feeds got a reset, except those that their servers were told to ignore.
+
+        A feed that got no answer does not know its server, and is left out.
+        """
+        records = [
+            FlowRecord(feed.ended_at, RecordKind.RESET, feed.server_id, feed.key.hex())
+            for feed in self._feeds
+            if feed.state is FeedState.RESET and feed.server_id and feed.key.hex() not in silenced
+        ]
+        builtins: list[Any] = msgspec.to_builtins(records)
+        return builtins
+
     def report(
         self, lost_servers: list[str], silenced: list[str], max_idle_s: float
     ) -> dict[str, Any]:
@@ -243,6 +258,7 @@
         "send_raw": callers.send_raw,
         "reset_gaps": callers.reset_gaps,
         "count_open": callers.count_open,
+        "list_resets": callers.list_resets,
         "report": callers.report,
     }
     await serve_commands(handlers)
--- a/bench/src/wagtailkeel_bench/stand_ins/servers.py
+++ b/bench/src/wagtailkeel_bench/stand_ins/servers.py
@@ -51,6 +51,14 @@
         """Stop a server from answering up to ``count`` connections; return their keys in hex."""
         return self._servers_by_id[server_id].silence(count)
 
+    def list_flow_records(self) -> list[Any]:
+        """Return when the servers opened, closed and lost TCP connections."""
+        records = [
+            record for server in self._servers_by_id.values() for record in server.flow_records
+        ]
+        builtins: list[Any] = msgspec.to_builtins(records)
+        return builtins
+
     def reset_load(self) -> bool:
         """Reset the work time and the number of served requests of all servers."""
         for server in self._servers_by_id.values():
@@ -97,6 +105,7 @@
         "set_down": servers.set_down,
         "set_speed": servers.set_speed,
         "silence": servers.silence,
+        "list_flow_records": servers.list_flow_records,
         "reset_load": servers.reset_load,
         "report": servers.report,
     }
--- a/tests/bench/test_handshake_soak.py
+++ b/tests/bench/test_handshake_soak.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from wagtailkeel_bench.flow_records import FlowRecord
+from wagtailkeel_bench.flow_records import Judgement
+from wagtailkeel_bench.flow_records import RecordKind
+from wagtailkeel_bench.flow_records import judge
 from wagtailkeel_bench.handshake_soak import draw_handshake_schedule
 from wagtailkeel_bench.handshake_soak import run_handshake_soak
-from wagtailkeel_bench.handshake_soak.flow_records import FlowRecord
-from wagtailkeel_bench.handshake_soak.flow_records import Judgement
-from wagtailkeel_bench.handshake_soak.flow_records import RecordKind
-from wagtailkeel_bench.handshake_soak.flow_records import judge
 from wagtailkeel_bench.handshake_soak.schedule import FaultKind
 
 DURATION_S = 20.0
@@ -42,6 +42,7 @@
 ENDED = record(2.0, RecordKind.ENDED)
 LATER_OPENED = record(2.5, RecordKind.OPENED, connection=2)
 NEXT_OPENED = record(2.5, RecordKind.OPENED, "server-1#2", connection=2)
+OTHER_OPENED = record(1.2, RecordKind.OPENED, OTHER)
 OTHER_ENDED = record(2.0, RecordKind.ENDED, OTHER)
 
 
@@ -68,6 +69,7 @@
             ("the server wrote it on its end", [OPENED, CLOSED, reset(3.0, writer=OWN)], by_own),
             ("closed", [OPENED, CLOSED, reset(3.0)], of_lost),
             ("lost with its server", [OPENED, ENDED, reset(3.0)], of_lost),
+            ("held by another server only", [OPENED, OTHER_OPENED, CLOSED, reset(3.0)], of_lost),
             ("never opened", [reset(3.0, server="")], of_opening),
             ("accepted, and not open yet", [ACCEPTED, reset(1.05), OPENED], of_opening),
             ("earlier flow of the port", [OPENED, reset(3.0, connection=2)], of_opening),
