Simulation of flows: former members as in the agent role

The simulated agent repeated the rule that replaced; it uses FormerMembers now, and tells its router of each refused connection.

--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_agent.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_agent.py
@@ -5,7 +5,6 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from wagtailkeel.roles.handshake.agent import FORMER_PEER_RETENTION_S
 from wagtailkeel.roles.handshake.agent import LEAVING_NOTICE_COUNT
 from wagtailkeel.roles.handshake.agent import LEAVING_NOTICE_INTERVAL_S
 from wagtailkeel.roles.handshake.agent import LOAD_INTERVAL_S
@@ -13,6 +12,7 @@
 from wagtailkeel.roles.handshake.server_check import REQUIRED_REFUSALS
 from wagtailkeel_bench.agent_simulation.simulated_agent import AgentProcess
 from wagtailkeel_bench.flow_simulation.flow_network import CONTROL
+from wagtailkeel_coordination.handshake import FormerMembers
 from wagtailkeel_protocol import relay
 from wagtailkeel_protocol.codec import decode_datagram
 from wagtailkeel_protocol.codec import encode_datagram
@@ -81,8 +81,7 @@
         self._refusals = 0
         self._joins = 0
         self._confirmed_at = float("-inf")
-        self._seen_at_by_peer: dict[Address, float] = {}
-        self._last_removal_index = -1
+        self._former_members = FormerMembers()
         self._due_at_by_timer: dict[str, float] = {}
         super().__init__(
             scheduler,
@@ -141,12 +140,14 @@
         """Check the port of a server that is not heard, as the agent's ServerCheck does."""
         gate = self.router.gate
         if not gate.is_inactive or gate.has_ended:
+            self._refusals = 0
             return
         if self._is_port_open():
             self._refusals = 0
             gate.record_activity()
             return
         self._refusals += 1
+        self.router.on_closed_port(self._scheduler.now)
         if self._refusals >= REQUIRED_REFUSALS:
             self._refusals = 0
             self.router.on_absent_server(self._scheduler.now)
@@ -221,18 +222,9 @@
         now = self._scheduler.now
         self.router.apply_routing(view.routing)
         self.router.gate.set_in_service(view.is_in_service, now)
-        seen_at = self._seen_at_by_peer
-        seen_at.update(dict.fromkeys(view.boot_ids_by_address, now))
-        known_index = self._last_removal_index
-        for address, index in view.removed_indexes_by_address.items():
-            if index > known_index:
-                self._last_removal_index = max(self._last_removal_index, index)
-                seen_at.setdefault(address, now)
-        for address, at in list(seen_at.items()):
-            is_unlisted = at < now and address not in view.removed_indexes_by_address
-            if is_unlisted or now - at > FORMER_PEER_RETENTION_S:
-                del seen_at[address]
-        self.router.set_peers(view.members, frozenset(seen_at))
+        self._former_members.update(view.membership, now)
+        self._former_members.expire(now, self.router.flow_retention_s)
+        self.router.set_peers(view.members, self._former_members.addresses)
 
     # Datagrams
 
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_control.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_control.py
@@ -11,6 +11,7 @@
 from wagtailkeel_bench.agent_simulation.simulated_agent import build_routing
 from wagtailkeel_coordination.handshake import Member
 from wagtailkeel_state.commands import RemoveServer
+from wagtailkeel_state.configuration import Configuration
 
 if TYPE_CHECKING:
     from wagtailkeel_bench.event_scheduler import EventScheduler
@@ -27,11 +28,10 @@
 class ControlView(msgspec.Struct, frozen=True):
     """What control tells an instance at one moment.
 
-    ``removed_indexes_by_address`` has the log index of the last removal of each former member.
+    ``membership`` has the members and former members of that moment, and nothing else.
     """
 
-    boot_ids_by_address: dict[Address, int]
-    removed_indexes_by_address: dict[Address, int]
+    membership: Configuration
     routing: RoutingDocument
     is_in_service: bool
 
@@ -41,6 +41,11 @@
         (service,) = self.routing.policies_by_service
         return {address: Member(service, DATA_CENTRE) for address in self.boot_ids_by_address}
 
+    @property
+    def boot_ids_by_address(self) -> dict[Address, int]:
+        """The incarnations of the members."""
+        return {(m.host, m.port): m.boot_id for m in self.membership.servers_by_id.values()}
+
 
 class FlowControl(SimulatedControl):
     """What control has committed, and when it heard of each agent last."""
@@ -79,9 +84,8 @@
     def build_view(self) -> ControlView:
         """Return what instances are told now."""
         config = self.configuration
-        return ControlView(
-            {(m.host, m.port): m.boot_id for m in config.servers_by_id.values()},
-            {(m.host, m.port): m.removed_index for m in config.former_members_by_id.values()},
-            self.routing,
-            self.is_in_service,
+        membership = Configuration(
+            servers_by_id=dict(config.servers_by_id),
+            former_members_by_id=dict(config.former_members_by_id),
         )
+        return ControlView(membership, self.routing, self.is_in_service)
--- a/tests/bench/test_flow_simulation.py
+++ b/tests/bench/test_flow_simulation.py
@@ -113,7 +113,7 @@
     is_first = holder.gate.report is None
     outcome = _process_report(holder, report, now)
     if is_first:
-        holder._incomplete_until = now
+        holder._incomplete_since = None
     return outcome
 
 
@@ -124,7 +124,8 @@
 
 def deny(held: HeldFlows, flow: HeldFlow, now: float) -> None:
     """Deny a flow that is not tracked any more."""
-    held._remove(flow)
+    _remove_flow(held, flow, now)
+    held.forgotten.discard(flow.key)
 
 
 def forward_late_reset(holder: FlowHolder, packet: bytes) -> None:
@@ -139,6 +140,7 @@
 
 
 _tick_locator = FlowLocator.tick
+_remove_flow = HeldFlows.remove
 _process_report = FlowHolder.on_report
 _process_server_packet = FlowHolder.on_server_packet
 _has_ended_or_is_inactive = property(lambda gate: gate._is_absent or gate.is_inactive)
