Agent: a returned packet denies itself, not the flow of its caller and port

A flow that was opened through the agent is now looked up at the server for as long as its record may be missing, whatever came back before.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -294,7 +294,6 @@
             self._owners.answer(flow.owner, RelayKind.NOT_FOUND, header.key)
         elif probe is not None:
             self._context.counters["flows_denied_by_server"] += 1
-            self.held.forgotten.discard(header.key)
             self._owners.answer(probe.requester, RelayKind.NOT_FOUND, header.key)
         else:
             self._context.counters["dropped_reset_of_unknown_flow"] += 1
@@ -324,8 +323,6 @@
         self._context.counters["bounces"] += 1
         probe = self.probes.remove(header.key)
         if probe is not None:
-            if flow is None:
-                self.held.forgotten.discard(header.key)
             self._answer_returned_probe(probe, packet, header)
             return
         if flow is None or (header.is_opening and flow.has_reply):
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/forgotten_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/forgotten_flows.py
@@ -3,7 +3,8 @@
 The server may outlive what its agent knows of a flow: the idle limit may be raised again, a late
 packet of an earlier flow may have closed the record of a later one, and a flow may have been opened
 before the first report of the incarnation that holds it. So a flow that was opened here is not
-denied for some time after its record was removed, unless the server has returned its packets.
+denied for some time after its record was removed, but looked up at the server. That the server has
+returned a packet does not end this: it may have been a late one of an earlier flow.
 """
 
 from __future__ import annotations
@@ -38,10 +39,6 @@
         self._forgotten_at_by_key[key] = now
         self._removals.append((now, key))
 
-    def discard(self, key: bytes) -> None:
-        """Remove a flow, since the server has said that it does not hold it."""
-        self._forgotten_at_by_key.pop(key, None)
-
     def clear(self) -> None:
         """Remove all flows, since the server that held them has ended."""
         self._forgotten_at_by_key.clear()
--- a/tests/bench/test_flow_simulation.py
+++ b/tests/bench/test_flow_simulation.py
@@ -31,7 +31,8 @@
     from wagtailkeel_coordination.handshake import ServerReport
     from wagtailkeel_coordination.handshake.held_flows import HeldFlow
 
-HISTORIES = range(12)
+HISTORIES = (*range(12), 5055, 5094)
+"""The last two showed that a returned packet of an earlier flow denied a later one."""
 DRAWN = range(100)
 KEY = b"key"
 SEQUENCE = 7
@@ -125,7 +126,7 @@
 def deny(held: HeldFlows, flow: HeldFlow, now: float) -> None:
     """Deny a flow that is not tracked any more."""
     _remove_flow(held, flow, now)
-    held.forgotten.discard(flow.key)
+    held.forgotten.clear()
 
 
 def forward_late_reset(holder: FlowHolder, packet: bytes) -> None:
