Console: one place that reports that control is unreachable

Six places each built a client, ran it and turned ControlUnreachableError into the exit status. ConsoleContext.run does this for all of them now. Output and exit statuses are the same.

--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/booking.py
@@ -11,10 +11,10 @@
 from wagtailkeel.console.context import ConsoleContext
 from wagtailkeel.console.context import command_options
 from wagtailkeel.console.context import pass_console
+from wagtailkeel.console.control_client import ControlClient
 from wagtailkeel.console.exit_codes import ExitCode
 from wagtailkeel.console.target_type import TARGET
 from wagtailkeel.console.timestamp_type import TIMESTAMP
-from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_state.booking import Booking
 from wagtailkeel_state.booking_rules import booking_subject
 from wagtailkeel_state.commands import BookableCommand
@@ -203,11 +203,7 @@
 
 
 def _load_bookings(console: ConsoleContext) -> list[Booking]:
-    client = console.create_client()
-    try:
-        status = client.run(client.status)
-    except ControlUnreachableError as error:
-        console.fail(ExitCode.UNREACHABLE, str(error))
+    status = console.run(ControlClient.status)
     return sorted(status.configuration.bookings_by_id.values(), key=lambda b: b.start_s)
 
 
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/dump.py
@@ -8,7 +8,6 @@
 from wagtailkeel.console.context import pass_console
 from wagtailkeel.console.control_client import Address
 from wagtailkeel.console.control_client import ControlClient
-from wagtailkeel.console.exit_codes import ExitCode
 from wagtailkeel.errors import ControlUnreachableError
 
 
@@ -20,19 +19,14 @@
 
     Example: wagtailkeel dump desk-3
     """
-    client = console.create_client()
 
-    async def fetch_dump() -> bytes:
+    async def fetch_dump(client: ControlClient) -> bytes:
         address = await _find_address(client, instance)
         if address is None:
             raise ControlUnreachableError(f"no instance {instance} is known to control")
         return await client.dump(address)
 
-    try:
-        body = client.run(fetch_dump)
-    except ControlUnreachableError as error:
-        console.fail(ExitCode.UNREACHABLE, str(error))
-    click.echo(body.decode())
+    click.echo(console.run(fetch_dump).decode())
 
 
 async def _find_address(client: ControlClient, instance: str) -> Address | None:
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/servers.py
@@ -6,8 +6,7 @@
 
 from wagtailkeel.console.context import ConsoleContext
 from wagtailkeel.console.context import pass_console
-from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.errors import ControlUnreachableError
+from wagtailkeel.console.control_client import ControlClient
 
 
 @click.command()
@@ -17,11 +16,7 @@
 
     Example: wagtailkeel servers
     """
-    client = console.create_client()
-    try:
-        status = client.run(client.status)
-    except ControlUnreachableError as error:
-        console.fail(ExitCode.UNREACHABLE, str(error))
+    status = console.run(ControlClient.status)
     members = sorted(status.configuration.servers_by_id.values(), key=lambda m: m.server_id)
     capacities_by_id = {node.instance_id: node.capacity for node in status.nodes}
     lines = [
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/status.py
@@ -6,8 +6,8 @@
 
 from wagtailkeel.console.context import ConsoleContext
 from wagtailkeel.console.context import pass_console
+from wagtailkeel.console.control_client import ControlClient
 from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_protocol.messages import StatusReply
 
 
@@ -21,12 +21,12 @@
 
     Example: wagtailkeel status --wait 118
     """
-    client = console.create_client()
-    try:
-        lagging_nodes = client.run(lambda: client.wait_in_force(wait)) if wait is not None else []
-        reply = client.run(client.status)
-    except ControlUnreachableError as error:
-        console.fail(ExitCode.UNREACHABLE, str(error))
+
+    async def wait_and_query(client: ControlClient) -> tuple[list[str], StatusReply]:
+        lagging_nodes = await client.wait_in_force(wait) if wait is not None else []
+        return lagging_nodes, await client.status()
+
+    lagging_nodes, reply = console.run(wait_and_query)
     console.print(reply, format_status(reply))
     if lagging_nodes:
         console.fail(
--- a/packages/wagtailkeel/src/wagtailkeel/console/commands/where.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/commands/where.py
@@ -10,7 +10,6 @@
 from wagtailkeel.console.context import ConsoleContext
 from wagtailkeel.console.context import pass_console
 from wagtailkeel.console.exit_codes import ExitCode
-from wagtailkeel.errors import ControlUnreachableError
 from wagtailkeel_protocol.where_messages import WhereReply
 from wagtailkeel_protocol.where_messages import WhereRequest
 
@@ -54,17 +53,13 @@
 
     wagtailkeel where 100.64.0.7:40001 198.18.0.1:443 --data-centre east
     """
-    client = console.create_client()
     request = WhereRequest(caller, route)
 
-    async def explain() -> _Explanation:
+    async def explain(client: ControlClient) -> _Explanation:
         config = (await client.status()).configuration
         return await _explain(client, config, request, data_centre)
 
-    try:
-        explanation = client.run(explain)
-    except ControlUnreachableError as error:
-        console.fail(ExitCode.UNREACHABLE, str(error))
+    explanation = console.run(explain)
     console.print(explanation, "\n".join(_format(explanation)))
     if explanation.error:
         console.fail(explanation.exit_code, explanation.error)
--- a/packages/wagtailkeel/src/wagtailkeel/console/context.py
+++ b/packages/wagtailkeel/src/wagtailkeel/console/context.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 from typing import NoReturn
+from typing import TypeVar
 
 import click
 import msgspec
@@ -18,6 +20,8 @@
 from wagtailkeel_state.commands import CommandAnswer
 from wagtailkeel_state.enums import AnswerStatus
 
+Result = TypeVar("Result")
+
 EXIT_CODES_BY_STATUS = {
     AnswerStatus.ACCEPTED: ExitCode.DONE,
     AnswerStatus.CONFLICT: ExitCode.CONFLICT,
@@ -39,7 +43,15 @@
         self.deadline_s = deadline_s
         self.author = author
 
-    def create_client(self) -> ControlClient:
+    def run(self, operation: Callable[[ControlClient], Awaitable[Result]]) -> Result:
+        """Run an operation with a client; exit if it finds control unreachable."""
+        client = self._create_client()
+        try:
+            return client.run(lambda: operation(client))
+        except ControlUnreachableError as error:
+            self.fail(ExitCode.UNREACHABLE, str(error))
+
+    def _create_client(self) -> ControlClient:
         """Create a client of the control instances; exit if no address is known."""
         if not self.addresses:
             self.fail(
@@ -69,19 +81,15 @@
         success_text: str,
     ) -> None:
         """Send a command and print its answer; exit with the matching code unless it succeeds."""
-        client = self.create_client()
 
-        async def send_and_wait() -> tuple[CommandAnswer, list[str]]:
+        async def send_and_wait(client: ControlClient) -> tuple[CommandAnswer, list[str]]:
             answer = await client.send(command, command_id, self.author, expected_version)
             lagging_nodes: list[str] = []
             if wait and answer.is_accepted:
                 lagging_nodes = await client.wait_in_force(answer.index)
             return answer, lagging_nodes
 
-        try:
-            answer, lagging_nodes = client.run(send_and_wait)
-        except ControlUnreachableError as error:
-            self.fail(ExitCode.UNREACHABLE, str(error))
+        answer, lagging_nodes = self.run(send_and_wait)
         self._report_answer(answer, lagging_nodes, success_text)
 
     def _report_answer(
