--- a/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/control/raft_disk.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from wagtailkeel_coordination.raft import StorageFaultError
 from wagtailkeel_transport import StorageError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from wagtailkeel_state.commands import LogEntry
     from wagtailkeel_state.persistent_state import Snapshot
     from wagtailkeel_state.persistent_state import Vote
@@ -23,32 +26,29 @@
 
     def save_vote(self, vote: Vote) -> None:
         """Replace the stored term and vote."""
-        try:
+        with self._converted_errors():
             self._store.save_vote(vote)
-        except StorageError as error:
-            raise self._convert_error(error) from error
 
     def append(self, entries: list[LogEntry]) -> None:
         """Add entries at the end of the log."""
-        try:
+        with self._converted_errors():
             self._store.append(entries)
-        except StorageError as error:
-            raise self._convert_error(error) from error
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at ``index`` and all after it."""
-        try:
+        with self._converted_errors():
             self._store.truncate_from(index)
-        except StorageError as error:
-            raise self._convert_error(error) from error
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot and drop entries that are no longer needed."""
-        try:
+        with self._converted_errors():
             self._store.save_snapshot(snapshot)
-        except StorageError as error:
-            raise self._convert_error(error) from error
 
-    def _convert_error(self, error: StorageError) -> StorageFaultError:
-        self.last_error = str(error)
-        return StorageFaultError(str(error))
+    @contextmanager
+    def _converted_errors(self) -> Iterator[None]:
+        """Raise StorageFaultError for a StorageError, whose text becomes ``last_error``."""
+        try:
+            yield
+        except StorageError as error:
+            self.last_error = str(error)
+            raise StorageFaultError(str(error)) from error
