--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -15,6 +15,7 @@
 from wagtailkeel_bench.child_process import BenchError
 from wagtailkeel_bench.demonstration import run_demonstration
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
+from wagtailkeel_bench.history_report import report_broken_histories
 from wagtailkeel_bench.load_model import LOADS_BY_NAME
 from wagtailkeel_bench.load_model import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model import format_table
@@ -151,17 +152,8 @@
     is 1 then.
     """
     draw = draw_partition_history if partitions else draw_history
-    broken = 0
-    for number in range(seed, seed + runs):
-        history = draw(number, is_strict=strict)
-        try:
-            play(history)
-        except InvariantError as error:
-            broken += 1
-            click.echo(f"seed {number}: {error}")
-            for fault in shrink_history(history).faults:
-                click.echo(f"  {fault}")
-    click.echo(f"{runs} histories, {broken} broken")
+    histories = (draw(number, is_strict=strict) for number in range(seed, seed + runs))
+    broken = report_broken_histories(histories, play, shrink_history, InvariantError)
     raise SystemExit(1 if broken else 0)
 
 
@@ -174,17 +166,10 @@
     A history that fails a check is shrunk and printed as a list of faults; the exit status is 1
     then.
     """
-    broken = 0
-    for number in range(seed, seed + runs):
-        history = draw_agent_history(number)
-        try:
-            play_agent_history(history)
-        except ServerCheckError as error:
-            broken += 1
-            click.echo(f"seed {number}: {error}")
-            for fault in shrink_agent_history(history).faults:
-                click.echo(f"  {fault}")
-    click.echo(f"{runs} histories, {broken} broken")
+    histories = (draw_agent_history(number) for number in range(seed, seed + runs))
+    broken = report_broken_histories(
+        histories, play_agent_history, shrink_agent_history, ServerCheckError
+    )
     raise SystemExit(1 if broken else 0)
 
 
