--- a/bench/src/wagtailkeel_bench/__main__.py
+++ b/bench/src/wagtailkeel_bench/__main__.py
@@ -20,6 +20,8 @@
 from wagtailkeel_bench.flow_simulation import draw_flow_history
 from wagtailkeel_bench.flow_simulation import play_flow_history
 from wagtailkeel_bench.flow_simulation import shrink_flow_history
+from wagtailkeel_bench.flow_simulation.loss_cost import LOSSES_BY_NAME
+from wagtailkeel_bench.flow_simulation.loss_cost import measure_loss
 from wagtailkeel_bench.load_model import LOADS_BY_NAME
 from wagtailkeel_bench.load_model import POLICIES_BY_NAME
 from wagtailkeel_bench.load_model import format_table
@@ -225,6 +227,16 @@
     raise SystemExit(1 if broken else 0)
 
 
+@main.command(name="measure-lost-flows")
+@click.option("--seed", type=int, default=1, help="First seed.")
+@click.option("--runs", type=click.IntRange(min=1), default=20, help="Histories for each loss.")
+@click.option("--deadline", type=click.FloatRange(min=0.5), default=8.0, help="In seconds.")
+def measure_lost_flows_command(seed: int, runs: int, deadline: float) -> None:
+    """Print what callers get on flows that are lost with their servers, a line for each loss."""
+    for name in LOSSES_BY_NAME:
+        click.echo(measure_loss(name, range(seed, seed + runs), deadline))
+
+
 @main.command(name="load-model")
 @click.argument("load", type=click.Choice(sorted(LOADS_BY_NAME)))
 @click.option("--seed", type=int, default=1)
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_checks.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_checks.py
@@ -48,12 +48,15 @@
     """Judges resets when they reach a caller, and counts packets that reach wrong servers.
 
     ``find_running`` returns the starts of servers that run. ``idle_limit_s`` is the one in force.
+    Without ``stops``, wrong resets are only counted.
     """
 
     def __init__(self, find_running: Callable[[], Iterable[HoldingStart]]) -> None:
         self.idle_limit_s = 60.0
         self.resets = 0
         self.stray_spans = 0
+        self.wrong_resets = 0
+        self.stops = True
         self._find_running = find_running
 
     def find_holder(
@@ -80,6 +83,9 @@
         start, flow = found
         if writer == start.number or now - flow.last_seen_at > self.idle_limit_s:
             return
+        self.wrong_resets += 1
+        if not self.stops:
+            return
         source = f"start {writer}" if writer else "the system"
         raise FlowCheckError(
             f"the flow {key.hex()} is reset by {source} while start {start.number} of {start.name}"
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_history.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_history.py
@@ -72,19 +72,21 @@
     """Faults in the order of their begin; the seed decides delays and traffic too.
 
     With ``returns_packets``, servers return packets of flows that they don't hold, else they reset
-    them. Callers wait for an answer for up to ``deadline_s``.
+    them. Callers wait for an answer for up to ``deadline_s``. The history goes on for
+    ``recovery_s`` after the last fault.
     """
 
     seed: int
     faults: tuple[FlowFault, ...]
     returns_packets: bool = True
     deadline_s: float = 8.0
+    recovery_s: float = RECOVERY_S
 
     @property
     def duration_s(self) -> float:
         """Time after which everything has recovered."""
         ends = [fault.at_s + fault.lasts_s for fault in self.faults]
-        return max(ends, default=FIRST_FAULT_AT_S) + RECOVERY_S
+        return max(ends, default=FIRST_FAULT_AT_S) + self.recovery_s
 
     def without(self, fault: FlowFault) -> FlowHistory:
         """Return the history without one fault."""
--- a/bench/src/wagtailkeel_bench/flow_simulation/flow_outcomes.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/flow_outcomes.py
@@ -33,7 +33,8 @@
 
     ``unanswered`` counts requests on flows that their servers held on to, ``stray_spans`` the times
     at which a flow's packets reached only other servers for REORDER_S, and ``outdated_resets``
-    resets of earlier flows of a port, which callers ignore.
+    resets of earlier flows of a port, which callers ignore. ``wrong_resets`` are those of flows
+    that their servers held, if the history went on.
     """
 
     answered: int = 0
@@ -42,6 +43,7 @@
     unopened: int = 0
     stray_spans: int = 0
     outdated_resets: int = 0
+    wrong_resets: int = 0
     lost: list[LostFlow] = []
 
     def count(self) -> Counter[str]:
--- a/bench/src/wagtailkeel_bench/flow_simulation/player.py
+++ b/bench/src/wagtailkeel_bench/flow_simulation/player.py
@@ -286,12 +286,14 @@
             self._start_server(fault, node)
 
 
-def play_flow_history(history: FlowHistory) -> FlowOutcomes:
+def play_flow_history(history: FlowHistory, *, stops: bool = True) -> FlowOutcomes:
     """Play a history and return what callers got.
 
-    Raise FlowCheckError, whose message begins with the virtual time.
+    Raise FlowCheckError, whose message begins with the virtual time, at a wrong reset; without
+    ``stops``, count it and go on.
     """
     player = _Player(history)
+    player.checks.stops = stops
     try:
         player.start()
         for fault in history.faults:
@@ -301,6 +303,7 @@
     except FlowCheckError as error:
         raise FlowCheckError(f"{player.scheduler.now:.3f} s: {error}") from error
     player.callers.outcomes.stray_spans = player.checks.stray_spans
+    player.callers.outcomes.wrong_resets = player.checks.wrong_resets
     return player.callers.outcomes
 
 
