Tests: a late packet of an earlier flow of the port resets the later one (known red)

A caller gives up a flow and uses its port again; a packet of the earlier flow, which has waited at a suspended agent, reaches the later flow's server and is returned. Its agent takes that for the server's word on the later flow: FlowHolder._on_bounce calls held.on_returned, which also discards the flow from those forgotten, so the agent denies it and its caller is reset while the server holds it.

--- a/tests/bench/test_flow_simulation.py
+++ b/tests/bench/test_flow_simulation.py
@@ -17,6 +17,8 @@
 from wagtailkeel_bench.flow_simulation.flow_checks import ServerFlow
 from wagtailkeel_bench.flow_simulation.flow_history import FlowFault
 from wagtailkeel_bench.flow_simulation.flow_history import FlowFaultKind
+from wagtailkeel_bench.flow_simulation.flow_outcomes import LostFlowOutcome
+from wagtailkeel_bench.flow_simulation.loss_cost import LOSSES_BY_NAME
 from wagtailkeel_bench.flow_simulation.player import is_broken
 from wagtailkeel_bench.flow_simulation.player import play_flow_history
 from wagtailkeel_coordination.handshake.flow_holder import FlowHolder
@@ -86,9 +88,28 @@
                 self.assertEqual(checks.stray_spans, spans)
 
 
+RETURNED_PACKET_OF_AN_EARLIER_FLOW = FlowHistory(
+    9,
+    (
+        FlowFault(6.0, FlowFaultKind.FREEZE_AGENT, 1, 4.5),
+        FlowFault(6.2, FlowFaultKind.STOP_AGENT, 0, 3.0),
+        FlowFault(8.6, FlowFaultKind.STOP_AGENT, 2, 2.0),
+    ),
+)
+DRAWN_THAT_FAILED = (85, 90, 118)
+LOST_FLOWS_SEEDS = range(3)
+
+
 class OpenFlowTest(unittest.TestCase):
     """Open flows were reset while their servers held them."""
 
+    def test_a_late_packet_of_an_earlier_flow_of_the_port(self) -> None:
+        """The server returned it, and its agent then denied the flow that the server held."""
+        play_flow_history(RETURNED_PACKET_OF_AN_EARLIER_FLOW)
+        for seed in DRAWN_THAT_FAILED:
+            with self.subTest(seed=seed):
+                play_flow_history(draw_flow_history(seed))
+
     def test_drawn_histories(self) -> None:
         for seed in HISTORIES:
             with self.subTest(seed=seed):
@@ -96,6 +117,19 @@
                 self.assertGreater(outcomes.answered, outcomes.unanswered)
 
 
+class LostFlowTest(unittest.TestCase):
+    """Callers waited in vain on flows that had ended with their servers."""
+
+    def test_callers_are_reset_if_the_agent_lives_on(self) -> None:
+        for name in ("server back after 0.05 s", "server back after 2.5 s"):
+            for seed in LOST_FLOWS_SEEDS:
+                with self.subTest(name, seed=seed):
+                    history = FlowHistory(seed, LOSSES_BY_NAME[name])
+                    outcomes = {flow.outcome for flow in play_flow_history(history).lost}
+                    self.assertIn(LostFlowOutcome.RESET, outcomes)
+                    self.assertNotIn(LostFlowOutcome.UNANSWERED, outcomes)
+
+
 def end_searches_without_former_members(locator: FlowLocator) -> None:
     """Count a removed agent that is silent as denying the flow."""
     _tick_locator(locator)
