Handshake soak: ports that no outgoing connection can take

The ports came from the range of outgoing connections, and were tried on 127.0.0.1 only. They are now below that range and tried on all hosts, TCP and UDP; a process that ends at the start is reported with the folder of the logs.

--- a/bench/src/wagtailkeel_bench/handshake_soak/site.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/site.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+from itertools import islice
+from random import Random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -40,7 +42,6 @@
 
 if TYPE_CHECKING:
     from pathlib import Path
-    from random import Random
 
     from wagtailkeel_bench.handshake_soak.record_file import RecordFile
 
@@ -57,6 +58,11 @@
 GRACE_PERIOD_S = 6.0
 """A process that has not ended this long after SIGTERM is killed."""
 COMMAND_DEADLINE_S = 20.0
+PORT_RANGE = range(10_000, 30_000)
+"""Below the ports from which the kernel opens connections, which could take one while a process is
+down.
+"""
+MAX_PORT_CANDIDATES = 100
 
 
 class _Ports(msgspec.Struct):
@@ -72,17 +78,26 @@
     report_source: int
 
     @classmethod
-    def pick(cls) -> _Ports:
-        """Pick ports that the kernel reports as free."""
-        sockets = [socket.socket() for _ in cls.__struct_fields__]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        ports = [int(sock.getsockname()[1]) for sock in sockets]
-        for sock in sockets:
-            sock.close()
+    def pick(cls, hosts: list[str]) -> _Ports:
+        """Pick ports that are free on all hosts."""
+        candidates = Random().sample(PORT_RANGE, MAX_PORT_CANDIDATES)
+        free = (port for port in candidates if all(_is_free(host, port) for host in hosts))
+        ports = list(islice(free, len(cls.__struct_fields__)))
+        if len(ports) < len(cls.__struct_fields__):
+            raise BenchError(f"too few ports are free on {', '.join(hosts)}")
         return cls(*ports)
 
 
+def _is_free(host: str, port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
 class HandshakeSite:
     """Starts, stops and disturbs the processes and servers, by the names of the schedule.
 
@@ -93,7 +108,6 @@
         # Runs beside each other have networks of their own.
         network = f"127.{64 + os.getpid() % 128}"
         self._folder = folder
-        self._ports = _Ports.pick()
         self._hosts_by_name = {
             f"{role}-{number + 1}": f"{network}.{position}.{number + 1}"
             for position, (role, count) in enumerate(
@@ -101,12 +115,14 @@
             )
             for number in range(count)
         }
+        caller_host = f"{network}.9.1"
+        self._ports = _Ports.pick([*self._hosts_by_name.values(), caller_host])
         self._processes_by_name: dict[str, ChildProcess] = {}
         self.servers_by_name = {
             name: SoakServer(self._server_plan(name), records, random)
             for name in names("server", AGENTS)
         }
-        caller_address = (f"{network}.9.1", self._ports.caller)
+        caller_address = (caller_host, self._ports.caller)
         self.callers = Callers(caller_address, ROUTE, [], records, random)
         self._client = ControlClient(
             [(host, self._ports.rpc) for host in self._hosts("control")], COMMAND_DEADLINE_S
@@ -136,6 +152,8 @@
         await self._put_route_in_force()
         deadline = asyncio.get_running_loop().time() + READY_TIMEOUT_S
         while not await self._is_ready():
+            if ended := self.ended_processes():
+                raise BenchError(f"{', '.join(ended)} ended; logs in {self._folder}")
             if asyncio.get_running_loop().time() > deadline:
                 raise BenchError(f"the site is not ready in time; logs in {self._folder}")
             await asyncio.sleep(READY_POLL_INTERVAL_S)
@@ -153,7 +171,9 @@
         command = ReplaceRouting(change=compute_change(RoutingDocument(), document))
         answer = await self._client.send(command, author="bench")
         if not answer.is_accepted:
-            raise BenchError(f"control has not accepted the route: {answer.reason}")
+            raise BenchError(
+                f"control has not accepted the route: {answer.reason}; logs in {self._folder}"
+            )
 
     async def _is_ready(self) -> bool:
         try:
