--- a/bench/src/wagtailkeel_bench/handshake_soak/runner.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/runner.py
@@ -32,6 +32,7 @@
 LAG_CHECK_INTERVAL_S = 0.1
 MAX_CANCELLATIONS = 10
 CANCELLATION_TIMEOUT_S = 0.5
+MAX_NAMED_FLOWS = 5
 RECORDS_FILE = "records.jsonl"
 
 
@@ -109,10 +110,13 @@
     judgement = judge(records.records)
     _add_causes(judgement, folder)
     failed = [f"{name} has ended by itself" for name in ended]
+    broken = judgement.broken_flows
     failed += [
         f"{flow.flow} was reset while {flow.server} held it, for {flow.held_s:.3f} s: {flow.cause}"
-        for flow in judgement.broken_flows
+        for flow in broken[:MAX_NAMED_FLOWS]
     ]
+    if len(broken) > MAX_NAMED_FLOWS:
+        failed.append(f"so were {len(broken) - MAX_NAMED_FLOWS} more flows")
     if count := site.callers.counters["answers_of_other_servers"]:
         failed.append(f"{count} answers came from servers that the caller had not accepted")
     if not has_recovered:
--- a/bench/src/wagtailkeel_bench/scenario/runner.py
+++ b/bench/src/wagtailkeel_bench/scenario/runner.py
@@ -12,6 +12,7 @@
 
 from wagtailkeel_bench.deployment import DEPLOYMENT_SPECS_BY_NAME
 from wagtailkeel_bench.deployment import Deployment
+from wagtailkeel_bench.flow_records import BrokenFlow
 from wagtailkeel_bench.flow_records import FlowRecord
 from wagtailkeel_bench.flow_records import judge
 from wagtailkeel_bench.scenario.actions import Actions
@@ -135,13 +136,15 @@
             for cause in ("reset", "timed_out", "stale", "never_opened")
             if outcomes.get(cause)
         }
+        held_flows = await self._find_resets_of_held_flows()
         sent = callers.get("requests_sent", 0)
         return {
             "flows_opened": callers["feeds"] + sent,
             "feeds": callers["feeds"],
             "broken_flows": sum(broken_by_cause.values()),
             "broken_by_cause": broken_by_cause,
-            "resets_of_held_flows": await self._count_resets_of_held_flows(),
+            "resets_of_held_flows": len(held_flows),
+            "held_flows_reset": msgspec.to_builtins(held_flows),
             "given_up_flows": outcomes.get("given_up", 0),
             "silenced_flows": outcomes.get("silenced", 0),
             "silenced_untold": outcomes.get("silenced", 0) - outcomes.get("silenced_told", 0),
@@ -168,14 +171,14 @@
             "share_error_cv": await self._measure_share_error(),
         }
 
-    async def _count_resets_of_held_flows(self) -> int:
-        """Return how many feeds were reset while the server that answered them held them."""
+    async def _find_resets_of_held_flows(self) -> list[BrokenFlow]:
+        """Return the feeds that were reset while the server that answered them held them."""
         resets = await self._site.callers.command(
             "list_resets", silenced=self._actions.silenced_flow_keys
         )
         tables = await self._site.servers.command("list_flow_records")
         records = msgspec.convert([*tables, *resets], list[FlowRecord])
-        return len(judge(records).broken_flows)
+        return judge(records).broken_flows
 
     async def _measure_share_error(self) -> float:
         """Return how far the committed shares deviate from the true capacities.
