--- a/bench/src/wagtailkeel_bench/handshake_soak/runner.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/runner.py
@@ -110,6 +110,7 @@
     judgement = judge(records.records)
     _add_causes(judgement, folder)
     failed = [f"{name} has ended by itself" for name in ended]
+    failed += [f"{path.stem} has logged an exception" for path in _find_exceptions(folder)]
     broken = judgement.broken_flows
     failed += [
         f"{flow.flow} was reset while {flow.server} held it, for {flow.held_s:.3f} s: {flow.cause}"
@@ -185,6 +186,11 @@
             task.result()
 
 
+def _find_exceptions(folder: Path) -> list[Path]:
+    """Return the logs of processes that have logged an exception; a restart hides their end."""
+    return [path for path in sorted(folder.glob("*.log")) if b"Traceback" in path.read_bytes()]
+
+
 def _add_causes(judgement: Judgement, folder: Path) -> None:
     """Add to each broken flow what the logs of the processes say of it."""
     if not judgement.broken_flows:
