--- a/bench/src/wagtailkeel_bench/handshake_soak/runner.py
+++ b/bench/src/wagtailkeel_bench/handshake_soak/runner.py
@@ -32,6 +32,7 @@
 LAG_CHECK_INTERVAL_S = 0.1
 MAX_CANCELLATIONS = 10
 CANCELLATION_TIMEOUT_S = 0.5
+MAX_NAMED_FLOWS = 5
 RECORDS_FILE = "records.jsonl"
 
 
@@ -109,10 +110,14 @@
     judgement = judge(records.records)
     _add_causes(judgement, folder)
     failed = [f"{name} has ended by itself" for name in ended]
+    failed += [f"{path.stem} has logged an exception" for path in _find_exceptions(folder)]
+    broken = judgement.broken_flows
     failed += [
         f"{flow.flow} was reset while {flow.server} held it, for {flow.held_s:.3f} s: {flow.cause}"
-        for flow in judgement.broken_flows
+        for flow in broken[:MAX_NAMED_FLOWS]
     ]
+    if len(broken) > MAX_NAMED_FLOWS:
+        failed.append(f"so were {len(broken) - MAX_NAMED_FLOWS} more flows")
     if count := site.callers.counters["answers_of_other_servers"]:
         failed.append(f"{count} answers came from servers that the caller had not accepted")
     if not has_recovered:
@@ -181,6 +186,11 @@
             task.result()
 
 
+def _find_exceptions(folder: Path) -> list[Path]:
+    """Return the logs of processes that have logged an exception; a restart hides their end."""
+    return [path for path in sorted(folder.glob("*.log")) if b"Traceback" in path.read_bytes()]
+
+
 def _add_causes(judgement: Judgement, folder: Path) -> None:
     """Add to each broken flow what the logs of the processes say of it."""
     if not judgement.broken_flows:
