Agent: a search for a flow asks all candidates before a reset

Callers saw a reset on an open flow while its server held it, after two or more agents had crashed at about the same time or a bucket had moved during a recovery.

- The authority asked the first agent that may lack records, and forgot the other candidates: that agent's denial reset the caller, though the flow was at the next one.
- It recorded the agent that it only asked as the flow's server.
A grant passed that entry on, and the next authority took it for confirmed, reset the caller at its denial, and an agent that was so recorded itself delivered the packet to its server and passed on the RST.
- An agent that had become the authority before its own server's answer reset the caller without asking others.

Now the authority keeps a search until a candidate has answered that its server has the flow (FLAG_FOUND), and only then records it. A denial leads to the next candidate, silence to the next one with the caller's next packet; the caller is reset once all candidates have denied the flow. A denial at a recorded server starts such a search, too, and an agent's answer to itself takes the same way as one from another agent. Queries are marked (FLAG_QUERY), so that their late denials don't remove a newer entry.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -30,6 +30,7 @@
         self._identity = identity
         self._boot_ids = {identity.boot_id}
         self._removed_since_by_id: dict[str, float] = {}
+        self._ids_by_join_index: dict[int, str] = {}
         self._draining_since = float("inf")
         self._is_isolated = False
 
@@ -59,6 +60,7 @@
     def update(self, config: Configuration, now: float) -> None:
         """Apply a newer configuration."""
         self.config = config
+        self._record_join_indexes()
         service = config.services_by_name.get(self._identity.service)
         self.classes_by_endpoint = index_classes(service) if service else {}
         self.probe_endpoint = next(iter(self.classes_by_endpoint), b"")
@@ -66,6 +68,30 @@
         self._record_removed_members(now)
         self.refresh(now)
 
+    def _record_join_indexes(self) -> None:
+        """Record who joined when; the last incarnations of former members are kept."""
+        assert self.config is not None, "called with a configuration"
+        members = self.config.servers_by_id
+        removed_ids = self.config.former_members_by_id.keys() - members.keys()
+        removed = {
+            index: server_id
+            for index, server_id in self._ids_by_join_index.items()
+            if server_id in removed_ids
+        }
+        joined = {
+            member.joined_index: member.server_id
+            for member in members.values()
+            if member.service == self._identity.service
+        }
+        self._ids_by_join_index = removed | joined
+
+    def find_id_by_join_index(self, joined_index: int) -> str | None:
+        """Return the server whose agent's incarnation joined at a log index.
+
+        It may have been removed since, but it is not the former incarnation of a member.
+        """
+        return self._ids_by_join_index.get(joined_index)
+
     def _record_removed_members(self, now: float) -> None:
         assert self.config is not None, "called with a configuration"
         members = self.config.servers_by_id
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_context.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_context.py
@@ -11,6 +11,8 @@
 from wagtailkeel_protocol.packet_builder import build_reset
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
     from wagtailkeel_coordination.counters import Counters
     from wagtailkeel_coordination.flows.agent_view import AgentView
@@ -21,9 +23,21 @@
 
 
 class FlowContext:
-    """Shared state of one agent; ``now`` is the time of the event being handled."""
-
-    __slots__ = ("authority", "counters", "directory", "local_flows", "now", "packets", "view")
+    """Shared state of one agent; ``now`` is the time of the event being handled.
+
+    ``route_answer`` is called with an answer of this agent to itself: it has become the authority.
+    """
+
+    __slots__ = (
+        "authority",
+        "counters",
+        "directory",
+        "local_flows",
+        "now",
+        "packets",
+        "route_answer",
+        "view",
+    )
 
     def __init__(
         self,
@@ -34,6 +48,7 @@
         packets: PacketOutbox,
         counters: Counters,
         now: float,
+        route_answer: Callable[[DataFrame], None],
     ) -> None:
         self.view = view
         self.directory = directory
@@ -42,6 +57,7 @@
         self.packets = packets
         self.counters = counters
         self.now = now
+        self.route_answer = route_answer
 
     @property
     def epoch(self) -> int:
@@ -67,7 +83,7 @@
         The recipient is the agent that the token was granted to, otherwise the bucket's owner.
         """
         successor = self.authority.successors_by_bucket.get(frame.bucket)
-        kept_flags = frame.flags & gue.FLAG_REJECTED
+        kept_flags = frame.flags & (gue.ANSWER_FLAGS | gue.FLAG_QUERY)
         if successor is not None:
             self.forward(successor, frame, kept_flags | gue.FLAG_GRANTED)
             return
@@ -83,20 +99,23 @@
         self.local_flows.on_inbound(flow, frame.packet, self.now)
 
     def return_rejected(self, frame: DataFrame) -> None:
-        """Return a frame to the authority: the local backend server lacks, or rejects, the flow.
-
-        If this agent has become the bucket's authority, it resets the caller instead.
-        """
+        """Return a frame to the authority: the local backend server lacks, or rejects, the flow."""
         self.counters["placements_rejected"] += 1
-        if self.authority.is_authority(frame.bucket):
-            self.reset_caller(frame.packet)
-            return
-        # The join index identifies this incarnation; the authority ignores rejections of others.
+        self._answer_authority(frame, gue.FLAG_REJECTED | frame.flags & gue.FLAG_QUERY)
+
+    def return_found(self, frame: DataFrame) -> None:
+        """Return a queried frame to the authority: the local backend server has the flow."""
+        self.counters["flows_found"] += 1
+        self._answer_authority(frame, gue.FLAG_FOUND)
+
+    def _answer_authority(self, frame: DataFrame, flags: int) -> None:
+        # The join index identifies this incarnation; the authority ignores answers of others.
         joined_index = self.view.joined_index
-        rejected = DataFrame(
-            frame.packet, frame.bucket, 0, gue.FLAG_REJECTED, frame.hops, joined_index
-        )
-        self.forward_to_successor(rejected)
+        answer = DataFrame(frame.packet, frame.bucket, 0, flags, frame.hops, joined_index)
+        if self.authority.is_authority(frame.bucket):
+            self.route_answer(answer)
+        else:
+            self.forward_to_successor(answer)
 
     def reset_caller(self, packet: bytes) -> None:
         """Answer a caller's TCP packet with RST; a UDP packet is dropped."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -83,7 +83,14 @@
             self._replay,
         )
         self._context = FlowContext(
-            self.view, self.directory, self.local_flows, self.authority, packets, counters, now
+            self.view,
+            self.directory,
+            self.local_flows,
+            self.authority,
+            packets,
+            counters,
+            now,
+            self._route_answer,
         )
         self._placement = Placement(
             self._context, self.limiter, self.peers, lease, self._forward_to_authority
@@ -171,13 +178,16 @@
             self._counters[f"dropped_{key.value}"] += 1
             return
         flow = self.directory.local_flows_by_key.get(key)
-        if flow is None or frame.flags & gue.FLAG_REJECTED:
+        if flow is None or frame.flags & gue.ANSWER_FLAGS:
             self._route(frame, key)
             return
         if self.view.is_out_of_service:
             self._end_out_of_service_flow(flow)
             self._context.reset_caller(frame.packet)
             return
+        if frame.flags & gue.FLAG_QUERY:
+            # The earlier answer was lost, or is on its way.
+            self._context.return_found(frame)
         self._deliver(flow, frame.packet, frame.hops, now)
 
     def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
@@ -215,7 +225,7 @@
             self._context.forward_to_successor(frame)
             return
         remote = self.directory.find_remote(frame.bucket, key)
-        if remote is not None and not frame.flags & gue.FLAG_REJECTED:
+        if remote is not None and not frame.flags & gue.ANSWER_FLAGS:
             self._send_to_remote(frame, key, remote)
             return
         if claim.holder_id and not frame.flags & gue.FLAG_GRANTED:
@@ -233,7 +243,7 @@
         Return whether the packet was handled in this way.
         """
         if self.authority.has_incomplete_flow_table:
-            self._recovery.start(frame, key, [])
+            self._recovery.query_before_takeover(frame, key)
             return True
         removed_ids = self.view.recently_removed_ids(self._context.now)
         for server_id in removed_ids:
@@ -247,16 +257,58 @@
         self, frame: DataFrame, key: bytes, traffic_class: TrafficClass
     ) -> None:
         remote = self.directory.find_remote(frame.bucket, key)
-        if frame.flags & gue.FLAG_REJECTED:
-            self._placement.on_rejection(frame, key, traffic_class, remote)
+        if frame.flags & gue.ANSWER_FLAGS:
+            self._on_answer(frame, key, traffic_class)
         elif remote is not None:
             self._send_to_remote(frame, key, remote)
         elif is_start(frame.packet, key):
+            self._recovery.end_search(key)
             self._placement.place(frame, key, traffic_class)
         else:
-            candidates = sorted(self.authority.incomplete_since_by_id)
-            candidates += self.view.recently_removed_ids(self._context.now)
-            self._recovery.start(frame, key, candidates)
+            self._recovery.search(frame, key)
+
+    def _route_answer(self, frame: DataFrame) -> None:
+        key = ip.parse_flow_key(frame.packet)
+        traffic_class = None if isinstance(key, Malformed) else self.view.find_class(key)
+        if not isinstance(key, Malformed) and traffic_class is not None:
+            self._on_answer(frame, key, traffic_class)
+
+    def _on_answer(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
+        """Handle what another agent, or this one before it was the authority, says of a flow."""
+        remote = self.directory.find_remote(frame.bucket, key)
+        server_id = self.view.find_id_by_join_index(frame.token_epoch)
+        if frame.flags & gue.FLAG_FOUND:
+            self._on_found(frame, key, remote, server_id)
+        elif is_start(frame.packet, key):
+            self._placement.on_rejection(frame, key, traffic_class, remote)
+        elif server_id is None or key in self.directory.local_flows_by_key:
+            self._counters["rejections_ignored"] += 1
+        elif remote is not None and remote.server_id == server_id:
+            self._on_outdated_pointer(frame, key, server_id)
+        elif remote is None and self._recovery.is_searching(key):
+            self._recovery.on_denial(frame, key, server_id)
+        else:
+            self._counters["rejections_ignored"] += 1
+
+    def _on_found(
+        self, frame: DataFrame, key: bytes, remote: RemoteFlow | None, server_id: str | None
+    ) -> None:
+        # A late answer must not replace a newer record of the key.
+        is_known = remote is not None or key in self.directory.local_flows_by_key
+        if server_id is None or is_known:
+            return
+        self._recovery.end_search(key)
+        if server_id != self.view.own_id:
+            self.directory.add_remote(frame.bucket, key, server_id, self._context.now)
+
+    def _on_outdated_pointer(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+        """Search for a flow that its recorded server lacks."""
+        if frame.flags & gue.FLAG_QUERY:
+            # The pointer is newer than this answer to a query.
+            self._counters["rejections_ignored"] += 1
+            return
+        self.directory.remove_remote(frame.bucket, key)
+        self._recovery.on_denial(frame, key, server_id)
 
     def _send_to_remote(self, frame: DataFrame, key: bytes, remote: RemoteFlow) -> None:
         remote.last_seen_at = self._context.now
@@ -315,7 +367,7 @@
         elif is_first_packet:
             self._context.open_and_deliver(frame, key, traffic_class)
         elif self.authority.has_incomplete_flow_table:
-            self._recovery.start(frame, key, [], is_for_authority=True)
+            self._recovery.query(frame, key)
         else:
             self._context.return_rejected(frame)
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/placement.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/placement.py
@@ -6,7 +6,6 @@
 
 from wagtailkeel_coordination.buckets.bucket_uncertainty import CALLER_RETRY_WINDOW_S
 from wagtailkeel_coordination.flows.admission_queue import AdmissionQueue
-from wagtailkeel_coordination.flows.flow_context import is_start
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol.gue import DataFrame
 from wagtailkeel_protocol.messages import Load
@@ -105,15 +104,13 @@
         traffic_class: TrafficClass,
         remote: RemoteFlow | None,
     ) -> None:
-        """Handle a peer's rejection of a flow: reset, start, queue or refuse the flow."""
+        """Handle a peer's rejection of a flow's start: start, queue or refuse the flow."""
         context = self._context
         if remote is None or not self._is_from_current_incarnation(frame, remote):
             context.counters["rejections_ignored"] += 1
             return
         context.directory.remove_remote(frame.bucket, key)
-        if not is_start(frame.packet, key):
-            context.reset_caller(frame.packet)
-        elif self.can_start_locally(traffic_class):
+        if self.can_start_locally(traffic_class):
             context.open_and_deliver(frame, key, traffic_class)
         elif self._queue.contains(key):
             return
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -2,7 +2,11 @@
 
 A packet from the middle of an unknown TCP connection is delivered to the local backend server: an
 answer other than RST proves that the server has the connection. An RST is not sent to the caller;
-the next candidate is queried instead, and the caller gets an RST only when none has the connection.
+the next candidate is queried instead, and the caller gets an RST only once all candidates have
+denied the flow. Silence is no denial: the caller's next packet continues the search.
+
+The authority's directory has no entry of an agent that is only queried. An entry is taken for
+confirmed by the bucket's next authority, which doesn't know of the other candidates.
 """
 
 from __future__ import annotations
@@ -19,80 +23,161 @@
     from wagtailkeel_coordination.flows.flow_context import FlowContext
 
 RECOVERY_TIMEOUT_S = 5.0
+QUERY_TIMEOUT_S = 0.5
+"""How long a candidate gets the packets of a flow before the next one is asked."""
 
 
-class PendingRecovery(msgspec.Struct):
-    """A flow being recovered; ``candidates`` are the agents to query next.
+class LocalQuery(msgspec.Struct):
+    """A packet to the local backend server whose answer shows whether it has the flow.
 
-    With ``is_for_authority``, another agent is the bucket's authority: it gets the frame back if
-    the local backend server lacks the connection.
+    ``frame`` came from another agent, the bucket's authority, unless ``is_own``.
     """
 
     frame: DataFrame
-    started_at: float
-    candidates: list[str]
-    is_for_authority: bool = False
+    asked_at: float
+    is_own: bool
+
+
+class FlowSearch(msgspec.Struct):
+    """A search of the bucket's authority for a flow; ``frame`` is the newest packet."""
+
+    frame: DataFrame
+    asked_id: str = ""
+    asked_at: float = 0.0
+    denied_ids: set[str] = set()
+    silent_ids: set[str] = set()
 
 
 class FlowRecovery:
-    """Recoveries in progress, by flow key."""
+    """Searches and queries in progress, by flow key."""
 
     def __init__(self, context: FlowContext) -> None:
         self._context = context
-        self._pending_by_key: dict[bytes, PendingRecovery] = {}
-
-    def start(
-        self,
-        frame: DataFrame,
-        key: bytes,
-        candidates: list[str],
-        *,
-        is_for_authority: bool = False,
-    ) -> None:
-        """Start a recovery; a UDP packet or an RST is dropped instead.
-
-        The local backend server is queried first, if this incarnation may lack some of its flows.
+        self._queries_by_key: dict[bytes, LocalQuery] = {}
+        self._searches_by_key: dict[bytes, FlowSearch] = {}
+
+    # Searches of an authority
+
+    def search(self, frame: DataFrame, key: bytes) -> None:
+        """Ask a candidate with a packet of an unknown flow; UDP packets and RSTs are dropped.
+
+        The packets of a flow go to one candidate until it denies the flow or is silent for too
+        long.
         """
-        context = self._context
-        if key[-1] != ip.TCP or ip.tcp_flags(frame.packet) & ip.RST:
-            context.counters["dropped_unknown_flow"] += 1
+        if self._drop_unrecoverable(frame, key):
             return
-        pending = PendingRecovery(frame, context.now, candidates, is_for_authority)
-        if not context.authority.has_incomplete_flow_table or context.view.is_out_of_service:
-            self._query_next(pending, key)
+        search = self._searches_by_key.get(key)
+        if search is None:
+            self._context.counters["recoveries_started"] += 1
+            search = self._searches_by_key[key] = FlowSearch(frame)
+        search.frame = frame
+        if search.asked_id and self._context.now - search.asked_at > QUERY_TIMEOUT_S:
+            search.silent_ids.add(search.asked_id)
+            search.asked_id = ""
+        if search.asked_id in self._candidates():
+            self._ask(search, key)
+        else:
+            self._ask_next(search, key)
+
+    def on_denial(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+        """Ask the next candidate, since the server of this one lacks the flow."""
+        search = self._searches_by_key.get(key)
+        if search is None:
+            new_frame = DataFrame(frame.packet, frame.bucket, self._context.epoch)
+            search = self._searches_by_key[key] = FlowSearch(new_frame)
+        search.denied_ids.add(server_id)
+        if search.asked_id in ("", server_id):
+            self._ask_next(search, key)
+
+    def is_searching(self, key: bytes) -> bool:
+        """Return whether this agent searches for a flow."""
+        return key in self._searches_by_key
+
+    def end_search(self, key: bytes) -> None:
+        """End the search for a flow whose server is known."""
+        self._searches_by_key.pop(key, None)
+
+    def _candidates(self) -> list[str]:
+        """Return the agents that may have the flow without having reported it."""
+        context = self._context
+        own = [context.view.own_id] if self._may_lack_own_flows else []
+        incomplete = sorted(context.authority.incomplete_since_by_id)
+        removed = context.view.recently_removed_ids(context.now)
+        return list(dict.fromkeys([*own, *incomplete, *removed]))
+
+    def _ask_next(self, search: FlowSearch, key: bytes) -> None:
+        context = self._context
+        candidates = [c for c in self._candidates() if c not in search.denied_ids]
+        if not candidates:
+            del self._searches_by_key[key]
+            context.counters["unknown_flows_reset"] += 1
+            context.reset_caller(search.frame.packet)
             return
-        self._pending_by_key[key] = pending
-        context.counters["recoveries_started"] += 1
-        context.packets.deliver(frame.packet)
+        if search.silent_ids.issuperset(candidates):
+            search.silent_ids.clear()
+        search.asked_id = next(c for c in candidates if c not in search.silent_ids)
+        search.asked_at = context.now
+        self._ask(search, key)
+
+    def _ask(self, search: FlowSearch, key: bytes) -> None:
+        if search.asked_id == self._context.view.own_id:
+            self._query(search.frame, key, is_own=True)
+        else:
+            self._context.forward(search.asked_id, search.frame, gue.FLAG_DELIVER | gue.FLAG_QUERY)
+
+    # Queries to the local backend server
+
+    @property
+    def _may_lack_own_flows(self) -> bool:
+        context = self._context
+        return context.authority.has_incomplete_flow_table and not context.view.is_out_of_service
 
-    def on_reset(self, key: bytes) -> None:
-        """Query the next candidate: the local backend server's RST shows that it lacks the flow."""
-        pending = self._pending_by_key.pop(key, None)
-        if pending is not None:
-            self._query_next(pending, key)
+    def query(self, frame: DataFrame, key: bytes) -> None:
+        """Ask the local backend server on behalf of the bucket's authority."""
+        if not self._drop_unrecoverable(frame, key):
+            self._query(frame, key, is_own=False)
 
-    def on_answer(self, key: bytes) -> None:
-        """End a recovery: the local backend server has the connection."""
-        self._pending_by_key.pop(key, None)
+    def query_before_takeover(self, frame: DataFrame, key: bytes) -> None:
+        """Ask the local backend server before this agent is the bucket's authority."""
+        if not self._drop_unrecoverable(frame, key):
+            self._query(frame, key, is_own=True)
 
-    def expire(self, now: float) -> None:
-        """Discard recoveries without an answer; the caller's next packet starts another."""
-        for key, pending in list(self._pending_by_key.items()):
-            if now - pending.started_at > RECOVERY_TIMEOUT_S:
-                del self._pending_by_key[key]
+    def _query(self, frame: DataFrame, key: bytes, *, is_own: bool) -> None:
+        self._queries_by_key[key] = LocalQuery(frame, self._context.now, is_own)
+        self._context.packets.deliver(frame.packet)
 
-    def _query_next(self, pending: PendingRecovery, key: bytes) -> None:
+    def on_reset(self, key: bytes) -> None:
+        """Pass on that the local backend server lacks a flow, by its RST."""
         context = self._context
-        if pending.is_for_authority:
-            context.return_rejected(pending.frame)
+        query = self._queries_by_key.pop(key, None)
+        if query is None:
             return
-        if not context.authority.is_authority(pending.frame.bucket):
+        if not query.is_own:
+            context.return_rejected(query.frame)
+        elif context.authority.is_authority(query.frame.bucket):
+            self.on_denial(query.frame, key, context.view.own_id)
+        else:
             context.counters["dropped_unknown_flow"] += 1
-            return
-        if not pending.candidates:
-            context.counters["unknown_flows_reset"] += 1
-            context.reset_caller(pending.frame.packet)
-            return
-        candidate = pending.candidates.pop(0)
-        context.directory.add_remote(pending.frame.bucket, key, candidate, context.now)
-        context.forward(candidate, pending.frame, gue.FLAG_DELIVER)
+
+    def on_answer(self, key: bytes) -> None:
+        """Pass on that the local backend server has the connection."""
+        self.end_search(key)
+        query = self._queries_by_key.pop(key, None)
+        if query is not None and not query.is_own:
+            self._context.return_found(query.frame)
+
+    def expire(self, now: float) -> None:
+        """Discard what had no answer; the caller's next packet starts anew."""
+        for key, query in list(self._queries_by_key.items()):
+            if now - query.asked_at > RECOVERY_TIMEOUT_S:
+                del self._queries_by_key[key]
+        for key, search in list(self._searches_by_key.items()):
+            is_authority = self._context.authority.is_authority(search.frame.bucket)
+            if now - search.asked_at > RECOVERY_TIMEOUT_S or not is_authority:
+                del self._searches_by_key[key]
+
+    def _drop_unrecoverable(self, frame: DataFrame, key: bytes) -> bool:
+        if key[-1] == ip.TCP and not ip.tcp_flags(frame.packet) & ip.RST:
+            return False
+        self._context.counters["dropped_unknown_flow"] += 1
+        return True
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/gue.py
@@ -29,6 +29,18 @@
 """
 FLAG_GRANTED = 0x08
 """The sender has granted the bucket's token to the receiver."""
+FLAG_QUERY = 0x10
+"""The sender does not know whether the receiver's server has the flow.
+
+An answer with ``FLAG_REJECTED`` has this flag, too.
+"""
+FLAG_FOUND = 0x20
+"""An agent answers a query: its server has the flow, and the packet has reached it.
+
+The token epoch field is as with ``FLAG_REJECTED``.
+"""
+ANSWER_FLAGS = FLAG_REJECTED | FLAG_FOUND
+"""Frames with one of these flags tell an authority about a flow; their packet is not delivered."""
 MAX_HOPS = 4
 
 _DATA_FIRST_BYTE = 4
--- a/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
+++ b/packages/wagtailkeel/src/wagtailkeel/roles/agent.py
@@ -59,6 +59,9 @@
 STOP_POLL_INTERVAL_S = 0.05
 FLOW_SAMPLE_LIMIT = 10
 
+_ROUTED_FLAGS = gue.ANSWER_FLAGS | gue.FLAG_QUERY
+"""Frames that are more than a packet to deliver."""
+
 
 class Agent:
     """Owns the sockets and the flow router of one backend server's agent."""
@@ -214,7 +217,7 @@
         # Most packets belong to flows of the local backend server: deliver those without decoding
         # the whole frame.
         flags, hops = gue.peek_flags_and_hops(datagram)
-        if not flags & gue.FLAG_REJECTED and not self._instance.stateless:
+        if not flags & _ROUTED_FLAGS and not self._instance.stateless:
             packet = datagram[gue.HEADER_BYTES :]
             if self._router.deliver_if_local(packet, hops, clock.seconds()):
                 return
--- a/tests/coordination/flows/fake_cluster.py
+++ b/tests/coordination/flows/fake_cluster.py
@@ -10,6 +10,7 @@
 from wagtailkeel_coordination import AgentIdentity
 from wagtailkeel_coordination import FlowRouter
 from wagtailkeel_coordination import PlacementLease
+from wagtailkeel_coordination.flows.round_trip_probe import PROBE_SOURCE_IPV4
 from wagtailkeel_coordination.lease import LEASE_S
 from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol import packet as ip
@@ -68,6 +69,7 @@
     def __init__(self) -> None:
         self.connections: set[bytes] = set()
         self.starts: Counter[bytes] = Counter()
+        self.unknown_packets = 0
 
     def answer(self, packet: bytes) -> bytes | None:
         """Return the reply to a packet; RST for an unknown connection."""
@@ -83,6 +85,7 @@
             self.starts[key] += 1
             return build_tcp(reverse, 1, 1, ip.SYN | ip.ACK)
         if key not in self.connections:
+            self.unknown_packets += not key.startswith(PROBE_SOURCE_IPV4)
             return build_reset(packet)
         return build_tcp(reverse, 1, 1, ip.ACK)
 
--- /dev/null
+++ b/tests/coordination/flows/test_recovery.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import unittest
+
+from tests.coordination.flows.fake_cluster import FakeCluster
+from tests.coordination.flows.fake_cluster import flow_key
+from wagtailkeel_coordination.flows.recovery import RECOVERY_TIMEOUT_S
+from wagtailkeel_protocol import DataFrame
+from wagtailkeel_protocol import gue
+from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import RestoreServer
+
+SERVERS = ["a", "b", "c", "d"]
+FEEDS = 60
+SETTLE_S = 4.0
+REPEATS = 8
+REPEAT_INTERVAL_S = 0.25
+
+
+class RecoveryTest(unittest.TestCase):
+    """Flows whose records are lost while their servers go on are found, not reset."""
+
+    def setUp(self) -> None:
+        self.cluster = FakeCluster(SERVERS)
+        self.cluster.settle(SETTLE_S)
+        self.feeds = [flow_key(number, is_tcp=True) for number in range(FEEDS)]
+        for position, key in enumerate(self.feeds):
+            self.send(key, ip.SYN, to=SERVERS[position % len(SERVERS)])
+            self.send(key, ip.ACK, to=SERVERS[position % len(SERVERS)])
+
+    def send(self, key: bytes, flags: int, to: str, body: bytes = b"") -> None:
+        self.cluster.inject(to, build_tcp(key, 1, 1, flags, body))
+        self.cluster.settle(0.1)
+
+    def request(self, key: bytes, to: str) -> bool:
+        """Repeat a request until it is answered, as callers do; return whether it was."""
+        before = self.cluster.replies[key]
+        for _ in range(REPEATS):
+            self.send(key, ip.PSH | ip.ACK, to, b"ping")
+            if self.cluster.replies[key] > before or self.cluster.resets[key]:
+                break
+            self.cluster.settle(REPEAT_INTERVAL_S)
+        return self.cluster.replies[key] > before
+
+    def crash(self, *server_ids: str) -> None:
+        """Restart agents without their records; others become the owners of their buckets."""
+        for server_id in server_ids:
+            self.cluster.boot(server_id)
+            self.cluster.log(DrainServer(server_id=server_id))
+        self.cluster.settle(SETTLE_S)
+
+    def restore(self, *server_ids: str) -> None:
+        for server_id in server_ids:
+            self.cluster.log(RestoreServer(server_id=server_id))
+        self.cluster.settle(SETTLE_S)
+
+    def assert_all_answer(self) -> None:
+        unanswered = 0
+        for key in self.feeds:
+            for server_id in ("a", "d"):
+                unanswered += not self.request(key, server_id)
+        self.assertEqual((sum(self.cluster.resets.values()), unanswered), (0, 0))
+
+    def test_two_agents_crash_at_once(self) -> None:
+        """One agent's denial says nothing of the others: the flow may be at the next one."""
+        self.crash("a", "b")
+        self.assert_all_answer()
+
+    def test_three_agents_crash_at_once(self) -> None:
+        self.crash("a", "b", "c")
+        self.assert_all_answer()
+
+    def test_bucket_moves_during_a_recovery(self) -> None:
+        """An agent that is only queried must not reach the next authority as the flow's server."""
+        self.crash("a", "b")
+        for key in self.feeds:
+            self.cluster.inject("c", build_tcp(key, 1, 1, ip.PSH | ip.ACK, b"ping"))
+        for _ in range(2 * FEEDS):
+            position = next((i for i, e in enumerate(self.cluster.in_flight) if e.to in "cd"), None)
+            if position is not None:
+                self.cluster.deliver(position)
+        self.cluster.in_flight.clear()
+        self.restore("a", "b")
+        self.assert_all_answer()
+
+    def test_answer_of_the_server_s_agent_is_lost(self) -> None:
+        """A flow that was found must not be searched for again: each search asks other servers."""
+        self.crash("a", "b")
+        for key in self.feeds:
+            self.cluster.inject("c", build_tcp(key, 1, 1, ip.PSH | ip.ACK, b"ping"))
+        for _ in range(20 * FEEDS):
+            self.drop_answers()
+            if self.cluster.in_flight:
+                self.cluster.deliver(0)
+        self.assert_all_answer()
+        unknown_packets = self.count_unknown_packets()
+        self.cluster.settle(2 * RECOVERY_TIMEOUT_S)
+        self.assert_all_answer()
+        self.assertEqual(self.count_unknown_packets(), unknown_packets)
+
+    def drop_answers(self) -> None:
+        self.cluster.in_flight = [
+            envelope
+            for envelope in self.cluster.in_flight
+            if not isinstance(envelope.body, DataFrame) or not envelope.body.flags & gue.FLAG_FOUND
+        ]
+
+    def count_unknown_packets(self) -> int:
+        """Return the packets that reached servers without their flow."""
+        return sum(server.unknown_packets for server in self.cluster.servers_by_id.values())
+
+
+if __name__ == "__main__":
+    unittest.main()
