Agent: an authority with a granted token asks restarted agents for unknown flows

Callers saw a reset on an open flow while its server held it: the agent beside that server had crashed, another agent had taken the bucket over, and had granted it on before the caller's next packet.

Members say that they lack flows in answers to claims. The next authority has its token by a grant and sends no claim, so it asked nobody and reset the caller on the word of its own directory. Now it also asks the agents that have a former incarnation by the configuration, which every agent knows. One that only joined anew has kept its records and denies at once.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -27,6 +27,7 @@
         self.probe_endpoint = b""
         self.bucket_count = 0
         self.is_out_of_service = False
+        self.restarted_ids: list[str] = []
         self._identity = identity
         self._boot_ids = {identity.boot_id}
         self._removed_since_by_id: dict[str, float] = {}
@@ -66,6 +67,7 @@
         self.probe_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
         self._record_removed_members(now)
+        self.restarted_ids = self._list_restarted_ids()
         self.refresh(now)
 
     def _record_join_indexes(self) -> None:
@@ -104,6 +106,18 @@
             server_id: self._removed_since_by_id.get(server_id, now) for server_id in removed_ids
         }
 
+    def _list_restarted_ids(self) -> list[str]:
+        """Return the other members whose agent was restarted, so that it may lack flows."""
+        assert self.config is not None, "called with a configuration"
+        former_members = self.config.former_members_by_id
+        return sorted(
+            server_id
+            for server_id, boot_id in self.boot_ids_by_member().items()
+            if server_id != self.own_id
+            and server_id in former_members
+            and former_members[server_id].boot_id != boot_id
+        )
+
     def recently_removed_ids(self, now: float) -> list[str]:
         """Return removed members that may still serve their flows, out of contact with control."""
         return [
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -98,12 +98,16 @@
         self._searches_by_key.pop(key, None)
 
     def _candidates(self) -> list[str]:
-        """Return the agents that may have the flow without having reported it."""
+        """Return the agents that may have the flow without having reported it.
+
+        Members report that they lack flows in answers to claims. An authority whose token was
+        granted has sent no claim, so agents that were restarted are asked as well.
+        """
         context = self._context
         own = [context.view.own_id] if self._may_lack_own_flows else []
         incomplete = sorted(context.authority.incomplete_since_by_id)
         removed = context.view.recently_removed_ids(context.now)
-        return list(dict.fromkeys([*own, *incomplete, *removed]))
+        return list(dict.fromkeys([*own, *incomplete, *context.view.restarted_ids, *removed]))
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -111,6 +111,13 @@
         """Return the packets that reached servers without their flow."""
         return sum(server.unknown_packets for server in self.cluster.servers_by_id.values())
 
+    def test_bucket_moves_before_its_flows_are_recovered(self) -> None:
+        """The next authority must know which agents lack flows, though it has sent no claim."""
+        self.crash("a", "b")
+        self.cluster.log(DrainServer(server_id="c"))
+        self.restore("b")
+        self.assert_all_answer()
+
 
 if __name__ == "__main__":
     unittest.main()
