Agent: the silence of a removed agent is no denial, however long it lasts

Callers saw a reset on an open flow 30 s after control had removed the agent of its server, while the server went on: the agent was cut off, frozen or not started again yet. The directory took the time that had passed for the end of the server, both for recorded flows and for unknown ones, whose search left such agents out.

Now a removed agent stays a candidate, and packets of flows recorded there go on to it, until the configuration says that its server has ended or another incarnation has joined. The caller's retransmissions end by its own timeout. A start after that time opens a new flow and is placed anew; before, a SYN was answered with RST and a datagram dropped once.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -118,8 +118,13 @@
             and former_members[server_id].boot_id != boot_id
         )
 
+    @property
+    def removed_ids(self) -> list[str]:
+        """Removed members that may still serve their flows, however long they have been silent."""
+        return sorted(self._removed_since_by_id)
+
     def recently_removed_ids(self, now: float) -> list[str]:
-        """Return removed members that may still serve their flows, out of contact with control."""
+        """Return the members that were removed within ``REMOVED_MEMBER_RETENTION_S``."""
         return [
             server_id
             for server_id, since in sorted(self._removed_since_by_id.items())
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -331,17 +331,24 @@
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
     def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
-        """Keep forwarding to a removed member for a while: it may only be out of reach of control.
+        """Keep forwarding to a removed member: it may only be out of reach of control.
 
-        A member that is down does not answer; its callers get RST after
-        ``REMOVED_MEMBER_RETENTION_S``, when no server can have the flow any more.
+        Its silence says nothing of its server. Callers get RST once the server has ended. A start
+        ``REMOVED_MEMBER_RETENTION_S`` after the removal opens a new flow: callers don't repeat the
+        start of an earlier one for so long.
         """
-        if server_id in self.view.recently_removed_ids(self._context.now):
+        is_new_flow = is_start(frame.packet, key) and server_id not in (
+            self.view.recently_removed_ids(self._context.now)
+        )
+        if is_new_flow:
+            self.directory.remove_remote(frame.bucket, key)
+            self._route(frame, key)
+        elif server_id in self.view.removed_ids:
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-            return
-        self.directory.remove_remote(frame.bucket, key)
-        self._context.reset_caller(frame.packet)
+        else:
+            self.directory.remove_remote(frame.bucket, key)
+            self._context.reset_caller(frame.packet)
 
     def _adopt_flow(self, frame: DataFrame, key: bytes) -> None:
         """Open a flow that the records place on the local server, but this incarnation lacks."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -106,8 +106,8 @@
         context = self._context
         own = [context.view.own_id] if self._may_lack_own_flows else []
         incomplete = sorted(context.authority.incomplete_since_by_id)
-        removed = context.view.recently_removed_ids(context.now)
-        return list(dict.fromkeys([*own, *incomplete, *context.view.restarted_ids, *removed]))
+        view = context.view
+        return list(dict.fromkeys([*own, *incomplete, *view.restarted_ids, *view.removed_ids]))
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -4,12 +4,15 @@
 
 from tests.coordination.flows.fake_cluster import FakeCluster
 from tests.coordination.flows.fake_cluster import flow_key
+from wagtailkeel_coordination.flows.agent_view import REMOVED_MEMBER_RETENTION_S
 from wagtailkeel_coordination.flows.recovery import RECOVERY_TIMEOUT_S
 from wagtailkeel_protocol import DataFrame
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_tcp
+from wagtailkeel_protocol.packet_builder import build_udp
 from wagtailkeel_state.commands import DrainServer
+from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import RestoreServer
 
 SERVERS = ["a", "b", "c", "d"]
@@ -111,6 +114,47 @@
         """Return the packets that reached servers without their flow."""
         return sum(server.unknown_packets for server in self.cluster.servers_by_id.values())
 
+    def test_agent_is_silent_for_long_after_its_removal(self) -> None:
+        """Its server may serve all the time: flows must not be reset because time has passed."""
+        node = self.cluster.nodes_by_id.pop("b")
+        self.cluster.settle(2 * REMOVED_MEMBER_RETENTION_S)
+        for key in self.feeds:
+            self.request(key, "d")
+        self.assertEqual(sum(self.cluster.resets.values()), 0)
+        self.cluster.nodes_by_id["b"] = node
+        self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+
+    def test_port_is_used_again_after_its_agent_was_removed(self) -> None:
+        """The record of a flow at a removed agent must not bind a caller's later flow for ever."""
+        keys = [flow_key(number, is_tcp=False) for number in range(FEEDS)]
+        for position, key in enumerate(keys):
+            self.cluster.inject(SERVERS[position % len(SERVERS)], build_udp(key, b"report"))
+        self.cluster.settle(0.1)
+        bound = [key for key in [*keys, *self.feeds] if self.cluster.servers_of(key) == ["b"]]
+        self.assertTrue(any(key[-1] == ip.UDP for key in bound))
+        self.cluster.log(DrainServer(server_id="b"))
+        self.cluster.settle(SETTLE_S)
+        del self.cluster.nodes_by_id["b"]
+        for _ in range(10):
+            for key in bound:
+                is_udp = key[-1] == ip.UDP
+                start = build_udp(key, b"report") if is_udp else build_tcp(key, 1, 0, ip.SYN)
+                self.cluster.inject("d", start)
+            self.cluster.settle(REMOVED_MEMBER_RETENTION_S / 5)
+        self.assertEqual([key for key in bound if self.cluster.servers_of(key) == ["b"]], [])
+
+    def test_agent_leaves_with_its_server(self) -> None:
+        """Once the end of a server is known, callers must not wait for it."""
+        del self.cluster.nodes_by_id["b"]
+        boot_id = self.cluster.config.servers_by_id["b"].boot_id
+        self.cluster.log(RemoveServer(server_id="b", boot_id=boot_id, has_ended=True))
+        self.cluster.settle(SETTLE_S)
+        for key in self.feeds:
+            self.request(key, "d")
+        lost = {key for key in self.feeds if self.cluster.servers_of(key) == ["b"]}
+        self.assertEqual(set(self.cluster.resets), lost)
+
     def test_bucket_moves_before_its_flows_are_recovered(self) -> None:
         """The next authority must know which agents lack flows, though it has sent no claim."""
         self.crash("a", "b")
