Agent: a server that it doesn't know is not one that has ended

Callers saw a reset on an open flow, or its repeated start placed a second time, while a new server held it. A grant had passed the flow's record to an agent whose configuration was older than the server's join. That agent took a server that is neither a member nor a former member for one that had ended.

Now it is known to have ended only to an agent that has seen it as a member; of others the agent drops the packet (dropped_unknown_server) and the caller repeats it.

test_server_is_newer_than_the_configuration_of_the_authority fails on the code before (7 of 8 flows reset), none now.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -32,6 +32,7 @@
         self._boot_ids = {identity.boot_id}
         self._removed_since_by_id: dict[str, float] = {}
         self._ids_by_join_index: dict[int, str] = {}
+        self._ended_ids: set[str] = set()
         self._draining_since = float("inf")
         self._is_isolated = False
 
@@ -60,7 +61,9 @@
 
     def update(self, config: Configuration, now: float) -> None:
         """Apply a newer configuration."""
+        previous_ids = set(self.config.servers_by_id) if self.config else set()
         self.config = config
+        self._record_ended_servers(previous_ids)
         self._record_join_indexes()
         service = config.services_by_name.get(self._identity.service)
         self.classes_by_endpoint = index_classes(service) if service else {}
@@ -70,6 +73,20 @@
         self.restarted_ids = self._list_restarted_ids()
         self.refresh(now)
 
+    def _record_ended_servers(self, previous_ids: set[str]) -> None:
+        """Record the members that were removed because they had ended: no former members."""
+        assert self.config is not None, "called with a configuration"
+        members = self.config.servers_by_id
+        self._ended_ids.update(previous_ids - self.config.former_members_by_id.keys())
+        self._ended_ids.difference_update(members)
+
+    def has_ended(self, server_id: str) -> bool:
+        """Return whether a server is known to have ended.
+
+        A server that this agent has not seen as a member may have joined since its configuration.
+        """
+        return server_id in self._ended_ids
+
     def _record_join_indexes(self) -> None:
         """Record who joined when; the last incarnations of former members are kept."""
         assert self.config is not None, "called with a configuration"
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -320,7 +320,7 @@
             return
         member = self.view.find_member(remote.server_id)
         if member is None:
-            self._on_removed_server(frame, key, remote.server_id)
+            self._on_missing_member(frame, key, remote.server_id)
             return
         if self.view.config is not None and not self.view.config.is_in_service(member.data_centre):
             self._counters["flows_given_up"] += 1
@@ -330,25 +330,28 @@
             remote.is_closing = True
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
-    def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+    def _on_missing_member(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Keep forwarding to a removed member: it may only be out of reach of control.
 
         Its silence says nothing of its server. Callers get RST once the server has ended. A start
         ``REMOVED_MEMBER_RETENTION_S`` after the removal opens a new flow: callers don't repeat the
         start of an earlier one for so long.
         """
-        is_new_flow = is_start(frame.packet, key) and server_id not in (
-            self.view.recently_removed_ids(self._context.now)
-        )
-        if is_new_flow:
+        is_removed = server_id in self.view.removed_ids
+        was_removed_recently = server_id in self.view.recently_removed_ids(self._context.now)
+        has_ended = self.view.has_ended(server_id)
+        if not is_removed and not has_ended:
+            # The record comes from an agent with a newer configuration.
+            self._counters["dropped_unknown_server"] += 1
+        elif is_start(frame.packet, key) and not was_removed_recently:
             self.directory.remove_remote(frame.bucket, key)
             self._route(frame, key)
-        elif server_id in self.view.removed_ids:
-            self._counters["packets_to_former_member"] += 1
-            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-        else:
+        elif has_ended:
             self.directory.remove_remote(frame.bucket, key)
             self._context.reset_caller(frame.packet)
+        else:
+            self._counters["packets_to_former_member"] += 1
+            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
 
     def _adopt_flow(self, frame: DataFrame, key: bytes) -> None:
         """Open a flow that the records place on the local server, but this incarnation lacks."""
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -2,15 +2,21 @@
 
 import unittest
 
+from tests.coordination.flows.fake_cluster import BUCKETS
 from tests.coordination.flows.fake_cluster import FakeCluster
+from tests.coordination.flows.fake_cluster import FakeServer
+from tests.coordination.flows.fake_cluster import data_centre_of
 from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_coordination.flows.agent_view import REMOVED_MEMBER_RETENTION_S
 from wagtailkeel_coordination.flows.recovery import RECOVERY_TIMEOUT_S
 from wagtailkeel_protocol import DataFrame
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
+from wagtailkeel_protocol.flow_key import hash_flow
 from wagtailkeel_protocol.packet_builder import build_tcp
 from wagtailkeel_protocol.packet_builder import build_udp
+from wagtailkeel_state import FlowRecord
+from wagtailkeel_state.commands import DefineDataCentre
 from wagtailkeel_state.commands import DrainServer
 from wagtailkeel_state.commands import RemoveServer
 from wagtailkeel_state.commands import RestoreServer
@@ -125,6 +131,34 @@
         self.cluster.settle(SETTLE_S)
         self.assert_all_answer()
 
+    def test_server_is_newer_than_the_configuration_of_the_authority(self) -> None:
+        """A server that an agent doesn't know yet is not one that has ended."""
+        self.cluster.servers_by_id["e"] = FakeServer()
+        self.cluster.log(DefineDataCentre(name=data_centre_of("e"), region="home"))
+        self.cluster.partitioned_from_control = set(SERVERS)
+        self.cluster.boot("e")
+        authority_of = {
+            bucket: node
+            for node in self.cluster.nodes_by_id.values()
+            for bucket in node.router.authority.tokens_by_bucket
+        }
+        keys = [flow_key(FEEDS + number, is_tcp=True) for number in range(BUCKETS)]
+        for key in keys:
+            bucket = hash_flow(key) % BUCKETS
+            start = build_tcp(key, 1, 0, ip.SYN)
+            placed = DataFrame(start, bucket, self.cluster.config.index, gue.FLAG_DELIVER)
+            self.cluster.nodes_by_id["e"].router.on_frame(placed, self.cluster.now)
+            directory = authority_of[bucket].router.directory
+            directory.install_records(bucket, [FlowRecord(key, "e")], self.cluster.now)
+        for flags in (ip.PSH | ip.ACK, ip.SYN):
+            for key in keys:
+                self.send(key, flags, "a")
+        self.assertEqual(sum(self.cluster.resets.values()), 0)
+        self.cluster.partitioned_from_control = set()
+        self.feeds = keys
+        self.assert_all_answer()
+        self.assertEqual({*map(tuple, map(self.cluster.servers_of, keys))}, {("e",)})
+
     def test_port_is_used_again_after_its_agent_was_removed(self) -> None:
         """The record of a flow at a removed agent must not bind a caller's later flow for ever."""
         keys = [flow_key(number, is_tcp=False) for number in range(FEEDS)]
