Agent: it asks its server about flows whose record it has removed lately

Callers saw a reset on an open flow while its server held it. The agent beside that server had removed the flow's record without the server's word: on a caller's RST that the server ignores (a late packet of an earlier flow of that port), after both ends' FINs, or by an idle limit. With a flow table that it took for complete it then denied the flow, or reset the caller itself.

Now it asks its server about such flows for 60 s (as the agents of the handshake roles do): only the server's RST denies them, and any other answer adopts the flow anew.

RejectedStarts and the new set share ExpiringKeys.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -8,13 +8,13 @@
 from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
 from wagtailkeel_coordination.flows.agent_view import AgentView
 from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
+from wagtailkeel_coordination.flows.expiring_keys import ExpiringKeys
 from wagtailkeel_coordination.flows.flow_context import FlowContext
 from wagtailkeel_coordination.flows.flow_context import is_start
 from wagtailkeel_coordination.flows.local_flows import LocalFlows
 from wagtailkeel_coordination.flows.peer_view import PeerView
 from wagtailkeel_coordination.flows.placement import Placement
 from wagtailkeel_coordination.flows.recovery import FlowRecovery
-from wagtailkeel_coordination.flows.rejected_starts import RejectedStarts
 from wagtailkeel_coordination.flows.remote_flows import RemoteFlowSweeper
 from wagtailkeel_coordination.flows.round_trip_probe import RoundTripProbe
 from wagtailkeel_protocol import gue
@@ -49,6 +49,9 @@
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.traffic_class import TrafficClass
 
+REJECTION_RETENTION_S = 30.0
+"""A late copy of a rejected placement is rejected again: the flow may have another server now."""
+
 
 class FlowRouter:
     """Routing decisions of one agent; owns the flow directory and the parts that use it.
@@ -99,7 +102,7 @@
         self._packets = packets
         self._lease = lease
         self._counters = counters
-        self._rejected_starts = RejectedStarts()
+        self._rejected_starts = ExpiringKeys(REJECTION_RETENTION_S)
         self._probe = RoundTripProbe()
         self._sweeper = RemoteFlowSweeper(self.directory)
         self._was_placeable = False
@@ -242,7 +245,7 @@
 
         Return whether the packet was handled in this way.
         """
-        if self.authority.has_incomplete_flow_table:
+        if self._recovery.may_lack_record(key):
             self._recovery.query_before_takeover(frame, key)
             return True
         removed_ids = self.view.recently_removed_ids(self._context.now)
@@ -376,7 +379,7 @@
             self._on_remote_placement(frame, key, traffic_class)
         elif is_first_packet:
             self._context.open_and_deliver(frame, key, traffic_class)
-        elif self.authority.has_incomplete_flow_table:
+        elif self._recovery.may_lack_record(key):
             self._recovery.query(frame, key)
         else:
             self._context.return_rejected(frame)
@@ -428,12 +431,12 @@
         if key[-1] == ip.TCP and ip.tcp_flags(packet) & ip.RST:
             self._recovery.on_reset(key)
             return
-        self._recovery.on_answer(key)
+        was_queried = self._recovery.on_answer(key)
         traffic_class = self.view.find_class(key)
         if traffic_class is None:
             self._counters["dropped_reply_unknown_class"] += 1
             return
-        if key[-1] != ip.TCP or self.authority.has_incomplete_flow_table:
+        if key[-1] != ip.TCP or was_queried or self.authority.has_incomplete_flow_table:
             self._counters["flows_adopted"] += 1
             bucket = hash_flow(key) % self.view.bucket_count
             now = self._context.now
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/local_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/local_flows.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from wagtailkeel_coordination.flows.expiring_keys import ExpiringKeys
 from wagtailkeel_protocol import packet as ip
 from wagtailkeel_protocol.packet_builder import build_probe
 from wagtailkeel_protocol.packet_builder import build_reset
@@ -26,6 +27,8 @@
 MAX_PROBES = 3
 SERVER_ALIVE_WINDOW_S = 2.0
 CLOSED_RETENTION_S = 10.0
+REMOVED_RETENTION_S = 60.0
+"""How long the server is asked about a flow whose record was removed without its word."""
 SWEEP_INTERVAL_S = 5.0
 SWEEP_FLOWS_PER_TICK = 2_000
 
@@ -53,6 +56,7 @@
         self._record_response = record_response
         self._awaiting_by_key: dict[bytes, LocalFlow] = {}
         self._probe_counts_by_key: dict[bytes, int] = {}
+        self._lately_removed = ExpiringKeys(REMOVED_RETENTION_S)
         self._last_answer_at = float("-inf")
         self._sweep_keys: list[bytes] = []
         self._swept_at = float("-inf")
@@ -65,11 +69,26 @@
     def open(self, key: bytes, bucket: int, traffic_class: TrafficClass, now: float) -> LocalFlow:
         """Start tracking a flow."""
         flow = LocalFlow(key, bucket, traffic_class, now, now)
+        self._lately_removed.discard(key)
         self._directory.add_local(flow)
         self.held_count += traffic_class.has_held_flows_target
         self._counters["flows_opened"] += 1
         return flow
 
+    def has_lately_removed(self, key: bytes, now: float) -> bool:
+        """Return whether a TCP flow's record was removed lately, though its server may have it.
+
+        An RST or FIN may be a late packet of an earlier flow with the same key, which the server
+        ignores, and an idle limit ends the record, not the connection.
+        """
+        return self._lately_removed.contains(key, now)
+
+    def _remove(self, flow: LocalFlow, now: float) -> None:
+        """Remove a record without the server's word that the flow has ended."""
+        self.close(flow)
+        if flow.traffic_class.protocol is FlowProtocol.TCP:
+            self._lately_removed.add(flow.key, now)
+
     def close(self, flow: LocalFlow) -> None:
         """Stop tracking a flow and remove its record."""
         self._abandon_answer(flow)
@@ -93,16 +112,16 @@
         offset = ip.transport_offset(packet)
         flags = packet[offset + 13]
         if flags & _CONNECTION_FLAGS:
-            self._track_connection(flow, flags)
+            self._track_connection(flow, flags, now)
         if flags & ip.RST:
             return
         has_payload = len(packet) > offset + (packet[offset + 12] >> 4) * 4
         if has_payload or flags & ip.SYN:
             self._expect_answer(flow, packet, now)
 
-    def _track_connection(self, flow: LocalFlow, flags: int) -> None:
+    def _track_connection(self, flow: LocalFlow, flags: int, now: float) -> None:
         if flags & ip.RST:
-            self.close(flow)
+            self._remove(flow, now)
         elif flags & ip.SYN:
             flow.has_inbound_fin = flow.has_outbound_fin = False
         else:
@@ -167,6 +186,7 @@
         for flow in list(self._awaiting_by_key.values()):
             self._check_unanswered(flow, now)
         self._sweep(now)
+        self._lately_removed.expire(now)
 
     def _check_unanswered(self, flow: LocalFlow, now: float) -> None:
         """Probe an unanswered flow, or give up its answer after ``ANSWER_TIMEOUT_S``.
@@ -214,7 +234,7 @@
         for _ in range(min(SWEEP_FLOWS_PER_TICK, len(keys))):
             flow = self._directory.local_flows_by_key.get(keys.pop())
             if flow is not None and self._is_expired(flow, now):
-                self.close(flow)
+                self._remove(flow, now)
 
     def _is_expired(self, flow: LocalFlow, now: float) -> bool:
         idle_s = now - max(flow.last_inbound_at, flow.last_outbound_at)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -74,7 +74,7 @@
         if search.asked_id and self._context.now - search.asked_at > QUERY_TIMEOUT_S:
             search.silent_ids.add(search.asked_id)
             search.asked_id = ""
-        if search.asked_id in self._candidates():
+        if search.asked_id in self._candidates(key):
             self._ask(search, key)
         else:
             self._ask_next(search, key)
@@ -97,21 +97,21 @@
         """End the search for a flow whose server is known."""
         self._searches_by_key.pop(key, None)
 
-    def _candidates(self) -> list[str]:
+    def _candidates(self, key: bytes) -> list[str]:
         """Return the agents that may have the flow without having reported it.
 
         Members report that they lack flows in answers to claims. An authority whose token was
         granted has sent no claim, so agents that were restarted are asked as well.
         """
         context = self._context
-        own = [context.view.own_id] if self._may_lack_own_flows else []
+        own = [context.view.own_id] if self.may_lack_record(key) else []
         incomplete = sorted(context.authority.incomplete_since_by_id)
         view = context.view
         return list(dict.fromkeys([*own, *incomplete, *view.restarted_ids, *view.removed_ids]))
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
-        candidates = [c for c in self._candidates() if c not in search.denied_ids]
+        candidates = [c for c in self._candidates(key) if c not in search.denied_ids]
         if not candidates:
             del self._searches_by_key[key]
             context.counters["unknown_flows_reset"] += 1
@@ -131,10 +131,14 @@
 
     # Queries to the local backend server
 
-    @property
-    def _may_lack_own_flows(self) -> bool:
+    def may_lack_record(self, key: bytes) -> bool:
+        """Return whether the local backend server may have a flow without a record here."""
         context = self._context
-        return context.authority.has_incomplete_flow_table and not context.view.is_out_of_service
+        if context.view.is_out_of_service:
+            return False
+        if context.authority.has_incomplete_flow_table:
+            return True
+        return context.local_flows.has_lately_removed(key, context.now)
 
     def query(self, frame: DataFrame, key: bytes) -> None:
         """Ask the local backend server on behalf of the bucket's authority."""
@@ -163,12 +167,13 @@
         else:
             context.counters["dropped_unknown_flow"] += 1
 
-    def on_answer(self, key: bytes) -> None:
-        """Pass on that the local backend server has the connection."""
+    def on_answer(self, key: bytes) -> bool:
+        """Pass on that the local backend server has the connection; return whether it was asked."""
         self.end_search(key)
         query = self._queries_by_key.pop(key, None)
         if query is not None and not query.is_own:
             self._context.return_found(query.frame)
+        return query is not None
 
     def expire(self, now: float) -> None:
         """Discard what had no answer; the caller's next packet starts anew."""
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -189,6 +189,18 @@
         lost = {key for key in self.feeds if self.cluster.servers_of(key) == ["b"]}
         self.assertEqual(set(self.cluster.resets), lost)
 
+    def test_record_was_removed_while_its_server_has_the_flow(self) -> None:
+        """A late RST of an earlier flow of the port removes the record, which servers ignore."""
+        for is_recorded_elsewhere in (False, True):
+            with self.subTest(is_recorded_elsewhere=is_recorded_elsewhere):
+                self.setUp()
+                if is_recorded_elsewhere:
+                    self.cluster.log(DrainServer(server_id="a"))
+                    self.cluster.settle(SETTLE_S)
+                for key in self.feeds:
+                    self.send(key, ip.RST, "d")
+                self.assert_all_answer()
+
     def test_bucket_moves_before_its_flows_are_recovered(self) -> None:
         """The next authority must know which agents lack flows, though it has sent no claim."""
         self.crash("a", "b")
