Agent: a search asks the agent that was lost last first, also before a takeover

Packets of open flows arrived at other backend servers, though their own was sound: its agent stalled, and control removed it. Until its takeover, the bucket's next owner sent them to its own server, if its agent had ever been restarted, and to no other; after the takeover it asked the agents in the order of their names.

Which server has an unknown flow shows only in its answer to a packet. So the one that most likely has it is asked first: callers send often, so that records of flows are missing mostly since the last restart or removal, which the configuration orders. A silent candidate keeps the flow's packets for 3 s (0.5 s before), more than control takes to remove a member. The claimant searches in the same way as the authority, but never resets.

test_agent_stalls_until_control_removes_it fails on the code before: 36 packets of 18 flows at other servers, none now.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -9,6 +9,8 @@
 from wagtailkeel_state.enums import ServerState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wagtailkeel_coordination.flows.agent_identity import AgentIdentity
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_state.server_member import ServerMember
@@ -140,6 +142,16 @@
         """Removed members that may still serve their flows, however long they have been silent."""
         return sorted(self._removed_since_by_id)
 
+    def sort_by_last_removal(self, server_ids: Iterable[str]) -> list[str]:
+        """Return servers by the last removal or restart of their agents, the latest first."""
+        former_members = self.config.former_members_by_id if self.config else {}
+
+        def sort_key(server_id: str) -> tuple[int, str]:
+            former = former_members.get(server_id)
+            return (-former.removed_index if former else 0, server_id)
+
+        return sorted(server_ids, key=sort_key)
+
     def recently_removed_ids(self, now: float) -> list[str]:
         """Return the members that were removed within ``REMOVED_MEMBER_RETENTION_S``."""
         return [
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -234,25 +234,25 @@
         if claim.holder_id and not frame.flags & gue.FLAG_GRANTED:
             self._context.forward(claim.holder_id, frame, 0)
             return
-        is_unknown_to_members = not claim.pending_ids and not is_start(frame.packet, key)
-        if is_unknown_to_members and self._query_before_takeover(frame, key):
+        if not claim.pending_ids and self._route_before_takeover(frame, key):
             return
         if not claim.enqueue(frame, self._context.now):
             self._counters["dropped_claim_queue_full"] += 1
 
-    def _query_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
-        """Query for a flow that no member knows, without waiting for leases as the takeover does.
+    def _route_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
+        """Search for a flow that no member knows, without waiting for leases as the takeover does.
 
         Return whether the packet was handled in this way.
         """
-        if self._recovery.may_lack_record(key):
-            self._recovery.query_before_takeover(frame, key)
+        if frame.flags & gue.ANSWER_FLAGS:
+            if not self._recovery.is_searching(key):
+                return False
+            self._route_answer(frame)
             return True
-        removed_ids = self.view.recently_removed_ids(self._context.now)
-        for server_id in removed_ids:
-            self._counters["packets_to_former_member"] += 1
-            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-        return bool(removed_ids)
+        if is_start(frame.packet, key) or not self._recovery.has_candidates(key):
+            return False
+        self._recovery.search(frame, key)
+        return True
 
     # Decisions of the authority
 
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -23,8 +23,11 @@
     from wagtailkeel_coordination.flows.flow_context import FlowContext
 
 RECOVERY_TIMEOUT_S = 5.0
-QUERY_TIMEOUT_S = 0.5
-"""How long a candidate gets the packets of a flow before the next one is asked."""
+QUERY_TIMEOUT_S = 3.0
+"""How long a candidate gets the packets of a flow before the next one is asked.
+
+An agent that only stalls answers within this time, or is removed by control after 2.5 s.
+"""
 
 
 class LocalQuery(msgspec.Struct):
@@ -39,7 +42,7 @@
 
 
 class FlowSearch(msgspec.Struct):
-    """A search of the bucket's authority for a flow; ``frame`` is the newest packet."""
+    """A search of a bucket's authority, or next one, for a flow; ``frame`` is the newest packet."""
 
     frame: DataFrame
     asked_id: str = ""
@@ -98,21 +101,33 @@
         self._searches_by_key.pop(key, None)
 
     def _candidates(self, key: bytes) -> list[str]:
-        """Return the agents that may have the flow without having reported it.
+        """Return the agents that may have the flow without having reported it, likely ones first.
 
+        Callers send often, so that a record that is missing was mostly lost with the agent that was
+        restarted or removed last. A query to any other reaches a server that lacks the flow.
         Members report that they lack flows in answers to claims. An authority whose token was
         granted has sent no claim, so agents that were restarted are asked as well.
         """
-        context = self._context
-        own = [context.view.own_id] if self.may_lack_record(key) else []
-        incomplete = sorted(context.authority.incomplete_since_by_id)
-        view = context.view
-        return list(dict.fromkeys([*own, *incomplete, *view.restarted_ids, *view.removed_ids]))
+        view = self._context.view
+        incomplete_ids = self._context.authority.incomplete_since_by_id.keys()
+        ids = {*incomplete_ids, *view.restarted_ids, *view.removed_ids}
+        if self.may_lack_record(key):
+            ids.add(view.own_id)
+        return view.sort_by_last_removal(ids)
+
+    def has_candidates(self, key: bytes) -> bool:
+        """Return whether there is an agent to ask for a flow."""
+        return bool(self._candidates(key))
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
         candidates = [c for c in self._candidates(key) if c not in search.denied_ids]
         if not candidates:
+            search.asked_id = ""
+            if not context.authority.is_authority(search.frame.bucket):
+                # The flow may be at the token's holder, which a claim is still to find.
+                context.counters["dropped_unknown_flow"] += 1
+                return
             del self._searches_by_key[key]
             context.counters["unknown_flows_reset"] += 1
             context.reset_caller(search.frame.packet)
@@ -145,11 +160,6 @@
         if not self._drop_unrecoverable(frame, key):
             self._query(frame, key, is_own=False)
 
-    def query_before_takeover(self, frame: DataFrame, key: bytes) -> None:
-        """Ask the local backend server before this agent is the bucket's authority."""
-        if not self._drop_unrecoverable(frame, key):
-            self._query(frame, key, is_own=True)
-
     def _query(self, frame: DataFrame, key: bytes, *, is_own: bool) -> None:
         self._queries_by_key[key] = LocalQuery(frame, self._context.now, is_own)
         self._context.packets.deliver(frame.packet)
@@ -162,7 +172,7 @@
             return
         if not query.is_own:
             context.return_rejected(query.frame)
-        elif context.authority.is_authority(query.frame.bucket):
+        elif self.is_searching(key):
             self.on_denial(query.frame, key, context.view.own_id)
         else:
             context.counters["dropped_unknown_flow"] += 1
@@ -181,10 +191,14 @@
             if now - query.asked_at > RECOVERY_TIMEOUT_S:
                 del self._queries_by_key[key]
         for key, search in list(self._searches_by_key.items()):
-            is_authority = self._context.authority.is_authority(search.frame.bucket)
-            if now - search.asked_at > RECOVERY_TIMEOUT_S or not is_authority:
+            is_overdue = now - search.asked_at > RECOVERY_TIMEOUT_S
+            if is_overdue or not self._is_responsible(search.frame.bucket):
                 del self._searches_by_key[key]
 
+    def _is_responsible(self, bucket: int) -> bool:
+        authority = self._context.authority
+        return authority.is_authority(bucket) or bucket in authority.claims_by_bucket
+
     def _drop_unrecoverable(self, frame: DataFrame, key: bytes) -> bool:
         if key[-1] == ip.TCP and not ip.tcp_flags(frame.packet) & ip.RST:
             return False
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -9,6 +9,7 @@
 from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_coordination.flows.agent_view import REMOVED_MEMBER_RETENTION_S
 from wagtailkeel_coordination.flows.recovery import RECOVERY_TIMEOUT_S
+from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol import DataFrame
 from wagtailkeel_protocol import gue
 from wagtailkeel_protocol import packet as ip
@@ -189,6 +190,24 @@
         lost = {key for key in self.feeds if self.cluster.servers_of(key) == ["b"]}
         self.assertEqual(set(self.cluster.resets), lost)
 
+    def test_agent_stalls_until_control_removes_it(self) -> None:
+        """Packets of its flows must not go to servers whose agents were restarted long before."""
+        for server_id in ("a", "c", "d"):
+            self.cluster.boot(server_id)
+            self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+        unknown_packets = self.count_unknown_packets()
+        stalled = self.cluster.nodes_by_id.pop("b")
+        keys = [key for key in self.feeds if self.cluster.servers_of(key) == ["b"]]
+        for _ in range(5):
+            for key in keys:
+                self.cluster.inject("a", build_tcp(key, 1, 1, ip.PSH | ip.ACK, b"ping"))
+            self.cluster.settle(REMOVAL_TIMEOUT_S / 2 - 0.1)
+        self.assertNotIn("b", self.cluster.config.servers_by_id)
+        self.cluster.nodes_by_id["b"] = stalled
+        self.assert_all_answer()
+        self.assertEqual(self.count_unknown_packets(), unknown_packets)
+
     def test_record_was_removed_while_its_server_has_the_flow(self) -> None:
         """A late RST of an earlier flow of the port removes the record, which servers ignore."""
         for is_recorded_elsewhere in (False, True):
