Agent: it resets no caller by an older configuration than its token's

Callers saw a reset on an open flow while its server held it: an agent was granted the bucket before it had the configuration that names the restart of the flow's agent. It knew of no agent without complete records, asked none and reset the caller.

Now an authority whose table is older than that under which its token was sent stays silent once its candidates have denied the flow, as a claimant does; the newer table names the others.

test_bucket_moves_to_an_agent_with_an_older_configuration fails on the code before (17 of 60 flows reset, none now).

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -116,6 +116,15 @@
         """Return whether this agent holds the bucket's token."""
         return self._tokens.is_held(bucket)
 
+    def knows_members_of_token(self, bucket: int) -> bool:
+        """Return whether this agent's table is no older than the one its token was sent under.
+
+        Otherwise it may not know of members that have been removed or have restarted.
+        """
+        if not self._tokens.is_held(bucket) or self.table is None:
+            return False
+        return self.table.epoch >= self._tokens.received_epoch(bucket)
+
     def is_placement_stale(self, bucket: int, token_epoch: int) -> bool:
         """Return whether a placement was made under a token older than a promise of this agent."""
         return self._tokens.is_placement_stale(bucket, token_epoch)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -124,8 +124,9 @@
         candidates = [c for c in self._candidates(key) if c not in search.denied_ids]
         if not candidates:
             search.asked_id = ""
-            if not context.authority.is_authority(search.frame.bucket):
-                # The flow may be at the token's holder, which a claim is still to find.
+            if not context.authority.knows_members_of_token(search.frame.bucket):
+                # A claim is still to find the token's holder, or a newer table to come, which tells
+                # of agents that may lack records.
                 context.counters["dropped_unknown_flow"] += 1
                 return
             del self._searches_by_key[key]
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -190,6 +190,30 @@
         lost = {key for key in self.feeds if self.cluster.servers_of(key) == ["b"]}
         self.assertEqual(set(self.cluster.resets), lost)
 
+    def test_bucket_moves_to_an_agent_with_an_older_configuration(self) -> None:
+        """An agent that doesn't know of a restart must not take all records for complete."""
+        self.cluster.partitioned_from_control = {"b"}
+        self.cluster.boot("a")
+        for command in (
+            DrainServer(server_id="b"),
+            DrainServer(server_id="a"),
+            RestoreServer(server_id="b"),
+            DrainServer(server_id="c"),
+            DrainServer(server_id="d"),
+        ):
+            self.cluster.log(command)
+            for _ in range(20):
+                self.cluster.heartbeat(self.cluster.nodes_by_id["b"])
+                self.cluster.settle(SETTLE_S / 20)
+        self.assertEqual(len(self.cluster.nodes_by_id["b"].router.authority.tokens_by_bucket), 8)
+        for key in self.feeds:
+            self.cluster.heartbeat(self.cluster.nodes_by_id["b"])
+            self.send(key, ip.PSH | ip.ACK, "b", b"ping")
+        self.assertEqual(sum(self.cluster.resets.values()), 0)
+        self.cluster.partitioned_from_control = set()
+        self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+
     def test_agent_stalls_until_control_removes_it(self) -> None:
         """Packets of its flows must not go to servers whose agents were restarted long before."""
         for server_id in ("a", "c", "d"):
