Agent: a search asks the bucket's last owner first

Flows whose record is missing mostly ran at the server of the bucket's last owner, which had their only record. A claimant knows it: by the table before, or, before its first table, as its own former incarnation. It is asked first, then the others as before.

test_agent_crashes_before_another_is_restarted fails on the code before (8 packets at other servers, none now).

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -93,6 +93,11 @@
         """Claims in progress."""
         return self._claims.claims_by_bucket
 
+    @property
+    def lost_owners_by_bucket(self) -> Mapping[int, str]:
+        """The last owners, before this agent, that were removed or have restarted."""
+        return self._claims.lost_owners_by_bucket
+
     @property
     def outgoing_by_bucket(self) -> Mapping[int, OutgoingGrant]:
         """Grants that successors have not acknowledged yet."""
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_claims.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_claims.py
@@ -28,6 +28,8 @@
 class BucketClaims:
     """Claims in progress by bucket, and the frames that are queued meanwhile.
 
+    ``lost_owners_by_bucket`` are the last owners that were removed or have restarted, by the tables
+    that this process has seen. Before its first table that is its own former incarnation.
     ``replay_frames`` is called with these frames once they can be routed.
     """
 
@@ -40,6 +42,7 @@
         replay_frames: Callable[[list[DataFrame]], None],
     ) -> None:
         self.claims_by_bucket: dict[int, BucketClaim] = {}
+        self.lost_owners_by_bucket: dict[int, str] = {}
         self._own_id = own_id
         self._directory = directory
         self._outbox = outbox
@@ -67,6 +70,8 @@
         for bucket in buckets:
             earlier = earlier_claims.get(bucket)
             holder = previous.owner_of(bucket) if previous else None
+            if previous is None or holder in changed_ids:
+                self.lost_owners_by_bucket[bucket] = holder or self._own_id
             if earlier is not None:
                 holder = earlier.holder_id
             has_holder = bool(holder) and holder != self._own_id and holder not in changed_ids
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -77,7 +77,7 @@
         if search.asked_id and self._context.now - search.asked_at > QUERY_TIMEOUT_S:
             search.silent_ids.add(search.asked_id)
             search.asked_id = ""
-        if search.asked_id in self._candidates(key):
+        if search.asked_id in self._candidates(frame.bucket, key):
             self._ask(search, key)
         else:
             self._ask_next(search, key)
@@ -100,11 +100,13 @@
         """End the search for a flow whose server is known."""
         self._searches_by_key.pop(key, None)
 
-    def _candidates(self, key: bytes) -> list[str]:
+    def _candidates(self, bucket: int, key: bytes) -> list[str]:
         """Return the agents that may have the flow without having reported it, likely ones first.
 
-        Callers send often, so that a record that is missing was mostly lost with the agent that was
+        A record is mostly missing because the bucket's last owner was lost: flows at its own server
+        had no other. Callers send often, so that the next best guess is the agent that was
         restarted or removed last. A query to any other reaches a server that lacks the flow.
+
         Members report that they lack flows in answers to claims. An authority whose token was
         granted has sent no claim, so agents that were restarted are asked as well.
         """
@@ -113,15 +115,21 @@
         ids = {*incomplete_ids, *view.restarted_ids, *view.removed_ids}
         if self.may_lack_record(key):
             ids.add(view.own_id)
-        return view.sort_by_last_removal(ids)
+        lost_owner = self._context.authority.lost_owners_by_bucket.get(bucket)
+        candidates = view.sort_by_last_removal(ids)
+        return sorted(candidates, key=lambda server_id: server_id != lost_owner)
 
-    def has_candidates(self, key: bytes) -> bool:
+    def has_candidates(self, bucket: int, key: bytes) -> bool:
         """Return whether there is an agent to ask for a flow."""
-        return bool(self._candidates(key))
+        return bool(self._candidates(bucket, key))
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
-        candidates = [c for c in self._candidates(key) if c not in search.denied_ids]
+        candidates = [
+            server_id
+            for server_id in self._candidates(search.frame.bucket, key)
+            if server_id not in search.denied_ids
+        ]
         if not candidates:
             search.asked_id = ""
             if not context.authority.knows_members_of_token(search.frame.bucket):
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -232,6 +232,16 @@
         self.assert_all_answer()
         self.assertEqual(self.count_unknown_packets(), unknown_packets)
 
+    def test_agent_crashes_before_another_is_restarted(self) -> None:
+        """Its flows must be asked for at its own server first, not at the one restarted last."""
+        self.cluster.log(DrainServer(server_id="a"))
+        self.cluster.settle(SETTLE_S)
+        for server_id in ("b", "a"):
+            self.cluster.boot(server_id)
+            self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+        self.assertEqual(self.count_unknown_packets(), 0)
+
     def test_record_was_removed_while_its_server_has_the_flow(self) -> None:
         """A late RST of an earlier flow of the port removes the record, which servers ignore."""
         for is_recorded_elsewhere in (False, True):
