--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -152,6 +152,11 @@
 
         return sorted(server_ids, key=sort_key)
 
+    @property
+    def has_removed_members(self) -> bool:
+        """Whether ``removed_ids`` has any."""
+        return bool(self._removed_since_by_id)
+
     def recently_removed_ids(self, now: float) -> list[str]:
         """Return the members that were removed within ``REMOVED_MEMBER_RETENTION_S``."""
         return [
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -249,7 +249,7 @@
                 return False
             self._route_answer(frame)
             return True
-        if is_start(frame.packet, key) or not self._recovery.has_candidates(frame.bucket, key):
+        if is_start(frame.packet, key) or not self._recovery.has_candidates(key):
             return False
         self._recovery.search(frame, key)
         return True
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/recovery.py
@@ -77,7 +77,7 @@
         if search.asked_id and self._context.now - search.asked_at > QUERY_TIMEOUT_S:
             search.silent_ids.add(search.asked_id)
             search.asked_id = ""
-        if search.asked_id in self._candidates(frame.bucket, key):
+        if search.asked_id:
             self._ask(search, key)
         else:
             self._ask_next(search, key)
@@ -119,9 +119,14 @@
         candidates = view.sort_by_last_removal(ids)
         return sorted(candidates, key=lambda server_id: server_id != lost_owner)
 
-    def has_candidates(self, bucket: int, key: bytes) -> bool:
+    def has_candidates(self, key: bytes) -> bool:
         """Return whether there is an agent to ask for a flow."""
-        return bool(self._candidates(bucket, key))
+        view = self._context.view
+        return self.may_lack_record(key) or bool(
+            self._context.authority.incomplete_since_by_id
+            or view.restarted_ids
+            or view.has_removed_members
+        )
 
     def _ask_next(self, search: FlowSearch, key: bytes) -> None:
         context = self._context
