--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -71,10 +71,19 @@
         self._counters = counters
         self._tokens = BucketTokens()
         self._uncertainty = BucketUncertainty()
+        self._lost_owners_by_bucket: dict[int, str] = {}
         self._grants = BucketGrants(
-            own_id, self._tokens, self._uncertainty, directory, outbox, counters
+            own_id,
+            self._tokens,
+            self._uncertainty,
+            self._lost_owners_by_bucket,
+            directory,
+            outbox,
+            counters,
+        )
+        self._claims = BucketClaims(
+            own_id, self._lost_owners_by_bucket, directory, outbox, counters, replay_frames
         )
-        self._claims = BucketClaims(own_id, directory, outbox, counters, replay_frames)
         self._boot_ids_by_member: dict[str, int] = {}
         self._takeover_not_before = float("-inf")
 
@@ -95,8 +104,8 @@
 
     @property
     def lost_owners_by_bucket(self) -> Mapping[int, str]:
-        """The last owners, before this agent, that were removed or have restarted."""
-        return self._claims.lost_owners_by_bucket
+        """The buckets' last owners that were removed or have restarted, as far as known."""
+        return self._lost_owners_by_bucket
 
     @property
     def outgoing_by_bucket(self) -> Mapping[int, OutgoingGrant]:
@@ -316,6 +325,8 @@
                 self._counters["grants_refused"] += 1
                 continue
             self._counters["grants_taken"] += 1
+            if grant.lost_owner_id:
+                self._lost_owners_by_bucket[grant.bucket] = grant.lost_owner_id
             self._uncertainty.on_grant(grant.bucket, grant.uncertain_s, now)
             self._directory.install_records(grant.bucket, grant.flows, now)
             self._accept_token(grant.bucket, grant.generation, grant.epoch, now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_claims.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_claims.py
@@ -28,21 +28,23 @@
 class BucketClaims:
     """Claims in progress by bucket, and the frames that are queued meanwhile.
 
-    ``lost_owners_by_bucket`` are the last owners that were removed or have restarted, by the tables
-    that this process has seen. Before its first table that is its own former incarnation.
+    A claim records in ``lost_owners_by_bucket`` the bucket's last owner if it was removed or has
+    restarted, by the tables that this process has seen. Before its first table that is its own
+    former incarnation.
     ``replay_frames`` is called with these frames once they can be routed.
     """
 
     def __init__(
         self,
         own_id: str,
+        lost_owners_by_bucket: dict[int, str],
         directory: FlowDirectory,
         outbox: DatagramOutbox,
         counters: Counters,
         replay_frames: Callable[[list[DataFrame]], None],
     ) -> None:
         self.claims_by_bucket: dict[int, BucketClaim] = {}
-        self.lost_owners_by_bucket: dict[int, str] = {}
+        self._lost_owners_by_bucket = lost_owners_by_bucket
         self._own_id = own_id
         self._directory = directory
         self._outbox = outbox
@@ -71,7 +73,7 @@
             earlier = earlier_claims.get(bucket)
             holder = previous.owner_of(bucket) if previous else None
             if previous is None or holder in changed_ids:
-                self.lost_owners_by_bucket[bucket] = holder or self._own_id
+                self._lost_owners_by_bucket[bucket] = holder or self._own_id
             if earlier is not None:
                 holder = earlier.holder_id
             has_holder = bool(holder) and holder != self._own_id and holder not in changed_ids
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_grants.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_grants.py
@@ -40,6 +40,7 @@
         own_id: str,
         tokens: BucketTokens,
         uncertainty: BucketUncertainty,
+        lost_owners_by_bucket: dict[int, str],
         directory: FlowDirectory,
         outbox: DatagramOutbox,
         counters: Counters,
@@ -48,6 +49,7 @@
         self._own_id = own_id
         self._tokens = tokens
         self._uncertainty = uncertainty
+        self._lost_owners_by_bucket = lost_owners_by_bucket
         self._directory = directory
         self._outbox = outbox
         self._counters = counters
@@ -138,6 +140,7 @@
         """Give up the token, to be sent with ``records``: this agent is no longer the authority."""
         outgoing.final_records = records
         outgoing.is_released = True
+        outgoing.lost_owner_id = self._lost_owners_by_bucket.pop(outgoing.bucket, "")
         outgoing.uncertain_until = self._uncertainty.release(outgoing.bucket)
         self._tokens.release(outgoing.bucket, outgoing.successor_id, outgoing.generation)
         self._directory.remove_remotes(outgoing.bucket)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/outgoing_grant.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/outgoing_grant.py
@@ -28,6 +28,7 @@
     next_part: int = 0
     final_records: list[FlowRecord] = []
     uncertain_until: float = 0.0
+    lost_owner_id: str = ""
     is_released: bool = False
     last_sent_at: float = float("-inf")
 
@@ -40,7 +41,12 @@
         """Return the part of a Grant message that passes on the token."""
         uncertain_s = max(0.0, self.uncertain_until - now)
         return BucketGrant(
-            self.bucket, self.generation, self.epoch, self.final_records, round(uncertain_s, 3)
+            self.bucket,
+            self.generation,
+            self.epoch,
+            self.final_records,
+            round(uncertain_s, 3),
+            self.lost_owner_id,
         )
 
     def split_unsent(self, records: list[FlowRecord]) -> list[FlowRecord]:
--- a/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
+++ b/packages/wagtailkeel-protocol/src/wagtailkeel_protocol/messages.py
@@ -122,7 +122,8 @@
     """A bucket's token and directory entries; ``epoch`` is that of the table that moved it.
 
     For ``uncertain_s`` seconds, a flow without an entry may have reached a server for which no
-    live agent is responsible.
+    live agent is responsible. A flow without an entry is most likely at the server of
+    ``lost_owner_id``, the bucket's last owner that was lost; empty if none is known.
     """
 
     bucket: int
@@ -130,6 +131,7 @@
     epoch: int
     flows: list[FlowRecord]
     uncertain_s: float = 0.0
+    lost_owner_id: str = ""
 
 
 class Grant(Datagram, tag=7):
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -242,6 +242,17 @@
         self.assert_all_answer()
         self.assertEqual(self.count_unknown_packets(), 0)
 
+    def test_lost_owner_is_passed_on_with_the_bucket(self) -> None:
+        """The next authority must not ask the agent that was restarted last first."""
+        self.cluster.log(DrainServer(server_id="a"))
+        self.cluster.settle(SETTLE_S)
+        self.crash("b")
+        self.cluster.boot("a")
+        self.cluster.log(DrainServer(server_id="c"))
+        self.cluster.settle(SETTLE_S)
+        self.assert_all_answer()
+        self.assertEqual(self.count_unknown_packets(), 0)
+
     def test_record_was_removed_while_its_server_has_the_flow(self) -> None:
         """A late RST of an earlier flow of the port removes the record, which servers ignore."""
         for is_recorded_elsewhere in (False, True):
