Agent: data after a late FIN or RST keeps an authority's record for its idle limit

Callers saw a reset on an open flow that had been quiet for 30 s, while its server held it. A late RST or FIN of an earlier flow of that port had marked the record of its bucket's authority as closing, which is kept for 30 s only, and no later packet took the mark back. Without the record the authority took the flow for unknown, and its agent, whose own records were complete, was not asked.

Data from the caller now unsets the mark: after its FIN or RST a caller sends none.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -329,10 +329,18 @@
             self._counters["flows_given_up"] += 1
             self._context.reset_caller(frame.packet)
             return
-        if key[-1] == ip.TCP and ip.tcp_flags(frame.packet) & (ip.FIN | ip.RST):
-            remote.is_closing = True
+        if key[-1] == ip.TCP:
+            self._track_closing(remote, frame.packet)
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
+    @staticmethod
+    def _track_closing(remote: RemoteFlow, packet: bytes) -> None:
+        if ip.tcp_flags(packet) & (ip.FIN | ip.RST):
+            remote.is_closing = True
+        elif ip.payload_of(packet):
+            # The caller still sends: the FIN or RST was a late one of an earlier flow.
+            remote.is_closing = False
+
     def _on_missing_member(self, frame: DataFrame, key: bytes, server_id: str) -> None:
         """Keep forwarding to a removed member: it may only be out of reach of control.
 
--- a/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
+++ b/packages/wagtailkeel-state/src/wagtailkeel_state/remote_flow.py
@@ -10,7 +10,8 @@
 class RemoteFlow(msgspec.Struct):
     """A pointer to the server that has a flow, or the record that the flow was refused.
 
-    ``last_seen_at`` is in monotonic seconds; ``is_closing`` is set once a FIN or RST was forwarded.
+    ``last_seen_at`` is in monotonic seconds; ``is_closing`` is set once a FIN or RST was forwarded,
+    and unset by data after it.
     """
 
     server_id: str
--- a/tests/coordination/flows/test_recovery.py
+++ b/tests/coordination/flows/test_recovery.py
@@ -9,6 +9,7 @@
 from tests.coordination.flows.fake_cluster import flow_key
 from wagtailkeel_coordination.flows.agent_view import REMOVED_MEMBER_RETENTION_S
 from wagtailkeel_coordination.flows.recovery import RECOVERY_TIMEOUT_S
+from wagtailkeel_coordination.flows.remote_flows import CLOSING_RETENTION_S
 from wagtailkeel_coordination.lease import REMOVAL_TIMEOUT_S
 from wagtailkeel_protocol import DataFrame
 from wagtailkeel_protocol import gue
@@ -179,6 +180,16 @@
             self.cluster.settle(REMOVED_MEMBER_RETENTION_S / 5)
         self.assertEqual([key for key in bound if self.cluster.servers_of(key) == ["b"]], [])
 
+    def test_late_reset_of_an_earlier_flow_does_not_shorten_the_life_of_a_record(self) -> None:
+        """The authority must not forget the server of a flow that is quiet for half a minute."""
+        self.cluster.log(DrainServer(server_id="a"))
+        self.cluster.settle(SETTLE_S)
+        for key in self.feeds:
+            self.send(key, ip.RST, "d")
+        self.assert_all_answer()
+        self.cluster.settle(2 * CLOSING_RETENTION_S)
+        self.assert_all_answer()
+
     def test_agent_leaves_with_its_server(self) -> None:
         """Once the end of a server is known, callers must not wait for it."""
         del self.cluster.nodes_by_id["b"]
