--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/buckets/bucket_authority.py
@@ -71,10 +71,19 @@
         self._counters = counters
         self._tokens = BucketTokens()
         self._uncertainty = BucketUncertainty()
+        self._lost_owners_by_bucket: dict[int, str] = {}
         self._grants = BucketGrants(
-            own_id, self._tokens, self._uncertainty, directory, outbox, counters
+            own_id,
+            self._tokens,
+            self._uncertainty,
+            self._lost_owners_by_bucket,
+            directory,
+            outbox,
+            counters,
+        )
+        self._claims = BucketClaims(
+            own_id, self._lost_owners_by_bucket, directory, outbox, counters, replay_frames
         )
-        self._claims = BucketClaims(own_id, directory, outbox, counters, replay_frames)
         self._boot_ids_by_member: dict[str, int] = {}
         self._takeover_not_before = float("-inf")
 
@@ -93,6 +102,11 @@
         """Claims in progress."""
         return self._claims.claims_by_bucket
 
+    @property
+    def lost_owners_by_bucket(self) -> Mapping[int, str]:
+        """The buckets' last owners that were removed or have restarted, as far as known."""
+        return self._lost_owners_by_bucket
+
     @property
     def outgoing_by_bucket(self) -> Mapping[int, OutgoingGrant]:
         """Grants that successors have not acknowledged yet."""
@@ -116,6 +130,15 @@
         """Return whether this agent holds the bucket's token."""
         return self._tokens.is_held(bucket)
 
+    def knows_members_of_token(self, bucket: int) -> bool:
+        """Return whether this agent's table is no older than the one its token was sent under.
+
+        Otherwise it may not know of members that have been removed or have restarted.
+        """
+        if not self._tokens.is_held(bucket) or self.table is None:
+            return False
+        return self.table.epoch >= self._tokens.received_epoch(bucket)
+
     def is_placement_stale(self, bucket: int, token_epoch: int) -> bool:
         """Return whether a placement was made under a token older than a promise of this agent."""
         return self._tokens.is_placement_stale(bucket, token_epoch)
@@ -302,6 +325,8 @@
                 self._counters["grants_refused"] += 1
                 continue
             self._counters["grants_taken"] += 1
+            if grant.lost_owner_id:
+                self._lost_owners_by_bucket[grant.bucket] = grant.lost_owner_id
             self._uncertainty.on_grant(grant.bucket, grant.uncertain_s, now)
             self._directory.install_records(grant.bucket, grant.flows, now)
             self._accept_token(grant.bucket, grant.generation, grant.epoch, now)
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/agent_view.py
@@ -9,6 +9,8 @@
 from wagtailkeel_state.enums import ServerState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wagtailkeel_coordination.flows.agent_identity import AgentIdentity
     from wagtailkeel_state.configuration import Configuration
     from wagtailkeel_state.server_member import ServerMember
@@ -27,9 +29,12 @@
         self.probe_endpoint = b""
         self.bucket_count = 0
         self.is_out_of_service = False
+        self.restarted_ids: list[str] = []
         self._identity = identity
         self._boot_ids = {identity.boot_id}
         self._removed_since_by_id: dict[str, float] = {}
+        self._ids_by_join_index: dict[int, str] = {}
+        self._ended_ids: set[str] = set()
         self._draining_since = float("inf")
         self._is_isolated = False
 
@@ -58,14 +63,56 @@
 
     def update(self, config: Configuration, now: float) -> None:
         """Apply a newer configuration."""
+        previous_ids = set(self.config.servers_by_id) if self.config else set()
         self.config = config
+        self._record_ended_servers(previous_ids)
+        self._record_join_indexes()
         service = config.services_by_name.get(self._identity.service)
         self.classes_by_endpoint = index_classes(service) if service else {}
         self.probe_endpoint = next(iter(self.classes_by_endpoint), b"")
         self.bucket_count = service.bucket_count if service else 0
         self._record_removed_members(now)
+        self.restarted_ids = self._list_restarted_ids()
         self.refresh(now)
 
+    def _record_ended_servers(self, previous_ids: set[str]) -> None:
+        """Record the members that were removed because they had ended: no former members."""
+        assert self.config is not None, "called with a configuration"
+        members = self.config.servers_by_id
+        self._ended_ids.update(previous_ids - self.config.former_members_by_id.keys())
+        self._ended_ids.difference_update(members)
+
+    def has_ended(self, server_id: str) -> bool:
+        """Return whether a server is known to have ended.
+
+        A server that this agent has not seen as a member may have joined since its configuration.
+        """
+        return server_id in self._ended_ids
+
+    def _record_join_indexes(self) -> None:
+        """Record who joined when; the last incarnations of former members are kept."""
+        assert self.config is not None, "called with a configuration"
+        members = self.config.servers_by_id
+        removed_ids = self.config.former_members_by_id.keys() - members.keys()
+        removed = {
+            index: server_id
+            for index, server_id in self._ids_by_join_index.items()
+            if server_id in removed_ids
+        }
+        joined = {
+            member.joined_index: member.server_id
+            for member in members.values()
+            if member.service == self._identity.service
+        }
+        self._ids_by_join_index = removed | joined
+
+    def find_id_by_join_index(self, joined_index: int) -> str | None:
+        """Return the server whose agent's incarnation joined at a log index.
+
+        It may have been removed since, but it is not the former incarnation of a member.
+        """
+        return self._ids_by_join_index.get(joined_index)
+
     def _record_removed_members(self, now: float) -> None:
         assert self.config is not None, "called with a configuration"
         members = self.config.servers_by_id
@@ -78,8 +125,40 @@
             server_id: self._removed_since_by_id.get(server_id, now) for server_id in removed_ids
         }
 
+    def _list_restarted_ids(self) -> list[str]:
+        """Return the other members whose agent was restarted, so that it may lack flows."""
+        assert self.config is not None, "called with a configuration"
+        former_members = self.config.former_members_by_id
+        return sorted(
+            server_id
+            for server_id, boot_id in self.boot_ids_by_member().items()
+            if server_id != self.own_id
+            and server_id in former_members
+            and former_members[server_id].boot_id != boot_id
+        )
+
+    @property
+    def removed_ids(self) -> list[str]:
+        """Removed members that may still serve their flows, however long they have been silent."""
+        return sorted(self._removed_since_by_id)
+
+    def sort_by_last_removal(self, server_ids: Iterable[str]) -> list[str]:
+        """Return servers by the last removal or restart of their agents, the latest first."""
+        former_members = self.config.former_members_by_id if self.config else {}
+
+        def sort_key(server_id: str) -> tuple[int, str]:
+            former = former_members.get(server_id)
+            return (-former.removed_index if former else 0, server_id)
+
+        return sorted(server_ids, key=sort_key)
+
+    @property
+    def has_removed_members(self) -> bool:
+        """Whether ``removed_ids`` has any."""
+        return bool(self._removed_since_by_id)
+
     def recently_removed_ids(self, now: float) -> list[str]:
-        """Return removed members that may still serve their flows, out of contact with control."""
+        """Return the members that were removed within ``REMOVED_MEMBER_RETENTION_S``."""
         return [
             server_id
             for server_id, since in sorted(self._removed_since_by_id.items())
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/flows/flow_router.py
@@ -8,13 +8,13 @@
 from wagtailkeel_coordination.buckets.bucket_authority import BucketAuthority
 from wagtailkeel_coordination.flows.agent_view import AgentView
 from wagtailkeel_coordination.flows.concurrency_limiter import ConcurrencyLimiter
+from wagtailkeel_coordination.flows.expiring_keys import ExpiringKeys
 from wagtailkeel_coordination.flows.flow_context import FlowContext
 from wagtailkeel_coordination.flows.flow_context import is_start
 from wagtailkeel_coordination.flows.local_flows import LocalFlows
 from wagtailkeel_coordination.flows.peer_view import PeerView
 from wagtailkeel_coordination.flows.placement import Placement
 from wagtailkeel_coordination.flows.recovery import FlowRecovery
-from wagtailkeel_coordination.flows.rejected_starts import RejectedStarts
 from wagtailkeel_coordination.flows.remote_flows import RemoteFlowSweeper
 from wagtailkeel_coordination.flows.round_trip_probe import RoundTripProbe
 from wagtailkeel_protocol import gue
@@ -49,6 +49,9 @@
     from wagtailkeel_state.remote_flow import RemoteFlow
     from wagtailkeel_state.traffic_class import TrafficClass
 
+REJECTION_RETENTION_S = 30.0
+"""A late copy of a rejected placement is rejected again: the flow may have another server now."""
+
 
 class FlowRouter:
     """Routing decisions of one agent; owns the flow directory and the parts that use it.
@@ -83,7 +86,14 @@
             self._replay,
         )
         self._context = FlowContext(
-            self.view, self.directory, self.local_flows, self.authority, packets, counters, now
+            self.view,
+            self.directory,
+            self.local_flows,
+            self.authority,
+            packets,
+            counters,
+            now,
+            self._route_answer,
         )
         self._placement = Placement(
             self._context, self.limiter, self.peers, lease, self._forward_to_authority
@@ -92,7 +102,7 @@
         self._packets = packets
         self._lease = lease
         self._counters = counters
-        self._rejected_starts = RejectedStarts()
+        self._rejected_starts = ExpiringKeys(REJECTION_RETENTION_S)
         self._probe = RoundTripProbe()
         self._sweeper = RemoteFlowSweeper(self.directory)
         self._was_placeable = False
@@ -171,13 +181,16 @@
             self._counters[f"dropped_{key.value}"] += 1
             return
         flow = self.directory.local_flows_by_key.get(key)
-        if flow is None or frame.flags & gue.FLAG_REJECTED:
+        if flow is None or frame.flags & gue.ANSWER_FLAGS:
             self._route(frame, key)
             return
         if self.view.is_out_of_service:
             self._end_out_of_service_flow(flow)
             self._context.reset_caller(frame.packet)
             return
+        if frame.flags & gue.FLAG_QUERY:
+            # The earlier answer was lost, or is on its way.
+            self._context.return_found(frame)
         self._deliver(flow, frame.packet, frame.hops, now)
 
     def _end_out_of_service_flow(self, flow: LocalFlow) -> None:
@@ -215,31 +228,31 @@
             self._context.forward_to_successor(frame)
             return
         remote = self.directory.find_remote(frame.bucket, key)
-        if remote is not None and not frame.flags & gue.FLAG_REJECTED:
+        if remote is not None and not frame.flags & gue.ANSWER_FLAGS:
             self._send_to_remote(frame, key, remote)
             return
         if claim.holder_id and not frame.flags & gue.FLAG_GRANTED:
             self._context.forward(claim.holder_id, frame, 0)
             return
-        is_unknown_to_members = not claim.pending_ids and not is_start(frame.packet, key)
-        if is_unknown_to_members and self._query_before_takeover(frame, key):
+        if not claim.pending_ids and self._route_before_takeover(frame, key):
             return
         if not claim.enqueue(frame, self._context.now):
             self._counters["dropped_claim_queue_full"] += 1
 
-    def _query_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
-        """Query for a flow that no member knows, without waiting for leases as the takeover does.
+    def _route_before_takeover(self, frame: DataFrame, key: bytes) -> bool:
+        """Search for a flow that no member knows, without waiting for leases as the takeover does.
 
         Return whether the packet was handled in this way.
         """
-        if self.authority.has_incomplete_flow_table:
-            self._recovery.start(frame, key, [])
+        if frame.flags & gue.ANSWER_FLAGS:
+            if not self._recovery.is_searching(key):
+                return False
+            self._route_answer(frame)
             return True
-        removed_ids = self.view.recently_removed_ids(self._context.now)
-        for server_id in removed_ids:
-            self._counters["packets_to_former_member"] += 1
-            self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-        return bool(removed_ids)
+        if is_start(frame.packet, key) or not self._recovery.has_candidates(key):
+            return False
+        self._recovery.search(frame, key)
+        return True
 
     # Decisions of the authority
 
@@ -247,16 +260,58 @@
         self, frame: DataFrame, key: bytes, traffic_class: TrafficClass
     ) -> None:
         remote = self.directory.find_remote(frame.bucket, key)
-        if frame.flags & gue.FLAG_REJECTED:
-            self._placement.on_rejection(frame, key, traffic_class, remote)
+        if frame.flags & gue.ANSWER_FLAGS:
+            self._on_answer(frame, key, traffic_class)
         elif remote is not None:
             self._send_to_remote(frame, key, remote)
         elif is_start(frame.packet, key):
+            self._recovery.end_search(key)
             self._placement.place(frame, key, traffic_class)
         else:
-            candidates = sorted(self.authority.incomplete_since_by_id)
-            candidates += self.view.recently_removed_ids(self._context.now)
-            self._recovery.start(frame, key, candidates)
+            self._recovery.search(frame, key)
+
+    def _route_answer(self, frame: DataFrame) -> None:
+        key = ip.parse_flow_key(frame.packet)
+        traffic_class = None if isinstance(key, Malformed) else self.view.find_class(key)
+        if not isinstance(key, Malformed) and traffic_class is not None:
+            self._on_answer(frame, key, traffic_class)
+
+    def _on_answer(self, frame: DataFrame, key: bytes, traffic_class: TrafficClass) -> None:
+        """Handle what another agent, or this one before it was the authority, says of a flow."""
+        remote = self.directory.find_remote(frame.bucket, key)
+        server_id = self.view.find_id_by_join_index(frame.token_epoch)
+        if frame.flags & gue.FLAG_FOUND:
+            self._on_found(frame, key, remote, server_id)
+        elif is_start(frame.packet, key):
+            self._placement.on_rejection(frame, key, traffic_class, remote)
+        elif server_id is None or key in self.directory.local_flows_by_key:
+            self._counters["rejections_ignored"] += 1
+        elif remote is not None and remote.server_id == server_id:
+            self._on_outdated_pointer(frame, key, server_id)
+        elif remote is None and self._recovery.is_searching(key):
+            self._recovery.on_denial(frame, key, server_id)
+        else:
+            self._counters["rejections_ignored"] += 1
+
+    def _on_found(
+        self, frame: DataFrame, key: bytes, remote: RemoteFlow | None, server_id: str | None
+    ) -> None:
+        # A late answer must not replace a newer record of the key.
+        is_known = remote is not None or key in self.directory.local_flows_by_key
+        if server_id is None or is_known:
+            return
+        self._recovery.end_search(key)
+        if server_id != self.view.own_id:
+            self.directory.add_remote(frame.bucket, key, server_id, self._context.now)
+
+    def _on_outdated_pointer(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+        """Search for a flow that its recorded server lacks."""
+        if frame.flags & gue.FLAG_QUERY:
+            # The pointer is newer than this answer to a query.
+            self._counters["rejections_ignored"] += 1
+            return
+        self.directory.remove_remote(frame.bucket, key)
+        self._recovery.on_denial(frame, key, server_id)
 
     def _send_to_remote(self, frame: DataFrame, key: bytes, remote: RemoteFlow) -> None:
         remote.last_seen_at = self._context.now
@@ -268,28 +323,46 @@
             return
         member = self.view.find_member(remote.server_id)
         if member is None:
-            self._on_removed_server(frame, key, remote.server_id)
+            self._on_missing_member(frame, key, remote.server_id)
             return
         if self.view.config is not None and not self.view.config.is_in_service(member.data_centre):
             self._counters["flows_given_up"] += 1
             self._context.reset_caller(frame.packet)
             return
-        if key[-1] == ip.TCP and ip.tcp_flags(frame.packet) & (ip.FIN | ip.RST):
-            remote.is_closing = True
+        if key[-1] == ip.TCP:
+            self._track_closing(remote, frame.packet)
         self._context.forward(remote.server_id, frame, gue.FLAG_DELIVER)
 
-    def _on_removed_server(self, frame: DataFrame, key: bytes, server_id: str) -> None:
-        """Keep forwarding to a removed member for a while: it may only be out of reach of control.
+    @staticmethod
+    def _track_closing(remote: RemoteFlow, packet: bytes) -> None:
+        if ip.tcp_flags(packet) & (ip.FIN | ip.RST):
+            remote.is_closing = True
+        elif ip.payload_of(packet):
+            # The caller still sends: the FIN or RST was a late one of an earlier flow.
+            remote.is_closing = False
+
+    def _on_missing_member(self, frame: DataFrame, key: bytes, server_id: str) -> None:
+        """Keep forwarding to a removed member: it may only be out of reach of control.
 
-        A member that is down does not answer; its callers get RST after
-        ``REMOVED_MEMBER_RETENTION_S``, when no server can have the flow any more.
+        Its silence says nothing of its server. Callers get RST once the server has ended. A start
+        ``REMOVED_MEMBER_RETENTION_S`` after the removal opens a new flow: callers don't repeat the
+        start of an earlier one for so long.
         """
-        if server_id in self.view.recently_removed_ids(self._context.now):
+        is_removed = server_id in self.view.removed_ids
+        was_removed_recently = server_id in self.view.recently_removed_ids(self._context.now)
+        has_ended = self.view.has_ended(server_id)
+        if not is_removed and not has_ended:
+            # The record comes from an agent with a newer configuration.
+            self._counters["dropped_unknown_server"] += 1
+        elif is_start(frame.packet, key) and not was_removed_recently:
+            self.directory.remove_remote(frame.bucket, key)
+            self._route(frame, key)
+        elif has_ended:
+            self.directory.remove_remote(frame.bucket, key)
+            self._context.reset_caller(frame.packet)
+        else:
             self._counters["packets_to_former_member"] += 1
             self._context.forward(server_id, frame, gue.FLAG_DELIVER)
-            return
-        self.directory.remove_remote(frame.bucket, key)
-        self._context.reset_caller(frame.packet)
 
     def _adopt_flow(self, frame: DataFrame, key: bytes) -> None:
         """Open a flow that the records place on the local server, but this incarnation lacks."""
@@ -314,8 +387,8 @@
             self._on_remote_placement(frame, key, traffic_class)
         elif is_first_packet:
             self._context.open_and_deliver(frame, key, traffic_class)
-        elif self.authority.has_incomplete_flow_table:
-            self._recovery.start(frame, key, [], is_for_authority=True)
+        elif self._recovery.may_lack_record(key):
+            self._recovery.query(frame, key)
         else:
             self._context.return_rejected(frame)
 
@@ -366,12 +439,12 @@
         if key[-1] == ip.TCP and ip.tcp_flags(packet) & ip.RST:
             self._recovery.on_reset(key)
             return
-        self._recovery.on_answer(key)
+        was_queried = self._recovery.on_answer(key)
         traffic_class = self.view.find_class(key)
         if traffic_class is None:
             self._counters["dropped_reply_unknown_class"] += 1
             return
-        if key[-1] != ip.TCP or self.authority.has_incomplete_flow_table:
+        if key[-1] != ip.TCP or was_queried or self.authority.has_incomplete_flow_table:
             self._counters["flows_adopted"] += 1
             bucket = hash_flow(key) % self.view.bucket_count
             now = self._context.now
