--- a/tests/coordination/handshake/test_reset_review_2.py
+++ b/tests/coordination/handshake/test_stale_records.py
@@ -15,10 +15,10 @@
 from tests.coordination.handshake.fake_network import FakeNode
 from tests.coordination.handshake.fake_network import FakePacket
 from tests.coordination.handshake.test_reset_grounds import History
-from tests.coordination.handshake.test_reset_review import COPY_DELAY_S
-from tests.coordination.handshake.test_reset_review import EndedFlowsHistory
-from tests.coordination.handshake.test_reset_review import EndedFlowsServer
-from tests.coordination.handshake.test_reset_review import member
+from tests.coordination.handshake.test_stale_answers import COPY_DELAY_S
+from tests.coordination.handshake.test_stale_answers import EndedFlowsHistory
+from tests.coordination.handshake.test_stale_answers import EndedFlowsServer
+from tests.coordination.handshake.test_stale_answers import member
 from wagtailkeel.roles.handshake import server_check as server_check_module
 from wagtailkeel.roles.handshake.server_check import PortState
 from wagtailkeel.roles.handshake.server_check import ServerCheck
