--- a/tests/coordination/handshake/test_stale_answers.py
+++ b/tests/coordination/handshake/test_stale_answers.py
@@ -1,4 +1,4 @@
-"""Histories in which a caller may still get a reset on a flow that its server holds."""
+"""Guards against answers about an earlier flow or membership that decide about a later one."""
 
 from __future__ import annotations
 
--- a/tests/coordination/handshake/test_stale_records.py
+++ b/tests/coordination/handshake/test_stale_records.py
@@ -1,4 +1,4 @@
-"""Histories in which a flow is reset, or an opening is not answered, by records of another one."""
+"""Guards against records of another flow or copy by which a flow is reset or an opening lost."""
 
 from __future__ import annotations
 
