Agent: a server's reset in answer to the first request reaches its caller

A server that fails resets the first request of a flow, and its callers waited until they gave up. A flow of which the server has got later packets without returning them is one that it holds, so that its reset is its own word.

--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/flow_holder.py
@@ -379,9 +379,9 @@
 def _has_answered(flow: HeldFlow | None) -> bool:
     """Return whether a reset of the server is an answer on its own flow.
 
-    It may refuse an opening, or abort a flow on which it has sent more than the answer to the
-    opening. Otherwise, its caller may have the flow with another server.
+    It may refuse an opening, or abort a flow of which it has got more than the opening without
+    returning it. Otherwise, the caller may have the flow with another server.
     """
     if flow is None or flow.is_presumed or flow.closed_at:
         return False
-    return flow.is_established or not flow.has_reply
+    return flow.is_established or flow.is_used or not flow.has_reply
--- a/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
+++ b/packages/wagtailkeel-coordination/src/wagtailkeel_coordination/handshake/held_flows.py
@@ -39,8 +39,8 @@
     request, so that its response time is the server's work alone. ``started_at`` is when the server
     began to work on that request, as far as the agent can tell; 0 before, or if this is not
     measured. ``finished_ends`` has a bit for each end that has closed the flow; ``closed_at`` is 0
-    until the flow is closed. ``is_presumed`` is set while the server has only failed to return a
-    packet of the flow.
+    until the flow is closed. ``is_used`` is set once a packet after the opening was delivered, and
+    ``is_presumed`` while the server has only failed to return a packet of the flow.
     """
 
     key: bytes
@@ -55,6 +55,7 @@
     started_at: float = 0.0
     finished_ends: int = 0
     closed_at: float = 0.0
+    is_used: bool = False
     is_presumed: bool = False
 
 
@@ -159,6 +160,7 @@
     def on_inbound(self, flow: HeldFlow, header: PacketHeader, now: float) -> None:
         """Update a flow for a packet that is about to be delivered to the server."""
         flow.last_seen_at = now
+        flow.is_used = flow.is_used or not header.is_opening
         if header.payload_bytes and not flow.awaiting_since:
             flow.awaiting_since = now
             flow.has_free_slot = len(self._awaiting_by_key) < self.slots
